--- a/features/steps/errors_steps.py
+++ b/features/steps/errors_steps.py
@@ -7,6 +7,7 @@
 REACHED_A_TARGET = {
     ErrorKind.TARGET_FAILED,
     ErrorKind.OUTCOME_UNKNOWN,
+    ErrorKind.EARLIER_SENDING_UNKNOWN,
     ErrorKind.IN_PROGRESS,
     ErrorKind.ALREADY_DONE,
     ErrorKind.STORE_ANSWER_LOST,
--- /dev/null
+++ b/src/primrosestile/coordination/actions.py
@@ -0,0 +1,267 @@
+"""The steps of one gang job: start, evict, lose, end. Each leaves it whole.
+
+Every action marks its job as busy for its length, so that no two of them meet on
+one job, and every write goes over exactly the revision that was decided on. When
+the store is down nothing is written; the worker's next report shows the same
+facts, and the action is taken again.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import replace
+
+import structlog
+
+from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.coordination.celldata import (
+    CellData,
+    make_class_key,
+    make_holding,
+)
+from primrosestile.coordination.gangs import (
+    Stage,
+    StartOutcome,
+    checkpoint_gang,
+    start_gang,
+    stop_gang,
+)
+from primrosestile.errors import Failure
+from primrosestile.state.jobs import (
+    JobRecord,
+    JobState,
+    Member,
+    Reason,
+    ReasonCode,
+)
+
+# A job whose start failed waits before it is tried again, longer each time, so
+# that one bad worker or job can't keep the owner and the workers busy.
+START_RETRY_SECONDS = 0.5
+START_RETRY_LIMIT_SECONDS = 30.0
+# A job that failed this often on workers where others succeed is itself at fault.
+FAILURE_LIMIT = 3
+
+_log = structlog.get_logger()
+
+
+def make_reason(code: ReasonCode, detail: str = "") -> Reason:
+    """Return a reason with the present time of day."""
+    return Reason(code, read_wall_clock(), detail)
+
+
+class JobActions:
+    """Actions on the jobs of one owned cell."""
+
+    def __init__(self, data: CellData) -> None:
+        self._data = data
+        self._start_failures: dict[str, int] = {}
+
+    async def start(
+        self, record: JobRecord, members: tuple[Member, ...], reason: Reason
+    ) -> None:
+        """Start a placed job; its accelerators are held in the view already."""
+        job_id = record.spec.job_id
+        started = replace(
+            record,
+            state=JobState.STARTED,
+            attempt=record.attempt + 1,
+            epoch=self._data.command.epoch,
+            members=members,
+            started_at=read_wall_clock(),
+        ).with_reason(reason)
+        for member in members:
+            self._data.contacts[member.worker].renewed_at = read_clock()
+
+        async def write() -> bool:
+            return await self._data.book.write(started)
+
+        outcome = await start_gang(self._data.command, started, write)
+        if outcome.started:
+            self._start_failures.pop(job_id, None)
+            self._data.started_at[job_id] = read_clock()
+            _log.info("gang_started", job_id=job_id, epoch=started.epoch)
+        elif outcome.stage is Stage.GO:
+            await self._lose(started, outcome.workers, ReasonCode.GO_FAILED)
+        else:
+            await self._put_back(record, outcome)
+
+    async def _put_back(self, record: JobRecord, outcome: StartOutcome) -> None:
+        """Free what a start held that was not recorded, and try again later."""
+        job_id = record.spec.job_id
+        self._data.view.release(job_id)
+        failures = self._start_failures.get(job_id, 0) + 1
+        self._start_failures[job_id] = failures
+        delay = min(START_RETRY_LIMIT_SECONDS, START_RETRY_SECONDS * 2**failures)
+        self._data.retry_at[job_id] = read_clock() + delay
+        kind = outcome.kind.value if outcome.kind else ""
+        _log.warning(
+            "gang_start_failed",
+            job_id=job_id,
+            stage=outcome.stage.value,
+            kind=kind,
+            workers=list(outcome.workers),
+        )
+        code = ReasonCode.PREPARE_FAILED
+        if outcome.stage is Stage.RESERVE:
+            code = ReasonCode.RESERVE_FAILED
+        detail = f"{', '.join(outcome.workers) or 'the store'}: {kind}"
+        self._data.waiting_reasons[job_id] = make_reason(code, detail)
+        for worker in outcome.workers:
+            # Not usable until it has answered once more.
+            self._data.contacts[worker].reachable = False
+        self._data.refresh_usable()
+        if outcome.stage is Stage.RECORD:
+            # The write may stand although its answer was lost: never told to go,
+            # the job must not be taken for a running one.
+            await self._settle_unstarted(record)
+
+    async def _settle_unstarted(self, record: JobRecord) -> None:
+        job_id = record.spec.job_id
+        while True:
+            try:
+                current = await self._data.book.refresh(job_id)
+                if current is None or current.attempt == record.attempt:
+                    return
+                if current.epoch != self._data.command.epoch:
+                    return
+                again = replace(current, state=JobState.ACCEPTED, members=())
+                if await self._data.book.write(again):
+                    return
+            except Failure as failure:
+                _log.info("unstarted_unsettled", job_id=job_id, kind=failure.kind.value)
+            await asyncio.sleep(START_RETRY_SECONDS)
+
+    async def evict(self, record: JobRecord, code: ReasonCode, detail: str) -> bool:
+        """Checkpoint and stop a job so that it can run again; True when done.
+
+        Its accelerators are free afterwards, and it waits again with what it has
+        saved.
+        """
+        if not record.spec.restartable:
+            return False
+        saved = record.checkpoint
+        if record.spec.checkpoints:
+            saved = await checkpoint_gang(self._data.command, record)
+        unconfirmed = await stop_gang(self._data.command, record)
+        await self._wait_for_lapse(unconfirmed)
+        waiting = replace(
+            record, state=JobState.ACCEPTED, checkpoint=saved, members=()
+        ).with_reason(make_reason(code, detail))
+        return await self._write_and_release(waiting)
+
+    async def _write_and_release(self, record: JobRecord) -> bool:
+        written = await self._data.book.write(record)
+        if written:
+            self._data.view.release(record.spec.job_id)
+            self._data.wake()
+        return written
+
+    async def _wait_for_lapse(self, unconfirmed: list[str]) -> None:
+        """Wait until tasks that could not be told to stop have stopped.
+
+        RESTART_AFTER_LAPSE: a job that runs again while a member of its earlier
+        attempt still runs would be in two places, and the first one in part.
+        """
+        if unconfirmed:
+            lapse = self._data.lapse_of(unconfirmed)
+            await asyncio.sleep(max(0.0, lapse - read_clock()))
+
+    async def lose(self, record: JobRecord, missing: tuple[str, ...]) -> None:
+        """Handle a member that is gone: stop the rest, then run again or give up."""
+        await self._lose(record, missing, ReasonCode.MEMBER_LOST)
+
+    async def _lose(
+        self, record: JobRecord, workers: tuple[str, ...], code: ReasonCode
+    ) -> None:
+        unconfirmed = await stop_gang(self._data.command, record)
+        await self._wait_for_lapse(unconfirmed)
+        detail = f"on {', '.join(workers)}"
+        if record.spec.restartable:
+            waiting = replace(record, state=JobState.ACCEPTED, members=()).with_reason(
+                make_reason(code, detail)
+            )
+            await self._write_and_release(waiting)
+            return
+        # RESTART_ONLY_IF_ALLOWED: it may have run, so it never runs again.
+        await self.end(record, JobState.UNKNOWN, code, detail)
+
+    async def end(
+        self, record: JobRecord, state: JobState, code: ReasonCode, detail: str = ""
+    ) -> None:
+        """Write a job's end and free its accelerators."""
+        ended = replace(record, state=state, finished_at=read_wall_clock()).with_reason(
+            make_reason(code, detail)
+        )
+        if not await self._write_and_release(ended):
+            return
+        job_id = record.spec.job_id
+        self._data.waiting_reasons.pop(job_id, None)
+        self._data.retry_at.pop(job_id, None)
+        self._data.started_at.pop(job_id, None)
+        _log.info("job_ended", job_id=job_id, state=state.value, reason=code.value)
+
+    async def finish(self, record: JobRecord) -> None:
+        """End a job whose every member has finished, and learn its run time."""
+        seconds = read_wall_clock() - record.started_at + record.checkpoint
+        self._data.run_times.record(make_class_key(record), seconds)
+        for member in record.members:
+            self._data.failures.record(
+                member.worker, record.spec.job_id, False, read_wall_clock()
+            )
+        await self.end(record, JobState.FINISHED, ReasonCode.FINISHED)
+
+    async def fail(self, record: JobRecord, workers: tuple[str, ...]) -> None:
+        """Handle members that failed: stop the rest, then run again or give up."""
+        now = read_wall_clock()
+        for worker in workers:
+            self._data.failures.record(worker, record.spec.job_id, True, now)
+        unconfirmed = await stop_gang(self._data.command, record)
+        await self._wait_for_lapse(unconfirmed)
+        failures = record.failures + 1
+        detail = f"failed on {', '.join(workers)}"
+        given_up = failures >= FAILURE_LIMIT and self._data.failures.is_bad_job(
+            record.spec.job_id
+        )
+        if given_up or not record.spec.restartable:
+            ended = replace(record, failures=failures)
+            await self.end(ended, JobState.FAILED, ReasonCode.FAILED_EVERYWHERE, detail)
+            return
+        waiting = replace(
+            record, state=JobState.ACCEPTED, members=(), failures=failures
+        ).with_reason(make_reason(ReasonCode.RESTARTED, detail))
+        self._data.retry_at[record.spec.job_id] = read_clock() + START_RETRY_SECONDS
+        await self._write_and_release(waiting)
+
+    async def cancel(self, record: JobRecord) -> None:
+        """End a job whose caller has asked for it."""
+        if record.state is JobState.STARTED:
+            unconfirmed = await stop_gang(self._data.command, record)
+            await self._wait_for_lapse(unconfirmed)
+        await self.end(record, JobState.CANCELLED, ReasonCode.CANCELLED_BY_CALLER)
+
+    def adopt(self, record: JobRecord) -> None:
+        """Hold the accelerators of a job that an earlier owner started."""
+        holding = make_holding(record, record.members, record.started_at)
+        self._data.view.hold(holding)
+        self._data.started_at[record.spec.job_id] = read_clock()
+
+    def spawn(
+        self,
+        group: asyncio.TaskGroup,
+        record: JobRecord,
+        action: Coroutine[None, None, object],
+    ) -> None:
+        """Run one action in a task of its own; its job is busy from now on."""
+        self._data.busy.add(record.spec.job_id)
+        group.create_task(self._guard(record.spec.job_id, action))
+
+    async def _guard(self, job_id: str, action: Coroutine[None, None, object]) -> None:
+        try:
+            await action
+        except Failure as failure:
+            # The facts stand as before, on the workers or in the store, so the
+            # next report or pass takes the action again.
+            _log.warning("job_action_stopped", job_id=job_id, kind=failure.kind.value)
+        finally:
+            self._data.busy.discard(job_id)
+            self._data.wake()
--- /dev/null
+++ b/src/primrosestile/coordination/cell.py
@@ -0,0 +1,309 @@
+"""One owned cell, from taking it over to handing it on."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+import structlog
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.actions import JobActions
+from primrosestile.coordination.celldata import CellData, Contact, make_class_key
+from primrosestile.coordination.following import Following
+from primrosestile.coordination.gangs import Command, go_gang
+from primrosestile.coordination.jobbook import JobBook
+from primrosestile.coordination.placing import Placing
+from primrosestile.coordination.reconciling import Recovery, decide_recovery
+from primrosestile.decisions.cell import CellView
+from primrosestile.decisions.fragmentation import measure_fragmentation
+from primrosestile.decisions.guarantees import assign_guarantees
+from primrosestile.decisions.learning import RunTimes
+from primrosestile.decisions.quarantine import make_ledger
+from primrosestile.decisions.slots import share_slots
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.messages import CellDigest
+from primrosestile.protocol.store import Store
+from primrosestile.protocol.workers import WorkerReport
+from primrosestile.state.fleet import Cell
+from primrosestile.state.jobs import JobState, ReasonCode
+from primrosestile.state.settings import Settings
+
+# How long a grant of slots holds; three reports fit in, so one that is lost does
+# not throw an entry back on its small safe share.
+GRANT_SECONDS = 3.0
+# Reports asked for at once during a take-over. Each costs about a millisecond of
+# processor; without a limit a cell of 128 workers would stall everything else.
+RECOVERY_CONCURRENCY = 32
+HOUSEKEEPING_SECONDS = 1.0
+RECOVERY_RETRY_SECONDS = 0.5
+
+_log = structlog.get_logger()
+
+
+class CellKeeper:
+    """Runs one cell under one epoch."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        store: Store,
+        command: Command,
+        settings: Settings,
+    ) -> None:
+        self.cell = cell
+        self.recovered = asyncio.Event()
+        self._settings = settings
+        self._data = _make_data(cell, store, command, settings, self._wake)
+        self._actions = JobActions(self._data)
+        self._placing = Placing(self._data, self._actions)
+        self._following = Following(self._data, self._actions)
+        self._demand: dict[str, int] = {}
+        self._in_flight: dict[str, Mapping[str, int]] = {}
+        self._reported_at: dict[str, float] = {}
+
+    @property
+    def epoch(self) -> int:
+        """The epoch under which this cell is run."""
+        return self._data.command.epoch
+
+    @property
+    def superseded(self) -> asyncio.Event:
+        """Set once a worker has seen a higher epoch."""
+        return self._following.superseded
+
+    def _wake(self) -> None:
+        self._placing.wake()
+
+    async def run(self) -> None:
+        """Take the cell over, then run it until cancelled."""
+        await self._recover()
+        async with asyncio.TaskGroup() as group:
+            for name in self._data.contacts:
+                group.create_task(self._following.follow(group, name))
+            group.create_task(self._data.book.follow(lambda record: self._wake()))
+            group.create_task(self._placing.run())
+            group.create_task(self._keep_house())
+
+    async def _recover(self) -> None:
+        """Fence the workers, read the records, and make the two agree."""
+        while True:
+            try:
+                reports = await self._collect_reports()
+                await self._data.book.load()
+                break
+            except Failure as failure:
+                _log.warning("recovery_failed", cell=self.cell.name, kind=failure.kind)
+            await asyncio.sleep(RECOVERY_RETRY_SECONDS)
+        recovery = decide_recovery(self._data.book, reports)
+        await self._carry_out(recovery)
+        self._data.refresh_usable()
+        self.recovered.set()
+        _log.info(
+            "cell_recovered",
+            cell=self.cell.name,
+            epoch=self.epoch,
+            adopted=len(recovery.adopted),
+            lost=len(recovery.lost),
+            orphans=len(recovery.orphans),
+            unreachable=len(self._data.contacts) - len(reports),
+        )
+
+    async def _collect_reports(self) -> dict[str, WorkerReport]:
+        limit = asyncio.Semaphore(RECOVERY_CONCURRENCY)
+        async with asyncio.TaskGroup() as group:
+            for contact in self._data.contacts.values():
+                group.create_task(self._collect_report(contact, limit))
+        return {
+            name: contact.report
+            for name, contact in self._data.contacts.items()
+            if contact.reachable and contact.report is not None
+        }
+
+    async def _collect_report(self, contact: Contact, limit: asyncio.Semaphore) -> None:
+        command = self._data.command
+        async with limit:
+            # A worker that can't be reached may have been renewed by the owner
+            # before us until just now.
+            contact.renewed_at = contact.report_at = read_clock()
+            try:
+                contact.report = await command.workers.report(
+                    contact.worker.name, command.cell, command.epoch
+                )
+                contact.reachable = True
+            except Failure as failure:
+                if failure.kind is ErrorKind.STALE_EPOCH:
+                    self.superseded.set()
+                contact.reachable = False
+
+    async def _carry_out(self, recovery: Recovery) -> None:
+        command = self._data.command
+        for orphan in recovery.orphans:
+            try:
+                await command.workers.stop(
+                    orphan.worker, command.cell, command.epoch, orphan.task_id
+                )
+            except Failure as failure:
+                # Its lease lapses, since nobody renews it; until then the worker
+                # refuses whatever is placed on the same accelerators.
+                _log.warning(
+                    "orphan_not_stopped",
+                    worker=orphan.worker,
+                    task_id=orphan.task_id,
+                    kind=failure.kind.value,
+                )
+        for adopted in recovery.adopted:
+            self._actions.adopt(adopted.record)
+            if adopted.held:
+                await go_gang(command, adopted.record, adopted.held)
+        for lost in recovery.lost:
+            self._actions.adopt(lost.record)
+            try:
+                await self._actions.lose(lost.record, lost.missing)
+            except Failure as failure:
+                _log.warning(
+                    "lost_gang_unsettled",
+                    job_id=lost.record.spec.job_id,
+                    kind=failure.kind.value,
+                )
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self._decide_quarantine()
+            if self._data.command.may_act():
+                try:
+                    await self._data.book.forget_old(read_clock())
+                except Failure as failure:
+                    _log.info("old_jobs_kept", kind=failure.kind.value)
+
+    def _decide_quarantine(self) -> None:
+        names = list(self._data.contacts)
+        quarantined = {
+            each.worker for each in self._data.failures.decide(names, read_clock())
+        }
+        for name, contact in self._data.contacts.items():
+            if contact.quarantined != (name in quarantined):
+                contact.quarantined = name in quarantined
+                code = ReasonCode.QUARANTINED
+                if not contact.quarantined:
+                    code = ReasonCode.RELEASED_FROM_QUARANTINE
+                _log.warning("quarantine", worker=name, reason=code.value)
+                self._data.refresh_usable()
+
+    def note_listed(self, leaving: frozenset[str]) -> None:
+        """Take in which workers the VM list shows as leaving."""
+        for name, contact in self._data.contacts.items():
+            contact.listed_leaving = name in leaving
+        self._data.refresh_usable()
+
+    def note_demand(
+        self, entry: str, queued: int, in_flight: Mapping[str, int]
+    ) -> None:
+        """Take in what an entry reports of its need of slots."""
+        self._demand[entry] = queued
+        self._in_flight[entry] = in_flight
+        self._reported_at[entry] = read_clock()
+
+    def note_outcomes(
+        self, entry: str, failures: Mapping[str, int], successes: Mapping[str, int]
+    ) -> None:
+        """Take in how requests of an entry fared at each worker."""
+        now = read_clock()
+        for worker, count in failures.items():
+            if worker in self._data.contacts and count:
+                self._data.failures.record(worker, f"requests of {entry}", True, now)
+        for worker, count in successes.items():
+            if worker in self._data.contacts and count:
+                self._data.failures.record(worker, f"requests of {entry}", False, now)
+
+    def _drop_silent_entries(self) -> None:
+        oldest = read_clock() - GRANT_SECONDS
+        for entry, at in list(self._reported_at.items()):
+            if at < oldest:
+                del self._reported_at[entry]
+                self._demand.pop(entry, None)
+                self._in_flight.pop(entry, None)
+
+    def make_digest(self, entry: str) -> CellDigest:
+        """Return what one entry needs to know of this cell."""
+        self._drop_silent_entries()
+        contacts = self._data.contacts
+        slots = {name: each.worker.slots for name, each in contacts.items()}
+        shares = share_slots(slots, self._demand, self._in_flight)
+        used: dict[str, int] = {}
+        for holding in self._data.view.holdings.values():
+            count = sum(len(member.accelerators) for member in holding.members)
+            used[holding.team] = used.get(holding.team, 0) + count
+        return CellDigest(
+            cell=self.cell.name,
+            epoch=self.epoch,
+            free=self._data.view.count_free(),
+            used=used,
+            slots=shares.get(entry, {}),
+            leaving=tuple(n for n, each in contacts.items() if each.leaving),
+            quarantined=tuple(n for n, each in contacts.items() if each.quarantined),
+            waiting=len(self._placing.list_waiting()),
+            seconds=GRANT_SECONDS,
+        )
+
+    def describe(self) -> dict[str, object]:
+        """Return the cell as operators see it."""
+        data = self._data
+        holdings = data.view.holdings.values()
+        return {
+            "cell": self.cell.name,
+            "epoch": self.epoch,
+            "recovered": self.recovered.is_set(),
+            "accelerators": sum(
+                each.worker.accelerators for each in data.contacts.values()
+            ),
+            "free": data.view.count_free(),
+            "fragmentation": measure_fragmentation(data.view),
+            "held": [
+                {
+                    "job_id": each.job_id,
+                    "organisation": each.organisation,
+                    "members": each.members,
+                    "reclaimable": each.evictable,
+                }
+                for each in holdings
+            ],
+            "leaving": [n for n, each in data.contacts.items() if each.leaving],
+            "quarantined": [n for n, each in data.contacts.items() if each.quarantined],
+            "unreachable": [
+                n for n, each in data.contacts.items() if not each.reachable
+            ],
+            "waiting": {
+                job_id: reason
+                for job_id, reason in data.waiting_reasons.items()
+                if (record := data.book.find(job_id)) is not None
+                and record.state is JobState.ACCEPTED
+            },
+            "run_times": {
+                make_class_key(record): data.run_times.estimate(
+                    make_class_key(record), record.spec.declared_seconds, 0.5
+                )
+                for record in data.book
+            },
+        }
+
+
+def _make_data(
+    cell: Cell,
+    store: Store,
+    command: Command,
+    settings: Settings,
+    wake: Callable[[], None],
+) -> CellData:
+    workers = settings.fleet.workers_of(cell)
+    promised = assign_guarantees(settings.fleet, settings.guarantees)
+    return CellData(
+        name=cell.name,
+        command=command,
+        book=JobBook(store, cell.name),
+        view=CellView(workers, promised.get(cell.name, ())),
+        contacts={worker.name: Contact(worker) for worker in workers},
+        read_policy=lambda: settings.policy,
+        run_times=RunTimes(),
+        failures=make_ledger(settings.policy),
+        wake=wake,
+    )
--- /dev/null
+++ b/src/primrosestile/coordination/celldata.py
@@ -0,0 +1,143 @@
+"""What the parts of one owned cell share.
+
+Placing, following and recovering a cell are separate modules; they meet in this
+one picture, which lives in a single event loop, so each of them may read and
+change it between two awaits without a lock.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.gangs import Command
+from primrosestile.coordination.jobbook import JobBook
+from primrosestile.decisions.cell import CellView, Demand, Holding
+from primrosestile.decisions.learning import RunTimes
+from primrosestile.decisions.quarantine import FailureLedger
+from primrosestile.protocol.workers import WorkerReport
+from primrosestile.state.fleet import Worker
+from primrosestile.state.jobs import JobRecord, Member, Reason
+from primrosestile.state.tenancy import Policy
+
+RUN_TIMES_LIMIT = 4096
+
+
+@dataclass(slots=True)
+class Contact:
+    """What is known of one worker, and since when.
+
+    Attributes:
+        reachable: Whether the latest call was answered.
+        renewed_at: Loop time before the latest renewal that may have reached it;
+            no lease there can outlive this by more than its time to live.
+        report_at: Loop time at which the latest report was asked for.
+        listed_leaving: Whether the VM list shows it as leaving.
+    """
+
+    worker: Worker
+    reachable: bool = False
+    renewed_at: float = 0.0
+    report_at: float = 0.0
+    listed_leaving: bool = False
+    quarantined: bool = False
+    report: WorkerReport | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the list or the worker itself says that it is leaving.
+
+        LEAVING_FROM_EITHER_SOURCE: the list lags, and a worker that is cut off
+        from us can't say so; either of the two is enough.
+        """
+        return self.listed_leaving or (self.report is not None and self.report.leaving)
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may be placed there."""
+        return self.reachable and not self.leaving and not self.quarantined
+
+
+@dataclass(slots=True)
+class CellData:
+    """One owned cell.
+
+    Attributes:
+        command: Authority over its workers, with the epoch.
+        book: Its job records.
+        view: Who holds which accelerators.
+        contacts: Its workers by name.
+        busy: Jobs that an action is under way for; no other one touches them.
+        waiting_reasons: The latest reason of each job that waits.
+        retry_at: Loop time before which a job is not tried again.
+        started_at: Loop time at which the latest start of a job was complete.
+    """
+
+    name: str
+    command: Command
+    book: JobBook
+    view: CellView
+    contacts: dict[str, Contact]
+    read_policy: Callable[[], Policy]
+    run_times: RunTimes
+    failures: FailureLedger
+    wake: Callable[[], None]
+    busy: set[str] = field(default_factory=set)
+    waiting_reasons: dict[str, Reason] = field(default_factory=dict)
+    retry_at: dict[str, float] = field(default_factory=dict)
+    started_at: dict[str, float] = field(default_factory=dict)
+
+    def refresh_usable(self) -> None:
+        """Tell the view which workers may get new work."""
+        for name, contact in self.contacts.items():
+            self.view.set_usable(name, contact.usable)
+
+    def may_try(self, job_id: str) -> bool:
+        """Whether a waiting job may be tried now."""
+        return read_clock() >= self.retry_at.get(job_id, 0.0)
+
+    def lapse_of(self, workers: Sequence[str]) -> float:
+        """Return the loop time by which leases on these workers have lapsed."""
+        renewed = [self.contacts[name].renewed_at for name in workers]
+        return max(renewed, default=0.0) + self.command.lease_seconds
+
+
+def make_class_key(record: JobRecord) -> str:
+    """Return the name under which run times of such jobs are learned."""
+    return f"{record.spec.team}/{record.spec.job_class}"
+
+
+def make_demand(record: JobRecord) -> Demand:
+    """Return a waiting job as the placement decision sees it."""
+    spec = record.spec
+    return Demand(
+        job_id=spec.job_id,
+        organisation=spec.organisation,
+        team=spec.team,
+        job_class=spec.job_class,
+        shape=spec.shape,
+        urgency=spec.urgency,
+        evictable=spec.restartable,
+        checkpoints=spec.checkpoints,
+        accepted_at=record.accepted_at,
+        declared_seconds=spec.declared_seconds,
+    )
+
+
+def make_holding(
+    record: JobRecord, members: tuple[Member, ...], started_at: float
+) -> Holding:
+    """Return a placed job as the placement decision sees it."""
+    spec = record.spec
+    return Holding(
+        job_id=spec.job_id,
+        organisation=spec.organisation,
+        team=spec.team,
+        members=members,
+        shape=spec.shape,
+        urgency=spec.urgency,
+        evictable=spec.restartable,
+        checkpoints=spec.checkpoints,
+        started_at=started_at,
+        checkpointed_at=started_at,
+        job_class=spec.job_class,
+    )
--- /dev/null
+++ b/src/primrosestile/coordination/claims.py
@@ -0,0 +1,188 @@
+"""At most one run of each non-idempotent request, by a claim in the store.
+
+The claim is written before the first dispatch and moves only forward, each step
+by compare-and-swap on the step before. Whoever fails a swap has lost the claim and
+sends nothing. The states, and what another entry may do when the holder has died:
+
+- CLAIMED: nothing was sent. The claim may be taken over, because the old holder
+  must still swap it to DISPATCHED before it sends, and that swap now fails.
+- DISPATCHED: the request may be at its target. It is never sent again; the answer
+  is "outcome unknown", and the claim says so from then on.
+- NOT_RUN: the target proved that it did not run. It may be claimed afresh.
+- DONE: the answer is kept, so that a caller who lost it gets the whole answer.
+
+Claims hang on a lease that this process shares among all claims of an hour, and
+that nobody renews: a claim is gone a day after, and costs no call to remove.
+"""
+
+import hashlib
+import random
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+import msgspec
+
+from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.coordination.writing import put_settled
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.store import Entry, Store
+from primrosestile.state.jobs import CLAIMS_PREFIX, Claim, ClaimState
+
+# How long a repeated request is recognised. Callers give up within minutes, and
+# a batch that is sent again in the morning must still meet last night's claims.
+CLAIM_LEASE_SECONDS = 26 * 3600
+# A new shared lease each hour, so that claims lapse at most an hour too late.
+SHARED_LEASE_PERIOD_SECONDS = 3600.0
+# Larger answers are not kept: at 40,000 claims a day these already are at most
+# 640 MB in the store, which the platform's service was not sized to exceed.
+KEPT_ANSWER_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class HeldClaim:
+    """A claim that this process holds, and the revision that it expects."""
+
+    key: str
+    claim: Claim
+    revision: int
+
+
+def compute_fingerprint(job_class: str, body: bytes) -> str:
+    """Return what tells a repeated request from another under the same id."""
+    return hashlib.sha256(job_class.encode() + b"\0" + body).hexdigest()
+
+
+class HolderCheck(Protocol):
+    """Says whether the holder of a claim is still running."""
+
+    def is_alive(self, holder: str) -> bool:
+        """Return True unless it is known to have ended."""
+        ...
+
+
+class Claims:
+    """Claims of one entry process."""
+
+    def __init__(self, store: Store, holder: str, check: HolderCheck) -> None:
+        self._store = store
+        self._holder = holder
+        self._check = check
+        self._lease = 0
+        self._lease_until = 0.0
+        self._token_source = random.SystemRandom()
+
+    async def _shared_lease(self) -> int:
+        now = read_clock()
+        if not self._lease or now >= self._lease_until:
+            self._lease = await self._store.grant_lease(CLAIM_LEASE_SECONDS)
+            self._lease_until = now + SHARED_LEASE_PERIOD_SECONDS
+        return self._lease
+
+    def _make_token(self) -> str:
+        return f"{self._token_source.getrandbits(96):024x}"
+
+    async def claim(
+        self, organisation: str, request_id: str, fingerprint: str
+    ) -> HeldClaim | Claim:
+        """Claim a request, or return the finished claim that answers it.
+
+        Raises:
+            Failure: CONFLICT for another body under the same id, IN_PROGRESS
+                while another process works on it, OUTCOME_UNKNOWN when it may
+                have run, and the store's kinds; nothing was sent by this call.
+        """
+        key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
+        claim = Claim(
+            token=self._make_token(),
+            state=ClaimState.CLAIMED,
+            entry=self._holder,
+            fingerprint=fingerprint,
+            time=read_wall_clock(),
+        )
+        lease = await self._shared_lease()
+        value = msgspec.json.encode(claim)
+        swap = await put_settled(self._store, key, value, 0, lease)
+        if swap.done:
+            return HeldClaim(key, claim, swap.revision)
+        if swap.current is None:
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, "the claim came and went")
+        return await self._meet(key, claim, swap.current)
+
+    async def find(self, organisation: str, request_id: str) -> Claim | None:
+        """Return the claim as it stands, or None; one read, no write."""
+        entry = await self._store.get(f"{CLAIMS_PREFIX}{organisation}/{request_id}")
+        if entry is None:
+            return None
+        return msgspec.json.decode(entry.value, type=Claim)
+
+    async def _meet(self, key: str, mine: Claim, entry: Entry) -> HeldClaim | Claim:
+        """Decide what an existing claim means for the caller's request."""
+        theirs = msgspec.json.decode(entry.value, type=Claim)
+        if theirs.fingerprint != mine.fingerprint:
+            raise Failure(ErrorKind.CONFLICT, "the id was used for another request")
+        if theirs.state is ClaimState.DONE:
+            return theirs
+        if theirs.state is ClaimState.UNKNOWN:
+            raise Failure(ErrorKind.OUTCOME_UNKNOWN, f"sent to {theirs.target} before")
+        if theirs.state is ClaimState.NOT_RUN:
+            return await self._take_over(key, mine, entry)
+        if self._check.is_alive(theirs.entry):
+            raise Failure(ErrorKind.IN_PROGRESS, f"held by {theirs.entry}")
+        if theirs.state is ClaimState.CLAIMED:
+            return await self._take_over(key, mine, entry)
+        unknown = replace(theirs, state=ClaimState.UNKNOWN, token=mine.token)
+        await self._swap(HeldClaim(key, theirs, entry.mod_revision), unknown)
+        raise Failure(
+            ErrorKind.OUTCOME_UNKNOWN, f"{theirs.entry} ended after sending it"
+        )
+
+    async def _take_over(self, key: str, mine: Claim, entry: Entry) -> HeldClaim:
+        theirs = msgspec.json.decode(entry.value, type=Claim)
+        return await self._swap(HeldClaim(key, theirs, entry.mod_revision), mine)
+
+    async def _swap(self, held: HeldClaim, claim: Claim) -> HeldClaim:
+        """Move a claim one step.
+
+        Raises:
+            Failure: IN_PROGRESS when another process has moved it first.
+        """
+        lease = await self._shared_lease()
+        value = msgspec.json.encode(claim)
+        swap = await put_settled(self._store, held.key, value, held.revision, lease)
+        if not swap.done:
+            raise Failure(ErrorKind.IN_PROGRESS, "another process took the claim")
+        return HeldClaim(held.key, claim, swap.revision)
+
+    async def mark_dispatched(self, held: HeldClaim, target: str) -> HeldClaim:
+        """Record the target; only after this returns may anything be sent."""
+        claim = replace(
+            held.claim,
+            token=self._make_token(),
+            state=ClaimState.DISPATCHED,
+            target=target,
+        )
+        return await self._swap(held, claim)
+
+    async def mark_not_run(self, held: HeldClaim) -> HeldClaim:
+        """Record that the target proved that the request did not run."""
+        claim = replace(
+            held.claim, token=self._make_token(), state=ClaimState.NOT_RUN, target=""
+        )
+        return await self._swap(held, claim)
+
+    async def mark_unknown(self, held: HeldClaim) -> None:
+        """Record that the request may have run, so that it is never sent again."""
+        claim = replace(held.claim, token=self._make_token(), state=ClaimState.UNKNOWN)
+        await self._swap(held, claim)
+
+    async def mark_done(self, held: HeldClaim, status: int, answer: str) -> None:
+        """Record the answer, if it is small enough to keep."""
+        kept = answer if len(answer) <= KEPT_ANSWER_BYTES else ""
+        claim = replace(
+            held.claim,
+            token=self._make_token(),
+            state=ClaimState.DONE,
+            status=status,
+            answer=kept,
+        )
+        await self._swap(held, claim)
--- /dev/null
+++ b/src/primrosestile/coordination/following.py
@@ -0,0 +1,189 @@
+"""Follows each worker of an owned cell: renews its leases and reads its report.
+
+One task for each worker, straight down: renew all its leases in one call, look at
+what its report says of each job, sleep. A renewal that does not come through stops
+the renewals of every gang with a member there, so that the gang's other members
+lapse too and none runs in part for longer than one lease.
+"""
+
+import asyncio
+import random
+
+import structlog
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.actions import JobActions
+from primrosestile.coordination.celldata import CellData, Contact
+from primrosestile.coordination.gangs import Stage, go_gang, make_task_id
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.workers import TaskPhase, WorkerReport
+from primrosestile.state.jobs import JobRecord, JobState, ReasonCode
+
+# Three renewals within a lease: one lost renewal and a slow second do no harm.
+ROUNDS_PER_LEASE = 3
+# While jobs wait in the cell, a finished task is worth noticing sooner.
+BUSY_ROUND_SECONDS = 1.0
+
+_log = structlog.get_logger()
+
+
+class Following:
+    """Keeps in touch with the workers of one cell."""
+
+    def __init__(self, data: CellData, actions: JobActions) -> None:
+        self._data = data
+        self._actions = actions
+        self.superseded = asyncio.Event()
+
+    async def follow(self, group: asyncio.TaskGroup, name: str) -> None:
+        """Follow one worker until cancelled or superseded."""
+        contact = self._data.contacts[name]
+        while not self.superseded.is_set():
+            await asyncio.sleep(self._choose_pause())
+            await self._run_round(group, contact)
+
+    def _choose_pause(self) -> float:
+        pause = self._data.command.lease_seconds / ROUNDS_PER_LEASE
+        if any(each.state is JobState.ACCEPTED for each in self._data.book):
+            pause = min(pause, BUSY_ROUND_SECONDS)
+        return pause * random.uniform(0.8, 1.0)
+
+    async def _run_round(self, group: asyncio.TaskGroup, contact: Contact) -> None:
+        command = self._data.command
+        task_ids = self._list_renewable(contact)
+        asked_at = read_clock()
+        if task_ids:
+            contact.renewed_at = asked_at
+        try:
+            report = await command.workers.renew(
+                contact.worker.name,
+                command.cell,
+                command.epoch,
+                task_ids,
+                command.lease_seconds,
+            )
+        except Failure as failure:
+            self._note_failure(contact, failure)
+            if failure.kind is ErrorKind.STALE_EPOCH:
+                return
+        else:
+            contact.report_at = asked_at
+            self._note_report(contact, report)
+        if command.may_act():
+            self._consider(group, contact)
+
+    def _note_failure(self, contact: Contact, failure: Failure) -> None:
+        if failure.kind is ErrorKind.STALE_EPOCH:
+            _log.warning("cell_superseded", worker=contact.worker.name)
+            self.superseded.set()
+            return
+        if contact.reachable:
+            _log.warning(
+                "worker_unreachable",
+                worker=contact.worker.name,
+                kind=failure.kind.value,
+            )
+        contact.reachable = False
+        self._data.refresh_usable()
+
+    def _note_report(self, contact: Contact, report: WorkerReport) -> None:
+        changed = not contact.reachable or contact.report is None
+        contact.reachable = True
+        contact.report = report
+        if changed or contact.leaving:
+            self._data.refresh_usable()
+            self._data.wake()
+
+    def _jobs_on(self, contact: Contact) -> list[JobRecord]:
+        name = contact.worker.name
+        return [
+            record
+            for record in self._data.book
+            if record.state is JobState.STARTED
+            and any(member.worker == name for member in record.members)
+        ]
+
+    def _list_renewable(self, contact: Contact) -> list[str]:
+        """Return the tasks there whose gang was whole in the last round.
+
+        RENEWED_ONLY_WHOLE. While this process's own lease is in doubt it renews
+        only in an outage of the store, in which nobody can have become the owner;
+        a process that was paused renews nothing before it has asked the store.
+        """
+        command = self._data.command
+        if not command.may_act() and not command.may_care():
+            return []
+        return [
+            make_task_id(record.spec.job_id, record.attempt)
+            for record in self._jobs_on(contact)
+            if self._is_whole(record, contact)
+        ]
+
+    def _is_whole(self, record: JobRecord, asking: Contact) -> bool:
+        others = (
+            self._data.contacts.get(member.worker)
+            for member in record.members
+            if member.worker != asking.worker.name
+        )
+        return all(other is not None and other.reachable for other in others)
+
+    def _consider(self, group: asyncio.TaskGroup, contact: Contact) -> None:
+        for record in self._jobs_on(contact):
+            if record.spec.job_id in self._data.busy:
+                continue
+            if record.cancel_requested:
+                self._actions.spawn(group, record, self._actions.cancel(record))
+            else:
+                self._consider_job(group, record)
+
+    def _consider_job(self, group: asyncio.TaskGroup, record: JobRecord) -> None:
+        """Look at all members of a job; act on the first thing that is amiss."""
+        phases = {
+            member.worker: self._find_phase(member.worker, record)
+            for member in record.members
+        }
+        failed = _workers_in(phases, TaskPhase.FAILED)
+        gone = tuple(name for name, phase in phases.items() if phase is None)
+        held = _workers_in(phases, TaskPhase.HELD)
+        if failed:
+            self._actions.spawn(group, record, self._actions.fail(record, failed))
+        elif gone:
+            self._actions.spawn(group, record, self._actions.lose(record, gone))
+        elif held:
+            self._actions.spawn(group, record, self._go_again(record, held))
+        elif all(phase is TaskPhase.FINISHED for phase in phases.values()):
+            self._actions.spawn(group, record, self._actions.finish(record))
+
+    def _find_phase(self, worker: str, record: JobRecord) -> TaskPhase | None:
+        """Return a member's phase; None once it can't be running any more."""
+        contact = self._data.contacts.get(worker)
+        if contact is None:
+            return None
+        if not contact.reachable or contact.report is None:
+            lapsed = read_clock() >= self._data.lapse_of([worker])
+            return None if lapsed else TaskPhase.RUNNING
+        task_id = make_task_id(record.spec.job_id, record.attempt)
+        for task in contact.report.tasks:
+            if task.task_id == task_id:
+                return None if task.phase is TaskPhase.STOPPED else task.phase
+        # A report that was asked for before the start can't show the task yet.
+        started = self._data.started_at.get(record.spec.job_id, 0.0)
+        return TaskPhase.RUNNING if contact.report_at <= started else None
+
+    async def _go_again(self, record: JobRecord, held: tuple[str, ...]) -> None:
+        """Let members go that were held when their owner died or lost touch."""
+        members = [each for each in record.members if each.worker in held]
+        failures = await go_gang(self._data.command, record, members)
+        if failures:
+            _log.warning(
+                "go_again_failed",
+                job_id=record.spec.job_id,
+                stage=Stage.GO.value,
+                reason=ReasonCode.GO_FAILED.value,
+            )
+
+
+def _workers_in(
+    phases: dict[str, TaskPhase | None], wanted: TaskPhase
+) -> tuple[str, ...]:
+    return tuple(name for name, phase in phases.items() if phase is wanted)
--- /dev/null
+++ b/src/primrosestile/coordination/jobbook.py
@@ -0,0 +1,169 @@
+"""The owner's copy of the job records of one cell.
+
+The records under `jobs/<cell>/` are few and changed by few: an entry creates one
+and may ask for its cancellation, the cell's owner does the rest. The owner keeps
+a copy with the revision of each, so that each step of a job is one compare-and-
+swap over exactly the state on which it was decided. A swap that fails means that
+someone else has written (a caller's cancellation, or a newer owner); the copy is
+refreshed and the step decided again.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+
+from primrosestile.coordination.writing import (
+    delete_settled,
+    list_all,
+    put_settled,
+)
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.state.jobs import JOBS_PREFIX, JobRecord
+
+# How long the record of an ended job can be read. A night's renders are looked
+# at the next morning; at 40,000 jobs a day and 2 KB each this is 80 MB.
+RETENTION_SECONDS = 24 * 3600.0
+WATCH_RETRY_SECONDS = 0.5
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Booked:
+    """A record and the store revision at which it was read or written."""
+
+    record: JobRecord
+    revision: int
+
+
+def make_job_key(job_id: str) -> str:
+    """Return the store key of a job; the cell's name is part of its id."""
+    cell, _, _ = job_id.rpartition(".")
+    return f"{JOBS_PREFIX}{cell}/{job_id}"
+
+
+def decode_job(value: bytes) -> JobRecord:
+    """Return the record in a stored value."""
+    return msgspec.json.decode(value, type=JobRecord)
+
+
+class JobBook:
+    """Records of one cell, read and written by its owner."""
+
+    def __init__(self, store: Store, cell: str) -> None:
+        self._store = store
+        self._prefix = f"{JOBS_PREFIX}{cell}/"
+        self._booked: dict[str, Booked] = {}
+        self._revision = 0
+
+    def __iter__(self) -> Iterator[JobRecord]:
+        return iter([booked.record for booked in self._booked.values()])
+
+    def find(self, job_id: str) -> JobRecord | None:
+        """Return the copy of a record."""
+        booked = self._booked.get(job_id)
+        return booked.record if booked else None
+
+    async def load(self) -> None:
+        """Read every record of the cell.
+
+        Raises:
+            Failure: STORE_UNAVAILABLE; the copy is then as it was.
+        """
+        entries, self._revision = await list_all(self._store, self._prefix)
+        self._booked = {}
+        for entry in entries:
+            self._note(entry)
+
+    def _note(self, entry: Entry) -> JobRecord:
+        record = decode_job(entry.value)
+        self._booked[record.spec.job_id] = Booked(record, entry.mod_revision)
+        return record
+
+    async def refresh(self, job_id: str) -> JobRecord | None:
+        """Read one record again."""
+        entry = await self._store.get(make_job_key(job_id))
+        if entry is None:
+            self._booked.pop(job_id, None)
+            return None
+        return self._note(entry)
+
+    async def write(self, record: JobRecord) -> bool:
+        """Write over the revision that the copy shows.
+
+        START_RECORD_COMPARED: a record changed by anyone since it was read makes
+        this return False, with the copy refreshed, and nothing is written.
+
+        Raises:
+            Failure: STORE_UNAVAILABLE, or STORE_ANSWER_LOST when it is not known
+                whether it was written.
+        """
+        job_id = record.spec.job_id
+        value = msgspec.json.encode(record)
+        expected = self._booked[job_id].revision
+        swap = await put_settled(self._store, make_job_key(job_id), value, expected)
+        if swap.done:
+            self._booked[job_id] = Booked(record, swap.revision)
+            return True
+        if swap.current is not None:
+            self._note(swap.current)
+        else:
+            self._booked.pop(job_id, None)
+        return False
+
+    async def forget_old(self, now: float) -> None:
+        """Remove the records of jobs that ended long ago."""
+        for booked in list(self._booked.values()):
+            record = booked.record
+            ended = record.state.is_final and record.finished_at
+            if ended and now - record.finished_at > RETENTION_SECONDS:
+                job_id = record.spec.job_id
+                await delete_settled(self._store, make_job_key(job_id), booked.revision)
+                self._booked.pop(job_id, None)
+
+    async def follow(self, on_change: Callable[[JobRecord], None]) -> None:
+        """Take in others' changes until cancelled.
+
+        A watch that breaks or goes silent may have missed a job that was just
+        accepted. One would notice an urgent job that waits with accelerators
+        free. So after each break everything is listed again.
+        """
+        while True:
+            try:
+                watch = self._store.watch(self._prefix, self._revision + 1)
+                async for changes in watch:
+                    self._take_in(changes, on_change)
+            except Failure as failure:
+                _log.info("jobs_watch_broke", kind=failure.kind.value)
+            await asyncio.sleep(WATCH_RETRY_SECONDS * random.uniform(0.5, 1.5))
+            await self._list_again(on_change)
+
+    async def _list_again(self, on_change: Callable[[JobRecord], None]) -> None:
+        try:
+            entries, self._revision = await list_all(self._store, self._prefix)
+        except Failure as failure:
+            if failure.kind is not ErrorKind.STORE_UNAVAILABLE:
+                raise
+            return
+        for entry in entries:
+            self._take_entry(entry, on_change)
+
+    def _take_in(
+        self, changes: tuple[Change, ...], on_change: Callable[[JobRecord], None]
+    ) -> None:
+        for change in changes:
+            self._revision = max(self._revision, change.revision)
+            if change.entry is not None:
+                self._take_entry(change.entry, on_change)
+
+    def _take_entry(self, entry: Entry, on_change: Callable[[JobRecord], None]) -> None:
+        """Take in a record unless the copy is as new; a watch may lag."""
+        job_id = entry.key.rpartition("/")[2]
+        known = self._booked.get(job_id)
+        if known is None or known.revision < entry.mod_revision:
+            on_change(self._note(entry))
--- /dev/null
+++ b/src/primrosestile/coordination/membership.py
@@ -0,0 +1,239 @@
+"""This process's lease in the store, and the processes that hold one.
+
+A process that owns a cell must know, by its own clock, when it may no longer act.
+The lease is therefore counted from the moment *before* a renewal was sent: the
+store cannot have counted from an earlier one. A process that was paused past that
+moment finds its lease invalid as soon as it runs again.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import msgspec
+import structlog
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.writing import list_all, put_settled
+from primrosestile.errors import Failure
+from primrosestile.protocol.store import Change, Store
+from primrosestile.state.jobs import ProcessRecord
+
+PROCESSES_PREFIX = "processes/"
+# Renewed three times within its time to live, so two lost renewals do no harm.
+RENEWALS_PER_LEASE = 3
+# A process slow to hear of the store's answer stops acting this long before the
+# store can have given its cells away, since clocks run at different speeds.
+LEASE_MARGIN_SECONDS = 0.25
+STORE_RETRY_SECONDS = 0.5
+
+_log = structlog.get_logger()
+
+
+class ProcessLease:
+    """One store lease, renewed by a task; everything this process owns hangs on it.
+
+    Attributes:
+        store_down: Whether the latest call to the store failed. A process that
+            was merely paused has not called since, so it does not take its own
+            pause for an outage.
+    """
+
+    def __init__(self, store: Store, seconds: int) -> None:
+        self._store = store
+        self._seconds = seconds
+        self._valid_until = 0.0
+        self.lease = 0
+        self.store_down = False
+        self.gained = asyncio.Event()
+        self.lost = asyncio.Event()
+        self.lost.set()
+
+    def is_valid(self) -> bool:
+        """Whether this process may act on what it owns, now."""
+        return self.lease != 0 and read_clock() < self._valid_until
+
+    def seconds_left(self) -> float:
+        """Seconds for which it may go on acting without a renewal."""
+        return max(0.0, self._valid_until - read_clock()) if self.lease else 0.0
+
+    async def run(self) -> None:
+        """Gain and renew until cancelled."""
+        while True:
+            try:
+                await self._gain()
+                await self._renew()
+            except Failure as failure:
+                self.store_down = True
+                _log.warning("process_lease_failed", kind=failure.kind.value)
+            self._note_lapse()
+            await asyncio.sleep(STORE_RETRY_SECONDS * random.uniform(0.5, 1.5))
+
+    async def _gain(self) -> None:
+        asked_at = read_clock()
+        lease = await self._store.grant_lease(self._seconds)
+        self._extend(asked_at)
+        self.lease = lease
+        self.lost.clear()
+        self.gained.set()
+
+    def _extend(self, asked_at: float) -> None:
+        self.store_down = False
+        self._valid_until = asked_at + self._seconds - LEASE_MARGIN_SECONDS
+
+    async def _renew(self) -> None:
+        while True:
+            await asyncio.sleep(self._seconds / RENEWALS_PER_LEASE)
+            asked_at = read_clock()
+            try:
+                alive = await self._store.keep_lease(self.lease)
+            except Failure:
+                self.store_down = True
+                if not self.is_valid():
+                    # Renewing goes on: the store may come back before it has
+                    # counted the lease out, and then nothing has to be rebuilt.
+                    self._note_pause()
+                continue
+            if not alive:
+                return
+            self._extend(asked_at)
+            self._note_gain()
+
+    def _note_pause(self) -> None:
+        if not self.lost.is_set():
+            _log.warning("process_lease_unrenewed")
+            self.gained.clear()
+            self.lost.set()
+
+    def _note_gain(self) -> None:
+        self.lost.clear()
+        self.gained.set()
+
+    def _note_lapse(self) -> None:
+        self.lease = 0
+        self._valid_until = 0.0
+        self.gained.clear()
+        self.lost.set()
+
+    async def end(self) -> None:
+        """Give the lease back, so that others need not wait for it to lapse."""
+        if self.lease:
+            await self._store.revoke_lease(self.lease)
+            self._note_lapse()
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    record: ProcessRecord
+    revision: int
+
+
+class Directory:
+    """The processes that hold a lease, as the store last showed them.
+
+    While the store is down the last picture stands: a process that has died since
+    is found out by its silence, and a new one cannot have registered.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._known: dict[str, _Known] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self.listed = asyncio.Event()
+
+    def records(self, program: str = "") -> list[ProcessRecord]:
+        """Return the records of one program's processes, or of all, by name."""
+        records = [known.record for _, known in sorted(self._known.items())]
+        return [each for each in records if not program or each.program == program]
+
+    def find(self, name: str) -> ProcessRecord | None:
+        """Return the record of that name."""
+        known = self._known.get(name)
+        return known.record if known else None
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call the listener after each change."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """List and watch until cancelled."""
+        while True:
+            try:
+                revision = await self._list()
+                async for changes in self._store.watch(PROCESSES_PREFIX, revision + 1):
+                    self._apply(changes)
+            except Failure as failure:
+                _log.info("directory_watch_broke", kind=failure.kind.value)
+            await asyncio.sleep(STORE_RETRY_SECONDS * random.uniform(0.5, 1.5))
+
+    async def _list(self) -> int:
+        entries, revision = await list_all(self._store, PROCESSES_PREFIX)
+        self._known = {
+            each.key.removeprefix(PROCESSES_PREFIX): _Known(
+                decode_process(each.value), each.mod_revision
+            )
+            for each in entries
+        }
+        self.listed.set()
+        self._tell()
+        return revision
+
+    def _apply(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            name = change.key.removeprefix(PROCESSES_PREFIX)
+            if change.entry is None:
+                self._known.pop(name, None)
+            else:
+                record = decode_process(change.entry.value)
+                self._known[name] = _Known(record, change.revision)
+        self._tell()
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def decode_process(value: bytes) -> ProcessRecord:
+    """Return the record in a stored value."""
+    return msgspec.json.decode(value, type=ProcessRecord)
+
+
+class Registration:
+    """Keeps this process's record in the store, under its lease."""
+
+    def __init__(
+        self, store: Store, lease: ProcessLease, record: ProcessRecord
+    ) -> None:
+        self._store = store
+        self._lease = lease
+        self.record = record
+        self._written = asyncio.Event()
+
+    async def run(self) -> None:
+        """Register again after each loss of the lease, until cancelled."""
+        while True:
+            await self._lease.gained.wait()
+            try:
+                await self._write()
+                self._written.set()
+                await self._lease.lost.wait()
+                self._written.clear()
+            except Failure as failure:
+                _log.warning("registration_failed", kind=failure.kind.value)
+                await asyncio.sleep(STORE_RETRY_SECONDS * random.uniform(0.5, 1.5))
+
+    async def _write(self) -> None:
+        key = PROCESSES_PREFIX + self.record.name
+        value = msgspec.json.encode(self.record)
+        current = await self._store.get(key)
+        # A record left by an earlier incarnation of the same name is replaced:
+        # its lease may still have seconds to run, and the name is ours by now.
+        expected = current.mod_revision if current else 0
+        await put_settled(self._store, key, value, expected, self._lease.lease)
+
+    async def announce_leaving(self) -> None:
+        """Show the process as leaving, so that peers hand it nothing more."""
+        self.record = replace(self.record, leaving=True)
+        if self._lease.is_valid():
+            await self._write()
--- /dev/null
+++ b/src/primrosestile/coordination/placing.py
@@ -0,0 +1,164 @@
+"""Carries out the placement decisions of one owned cell.
+
+Each pass asks the decisions, in their order, what to do with each waiting job,
+takes the accelerators in the view at once, and starts a task for what takes time.
+So two decisions of one pass never give the same accelerators away twice.
+"""
+
+import asyncio
+
+import structlog
+
+from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.coordination.actions import JobActions, make_reason
+from primrosestile.coordination.celldata import CellData, make_demand, make_holding
+from primrosestile.decisions.cell import Demand
+from primrosestile.decisions.placement import (
+    NeverFits,
+    Placed,
+    Reclaim,
+    Waits,
+    decide_placement,
+    order_demands,
+)
+from primrosestile.state.jobs import JobRecord, JobState, ReasonCode
+
+# A pass without an event: bounds the harm of a wake-up that was missed.
+RECHECK_SECONDS = 1.0
+# Decisions of one pass. At the larger cells a decision takes up to 2 ms, so a
+# pass blocks the loop, and the renewals on it, for at most half a second.
+PASS_LIMIT = 256
+
+_log = structlog.get_logger()
+
+
+class Placing:
+    """Places, reclaims and explains the waiting jobs of one cell."""
+
+    def __init__(self, data: CellData, actions: JobActions) -> None:
+        self._data = data
+        self._actions = actions
+        self._woken = asyncio.Event()
+
+    def wake(self) -> None:
+        """Decide again: a job came, or room did."""
+        self._woken.set()
+
+    async def run(self) -> None:
+        """Decide until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self._woken.clear()
+                if self._data.command.may_act():
+                    self._run_pass(group)
+                try:
+                    async with asyncio.timeout(RECHECK_SECONDS):
+                        await self._woken.wait()
+                except TimeoutError:
+                    continue
+
+    def list_waiting(self) -> list[JobRecord]:
+        """Return the jobs that wait for a place."""
+        return [each for each in self._data.book if each.state is JobState.ACCEPTED]
+
+    def _run_pass(self, group: asyncio.TaskGroup) -> None:
+        data = self._data
+        waiting = {
+            record.spec.job_id: record
+            for record in self.list_waiting()
+            if record.spec.job_id not in data.busy
+        }
+        for job_id, record in list(waiting.items()):
+            if record.cancel_requested:
+                del waiting[job_id]
+                self._actions.spawn(group, record, self._actions.cancel(record))
+        demands = [
+            make_demand(record)
+            for job_id, record in waiting.items()
+            if data.may_try(job_id)
+        ]
+        now = read_wall_clock()
+        policy = data.read_policy()
+        ordered = order_demands(demands, data.view, policy, data.run_times, now)
+        for demand in ordered[:PASS_LIMIT]:
+            self._decide(group, waiting[demand.job_id], demand, now)
+
+    def _decide(
+        self, group: asyncio.TaskGroup, record: JobRecord, demand: Demand, now: float
+    ) -> None:
+        data = self._data
+        decision = decide_placement(data.view, demand, data.read_policy(), now)
+        match decision:
+            case Placed():
+                self._start(group, record, decision)
+            case Reclaim():
+                self._reclaim(group, record, decision)
+            case Waits():
+                reason = make_reason(decision.reason, decision.detail)
+                data.waiting_reasons[demand.job_id] = reason
+            case NeverFits():
+                end = self._actions.end(
+                    record, JobState.FAILED, ReasonCode.NEVER_FITS, decision.detail
+                )
+                self._actions.spawn(group, record, end)
+
+    def _start(
+        self, group: asyncio.TaskGroup, record: JobRecord, placed: Placed
+    ) -> None:
+        now = read_wall_clock()
+        self._data.view.hold(make_holding(record, placed.members, now))
+        reason = make_reason(placed.reason, placed.detail)
+        start = self._actions.start(record, placed.members, reason)
+        self._actions.spawn(group, record, start)
+
+    def _reclaim(
+        self, group: asyncio.TaskGroup, record: JobRecord, reclaim: Reclaim
+    ) -> None:
+        data = self._data
+        if any(victim in data.busy for victim in reclaim.victims):
+            # Its victims are already being stopped, or are just starting; the
+            # end of that action wakes the next pass.
+            return
+        victims = [data.book.find(victim) for victim in reclaim.victims]
+        if any(each is None or each.state is not JobState.STARTED for each in victims):
+            return
+        data.waiting_reasons[record.spec.job_id] = make_reason(
+            ReasonCode.WAITS_FOR_RECLAIM, reclaim.detail
+        )
+        data.busy.update(reclaim.victims)
+        chosen = [each for each in victims if each is not None]
+        self._actions.spawn(group, record, self._evict_then_start(record, chosen))
+
+    async def _evict_then_start(
+        self, record: JobRecord, victims: list[JobRecord]
+    ) -> None:
+        """Stop the victims at once, then start the job in the room they leave.
+
+        The job stays busy throughout and is placed here, before another pass can
+        give the freed accelerators to a job behind it.
+        """
+        started_at = read_clock()
+        detail = f"for {record.spec.organisation}'s job {record.spec.job_id}"
+        try:
+            async with asyncio.TaskGroup() as group:
+                for victim in victims:
+                    group.create_task(
+                        self._actions.evict(victim, ReasonCode.RECLAIMED, detail)
+                    )
+        finally:
+            for victim in victims:
+                self._data.busy.discard(victim.spec.job_id)
+        now = read_wall_clock()
+        decision = decide_placement(
+            self._data.view, make_demand(record), self._data.read_policy(), now
+        )
+        if not isinstance(decision, Placed):
+            return
+        self._data.view.hold(make_holding(record, decision.members, now))
+        _log.info(
+            "guarantee_reclaimed",
+            job_id=record.spec.job_id,
+            seconds=read_clock() - started_at,
+        )
+        reason = make_reason(decision.reason, decision.detail)
+        await self._actions.start(record, decision.members, reason)
--- a/src/primrosestile/errors.py
+++ b/src/primrosestile/errors.py
@@ -39,6 +39,7 @@
     TARGET_REFUSED = "target_refused"
     TARGET_FAILED = "target_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    EARLIER_SENDING_UNKNOWN = "earlier_sending_unknown"
     IN_PROGRESS = "in_progress"
     ALREADY_DONE = "already_done"
     CANCELLED = "cancelled"
@@ -117,6 +118,13 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         502, _MAY, None, "Check for the work's effect before sending it again."
     ),
+    ErrorKind.EARLIER_SENDING_UNKNOWN: Answer(
+        503,
+        _MAY,
+        5.0,
+        "This sending was not run, but an earlier one under the same id may have "
+        "been; come back with the same id, or send X-Attempt: 1 with a first one.",
+    ),
     ErrorKind.IN_PROGRESS: Answer(
         409, _MAY, 2.0, "The same request id is being worked on; ask again for it."
     ),
--- a/src/primrosestile/protocol/messages.py
+++ b/src/primrosestile/protocol/messages.py
@@ -19,12 +19,15 @@
         slots: The slots that the receiving entry may use, by worker.
         leaving: Workers that take no new work.
         quarantined: Workers that get canaries only.
+        waiting: Jobs that wait for a place in this cell.
+        used: Accelerators that each team holds in this cell.
         seconds: How long the slots are granted for.
     """
 
     cell: str
     epoch: int
     free: dict[str, int]
+    used: dict[str, int]
     slots: dict[str, int]
     leaving: tuple[str, ...]
     quarantined: tuple[str, ...]
@@ -32,8 +35,17 @@
     seconds: float
 
 
+class CellDigests(msgspec.Struct, frozen=True, tag=True):
+    """All cells that one process owns; the answer to a demand report."""
+
+    cells: tuple[CellDigest, ...]
+
+
 class DemandReport(msgspec.Struct, frozen=True, tag=True):
-    """An entry's need of slots, sent to the owner of each cell each second.
+    """An entry's need of slots, sent to each placer each second.
+
+    One message for each pair of processes, not for each cell: at 128 cells the
+    latter would cost an entry more processor than control may use.
 
     Attributes:
         queued: Requests waiting here that any target could serve.
@@ -96,7 +108,7 @@
 
 
 Body = (
-    CellDigest
+    CellDigests
     | DemandReport
     | JobNotice
     | JobNoticed
--- a/src/primrosestile/protocol/peers.py
+++ b/src/primrosestile/protocol/peers.py
@@ -5,7 +5,7 @@
 
 from primrosestile.protocol.messages import Body, Envelope
 
-Handler = Callable[[Envelope], Awaitable[Body | None]]
+Handler = Callable[[Envelope], Awaitable[Body]]
 
 
 class Peers(Protocol):
--- a/src/primrosestile/protocol/workers.py
+++ b/src/primrosestile/protocol/workers.py
@@ -35,6 +35,8 @@
         checkpoint: Seconds of work saved.
         usage: Share of the accelerators in use, with a lag.
         lease_seconds: What is left of its lease.
+        gang_size: On how many workers the gang has a task; lets a process that
+            can't read the store see whether the gang is whole.
     """
 
     task_id: str
@@ -47,6 +49,7 @@
     checkpoint: float = 0.0
     usage: float = 0.0
     lease_seconds: float = 0.0
+    gang_size: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,7 @@
     seconds: float
     checkpoint: float = 0.0
     payload: str = ""
+    gang_size: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosestile/state/jobs.py
+++ b/src/primrosestile/state/jobs.py
@@ -188,7 +188,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessRecord:
-    """One running process, kept under its lease at `processes/<name>`."""
+    """One running process, kept under its lease at `processes/<name>`.
+
+    Attributes:
+        incarnation: Random at each start; tells a restarted process from the
+            one of the same name that held claims before.
+    """
 
     name: str
     vm: str
@@ -196,4 +201,5 @@
     failure_domain: str
     http: str
     peer: str
+    incarnation: str = ""
     leaving: bool = False
--- a/src/primrosestile_standin/worker.py
+++ b/src/primrosestile_standin/worker.py
@@ -318,6 +318,7 @@
             checkpoint=task.saved,
             usage=task.share if running and settled else 0.0,
             lease_seconds=task.lease_end - now if live else 0.0,
+            gang_size=task.order.gang_size,
         )
 
     def _forget_ended(self) -> None:
