--- /dev/null
+++ b/src/primrosestile/decisions/placement_rooms.py
@@ -0,0 +1,181 @@
+"""Where a shape could go, given how many accelerators each worker could give.
+
+One enumeration serves every purpose: with the free accelerators it lists places
+for a start, with free and reclaimable ones it lists what reclaiming could open.
+The caller says what a place costs; the cheapest come first.
+"""
+
+from collections.abc import Callable, Sequence
+
+from primrosestile.decisions.cell import CellView
+from primrosestile.decisions.guarantees_rooms import Layout
+from primrosestile.state.jobs import Member
+from primrosestile.state.tenancy import Adjacency, Shape
+
+Place = dict[int, int]
+Cost = Callable[[int, int], float]
+
+
+def list_places(
+    layout: Layout, counts: Sequence[int], shape: Shape, cost: Cost, limit: int
+) -> list[tuple[float, Place]]:
+    """List places for a shape, the cheapest first.
+
+    Args:
+        layout: The cell; unusable workers have no capacity.
+        counts: By worker index, the accelerators that could be had.
+        shape: What must fit.
+        cost: Cost of taking a number of accelerators of a worker.
+        limit: Most places to return.
+    """
+    if shape.adjacency is Adjacency.WORKER:
+        places = _list_on_workers(counts, shape.accelerators, cost)
+    elif shape.adjacency is Adjacency.RACK:
+        places = _list_in_racks(layout, counts, shape.accelerators, cost)
+    else:
+        places = _list_in_cell(layout, counts, shape.accelerators, cost)
+    places.sort(key=lambda each: each[0])
+    return places[:limit]
+
+
+def _list_on_workers(
+    counts: Sequence[int], accelerators: int, cost: Cost
+) -> list[tuple[float, Place]]:
+    return [
+        (cost(worker, accelerators), {worker: accelerators})
+        for worker, count in enumerate(counts)
+        if count >= accelerators
+    ]
+
+
+def _list_in_racks(
+    layout: Layout, counts: Sequence[int], accelerators: int, cost: Cost
+) -> list[tuple[float, Place]]:
+    places = []
+    for workers in layout.racks:
+        if sum(counts[worker] for worker in workers) < accelerators:
+            continue
+        place = _fill_rack(layout, counts, workers, accelerators, cost)
+        if place is not None:
+            price = sum(cost(worker, count) for worker, count in place.items())
+            places.append((price, place))
+    return places
+
+
+def _fill_rack(
+    layout: Layout,
+    counts: Sequence[int],
+    workers: Sequence[int],
+    accelerators: int,
+    cost: Cost,
+) -> Place | None:
+    """Take whole workers, the cheapest first, and one remainder."""
+    capacity = layout.capacity
+    whole = [
+        worker
+        for worker in workers
+        if capacity[worker] and counts[worker] == capacity[worker]
+    ]
+    if len(whole) > 1:
+        whole.sort(key=lambda each: (-capacity[each], cost(each, capacity[each])))
+    place: Place = {}
+    missing = accelerators
+    for worker in whole:
+        if missing >= capacity[worker]:
+            place[worker] = capacity[worker]
+            missing -= capacity[worker]
+    if not missing:
+        return place
+    remainders = [
+        worker
+        for worker in workers
+        if worker not in place and counts[worker] >= missing
+    ]
+    if not remainders:
+        return None
+    best = min(remainders, key=lambda each: (cost(each, missing), counts[each]))
+    place[best] = missing
+    return place
+
+
+def _list_in_cell(
+    layout: Layout, counts: Sequence[int], accelerators: int, cost: Cost
+) -> list[tuple[float, Place]]:
+    if sum(counts) < accelerators:
+        return []
+    # What others can use least is taken first: parts of workers, then whole ones.
+    order = [worker for worker, count in enumerate(counts) if count > 0]
+    order.sort(
+        key=lambda each: (
+            cost(each, counts[each]) / counts[each],
+            counts[each] == layout.capacity[each],
+            counts[each],
+        )
+    )
+    place: Place = {}
+    price = 0.0
+    missing = accelerators
+    for worker in order:
+        count = min(missing, counts[worker])
+        place[worker] = count
+        price += cost(worker, count)
+        missing -= count
+        if not missing:
+            break
+    return [(price, place)]
+
+
+def fits_empty(view: CellView, shape: Shape) -> bool:
+    """Whether the cell could hold a shape with all workers usable and empty."""
+    capacity = tuple(view.capacity)
+    layout = Layout(capacity, view.layout.rack, view.layout.racks)
+    return bool(list_places(layout, capacity, shape, lambda *_: 0.0, 1))
+
+
+def list_free(view: CellView) -> list[int]:
+    """Return free accelerators by worker index; none on unusable workers."""
+    return [
+        count if usable else 0
+        for count, usable in zip(view.free_counts, view.usable, strict=True)
+    ]
+
+
+def count_hosted(view: CellView, shape: Shape) -> int:
+    """Count the free accelerators that copies of a shape could use side by side."""
+    free = list_free(view)
+    size = shape.accelerators
+    if shape.adjacency is Adjacency.WORKER:
+        return sum(count - count % size for count in free)
+    if shape.adjacency is Adjacency.CELL:
+        total = sum(free)
+        return total - total % size
+    hosted = 0
+    while True:
+        places = list_places(view.layout, free, shape, lambda *_: 0.0, 1)
+        if not places:
+            return hosted
+        for worker, count in places[0][1].items():
+            free[worker] -= count
+        hosted += size
+
+
+def make_members(
+    view: CellView, place: Place, victims: Sequence[str] = ()
+) -> tuple[Member, ...]:
+    """Name the accelerators of a place: free ones first, then the victims'."""
+    opened: dict[int, int] = {}
+    for job_id in victims:
+        for member in view.holdings[job_id].members:
+            worker = view.index[member.worker]
+            for number in member.accelerators:
+                opened[worker] = opened.get(worker, 0) | 1 << number
+    members = []
+    for worker in sorted(place):
+        free = _list_numbers(view.free_bits[worker])
+        numbers = (free + _list_numbers(opened.get(worker, 0)))[: place[worker]]
+        members.append(Member(view.workers[worker].name, tuple(sorted(numbers))))
+    return tuple(members)
+
+
+def _list_numbers(bits: int) -> list[int]:
+    return [number for number in range(bits.bit_length()) if bits >> number & 1]
