--- /dev/null
+++ b/src/primrosestile/coordination/follower.py
@@ -0,0 +1,218 @@
+"""Keep the settings in force in one process, whatever the store does.
+
+Every decision reads settings, and none may wait for the store. So each process
+holds the latest picture that it has seen. The store may be down, a watch may go
+silent, and answers may come late; then the process keeps what it has. It never
+goes back: a value counts only if its path's revision is higher than the one in
+force, whoever brings it and in whatever order.
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable, Mapping
+from dataclasses import replace
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+import structlog
+
+from primrosestile.coordination.settingstore import decode_stored, encode_stored
+from primrosestile.errors import Failure
+from primrosestile.protocol.store import Change, Store
+from primrosestile.state.fleet import Fleet
+from primrosestile.state.settings import (
+    FLEET_PATH,
+    GUARANTEES_PATH,
+    POLICY_PATH,
+    SETTINGS_PREFIX,
+    TEAMS_PREFIX,
+    Settings,
+    StoredSetting,
+)
+from primrosestile.state.tenancy import Guarantees, Policy, Team
+
+# After a failure: long enough that a store that comes back isn't met by every
+# process at once, short enough that settings are in force within 11 s.
+RETRY_LOW_SECONDS = 0.5
+RETRY_HIGH_SECONDS = 3.0
+# The longest time without a change after which the whole list is read again. A
+# watch that something between the ends has lost track of shows nothing at all,
+# just as one without changes does.
+SILENCE_SECONDS = 60.0
+
+ChangeHandler = Callable[[Settings], None]
+
+_SECTIONS: dict[str, Any] = {
+    FLEET_PATH: Fleet,
+    GUARANTEES_PATH: Guarantees,
+    POLICY_PATH: Policy,
+}
+
+log = structlog.get_logger(__name__)
+
+
+class SettingsFollower:
+    """The settings in force here, and the task that keeps them up to date."""
+
+    def __init__(self, store: Store, name: str, chance: random.Random) -> None:
+        self._store = store
+        self._name = name
+        self._chance = chance
+        self._settings = Settings()
+        self._revisions: dict[str, int] = {}
+        self._values: dict[str, bytes] = {}
+        self._teams: dict[str, Team] = {}
+        self._handlers: list[ChangeHandler] = []
+        self._first = asyncio.Event()
+        self._changed = asyncio.Event()
+
+    @property
+    def settings(self) -> Settings:
+        """The picture in force; a new object after each change."""
+        return self._settings
+
+    @property
+    def revisions(self) -> Mapping[str, int]:
+        """The applied revision of each path."""
+        return MappingProxyType(self._revisions)
+
+    @property
+    def values(self) -> Mapping[str, bytes]:
+        """The stored value of each path in force, without audit entries."""
+        return MappingProxyType(self._values)
+
+    def add_handler(self, handler: ChangeHandler) -> None:
+        """Call `handler` with the new picture after each change."""
+        self._handlers.append(handler)
+
+    async def wait_for_first(self) -> None:
+        """Wait until the settings have been read once, from store or peers."""
+        await self._first.wait()
+
+    async def wait_for_change(self) -> Settings:
+        """Wait for the next change and return the picture after it."""
+        changed = self._changed
+        await changed.wait()
+        return self._settings
+
+    def apply(self, values: Mapping[str, bytes]) -> bool:
+        """Take over stored values that are newer; return whether any was.
+
+        A value that can't be read is left out: it comes from a newer program
+        than this one, and the value in force is better than none.
+        """
+        applied = [path for path, data in values.items() if self._apply(path, data)]
+        if not applied:
+            return False
+        self._settings = replace(
+            self._settings,
+            teams=tuple(self._teams[path] for path in sorted(self._teams)),
+        )
+        self._announce(applied)
+        return True
+
+    def mark_ready(self) -> None:
+        """Say that the settings are complete as far as anyone reachable knows."""
+        self._first.set()
+
+    async def run(self) -> None:
+        """List and watch until cancelled, again after each failure."""
+        while True:
+            try:
+                await self._follow()
+            except Failure as failure:
+                log.warning("settings_watch_ended", reason=str(failure))
+            delay = self._chance.uniform(RETRY_LOW_SECONDS, RETRY_HIGH_SECONDS)
+            await asyncio.sleep(delay)
+
+    async def _follow(self) -> None:
+        revision = await self._list()
+        watch = self._store.watch(SETTINGS_PREFIX, revision)
+        async for changes in _read_until_silent(watch, SILENCE_SECONDS):
+            self.apply(_collect_values(changes))
+
+    async def _list(self) -> int:
+        values: dict[str, bytes] = {}
+        after, revision, more = "", 0, True
+        while more:
+            page = await self._store.list(SETTINGS_PREFIX, after)
+            for entry in page.entries:
+                values[entry.key.removeprefix(SETTINGS_PREFIX)] = entry.value
+                after = entry.key
+            # Later pages may show a later state, so the watch starts where the
+            # first one stood; what it repeats is passed over.
+            revision = revision or page.revision
+            more = page.more
+        self.apply(values)
+        self.mark_ready()
+        return revision
+
+    def _apply(self, path: str, data: bytes) -> bool:
+        try:
+            stored = decode_stored(data)
+            if stored.revision <= self._revisions.get(path, 0):
+                return False
+            self._take_over(path, stored)
+        except (ValueError, msgspec.MsgspecError) as error:
+            log.error("settings_unreadable", path=path, reason=str(error))
+            return False
+        self._revisions[path] = stored.revision
+        self._values[path] = encode_stored(replace(stored, audit=()))
+        return True
+
+    def _take_over(self, path: str, stored: StoredSetting) -> None:
+        if path.startswith(TEAMS_PREFIX):
+            self._take_over_team(path, stored)
+            return
+        section = _SECTIONS.get(path)
+        if section is None:
+            return
+        value = msgspec.json.decode(stored.value or "{}", type=section)
+        self._settings = replace(self._settings, **{path: value})
+
+    def _take_over_team(self, path: str, stored: StoredSetting) -> None:
+        if stored.value:
+            self._teams[path] = msgspec.json.decode(stored.value, type=Team)
+        else:
+            self._teams.pop(path, None)
+
+    def _announce(self, paths: list[str]) -> None:
+        revisions = {path: self._revisions[path] for path in paths}
+        log.info("settings_applied", process=self._name, revisions=revisions)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        for handler in self._handlers:
+            handler(self._settings)
+
+
+def make_follower(
+    store: Store, name: str, chance: random.Random | None = None
+) -> SettingsFollower:
+    """Return a follower for the process of that name; run its `run` as a task."""
+    return SettingsFollower(store, name, chance or random.Random(name))
+
+
+def _collect_values(changes: tuple[Change, ...]) -> dict[str, bytes]:
+    """Return the latest value of each changed path.
+
+    A removed key is passed over: paths are removed by an empty value, and a key
+    that vanished without one is no operator's change.
+    """
+    return {
+        change.key.removeprefix(SETTINGS_PREFIX): change.entry.value
+        for change in changes
+        if change.entry is not None
+    }
+
+
+async def _read_until_silent(
+    watch: AsyncIterator[tuple[Change, ...]], seconds: float
+) -> AsyncIterator[tuple[Change, ...]]:
+    while True:
+        try:
+            async with asyncio.timeout(seconds):
+                changes = await anext(watch)
+        except (TimeoutError, StopAsyncIteration):
+            return
+        yield changes
--- /dev/null
+++ b/src/primrosestile/coordination/settingstore.py
@@ -0,0 +1,219 @@
+"""Change one stored setting, with its audit entry, by one compare-and-swap.
+
+Two operators may change one path at the same moment, the process may die between
+any two calls, and the store may do a write and lose the answer. One value that
+holds both the setting and its latest audit entries makes each of these harmless:
+there is no moment at which a change stands without its entry, or an entry
+without its change.
+"""
+
+import asyncio
+import zlib
+from dataclasses import replace
+
+import msgspec
+
+from primrosestile.clock import read_wall_clock
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.store import Entry, Store
+from primrosestile.state.settings import SETTINGS_PREFIX, AuditEntry, StoredSetting
+
+AUDIT_PREFIX = "audit/"
+# Entries kept beside the value. A history page is then one read, and the value
+# stays far below the store's megabyte for every section but a very large fleet.
+AUDIT_KEPT = 16
+# A fleet of thousands of workers is above a megabyte as text and repeats itself;
+# small values stay readable in the store.
+COMPRESS_ABOVE_BYTES = 32 * 1024
+VALUE_LIMIT_BYTES = 1_000_000
+# A lost answer is asked about this often, with a wait between, before the
+# operator is told that the outcome isn't known.
+ATTEMPTS = 5
+RETRY_SECONDS = 0.2
+
+_COMPRESSED = b"z"
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(StoredSetting)
+_entry_decoder = msgspec.json.Decoder(AuditEntry)
+
+
+def encode_stored(stored: StoredSetting) -> bytes:
+    """Return the bytes that the store keeps."""
+    text = _encoder.encode(stored)
+    if len(text) <= COMPRESS_ABOVE_BYTES:
+        return text
+    return _COMPRESSED + zlib.compress(text)
+
+
+def decode_stored(data: bytes) -> StoredSetting:
+    """Return the stored setting in `data`.
+
+    Raises:
+        ValueError: When it is none.
+    """
+    if data.startswith(_COMPRESSED):
+        try:
+            data = zlib.decompress(data[1:])
+        except zlib.error as error:
+            raise ValueError(str(error)) from error
+    return _decoder.decode(data)
+
+
+def make_setting_key(path: str) -> str:
+    """Return the store's key of a path."""
+    return SETTINGS_PREFIX + path
+
+
+def make_audit_key(path: str, revision: int) -> str:
+    """Return the key of one rolled audit entry; keys sort by revision."""
+    return f"{AUDIT_PREFIX}{path}/{revision:010d}"
+
+
+async def read_setting(
+    store: Store, path: str
+) -> tuple[StoredSetting | None, Entry | None]:
+    """Return a path's stored setting and the entry that holds it.
+
+    Raises:
+        Failure: STORE_UNAVAILABLE when the store doesn't answer.
+    """
+    entry = await store.get(make_setting_key(path))
+    if entry is None:
+        return None, None
+    return decode_stored(entry.value), entry
+
+
+async def put_setting(
+    store: Store, path: str, value: str, expected: int, actor: str, comment: str = ""
+) -> StoredSetting:
+    """Store a checked value, and return the setting as it now stands.
+
+    Args:
+        store: The platform's store.
+        path: Such as `fleet` or `teams/<team>`.
+        value: JSON text; empty removes the path but keeps its revision, so that
+            a path that comes back goes on counting up.
+        expected: The path's revision that the operator has seen; 0 for none.
+        actor: Name of the operator's key.
+        comment: Why, in the operator's words.
+
+    Raises:
+        Failure: CONFLICT when the path has another revision, with both values in
+            the detail; TOO_LARGE; STORE_UNAVAILABLE when nothing was changed;
+            STORE_ANSWER_LOST when the change may have been made.
+    """
+    current, entry = await read_setting(store, path)
+    _require_revision(path, current, expected, value)
+    change = _make_entry(current, value, actor, comment)
+    after = await _append_entry(store, path, current, change)
+    data = encode_stored(after)
+    if len(data) > VALUE_LIMIT_BYTES:
+        raise Failure(ErrorKind.TOO_LARGE, f"{path} has {len(data)} bytes when stored")
+    await _swap(store, path, data, entry.mod_revision if entry else 0, change)
+    return after
+
+
+def _make_entry(
+    current: StoredSetting | None, value: str, actor: str, comment: str
+) -> AuditEntry:
+    return AuditEntry(
+        actor=actor,
+        time=read_wall_clock(),
+        revision=(current.revision if current else 0) + 1,
+        before=current.value if current else "",
+        after=value,
+        comment=comment,
+    )
+
+
+def _require_revision(
+    path: str, current: StoredSetting | None, expected: int, value: str
+) -> None:
+    revision = current.revision if current else 0
+    if revision == expected:
+        return
+    stands = current.value if current else "(nothing)"
+    raise Failure(
+        ErrorKind.CONFLICT,
+        f"{path} is at revision {revision}, your change expects {expected};"
+        f" stands: {stands}; yours: {value}",
+    )
+
+
+async def _append_entry(
+    store: Store, path: str, current: StoredSetting | None, change: AuditEntry
+) -> StoredSetting:
+    audit = (*(current.audit if current else ()), change)
+    kept = audit[-AUDIT_KEPT:]
+    # Older entries get keys of their own before they are cut from the value. If
+    # this process dies in between, they stand twice, which readers pass over;
+    # the other way round an entry would be gone for good.
+    for old in audit[: -len(kept)]:
+        await _roll_entry(store, path, old)
+    return StoredSetting(change.revision, change.after, kept)
+
+
+async def _roll_entry(store: Store, path: str, old: AuditEntry) -> None:
+    key = make_audit_key(path, old.revision)
+    data = _encoder.encode(old)
+    try:
+        await store.put(key, data, 0)
+    except Failure as failure:
+        if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
+            raise
+        if await store.get(key) is None:
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, "audit entry not kept") from None
+
+
+async def _swap(
+    store: Store, path: str, data: bytes, expected: int, change: AuditEntry
+) -> None:
+    """Write, and find out what became of a write whose answer was lost.
+
+    The same bytes with the same expected revision can be sent again: either this
+    write or the lost one takes effect, never both.
+    """
+    lost = False
+    for _ in range(ATTEMPTS):
+        try:
+            swap = await store.put(make_setting_key(path), data, expected)
+        except Failure as failure:
+            if failure.kind is not ErrorKind.STORE_ANSWER_LOST and not lost:
+                raise
+            lost = True
+            await asyncio.sleep(RETRY_SECONDS)
+            continue
+        if swap.done:
+            return
+        await _require_own(store, path, change, lost)
+        return
+    raise Failure(ErrorKind.STORE_ANSWER_LOST, f"{path}: read it before changing it")
+
+
+async def _require_own(store: Store, path: str, change: AuditEntry, lost: bool) -> None:
+    """Accept a refused write only when the refusal is due to one's own."""
+    try:
+        current, _ = await read_setting(store, path)
+        own = lost and await _find_entry(store, path, current, change.revision)
+    except Failure as failure:
+        if not lost:
+            raise
+        raise Failure(ErrorKind.STORE_ANSWER_LOST, failure.detail) from failure
+    if own != change:
+        _require_revision(path, current, change.revision - 1, change.after)
+
+
+async def _find_entry(
+    store: Store, path: str, current: StoredSetting | None, revision: int
+) -> AuditEntry | None:
+    kept = current.audit if current else ()
+    found = next((each for each in kept if each.revision == revision), None)
+    if found is not None:
+        return found
+    entry = await store.get(make_audit_key(path, revision))
+    return None if entry is None else _entry_decoder.decode(entry.value)
+
+
+def strip_audit(data: bytes) -> bytes:
+    """Return a stored value without its audit entries, for sending to peers."""
+    return encode_stored(replace(decode_stored(data), audit=()))
--- /dev/null
+++ b/src/primrosestile/decisions/settingscheck.py
@@ -0,0 +1,270 @@
+"""Find every fault of a settings document before it is accepted.
+
+An operator who is told one fault at a time mends a file in as many rounds as it
+has faults, at night, with work waiting. So the checks do not stop: the shape is
+checked by pydantic, which reports every mismatch, and the rules on names and
+bounds look at the raw document, so that one broken worker does not hide a broken
+guarantee. Only the rules that need whole records wait until the shape is right.
+"""
+
+import json
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from primrosestile.decisions.settingscheckfields import (
+    NUMBERS,
+    REFERENCES,
+    TEXTS,
+    UNIQUES,
+    UniqueRule,
+)
+from primrosestile.decisions.settingscheckwhole import find_whole_faults
+from primrosestile.state.settings import (
+    FLEET_PATH,
+    GUARANTEES_PATH,
+    POLICY_PATH,
+    TEAMS_PREFIX,
+    Settings,
+)
+
+Place = tuple[str | int, ...]
+
+SECTIONS = (FLEET_PATH, GUARANTEES_PATH, POLICY_PATH)
+PAGE = "docs/settings.md"
+# pydantic's fault types for which its own message says too little of what to do.
+REMEDIES = {
+    "unexpected_keyword_argument": f"Remove the key, or correct its name by {PAGE}.",
+    "missing": "Add the key.",
+    "enum": "Use one of the values named.",
+    "int_type": "Write a whole number without quotes.",
+    "int_from_float": "Write a whole number.",
+    "float_type": "Write a number without quotes.",
+    "finite_number": "Write a finite number.",
+    "bool_type": "Write true or false without quotes.",
+    "string_type": "Write a text in quotes.",
+    "tuple_type": "Write a list in square brackets.",
+    "dataclass_type": "Write an object in curly brackets.",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong with settings.
+
+    Attributes:
+        path: Where, such as `fleet.workers[3].rack`.
+        reason: What is wrong there.
+        remedy: What to do next, as a sentence.
+    """
+
+    path: str
+    reason: str
+    remedy: str
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
+
+    document: Settings
+
+
+def check_document(data: bytes) -> tuple[Fault, ...]:
+    """Return each fault of a whole settings document; none means it is valid."""
+    raw, faults = _read_json(data)
+    if faults:
+        return faults
+    return _check_raw(raw)
+
+
+def check_change(settings: Settings, path: str, value: str) -> tuple[Fault, ...]:
+    """Return the faults that a change of one path would bring.
+
+    Faults of other paths that stood before the change are left out: they may
+    not stop an operator from mending settings one path at a time.
+
+    Args:
+        settings: The settings in force.
+        path: `fleet`, `guarantees`, `policy` or `teams/<team>`.
+        value: The new value as JSON text; `null` removes a team.
+    """
+    section, faults = _read_json(value.encode())
+    if faults:
+        return faults
+    before = json.loads(msgspec.json.encode(settings))
+    after, place = _replace_section(before, path, section)
+    if isinstance(after, Fault):
+        return (after,)
+    known = frozenset(_check_raw(before))
+    found = _check_raw(after)
+    return tuple(
+        each for each in found if each.path.startswith(place) or each not in known
+    )
+
+
+def _replace_section(
+    document: dict[str, Any], path: str, section: Any
+) -> tuple[dict[str, Any] | Fault, str]:
+    if path in SECTIONS:
+        return {**document, path: section}, path
+    name = path.removeprefix(TEAMS_PREFIX)
+    if name == path or not name:
+        return _unknown_path(path), ""
+    if isinstance(section, dict) and section.get("name") != name:
+        return _wrong_name(path, name), ""
+    teams = [team for team in document["teams"] if team["name"] != name]
+    place = f"teams[{len(teams)}]"
+    if section is not None:
+        teams.append(section)
+    return {**document, "teams": teams}, place
+
+
+def _unknown_path(path: str) -> Fault:
+    known = ", ".join(SECTIONS)
+    return Fault(path, "there is no such path", f"Use {known} or teams/<team>.")
+
+
+def _wrong_name(path: str, name: str) -> Fault:
+    return Fault(
+        path,
+        "the team's name differs from its path",
+        f"Set name to {name!r}, or change the path.",
+    )
+
+
+def _read_json(data: bytes) -> tuple[Any, tuple[Fault, ...]]:
+    repeated: list[str] = []
+
+    def build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        names = [name for name, _ in pairs]
+        repeated.extend(name for name in set(names) if names.count(name) > 1)
+        return dict(pairs)
+
+    try:
+        raw = json.loads(data, object_pairs_hook=build_object)
+    except (ValueError, RecursionError) as error:
+        remedy = "Correct the JSON there; no comments and no trailing commas."
+        return None, (Fault("", f"it is not JSON: {error}", remedy),)
+    # Of two equal keys most readers keep one without a word, so the operator's
+    # other value would vanish.
+    return raw, tuple(
+        Fault(name, "the key stands twice in one object", "Keep one of them.")
+        for name in sorted(repeated)
+    )
+
+
+def _check_raw(raw: Any) -> tuple[Fault, ...]:
+    whole, faults = _check_shape(raw)
+    faults += _check_numbers(raw)
+    faults += _check_texts(raw)
+    faults += _check_uniques(raw)
+    faults += _check_references(raw)
+    if whole is not None:
+        faults += [Fault(*each) for each in find_whole_faults(whole)]
+    return tuple(faults)
+
+
+def _check_shape(raw: Any) -> tuple[Settings | None, list[Fault]]:
+    try:
+        text = json.dumps({"document": raw})
+        return _Document.model_validate_json(text).document, []
+    except ValidationError as error:
+        return None, [_describe(each) for each in error.errors(include_url=False)]
+
+
+def _describe(error: Any) -> Fault:
+    remedy = REMEDIES.get(error["type"], f"Correct it by {PAGE}.")
+    return Fault(format_place(error["loc"][1:]), error["msg"], remedy)
+
+
+def _check_numbers(raw: Any) -> list[Fault]:
+    faults = []
+    for rule in NUMBERS:
+        for place, value in _select(raw, rule.pattern):
+            if isinstance(value, bool) or not isinstance(value, int | float):
+                continue
+            if rule.low <= value <= rule.high:
+                continue
+            reason = f"{value:g} {rule.unit} is out of range ({rule.meaning})"
+            remedy = f"Use {rule.low:g} to {rule.high:g} {rule.unit}."
+            faults.append(Fault(format_place(place), reason, remedy))
+    return faults
+
+
+def _check_texts(raw: Any) -> list[Fault]:
+    faults = []
+    for rule in TEXTS:
+        for place, value in _select(raw, rule.pattern):
+            if not isinstance(value, str) or re.fullmatch(rule.expression, value):
+                continue
+            # The text itself is not repeated: it may be a token that was
+            # pasted where its hash belongs.
+            reason = f"the text is no {rule.meaning}"
+            faults.append(Fault(format_place(place), reason, f"Use {rule.form}."))
+    return faults
+
+
+def _check_uniques(raw: Any) -> list[Fault]:
+    return [fault for rule in UNIQUES for fault in _check_unique(raw, rule)]
+
+
+def _check_unique(raw: Any, rule: UniqueRule) -> Iterator[Fault]:
+    seen: dict[tuple[Place, str], list[Place]] = {}
+    for pattern in rule.patterns:
+        for place, value in _select(raw, pattern):
+            if isinstance(value, str):
+                seen.setdefault((place[: rule.scope], value), []).append(place)
+    for (_, value), places in seen.items():
+        for place in places[rule.most :]:
+            first = format_place(places[0])
+            reason = f"{rule.meaning} {value!r} stands already at {first}"
+            yield Fault(format_place(place), reason, "Remove or rename one of them.")
+
+
+def _check_references(raw: Any) -> list[Fault]:
+    faults = []
+    for rule in REFERENCES:
+        known = {value for _, value in _select(raw, rule.target) if _is_text(value)}
+        for place, value in _select(raw, rule.pattern):
+            if not _is_text(value) or value in known:
+                continue
+            reason = f"there is no {rule.noun} {value!r}"
+            remedy = f"Use a name that stands under {rule.target}, or add it there."
+            faults.append(Fault(format_place(place), reason, remedy))
+    return faults
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str)
+
+
+def _select(raw: Any, pattern: str) -> Iterator[tuple[Place, Any]]:
+    """Yield the place and value of each field that a pattern names.
+
+    What is missing or of another shape is passed over; the shape check has
+    reported it already.
+    """
+    found: list[tuple[Place, Any]] = [((), raw)]
+    for part in pattern.split("."):
+        found = [inner for place, value in found for inner in _step(place, value, part)]
+    yield from found
+
+
+def _step(place: Place, value: Any, part: str) -> Iterator[tuple[Place, Any]]:
+    if part == "*":
+        if isinstance(value, list):
+            yield from (((*place, i), item) for i, item in enumerate(value))
+    elif isinstance(value, dict) and part in value:
+        yield (*place, part), value[part]
+
+
+def format_place(place: Place) -> str:
+    """Return a place in a document as text, such as `fleet.workers[3].rack`."""
+    text = ""
+    for part in place:
+        text += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return text.removeprefix(".")
