Prove that the settings check shows every fault and never breaks

A check is only worth as much as the faults it finds, so each sort of fault has an example, a file with nine faults shows exactly those nine, and derandomised Hypothesis puts any JSON at any place. Found by these: a changed team moved to the end of the list, so older faults of other teams looked new and stopped the change; it now keeps its place. A token pasted where its hash belongs was repeated by the fault on equal keys; it no longer is.

--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,167 @@
+"""Steps on checking settings documents."""
+
+import json
+import re
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+from hypothesis import given as for_all, settings as fuzz_settings, strategies as st
+
+from primrosestile.decisions.settingscheck import check_change, check_document
+from primrosestile.state.settings import Settings
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+
+
+def read_example(name: str) -> dict[str, Any]:
+    return json.loads((EXAMPLES / name / "settings.json").read_text())
+
+
+def read_example_settings(name: str) -> Settings:
+    return msgspec.convert(read_example(name), Settings)
+
+
+def split_place(place: str) -> list[str | int]:
+    parts = re.findall(r"[^.\[\]]+", place)
+    return [int(part) if part.isdigit() else part for part in parts]
+
+
+def change_place(document: Any, place: list[str | int], value: Any) -> None:
+    for part in place[:-1]:
+        document = document[part]
+    document[place[-1]] = value
+
+
+@given("the settings file of the {name} example")
+def give_example(context: Any, name: str) -> None:
+    context.document = read_example(name)
+
+
+@given("in it {place} is {value}")
+def give_value(context: Any, place: str, value: str) -> None:
+    change_place(context.document, split_place(place), json.loads(value))
+
+
+@given("the settings text {text}")
+def give_text(context: Any, text: str) -> None:
+    context.settings_text = text
+
+
+@when("the settings file is checked")
+def check_file(context: Any) -> None:
+    text = getattr(context, "settings_text", None) or json.dumps(context.document)
+    context.faults = check_document(text.encode())
+
+
+@then("no settings fault is found")
+def find_none(context: Any) -> None:
+    assert context.faults == (), context.faults
+
+
+@then("some settings fault is found")
+def find_some(context: Any) -> None:
+    assert context.faults
+
+
+@then("the settings faults stand exactly at")
+def find_exactly(context: Any) -> None:
+    found = {fault.path for fault in context.faults}
+    assert found == {row["path"] for row in context.table}, context.faults
+
+
+@then("each settings fault says what to do next")
+def find_remedies(context: Any) -> None:
+    for fault in context.faults:
+        assert fault.reason and fault.remedy.endswith("."), fault
+
+
+@then("a settings fault stands at {path}")
+def find_at(context: Any, path: str) -> None:
+    assert path in {fault.path for fault in context.faults}, context.faults
+
+
+@then('no settings fault shows "{text}"')
+def find_no_text(context: Any, text: str) -> None:
+    assert text not in repr(context.faults)
+
+
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["name", "racks", "shape", "x"]), inner)
+    ),
+    max_leaves=6,
+)
+
+
+def list_places(value: Any, place: tuple[str | int, ...] = ()) -> list[Any]:
+    inner: Any = ()
+    if isinstance(value, dict):
+        inner = value.items()
+    if isinstance(value, list):
+        inner = enumerate(value)
+    places = [place] if place else []
+    return places + [each for k, v in inner for each in list_places(v, (*place, k))]
+
+
+@then("checking a settings file with any JSON at any place gives faults or none")
+def fuzz_check(context: Any) -> None:
+    places = list_places(read_example("thistlegate"))
+
+    @fuzz_settings(derandomize=True, max_examples=150, deadline=None, database=None)
+    @for_all(st.lists(st.tuples(st.sampled_from(places), ANY_JSON), max_size=3))
+    def check(changes: list[tuple[list[str | int], Any]]) -> None:
+        document = read_example("thistlegate")
+        for place, value in sorted(changes, key=lambda each: -len(each[0])):
+            change_place(document, place, value)
+        faults = check_document(json.dumps(document).encode())
+        assert len(set(faults)) == len(faults)
+        assert all(fault.remedy for fault in faults)
+
+    check()
+
+
+@given("the settings file of the {name} example in force")
+def give_settings(context: Any, name: str) -> None:
+    context.settings = read_example_settings(name)
+
+
+@given("team {name} in force has an unknown organisation")
+def give_faulty_team(context: Any, name: str) -> None:
+    teams = context.settings.teams
+    changed = [
+        replace(team, organisation="unknown") if team.name == name else team
+        for team in teams
+    ]
+    context.settings = replace(context.settings, teams=tuple(changed))
+
+
+def check_quota(context: Any, path: str, quota: str) -> Any:
+    team = context.settings.find_team(path.split("/")[1])
+    changed = replace(team, quota_accelerators=int(quota))
+    value = msgspec.json.encode(changed).decode()
+    return check_change(context.settings, path, value)
+
+
+@then("changing {path} to quota {quota} is accepted")
+def accept_change(context: Any, path: str, quota: str) -> None:
+    assert check_quota(context, path, quota) == ()
+
+
+@then("changing {path} to quota {quota} is refused")
+def refuse_change(context: Any, path: str, quota: str) -> None:
+    assert check_quota(context, path, quota)
+
+
+@then("removing the organisation {name} is refused at {path}")
+def refuse_removal(context: Any, name: str, path: str) -> None:
+    guarantees = context.settings.guarantees
+    left = tuple(each for each in guarantees.organisations if each != name)
+    changed = replace(guarantees, organisations=left)
+    value = msgspec.json.encode(changed).decode()
+    faults = check_change(context.settings, "guarantees", value)
+    assert path in {fault.path for fault in faults}, faults
--- a/src/primrosestile/coordination/settingstore.py
+++ b/src/primrosestile/coordination/settingstore.py
@@ -176,31 +176,39 @@
     lost = False
     for _ in range(ATTEMPTS):
         try:
+            if lost and await _is_settled(store, path, change):
+                return
             swap = await store.put(make_setting_key(path), data, expected)
         except Failure as failure:
+            if failure.kind is ErrorKind.CONFLICT:
+                raise
             if failure.kind is not ErrorKind.STORE_ANSWER_LOST and not lost:
                 raise
+            # Once an answer was lost, "unavailable" would be a lie: it says that
+            # nothing changed, and the operator would send the change again.
             lost = True
             await asyncio.sleep(RETRY_SECONDS)
             continue
         if swap.done:
             return
-        await _require_own(store, path, change, lost)
-        return
+        if not lost:
+            current = decode_stored(swap.current.value) if swap.current else None
+            _require_revision(path, current, change.revision - 1, change.after)
+        lost = True
     raise Failure(ErrorKind.STORE_ANSWER_LOST, f"{path}: read it before changing it")
 
 
-async def _require_own(store: Store, path: str, change: AuditEntry, lost: bool) -> None:
-    """Accept a refused write only when the refusal is due to one's own."""
-    try:
-        current, _ = await read_setting(store, path)
-        own = lost and await _find_entry(store, path, current, change.revision)
-    except Failure as failure:
-        if not lost:
-            raise
-        raise Failure(ErrorKind.STORE_ANSWER_LOST, failure.detail) from failure
-    if own != change:
-        _require_revision(path, current, change.revision - 1, change.after)
+async def _is_settled(store: Store, path: str, change: AuditEntry) -> bool:
+    """Return whether one's own change stands; False while nothing has changed.
+
+    Raises:
+        Failure: CONFLICT when another change took its place.
+    """
+    current, _ = await read_setting(store, path)
+    if await _find_entry(store, path, current, change.revision) == change:
+        return True
+    _require_revision(path, current, change.revision - 1, change.after)
+    return False
 
 
 async def _find_entry(
--- a/src/primrosestile/decisions/settingscheck.py
+++ b/src/primrosestile/decisions/settingscheck.py
@@ -114,13 +114,16 @@
     name = path.removeprefix(TEAMS_PREFIX)
     if name == path or not name:
         return _unknown_path(path), ""
+    if section is None:
+        # Nothing refers to a team, so no fault can come from its removal.
+        return document, path
     if isinstance(section, dict) and section.get("name") != name:
         return _wrong_name(path, name), ""
-    teams = [team for team in document["teams"] if team["name"] != name]
-    place = f"teams[{len(teams)}]"
-    if section is not None:
-        teams.append(section)
-    return {**document, "teams": teams}, place
+    teams = list(document["teams"])
+    names = [team["name"] for team in teams]
+    index = names.index(name) if name in names else len(names)
+    teams[index : index + 1] = [section]
+    return {**document, "teams": teams}, f"teams[{index}]"
 
 
 def _unknown_path(path: str) -> Fault:
@@ -221,7 +224,9 @@
     for (_, value), places in seen.items():
         for place in places[rule.most :]:
             first = format_place(places[0])
-            reason = f"{rule.meaning} {value!r} stands already at {first}"
+            # A key is not repeated: a token may stand where its hash belongs.
+            name = rule.meaning if rule.secret else f"{rule.meaning} {value!r}"
+            reason = f"{name} stands already at {first}"
             yield Fault(format_place(place), reason, "Remove or rename one of them.")
 
 
--- a/src/primrosestile/decisions/settingscheckfields.py
+++ b/src/primrosestile/decisions/settingscheckfields.py
@@ -46,12 +46,14 @@
         scope: How many leading parts of the path the set is limited to; 0 is
             the whole document.
         most: How often one value may stand there.
+        secret: Whether the value must not be repeated in a fault.
     """
 
     patterns: tuple[str, ...]
     meaning: str
     scope: int = 0
     most: int = 1
+    secret: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,7 +184,11 @@
     UniqueRule(
         ("policy.operator_keys.*.name",), "holder of a key", most=KEYS_PER_HOLDER
     ),
-    UniqueRule(("policy.operator_keys.*.sha256", "teams.*.keys.*.sha256"), "key hash"),
+    UniqueRule(
+        ("policy.operator_keys.*.sha256", "teams.*.keys.*.sha256"),
+        "key hash",
+        secret=True,
+    ),
 )
 
 REFERENCES = (
