--- /dev/null
+++ b/src/primrosestile/transport/vms.py
@@ -0,0 +1,48 @@
+"""The platform's VM list over HTTP."""
+
+import msgspec
+
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.workers import ListedVm
+from primrosestile.transport.connections import Connections, FailureKinds
+from primrosestile.transport.wire import decode_json
+
+VMS_PATH = "/vms"
+READ_TIMEOUT_SECONDS = 2.0
+# Nothing is sent by a read that could have an effect, so it never may have run.
+_KINDS = FailureKinds(ErrorKind.NO_TARGET, ErrorKind.NO_TARGET)
+
+
+def make_vm_list(address: str, timeout: float = READ_TIMEOUT_SECONDS) -> "HttpVmList":
+    """Return the adapter to the VM list at `ip:port`."""
+    return HttpVmList(address, timeout, Connections())
+
+
+class HttpVmList:
+    """Implements `protocol.workers.VmList`."""
+
+    def __init__(self, address: str, timeout: float, connections: Connections) -> None:
+        self._address = address
+        self._timeout = timeout
+        self._connections = connections
+
+    async def read(self) -> tuple[ListedVm, ...]:
+        """Return the VMs that the list shows as live or leaving.
+
+        Raises:
+            Failure: NO_TARGET when the list does not answer; what it said last
+                stands until it does.
+        """
+        reply = await self._connections.call(
+            self._address, VMS_PATH, b"", self._timeout, _KINDS, method="GET"
+        )
+        try:
+            if reply.status == 200:
+                return decode_json(reply.body, tuple[ListedVm, ...])
+        except msgspec.MsgspecError as fault:
+            raise Failure(ErrorKind.NO_TARGET, f"unreadable VM list: {fault}") from None
+        raise Failure(ErrorKind.NO_TARGET, f"the VM list answers {reply.status}")
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._connections.close()
--- a/src/primrosestile_standin/fleet.py
+++ b/src/primrosestile_standin/fleet.py
@@ -106,7 +106,6 @@
 
     def __init__(self, workers: Mapping[str, MemoryWorker]) -> None:
         self._workers = workers
-        self._runs: set[asyncio.Task[RequestAnswer]] = set()
 
     async def send(
         self, target: str, order: RequestOrder, timeout: float
@@ -119,13 +118,9 @@
         if worker.faults.frozen:
             await asyncio.sleep(timeout)
             raise Failure(ErrorKind.OUTCOME_UNKNOWN, f"{target} does not answer")
-        # A worker goes on with a request whose caller has given up.
-        run = asyncio.ensure_future(worker.run_request(order))
-        self._runs.add(run)
-        run.add_done_callback(self._runs.discard)
         try:
             async with asyncio.timeout(timeout):
-                answer = await asyncio.shield(run)
+                answer = await worker.run_request(order)
                 await asyncio.sleep(worker.faults.late_seconds)
         except TimeoutError:
             raise Failure(
--- a/src/primrosestile_standin/store.py
+++ b/src/primrosestile_standin/store.py
@@ -10,6 +10,9 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
+
+from sortedcontainers import SortedDict
 
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Change, Entry, Page, Swap
@@ -42,7 +45,7 @@
         self.faults = faults or StoreFaults()
         self.calls: Counter[str] = Counter()
         self.revision = 1
-        self._entries: dict[str, Entry] = {}
+        self._entries: SortedDict = SortedDict()
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
         self._history: list[Change] = []
@@ -56,10 +59,16 @@
 
     async def list(self, prefix: str, after: str = "", limit: int = 500) -> Page:
         """Return entries under a prefix whose keys sort after `after`."""
+        start = max(prefix, after + "\0") if after else prefix
+        return await self.read_range(start, find_end(prefix), limit)
+
+    async def read_range(self, start: str, end: str, limit: int) -> Page:
+        """Return entries from `start` up to but without `end`."""
         await self._enter("range")
-        found = sorted(
-            key for key in self._entries if key.startswith(prefix) and key > after
-        )
+        if start >= end:
+            return Page((), self.revision)
+        keys = self._entries.irange(start, end, inclusive=(True, False))
+        found = list(islice(keys, limit + 1))
         entries = tuple(self._entries[key] for key in found[:limit])
         return Page(entries, self.revision, more=len(found) > limit)
 
@@ -129,13 +138,20 @@
             Failure: STORE_UNAVAILABLE when the store is down, silent for too
                 long, or no longer remembers that revision.
         """
+        async for changes in self.watch_range(prefix, find_end(prefix), revision):
+            yield changes
+
+    async def watch_range(
+        self, start: str, end: str, revision: int
+    ) -> AsyncIterator[tuple[Change, ...]]:
+        """Yield changes from `start` up to but without `end`, as `watch` does."""
         await self._enter("watch")
         position = self._find_position(revision)
         while True:
             await self._check_watch()
             changes = self._history[position - self._forgotten :]
             position += len(changes)
-            seen = tuple(each for each in changes if each.key.startswith(prefix))
+            seen = tuple(each for each in changes if start <= each.key < end)
             if seen:
                 yield seen
             else:
@@ -221,3 +237,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FAULT_CHECK_SECONDS):
                 await self._changed.wait()
+
+
+def find_end(prefix: str) -> str:
+    """Return a text that sorts after every key that begins with the prefix."""
+    return prefix + chr(0x10FFFF)
--- a/src/primrosestile_standin/worker.py
+++ b/src/primrosestile_standin/worker.py
@@ -89,6 +89,7 @@
         self._left_at = 0.0
         self._tasks: dict[str, _Task] = {}
         self._stopped_early: set[str] = set()
+        self._runs: set[asyncio.Task[RequestAnswer]] = set()
 
     def leave(self) -> None:
         """Say from now on that this worker is leaving."""
@@ -181,9 +182,18 @@
             self._end(task, TaskPhase.STOPPED)
 
     async def run_request(self, order: RequestOrder) -> RequestAnswer:
-        """Run a short request in a slot, or refuse it as not run."""
+        """Run a short request in a slot, or refuse it as not run.
+
+        A run goes on when its caller has given up, as it would on a real worker.
+        """
         if self.faults.refuse_requests or self.in_flight >= self.slots:
             return RequestAnswer(order.request_id, False, False, b"", self.leaving)
+        run = asyncio.get_running_loop().create_task(self._run(order))
+        self._runs.add(run)
+        run.add_done_callback(self._runs.discard)
+        return await asyncio.shield(run)
+
+    async def _run(self, order: RequestOrder) -> RequestAnswer:
         self.in_flight += 1
         number = self.ledger.start_request(self._open_run(order))
         ok = False
