Prove that a settings change and its audit entry stand together

Cause: operators race, answers are lost, processes die between calls, and old values arrive late. Features on a paused clock with the stand-in's store in memory show what holds. Found by them: a fleet of 5000 workers with its audit entries passed a megabyte after a few changes; entries beside the value are now bounded by text as well as by number, and rolled entries are packed likewise.

--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -3,25 +3,17 @@
 import json
 import re
 from dataclasses import replace
-from pathlib import Path
 from typing import Any
 
-import msgspec
 from behave import given, then, when
+from features.settings.doubles import (
+    encode_text,
+    read_example,
+    read_example_settings,
+)
 from hypothesis import given as for_all, settings as fuzz_settings, strategies as st
 
 from primrosestile.decisions.settingscheck import check_change, check_document
-from primrosestile.state.settings import Settings
-
-EXAMPLES = Path(__file__).parents[2] / "examples"
-
-
-def read_example(name: str) -> dict[str, Any]:
-    return json.loads((EXAMPLES / name / "settings.json").read_text())
-
-
-def read_example_settings(name: str) -> Settings:
-    return msgspec.convert(read_example(name), Settings)
 
 
 def split_place(place: str) -> list[str | int]:
@@ -143,7 +135,7 @@
 def check_quota(context: Any, path: str, quota: str) -> Any:
     team = context.settings.find_team(path.split("/")[1])
     changed = replace(team, quota_accelerators=int(quota))
-    value = msgspec.json.encode(changed).decode()
+    value = encode_text(changed)
     return check_change(context.settings, path, value)
 
 
@@ -162,6 +154,6 @@
     guarantees = context.settings.guarantees
     left = tuple(each for each in guarantees.organisations if each != name)
     changed = replace(guarantees, organisations=left)
-    value = msgspec.json.encode(changed).decode()
+    value = encode_text(changed)
     faults = check_change(context.settings, "guarantees", value)
     assert path in {fault.path for fault in faults}, faults
--- a/src/primrosestile/coordination/settingstore.py
+++ b/src/primrosestile/coordination/settingstore.py
@@ -19,9 +19,11 @@
 from primrosestile.state.settings import SETTINGS_PREFIX, AuditEntry, StoredSetting
 
 AUDIT_PREFIX = "audit/"
-# Entries kept beside the value. A history page is then one read, and the value
-# stays far below the store's megabyte for every section but a very large fleet.
+# Entries kept beside the value, by number and by the text in them. A history page
+# is then one read, and every watcher is sent the whole value at each change, so a
+# large fleet keeps its newest entry only.
 AUDIT_KEPT = 16
+AUDIT_KEPT_CHARACTERS = 256 * 1024
 # A fleet of thousands of workers is above a megabyte as text and repeats itself;
 # small values stay readable in the store.
 COMPRESS_ABOVE_BYTES = 32 * 1024
@@ -37,26 +39,47 @@
 _entry_decoder = msgspec.json.Decoder(AuditEntry)
 
 
-def encode_stored(stored: StoredSetting) -> bytes:
-    """Return the bytes that the store keeps."""
-    text = _encoder.encode(stored)
+def _pack(text: bytes) -> bytes:
     if len(text) <= COMPRESS_ABOVE_BYTES:
         return text
     return _COMPRESSED + zlib.compress(text)
 
 
+def _unpack(data: bytes) -> bytes:
+    if not data.startswith(_COMPRESSED):
+        return data
+    try:
+        return zlib.decompress(data[len(_COMPRESSED) :])
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+
+
+def encode_stored(stored: StoredSetting) -> bytes:
+    """Return the bytes that the store keeps."""
+    return _pack(_encoder.encode(stored))
+
+
 def decode_stored(data: bytes) -> StoredSetting:
     """Return the stored setting in `data`.
 
     Raises:
         ValueError: When it is none.
     """
-    if data.startswith(_COMPRESSED):
-        try:
-            data = zlib.decompress(data[1:])
-        except zlib.error as error:
-            raise ValueError(str(error)) from error
-    return _decoder.decode(data)
+    return _decoder.decode(_unpack(data))
+
+
+def encode_entry(entry: AuditEntry) -> bytes:
+    """Return the bytes of an audit entry that has a key of its own."""
+    return _pack(_encoder.encode(entry))
+
+
+def decode_entry(data: bytes) -> AuditEntry:
+    """Return the audit entry in `data`.
+
+    Raises:
+        ValueError: When it is none.
+    """
+    return _entry_decoder.decode(_unpack(data))
 
 
 def make_setting_key(path: str) -> str:
@@ -64,9 +87,14 @@
     return SETTINGS_PREFIX + path
 
 
+def make_audit_prefix(path: str) -> str:
+    """Return the prefix of a path's rolled audit entries."""
+    return f"{AUDIT_PREFIX}{path}/"
+
+
 def make_audit_key(path: str, revision: int) -> str:
     """Return the key of one rolled audit entry; keys sort by revision."""
-    return f"{AUDIT_PREFIX}{path}/{revision:010d}"
+    return f"{make_audit_prefix(path)}{revision:010d}"
 
 
 async def read_setting(
@@ -144,7 +172,7 @@
     store: Store, path: str, current: StoredSetting | None, change: AuditEntry
 ) -> StoredSetting:
     audit = (*(current.audit if current else ()), change)
-    kept = audit[-AUDIT_KEPT:]
+    kept = audit[-_count_kept(audit) :]
     # Older entries get keys of their own before they are cut from the value. If
     # this process dies in between, they stand twice, which readers pass over;
     # the other way round an entry would be gone for good.
@@ -153,9 +181,19 @@
     return StoredSetting(change.revision, change.after, kept)
 
 
+def _count_kept(audit: tuple[AuditEntry, ...]) -> int:
+    """Return how many of the newest entries stay beside the value, at least 1."""
+    room = AUDIT_KEPT_CHARACTERS
+    for count, entry in enumerate(reversed(audit)):
+        room -= len(entry.before) + len(entry.after)
+        if count == AUDIT_KEPT or (room < 0 and count):
+            return count
+    return len(audit)
+
+
 async def _roll_entry(store: Store, path: str, old: AuditEntry) -> None:
     key = make_audit_key(path, old.revision)
-    data = _encoder.encode(old)
+    data = encode_entry(old)
     try:
         await store.put(key, data, 0)
     except Failure as failure:
@@ -219,7 +257,7 @@
     if found is not None:
         return found
     entry = await store.get(make_audit_key(path, revision))
-    return None if entry is None else _entry_decoder.decode(entry.value)
+    return None if entry is None else decode_entry(entry.value)
 
 
 def strip_audit(data: bytes) -> bytes:
