--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 import structlog
 
-from primrosestile.clock import read_clock
+from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.actions import JobActions
 from primrosestile.coordination.celldata import CellData, Contact, make_class_key
 from primrosestile.coordination.following import Following
@@ -23,9 +24,10 @@
 from primrosestile.protocol.messages import CellDigest
 from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import WorkerReport
-from primrosestile.state.fleet import Cell
+from primrosestile.state.fleet import Cell, Worker
 from primrosestile.state.jobs import JobState, ReasonCode
 from primrosestile.state.settings import Settings
+from primrosestile.state.tenancy import Shape
 
 # How long a grant of slots holds; three reports fit in, so one that is lost does
 # not throw an entry back on its small safe share.
@@ -35,6 +37,7 @@
 RECOVERY_CONCURRENCY = 32
 HOUSEKEEPING_SECONDS = 1.0
 RECOVERY_RETRY_SECONDS = 0.5
+DRAIN_CHECK_SECONDS = 0.02
 
 _log = structlog.get_logger()
 
@@ -47,12 +50,12 @@
         cell: Cell,
         store: Store,
         command: Command,
-        settings: Settings,
+        read_settings: Callable[[], Settings],
     ) -> None:
         self.cell = cell
         self.recovered = asyncio.Event()
-        self._settings = settings
-        self._data = _make_data(cell, store, command, settings, self._wake)
+        self._inputs = _collect_inputs(read_settings(), cell.name)
+        self._data = _make_data(cell, store, command, read_settings, self._wake)
         self._actions = JobActions(self._data)
         self._placing = Placing(self._data, self._actions)
         self._following = Following(self._data, self._actions)
@@ -70,6 +73,10 @@
         """Set once a worker has seen a higher epoch."""
         return self._following.superseded
 
+    def needs_restart(self, settings: Settings) -> bool:
+        """Whether the cell's workers or promises are others by now."""
+        return _collect_inputs(settings, self.cell.name) != self._inputs
+
     def _wake(self) -> None:
         self._placing.wake()
 
@@ -171,14 +178,14 @@
             self._decide_quarantine()
             if self._data.command.may_act():
                 try:
-                    await self._data.book.forget_old(read_clock())
+                    await self._data.book.forget_old(read_wall_clock())
                 except Failure as failure:
                     _log.info("old_jobs_kept", kind=failure.kind.value)
 
     def _decide_quarantine(self) -> None:
         names = list(self._data.contacts)
         quarantined = {
-            each.worker for each in self._data.failures.decide(names, read_clock())
+            each.worker for each in self._data.failures.decide(names, read_wall_clock())
         }
         for name, contact in self._data.contacts.items():
             if contact.quarantined != (name in quarantined):
@@ -189,6 +196,16 @@
                 _log.warning("quarantine", worker=name, reason=code.value)
                 self._data.refresh_usable()
 
+    async def drain(self) -> None:
+        """Decide nothing new, and wait until every action under way has ended.
+
+        HAND_OVER_BEFORE_EXIT: a start cut off between its record and its last go
+        would leave a gang in part until the next owner has recovered.
+        """
+        self._placing.close()
+        while self._data.busy:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
     def note_listed(self, leaving: frozenset[str]) -> None:
         """Take in which workers the VM list shows as leaving."""
         for name, contact in self._data.contacts.items():
@@ -207,7 +224,7 @@
         self, entry: str, failures: Mapping[str, int], successes: Mapping[str, int]
     ) -> None:
         """Take in how requests of an entry fared at each worker."""
-        now = read_clock()
+        now = read_wall_clock()
         for worker, count in failures.items():
             if worker in self._data.contacts and count:
                 self._data.failures.record(worker, f"requests of {entry}", True, now)
@@ -236,7 +253,7 @@
         return CellDigest(
             cell=self.cell.name,
             epoch=self.epoch,
-            free=self._data.view.count_free(),
+            free=self._data.view.free,
             used=used,
             slots=shares.get(entry, {}),
             leaving=tuple(n for n, each in contacts.items() if each.leaving),
@@ -256,7 +273,7 @@
             "accelerators": sum(
                 each.worker.accelerators for each in data.contacts.values()
             ),
-            "free": data.view.count_free(),
+            "free": data.view.free,
             "fragmentation": measure_fragmentation(data.view),
             "held": [
                 {
@@ -287,23 +304,38 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class _Inputs:
+    """What a cell is built from; the policy is read anew at each decision."""
+
+    workers: tuple[Worker, ...]
+    promised: tuple[tuple[str, Shape], ...]
+
+
+def _collect_inputs(settings: Settings, name: str) -> _Inputs:
+    cell = settings.fleet.find_cell(name)
+    if cell is None:
+        return _Inputs((), ())
+    promised = assign_guarantees(settings.fleet, settings.guarantees)
+    return _Inputs(settings.fleet.workers_of(cell), promised.get(name, ()))
+
+
 def _make_data(
     cell: Cell,
     store: Store,
     command: Command,
-    settings: Settings,
+    read_settings: Callable[[], Settings],
     wake: Callable[[], None],
 ) -> CellData:
-    workers = settings.fleet.workers_of(cell)
-    promised = assign_guarantees(settings.fleet, settings.guarantees)
+    inputs = _collect_inputs(read_settings(), cell.name)
     return CellData(
         name=cell.name,
         command=command,
         book=JobBook(store, cell.name),
-        view=CellView(workers, promised.get(cell.name, ())),
-        contacts={worker.name: Contact(worker) for worker in workers},
-        read_policy=lambda: settings.policy,
+        view=CellView(inputs.workers, inputs.promised),
+        contacts={worker.name: Contact(worker) for worker in inputs.workers},
+        read_policy=lambda: read_settings().policy,
         run_times=RunTimes(),
-        failures=make_ledger(settings.policy),
+        failures=make_ledger(read_settings().policy),
         wake=wake,
     )
--- /dev/null
+++ b/src/primrosestile/coordination/ownership.py
@@ -0,0 +1,373 @@
+"""Which cells this process owns, and under which epoch.
+
+A cell belongs to whoever holds the key `cells/<cell>` under a live lease. The key
+is created only where none stands, so there is one owner at a time; its create
+revision is the epoch, which rises with each owner because the store only counts
+up. When a placer dies, its keys lapse and others create them anew.
+
+Placers order themselves for each cell by a hash of both names. The first in order
+tries at once and each next one a little later, so that cells spread evenly and a
+lapse does not make every placer write at the same moment.
+"""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+import xxhash
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.cell import CellKeeper
+from primrosestile.coordination.gangs import Command
+from primrosestile.coordination.membership import Directory, ProcessLease
+from primrosestile.coordination.writing import (
+    delete_settled,
+    list_all,
+    put_settled,
+)
+from primrosestile.errors import Failure
+from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.protocol.workers import Workers
+from primrosestile.state.fleet import Cell
+from primrosestile.state.jobs import CellOwner, ProcessRecord
+from primrosestile.state.settings import Settings
+
+CELLS_PREFIX = "cells/"
+# The head start of each placer over the next in the order of a cell.
+RANK_DELAY_SECONDS = 0.3
+# A cell that nobody has taken is looked at again after this; covers a watch that
+# missed a lapse.
+RECHECK_SECONDS = 1.0
+# An owner that is not the first in a cell's order hands it to the first one once
+# that one has stood in the directory this long: restarts come in pairs, and each
+# hand-over costs a recovery.
+BALANCE_AFTER_SECONDS = 20.0
+
+_log = structlog.get_logger()
+
+
+def rank_placers(cell: str, placers: list[str]) -> list[str]:
+    """Return placers in the order in which they try for a cell."""
+    return sorted(
+        placers,
+        key=lambda name: xxhash.xxh64_intdigest(f"{cell}\0{name}"),
+        reverse=True,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Owned:
+    """A cell that the store shows as owned."""
+
+    owner: CellOwner
+    create_revision: int
+    mod_revision: int
+
+
+class OwnerTable:
+    """Who owns each cell, by list and watch of `cells/`."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._owned: dict[str, _Owned] = {}
+        self.changed = asyncio.Event()
+        self.listed = asyncio.Event()
+
+    def find(self, cell: str) -> _Owned | None:
+        """Return the owner of a cell as last seen."""
+        return self._owned.get(cell)
+
+    def note(self, entry: Entry) -> None:
+        """Take in a key that this process has just written or read."""
+        known = self._owned.get(_cell_of(entry.key))
+        if known is None or known.mod_revision < entry.mod_revision:
+            self._owned[_cell_of(entry.key)] = _decode(entry)
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                entries, revision = await list_all(self._store, CELLS_PREFIX)
+                self._replace(entries, revision)
+                self.listed.set()
+                self._tell()
+                async for changes in self._store.watch(CELLS_PREFIX, revision + 1):
+                    self._apply(changes)
+            except Failure as failure:
+                _log.info("owners_watch_broke", kind=failure.kind.value)
+            await asyncio.sleep(RECHECK_SECONDS * random.uniform(0.3, 0.7))
+
+    def _replace(self, entries: list[Entry], revision: int) -> None:
+        """Take in a listing, but keep what was written after it was made."""
+        newer = {
+            cell: owned
+            for cell, owned in self._owned.items()
+            if owned.mod_revision > revision
+        }
+        self._owned = {_cell_of(each.key): _decode(each) for each in entries} | newer
+
+    def _apply(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            cell = _cell_of(change.key)
+            known = self._owned.get(cell)
+            if known is not None and known.mod_revision >= change.revision:
+                continue
+            if change.entry is None:
+                self._owned.pop(cell, None)
+            else:
+                self._owned[cell] = _decode(change.entry)
+        self._tell()
+
+    def _tell(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def _cell_of(key: str) -> str:
+    return key.removeprefix(CELLS_PREFIX)
+
+
+def _decode(entry: Entry) -> _Owned:
+    owner = msgspec.json.decode(entry.value, type=CellOwner)
+    return _Owned(owner, entry.create_revision, entry.mod_revision)
+
+
+class Ownership:
+    """Gains, keeps and hands over cells for one placer process."""
+
+    def __init__(
+        self,
+        store: Store,
+        workers: Workers,
+        lease: ProcessLease,
+        directory: Directory,
+        record: ProcessRecord,
+        task_lease_seconds: float,
+    ) -> None:
+        self._store = store
+        self._workers = workers
+        self._lease = lease
+        self._directory = directory
+        self._record = record
+        self._task_lease_seconds = task_lease_seconds
+        self._settings = Settings()
+        self._settings_changed = asyncio.Event()
+        self._table = OwnerTable(store)
+        self._keepers: dict[str, CellKeeper] = {}
+        self._leaving = False
+        self._first_since: dict[str, float] = {}
+
+    @property
+    def keepers(self) -> Mapping[str, CellKeeper]:
+        """The cells that this process runs, by name."""
+        return self._keepers
+
+    @property
+    def settings(self) -> Settings:
+        """The settings that its cells run by."""
+        return self._settings
+
+    def take_settings(self, settings: Settings) -> None:
+        """Run by new settings; a cell whose workers or promises changed restarts."""
+        self._settings = settings
+        self._settings_changed.set()
+        self._settings_changed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Run one task for each cell of the fleet until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._table.run())
+            await self._table.listed.wait()
+            tasks: dict[str, asyncio.Task[None]] = {}
+            while True:
+                changed = self._settings_changed
+                self._match_tasks(group, tasks)
+                await changed.wait()
+
+    def _match_tasks(
+        self, group: asyncio.TaskGroup, tasks: dict[str, "asyncio.Task[None]"]
+    ) -> None:
+        wanted = {cell.name for cell in self._settings.fleet.cells}
+        for name in [name for name in tasks if name not in wanted]:
+            tasks.pop(name).cancel()
+        for name in sorted(wanted - tasks.keys()):
+            tasks[name] = group.create_task(self._hold(name), name=f"cell {name}")
+
+    async def _hold(self, name: str) -> None:
+        """Own one cell whenever it is ours to own."""
+        while True:
+            await self._lease.gained.wait()
+            epoch = await self._acquire(name)
+            if epoch is None:
+                await self._wait_for_change(RECHECK_SECONDS)
+                continue
+            await self._run_keepers(name, epoch)
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        changed = self._table.changed
+        try:
+            async with asyncio.timeout(seconds):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    async def _acquire(self, name: str) -> int | None:
+        """Return the epoch of a cell that is now ours, or None."""
+        owned = self._table.find(name)
+        if owned is not None and not self._is_own(owned):
+            return None
+        if self._leaving:
+            return None
+        if owned is None:
+            await asyncio.sleep(self._rank_of(name) * RANK_DELAY_SECONDS)
+        try:
+            return await self._create_key(name)
+        except Failure as failure:
+            _log.info("cell_not_acquired", cell=name, kind=failure.kind.value)
+            return None
+
+    def _is_own(self, owned: _Owned) -> bool:
+        return owned.owner.process == self._holder
+
+    @property
+    def _holder(self) -> str:
+        return f"{self._record.name}/{self._record.incarnation}"
+
+    def _rank_of(self, name: str) -> int:
+        placers = [
+            record.name
+            for record in self._directory.records("placer")
+            if not record.leaving
+        ]
+        if self._record.name not in placers:
+            placers.append(self._record.name)
+        return rank_placers(name, placers).index(self._record.name)
+
+    async def _create_key(self, name: str) -> int | None:
+        key = CELLS_PREFIX + name
+        if not self._lease.is_valid():
+            return None
+        lease = self._lease.lease
+        value = msgspec.json.encode(
+            CellOwner(process=self._holder, peer=self._record.peer)
+        )
+        swap = await put_settled(self._store, key, value, 0, lease)
+        current = swap.current
+        if swap.done:
+            current = await self._store.get(key)
+        if current is None or current.lease != lease:
+            return None
+        if not self._is_own(_decode(current)):
+            return None
+        self._table.note(current)
+        return current.create_revision
+
+    async def _run_keepers(self, name: str, epoch: int) -> None:
+        """Run the cell until it is lost; again with each change of its settings."""
+        _log.info("cell_acquired", cell=name, epoch=epoch)
+        lease = self._lease.lease
+        while True:
+            cell = self._settings.fleet.find_cell(name)
+            if cell is None:
+                return
+            keeper = self._make_keeper(cell, epoch, lease)
+            self._keepers[name] = keeper
+            run = asyncio.create_task(keeper.run(), name=f"keeper {name} {epoch}")
+            try:
+                kept = await self._watch_keeper(keeper, run, name, lease)
+            finally:
+                self._keepers.pop(name, None)
+                await _end_task(run)
+            if not kept:
+                _log.info("cell_given_up", cell=name, epoch=epoch)
+                return
+
+    def _make_keeper(self, cell: Cell, epoch: int, lease: int) -> CellKeeper:
+        command = Command(
+            workers=self._workers,
+            cell=cell.name,
+            epoch=epoch,
+            lease_seconds=self._task_lease_seconds,
+            may_act=lambda: self._lease.is_valid() and self._lease.lease == lease,
+            may_care=lambda: self._lease.store_down,
+        )
+        return CellKeeper(cell, self._store, command, lambda: self._settings)
+
+    async def _watch_keeper(
+        self, keeper: CellKeeper, run: "asyncio.Task[None]", name: str, lease: int
+    ) -> bool:
+        """Return False when the cell is lost, True when its settings changed.
+
+        A lease that could not be renewed does not end the keeper: while the store
+        is down it goes on renewing what runs, and nothing else. It ends when the
+        store shows that the key is not ours any more, or a worker has seen a
+        higher epoch.
+        """
+        while True:
+            if run.done() or keeper.superseded.is_set():
+                return False
+            if self._is_lost(name, keeper.epoch, lease):
+                return False
+            if keeper.needs_restart(self._settings):
+                return True
+            if await self._hand_to_first(name, keeper):
+                return False
+            await self._wait_for_change(RECHECK_SECONDS / 2)
+
+    def _is_lost(self, name: str, epoch: int, lease: int) -> bool:
+        owned = self._table.find(name)
+        if owned is None or owned.create_revision > epoch:
+            return True
+        # A new lease of ours does not hold what hung on the one before it.
+        return self._lease.is_valid() and self._lease.lease != lease
+
+    async def _hand_to_first(self, name: str, keeper: CellKeeper) -> bool:
+        """Hand a cell to the first placer of its order, once that one is settled."""
+        if self._leaving or self._rank_of(name) == 0:
+            self._first_since.pop(name, None)
+            return False
+        since = self._first_since.setdefault(name, read_clock())
+        if read_clock() - since < BALANCE_AFTER_SECONDS:
+            return False
+        self._first_since.pop(name, None)
+        await keeper.drain()
+        return await self._give_up(name)
+
+    async def _give_up(self, name: str) -> bool:
+        owned = self._table.find(name)
+        if owned is None or not self._is_own(owned):
+            return True
+        try:
+            return await delete_settled(
+                self._store, CELLS_PREFIX + name, owned.mod_revision
+            )
+        except Failure as failure:
+            _log.warning("cell_not_handed_over", cell=name, kind=failure.kind.value)
+            return False
+
+    async def leave(self) -> None:
+        """Hand every cell over: finish what is under way, then give up the keys."""
+        self._leaving = True
+        async with asyncio.TaskGroup() as group:
+            for name, keeper in list(self._keepers.items()):
+                group.create_task(self._drain_and_give_up(name, keeper))
+
+    async def _drain_and_give_up(self, name: str, keeper: CellKeeper) -> None:
+        await keeper.drain()
+        await self._give_up(name)
+
+
+async def _end_task(task: "asyncio.Task[None]") -> None:
+    """End a keeper's task; a fault in it is logged and must not end the process.
+
+    One record that a keeper stumbles over would otherwise end the placer, then
+    the next placer that takes the cell over, and so on through all of them.
+    """
+    task.cancel()
+    await asyncio.wait({task})
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("keeper_failed", task=task.get_name(), exc_info=task.exception())
+        await asyncio.sleep(RECHECK_SECONDS)
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -12,6 +12,7 @@
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.actions import JobActions, make_reason
 from primrosestile.coordination.celldata import CellData, make_demand, make_holding
+from primrosestile.decisions.backfill import order_demands
 from primrosestile.decisions.cell import Demand
 from primrosestile.decisions.placement import (
     NeverFits,
@@ -19,7 +20,6 @@
     Reclaim,
     Waits,
     decide_placement,
-    order_demands,
 )
 from primrosestile.state.jobs import JobRecord, JobState, ReasonCode
 
@@ -39,6 +39,11 @@
         self._data = data
         self._actions = actions
         self._woken = asyncio.Event()
+        self._closed = False
+
+    def close(self) -> None:
+        """Decide nothing more; the cell is about to be handed on."""
+        self._closed = True
 
     def wake(self) -> None:
         """Decide again: a job came, or room did."""
@@ -49,7 +54,7 @@
         async with asyncio.TaskGroup() as group:
             while True:
                 self._woken.clear()
-                if self._data.command.may_act():
+                if self._data.command.may_act() and not self._closed:
                     self._run_pass(group)
                 try:
                     async with asyncio.timeout(RECHECK_SECONDS):
