--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -37,7 +37,6 @@
 RECOVERY_CONCURRENCY = 32
 HOUSEKEEPING_SECONDS = 1.0
 RECOVERY_RETRY_SECONDS = 0.5
-DRAIN_CHECK_SECONDS = 0.02
 
 _log = structlog.get_logger()
 
@@ -203,8 +202,7 @@
         would leave a gang in part until the next owner has recovered.
         """
         self._placing.close()
-        while self._data.busy:
-            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        await self._placing.wait_until_idle()
 
     def note_listed(self, leaving: frozenset[str]) -> None:
         """Take in which workers the VM list shows as leaving."""
--- /dev/null
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -0,0 +1,195 @@
+"""An entry's picture of all cells, from what their owners tell it.
+
+One task for each placer process, straight down: report the need of slots, take in
+the digests of its cells, sleep. A placer that is silent costs its own cells their
+fresh grants and nothing else.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.dispatch import Dispatcher
+from primrosestile.coordination.membership import Directory
+from primrosestile.decisions.cellchoice import CellPicture, can_ever_fit
+from primrosestile.decisions.guarantees import assign_guarantees
+from primrosestile.errors import Failure
+from primrosestile.protocol.messages import CellDigest, CellDigests, DemandReport
+from primrosestile.protocol.peers import Peers
+from primrosestile.protocol.workers import VmList
+from primrosestile.state.fleet import Cell
+from primrosestile.state.jobs import ProcessRecord
+from primrosestile.state.settings import Settings
+from primrosestile.state.tenancy import Shape
+
+REPORT_SECONDS = 1.0
+REPORT_TIMEOUT_SECONDS = 1.0
+# A digest older than this says nothing about free room any more.
+FRESH_SECONDS = 4.0
+# The list lags by itself; reading it more often finds nothing sooner.
+VM_LIST_SECONDS = 2.0
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    digest: CellDigest
+    at: float
+
+
+class CellWatch:
+    """Reports demand to placers and keeps what they answer."""
+
+    def __init__(
+        self,
+        name: str,
+        peers: Peers,
+        directory: Directory,
+        dispatcher: Dispatcher,
+        vm_list: VmList,
+        read_settings: Callable[[], Settings],
+    ) -> None:
+        self._name = name
+        self._peers = peers
+        self._directory = directory
+        self._dispatcher = dispatcher
+        self._vm_list = vm_list
+        self._read_settings = read_settings
+        self._known: dict[str, _Known] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._changed = asyncio.Event()
+        directory.on_change(self._changed.set)
+
+    async def run(self) -> None:
+        """Keep one task for each placer in the directory, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._read_vm_list())
+            tasks: dict[str, asyncio.Task[None]] = {}
+            while True:
+                self._changed.clear()
+                self._match_tasks(group, tasks)
+                self.refresh_targets()
+                await self._changed.wait()
+
+    def _match_tasks(
+        self, group: asyncio.TaskGroup, tasks: dict[str, "asyncio.Task[None]"]
+    ) -> None:
+        placers = {record.name: record for record in self._directory.records("placer")}
+        for name in [name for name in tasks if name not in placers]:
+            tasks.pop(name).cancel()
+        for name, record in placers.items():
+            if name not in tasks:
+                tasks[name] = group.create_task(self._follow(record))
+        entries = [each.name for each in self._directory.records("entry")]
+        self._dispatcher.router.set_entries(entries)
+
+    async def _follow(self, record: ProcessRecord) -> None:
+        while True:
+            found = self._directory.find(record.name)
+            peer = found.peer if found else record.peer
+            try:
+                answer = await self._peers.ask(
+                    peer, self._make_report(), REPORT_TIMEOUT_SECONDS
+                )
+            except Failure as failure:
+                _log.info("placer_silent", placer=record.name, kind=failure.kind.value)
+            else:
+                if isinstance(answer, CellDigests):
+                    self._take_in(answer)
+            await asyncio.sleep(REPORT_SECONDS * random.uniform(0.8, 1.0))
+
+    def _make_report(self) -> DemandReport:
+        in_flight, failures, successes = self._dispatcher.counts.take()
+        return DemandReport(
+            entry=self._name,
+            queued=len(self._dispatcher.queue),
+            in_flight=in_flight,
+            failures=failures,
+            successes=successes,
+        )
+
+    def _take_in(self, answer: CellDigests) -> None:
+        now = read_clock()
+        for digest in answer.cells:
+            known = self._known.get(digest.cell)
+            if known is not None and known.digest.epoch > digest.epoch:
+                # Two processes speak for the cell; the older owner does not know
+                # yet that it has lost it.
+                continue
+            self._known[digest.cell] = _Known(digest, now)
+            workers = self._workers_of(digest.cell)
+            self._dispatcher.router.set_grants(
+                workers, digest.slots, now + digest.seconds
+            )
+        self.refresh_targets()
+        self._dispatcher.wake()
+
+    def _workers_of(self, cell_name: str) -> list[str]:
+        fleet = self._read_settings().fleet
+        cell = fleet.find_cell(cell_name)
+        return [worker.name for worker in fleet.workers_of(cell)] if cell else []
+
+    async def _read_vm_list(self) -> None:
+        while True:
+            try:
+                listed = await self._vm_list.read()
+                self._listed_leaving = frozenset(
+                    each.name for each in listed if each.leaving
+                )
+                self.refresh_targets()
+            except Failure as failure:
+                _log.info("vm_list_unread", kind=failure.kind.value)
+            await asyncio.sleep(VM_LIST_SECONDS * random.uniform(0.8, 1.0))
+
+    def refresh_targets(self) -> None:
+        """Tell the router which targets there are, and which are leaving."""
+        fleet = self._read_settings().fleet
+        slots = {worker.name: worker.slots for worker in fleet.workers}
+        leaving = set(self._listed_leaving)
+        for known in self._known.values():
+            leaving.update(known.digest.leaving)
+            leaving.update(known.digest.quarantined)
+        self._dispatcher.router.set_targets(slots, frozenset(leaving), read_clock())
+        self._dispatcher.wake()
+
+    def count_used(self) -> dict[str, int]:
+        """Return the accelerators that each team holds, over all cells."""
+        used: dict[str, int] = {}
+        for known in self._known.values():
+            for team, count in known.digest.used.items():
+                used[team] = used.get(team, 0) + count
+        return used
+
+    def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
+        """Return what is known of each cell that could ever hold the shape."""
+        settings = self._read_settings()
+        promised = assign_guarantees(settings.fleet, settings.guarantees)
+        return [
+            self._picture(
+                cell, _is_promised(promised.get(cell.name, ()), organisation, shape)
+            )
+            for cell in settings.fleet.cells
+            if can_ever_fit(settings.fleet, cell, shape)
+        ]
+
+    def _picture(self, cell: Cell, promised: bool) -> CellPicture:
+        known = self._known.get(cell.name)
+        if known is None:
+            return CellPicture(cell.name, {}, 0, promised, fresh=False)
+        fresh = read_clock() - known.at < FRESH_SECONDS
+        digest = known.digest
+        return CellPicture(cell.name, digest.free, digest.waiting, promised, fresh)
+
+
+def _is_promised(
+    promises: tuple[tuple[str, Shape], ...], organisation: str, shape: Shape
+) -> bool:
+    return any(
+        owner == organisation and promise.accelerators >= shape.accelerators
+        for owner, promise in promises
+    )
--- a/src/primrosestile/coordination/claims.py
+++ b/src/primrosestile/coordination/claims.py
@@ -115,6 +115,36 @@
             return None
         return msgspec.json.decode(entry.value, type=Claim)
 
+    async def claim_job(
+        self, organisation: str, request_id: str, fingerprint: str, job_id: str
+    ) -> str:
+        """Fix the id of the job that a request id stands for; return it.
+
+        Raises:
+            Failure: CONFLICT when the request id stands for something else, and
+                the store's kinds.
+        """
+        key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
+        claim = Claim(
+            token=self._make_token(),
+            state=ClaimState.DONE,
+            entry=self._holder,
+            fingerprint=fingerprint,
+            target=job_id,
+            status=202,
+            time=read_wall_clock(),
+        )
+        lease = await self._shared_lease()
+        swap = await put_settled(self._store, key, msgspec.json.encode(claim), 0, lease)
+        if swap.done:
+            return job_id
+        if swap.current is None:
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, "the claim came and went")
+        theirs = msgspec.json.decode(swap.current.value, type=Claim)
+        if theirs.fingerprint != fingerprint:
+            raise Failure(ErrorKind.CONFLICT, "the id was used for another request")
+        return theirs.target
+
     async def _meet(self, key: str, mine: Claim, entry: Entry) -> HeldClaim | Claim:
         """Decide what an existing claim means for the caller's request."""
         theirs = msgspec.json.decode(entry.value, type=Claim)
--- a/src/primrosestile/coordination/jobbook.py
+++ b/src/primrosestile/coordination/jobbook.py
@@ -26,8 +26,10 @@
 from primrosestile.state.jobs import JOBS_PREFIX, JobRecord
 
 # How long the record of an ended job can be read. A night's renders are looked
-# at the next morning; at 40,000 jobs a day and 2 KB each this is 80 MB.
-RETENTION_SECONDS = 24 * 3600.0
+# at the next morning; at 40,000 jobs a day and 2 KB each this is below 100 MB. It
+# is longer than claims live: a job whose record went before its claim would be
+# made anew by a caller that repeats its submission.
+RETENTION_SECONDS = 28 * 3600.0
 WATCH_RETRY_SECONDS = 0.5
 
 _log = structlog.get_logger()
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -51,11 +51,11 @@
 
 def rank_placers(cell: str, placers: list[str]) -> list[str]:
     """Return placers in the order in which they try for a cell."""
-    return sorted(
-        placers,
-        key=lambda name: xxhash.xxh64_intdigest(f"{cell}\0{name}"),
-        reverse=True,
-    )
+
+    def weigh(name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{cell}\0{name}".encode())
+
+    return sorted(placers, key=weigh, reverse=True)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -62,6 +62,13 @@
                 except TimeoutError:
                     continue
 
+    async def wait_until_idle(self) -> None:
+        """Wait until no action on any job is under way."""
+        while self._data.busy:
+            # The end of each action wakes this module.
+            self._woken.clear()
+            await self._woken.wait()
+
     def list_waiting(self) -> list[JobRecord]:
         """Return the jobs that wait for a place."""
         return [each for each in self._data.book if each.state is JobState.ACCEPTED]
--- /dev/null
+++ b/src/primrosestile/coordination/submission.py
@@ -0,0 +1,118 @@
+"""Accepting, showing and cancelling gang jobs at an entry.
+
+A job is accepted when its record stands in the store, before the caller reads
+202. A caller that lost the answer submits again under the same request id, perhaps
+at another entry, which might choose another cell: so the id of the job is fixed
+first, by a claim that names it, and the record is created under that id only if it
+is absent.
+"""
+
+import random
+from dataclasses import dataclass, replace
+
+import msgspec
+import structlog
+
+from primrosestile.clock import read_wall_clock
+from primrosestile.coordination.claims import Claims
+from primrosestile.coordination.jobbook import decode_job, make_job_key
+from primrosestile.coordination.writing import put_settled
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.store import Store
+from primrosestile.state.jobs import (
+    JobRecord,
+    JobSpec,
+    JobState,
+    Reason,
+    ReasonCode,
+)
+
+# Writers that may meet on one record: its owner and a few impatient callers.
+CANCEL_TRIES = 8
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A job as its caller asks for it; the id's cell is chosen already.
+
+    Attributes:
+        spec: With the id that is used if this is the first submission.
+        request_id: The caller's own id; empty when it gave none.
+        fingerprint: Tells a repeated submission from another one.
+    """
+
+    spec: JobSpec
+    request_id: str
+    fingerprint: str
+
+
+def make_job_id(cell: str) -> str:
+    """Return a new id within a cell."""
+    return f"{cell}.{random.SystemRandom().getrandbits(64):016x}"
+
+
+class Submissions:
+    """Gang jobs as one entry process handles them."""
+
+    def __init__(self, store: Store, claims: Claims) -> None:
+        self._store = store
+        self._claims = claims
+
+    async def submit(self, submission: Submission) -> str:
+        """Accept a job and return its id; it is durable when this returns.
+
+        Raises:
+            Failure: CONFLICT when the request id was used for another job, and
+                the store's kinds.
+        """
+        spec = submission.spec
+        if submission.request_id:
+            job_id = await self._claims.claim_job(
+                spec.organisation,
+                submission.request_id,
+                submission.fingerprint,
+                spec.job_id,
+            )
+            spec = replace(spec, job_id=job_id)
+        record = JobRecord(
+            spec=spec, state=JobState.ACCEPTED, accepted_at=read_wall_clock()
+        ).with_reason(Reason(ReasonCode.ACCEPTED, read_wall_clock()))
+        value = msgspec.json.encode(record)
+        # One that is there already is the same job, accepted before.
+        await put_settled(self._store, make_job_key(spec.job_id), value, 0)
+        _log.info("job_accepted", job_id=spec.job_id, organisation=spec.organisation)
+        return spec.job_id
+
+    async def find(self, job_id: str) -> JobRecord:
+        """Return a job's record.
+
+        Raises:
+            Failure: NOT_FOUND, or STORE_UNAVAILABLE.
+        """
+        entry = await self._store.get(make_job_key(job_id))
+        if entry is None:
+            raise Failure(ErrorKind.NOT_FOUND, f"no job {job_id}")
+        return decode_job(entry.value)
+
+    async def cancel(self, job_id: str) -> JobRecord:
+        """Ask for a job's cancellation; its cell's owner carries it out.
+
+        Raises:
+            Failure: NOT_FOUND, CONFLICT when others keep writing the record, and
+                the store's kinds.
+        """
+        key = make_job_key(job_id)
+        for _ in range(CANCEL_TRIES):
+            entry = await self._store.get(key)
+            if entry is None:
+                raise Failure(ErrorKind.NOT_FOUND, f"no job {job_id}")
+            record = decode_job(entry.value)
+            if record.state.is_final or record.cancel_requested:
+                return record
+            asked = replace(record, cancel_requested=True)
+            value = msgspec.json.encode(asked)
+            if (await put_settled(self._store, key, value, entry.mod_revision)).done:
+                return asked
+        raise Failure(ErrorKind.CONFLICT, f"{job_id} keeps changing")
