--- /dev/null
+++ b/src/primrosestile/decisions/capacity.py
@@ -0,0 +1,173 @@
+"""Where one entry has slots free, kept up to date by each change.
+
+A search through the fleet for each request would cost more the larger the fleet
+and the fuller its slots, which is just when there is no time to lose. So each
+start, end and piece of news changes the figures of the targets concerned, and
+the free ones stand ready in a set.
+"""
+
+import heapq
+import random
+from collections.abc import Iterable, Mapping, Sequence
+
+from primrosestile.decisions.allowances import Allowances
+from primrosestile.decisions.sampling import SampledSet
+
+# How long a target that refused, as not run, is left alone: others hold its
+# slots, and about one request's time later that may have changed.
+REFUSED_SECONDS = 0.2
+# How long a target that said that it leaves is believed over a lagging list.
+LEAVING_SECONDS = 120.0
+
+
+class Capacity:
+    """Allowed and used slots of this entry, by target."""
+
+    def __init__(self, self_name: str) -> None:
+        self._allowances = Allowances(self_name)
+        self._targets: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
+        self._said_leaving: dict[str, float] = {}
+        self._refused: dict[str, float] = {}
+        self._resting: set[str] = set()
+        self._in_flight: dict[str, int] = {}
+        self._allowed: dict[str, int] = {}
+        self._free = SampledSet()
+        self._due: list[tuple[float, int, tuple[str, ...]]] = []
+        self._sequence = 0
+        self._now = 0.0
+        self.total_slots = 0
+        self.free_slots = 0
+
+    def set_targets(
+        self, slots: Mapping[str, int], leaving: frozenset[str], now: float
+    ) -> None:
+        """Take in the fleet and which of it leaves."""
+        self.advance(now)
+        gone = self._targets - slots.keys()
+        self._targets = frozenset(slots)
+        self._leaving = leaving
+        for target in gone:
+            self._said_leaving.pop(target, None)
+            self._refused.pop(target, None)
+        self._allowances.set_slots(slots)
+        self._refresh_all([*gone, *sorted(slots)])
+
+    def set_entries(self, names: Sequence[str]) -> None:
+        """Take in the live entries."""
+        self._allowances.set_entries(names)
+        self._refresh_all(sorted(self._targets))
+
+    def set_grants(
+        self, workers: Iterable[str], grants: Mapping[str, int], until: float
+    ) -> None:
+        """Take in the grants of one cell, and when they lapse."""
+        concerned = tuple(workers)
+        self._allowances.set_grants(concerned, grants, until, self._now)
+        self._refresh_all(concerned)
+        self._expect_change(until, concerned)
+        self._expect_change(2 * until - self._now, concerned)
+
+    def advance(self, now: float) -> None:
+        """Follow the clock: grants lapse, refusals are forgotten."""
+        self._now = max(self._now, now)
+        while self._due and self._due[0][0] <= self._now:
+            _, _, concerned = heapq.heappop(self._due)
+            self._refresh_all(concerned)
+
+    def start(self, target: str) -> None:
+        """Note one more request at a target."""
+        self._change_in_flight(target, 1)
+
+    def finish(self, target: str) -> None:
+        """Note one request less."""
+        self._change_in_flight(target, -1)
+
+    def note_refused(self, target: str) -> None:
+        """Leave a target alone for a moment."""
+        self._refused[target] = self._now + REFUSED_SECONDS
+        self._expect_change(self._refused[target], (target,))
+        self._refresh(target)
+
+    def note_leaving(self, target: str) -> None:
+        """Believe a target that says that it leaves."""
+        self._said_leaving[target] = self._now + LEAVING_SECONDS
+        self._expect_change(self._said_leaving[target], (target,))
+        self._refresh(target)
+
+    def set_resting(self, resting: frozenset[str]) -> None:
+        """Keep some targets out of ordinary choice."""
+        changed = self._resting ^ resting
+        self._resting = set(resting)
+        self._refresh_all(sorted(changed))
+
+    def has_room(self, target: str) -> bool:
+        """Whether a request may be sent there, set aside or not."""
+        used = self._in_flight.get(target, 0)
+        return used < self._allowed.get(target, 0) and target not in self._refused
+
+    def has_free(self) -> bool:
+        """Whether any target is open to ordinary choice."""
+        return len(self._free) > 0
+
+    def sample(
+        self, source: random.Random, count: int, exclude: frozenset[str]
+    ) -> list[str]:
+        """Return a few targets with a free slot."""
+        return self._free.sample(source, count, exclude)
+
+    def count_at(self, target: str) -> int:
+        """Return the requests of this entry at a target."""
+        return self._in_flight.get(target, 0)
+
+    def count_in_flight(self) -> dict[str, int]:
+        """Return the requests of this entry at each target that has any."""
+        return dict(self._in_flight)
+
+    def _change_in_flight(self, target: str, by: int) -> None:
+        before = self._in_flight.get(target, 0)
+        allowed = self._allowed.get(target, 0)
+        after = max(0, before + by)
+        self.free_slots += max(0, allowed - after) - max(0, allowed - before)
+        if after:
+            self._in_flight[target] = after
+        else:
+            self._in_flight.pop(target, None)
+        self._sort_in(target)
+
+    def _expect_change(self, time: float, concerned: tuple[str, ...]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._due, (time, self._sequence, concerned))
+
+    def _refresh_all(self, concerned: Iterable[str]) -> None:
+        for target in concerned:
+            self._refresh(target)
+
+    def _refresh(self, target: str) -> None:
+        if self._refused.get(target, self._now) <= self._now:
+            self._refused.pop(target, None)
+        if self._said_leaving.get(target, self._now) <= self._now:
+            self._said_leaving.pop(target, None)
+        used = self._in_flight.get(target, 0)
+        before = self._allowed.get(target, 0)
+        allowed = self._find_allowed(target)
+        self.total_slots += allowed - before
+        self.free_slots += max(0, allowed - used) - max(0, before - used)
+        if allowed:
+            self._allowed[target] = allowed
+        else:
+            self._allowed.pop(target, None)
+        self._sort_in(target)
+
+    def _find_allowed(self, target: str) -> int:
+        if target not in self._targets or target in self._leaving:
+            return 0
+        if target in self._said_leaving:
+            return 0
+        return self._allowances.find(target, self._now)
+
+    def _sort_in(self, target: str) -> None:
+        if target not in self._resting and self.has_room(target):
+            self._free.add(target)
+        else:
+            self._free.discard(target)
--- /dev/null
+++ b/src/primrosestile/decisions/routing.py
@@ -0,0 +1,241 @@
+"""Which target a short request goes to.
+
+The entry picks among targets on which it may use a slot. It looks at a few of
+them, not all, and takes the one with the fewest of its requests, then the one
+that has been fastest. Looking at a few keeps the cost the same for 24 and for
+thousands of targets, and keeps entries that think alike from running to the
+same target at once.
+"""
+
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from enum import Enum
+
+import xxhash
+
+from primrosestile.decisions.admission import Waiting
+from primrosestile.decisions.capacity import Capacity
+from primrosestile.decisions.learning import Experience
+from primrosestile.decisions.outliers import make_outliers
+from primrosestile.decisions.retries import make_retry_budget
+from primrosestile.state.tenancy import Policy, Urgency
+
+__all__ = ["Outcome", "Router", "make_router"]
+
+# Targets looked at for one choice. The bench of requests weighs other figures.
+SAMPLE = 4
+# Patient work that runs longer than this must leave room for urgent work, since
+# its slots come free too seldom. Shorter work frees a slot soon enough anyway.
+LONG_SECONDS = 1.0
+# Most slots that are kept free of long patient work.
+MOST_RESERVED = 0.25
+# The peak of urgent work is forgotten at this rate, so that a morning's rush
+# reserves nothing all day.
+PEAK_MEMORY_SECONDS = 60.0
+# A hedge is sent when a request has taken longer than this share of its class:
+# at most one request in twenty is sent twice.
+HEDGE_QUANTILE = 0.95
+HEDGE_SAMPLES = 20
+
+
+class Outcome(Enum):
+    """What became of one attempt at a target."""
+
+    OK = "ok"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    UNKNOWN = "unknown"
+    LEAVING = "leaving"
+    CANCELLED = "cancelled"
+
+
+class Router:
+    """Requests in flight, health and allowances of all targets of one entry."""
+
+    def __init__(self, process_name: str, policy: Policy) -> None:
+        self._capacity = Capacity(process_name)
+        self._outliers = make_outliers(policy.quarantine_share)
+        self._experience = Experience()
+        self._budget = make_retry_budget(policy.retry_ratio)
+        # Only spreads load, so a fixed seed takes nothing away, and a test sees
+        # the same choices each time.
+        self._random = random.Random(xxhash.xxh64_intdigest(process_name.encode()))
+        self._urgent_in_flight = 0
+        self._urgent_peak = 0.0
+        self._peak_time = 0.0
+
+    def set_policy(self, policy: Policy) -> None:
+        """Follow a change of settings; the budget earned so far is kept."""
+        self._outliers.most_share = policy.quarantine_share
+        self._budget.ratio = policy.retry_ratio
+
+    def set_targets(
+        self, slots: Mapping[str, int], leaving: frozenset[str], now: float
+    ) -> None:
+        """Take in the whole fleet, or this entry's part of it."""
+        self._outliers.set_targets(set(slots))
+        self._capacity.set_targets(slots, leaving, now)
+        self._capacity.set_resting(self._outliers.list_resting())
+
+    def set_grants(
+        self, cell_workers: Iterable[str], grants: Mapping[str, int], until: float
+    ) -> None:
+        """Take in what the owner of a cell grants, until then on the loop's clock."""
+        self._capacity.set_grants(cell_workers, grants, until)
+
+    def set_entries(self, names: Sequence[str]) -> None:
+        """Take in the live entries, this one among them."""
+        self._capacity.set_entries(names)
+
+    def choose(
+        self, waiting: Waiting, now: float, exclude: frozenset[str] = frozenset()
+    ) -> str | None:
+        """Return the target for a request, or None when no slot is free for it."""
+        self._advance(now)
+        if not self._leaves_room(waiting):
+            return None
+        tried = self._choose_to_try(waiting, now, exclude)
+        if tried is not None:
+            return tried
+        sample = self._capacity.sample(self._random, SAMPLE, exclude)
+        return min(sample, key=self._rank, default=None)
+
+    def start(self, target: str, waiting: Waiting, now: float) -> None:
+        """Note that a request is sent to a target."""
+        self._advance(now)
+        self._capacity.start(target)
+        self._outliers.start_try(target)
+        if waiting.urgency is Urgency.URGENT:
+            self._urgent_in_flight += 1
+            self._urgent_peak = max(self._urgent_peak, float(self._urgent_in_flight))
+
+    def finish(
+        self,
+        target: str,
+        waiting: Waiting,
+        outcome: Outcome,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Note what became of an attempt that was started."""
+        self._advance(now)
+        self._capacity.finish(target)
+        if waiting.urgency is Urgency.URGENT:
+            self._urgent_in_flight -= 1
+        self._learn(target, waiting, outcome, seconds, now)
+
+    def note_first_attempt(self) -> None:
+        """Note a request's first attempt, which earns a part of a retry."""
+        self._budget.earn()
+
+    def may_retry(self, waiting: Waiting, now: float) -> bool:
+        """Take one extra attempt out of the budget, if it is worth making.
+
+        Made for a third of the targets failing at once. The harm is a load that
+        grows just when there is too little capacity for it; the limit is the
+        share that the settings allow.
+        """
+        run = self._experience.estimate(waiting.class_key, 0.0)
+        if now + run >= waiting.deadline:
+            return False
+        return self._budget.spend()
+
+    def hedge_after(self, waiting: Waiting, now: float) -> float | None:
+        """Return after how many seconds a second attempt is worth sending.
+
+        None for work that must not run twice, for which nobody waits, or of
+        which too little is known. The sender asks `may_retry` before it hedges.
+        """
+        if waiting.urgency is not Urgency.URGENT or not waiting.idempotent:
+            return None
+        times = self._experience.find(waiting.class_key)
+        if times is None or times.count < HEDGE_SAMPLES:
+            return None
+        if not self._budget.can_spend():
+            return None
+        after = times.estimate_quantile(HEDGE_QUANTILE)
+        return after if now + after < waiting.deadline else None
+
+    def can_serve_any(self, now: float) -> bool:
+        """Whether any slot is free."""
+        self._advance(now)
+        return self._capacity.has_free()
+
+    def count_slots(self, now: float) -> int:
+        """Return the slots that this entry may use, free or not."""
+        self._advance(now)
+        return self._capacity.total_slots
+
+    def count_in_flight(self) -> dict[str, int]:
+        """Return the requests of this entry at each target that has any."""
+        return self._capacity.count_in_flight()
+
+    def _rank(self, target: str) -> tuple[int, float]:
+        health = self._outliers.find(target)
+        slowness = health.slowness if health else 0.0
+        return (self._capacity.count_at(target), slowness)
+
+    def _leaves_room(self, waiting: Waiting) -> bool:
+        """Whether the request leaves the slots free that urgent work may need.
+
+        Made for a bulk of long patient work in a quiet moment. If it took every
+        slot, an urgent request a second later would wait for its end. The limit
+        is the urgent work that was seen lately, and a quarter of the slots, so
+        that little idles where no urgent work comes.
+        """
+        if waiting.urgency is Urgency.URGENT:
+            return True
+        run = self._experience.estimate(waiting.class_key, waiting.expected_seconds)
+        if run <= LONG_SECONDS:
+            return True
+        needed = max(0.0, self._urgent_peak - self._urgent_in_flight)
+        most = MOST_RESERVED * self._capacity.total_slots
+        return self._capacity.free_slots > min(needed, most)
+
+    def _choose_to_try(
+        self, waiting: Waiting, now: float, exclude: frozenset[str]
+    ) -> str | None:
+        """Return a target that has rested, for a request that may run twice."""
+        if not waiting.idempotent:
+            return None
+        urgent = waiting.urgency is Urgency.URGENT
+        for target in self._outliers.list_to_try(now, urgent):
+            if target not in exclude and self._capacity.has_room(target):
+                return target
+        return None
+
+    def _learn(
+        self,
+        target: str,
+        waiting: Waiting,
+        outcome: Outcome,
+        seconds: float,
+        now: float,
+    ) -> None:
+        if outcome is Outcome.OK:
+            expected = self._experience.estimate(waiting.class_key, seconds)
+            self._experience.note(waiting.class_key, seconds)
+            self._outliers.note_run(target, seconds, expected, now)
+        elif outcome in (Outcome.FAILED, Outcome.UNREACHABLE, Outcome.UNKNOWN):
+            self._outliers.note_failure(target, now)
+        else:
+            self._outliers.drop_try(target)
+        if outcome is Outcome.REFUSED:
+            self._capacity.note_refused(target)
+        if outcome is Outcome.LEAVING:
+            self._capacity.note_leaving(target)
+        self._capacity.set_resting(self._outliers.list_resting())
+
+    def _advance(self, now: float) -> None:
+        self._capacity.advance(now)
+        passed = now - self._peak_time
+        if passed > 0:
+            excess = self._urgent_peak - self._urgent_in_flight
+            self._urgent_peak -= excess * min(1.0, passed / PEAK_MEMORY_SECONDS)
+            self._peak_time = now
+
+
+def make_router(process_name: str, policy: Policy) -> Router:
+    """Return a router without targets; the name sets its random choices."""
+    return Router(process_name, policy)
