Ask the placement rules whether guarantees fit the fleet

Cause: the check compared sums only, and a shape can be free in number and nowhere in one piece. The rooms of decisions/guarantees now decide.

--- a/src/primrosestile/coordination/follower.py
+++ b/src/primrosestile/coordination/follower.py
@@ -18,6 +18,7 @@
 import structlog
 
 from primrosestile.coordination.settingstore import decode_stored, encode_stored
+from primrosestile.coordination.writing import list_all
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Change, Store
 from primrosestile.state.fleet import Fleet
@@ -133,17 +134,10 @@
             self.apply(_collect_values(changes))
 
     async def _list(self) -> int:
-        values: dict[str, bytes] = {}
-        after, revision, more = "", 0, True
-        while more:
-            page = await self._store.list(SETTINGS_PREFIX, after)
-            for entry in page.entries:
-                values[entry.key.removeprefix(SETTINGS_PREFIX)] = entry.value
-                after = entry.key
-            # Later pages may show a later state, so the watch starts where the
-            # first one stood; what it repeats is passed over.
-            revision = revision or page.revision
-            more = page.more
+        entries, revision = await list_all(self._store, SETTINGS_PREFIX)
+        values = {
+            each.key.removeprefix(SETTINGS_PREFIX): each.value for each in entries
+        }
         self.apply(values)
         self.mark_ready()
         return revision
--- a/src/primrosestile/decisions/settingscheck.py
+++ b/src/primrosestile/decisions/settingscheck.py
@@ -35,6 +35,7 @@
 Place = tuple[str | int, ...]
 
 SECTIONS = (FLEET_PATH, GUARANTEES_PATH, POLICY_PATH)
+ROOM_SECTIONS = (FLEET_PATH, GUARANTEES_PATH)
 PAGE = "docs/settings.md"
 # pydantic's fault types for which its own message says too little of what to do.
 REMEDIES = {
@@ -167,7 +168,9 @@
     faults += _check_uniques(raw)
     faults += _check_references(raw)
     if whole is not None:
-        faults += [Fault(*each) for each in find_whole_faults(whole)]
+        # Rooms can only be sought in a fleet whose figures and names are sound.
+        sound = not any(fault.path.startswith(ROOM_SECTIONS) for fault in faults)
+        faults += [Fault(*each) for each in find_whole_faults(whole, sound)]
     return tuple(faults)
 
 
--- a/src/primrosestile/decisions/settingscheckwhole.py
+++ b/src/primrosestile/decisions/settingscheckwhole.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterator
 
+from primrosestile.decisions.guarantees import find_infeasible
 from primrosestile.state.fleet import Cell, Fleet
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Adjacency, Guarantees, JobClass, Kind, Shape
@@ -13,10 +14,18 @@
 Finding = tuple[str, str, str]
 
 
-def find_whole_faults(settings: Settings) -> Iterator[Finding]:
-    """Yield the faults of settings whose records are well-formed."""
+def find_whole_faults(settings: Settings, sound: bool) -> Iterator[Finding]:
+    """Yield the faults of settings whose records are well-formed.
+
+    Args:
+        settings: The whole settings.
+        sound: Whether fleet and guarantees have no fault so far, so that it can
+            be asked whether the one can hold the other.
+    """
     yield from _check_cells(settings.fleet)
-    yield from _check_guarantees(settings.fleet, settings.guarantees)
+    yield from _check_shapes(settings.fleet, settings.guarantees)
+    if sound:
+        yield from _check_guarantees(settings.fleet, settings.guarantees)
     yield from _check_classes(settings)
     yield from _check_weights(settings)
 
@@ -42,32 +51,18 @@
         yield path, reason, "Give each failure domain cells of its own."
 
 
-def _check_guarantees(fleet: Fleet, guarantees: Guarantees) -> Iterator[Finding]:
+def _check_shapes(fleet: Fleet, guarantees: Guarantees) -> Iterator[Finding]:
     for i, guarantee in enumerate(guarantees.guarantees):
         path = f"guarantees.guarantees[{i}].shape"
         yield from _check_shape(path, guarantee.shape, fleet)
+
+
+def _check_guarantees(fleet: Fleet, guarantees: Guarantees) -> Iterator[Finding]:
     for reason in find_infeasible(fleet, guarantees):
         remedy = "Lower or remove guarantees, or add racks in other failure domains."
         yield "guarantees.guarantees", reason, remedy
 
 
-def find_infeasible(fleet: Fleet, guarantees: Guarantees) -> tuple[str, ...]:
-    """Return why the guarantees can't be held when one failure domain is lost."""
-    domains = {rack.name: rack.failure_domain for rack in fleet.racks}
-    capacity = {domain.name: 0 for domain in fleet.failure_domains}
-    for worker in fleet.workers:
-        domain = domains.get(worker.rack, "")
-        capacity[domain] = capacity.get(domain, 0) + worker.accelerators
-    wanted = sum(each.shape.accelerators * each.count for each in guarantees.guarantees)
-    total = sum(capacity.values())
-    return tuple(
-        f"guarantees need {wanted} accelerators, and {total - lost} are left"
-        f" when failure domain {domain!r} is lost"
-        for domain, lost in capacity.items()
-        if wanted > total - lost
-    )
-
-
 def _check_shape(path: str, shape: Shape, fleet: Fleet) -> Iterator[Finding]:
     room = measure_largest(fleet, shape.adjacency)
     if shape.accelerators > room:
