Give rights by bearer token, refused before a request costs anything

A holder may keep two keys while it changes over. Ruled out: plain tokens in settings, and hashing before the length is known.

--- /dev/null
+++ b/features/steps/access_steps.py
@@ -0,0 +1,111 @@
+"""Steps on bearer tokens and rights."""
+
+from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+from features.settings.doubles import (
+    encode_text,
+    read_example_settings,
+)
+
+from primrosestile.decisions import access
+from primrosestile.decisions.access import find_rights, hash_token, read_bearer
+from primrosestile.decisions.settingscheck import check_change
+from primrosestile.state.settings import Settings
+from primrosestile.state.tenancy import Key
+
+TOKEN = "demo-domeworks-{}"
+
+
+def replace_team(settings: Settings, name: str, **changes: Any) -> Settings:
+    teams = [
+        replace(team, **changes) if team.name == name else team
+        for team in settings.teams
+    ]
+    return replace(settings, teams=tuple(teams))
+
+
+def list_faults(context: Any, settings: Settings, name: str) -> Any:
+    value = encode_text(settings.find_team(name))
+    return check_change(context.settings, f"teams/{name}", value)
+
+
+@given("the settings of the domeworks example for access")
+def give_settings(context: Any) -> None:
+    context.settings = read_example_settings("domeworks")
+
+
+@then("the header {header} gives the rights {words}")
+def give_rights(context: Any, header: str, words: str) -> None:
+    rights = find_rights(context.settings, read_bearer(header))
+    if words == "none":
+        assert rights is None
+    elif words == "operator":
+        assert rights and rights.is_operator
+    else:
+        assert rights and f"{rights.scope.value} of {rights.team}" == words
+
+
+@when("team {name} gets a second key for its holder")
+def add_key(context: Any, name: str) -> None:
+    old = context.settings.find_team(name).keys
+    new = replace(old[0], sha256=hash_token("second"))
+    context.changed = replace_team(context.settings, name, keys=(*old, new))
+    assert list_faults(context, context.changed, name) == ()
+
+
+@then("both tokens of {name} give the same rights")
+def check_both(context: Any, name: str) -> None:
+    first = find_rights(context.changed, TOKEN.format(name))
+    assert first is not None
+    assert first == find_rights(context.changed, "second")
+
+
+@then("a third key for the same holder is a settings fault")
+def check_third(context: Any) -> None:
+    keys = context.changed.find_team("dome-operations").keys
+    third = replace(keys[0], sha256=hash_token("third"))
+    changed = replace_team(context.changed, "dome-operations", keys=(*keys, third))
+    assert list_faults(context, changed, "dome-operations")
+
+
+@when("the first key of {name} is taken away")
+def remove_key(context: Any, name: str) -> None:
+    keys = context.changed.find_team(name).keys
+    context.changed = replace_team(context.changed, name, keys=keys[1:])
+
+
+@then("only the new token of {name} gives rights")
+def check_new(context: Any, name: str) -> None:
+    assert find_rights(context.changed, TOKEN.format(name)) is None
+    assert find_rights(context.changed, "second") is not None
+
+
+@when("team {name} gives its own key the scope {scope}")
+def give_scope(context: Any, name: str, scope: str) -> None:
+    key = Key("own", hash_token("own"), scope)
+    context.changed = replace_team(context.settings, name, keys=(key,))
+
+
+@then("its token gives no operator's rights and the change is a settings fault")
+def check_no_operator(context: Any) -> None:
+    rights = find_rights(context.changed, "own")
+    assert rights is not None and not rights.is_operator
+    assert list_faults(context, context.changed, "dome-operations")
+
+
+@then("its token acts for {name} and not for {other}")
+def check_organisation(context: Any, name: str, other: str) -> None:
+    rights = find_rights(context.changed, "own")
+    assert rights is not None
+    assert rights.may_act_for(context.changed.find_team(name))
+    assert not rights.may_act_for(context.changed.find_team(other))
+    assert list_faults(context, context.changed, name) == ()
+
+
+@then("a token of a million letters gives no rights without being hashed")
+def check_endless(context: Any) -> None:
+    with patch.object(access, "hash_token", side_effect=AssertionError):
+        assert find_rights(context.settings, "a" * 1_000_000) is None
