Write the entry and the placer as programs

Cause: the whole path has to run as separate processes. Change: common parts (logs, metrics, health, end), callers' routes, demand reports.

--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -19,7 +19,7 @@
 from primrosestile.decisions.guarantees import assign_guarantees
 from primrosestile.decisions.learning import RunTimes
 from primrosestile.decisions.quarantine import make_ledger
-from primrosestile.decisions.slots import share_slots
+from primrosestile.decisions.slots import GRANT_SECONDS, make_grant_ledger
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.messages import CellDigest
 from primrosestile.protocol.store import Store
@@ -29,9 +29,9 @@
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Shape
 
-# How long a grant of slots holds; three reports fit in, so one that is lost does
-# not throw an entry back on its small safe share.
-GRANT_SECONDS = 3.0
+# Each entry reports once a second; sharing more often than this would only grant
+# the same slots again.
+SHARE_SECONDS = 0.8
 # Reports asked for at once during a take-over. Each costs about a millisecond of
 # processor; without a limit a cell of 128 workers would stall everything else.
 RECOVERY_CONCURRENCY = 32
@@ -61,6 +61,9 @@
         self._demand: dict[str, int] = {}
         self._in_flight: dict[str, Mapping[str, int]] = {}
         self._reported_at: dict[str, float] = {}
+        self._grants = make_grant_ledger(read_clock())
+        self._shares: Mapping[str, Mapping[str, int]] = {}
+        self._shared_at = -GRANT_SECONDS
 
     @property
     def epoch(self) -> int:
@@ -218,6 +221,15 @@
         self._in_flight[entry] = in_flight
         self._reported_at[entry] = read_clock()
 
+    def note_used(self, used: Mapping[str, int]) -> None:
+        """Take in what teams hold over all cells, as an entry sees it."""
+        here: dict[str, int] = {}
+        for holding in self._data.view.holdings.values():
+            here[holding.team] = here.get(holding.team, 0) + holding.accelerators
+        self._data.used_elsewhere = {
+            team: max(0, count - here.get(team, 0)) for team, count in used.items()
+        }
+
     def note_outcomes(
         self, entry: str, failures: Mapping[str, int], successes: Mapping[str, int]
     ) -> None:
@@ -238,12 +250,25 @@
                 self._demand.pop(entry, None)
                 self._in_flight.pop(entry, None)
 
+    def _share_slots(self) -> Mapping[str, Mapping[str, int]]:
+        """Return the grants of this second; they are made once for all entries."""
+        now = read_clock()
+        if now - self._shared_at >= SHARE_SECONDS:
+            self._drop_silent_entries()
+            slots = {
+                name: contact.worker.slots
+                for name, contact in self._data.contacts.items()
+                if contact.usable
+            }
+            self._shares = self._grants.grant(slots, self._demand, self._in_flight, now)
+            if self._shares:
+                self._shared_at = now
+        return self._shares
+
     def make_digest(self, entry: str) -> CellDigest:
         """Return what one entry needs to know of this cell."""
-        self._drop_silent_entries()
         contacts = self._data.contacts
-        slots = {name: each.worker.slots for name, each in contacts.items()}
-        shares = share_slots(slots, self._demand, self._in_flight)
+        shares = self._share_slots()
         used: dict[str, int] = {}
         for holding in self._data.view.holdings.values():
             count = sum(len(member.accelerators) for member in holding.members)
@@ -253,11 +278,11 @@
             epoch=self.epoch,
             free=self._data.view.free,
             used=used,
-            slots=shares.get(entry, {}),
+            slots=dict(shares.get(entry, {})),
+            seconds=max(0.0, self._shared_at + GRANT_SECONDS - read_clock()),
             leaving=tuple(n for n, each in contacts.items() if each.leaving),
             quarantined=tuple(n for n, each in contacts.items() if each.quarantined),
             waiting=len(self._placing.list_waiting()),
-            seconds=GRANT_SECONDS,
         )
 
     def describe(self) -> dict[str, object]:
@@ -333,7 +358,14 @@
         view=CellView(inputs.workers, inputs.promised),
         contacts={worker.name: Contact(worker) for worker in inputs.workers},
         read_policy=lambda: read_settings().policy,
+        read_quota=lambda team: _read_quota(read_settings(), team),
         run_times=RunTimes(),
         failures=make_ledger(read_settings().policy),
         wake=wake,
     )
+
+
+def _read_quota(settings: Settings, name: str) -> int:
+    """Return a team's quota; a team that was removed starts nothing more."""
+    team = settings.find_team(name)
+    return team.quota_accelerators if team else 0
--- a/src/primrosestile/coordination/celldata.py
+++ b/src/primrosestile/coordination/celldata.py
@@ -32,6 +32,8 @@
             no lease there can outlive this by more than its time to live.
         report_at: Loop time at which the latest report was asked for.
         listed_leaving: Whether the VM list shows it as leaving.
+        quarantined: Whether it gets no work but canaries.
+        wants_canary: Whether one run of idempotent work may be tried there now.
     """
 
     worker: Worker
@@ -40,6 +42,7 @@
     report_at: float = 0.0
     listed_leaving: bool = False
     quarantined: bool = False
+    wants_canary: bool = False
     report: WorkerReport | None = None
 
     @property
@@ -54,7 +57,8 @@
     @property
     def usable(self) -> bool:
         """Whether new work may be placed there."""
-        return self.reachable and not self.leaving and not self.quarantined
+        rested = not self.quarantined or self.wants_canary
+        return self.reachable and not self.leaving and rested
 
 
 @dataclass(slots=True)
@@ -70,6 +74,7 @@
         waiting_reasons: The latest reason of each job that waits.
         retry_at: Loop time before which a job is not tried again.
         started_at: Loop time at which the latest start of a job was complete.
+        used_elsewhere: Accelerators that each team holds in other cells.
     """
 
     name: str
@@ -78,6 +83,7 @@
     view: CellView
     contacts: dict[str, Contact]
     read_policy: Callable[[], Policy]
+    read_quota: Callable[[str], int]
     run_times: RunTimes
     failures: FailureLedger
     wake: Callable[[], None]
@@ -85,11 +91,34 @@
     waiting_reasons: dict[str, Reason] = field(default_factory=dict)
     retry_at: dict[str, float] = field(default_factory=dict)
     started_at: dict[str, float] = field(default_factory=dict)
+    used_elsewhere: dict[str, int] = field(default_factory=dict)
 
-    def refresh_usable(self) -> None:
-        """Tell the view which workers may get new work."""
+    def refresh_usable(self, evictable: bool = True) -> None:
+        """Tell the view which workers may get new work.
+
+        Args:
+            evictable: Whether the work may be run again; only such work goes to
+                a worker in quarantine as a canary.
+        """
         for name, contact in self.contacts.items():
-            self.view.set_usable(name, contact.usable)
+            usable = contact.usable and (evictable or not contact.quarantined)
+            self.view.set_usable(name, usable)
+
+    def is_over_quota(self, demand: Demand) -> bool:
+        """Whether a place would take a team over its quota, over all cells.
+
+        What the team holds elsewhere is known to about a second; two cells that
+        place at the same moment can overshoot by one job each. The quota bounds
+        cost, not safety, and an exact count would need a write for each start.
+        """
+        quota = self.read_quota(demand.team)
+        here = sum(
+            holding.accelerators
+            for holding in self.view.holdings.values()
+            if holding.team == demand.team
+        )
+        used = here + self.used_elsewhere.get(demand.team, 0)
+        return used + demand.shape.accelerators > quota
 
     def may_try(self, job_id: str) -> bool:
         """Whether a waiting job may be tried now."""
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -111,6 +111,7 @@
             in_flight=in_flight,
             failures=failures,
             successes=successes,
+            used=self.count_used(),
         )
 
     def _take_in(self, answer: CellDigests) -> None:
@@ -122,10 +123,11 @@
                 # yet that it has lost it.
                 continue
             self._known[digest.cell] = _Known(digest, now)
-            workers = self._workers_of(digest.cell)
-            self._dispatcher.router.set_grants(
-                workers, digest.slots, now + digest.seconds
-            )
+            if digest.seconds > 0.0:
+                workers = self._workers_of(digest.cell)
+                self._dispatcher.router.set_grants(
+                    workers, digest.slots, now + digest.seconds
+                )
         self.refresh_targets()
         self._dispatcher.wake()
 
@@ -154,7 +156,9 @@
         for known in self._known.values():
             leaving.update(known.digest.leaving)
             leaving.update(known.digest.quarantined)
-        self._dispatcher.router.set_targets(slots, frozenset(leaving), read_clock())
+        now = read_clock()
+        self._dispatcher.router.set_targets(slots, frozenset(leaving), now)
+        self._dispatcher.queue.set_slots(self._dispatcher.router.count_slots(now))
         self._dispatcher.wake()
 
     def count_used(self) -> dict[str, int]:
--- a/src/primrosestile/coordination/dispatch.py
+++ b/src/primrosestile/coordination/dispatch.py
@@ -213,6 +213,7 @@
         Raises:
             Failure: Why it was refused or failed; "not run" only if true.
         """
+        self.router.note_first_attempt()
         if order.idempotent:
             return await self._answer_idempotent(order, waiting)
         try:
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -80,10 +80,12 @@
             for record in self.list_waiting()
             if record.spec.job_id not in data.busy
         }
-        for job_id, record in list(waiting.items()):
-            if record.cancel_requested:
-                del waiting[job_id]
-                self._actions.spawn(group, record, self._actions.cancel(record))
+        self._cancel_asked(group)
+        waiting = {
+            job_id: record
+            for job_id, record in waiting.items()
+            if not record.cancel_requested
+        }
         demands = [
             make_demand(record)
             for job_id, record in waiting.items()
@@ -95,11 +97,25 @@
         for demand in ordered[:PASS_LIMIT]:
             self._decide(group, waiting[demand.job_id], demand, now)
 
+    def _cancel_asked(self, group: asyncio.TaskGroup) -> None:
+        """Carry out cancellations; a wave of them is one pass over the book."""
+        for record in self._data.book:
+            asked = record.cancel_requested and not record.state.is_final
+            if asked and record.spec.job_id not in self._data.busy:
+                self._actions.spawn(group, record, self._actions.cancel(record))
+
     def _decide(
         self, group: asyncio.TaskGroup, record: JobRecord, demand: Demand, now: float
     ) -> None:
         data = self._data
+        if data.is_over_quota(demand):
+            data.waiting_reasons[demand.job_id] = make_reason(
+                ReasonCode.WAITS_FOR_QUOTA, f"of team {demand.team}"
+            )
+            return
+        data.refresh_usable(demand.evictable)
         decision = decide_placement(data.view, demand, data.read_policy(), now)
+        data.refresh_usable()
         match decision:
             case Placed():
                 self._start(group, record, decision)
--- /dev/null
+++ b/src/primrosestile/programs/entryapp.py
@@ -0,0 +1,210 @@
+"""The HTTP routes of an entry."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import structlog
+from aiohttp import web
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.cellwatch import CellWatch
+from primrosestile.coordination.claims import compute_fingerprint
+from primrosestile.coordination.dispatch import Dispatcher
+from primrosestile.coordination.submission import Submission, Submissions
+from primrosestile.decisions.access import Rights, require_rights
+from primrosestile.decisions.cellchoice import choose_cell
+from primrosestile.decisions.queueing import Waiting
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.programs.common import Metrics, answer_failure, answer_json
+from primrosestile.programs.entryrequests import (
+    BODY_LIMIT_BYTES,
+    check_deadline,
+    check_job,
+    check_request_id,
+    find_caller,
+    make_spec,
+    read_job,
+    read_request,
+)
+from primrosestile.protocol.workers import RequestOrder
+from primrosestile.state.jobs import JobRecord
+from primrosestile.state.settings import Settings
+from primrosestile.state.tenancy import Kind
+
+_log = structlog.get_logger()
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryParts:
+    """What the routes need."""
+
+    dispatcher: Dispatcher
+    submissions: Submissions
+    cells: CellWatch
+    metrics: Metrics
+    read_settings: Callable[[], Settings]
+
+
+def _read_request_id(request: web.Request) -> str:
+    return request.headers.get("X-Request-Id", "")
+
+
+def _read_attempt(request: web.Request) -> int:
+    """Return the caller's count of sendings; 0 when it did not say one."""
+    text = request.headers.get("X-Attempt", "0")
+    if not text.isascii() or not text.isdigit() or len(text) > 6:
+        raise Failure(ErrorKind.MALFORMED, "X-Attempt must be a whole number")
+    return int(text)
+
+
+async def _read_body(request: web.Request) -> bytes:
+    length = request.content_length
+    if length is not None and length > BODY_LIMIT_BYTES:
+        raise Failure(ErrorKind.TOO_LARGE, f"{length} bytes")
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        raise Failure(ErrorKind.TOO_LARGE, "the body is too large") from None
+
+
+def make_entry_app(parts: EntryParts) -> web.Application:
+    """Return the routes that callers use."""
+    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    routes = _Routes(parts)
+    app.router.add_post("/v1/requests", routes.guard(routes.serve_request))
+    app.router.add_post("/v1/jobs", routes.guard(routes.submit_job))
+    app.router.add_get("/v1/jobs/{id}", routes.guard(routes.show_job))
+    app.router.add_delete("/v1/jobs/{id}", routes.guard(routes.cancel_job))
+    return app
+
+
+class _Routes:
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+        self._ids = random.SystemRandom()
+
+    def guard(self, handler: Handler) -> Handler:
+        """Turn every failure into the one answer of its kind, logged and counted."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            request_id = _read_request_id(request)
+            started = read_clock()
+            try:
+                response = await handler(request)
+                kind = "ok"
+            except Failure as failure:
+                kind = failure.kind.value
+                _log_refusal(failure, request_id)
+                response = answer_failure(failure, request_id)
+            except Exception:
+                # A fault of ours: the caller still gets an answer that says so,
+                # and no other caller notices anything.
+                kind = ErrorKind.INTERNAL.value
+                _log.exception("request_broke", request_id=request_id)
+                response = answer_failure(Failure(ErrorKind.INTERNAL), request_id)
+            self._count(request, kind, read_clock() - started)
+            return response
+
+        return handle
+
+    def _count(self, request: web.Request, kind: str, seconds: float) -> None:
+        metrics = self._parts.metrics
+        if request.path == "/v1/requests":
+            metrics.requests.inc({"kind": kind})
+            metrics.seconds.observe({"kind": kind}, seconds)
+        else:
+            metrics.jobs.inc({"kind": kind})
+
+    def _check_rights(self, request: web.Request) -> Rights:
+        settings = self._parts.read_settings()
+        return require_rights(settings, request.headers.get("Authorization"))
+
+    async def serve_request(self, request: web.Request) -> web.StreamResponse:
+        """Answer one short request."""
+        rights = self._check_rights(request)
+        body = read_request(await _read_body(request))
+        settings = self._parts.read_settings()
+        caller = find_caller(settings, rights, body.team, body.job_class, Kind.REQUEST)
+        job_class = caller.job_class
+        request_id = _read_request_id(request)
+        check_request_id(request_id, job_class.idempotent)
+        now = read_clock()
+        deadline = now + check_deadline(body.deadline_seconds, job_class)
+        own_id = request_id or f"{self._ids.getrandbits(64):016x}"
+        order = RequestOrder(
+            request_id=own_id,
+            organisation=caller.team.organisation,
+            job_class=job_class.name,
+            idempotent=job_class.idempotent,
+            expected_seconds=job_class.expected_seconds,
+            body=body.body.encode(),
+        )
+        waiting = Waiting(
+            # Two organisations may choose the same id.
+            request_id=f"{caller.team.organisation}/{own_id}",
+            organisation=caller.team.organisation,
+            team=caller.team.name,
+            job_class=job_class.name,
+            urgency=job_class.urgency,
+            idempotent=job_class.idempotent,
+            arrived_at=now,
+            deadline=deadline,
+            expected_seconds=job_class.expected_seconds,
+        )
+        attempt = _read_attempt(request)
+        answer = await self._parts.dispatcher.answer(order, waiting, attempt)
+        return web.Response(body=answer.body, headers={"X-Request-Id": own_id})
+
+    async def submit_job(self, request: web.Request) -> web.StreamResponse:
+        """Accept one gang job; it is durable before the answer."""
+        rights = self._check_rights(request)
+        data = await _read_body(request)
+        body = read_job(data)
+        settings = self._parts.read_settings()
+        caller = find_caller(settings, rights, body.team, body.job_class, Kind.GANG)
+        request_id = _read_request_id(request)
+        check_request_id(request_id, caller.job_class.idempotent)
+        shape = check_job(body, caller)
+        pictures = self._parts.cells.list_pictures(caller.team.organisation, shape)
+        cell = choose_cell(pictures, shape)
+        if cell is None:
+            raise Failure(
+                ErrorKind.NEVER_FITS,
+                f"no cell holds {shape.accelerators} by {shape.adjacency.value}",
+            )
+        spec = make_spec(body, caller, cell, shape)
+        fingerprint = compute_fingerprint(body.job_class, data)
+        job_id = await self._parts.submissions.submit(
+            Submission(spec, request_id, fingerprint)
+        )
+        return answer_json({"job_id": job_id}, 202)
+
+    async def _find_job(self, request: web.Request) -> JobRecord:
+        rights = self._check_rights(request)
+        record = await self._parts.submissions.find(request.match_info["id"])
+        if not rights.may_see(record.spec.organisation, record.spec.team):
+            raise Failure(ErrorKind.NOT_FOUND, f"no job {request.match_info['id']}")
+        return record
+
+    async def show_job(self, request: web.Request) -> web.StreamResponse:
+        """Show a job's state and the reasons of each step."""
+        return answer_json(await self._find_job(request))
+
+    async def cancel_job(self, request: web.Request) -> web.StreamResponse:
+        """Ask for a job's cancellation."""
+        record = await self._find_job(request)
+        cancelled = await self._parts.submissions.cancel(record.spec.job_id)
+        return answer_json(cancelled)
+
+
+def _log_refusal(failure: Failure, request_id: str) -> None:
+    _log.info(
+        "refused",
+        request_id=request_id,
+        kind=failure.kind.value,
+        ran=failure.answer.ran.value,
+        detail=failure.detail,
+    )
--- /dev/null
+++ b/src/primrosestile/programs/parts.py
@@ -0,0 +1,112 @@
+"""The parts that every program is built from, wired once.
+
+Each program has its own lease, registration, picture of the other processes and
+settings in force; what differs between programs is added by their own modules.
+"""
+
+import random
+from collections.abc import Awaitable
+from dataclasses import dataclass
+
+from primrosestile.coordination.answering import MessageTable
+from primrosestile.coordination.follower import SettingsFollower, make_follower
+from primrosestile.coordination.membership import (
+    Directory,
+    ProcessLease,
+    Registration,
+)
+from primrosestile.programs.common import Health, Metrics
+from primrosestile.state.fleet import Fleet
+from primrosestile.state.jobs import ProcessRecord
+from primrosestile.state.process import ProcessSettings
+from primrosestile.transport.peers import ZmqPeers, make_peers
+from primrosestile.transport.store import GatewayStore, make_store
+from primrosestile.transport.vms import HttpVmList, make_vm_list
+
+NO_SETTINGS = "no settings have been read yet"
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What one process is made of."""
+
+    settings: ProcessSettings
+    store: GatewayStore
+    vm_list: HttpVmList
+    peers: ZmqPeers
+    messages: MessageTable
+    lease: ProcessLease
+    directory: Directory
+    registration: Registration
+    follower: SettingsFollower
+    health: Health
+    metrics: Metrics
+
+    def list_services(self) -> list[Awaitable[None]]:
+        """Return the tasks that every program runs."""
+        return [
+            self.lease.run(),
+            self.directory.run(),
+            self.registration.run(),
+            self.follower.run(),
+            self.peers.serve(self.messages.answer),
+            self._wait_for_settings(),
+        ]
+
+    async def _wait_for_settings(self) -> None:
+        await self.follower.wait_for_first()
+        self.health.reasons.pop("settings", None)
+
+    async def close(self) -> None:
+        """Give the lease back and close connections to peers."""
+        await self.lease.end()
+        self.peers.close()
+
+
+class AddressBook:
+    """Addresses of workers, as the settings in force have them."""
+
+    def __init__(self, follower: SettingsFollower) -> None:
+        self._follower = follower
+        self._fleet: Fleet | None = None
+        self._addresses: dict[str, str] = {}
+
+    def find(self, worker: str) -> str:
+        """Return a worker's address; empty when the settings do not know it."""
+        fleet = self._follower.settings.fleet
+        if fleet is not self._fleet:
+            self._fleet = fleet
+            self._addresses = {each.name: each.address for each in fleet.workers}
+        return self._addresses.get(worker, "")
+
+
+def make_parts(settings: ProcessSettings, program: str) -> Parts:
+    """Build the common parts of one process."""
+    store = make_store(lambda: settings.store)
+    lease = ProcessLease(store, settings.process_lease_seconds)
+    record = ProcessRecord(
+        name=settings.name,
+        vm=settings.vm,
+        program=program,
+        failure_domain=settings.failure_domain,
+        http=settings.http,
+        peer=settings.peer,
+        incarnation=f"{random.SystemRandom().getrandbits(48):012x}",
+    )
+    registration = Registration(store, lease, record)
+    follower = make_follower(store, settings.name)
+    health = Health({"settings": NO_SETTINGS}, lambda: follower.revisions)
+    messages = MessageTable(settings.vm, lambda: registration.record.leaving)
+    return Parts(
+        settings=settings,
+        store=store,
+        vm_list=make_vm_list(settings.vm_list),
+        peers=make_peers(settings.name, settings.peer, settings.peer_keys),
+        messages=messages,
+        lease=lease,
+        directory=Directory(store),
+        registration=registration,
+        follower=follower,
+        health=health,
+        metrics=Metrics(program),
+    )
--- /dev/null
+++ b/src/primrosestile/programs/placer.py
@@ -0,0 +1,121 @@
+"""`primrosestile-placer`: owns cells, places gangs, renews what runs."""
+
+import asyncio
+import random
+
+import structlog
+from aiohttp import web
+
+from primrosestile.coordination.caretaking import Caretaker
+from primrosestile.coordination.ownership import Ownership
+from primrosestile.errors import Failure
+from primrosestile.programs.common import (
+    add_health_routes,
+    answer_json,
+    parse_arguments,
+    run_program,
+    run_until_told,
+    set_up_logs,
+    start_http,
+)
+from primrosestile.programs.parts import AddressBook, Parts, make_parts
+from primrosestile.protocol.messages import Body, CellDigests, DemandReport, Envelope
+from primrosestile.state.process import ProcessSettings
+from primrosestile.transport.workers import make_workers
+
+PROGRAM = "placer"
+# The list lags by itself; reading it more often finds nothing sooner.
+VM_LIST_SECONDS = 2.0
+
+_log = structlog.get_logger()
+
+
+async def run_placer(settings: ProcessSettings) -> None:
+    """Run one placer until it is told to end."""
+    set_up_logs(settings)
+    parts = make_parts(settings, PROGRAM)
+    workers = make_workers(AddressBook(parts.follower).find)
+    ownership = Ownership(
+        parts.store,
+        workers,
+        parts.lease,
+        parts.directory,
+        parts.registration.record,
+        settings.task_lease_seconds,
+    )
+    parts.follower.add_handler(ownership.take_settings)
+    caretaker = Caretaker(
+        settings.name,
+        workers,
+        parts.lease,
+        parts.directory,
+        lambda: parts.follower.settings,
+        lambda: ownership.keepers,
+        settings.task_lease_seconds,
+    )
+
+    async def answer_demand(envelope: Envelope) -> Body:
+        return _answer_demand(ownership, envelope.body)
+
+    parts.messages.add(DemandReport, answer_demand)
+
+    async def show_cells(request: web.Request) -> web.Response:
+        return answer_json([each.describe() for each in ownership.keepers.values()])
+
+    app = web.Application()
+    app.router.add_get("/v1/cells", show_cells)
+    add_health_routes(app, settings, parts.health, parts.metrics)
+    runner = await start_http(app, settings.http)
+
+    async def drain() -> None:
+        parts.health.reasons["leaving"] = "the process is ending"
+        await parts.registration.announce_leaving()
+        await ownership.leave()
+        await runner.cleanup()
+        await parts.close()
+
+    services = [
+        *parts.list_services(),
+        _run_when_ready(parts, ownership),
+        caretaker.run(),
+        _read_vm_list(parts, ownership),
+    ]
+    await run_until_told(services, drain)
+
+
+async def _run_when_ready(parts: Parts, ownership: Ownership) -> None:
+    await parts.follower.wait_for_first()
+    ownership.take_settings(parts.follower.settings)
+    await ownership.run()
+
+
+def _answer_demand(ownership: Ownership, report: object) -> CellDigests:
+    assert isinstance(report, DemandReport)
+    keepers = [each for each in ownership.keepers.values() if each.recovered.is_set()]
+    for keeper in keepers:
+        keeper.note_demand(report.entry, report.queued, report.in_flight)
+        keeper.note_outcomes(report.entry, report.failures, report.successes)
+        keeper.note_used(report.used)
+    return CellDigests(tuple(each.make_digest(report.entry) for each in keepers))
+
+
+async def _read_vm_list(parts: Parts, ownership: Ownership) -> None:
+    while True:
+        try:
+            listed = await parts.vm_list.read()
+            leaving = frozenset(each.name for each in listed if each.leaving)
+            for keeper in ownership.keepers.values():
+                keeper.note_listed(leaving)
+        except Failure as failure:
+            _log.info("vm_list_unread", kind=failure.kind.value)
+        await asyncio.sleep(VM_LIST_SECONDS * random.uniform(0.8, 1.0))
+
+
+def main() -> None:
+    """Start the program."""
+    settings = parse_arguments("primrosestile-placer", "Own cells and place gangs.")
+    run_program(run_placer(settings))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/primrosestile/protocol/messages.py
+++ b/src/primrosestile/protocol/messages.py
@@ -52,6 +52,7 @@
         in_flight: Requests of this entry at each worker.
         failures: Failed requests at each worker since the last report.
         successes: Successful ones.
+        used: Accelerators that each team holds, over all cells.
     """
 
     entry: str
@@ -59,20 +60,7 @@
     in_flight: dict[str, int]
     failures: dict[str, int]
     successes: dict[str, int]
-
-
-class JobNotice(msgspec.Struct, frozen=True, tag=True):
-    """Tells a cell's owner to look at a job record now, not at its next sweep."""
-
-    cell: str
-    job_id: str
-
-
-class JobNoticed(msgspec.Struct, frozen=True, tag=True):
-    """The owner has read the record."""
-
-    cell: str
-    job_id: str
+    used: dict[str, int]
 
 
 class SettingsDigest(msgspec.Struct, frozen=True, tag=True):
@@ -110,8 +98,6 @@
 Body = (
     CellDigests
     | DemandReport
-    | JobNotice
-    | JobNoticed
     | SettingsDigest
     | SettingsRequest
     | SettingsValues
