Let a process end cleanly while the store is down

Ruled out: waiting for the store; the lease lapses by itself. Change: a failed end of the lease or notice of leaving is logged and passed over.

--- a/src/primrosestile/coordination/membership.py
+++ b/src/primrosestile/coordination/membership.py
@@ -118,9 +118,14 @@
 
     async def end(self) -> None:
         """Give the lease back, so that others need not wait for it to lapse."""
-        if self.lease:
+        if not self.lease:
+            return
+        try:
             await self._store.revoke_lease(self.lease)
-            self._note_lapse()
+        except Failure as failure:
+            # It lapses by itself; an outage must not keep a process from ending.
+            _log.info("process_lease_not_ended", kind=failure.kind.value)
+        self._note_lapse()
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,5 +240,9 @@
     async def announce_leaving(self) -> None:
         """Show the process as leaving, so that peers hand it nothing more."""
         self.record = replace(self.record, leaving=True)
-        if self._lease.is_valid():
+        if not self._lease.is_valid():
+            return
+        try:
             await self._write()
+        except Failure as failure:
+            _log.warning("leaving_not_announced", kind=failure.kind.value)
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -58,11 +58,9 @@
         DirectoryCheck(parts.directory),
     )
     policy = parts.follower.settings.policy
+    targets = make_targets(addresses.find)
     dispatcher = Dispatcher(
-        make_queue(policy),
-        make_router(settings.name, policy),
-        make_targets(addresses.find),
-        claims,
+        make_queue(policy), make_router(settings.name, policy), targets, claims
     )
     cells = CellWatch(
         settings.name,
@@ -101,6 +99,7 @@
         # DRAIN_BEFORE_EXIT.
         await runner.cleanup()
         await dispatcher.finish_settling()
+        await targets.close()
         await parts.close()
 
     services = [
--- a/src/primrosestile/programs/parts.py
+++ b/src/primrosestile/programs/parts.py
@@ -58,9 +58,11 @@
         self.health.reasons.pop("settings", None)
 
     async def close(self) -> None:
-        """Give the lease back and close connections to peers."""
+        """Give the lease back and close every connection."""
         await self.lease.end()
         self.peers.close()
+        await self.vm_list.close()
+        await self.store.close()
 
 
 class AddressBook:
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -72,6 +72,7 @@
         await parts.registration.announce_leaving()
         await ownership.leave()
         await runner.cleanup()
+        await workers.close()
         await parts.close()
 
     services = [
