Put the stand-in's cores and the adapters through one contract, faults included

A stand-in that kept other promises than the adapters would make every test above it worthless, so each scenario runs twice, against the cores on a paused clock and over HTTP on loopback. It found one fault: a change of the VM list's lag was applied after the workers that were to leave, so they were shown at once; the lag goes first now.

Writes that a slow store has begun go on when their caller gives up (they were cancelled with the connection, which no store does).

--- a/src/primrosestile_standin/fleet.py
+++ b/src/primrosestile_standin/fleet.py
@@ -149,6 +149,10 @@
 
     async def read(self) -> tuple[ListedVm, ...]:
         """Return the VMs that the list shows as live or leaving."""
+        return self.list_vms()
+
+    def list_vms(self) -> tuple[ListedVm, ...]:
+        """Return what a reader would be shown now."""
         return tuple(ListedVm(name, left) for name, left in self._shown.items())
 
     def _change(self, change: Callable[[], object]) -> None:
--- a/src/primrosestile_standin/platform.py
+++ b/src/primrosestile_standin/platform.py
@@ -113,6 +113,13 @@
             served_at = await self._serve_group(where, members)
         return served_at
 
+    def add_worker(self, worker: Worker) -> MemoryWorker:
+        """Add a worker as settings have it, at no address."""
+        core = MemoryWorker(worker.name, worker.accelerators, worker.slots)
+        self.workers[worker.name] = core
+        self.vms.show(worker.name)
+        return core
+
     async def apply(self, order: FaultOrder) -> None:
         """Switch faults on or off, now."""
         self.store.faults = replace(self.store.faults, **order.store)
@@ -121,11 +128,11 @@
             for each in chosen:
                 worker = self.workers[each]
                 worker.faults = replace(worker.faults, **fields)
+        if order.lag_seconds is not None:
+            self.vms.lag_seconds = order.lag_seconds
         for name in order.leave:
             self.workers[name].leave()
             self.vms.show(name, leaving=True)
-        if order.lag_seconds is not None:
-            self.vms.lag_seconds = order.lag_seconds
         for name, leaving in order.vms.items():
             self.vms.show(name, leaving)
         for name in order.remove_vms:
@@ -149,17 +156,11 @@
             await listener.close()
 
     async def _serve_group(self, address: str, members: list[Worker]) -> str:
-        cores = {
-            each.name: MemoryWorker(each.name, each.accelerators, each.slots)
-            for each in members
-        }
+        cores = {each.name: self.add_worker(each) for each in members}
         served = ServedWorkers(cores)
         listener = Listener(served.make_app(), address)
         await listener.open()
         self._groups.append(_Group(cores, served, listener))
-        self.workers.update(cores)
-        for name in cores:
-            self.vms.show(name)
         return listener.address
 
     async def _serve_other(self, app: web.Application, address: str) -> str:
@@ -191,7 +192,7 @@
         return answer(self.read_ledger())
 
     async def _answer_vms(self, request: web.Request) -> web.Response:
-        return answer(await self.vms.read())
+        return answer(self.vms.list_vms())
 
 
 async def set_open(listener: Listener, is_open: bool) -> None:
--- a/src/primrosestile_standin/store_http.py
+++ b/src/primrosestile_standin/store_http.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import TypeVar
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 from aiohttp import web
 
@@ -68,6 +68,7 @@
 
     def __init__(self, store: MemoryStore) -> None:
         self._store = store
+        self._writing: set[asyncio.Task[Any]] = set()
 
     async def read_range(self, request: web.Request) -> web.Response:
         form = await read_form(request, gateway.RangeRequest)
@@ -88,25 +89,25 @@
         key, expected = compare.key.decode(), int(compare.mod_revision)
         put = operation.request_put
         if put is not None:
-            swap = await self._store.put(key, put.value, expected, int(put.lease))
+            writing = self._store.put(key, put.value, expected, int(put.lease))
         else:
-            swap = await self._store.delete(key, expected)
-        return answer_form(write_swap(swap))
+            writing = self._store.delete(key, expected)
+        return answer_form(write_swap(await self._finish(writing)))
 
     async def grant_lease(self, request: web.Request) -> web.Response:
         form = await read_form(request, gateway.GrantRequest)
-        lease = await self._store.grant_lease(int(form.TTL))
+        lease = await self._finish(self._store.grant_lease(int(form.TTL)))
         return answer_form(gateway.LeaseResponse(str(lease), form.TTL))
 
     async def keep_lease(self, request: web.Request) -> web.Response:
         form = await read_form(request, gateway.LeaseRequest)
-        held = await self._store.keep_lease(int(form.ID))
+        held = await self._finish(self._store.keep_lease(int(form.ID)))
         left = gateway.LeaseResponse(form.ID, "1" if held else "0")
         return answer_form(gateway.KeepaliveResponse(left))
 
     async def revoke_lease(self, request: web.Request) -> web.Response:
         form = await read_form(request, gateway.LeaseRequest)
-        await self._store.revoke_lease(int(form.ID))
+        await self._finish(self._store.revoke_lease(int(form.ID)))
         return answer_form(gateway.LeaseResponse())
 
     async def watch(self, request: web.Request) -> web.StreamResponse:
@@ -148,6 +149,13 @@
         finally:
             upcoming.cancel()
 
+    async def _finish(self, writing: Coroutine[Any, Any, T]) -> T:
+        """Let a write take effect although its caller has given up."""
+        task = asyncio.get_running_loop().create_task(writing)
+        self._writing.add(task)
+        task.add_done_callback(self._writing.discard)
+        return await asyncio.shield(task)
+
     def _make_header(self) -> gateway.Header:
         return gateway.Header(str(self._store.revision))
 
