--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -79,9 +79,15 @@
         self._capacity.set_resting(self._outliers.list_resting())
 
     def set_grants(
-        self, cell_workers: Iterable[str], grants: Mapping[str, int], until: float
+        self,
+        cell_workers: Iterable[str],
+        grants: Mapping[str, int],
+        until: float,
+        now: float | None = None,
     ) -> None:
         """Take in what the owner of a cell grants, until then on the loop's clock."""
+        if now is not None:
+            self._advance(now)
         self._capacity.set_grants(cell_workers, grants, until)
 
     def set_entries(self, names: Sequence[str]) -> None:
--- /dev/null
+++ b/tools/bench/requests_policies.py
@@ -0,0 +1,262 @@
+"""The policies that the bench of requests compares, product and baselines."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from primrosestile.decisions.queueing import Refusal, RequestQueue, make_queue
+from primrosestile.decisions.routing import Outcome, Router, make_router
+from primrosestile.decisions.slots import GRANT_SECONDS, make_grant_ledger
+from primrosestile.state.tenancy import Policy, Urgency
+from tools.bench.requests_driver import Clock, Entries, Fleet, Plan, Result
+
+OUTCOMES = {
+    "ok": Outcome.OK,
+    "failed": Outcome.FAILED,
+    "refused": Outcome.REFUSED,
+    "leaving": Outcome.LEAVING,
+}
+
+
+def end(result: Result, outcome: str, now: float) -> None:
+    """Answer the caller, once."""
+    assert result.outcome == "open", (result.outcome, outcome)
+    result.ended = now
+    result.outcome = outcome
+    result.good = outcome == "ok" and now <= result.arrival.waiting.deadline
+
+
+class FifoEntries:
+    """One queue in order of arrival, and a random target: the plain baseline."""
+
+    def __init__(self, plan: Plan, clock: Clock, fleet: Fleet) -> None:
+        self._plan = plan
+        self._clock = clock
+        self._fleet = fleet
+        self._random = random.Random(7)
+        self._waiting: list[deque[Result]] = [deque() for _ in range(plan.entries)]
+        self._running = [0] * plan.entries
+        self._most = plan.workers * plan.slots // plan.entries
+
+    def arrive(self, result: Result) -> None:
+        self._waiting[result.arrival.entry].append(result)
+        self._pump(result.arrival.entry)
+
+    def cancel(self, results: list[Result]) -> None:
+        for result in results:
+            if result.outcome == "open" and result.started is None:
+                self._waiting[result.arrival.entry].remove(result)
+                end(result, "cancelled", self._clock.now)
+
+    def _pump(self, entry: int) -> None:
+        now = self._clock.now
+        waiting = self._waiting[entry]
+        while waiting and self._running[entry] < self._most:
+            result = waiting.popleft()
+            if now >= result.arrival.waiting.deadline:
+                end(result, "refused_late", now)
+                continue
+            result.started = now
+            self._send(entry, result, 3)
+
+    def _send(self, entry: int, result: Result, tries: int) -> None:
+        self._running[entry] += 1
+        target = self._random.choice(self._plan.worker_names)
+
+        def done(outcome: str, seconds: float) -> None:
+            self._running[entry] -= 1
+            again = outcome != "ok" and result.arrival.waiting.idempotent
+            if again and tries > 1:
+                self._send(entry, result, tries - 1)
+            else:
+                end(result, outcome, self._clock.now)
+            self._pump(entry)
+
+        self._fleet.send(target, result.arrival.run, done)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A request that is under way, with where it has been tried."""
+
+    result: Result
+    tried: frozenset[str] = frozenset()
+    open_attempts: int = 0
+
+
+class Entry:
+    """One entry of the product, wired as the entry program wires it."""
+
+    def __init__(self, name: str, plan: Plan, clock: Clock, fleet: Fleet) -> None:
+        self.name = name
+        self._clock = clock
+        self._fleet = fleet
+        self._attempts: dict[str, Attempt] = {}
+        self._check_at: float | None = None
+        policy = Policy()
+        self.queue: RequestQueue = make_queue(policy)
+        self.router: Router = make_router(name, policy)
+
+    def arrive(self, result: Result) -> None:
+        waiting = result.arrival.waiting
+        refusal = self.queue.offer(waiting, self._clock.now)
+        if refusal is not None:
+            end(result, "refused", self._clock.now)
+            return
+        self._attempts[waiting.request_id] = Attempt(result)
+        self.router.note_first_attempt()
+        self.pump()
+
+    def cancel(self, results: list[Result]) -> None:
+        ids = [result.arrival.waiting.request_id for result in results]
+        for waiting in self.queue.remove(ids):
+            attempt = self._attempts.pop(waiting.request_id)
+            end(attempt.result, "cancelled", self._clock.now)
+
+    def pump(self) -> None:
+        now = self._clock.now
+        self.queue.set_slots(self.router.count_slots(now))
+        chosen = ""
+
+        def accept(waiting: object) -> bool:
+            nonlocal chosen
+            attempt = self._attempts[waiting.request_id]  # type: ignore[attr-defined]
+            chosen = self.router.choose(waiting, now, attempt.tried) or ""  # type: ignore[arg-type]
+            return bool(chosen)
+
+        while self.router.can_serve_any(now):
+            waiting = self.queue.take(now, accept)
+            if waiting is None:
+                break
+            self._send(self._attempts[waiting.request_id], chosen)
+        self._answer_hopeless()
+
+    def _answer_hopeless(self) -> None:
+        now = self._clock.now
+        for waiting, _ in self.queue.give_up(now):
+            attempt = self._attempts.pop(waiting.request_id)
+            late = now > waiting.deadline
+            end(attempt.result, "refused_late" if late else "given_up", now)
+        check = self.queue.next_check(now)
+        if check is not None and (self._check_at is None or check < self._check_at):
+            self._check_at = check
+            self._clock.call_at(max(check, now + 1e-6), self._wake)
+
+    def _wake(self) -> None:
+        self._check_at = None
+        self.pump()
+
+    def _send(self, attempt: Attempt, target: str) -> None:
+        now = self._clock.now
+        result = attempt.result
+        waiting = result.arrival.waiting
+        if result.started is None:
+            result.started = now
+        attempt.tried |= {target}
+        attempt.open_attempts += 1
+        self.router.start(target, waiting, now)
+        hedge = self.router.hedge_after(waiting, now)
+        if hedge is not None and attempt.open_attempts == 1:
+            self._clock.call_at(now + hedge, lambda: self._hedge(attempt))
+
+        def done(outcome: str, seconds: float) -> None:
+            self._finish(attempt, target, outcome, seconds)
+
+        self._fleet.send(target, result.arrival.run, done)
+
+    def _hedge(self, attempt: Attempt) -> None:
+        waiting = attempt.result.arrival.waiting
+        if attempt.result.outcome != "open" or attempt.open_attempts != 1:
+            return
+        now = self._clock.now
+        target = self.router.choose(waiting, now, attempt.tried)
+        if target is not None and self.router.may_retry(waiting, now):
+            self._send(attempt, target)
+
+    def _finish(
+        self, attempt: Attempt, target: str, outcome: str, seconds: float
+    ) -> None:
+        now = self._clock.now
+        waiting = attempt.result.arrival.waiting
+        attempt.open_attempts -= 1
+        self.router.finish(target, waiting, OUTCOMES[outcome], seconds, now)
+        if outcome == "ok":
+            self.queue.note_served(waiting, seconds, now)
+        if attempt.result.outcome == "open":
+            self._conclude(attempt, outcome)
+        self.pump()
+
+    def _conclude(self, attempt: Attempt, outcome: str) -> None:
+        now = self._clock.now
+        waiting = attempt.result.arrival.waiting
+        not_run = outcome in ("refused", "leaving")
+        if outcome != "ok":
+            if attempt.open_attempts:
+                return
+            if (waiting.idempotent or not_run) and self.router.may_retry(waiting, now):
+                if self.queue.offer(waiting, now) is None:
+                    return
+        self._attempts.pop(waiting.request_id, None)
+        end(attempt.result, outcome, now)
+
+
+class ProductEntries:
+    """All entries of the product, and the owner that grants them slots."""
+
+    def __init__(self, plan: Plan, clock: Clock, fleet: Fleet) -> None:
+        self._plan = plan
+        self._clock = clock
+        names = [f"entry-{number}" for number in range(plan.entries)]
+        self.entries = [Entry(name, plan, clock, fleet) for name in names]
+        self._ledger = make_grant_ledger(0.0, took_over=False)
+        last = max((each.waiting.arrived_at for each in plan.arrivals), default=0.0)
+        self._grant_until = last + 30.0
+        self._slots = dict.fromkeys(plan.worker_names, plan.slots)
+        for entry in self.entries:
+            entry.router.set_entries(names)
+        self._grant()
+
+    def arrive(self, result: Result) -> None:
+        self.entries[result.arrival.entry].arrive(result)
+
+    def cancel(self, results: list[Result]) -> None:
+        for number, entry in enumerate(self.entries):
+            entry.cancel([each for each in results if each.arrival.entry == number])
+
+    def _grant(self) -> None:
+        now = self._clock.now
+        # The list of VMs lags; a worker that leaves says so two seconds earlier.
+        leaving = frozenset(
+            name for name, time in self._plan.leaving.items() if now >= time + 2.0
+        )
+        in_flight = {
+            entry.name: entry.router.count_in_flight() for entry in self.entries
+        }
+        demand = {
+            entry.name: len(entry.queue) + sum(in_flight[entry.name].values())
+            for entry in self.entries
+        }
+        usable = {
+            name: count for name, count in self._slots.items() if name not in leaving
+        }
+        grants = self._ledger.grant(usable, demand, in_flight, now)
+        for entry in self.entries:
+            entry.router.set_targets(self._slots, leaving, now)
+            if entry.name in grants:
+                entry.router.set_grants(
+                    self._slots, grants[entry.name], now + GRANT_SECONDS, now
+                )
+            entry.pump()
+        if now < self._grant_until:
+            self._clock.call_at(now + 1.0, self._grant)
+
+
+def make_fifo(plan: Plan, clock: Clock, fleet: Fleet) -> Entries:
+    """Return the baseline."""
+    return FifoEntries(plan, clock, fleet)
+
+
+def make_product(plan: Plan, clock: Clock, fleet: Fleet) -> Entries:
+    """Return the product's decisions."""
+    return ProductEntries(plan, clock, fleet)
