--- a/specification/guards.py
+++ b/specification/guards.py
@@ -43,19 +43,24 @@
         "becomes unknown."
     )
     RESTART_AFTER_LAPSE = (
-        "A gang is started again only after each earlier member is reported stopped "
-        "or its lease on the worker must have lapsed."
+        "A gang is started again only after each earlier member is reported stopped, "
+        "or the owner has owned the cell, the store has answered without a break and "
+        "the gang was not seen whole for one time to live of the lease."
     )
 
     # Running gangs.
     LEASE_LAPSE_STOPS_TASK = "A worker stops a task whose lease has lapsed."
     RENEWED_ONLY_WHOLE = (
-        "An owner renews the members of a gang only if the last round saw all of them."
+        "A renewal of a gang's leases ends no later than one time to live after the "
+        "start of the last round that saw every member running."
     )
     CARETAKER_ONLY_RENEWS = (
         "A process that does not own a cell renews what workers report and starts "
         "nothing."
     )
+    CARETAKER_ONLY_IN_OUTAGE = (
+        "A caretaker looks and renews only while the store does not answer."
+    )
     CARETAKER_RENEWS_WHOLE = (
         "A caretaker renews a gang only if it sees every member of it running."
     )
@@ -84,6 +89,20 @@
         "and nobody can send it any more."
     )
 
+    CLAIM_OUTLIVES_RETRIES = (
+        "A claim is kept under a lease that outlives the time in which its request may "
+        "still be sent or retried."
+    )
+
+    JOB_ID_CLAIMED = (
+        "A claim on the submission's request id fixes the job's id before the job's "
+        "record is written."
+    )
+    LOST_WRITE_NOT_DISPROVED = (
+        "A lost write that a reading does not show may still take effect; its caller "
+        "is not told 'not run' unless the key has changed under it."
+    )
+
     # Answers.
     ANSWER_ID_CHECKED = "An answer counts only for the request whose id it repeats."
     ANSWER_LENGTH_CHECKED = "An answer counts only if all its announced bytes came."
@@ -96,6 +115,14 @@
         "A process applies a stored setting only if its revision is above the one "
         "applied."
     )
+    LOST_CHANGE_REREAD = (
+        "When the store's answer to a change is lost, the value is read again, and "
+        "one's own change is known by its audit entry."
+    )
+    START_FROM_HIGHEST = (
+        "A process that starts while the store is down takes the highest revision of "
+        "peers that are ready, and neither serves nor answers peers before."
+    )
     REMOVAL_KEEPS_REVISION = (
         "Removing a setting is a change with a higher revision, not a deleted key."
     )
--- /dev/null
+++ b/specification/models.py
@@ -0,0 +1,29 @@
+"""All models, by name."""
+
+from specification import (
+    answers,
+    claims,
+    drain,
+    gang_lease,
+    gang_start,
+    leaving,
+    restart,
+    settings,
+    submission,
+)
+from specification.explore import Model
+
+MODELS: dict[str, Model] = {
+    module.MODEL.name: module.MODEL
+    for module in (
+        gang_start,
+        gang_lease,
+        claims,
+        submission,
+        answers,
+        settings,
+        restart,
+        drain,
+        leaving,
+    )
+}
