--- /dev/null
+++ b/features/fuzzing/found.feature
@@ -0,0 +1,44 @@
+Feature: Faults that were found stay found
+
+  Each of these is the shortest run that broke a promise once, over the real
+  coordination code on a paused clock.
+
+  Scenario: A start that failed once is tried again on the same workers
+    One answer to a prepare is lost, the start is undone, and the job is tried
+    again. If the second try used the first one's task ids, the workers would
+    refuse them as ended, and the job would wait for ever beside free accelerators.
+    Given a fuzzed cell of which only two workers may be used
+    And the owner's third call to a worker is lost
+    When a restartable gang of 5 seconds is submitted to the fuzzed cell
+    And 40 seconds pass in the fuzzed cell
+    Then no job of the fuzzed cell is stuck
+
+  Scenario: The rest of a gang stops within one lease after a worker dies
+    A worker dies right after it was renewed. If the other members were renewed
+    for a whole lease after that, half a render would hold its accelerators for
+    longer than the bound that operators were told.
+    Given a fuzzed cell that runs a restartable gang of 60 seconds
+    When the second worker of the gang dies
+    And 40 seconds pass in the fuzzed cell
+    Then every promise about gangs holds in the fuzzed cell
+
+  Scenario: An owner keeps no half gang running while the store is down
+    The store is down and the owner goes on renewing what runs. One member's engine
+    ends by itself. The owner may stop nothing without its lease, so it must let the
+    rest lapse; else half a render would run for as long as the outage.
+    Given a fuzzed cell that runs a restartable gang of 300 seconds
+    When the store of the fuzzed cell goes down
+    And 8 seconds pass in the fuzzed cell
+    And the second worker of the gang loses its tasks
+    And 60 seconds pass in the fuzzed cell
+    Then every promise about gangs holds in the fuzzed cell
+
+  Scenario: A submission whose write comes late is not told that it did not run
+    The store is slow: the job's record is written after its entry gave up waiting
+    for it. Read again it is not there, then a second try is refused at once. A
+    caller who is told "not run" submits the work anew, so it is billed twice.
+    Given a fuzzed cell of four workers
+    And the entry's write of a job comes late, and the next one is refused
+    When a restartable gang of 5 seconds is submitted to the fuzzed cell
+    And 10 seconds pass in the fuzzed cell
+    Then every promise about gangs holds in the fuzzed cell
--- /dev/null
+++ b/features/fuzzing/running.py
@@ -0,0 +1,46 @@
+"""Run a state machine with fixed seeds, or with fresh ones for some time."""
+
+import os
+import random
+import time
+
+from hypothesis import HealthCheck, Phase, Verbosity, seed, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+EXPLORE_VARIABLE = "PRIMROSESTILE_EXPLORE_SECONDS"
+EXPLORE_EXAMPLES = 50
+
+
+def run_machine(
+    machine: type[RuleBasedStateMachine], examples: int, steps: int
+) -> None:
+    """Raise the oracle's complaint, with the shortest run that brings it about.
+
+    Fresh seeds are printed, so that a run that fails can be had again.
+    """
+    explore_seconds = float(os.environ.get(EXPLORE_VARIABLE, "0"))
+    if not explore_seconds:
+        run_state_machine_as_test(machine, settings=_make_settings(examples, steps))
+        return
+    end = time.monotonic() + explore_seconds
+    while time.monotonic() < end:
+        number = random.SystemRandom().getrandbits(32)
+        print(f"{machine.__name__}: seed {number}", flush=True)
+        run_state_machine_as_test(
+            seed(number)(machine),
+            settings=_make_settings(EXPLORE_EXAMPLES, steps, derandomize=False),
+        )
+
+
+def _make_settings(examples: int, steps: int, derandomize: bool = True) -> settings:
+    return settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=derandomize,
+        database=None,
+        deadline=None,
+        print_blob=False,
+        verbosity=Verbosity.normal,
+        phases=(Phase.explicit, Phase.generate, Phase.shrink),
+        suppress_health_check=list(HealthCheck),
+    )
--- /dev/null
+++ b/features/steps/fuzzing_steps.py
@@ -0,0 +1,100 @@
+from typing import Any
+
+from behave import given, then, when
+from features.doubles.cells import (
+    SETTLE_SECONDS,
+    Deployment,
+    Placer,
+    check_gangs,
+    check_settled,
+)
+from features.doubles.network import Fate
+
+
+def start_deployment(context: Any) -> Deployment:
+    context.deployment = Deployment()
+    context.cleanups.append(context.deployment.close)
+    context.deployment.advance(3.0)
+    return context.deployment
+
+
+def find_owner(deployment: Deployment) -> Placer:
+    owners = [each for each in deployment.placers.values() if each.ownership.keepers]
+    assert len(owners) == 1
+    return owners[0]
+
+
+def find_second_worker(deployment: Deployment) -> str:
+    return sorted({run.worker for run in deployment.list_runs()})[1]
+
+
+@given("a fuzzed cell of four workers")
+def give_cell(context: Any) -> None:
+    start_deployment(context)
+
+
+@given("a fuzzed cell of which only two workers may be used")
+def give_small_cell(context: Any) -> None:
+    deployment = start_deployment(context)
+    for name in ("w2", "w3"):
+        deployment.leave(name, told=True, listed=False)
+    deployment.advance(6.0)
+
+
+@given("the owner's third call to a worker is lost")
+def lose_third_call(context: Any) -> None:
+    fates = [Fate.DONE, Fate.DONE, Fate.LOST_BEFORE]
+    find_owner(context.deployment).worker_link.fates.extend(fates)
+
+
+@given("the entry's write of a job comes late, and the next one is refused")
+def delay_job_write(context: Any) -> None:
+    # The first two writes are the grant of the claims' lease and the claim.
+    fates = [Fate.DONE, Fate.DONE, Fate.LATE, Fate.NEVER_SENT]
+    context.deployment.entry_link.fates.extend(fates)
+
+
+@given("a fuzzed cell that runs a restartable gang of {seconds:d} seconds")
+def give_running_gang(context: Any, seconds: int) -> None:
+    deployment = start_deployment(context)
+    deployment.submit(float(seconds), restartable=True)
+    deployment.advance(2.0)
+    assert len(deployment.list_runs()) == 2
+
+
+@when("a restartable gang of {seconds:d} seconds is submitted to the fuzzed cell")
+def submit_gang(context: Any, seconds: int) -> None:
+    context.deployment.submit(float(seconds), restartable=True)
+
+
+@when("the second worker of the gang dies")
+def kill_worker(context: Any) -> None:
+    context.deployment.kill_worker(find_second_worker(context.deployment))
+
+
+@when("the second worker of the gang loses its tasks")
+def lose_tasks(context: Any) -> None:
+    context.deployment.lose_tasks(find_second_worker(context.deployment))
+
+
+@when("the store of the fuzzed cell goes down")
+def stop_store(context: Any) -> None:
+    context.deployment.store.faults.down = True
+
+
+@when("{seconds:d} seconds pass in the fuzzed cell")
+def pass_time(context: Any, seconds: int) -> None:
+    context.deployment.advance(float(seconds))
+
+
+@then("every promise about gangs holds in the fuzzed cell")
+def check_promises(context: Any) -> None:
+    check_gangs(context.deployment)
+
+
+@then("no job of the fuzzed cell is stuck")
+def check_nothing_stuck(context: Any) -> None:
+    context.deployment.heal()
+    context.deployment.advance(SETTLE_SECONDS)
+    check_gangs(context.deployment)
+    check_settled(context.deployment)
