Move waiting jobs between cells, re-assign lost domains' guarantees, empty leaving workers

Cause: a job handed to a cell whose failure domain is cut off, or that fills up after the choice, would wait beside free room; a guarantee assigned to a lost domain could not be reclaimed anywhere. Ruled out: moving the record under a key without the cell, which makes each owner read every job; a stored list of lost domains, one more value to agree on. Change: MOVING and MOVED states, digests exchanged between placers every 2 s, lost domains worked out from owners that reach no worker, eviction off leaving workers.

--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -12,7 +12,7 @@
 from primrosestile.coordination.following import Following
 from primrosestile.coordination.gangs import Command, go_gang
 from primrosestile.coordination.jobbook import JobBook
-from primrosestile.coordination.placing import Placing
+from primrosestile.coordination.placing import PictureSource, Placing
 from primrosestile.coordination.reconciling import Recovery, decide_recovery
 from primrosestile.decisions.cell import CellView
 from primrosestile.decisions.fragmentation import measure_fragmentation
@@ -50,13 +50,15 @@
         store: Store,
         command: Command,
         read_settings: Callable[[], Settings],
+        read_pictures: PictureSource,
     ) -> None:
         self.cell = cell
+        self._read_settings = read_settings
         self.recovered = asyncio.Event()
         self._inputs = _collect_inputs(read_settings(), cell.name)
         self._data = _make_data(cell, store, command, read_settings, self._wake)
         self._actions = JobActions(self._data)
-        self._placing = Placing(self._data, self._actions)
+        self._placing = Placing(self._data, self._actions, store, read_pictures)
         self._following = Following(self._data, self._actions)
         self._demand: dict[str, int] = {}
         self._in_flight: dict[str, Mapping[str, int]] = {}
@@ -207,6 +209,12 @@
         self._placing.close()
         await self._placing.wait_until_idle()
 
+    def note_lost(self, domains: frozenset[str]) -> None:
+        """Take over promises of failure domains that are lost."""
+        settings = self._read_settings()
+        promised = assign_guarantees(settings.fleet, settings.guarantees, domains)
+        self._data.view.set_promised(promised.get(self.cell.name, ()))
+
     def note_listed(self, leaving: frozenset[str]) -> None:
         """Take in which workers the VM list shows as leaving."""
         for name, contact in self._data.contacts.items():
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -8,20 +8,18 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import structlog
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.dispatch import Dispatcher
+from primrosestile.coordination.exchange import DigestTable
 from primrosestile.coordination.membership import Directory
-from primrosestile.decisions.cellchoice import CellPicture, can_ever_fit
-from primrosestile.decisions.guarantees import assign_guarantees
+from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.errors import Failure
-from primrosestile.protocol.messages import CellDigest, CellDigests, DemandReport
+from primrosestile.protocol.messages import CellDigests, DemandReport
 from primrosestile.protocol.peers import Peers
 from primrosestile.protocol.workers import VmList
-from primrosestile.state.fleet import Cell
 from primrosestile.state.jobs import ProcessRecord
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Shape
@@ -36,12 +34,6 @@
 _log = structlog.get_logger()
 
 
-@dataclass(frozen=True, slots=True)
-class _Known:
-    digest: CellDigest
-    at: float
-
-
 class CellWatch:
     """Reports demand to placers and keeps what they answer."""
 
@@ -60,7 +52,7 @@
         self._dispatcher = dispatcher
         self._vm_list = vm_list
         self._read_settings = read_settings
-        self._known: dict[str, _Known] = {}
+        self._table = DigestTable()
         self._listed_leaving: frozenset[str] = frozenset()
         self._changed = asyncio.Event()
         directory.on_change(self._changed.set)
@@ -111,18 +103,12 @@
             in_flight=in_flight,
             failures=failures,
             successes=successes,
-            used=self.count_used(),
+            used=self._table.count_used(),
         )
 
     def _take_in(self, answer: CellDigests) -> None:
         now = read_clock()
-        for digest in answer.cells:
-            known = self._known.get(digest.cell)
-            if known is not None and known.digest.epoch > digest.epoch:
-                # Two processes speak for the cell; the older owner does not know
-                # yet that it has lost it.
-                continue
-            self._known[digest.cell] = _Known(digest, now)
+        for digest in self._table.take_in(answer.cells):
             if digest.seconds > 0.0:
                 workers = self._workers_of(digest.cell)
                 self._dispatcher.router.set_grants(
@@ -153,47 +139,16 @@
         fleet = self._read_settings().fleet
         slots = {worker.name: worker.slots for worker in fleet.workers}
         leaving = set(self._listed_leaving)
-        for known in self._known.values():
-            leaving.update(known.digest.leaving)
-            leaving.update(known.digest.quarantined)
+        for digest in self._table:
+            leaving.update(digest.leaving)
+            leaving.update(digest.quarantined)
         now = read_clock()
         self._dispatcher.router.set_targets(slots, frozenset(leaving), now)
         self._dispatcher.queue.set_slots(self._dispatcher.router.count_slots(now))
         self._dispatcher.wake()
 
-    def count_used(self) -> dict[str, int]:
-        """Return the accelerators that each team holds, over all cells."""
-        used: dict[str, int] = {}
-        for known in self._known.values():
-            for team, count in known.digest.used.items():
-                used[team] = used.get(team, 0) + count
-        return used
-
     def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
         """Return what is known of each cell that could ever hold the shape."""
-        settings = self._read_settings()
-        promised = assign_guarantees(settings.fleet, settings.guarantees)
-        return [
-            self._picture(
-                cell, _is_promised(promised.get(cell.name, ()), organisation, shape)
-            )
-            for cell in settings.fleet.cells
-            if can_ever_fit(settings.fleet, cell, shape)
-        ]
-
-    def _picture(self, cell: Cell, promised: bool) -> CellPicture:
-        known = self._known.get(cell.name)
-        if known is None:
-            return CellPicture(cell.name, {}, 0, promised, fresh=False)
-        fresh = read_clock() - known.at < FRESH_SECONDS
-        digest = known.digest
-        return CellPicture(cell.name, digest.free, digest.waiting, promised, fresh)
-
-
-def _is_promised(
-    promises: tuple[tuple[str, Shape], ...], organisation: str, shape: Shape
-) -> bool:
-    return any(
-        owner == organisation and promise.accelerators >= shape.accelerators
-        for owner, promise in promises
-    )
+        return self._table.list_pictures(
+            self._read_settings(), organisation, shape, FRESH_SECONDS
+        )
--- /dev/null
+++ b/src/primrosestile/coordination/exchange.py
@@ -0,0 +1,192 @@
+"""What placers tell one another of their cells, and what follows from it.
+
+Every two seconds each placer asks the others for digests. The picture is soft: it
+decides where a waiting job might do better and which failure domains are lost, and
+a mistake costs a detour or some room kept for nothing, never a promise.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+import structlog
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.membership import Directory
+from primrosestile.decisions.cellchoice import CellPicture, can_ever_fit
+from primrosestile.decisions.guarantees import assign_guarantees
+from primrosestile.errors import Failure
+from primrosestile.protocol.messages import CellDigest, CellDigests, DigestRequest
+from primrosestile.protocol.peers import Peers
+from primrosestile.state.settings import Settings
+from primrosestile.state.tenancy import Shape
+
+EXCHANGE_SECONDS = 2.0
+EXCHANGE_TIMEOUT_SECONDS = 1.0
+FRESH_SECONDS = 6.0
+# A domain counts as lost only after this: re-assigning its guarantees evicts work
+# elsewhere, which a cut of a few seconds is not worth.
+LOST_AFTER_SECONDS = 10.0
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    digest: CellDigest
+    at: float
+
+
+class DigestTable:
+    """The latest digest of each cell, whoever told it."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+
+    def take_in(self, digests: Iterable[CellDigest]) -> list[CellDigest]:
+        """Keep the digests of the newest epochs; return those that were kept.
+
+        Two processes may speak for a cell while the older owner does not know yet
+        that it has lost it.
+        """
+        now = read_clock()
+        kept = []
+        for digest in digests:
+            known = self._known.get(digest.cell)
+            if known is not None and known.digest.epoch > digest.epoch:
+                continue
+            self._known[digest.cell] = _Known(digest, now)
+            kept.append(digest)
+        return kept
+
+    def __iter__(self) -> Iterator[CellDigest]:
+        return iter([known.digest for known in self._known.values()])
+
+    def find_fresh(self, cell: str, seconds: float) -> CellDigest | None:
+        """Return a cell's digest unless it is older than some seconds."""
+        known = self._known.get(cell)
+        if known is None or read_clock() - known.at > seconds:
+            return None
+        return known.digest
+
+    def count_used(self) -> dict[str, int]:
+        """Return the accelerators that each team holds, over all cells."""
+        used: dict[str, int] = {}
+        for known in self._known.values():
+            for team, count in known.digest.used.items():
+                used[team] = used.get(team, 0) + count
+        return used
+
+    def list_pictures(
+        self, settings: Settings, organisation: str, shape: Shape, seconds: float
+    ) -> list[CellPicture]:
+        """Return what is known of each cell that could ever hold the shape.
+
+        Args:
+            settings: Those in force.
+            organisation: Whose guarantees count as promised.
+            shape: What is asked for.
+            seconds: The age from which a digest is not fresh any more.
+        """
+        promised = assign_guarantees(settings.fleet, settings.guarantees)
+        return [
+            self._picture(
+                cell.name,
+                _is_promised(promised.get(cell.name, ()), organisation, shape),
+                seconds,
+            )
+            for cell in settings.fleet.cells
+            if can_ever_fit(settings.fleet, cell, shape)
+        ]
+
+    def _picture(self, cell: str, promised: bool, seconds: float) -> CellPicture:
+        digest = self.find_fresh(cell, seconds)
+        if digest is None:
+            return CellPicture(cell, {}, 0, promised, fresh=False)
+        return CellPicture(cell, digest.free, digest.waiting, promised, fresh=True)
+
+
+def _is_promised(
+    promises: Iterable[tuple[str, Shape]], organisation: str, shape: Shape
+) -> bool:
+    return any(
+        owner == organisation and promise.accelerators >= shape.accelerators
+        for owner, promise in promises
+    )
+
+
+class Exchange:
+    """Asks the other placers, and works out which failure domains are lost."""
+
+    def __init__(
+        self,
+        name: str,
+        peers: Peers,
+        directory: Directory,
+        read_settings: Callable[[], Settings],
+        read_own: Callable[[], list[CellDigest]],
+    ) -> None:
+        self.table = DigestTable()
+        self._name = name
+        self._peers = peers
+        self._directory = directory
+        self._read_settings = read_settings
+        self._read_own = read_own
+        self._empty_since: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Ask every two seconds until cancelled."""
+        while True:
+            self.table.take_in(self._read_own())
+            async with asyncio.TaskGroup() as group:
+                for record in self._directory.records("placer"):
+                    if record.name != self._name:
+                        group.create_task(self._ask(record.peer))
+            self._note_empty_domains()
+            await asyncio.sleep(EXCHANGE_SECONDS * random.uniform(0.8, 1.0))
+
+    async def _ask(self, peer: str) -> None:
+        try:
+            answer = await self._peers.ask(
+                peer, DigestRequest(), EXCHANGE_TIMEOUT_SECONDS
+            )
+        except Failure as failure:
+            _log.info("placer_silent", peer=peer, kind=failure.kind.value)
+            return
+        if isinstance(answer, CellDigests):
+            self.table.take_in(answer.cells)
+
+    def _note_empty_domains(self) -> None:
+        now = read_clock()
+        working = self._find_working()
+        for domain, works in working.items():
+            if works:
+                self._empty_since.pop(domain, None)
+            else:
+                self._empty_since.setdefault(domain, now)
+
+    def _find_working(self) -> Mapping[str, bool]:
+        """Say of each domain whether any of its cells may have a usable worker.
+
+        A cell that nobody speaks for may be well; only an owner that says that it
+        reaches no worker at all is evidence of a loss.
+        """
+        fleet = self._read_settings().fleet
+        domains = {rack.name: rack.failure_domain for rack in fleet.racks}
+        working: dict[str, bool] = {}
+        for cell in fleet.cells:
+            domain = domains.get(cell.racks[0], "") if cell.racks else ""
+            digest = self.table.find_fresh(cell.name, FRESH_SECONDS)
+            works = digest is None or bool(digest.free)
+            working[domain] = working.get(domain, False) or works
+        return working
+
+    def list_lost_domains(self) -> frozenset[str]:
+        """Return the failure domains none of whose workers can be used."""
+        now = read_clock()
+        return frozenset(
+            domain
+            for domain, since in self._empty_since.items()
+            if now - since >= LOST_AFTER_SECONDS
+        )
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -23,6 +23,7 @@
 from primrosestile.coordination.cell import CellKeeper
 from primrosestile.coordination.gangs import Command
 from primrosestile.coordination.membership import Directory, ProcessLease
+from primrosestile.coordination.placing import PictureSource
 from primrosestile.coordination.writing import (
     delete_settled,
     list_all,
@@ -146,6 +147,7 @@
         directory: Directory,
         record: ProcessRecord,
         task_lease_seconds: float,
+        read_pictures: PictureSource,
     ) -> None:
         self._store = store
         self._workers = workers
@@ -153,6 +155,7 @@
         self._directory = directory
         self._record = record
         self._task_lease_seconds = task_lease_seconds
+        self._read_pictures = read_pictures
         self._settings = Settings()
         self._settings_changed = asyncio.Event()
         self._table = OwnerTable(store)
@@ -294,7 +297,9 @@
             may_act=lambda: self._lease.is_valid() and self._lease.lease == lease,
             may_care=lambda: self._lease.store_down,
         )
-        return CellKeeper(cell, self._store, command, lambda: self._settings)
+        return CellKeeper(
+            cell, self._store, command, lambda: self._settings, self._read_pictures
+        )
 
     async def _watch_keeper(
         self, keeper: CellKeeper, run: "asyncio.Task[None]", name: str, lease: int
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -6,14 +6,21 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.actions import JobActions, make_reason
 from primrosestile.coordination.celldata import CellData, make_demand, make_holding
+from primrosestile.coordination.shifting import (
+    find_destination,
+    finish_move,
+    move_job,
+)
 from primrosestile.decisions.backfill import order_demands
 from primrosestile.decisions.cell import Demand
+from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.decisions.placement import (
     NeverFits,
     Placed,
@@ -21,13 +28,20 @@
     Waits,
     decide_placement,
 )
+from primrosestile.protocol.store import Store
 from primrosestile.state.jobs import JobRecord, JobState, ReasonCode
+from primrosestile.state.tenancy import Shape
 
 # A pass without an event: bounds the harm of a wake-up that was missed.
 RECHECK_SECONDS = 1.0
 # Decisions of one pass. At the larger cells a decision takes up to 2 ms, so a
 # pass blocks the loop, and the renewals on it, for at most half a second.
 PASS_LIMIT = 256
+# Moves begun in one pass. All of them are decided on one picture of the other
+# cells; a flood would fill the room that each of them saw free.
+SHIFTS_PER_PASS = 4
+
+PictureSource = Callable[[str, Shape], list[CellPicture]]
 
 _log = structlog.get_logger()
 
@@ -35,11 +49,20 @@
 class Placing:
     """Places, reclaims and explains the waiting jobs of one cell."""
 
-    def __init__(self, data: CellData, actions: JobActions) -> None:
+    def __init__(
+        self,
+        data: CellData,
+        actions: JobActions,
+        store: Store,
+        read_pictures: PictureSource,
+    ) -> None:
         self._data = data
         self._actions = actions
+        self._store = store
+        self._read_pictures = read_pictures
         self._woken = asyncio.Event()
         self._closed = False
+        self._shifts_left = SHIFTS_PER_PASS
 
     def close(self) -> None:
         """Decide nothing more; the cell is about to be handed on."""
@@ -81,6 +104,9 @@
             if record.spec.job_id not in data.busy
         }
         self._cancel_asked(group)
+        self._finish_moves(group)
+        self._empty_leaving(group)
+        self._shifts_left = SHIFTS_PER_PASS
         waiting = {
             job_id: record
             for job_id, record in waiting.items()
@@ -124,12 +150,56 @@
             case Waits():
                 reason = make_reason(decision.reason, decision.detail)
                 data.waiting_reasons[demand.job_id] = reason
+                self._consider_shift(group, record)
             case NeverFits():
                 end = self._actions.end(
                     record, JobState.FAILED, ReasonCode.NEVER_FITS, decision.detail
                 )
                 self._actions.spawn(group, record, end)
 
+    def _consider_shift(self, group: asyncio.TaskGroup, record: JobRecord) -> None:
+        """Move a job that waits here to a cell that could start it now."""
+        pictures = self._read_pictures(record.spec.organisation, record.spec.shape)
+        here = next((each for each in pictures if each.cell == self._data.name), None)
+        others = [each for each in pictures if each.cell != self._data.name]
+        if here is None or self._shifts_left <= 0:
+            return
+        destination = find_destination(record, here, others)
+        if destination is not None:
+            self._shifts_left -= 1
+            move = move_job(self._store, self._data, record, destination)
+            self._actions.spawn(group, record, move)
+
+    def _finish_moves(self, group: asyncio.TaskGroup) -> None:
+        """Finish what an earlier owner, or a store that failed, left half done."""
+        for record in self._data.book:
+            moving = record.state is JobState.MOVING
+            if moving and record.spec.job_id not in self._data.busy:
+                finish = finish_move(self._store, self._data, record)
+                self._actions.spawn(group, record, finish)
+
+    def _empty_leaving(self, group: asyncio.TaskGroup) -> None:
+        """Move what can be moved off workers that are leaving.
+
+        A worker that leaves takes its tasks with it. A job that can be stopped
+        with its progress saved loses nothing by going early; one that can't is
+        left to finish, which the worker may still allow.
+        """
+        leaving = {
+            name for name, contact in self._data.contacts.items() if contact.leaving
+        }
+        if not leaving:
+            return
+        for record in self._data.book:
+            if record.state is not JobState.STARTED or not record.spec.checkpoints:
+                continue
+            there = [each.worker for each in record.members if each.worker in leaving]
+            if there and record.spec.job_id not in self._data.busy:
+                evict = self._actions.evict(
+                    record, ReasonCode.WORKER_LEAVING, ", ".join(there)
+                )
+                self._actions.spawn(group, record, evict)
+
     def _start(
         self, group: asyncio.TaskGroup, record: JobRecord, placed: Placed
     ) -> None:
--- /dev/null
+++ b/src/primrosestile/coordination/shifting.py
@@ -0,0 +1,76 @@
+"""Hands a waiting job from one cell to another.
+
+A job's key lies under its cell, so a move is two keys, and the store changes one
+at a time. The record here is first written as MOVING, with the id that the job
+will have there; from then on it can't start here. Then the record there is
+created if it is absent, and last the one here becomes MOVED. Whoever takes the
+cell over between two of these steps finds MOVING and does the rest; doing a step
+twice changes nothing. The caller's id stays valid: it leads to the new one.
+"""
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+import msgspec
+import structlog
+
+from primrosestile.clock import read_wall_clock
+from primrosestile.coordination.actions import make_reason
+from primrosestile.coordination.celldata import CellData
+from primrosestile.coordination.jobbook import make_job_key
+from primrosestile.coordination.submission import make_job_id
+from primrosestile.coordination.writing import put_settled
+from primrosestile.decisions.cellchoice import (
+    SHIFT_PAUSE_SECONDS,
+    CellPicture,
+    ShiftQuestion,
+    decide_shift,
+)
+from primrosestile.protocol.store import Store
+from primrosestile.state.jobs import JobRecord, JobState, ReasonCode
+
+_log = structlog.get_logger()
+
+
+def find_destination(
+    record: JobRecord, here: CellPicture, others: Sequence[CellPicture]
+) -> str | None:
+    """Return the cell to which a waiting job should move, or None."""
+    now = read_wall_clock()
+    moved = [
+        reason.time
+        for reason in record.history
+        if reason.code is ReasonCode.MOVED_TO_CELL
+    ]
+    if moved and now - moved[-1] < SHIFT_PAUSE_SECONDS:
+        return None
+    since = record.history[-1].time if record.history else record.accepted_at
+    question = ShiftQuestion(
+        record.spec.shape, record.spec.urgency, now - since, here.promised
+    )
+    return decide_shift(question, here, others)
+
+
+async def move_job(
+    store: Store, data: CellData, record: JobRecord, destination: str
+) -> None:
+    """Move a waiting job; what is left undone is finished by `finish_move`."""
+    moving = replace(
+        record, state=JobState.MOVING, moved_to=make_job_id(destination)
+    ).with_reason(
+        make_reason(ReasonCode.MOVED_TO_CELL, f"from {data.name} to {destination}")
+    )
+    if await data.book.write(moving):
+        await finish_move(store, data, moving)
+
+
+async def finish_move(store: Store, data: CellData, record: JobRecord) -> None:
+    """Create the job in its new cell if it is not there, and let go of it here."""
+    spec = replace(record.spec, job_id=record.moved_to)
+    there = replace(record, spec=spec, state=JobState.ACCEPTED, moved_to="")
+    key = make_job_key(record.moved_to)
+    await put_settled(store, key, msgspec.json.encode(there), 0)
+    moved = replace(record, state=JobState.MOVED, finished_at=read_wall_clock())
+    await data.book.write(moved)
+    data.waiting_reasons.pop(record.spec.job_id, None)
+    _log.info("job_moved", job_id=record.spec.job_id, moved_to=record.moved_to)
--- a/src/primrosestile/coordination/submission.py
+++ b/src/primrosestile/coordination/submission.py
@@ -18,7 +18,7 @@
 from primrosestile.coordination.jobbook import decode_job, make_job_key
 from primrosestile.coordination.writing import put_settled
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.protocol.store import Store
+from primrosestile.protocol.store import Entry, Store
 from primrosestile.state.jobs import (
     JobRecord,
     JobSpec,
@@ -29,6 +29,9 @@
 
 # Writers that may meet on one record: its owner and a few impatient callers.
 CANCEL_TRIES = 8
+# A job moves at most every half minute and is looked up within milliseconds; a
+# longer chain is a job that has been waiting for hours.
+MOVES_LIMIT = 1000
 
 _log = structlog.get_logger()
 
@@ -91,10 +94,19 @@
         Raises:
             Failure: NOT_FOUND, or STORE_UNAVAILABLE.
         """
-        entry = await self._store.get(make_job_key(job_id))
-        if entry is None:
-            raise Failure(ErrorKind.NOT_FOUND, f"no job {job_id}")
-        return decode_job(entry.value)
+        return decode_job((await self._follow(job_id)).value)
+
+    async def _follow(self, job_id: str) -> Entry:
+        """Return the record that an id leads to; the job may have moved."""
+        for _ in range(MOVES_LIMIT):
+            entry = await self._store.get(make_job_key(job_id))
+            if entry is None:
+                raise Failure(ErrorKind.NOT_FOUND, f"no job {job_id}")
+            record = decode_job(entry.value)
+            if record.state is not JobState.MOVED:
+                return entry
+            job_id = record.moved_to
+        raise Failure(ErrorKind.CONFLICT, f"{job_id} keeps moving")
 
     async def cancel(self, job_id: str) -> JobRecord:
         """Ask for a job's cancellation; its cell's owner carries it out.
@@ -103,16 +115,14 @@
             Failure: NOT_FOUND, CONFLICT when others keep writing the record, and
                 the store's kinds.
         """
-        key = make_job_key(job_id)
         for _ in range(CANCEL_TRIES):
-            entry = await self._store.get(key)
-            if entry is None:
-                raise Failure(ErrorKind.NOT_FOUND, f"no job {job_id}")
+            entry = await self._follow(job_id)
             record = decode_job(entry.value)
             if record.state.is_final or record.cancel_requested:
                 return record
             asked = replace(record, cancel_requested=True)
             value = msgspec.json.encode(asked)
-            if (await put_settled(self._store, key, value, entry.mod_revision)).done:
+            swap = await put_settled(self._store, entry.key, value, entry.mod_revision)
+            if swap.done:
                 return asked
         raise Failure(ErrorKind.CONFLICT, f"{job_id} keeps changing")
--- a/src/primrosestile/decisions/cellchoice.py
+++ b/src/primrosestile/decisions/cellchoice.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from primrosestile.state.fleet import Cell, Fleet
-from primrosestile.state.tenancy import Adjacency, Shape
+from primrosestile.state.tenancy import Adjacency, Shape, Urgency
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +32,15 @@
     promised: bool
     fresh: bool
 
+    @property
+    def is_working(self) -> bool:
+        """Whether its owner speaks and reaches any worker that takes work.
+
+        A failure domain that is cut off leaves an owner that speaks for workers
+        none of which it reaches; a job handed there would wait for hours.
+        """
+        return self.fresh and bool(self.free)
+
 
 def can_ever_fit(fleet: Fleet, cell: Cell, shape: Shape) -> bool:
     """Whether an empty cell could hold the shape."""
@@ -47,7 +56,7 @@
     return shape.accelerators <= max(by_rack.values(), default=0)
 
 
-def _has_room(picture: CellPicture, shape: Shape) -> bool:
+def has_room(picture: CellPicture, shape: Shape) -> bool:
     """Whether the shape may fit now, as far as the free counts show."""
     counts = picture.free.values()
     if shape.adjacency is Adjacency.WORKER:
@@ -55,6 +64,55 @@
     return shape.accelerators <= sum(counts)
 
 
+# A waiting job moves once another cell could start it at once, but not before its
+# own cell has had the time to reclaim room: that takes a round or two of seconds.
+SHIFT_AFTER_SECONDS = 4.0
+# Urgent work has 5.8 s to start, of which a move and a start may take three.
+SHIFT_URGENT_AFTER_SECONDS = 1.5
+# A job that was just moved stays put, or two full cells would pass it to and fro.
+SHIFT_PAUSE_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class ShiftQuestion:
+    """A waiting job, asked about from its own cell.
+
+    Attributes:
+        waited: Seconds since it began to wait in this cell.
+        entitled: Whether it waits for its organisation's own guarantee here.
+    """
+
+    shape: Shape
+    urgency: Urgency
+    waited: float
+    entitled: bool
+
+
+def decide_shift(
+    question: ShiftQuestion, here: CellPicture, others: Sequence[CellPicture]
+) -> str | None:
+    """Return the cell to which a waiting job should move, or None.
+
+    Made for uneven load, since entries choose cells by pictures a second old and
+    jobs wait for hours, and for the loss of a whole cell or failure domain. The
+    harm prevented is a job that waits beside free room. A job moves only to room
+    that is free now: moving it from one queue to another helps nobody.
+    """
+    lost = not here.is_working
+    patience = SHIFT_AFTER_SECONDS
+    if question.urgency is Urgency.URGENT or lost:
+        patience = SHIFT_URGENT_AFTER_SECONDS
+    if question.waited < patience or (question.entitled and not lost):
+        return None
+    candidates = [
+        picture
+        for picture in others
+        if picture.is_working
+        and (lost or (has_room(picture, question.shape) and picture.waiting == 0))
+    ]
+    return choose_cell(candidates, question.shape)
+
+
 def choose_cell(pictures: Sequence[CellPicture], shape: Shape) -> str | None:
     """Return the cell to hand a job to; None when there is none to choose.
 
@@ -66,10 +124,10 @@
     """
 
     def rank(picture: CellPicture) -> tuple[bool, bool, bool, int, int, str]:
-        room = _has_room(picture, shape) and picture.waiting == 0
+        room = has_room(picture, shape) and picture.waiting == 0
         total = sum(picture.free.values())
         return (
-            not picture.fresh,
+            not picture.is_working,
             not room,
             not picture.promised,
             picture.waiting,
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -7,7 +7,9 @@
 from aiohttp import web
 
 from primrosestile.coordination.caretaking import Caretaker
+from primrosestile.coordination.exchange import FRESH_SECONDS, Exchange
 from primrosestile.coordination.ownership import Ownership
+from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.errors import Failure
 from primrosestile.programs.common import (
     add_health_routes,
@@ -19,13 +21,22 @@
     start_http,
 )
 from primrosestile.programs.parts import AddressBook, Parts, make_parts
-from primrosestile.protocol.messages import Body, CellDigests, DemandReport, Envelope
+from primrosestile.protocol.messages import (
+    Body,
+    CellDigest,
+    CellDigests,
+    DemandReport,
+    DigestRequest,
+    Envelope,
+)
 from primrosestile.state.process import ProcessSettings
+from primrosestile.state.tenancy import Shape
 from primrosestile.transport.workers import make_workers
 
 PROGRAM = "placer"
 # The list lags by itself; reading it more often finds nothing sooner.
 VM_LIST_SECONDS = 2.0
+LOST_CHECK_SECONDS = 2.0
 
 _log = structlog.get_logger()
 
@@ -35,6 +46,20 @@
     set_up_logs(settings)
     parts = make_parts(settings, PROGRAM)
     workers = make_workers(AddressBook(parts.follower).find)
+    exchange = Exchange(
+        settings.name,
+        parts.peers,
+        parts.directory,
+        lambda: parts.follower.settings,
+        lambda: _list_digests(ownership),
+    )
+
+    def list_pictures(organisation: str, shape: Shape) -> list[CellPicture]:
+        in_force = parts.follower.settings
+        return exchange.table.list_pictures(
+            in_force, organisation, shape, FRESH_SECONDS
+        )
+
     ownership = Ownership(
         parts.store,
         workers,
@@ -42,6 +67,7 @@
         parts.directory,
         parts.registration.record,
         settings.task_lease_seconds,
+        list_pictures,
     )
     parts.follower.add_handler(ownership.take_settings)
     caretaker = Caretaker(
@@ -57,7 +83,11 @@
     async def answer_demand(envelope: Envelope) -> Body:
         return _answer_demand(ownership, envelope.body)
 
+    async def answer_digests(envelope: Envelope) -> Body:
+        return CellDigests(tuple(_list_digests(ownership)))
+
     parts.messages.add(DemandReport, answer_demand)
+    parts.messages.add(DigestRequest, answer_digests)
 
     async def show_cells(request: web.Request) -> web.Response:
         return answer_json([each.describe() for each in ownership.keepers.values()])
@@ -79,6 +109,8 @@
         *parts.list_services(),
         _run_when_ready(parts, ownership),
         caretaker.run(),
+        exchange.run(),
+        _tell_lost_domains(exchange, ownership),
         _read_vm_list(parts, ownership),
     ]
     await run_until_told(services, drain)
@@ -100,6 +132,20 @@
     return CellDigests(tuple(each.make_digest(report.entry) for each in keepers))
 
 
+def _list_digests(ownership: Ownership) -> list[CellDigest]:
+    """Return the digests of recovered cells, for nobody's slots."""
+    keepers = ownership.keepers.values()
+    return [each.make_digest("") for each in keepers if each.recovered.is_set()]
+
+
+async def _tell_lost_domains(exchange: Exchange, ownership: Ownership) -> None:
+    while True:
+        await asyncio.sleep(LOST_CHECK_SECONDS)
+        lost = exchange.list_lost_domains()
+        for keeper in ownership.keepers.values():
+            keeper.note_lost(lost)
+
+
 async def _read_vm_list(parts: Parts, ownership: Ownership) -> None:
     while True:
         try:
--- a/src/primrosestile/protocol/messages.py
+++ b/src/primrosestile/protocol/messages.py
@@ -41,6 +41,10 @@
     cells: tuple[CellDigest, ...]
 
 
+class DigestRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks a placer for the digests of its cells, without slots."""
+
+
 class DemandReport(msgspec.Struct, frozen=True, tag=True):
     """An entry's need of slots, sent to each placer each second.
 
@@ -97,6 +101,7 @@
 
 Body = (
     CellDigests
+    | DigestRequest
     | DemandReport
     | SettingsDigest
     | SettingsRequest
--- a/src/primrosestile/state/jobs.py
+++ b/src/primrosestile/state/jobs.py
@@ -14,11 +14,14 @@
     """Where a gang job stands.
 
     ACCEPTED jobs wait for a place. STARTED is written before any member is told
-    to go: from then on the job may run. The last four are final.
+    to go: from then on the job may run. MOVING is the intention to hand a waiting
+    job to another cell; MOVED says that it stands there. The others are final.
     """
 
     ACCEPTED = "accepted"
     STARTED = "started"
+    MOVING = "moving"
+    MOVED = "moved"
     FINISHED = "finished"
     FAILED = "failed"
     CANCELLED = "cancelled"
@@ -27,7 +30,7 @@
     @property
     def is_final(self) -> bool:
         """Whether the job can no longer change."""
-        return self not in (JobState.ACCEPTED, JobState.STARTED)
+        return self not in (JobState.ACCEPTED, JobState.STARTED, JobState.MOVING)
 
 
 class ReasonCode(Enum):
@@ -49,6 +52,8 @@
     MEMBER_LOST = "member_lost"
     RECLAIMED = "reclaimed"
     MOVED_TO_DEFRAGMENT = "moved_to_defragment"
+    MOVED_TO_CELL = "moved_to_cell"
+    WORKER_LEAVING = "worker_leaving"
     RESTARTED = "restarted"
     ADOPTED = "adopted"
     FINISHED = "finished"
@@ -115,6 +120,7 @@
         members: Where the latest attempt was started.
         cancel_requested: Set by any entry; the owner acts on it.
         checkpoint: Progress saved, as seconds of work already done.
+        moved_to: The id under which the job goes on in another cell.
         history: The latest reasons, oldest first.
     """
 
@@ -129,6 +135,7 @@
     started_at: float = 0.0
     finished_at: float = 0.0
     failures: int = 0
+    moved_to: str = ""
     history: tuple[Reason, ...] = ()
 
     def with_reason(self, reason: Reason) -> "JobRecord":
--- a/tools/bench/requests_driver.py
+++ b/tools/bench/requests_driver.py
@@ -93,16 +93,12 @@
         self._plan = plan
         self._clock = clock
         self._queue_inside = queue_inside
-        self._workers = {
-            name: _Worker(name, plan.slots) for name in plan.worker_names
-        }
+        self._workers = {name: _Worker(name, plan.slots) for name in plan.worker_names}
         self.attempts = 0
         self.refused = 0
         self.busy_seconds = 0.0
 
-    def send(
-        self, name: str, run: float, done: Callable[[str, float], None]
-    ) -> None:
+    def send(self, name: str, run: float, done: Callable[[str, float], None]) -> None:
         """Run a request; `done` gets `ok`, `failed`, `refused` or `leaving`."""
         worker = self._workers[name]
         self.attempts += 1
