Let open connections to any part of the stand-in go silent

Silence is now the listener's own, for the store as for workers; what came before it is still done and only its answer lost.

--- a/features/standin/store.feature
+++ b/features/standin/store.feature
@@ -126,6 +126,19 @@
     Then the stand-in's call failed as store_answer_lost
     And "a/1" comes to be stored as "x"
 
+  Scenario: Connections to the store that went silent are replaced
+    Something between the two ends has lost track of the connections that were
+    open. New ones work, so one write may be in doubt, but not the next.
+    Given the stand-in reached over HTTP
+    And a watch of "a/" from revision 1
+    When "x" is put at "a/1" expecting revision 0
+    And the stand-in's faults become {"store": {"silent": true}}
+    And "y" is put at "a/2" expecting revision 0
+    Then the stand-in's call failed as store_answer_lost
+    And the watch comes to fail as store_unavailable
+    When "z" is put at "a/3" expecting revision 0
+    Then "a/3" is stored as "z"
+
   Scenario: A dead address is passed over
     Given the stand-in reached over HTTP
     And a dead address before the store's own
--- a/src/primrosestile_standin/faults.py
+++ b/src/primrosestile_standin/faults.py
@@ -20,6 +20,7 @@
         lose_answers: How many of the next writes take effect unheard.
         lose_all_answers: Every write takes effect unheard.
         silent_watches: Watches stay open and say nothing.
+        silent: When set, connections that are open go silent; new ones work.
     """
 
     down: bool = False
@@ -27,6 +28,7 @@
     lose_answers: int = 0
     lose_all_answers: bool = False
     silent_watches: bool = False
+    silent: bool = False
 
     def take_lost_answer(self) -> bool:
         """Return whether the answer of this write is lost, counting it."""
@@ -52,7 +54,7 @@
         late_seconds: How long a finished answer is held back.
         crossed: Answers carry the id and body of the answer before them.
         truncated: Answers end before their stated length.
-        silent: Connections that are open now go silent; new ones work.
+        silent: When set, connections that are open go silent; new ones work.
         slow_factor: How many times longer than expected a request takes.
     """
 
--- a/src/primrosestile_standin/listener.py
+++ b/src/primrosestile_standin/listener.py
@@ -5,11 +5,14 @@
 and cuts what is open, and its end listens on the same port again.
 """
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 
 SHUTDOWN_SECONDS = 0.2
+SILENT: web.AppKey[set[Any]] = web.AppKey("silent", set)
 
 
 class Listener:
@@ -17,6 +20,9 @@
 
     def __init__(self, app: web.Application, address: str) -> None:
         host, _, port = address.rpartition(":")
+        app[SILENT] = set()
+        app.middlewares.insert(0, keep_silent)
+        self._app = app
         self._host = host
         self._port = int(port)
         self._runner = web.AppRunner(
@@ -57,6 +63,10 @@
         for transport in self.list_transports():
             transport.abort()
 
+    def silence(self) -> None:
+        """Let every connection that is open now go silent for good."""
+        self._app[SILENT].update(self.list_transports())
+
     def list_transports(self) -> list[Any]:
         """Return the transports of all open connections."""
         server = self._runner.server
@@ -68,3 +78,38 @@
         """Stop for good."""
         await self._runner.cleanup()
         self._site = None
+
+
+@web.middleware
+async def keep_silent(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Answer nothing on a connection that has gone silent.
+
+    What came before the silence is still done: only its answer is lost.
+    """
+    if is_silent(request):
+        return await hang()
+    response = await handler(request)
+    if is_silent(request):
+        return await hang()
+    return response
+
+
+def is_silent(request: web.Request) -> bool:
+    """Return whether nothing more is said on a request's connection."""
+    return request.transport in request.app[SILENT]
+
+
+async def hang() -> web.StreamResponse:
+    """Wait until the other end gives the connection up."""
+    # The listener cancels a handler whose connection is lost, which ends the wait.
+    await asyncio.Event().wait()
+    return web.Response(status=500)
+
+
+def cut_connection(request: web.Request) -> None:
+    """Cut a request's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
--- a/src/primrosestile_standin/platform.py
+++ b/src/primrosestile_standin/platform.py
@@ -55,7 +55,6 @@
     """Workers at one address."""
 
     workers: dict[str, MemoryWorker]
-    served: ServedWorkers
     listener: Listener
 
 
@@ -157,10 +156,9 @@
 
     async def _serve_group(self, address: str, members: list[Worker]) -> str:
         cores = {each.name: self.add_worker(each) for each in members}
-        served = ServedWorkers(cores)
-        listener = Listener(served.make_app(), address)
+        listener = Listener(ServedWorkers(cores).make_app(), address)
         await listener.open()
-        self._groups.append(_Group(cores, served, listener))
+        self._groups.append(_Group(cores, listener))
         return listener.address
 
     async def _serve_other(self, app: web.Application, address: str) -> str:
@@ -172,11 +170,13 @@
     async def _apply_to_listeners(self) -> None:
         if self._store_listener is not None:
             await set_open(self._store_listener, not self.store.faults.down)
+            if self.store.faults.silent:
+                self._store_listener.silence()
         for group in self._groups:
             faults = [worker.faults for worker in group.workers.values()]
             await set_open(group.listener, not all(each.down for each in faults))
             if any(each.silent for each in faults):
-                group.served.silent.update(group.listener.list_transports())
+                group.listener.silence()
 
     async def _answer_faults(self, request: web.Request) -> web.Response:
         try:
--- a/src/primrosestile_standin/store_http.py
+++ b/src/primrosestile_standin/store_http.py
@@ -11,6 +11,7 @@
 from primrosestile.protocol.store import Change, Page, Swap
 from primrosestile.transport import gateway
 from primrosestile.transport.wire import decode_json, encode_json
+from primrosestile_standin.listener import cut_connection, is_silent
 from primrosestile_standin.store import MemoryStore, find_end
 
 PROGRESS_SECONDS = 1.0
@@ -57,12 +58,6 @@
         return web.Response(status=status, body=body)
 
 
-def cut_connection(request: web.Request) -> None:
-    """Cut a request's connection without an answer."""
-    if request.transport is not None:
-        request.transport.abort()
-
-
 class _ServedStore:
     """The gateway's calls, each put to the core."""
 
@@ -136,7 +131,7 @@
         try:
             while request.transport is not None:
                 await asyncio.wait({upcoming}, timeout=PROGRESS_SECONDS)
-                if self._store.faults.silent_watches:
+                if self._store.faults.silent_watches or is_silent(request):
                     continue
                 events: tuple[gateway.Event, ...] = ()
                 if upcoming.done():
--- a/src/primrosestile_standin/workers_http.py
+++ b/src/primrosestile_standin/workers_http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from aiohttp import web
 
@@ -11,7 +11,7 @@
 from primrosestile.transport import control
 from primrosestile.transport.wire import decode_json, encode_json
 from primrosestile.transport.workers import REFUSED_STATUS
-from primrosestile_standin.store_http import cut_connection
+from primrosestile_standin.listener import cut_connection, hang
 from primrosestile_standin.worker import MemoryWorker
 
 BODY_LIMIT_BYTES = 16_000_000
@@ -20,16 +20,11 @@
 
 
 class ServedWorkers:
-    """The calls to some workers that share one address.
-
-    Attributes:
-        silent: Transports on which nothing is answered any more.
-    """
+    """The calls to some workers that share one address."""
 
     def __init__(self, workers: Mapping[str, MemoryWorker]) -> None:
         self._workers = workers
         self._previous: dict[str, RequestAnswer] = {}
-        self.silent: set[Any] = set()
 
     def make_app(self) -> web.Application:
         """Return the application; a sole worker is served without a prefix too."""
@@ -65,7 +60,7 @@
             if worker.faults.down:
                 cut_connection(request)
                 return web.Response(status=500)
-            if worker.faults.frozen or request.transport in self.silent:
+            if worker.faults.frozen:
                 return await hang()
             try:
                 response = await handler(request, worker)
@@ -76,7 +71,7 @@
                 await asyncio.sleep(worker.faults.late_seconds)
             if worker.faults.take_lost_answer():
                 cut_connection(request)
-            if worker.faults.frozen or request.transport in self.silent:
+            if worker.faults.frozen:
                 return await hang()
             return response
 
@@ -195,10 +190,3 @@
     if request.transport is not None:
         request.transport.close()
     return short
-
-
-async def hang() -> web.StreamResponse:
-    """Wait until the other end gives the connection up."""
-    # The listener cancels a handler whose connection is lost, which ends the wait.
-    await asyncio.Event().wait()
-    return web.Response(status=500)
