Add the steward's pages and the command line

Operators need to read, change, follow and explain without knowing the store. The command line answers each failure with a sentence and an exit code from one table. An editor is not started by 'settings edit', since a process starts no other: it sets single parts by name.

Checked by hand: both examples exit 0, a file that is no JSON exits 2, an address that nobody listens on exits 3.

--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -15,9 +15,9 @@
 
 from primrosestile.decisions.admission import Waiting
 from primrosestile.decisions.capacity import Capacity
-from primrosestile.decisions.servicetimes import Experience
 from primrosestile.decisions.outliers import make_outliers
 from primrosestile.decisions.retries import make_retry_budget
+from primrosestile.decisions.servicetimes import Experience
 from primrosestile.state.tenancy import Policy, Urgency
 
 __all__ = ["Outcome", "Router", "make_router"]
--- a/src/primrosestile/decisions/settingscheck.py
+++ b/src/primrosestile/decisions/settingscheck.py
@@ -82,6 +82,11 @@
     return _check_raw(raw)
 
 
+def check_settings(settings: Settings) -> tuple[Fault, ...]:
+    """Return each fault of settings that are in force."""
+    return _check_raw(json.loads(msgspec.json.encode(settings)))
+
+
 def check_change(settings: Settings, path: str, value: str) -> tuple[Fault, ...]:
     """Return the faults that a change of one path would bring.
 
--- /dev/null
+++ b/src/primrosestile/programs/cli.py
@@ -0,0 +1,35 @@
+"""The command line for operators and callers.
+
+Whatever goes wrong, a command answers with a sentence and an exit code. A
+traceback would tell its reader nothing about what to do next.
+"""
+
+import sys
+
+import typer
+
+from primrosestile.programs import clichanges, clijobs, cliviews
+from primrosestile.programs.clioutput import Exit, describe_exits, print_note
+
+app = typer.Typer(
+    name="primrosestile",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    add_completion=False,
+    help="Settings, jobs and views of a primrosestile deployment.",
+    epilog=describe_exits(),
+)
+app.add_typer(clichanges.app, name="settings")
+app.add_typer(clijobs.app, name="job")
+app.command(epilog="Example: primrosestile fleet --json")(cliviews.fleet)
+app.command(epilog="Example: primrosestile guarantees")(cliviews.guarantees)
+
+
+def main() -> None:
+    """Run one command and exit with its code."""
+    try:
+        app()
+    except Exception as error:
+        print_note(f"internal: {type(error).__name__}: {error}")
+        print_note("This is a fault of the program; report it with the command used.")
+        sys.exit(Exit.FAULT)
--- /dev/null
+++ b/src/primrosestile/programs/clichanges.py
@@ -0,0 +1,253 @@
+"""Commands that change settings: put, edit, rollback, load."""
+
+import asyncio
+from typing import Annotated, Any
+
+import typer
+
+from primrosestile.coordination.settingstore import put_setting, read_setting
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.programs.cliclient import Client, read_file, run_client
+from primrosestile.programs.clidocuments import list_sections, read_json, set_part
+from primrosestile.programs.clifollow import wait_in_force
+from primrosestile.programs.clioptions import (
+    STEWARD_DEFAULT,
+    WAIT_DEFAULT_SECONDS,
+    AsJson,
+    Comment,
+    Steward,
+    TokenFile,
+    Wait,
+    WaitSeconds,
+)
+from primrosestile.programs.clioutput import (
+    Progress,
+    print_lines,
+    print_note,
+    print_value,
+    run_command,
+)
+from primrosestile.programs.clisettings import (
+    FileArgument,
+    PathArgument,
+    app,
+    require_valid,
+)
+from primrosestile.transport.store import make_store
+from primrosestile.transport.wire import encode_json
+
+DIRECT_ACTOR = "store-access"
+
+
+@app.command(
+    epilog="Example: primrosestile settings put teams/preview preview.json --revision 4"
+)
+def put(
+    path: PathArgument,
+    file: FileArgument,
+    revision: Annotated[
+        int | None,
+        typer.Option(
+            help="The revision that you have seen; the present one if left out."
+        ),
+    ] = None,
+    comment: Comment = "",
+    wait: Wait = False,
+    wait_seconds: WaitSeconds = WAIT_DEFAULT_SECONDS,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Store the value of one path; the file `null` removes a team."""
+
+    def work() -> None:
+        value = read_json(read_file(file), str(file))
+
+        async def change(client: Client) -> Any:
+            seen = await _read_revision(client, path) if revision is None else revision
+            return await _change(client, path, seen, value, comment, wait, wait_seconds)
+
+        _print_accepted(run_client(steward, token_file, change), as_json)
+
+    run_command(work, as_json)
+
+
+async def _read_revision(client: Client, path: str) -> int:
+    listed = await client.call("GET", "/v1/settings")
+    revisions = {each["path"]: each["revision"] for each in listed["settings"]}
+    return int(revisions.get(path, 0))
+
+
+async def _change(
+    client: Client,
+    path: str,
+    revision: int,
+    value: Any,
+    comment: str,
+    wait: bool,
+    wait_seconds: float,
+) -> Any:
+    body = {"revision": revision, "value": value, "comment": comment}
+    accepted = await client.call("PUT", f"/v1/settings/{path}", body)
+    if wait:
+        await wait_in_force(client, wait_seconds)
+    return accepted
+
+
+def _print_accepted(accepted: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        print_value(accepted)
+        return
+    print_lines([f"{accepted['path']} is at revision {accepted['revision']}"])
+    for fault in accepted["warnings"]:
+        print_note(f"warning: {fault['path']}: {fault['reason']} {fault['remedy']}")
+
+
+@app.command(
+    epilog="Example: primrosestile settings edit teams/preview"
+    " --set quota_accelerators=32 --set 'classes[0].deadline_seconds=4.5'"
+)
+def edit(
+    path: PathArgument,
+    assignments: Annotated[
+        list[str], typer.Option("--set", help="NAME=JSON; may be given several times.")
+    ],
+    comment: Comment = "",
+    wait: Wait = False,
+    wait_seconds: WaitSeconds = WAIT_DEFAULT_SECONDS,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Change single parts of a value, and nothing that others change meanwhile.
+
+    For larger changes: get the value into a file, change it with any editor, and
+    put it with the revision that `get` has shown.
+    """
+
+    async def change(client: Client) -> Any:
+        shown = await client.call("GET", f"/v1/settings/{path}")
+        for assignment in assignments:
+            set_part(shown["value"], assignment)
+        revision, value = shown["revision"], shown["value"]
+        return await _change(client, path, revision, value, comment, wait, wait_seconds)
+
+    def work() -> None:
+        _print_accepted(run_client(steward, token_file, change), as_json)
+
+    run_command(work, as_json)
+
+
+@app.command(epilog="Example: primrosestile settings rollback policy 3 -m 'too strict'")
+def rollback(
+    path: PathArgument,
+    revision: Annotated[int, typer.Argument(help="The revision whose value to take.")],
+    comment: Comment = "",
+    wait: Wait = False,
+    wait_seconds: WaitSeconds = WAIT_DEFAULT_SECONDS,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Store an earlier value again, as a new and checked change."""
+
+    async def change(client: Client) -> Any:
+        url = f"/v1/history/{path}?limit=1&before={revision + 1}"
+        entries = (await client.call("GET", url))["entries"]
+        if not entries or entries[0]["revision"] != revision:
+            raise Failure(ErrorKind.NOT_FOUND, f"{path} has no revision {revision}")
+        reason = comment or f"rollback to revision {revision}"
+        value = entries[0]["after"]
+        seen = await _read_revision(client, path)
+        return await _change(client, path, seen, value, reason, wait, wait_seconds)
+
+    def work() -> None:
+        _print_accepted(run_client(steward, token_file, change), as_json)
+
+    run_command(work, as_json)
+
+
+@app.command(epilog="Example: primrosestile settings load settings.json")
+def load(
+    file: FileArgument,
+    store: Annotated[
+        str,
+        typer.Option(
+            help="Write to the platform's store at ip:port, for the first load."
+        ),
+    ] = "",
+    comment: Comment = "",
+    wait: Wait = False,
+    wait_seconds: WaitSeconds = WAIT_DEFAULT_SECONDS,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Check a settings file and store each part that differs at its path.
+
+    The first load of a deployment goes to the store itself, since no operator's
+    key is in force yet. Teams that the file does not name are left as they are.
+    """
+
+    def work() -> None:
+        sections = list(list_sections(require_valid(file, as_json)))
+        if store:
+            accepted = asyncio.run(_load_store(store, sections, comment))
+        else:
+            accepted = run_client(
+                steward,
+                token_file,
+                lambda client: _load_all(client, sections, comment),
+            )
+        if wait:
+            run_client(
+                steward,
+                token_file,
+                lambda client: wait_in_force(client, wait_seconds),
+            )
+        if as_json:
+            print_value({"accepted": accepted})
+        for each in () if as_json else accepted:
+            _print_accepted(each, as_json)
+
+    run_command(work, as_json)
+
+
+async def _load_all(
+    client: Client, sections: list[tuple[str, Any]], comment: str
+) -> list[Any]:
+    listed = await client.call("GET", "/v1/settings")
+    stands = {each["path"]: each for each in listed["settings"]}
+    accepted = []
+    progress = Progress()
+    for number, (path, value) in enumerate(sections, start=1):
+        progress.show(f"{number} of {len(sections)}: {path}")
+        found = stands.get(path, {"revision": 0, "value": None})
+        if found["value"] == value:
+            continue
+        body = {"revision": found["revision"], "value": value, "comment": comment}
+        accepted.append(await client.call("PUT", f"/v1/settings/{path}", body))
+    progress.end()
+    return accepted
+
+
+async def _load_store(
+    address: str, sections: list[tuple[str, Any]], comment: str
+) -> list[Any]:
+    store = make_store(lambda: (address,))
+    accepted = []
+    try:
+        for path, value in sections:
+            text = encode_json(value).decode()
+            current, _ = await read_setting(store, path)
+            if current is not None and current.value == text:
+                continue
+            revision = current.revision if current else 0
+            stored = await put_setting(
+                store, path, text, revision, DIRECT_ACTOR, comment
+            )
+            shown = {"path": path, "revision": stored.revision, "warnings": []}
+            accepted.append(shown)
+    finally:
+        await store.close()
+    return accepted
--- /dev/null
+++ b/src/primrosestile/programs/cliclient.py
@@ -0,0 +1,123 @@
+"""Calls from the command line to a steward or an entry.
+
+The token is read from the environment or a file and never from an argument, since
+arguments can be read by everyone on the machine and stay in the shell's history.
+"""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from primrosestile.decisions.settingscheck import Fault
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.programs.answers import REQUEST_ID_HEADER, ErrorBody
+from primrosestile.programs.clioutput import CommandFailure
+from primrosestile.transport.connections import Connections, FailureKinds, Reply
+from primrosestile.transport.wire import encode_json
+
+TOKEN_VARIABLE = "PRIMROSESTILE_TOKEN"
+CALL_TIMEOUT_SECONDS = 15.0
+FIRST_ERROR_STATUS = 400
+READING = ("GET",)
+
+T = TypeVar("T")
+
+
+class Client:
+    """One steward or entry, for the length of one command."""
+
+    def __init__(self, address: str, token: str) -> None:
+        self._address = address
+        self._token = token
+        self._connections = Connections()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        request_id: str = "",
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> Any:
+        """Send one call and return the JSON of its answer.
+
+        Raises:
+            CommandFailure: The other end refused.
+            Failure: NO_TARGET when nothing was sent, OUTCOME_UNKNOWN when a
+                change was sent and no answer came.
+        """
+        lost = ErrorKind.NO_TARGET if method in READING else ErrorKind.OUTCOME_UNKNOWN
+        headers = {"Content-Type": "application/json"}
+        if self._token:
+            headers["Authorization"] = f"Bearer {self._token}"
+        if request_id:
+            headers[REQUEST_ID_HEADER] = request_id
+        reply = await self._connections.call(
+            self._address,
+            path,
+            b"" if body is None else encode_json(body),
+            timeout,
+            FailureKinds(ErrorKind.NO_TARGET, lost),
+            headers=headers,
+            method=method,
+        )
+        return _read_reply(reply, self._address)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._connections.close()
+
+
+def _read_reply(reply: Reply, address: str) -> Any:
+    try:
+        if reply.status < FIRST_ERROR_STATUS:
+            return msgspec.json.decode(reply.body or b"null")
+        body = msgspec.json.decode(reply.body, type=ErrorBody)
+        faults = msgspec.json.decode(reply.body).get("faults", ())
+        raise CommandFailure(body, msgspec.convert(faults, tuple[Fault, ...]))
+    except msgspec.MsgspecError:
+        detail = f"{address} answered {reply.status}, in a form that is not ours"
+        kind = ErrorKind.NOT_FOUND if reply.status == 404 else ErrorKind.INTERNAL
+        raise Failure(kind, detail) from None
+
+
+def read_token(file: Path | None) -> str:
+    """Return the token of a file or of the environment; empty when none is set.
+
+    Raises:
+        Failure: MALFORMED when the file can't be read.
+    """
+    if file is None:
+        return os.environ.get(TOKEN_VARIABLE, "").strip()
+    return read_file(file).decode(errors="replace").strip()
+
+
+def read_file(file: Path) -> bytes:
+    """Return a file's content.
+
+    Raises:
+        Failure: MALFORMED when it can't be read.
+    """
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        raise Failure(ErrorKind.MALFORMED, f"{file}: {error.strerror}") from error
+
+
+def run_client(
+    address: str, token_file: Path | None, work: Callable[[Client], Awaitable[T]]
+) -> T:
+    """Run one command's calls and return what they came to."""
+
+    async def run() -> T:
+        client = Client(address, read_token(token_file))
+        try:
+            return await work(client)
+        finally:
+            await client.close()
+
+    return asyncio.run(run())
--- /dev/null
+++ b/src/primrosestile/programs/clijobs.py
@@ -0,0 +1,183 @@
+"""Commands on gang jobs: `primrosestile job ...`."""
+
+import asyncio
+import secrets
+from typing import Annotated, Any
+
+import typer
+
+from primrosestile.clock import read_clock
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.programs.cliclient import Client, run_client
+from primrosestile.programs.clioptions import (
+    ENTRY_DEFAULT,
+    STEWARD_DEFAULT,
+    AsJson,
+    Entry,
+    Steward,
+    TokenFile,
+    WaitSeconds,
+)
+from primrosestile.programs.clioutput import (
+    Exit,
+    Progress,
+    print_lines,
+    print_note,
+    print_value,
+    run_command,
+)
+from primrosestile.state.jobs import JobState
+from primrosestile.state.tenancy import Adjacency
+
+POLL_SECONDS = 1.0
+JOB_WAIT_SECONDS = 24 * 3600.0
+
+app = typer.Typer(no_args_is_help=True, help="Submit, follow and cancel gang jobs.")
+
+JobArgument = Annotated[str, typer.Argument(help="The id that `job submit` has shown.")]
+
+
+@app.command(
+    epilog="Example: primrosestile job submit --team show-production"
+    " --class starfield-render --seconds 5400 --wait"
+)
+def submit(
+    team: Annotated[str, typer.Option(help="Your team.")],
+    job_class: Annotated[str, typer.Option("--class", help="A job class of the team.")],
+    accelerators: Annotated[
+        int | None, typer.Option(min=1, help="How many; the class's shape if left out.")
+    ] = None,
+    adjacency: Annotated[
+        Adjacency, typer.Option(help="How close they must be.")
+    ] = Adjacency.WORKER,
+    seconds: Annotated[
+        float | None, typer.Option(min=0, help="Your guess of the run time.")
+    ] = None,
+    payload: Annotated[str, typer.Option(help="Text for the engine.")] = "",
+    request_id: Annotated[
+        str, typer.Option(help="Your own id; repeat it to ask again without risk.")
+    ] = "",
+    wait: Annotated[bool, typer.Option("--wait", help="Wait for its end.")] = False,
+    wait_seconds: WaitSeconds = JOB_WAIT_SECONDS,
+    as_json: AsJson = False,
+    entry: Entry = ENTRY_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Submit a gang job; its id is printed once it is durable."""
+    own_id = request_id or secrets.token_hex(8)
+    body: dict[str, Any] = {"team": team, "class": job_class, "payload": payload}
+    if accelerators is not None:
+        shape = {"accelerators": accelerators, "adjacency": adjacency}
+        body["shape"] = shape
+    if seconds is not None:
+        body["declared_seconds"] = seconds
+
+    async def send(client: Client) -> Any:
+        answer = await client.call("POST", "/v1/jobs", body, own_id)
+        if not wait:
+            return answer
+        print_note(f"accepted as {answer['job_id']}")
+        return await _wait_for_end(client, answer["job_id"], wait_seconds)
+
+    def work() -> None:
+        # Shown before the call: should its answer be lost, the same id submits
+        # the same job again and not a second one.
+        if not request_id:
+            print_note(f"request id {own_id}")
+        _print_job(run_client(entry, token_file, send), as_json)
+
+    run_command(work, as_json)
+
+
+@app.command(epilog="Example: primrosestile job status osborne-cell-1.00c5")
+def status(
+    job_id: JobArgument,
+    as_json: AsJson = False,
+    entry: Entry = ENTRY_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Show where a job stands."""
+
+    def work() -> None:
+        url = f"/v1/jobs/{job_id}"
+        found = run_client(entry, token_file, lambda client: client.call("GET", url))
+        _print_job(found, as_json)
+
+    run_command(work, as_json)
+
+
+@app.command(epilog="Example: primrosestile job cancel osborne-cell-1.00c5")
+def cancel(
+    job_id: JobArgument,
+    as_json: AsJson = False,
+    entry: Entry = ENTRY_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Ask for a job to be cancelled."""
+
+    def work() -> None:
+        url = f"/v1/jobs/{job_id}"
+        found = run_client(entry, token_file, lambda client: client.call("DELETE", url))
+        if as_json:
+            print_value(found)
+        else:
+            print_lines([f"{job_id} is to be cancelled"])
+
+    run_command(work, as_json)
+
+
+@app.command(epilog="Example: primrosestile job explain osborne-cell-1.00c5")
+def explain(
+    job_id: JobArgument,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Show each decision about a job, and why it was taken."""
+
+    def work() -> None:
+        url = f"/v1/jobs/{job_id}/explain"
+        found = run_client(steward, token_file, lambda client: client.call("GET", url))
+        if as_json:
+            print_value(found)
+            return
+        print_lines([f"{job_id}: {found['state']}. {found['summary']}"])
+        print_lines(f"  {reason['sentence']}" for reason in found["reasons"])
+
+    run_command(work, as_json)
+
+
+def _print_job(found: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        print_value(found)
+    else:
+        state = found.get("state", JobState.ACCEPTED.value)
+        print_lines([f"{found['job_id']} {state}"])
+    if found.get("state") in ENDED_BADLY:
+        raise typer.Exit(Exit.ENDED_BADLY)
+
+
+ENDED_BADLY = {
+    state.value
+    for state in JobState
+    if state.is_final and state is not JobState.FINISHED
+}
+ENDED = ENDED_BADLY | {JobState.FINISHED.value}
+
+
+async def _wait_for_end(client: Client, job_id: str, seconds: float) -> Any:
+    started = read_clock()
+    progress = Progress()
+    try:
+        while True:
+            found = await client.call("GET", f"/v1/jobs/{job_id}")
+            if found["state"] in ENDED:
+                return found
+            waited = read_clock() - started
+            if waited >= seconds:
+                detail = f"{job_id} is {found['state']} after {waited:.0f} s"
+                raise Failure(ErrorKind.DEADLINE_PASSED, detail)
+            progress.show(f"{job_id} {found['state']}, {waited:.0f} s")
+            await asyncio.sleep(POLL_SECONDS)
+    finally:
+        progress.end()
--- /dev/null
+++ b/src/primrosestile/programs/clioutput.py
@@ -0,0 +1,186 @@
+"""What the command line prints, and the one table of its exit codes.
+
+A script that calls a command acts on the exit code alone. So the codes keep apart
+what needs different actions: correct the input, come back later, look before
+trying again.
+"""
+
+import json
+import sys
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+import msgspec
+import typer
+
+from primrosestile.decisions.settingscheck import Fault
+from primrosestile.errors import ErrorKind, Failure, Ran
+from primrosestile.programs.answers import ErrorBody
+
+
+class Exit(IntEnum):
+    """Exit codes of every command."""
+
+    DONE = 0
+    FAULT = 1
+    INVALID = 2
+    UNREACHABLE = 3
+    NO_RIGHTS = 4
+    NOT_FOUND = 5
+    CONFLICT = 6
+    REFUSED = 7
+    UNKNOWN = 8
+    ENDED_BADLY = 9
+
+
+EXIT_MEANINGS: dict[Exit, str] = {
+    Exit.DONE: "done",
+    Exit.FAULT: "a fault of the program itself",
+    Exit.INVALID: "wrong usage or input, such as faults in settings",
+    Exit.UNREACHABLE: "nobody answered at the address, or the store is down",
+    Exit.NO_RIGHTS: "no token, or one without this right",
+    Exit.NOT_FOUND: "there is no such path, job or revision",
+    Exit.CONFLICT: "somebody else has changed it in the meantime",
+    Exit.REFUSED: "refused and not run; come back later",
+    Exit.UNKNOWN: "it may have been done; look before trying again",
+    Exit.ENDED_BADLY: "the job ended without finishing",
+}
+
+_EXITS: dict[ErrorKind, Exit] = {
+    ErrorKind.MALFORMED: Exit.INVALID,
+    ErrorKind.TOO_LARGE: Exit.INVALID,
+    ErrorKind.MISSING_REQUEST_ID: Exit.INVALID,
+    ErrorKind.UNKNOWN_CLASS: Exit.INVALID,
+    ErrorKind.UNKNOWN_TEAM: Exit.INVALID,
+    ErrorKind.UNKNOWN_ORGANISATION: Exit.INVALID,
+    ErrorKind.NEVER_FITS: Exit.INVALID,
+    ErrorKind.INVALID_SETTINGS: Exit.INVALID,
+    ErrorKind.NO_TARGET: Exit.UNREACHABLE,
+    ErrorKind.STORE_UNAVAILABLE: Exit.UNREACHABLE,
+    ErrorKind.UNAUTHENTICATED: Exit.NO_RIGHTS,
+    ErrorKind.FORBIDDEN: Exit.NO_RIGHTS,
+    ErrorKind.NOT_FOUND: Exit.NOT_FOUND,
+    ErrorKind.CONFLICT: Exit.CONFLICT,
+    ErrorKind.INTERNAL: Exit.FAULT,
+}
+
+
+class CommandFailure(Exception):
+    """A command's answer when it could not do what was asked."""
+
+    def __init__(self, body: ErrorBody, faults: Sequence[Fault] = ()) -> None:
+        super().__init__(body.detail)
+        self.body = body
+        self.faults = tuple(faults)
+
+    @property
+    def exit(self) -> Exit:
+        """The exit code for this failure."""
+        return choose_exit(self.body)
+
+
+def choose_exit(body: ErrorBody) -> Exit:
+    """Return the exit code of an error, also of a kind that is unknown here."""
+    known = {kind.value: kind for kind in ErrorKind}
+    kind = known.get(body.error)
+    if kind in _EXITS:
+        return _EXITS[kind]
+    return Exit.REFUSED if body.ran == Ran.NOT_RUN.value else Exit.UNKNOWN
+
+
+def make_failure_body(failure: Failure) -> ErrorBody:
+    """Return a failure met here in the form in which servers answer one."""
+    answer = failure.answer
+    return ErrorBody(
+        error=failure.kind.value,
+        detail=failure.detail,
+        ran=answer.ran.value,
+        remedy=answer.remedy,
+        retry_after=failure.come_back_after,
+        request_id="",
+    )
+
+
+def print_value(value: Any) -> None:
+    """Print any value as indented JSON."""
+    plain = msgspec.to_builtins(value)
+    typer.echo(json.dumps(plain, indent=1, ensure_ascii=False))
+
+
+def print_lines(lines: Iterable[str]) -> None:
+    """Print lines for people."""
+    for line in lines:
+        typer.echo(line)
+
+
+def print_note(text: str) -> None:
+    """Print something that isn't part of the result, so that pipes stay clean."""
+    typer.echo(text, err=True)
+
+
+def print_faults(faults: Sequence[Fault], as_json: bool) -> None:
+    """Print each fault with its path, reason and remedy."""
+    if as_json:
+        print_value({"faults": faults})
+        return
+    for fault in faults:
+        place = fault.path or "(whole file)"
+        typer.echo(f"{place}: {fault.reason}\n  {fault.remedy}")
+
+
+def print_failure(failure: CommandFailure, as_json: bool) -> None:
+    """Print why a command failed and what to do next."""
+    body = failure.body
+    if as_json:
+        shown = msgspec.to_builtins(body)
+        print_value({**shown, "faults": failure.faults} if failure.faults else shown)
+        return
+    print_note(f"{body.error}: {body.detail or body.remedy} ({body.ran})")
+    if body.detail:
+        print_note(body.remedy)
+    if body.retry_after is not None:
+        print_note(f"Come back in {body.retry_after:g} s.")
+    if body.request_id:
+        print_note(f"Request id: {body.request_id}")
+    print_faults(failure.faults, as_json=False)
+
+
+@dataclass(slots=True)
+class Progress:
+    """One line on the terminal that is written over while something lasts."""
+
+    shown: int = 0
+
+    def show(self, text: str) -> None:
+        """Write over the line; without a terminal, nothing is written."""
+        if sys.stderr.isatty():
+            sys.stderr.write("\r" + text.ljust(self.shown))
+            sys.stderr.flush()
+            self.shown = len(text)
+
+    def end(self) -> None:
+        """Leave the line as it stands."""
+        if self.shown:
+            sys.stderr.write("\n")
+            self.shown = 0
+
+
+def describe_exits() -> str:
+    """Return the table of exit codes, for the help."""
+    rows = (f"{code.value} {meaning}" for code, meaning in EXIT_MEANINGS.items())
+    return "Exit codes: " + "; ".join(rows) + "."
+
+
+def run_command(command: Callable[[], None], as_json: bool) -> None:
+    """Run a command; print each failure as an answer and exit with its code."""
+    try:
+        command()
+    except CommandFailure as failure:
+        print_failure(failure, as_json)
+        raise typer.Exit(failure.exit) from None
+    except Failure as failure:
+        found = CommandFailure(make_failure_body(failure))
+        print_failure(found, as_json)
+        raise typer.Exit(found.exit) from None
--- /dev/null
+++ b/src/primrosestile/programs/clisettings.py
@@ -0,0 +1,197 @@
+"""Commands on settings: `primrosestile settings ...`."""
+
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from primrosestile.decisions.settingscheck import check_document
+from primrosestile.programs.cliclient import Client, read_file, run_client
+from primrosestile.programs.clidocuments import (
+    compare_values,
+    list_sections,
+    read_json,
+)
+from primrosestile.programs.clifollow import wait_in_force
+from primrosestile.programs.clioptions import (
+    STEWARD_DEFAULT,
+    WAIT_DEFAULT_SECONDS,
+    AsJson,
+    Steward,
+    TokenFile,
+    Wait,
+    WaitSeconds,
+)
+from primrosestile.programs.clioutput import (
+    Exit,
+    print_faults,
+    print_lines,
+    print_note,
+    print_value,
+    run_command,
+)
+
+app = typer.Typer(no_args_is_help=True, help="Check, read, change and follow settings.")
+
+PathArgument = Annotated[
+    str, typer.Argument(help="fleet, guarantees, policy or teams/<team>.")
+]
+FileArgument = Annotated[Path, typer.Argument(help="A JSON file.")]
+
+
+@app.command(epilog="Example: primrosestile settings check settings.json")
+def check(file: FileArgument, as_json: AsJson = False) -> None:
+    """Check a whole settings file and show each fault with its remedy.
+
+    Works without a connection. Exits with 2 when there is a fault.
+    """
+
+    def work() -> None:
+        require_valid(file, as_json)
+        if as_json:
+            print_value({"faults": []})
+        else:
+            print_lines([f"{file}: no faults"])
+
+    run_command(work, as_json)
+
+
+def require_valid(file: Path, as_json: bool) -> dict[str, Any]:
+    """Return the document of a file, or print its faults and exit."""
+    data = read_file(file)
+    faults = check_document(data)
+    if faults:
+        print_faults(faults, as_json)
+        raise typer.Exit(Exit.INVALID)
+    return read_json(data, str(file))
+
+
+@app.command(epilog="Example: primrosestile settings get teams/preview > preview.json")
+def get(
+    path: Annotated[str, typer.Argument(help="A path; all of them if left out.")] = "",
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Show the value and revision of a path, or list all paths."""
+
+    def work() -> None:
+        url = f"/v1/settings/{path}" if path else "/v1/settings"
+        shown = run_client(steward, token_file, lambda client: client.call("GET", url))
+        if as_json:
+            print_value(shown)
+        elif path:
+            print_note(f"{path} at revision {shown['revision']}{_say_stale(shown)}")
+            print_value(shown["value"])
+        else:
+            print_lines(
+                f"{each['path']} at revision {each['revision']}{_say_stale(each)}"
+                for each in shown["settings"]
+            )
+
+    run_command(work, as_json)
+
+
+def _say_stale(shown: dict[str, Any]) -> str:
+    return " (the store is down; this may lag)" if shown["stale"] else ""
+
+
+@app.command(epilog="Example: primrosestile settings diff settings.json")
+def diff(
+    file: FileArgument,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Show how a settings file differs from the settings in force."""
+
+    def work() -> None:
+        document = require_valid(file, as_json)
+        listed = run_client(
+            steward, token_file, lambda client: client.call("GET", "/v1/settings")
+        )
+        stands = {each["path"]: each["value"] for each in listed["settings"]}
+        wanted = dict(list_sections(document))
+        changed = {
+            path: compare_values(path, stands.get(path), wanted.get(path))
+            for path in sorted(stands.keys() | wanted.keys())
+        }
+        changed = {path: lines for path, lines in changed.items() if lines}
+        if as_json:
+            print_value({"changed": changed})
+        else:
+            print_lines(line for lines in changed.values() for line in lines)
+
+    run_command(work, as_json)
+
+
+@app.command(epilog="Example: primrosestile settings history policy --limit 5")
+def history(
+    path: PathArgument,
+    limit: Annotated[int, typer.Option(min=1, max=50, help="Entries a page.")] = 20,
+    before: Annotated[
+        int | None, typer.Option(help="Only entries before this revision.")
+    ] = None,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Show who changed a path, when, why and what; newest first."""
+
+    def work() -> None:
+        url = f"/v1/history/{path}?limit={limit}"
+        url += f"&before={before}" if before is not None else ""
+        page = run_client(steward, token_file, lambda client: client.call("GET", url))
+        if as_json:
+            print_value(page)
+            return
+        for entry in page["entries"]:
+            when = _format_time(entry["time"])
+            actor, comment = entry["actor"], entry["comment"]
+            print_lines(
+                [f"revision {entry['revision']} at {when} by {actor}: {comment}"]
+            )
+            print_lines(compare_values(path, entry["before"], entry["after"])[2:])
+        if page["next_before"] is not None:
+            print_note(f"More: --before {page['next_before']}")
+
+    run_command(work, as_json)
+
+
+def _format_time(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
+
+
+@app.command(epilog="Example: primrosestile settings status --wait")
+def status(
+    wait: Wait = False,
+    wait_seconds: WaitSeconds = WAIT_DEFAULT_SECONDS,
+    as_json: AsJson = False,
+    steward: Steward = STEWARD_DEFAULT,
+    token_file: TokenFile = None,
+) -> None:
+    """Show which process has applied which revision."""
+
+    async def read(client: Client) -> Any:
+        if wait:
+            return await wait_in_force(client, wait_seconds)
+        return await client.call("GET", "/v1/status")
+
+    def work() -> None:
+        found = run_client(steward, token_file, read)
+        if as_json:
+            print_value(found)
+            return
+        print_lines(
+            f"{each['path']} revision {each['revision']}:"
+            f" {each['applied']} of {each['processes']} processes"
+            for each in found["paths"]
+        )
+        for process in found["processes"]:
+            if not process["answered"]:
+                print_lines([f"{process['name']} does not answer"])
+            elif process["behind"]:
+                print_lines([f"{process['name']} lags: {process['behind']}"])
+
+    run_command(work, as_json)
--- /dev/null
+++ b/src/primrosestile/programs/stewardviews.py
@@ -0,0 +1,243 @@
+"""The steward's views: who applies which settings, the fleet, why a job waits.
+
+Nothing here is kept. Each view asks the store and the running processes at that
+moment, and says of each process whether it answered.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from primrosestile.coordination.follower import SettingsFollower
+from primrosestile.coordination.jobbook import decode_job, make_job_key
+from primrosestile.coordination.membership import PROCESSES_PREFIX, decode_process
+from primrosestile.coordination.writing import list_all
+from primrosestile.decisions.access import require_operator, require_rights
+from primrosestile.decisions.guarantees import find_infeasible
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.programs.answers import make_json_answer
+from primrosestile.programs.reasons import STATE_SENTENCES, describe_reason
+from primrosestile.protocol.store import Store
+from primrosestile.state.jobs import JobRecord, ProcessRecord
+from primrosestile.transport.connections import Connections, FailureKinds
+
+ASK_TIMEOUT_SECONDS = 2.0
+# Asked at once. Each answer is small; the limit keeps one look at the status of a
+# large deployment from being a burst.
+ASK_AT_ONCE = 32
+PLACER = "placer"
+
+_KINDS = FailureKinds(ErrorKind.NO_TARGET, ErrorKind.NO_TARGET)
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStatus:
+    """How far one process is.
+
+    Attributes:
+        behind: The applied revision of each path that lags; 0 for none yet.
+    """
+
+    name: str
+    program: str
+    vm: str
+    leaving: bool
+    answered: bool
+    behind: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class PathStatus:
+    """How far one path is.
+
+    Attributes:
+        applied: Processes that have this revision or a later one.
+    """
+
+    path: str
+    revision: int
+    applied: int
+    processes: int
+
+
+class Views:
+    """Handlers that show what is."""
+
+    def __init__(
+        self, store: Store, follower: SettingsFollower, connections: Connections
+    ) -> None:
+        self._store = store
+        self._follower = follower
+        self._connections = connections
+        self._asking = asyncio.Semaphore(ASK_AT_ONCE)
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the views to an application."""
+        app.router.add_get("/v1/status", self.show_status)
+        app.router.add_get("/v1/fleet", self.show_fleet)
+        app.router.add_get("/v1/guarantees", self.show_guarantees)
+        app.router.add_get("/v1/jobs/{job_id}/explain", self.explain_job)
+
+    async def show_status(self, request: web.Request) -> web.Response:
+        """Answer which process has applied which revision."""
+        self._require_operator(request)
+        revisions = dict(self._follower.revisions)
+        records = await self._list_processes()
+        answers = await self._ask_all(records, "/v1/applied")
+        processes = [
+            _describe_process(record, answer, revisions)
+            for record, answer in zip(records, answers, strict=True)
+        ]
+        paths = [
+            _describe_path(path, revision, processes)
+            for path, revision in sorted(revisions.items())
+        ]
+        everywhere = all(path.applied == path.processes for path in paths)
+        return make_json_answer(
+            {"in_force_everywhere": everywhere, "paths": paths, "processes": processes}
+        )
+
+    async def show_fleet(self, request: web.Request) -> web.Response:
+        """Answer each cell as its owner describes it."""
+        self._require_operator(request)
+        fleet = self._follower.settings.fleet
+        cells = await self._read_cells()
+        owned = {cell.get("cell") for cell in cells}
+        return make_json_answer(
+            {
+                "workers": len(fleet.workers),
+                "accelerators": sum(each.accelerators for each in fleet.workers),
+                "cells": cells,
+                "without_owner": [
+                    cell.name for cell in fleet.cells if cell.name not in owned
+                ],
+            }
+        )
+
+    async def show_guarantees(self, request: web.Request) -> web.Response:
+        """Answer each guarantee, what is held of it, and whether all can hold."""
+        self._require_operator(request)
+        settings = self._follower.settings
+        held = _count_held(await self._read_cells())
+        shown = [
+            {**asdict(each), "organisation_holds": held.get(each.organisation, 0)}
+            for each in settings.guarantees.guarantees
+        ]
+        return make_json_answer(
+            {
+                "guarantees": shown,
+                "infeasible": find_infeasible(settings.fleet, settings.guarantees),
+            }
+        )
+
+    async def explain_job(self, request: web.Request) -> web.Response:
+        """Answer where a job stands, and why, to its team or an operator."""
+        header = request.headers.get("Authorization")
+        rights = require_rights(self._follower.settings, header)
+        job_id = request.match_info["job_id"]
+        entry = await self._store.get(make_job_key(job_id))
+        record = None if entry is None else decode_job(entry.value)
+        # Another team's job looks as one that does not exist, so that ids can't
+        # be tried out.
+        if record is None or not rights.may_see(
+            record.spec.organisation, record.spec.team
+        ):
+            raise Failure(ErrorKind.NOT_FOUND, f"there is no job {job_id}")
+        return make_json_answer(explain(record))
+
+    def _require_operator(self, request: web.Request) -> None:
+        require_operator(self._follower.settings, request.headers.get("Authorization"))
+
+    async def _list_processes(self) -> list[ProcessRecord]:
+        entries, _ = await list_all(self._store, PROCESSES_PREFIX)
+        return [decode_process(entry.value) for entry in entries]
+
+    async def _read_cells(self) -> list[dict[str, Any]]:
+        records = await self._list_processes()
+        placers = [each for each in records if each.program == PLACER]
+        answers = await self._ask_all(placers, "/v1/cells")
+        return [cell for answer in answers if answer for cell in answer["cells"]]
+
+    async def _ask_all(self, records: list[ProcessRecord], path: str) -> list[Any]:
+        asks = (self._ask(record, path) for record in records)
+        return await asyncio.gather(*asks)
+
+    async def _ask(self, record: ProcessRecord, path: str) -> Any:
+        """Return the answer of one process; None when it gave none."""
+        try:
+            async with self._asking:
+                reply = await self._connections.call(
+                    record.http, path, b"", ASK_TIMEOUT_SECONDS, _KINDS, method="GET"
+                )
+            if reply.status != web.HTTPOk.status_code:
+                return None
+            return msgspec.json.decode(reply.body)
+        except (Failure, msgspec.MsgspecError):
+            return None
+
+
+def _describe_process(
+    record: ProcessRecord, answer: Any, revisions: Mapping[str, int]
+) -> ProcessStatus:
+    applied = answer["revisions"] if answer else {}
+    behind = {
+        path: applied.get(path, 0)
+        for path, revision in revisions.items()
+        if applied.get(path, 0) < revision
+    }
+    return ProcessStatus(
+        name=record.name,
+        program=record.program,
+        vm=record.vm,
+        leaving=record.leaving,
+        answered=answer is not None,
+        behind=behind,
+    )
+
+
+def _describe_path(
+    path: str, revision: int, processes: list[ProcessStatus]
+) -> PathStatus:
+    applied = sum(path not in process.behind for process in processes)
+    return PathStatus(path, revision, applied, len(processes))
+
+
+def _count_held(cells: list[dict[str, Any]]) -> dict[str, int]:
+    held: dict[str, int] = {}
+    for cell in cells:
+        for holding in cell.get("held", ()):
+            members = holding["members"]
+            count = sum(len(member["accelerators"]) for member in members)
+            name = holding["organisation"]
+            held[name] = held.get(name, 0) + count
+    return held
+
+
+def explain(record: JobRecord) -> dict[str, Any]:
+    """Return where a job stands and each reason, as sentences."""
+    spec = record.spec
+    return {
+        "job_id": spec.job_id,
+        "organisation": spec.organisation,
+        "team": spec.team,
+        "class": spec.job_class,
+        "shape": spec.shape,
+        "state": record.state,
+        "summary": STATE_SENTENCES[record.state],
+        "attempt": record.attempt,
+        "failures": record.failures,
+        "cancel_requested": record.cancel_requested,
+        "members": record.members,
+        "reasons": [
+            {
+                "time": reason.time,
+                "code": reason.code,
+                "sentence": describe_reason(reason),
+            }
+            for reason in record.history
+        ],
+    }
