Prove the steward's pages over loopback

A steward runs in a thread with the store in memory and is asked as operators ask it. Found by the scenarios: the removal of a team that never was stored an empty value; it is now a fault. Unknown pages were answered by the web library's own text; they now follow the table of errors like everything else.

--- /dev/null
+++ b/features/settings/steward.feature
@@ -0,0 +1,91 @@
+Feature: Operators read, change and follow settings through any steward
+
+  Background:
+    Given a steward of the domeworks example
+
+  Scenario Outline: Whoever lacks the right is refused, and nothing changes
+    Given the steward is asked with the token <token>
+    When the queue limit is put as 5 on revision 1
+    Then the steward answers <status> <error>
+    And the stored policy is at revision 1
+
+    Examples:
+      | token                          | status | error           |
+      | none                           | 401    | unauthenticated |
+      | wrong                          | 401    | unauthenticated |
+      | demo-domeworks-dome-operations | 403    | forbidden       |
+
+  Scenario: A change is stored with who made it and why
+    Given the steward is asked with the token demo-domeworks-operator
+    When the queue limit is put as 5 on revision 1
+    Then the steward answers 200
+    And the history of policy begins with revision 2 by operator-demo
+
+  Scenario: A change on an old revision shows both sides
+    Two operators edit one path. The slower one must see what the other has
+    stored, and the own change, to bring both together.
+    Given the steward is asked with the token demo-domeworks-operator
+    When the queue limit is put as 5 on revision 1
+    And the queue limit is put as 6 on revision 1
+    Then the steward answers 409 conflict
+    And the steward's answer shows a queue limit of 5 and of 6
+
+  Scenario: A faulty change is refused with each fault
+    Given the steward is asked with the token demo-domeworks-operator
+    When policy is put with a share of 7 and an unknown key
+    Then the steward answers 422 invalid_settings
+    And the steward shows faults at policy.patient_share and policy.colour
+    And the stored policy is at revision 1
+
+  Scenario: A team is removed, and its path goes on counting
+    Given the steward is asked with the token demo-domeworks-operator
+    When the steward removes teams/archive-captions on revision 1
+    Then the steward answers 200
+    And the steward shows teams/archive-captions at revision 2 as null
+
+  Scenario: The store is down
+    What is in force can still be read, and is marked as perhaps old. A change is
+    refused as not made.
+    Given the steward is asked with the token demo-domeworks-operator
+    And the steward's store is down
+    When the steward is asked for policy
+    Then the steward answers 200
+    And the steward marks its answer as stale
+    When the queue limit is put as 5 on revision 1
+    Then the steward answers 503 store_unavailable
+
+  Scenario: A fleet shrinks while guarantees rise
+    Each change is checked against the other path as it was. No swap spans both,
+    so the one who looks last is told that they disagree.
+    Given the steward is asked with the token demo-domeworks-operator
+    When guarantees rise in the store while the steward stores a fleet without a rack
+    Then the steward answers 200
+    And the steward warns about guarantees.guarantees
+
+  Scenario: The status shows which process lags
+    A process that has lost its way to the store goes on with old settings. An
+    operator sees its name, and the path.
+    Given the steward is asked with the token demo-domeworks-operator
+    And a process named vm-2-entry that has applied policy at revision 1
+    And a process named vm-3-entry that does not answer
+    When the queue limit is put as 5 on revision 1
+    And the steward is asked for the status
+    Then the status shows vm-2-entry behind at policy and vm-3-entry as silent
+
+  Scenario: A job is explained to its team and hidden from others
+    Given a stored job of dome-operations that was placed and reclaimed
+    When dome-operations asks why its job waits
+    Then the explanation names each decision as a sentence
+    When school-sessions asks why the job waits
+    Then the steward answers 404 not_found
+
+  Scenario: No answer, log or audit entry shows a token
+    Tokens travel in a header only. One that came to stand in a log or an answer
+    would be readable for everyone who can read those.
+    Then no token shows in any answer, log line or stored value of the steward
+
+  Scenario: Whatever is sent, the steward answers with an error of the table
+    A script with a fault sends anything. The steward may not fail over it, and
+    its operator wants to read what was wrong.
+    Given the steward is asked with the token demo-domeworks-operator
+    Then each malformed call to the steward is answered by an error of the table
--- a/src/primrosestile/decisions/settingscheck.py
+++ b/src/primrosestile/decisions/settingscheck.py
@@ -120,13 +120,13 @@
     name = path.removeprefix(TEAMS_PREFIX)
     if name == path or not name:
         return _unknown_path(path), ""
+    teams = list(document["teams"])
+    names = [team["name"] for team in teams]
     if section is None:
-        # Nothing refers to a team, so no fault can come from its removal.
-        return document, path
+        # Nothing refers to a team, so no other fault can come from its removal.
+        return (document if name in names else _unknown_team(path)), path
     if isinstance(section, dict) and section.get("name") != name:
         return _wrong_name(path, name), ""
-    teams = list(document["teams"])
-    names = [team["name"] for team in teams]
     index = names.index(name) if name in names else len(names)
     teams[index : index + 1] = [section]
     return {**document, "teams": teams}, f"teams[{index}]"
@@ -137,6 +137,10 @@
     return Fault(path, "there is no such path", f"Use {known} or teams/<team>.")
 
 
+def _unknown_team(path: str) -> Fault:
+    return Fault(path, "there is no such team to remove", "Check the name.")
+
+
 def _wrong_name(path: str, name: str) -> Fault:
     return Fault(
         path,
--- a/src/primrosestile/programs/answers.py
+++ b/src/primrosestile/programs/answers.py
@@ -21,6 +21,11 @@
 REQUEST_ID_LIMIT = 128
 JSON_TYPE = "application/json"
 
+FIRST_ERROR_STATUS = 400
+
+# What aiohttp refuses by itself, before any handler of ours.
+_WEB_KINDS = {404: ErrorKind.NOT_FOUND, 413: ErrorKind.TOO_LARGE}
+
 WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 _log = structlog.get_logger()
@@ -76,8 +81,11 @@
     request_id = read_request_id(request)
     try:
         return await handler(request)
-    except web.HTTPException:
-        raise
+    except web.HTTPException as error:
+        if error.status < FIRST_ERROR_STATUS:
+            raise
+        kind = _WEB_KINDS.get(error.status, ErrorKind.MALFORMED)
+        return make_failure_answer(Failure(kind, error.reason), request_id)
     except Failure as failure:
         return make_failure_answer(failure, request_id)
     except msgspec.MsgspecError as error:
