Start and end a deployment's programs as separate processes on loopback

The demo, the benches and the tests of failures need the real programs beside the stand-in. Ports are taken from below the range of outgoing connections, so that a program that is started again finds its own free; only processes started here are ended, each by its own id.

--- /dev/null
+++ b/tools/launch.py
@@ -0,0 +1,365 @@
+"""Starts and ends the programs of one deployment as separate processes.
+
+The demo, the benchmarks and the tests of failures all need the real programs on
+loopback, beside a stand-in for the platform. A deployment remembers each process
+that it started and ends only those, each by its own id.
+"""
+
+import asyncio
+import contextlib
+import importlib.util
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import msgspec
+
+from primrosestile.coordination.settingstore import put_setting
+from primrosestile.state.fleet import Fleet
+from primrosestile.state.process import ProcessSettings
+from primrosestile.state.settings import (
+    FLEET_PATH,
+    GUARANTEES_PATH,
+    POLICY_PATH,
+    TEAMS_PREFIX,
+    Settings,
+)
+from primrosestile.transport.store import make_store
+from primrosestile_standin.ledger import Ledger
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+KINDS = ("entry", "placer", "steward")
+# Below the ports that the system hands out to outgoing connections, so that a
+# program that is started again finds its port free.
+PORTS = range(20_000, 32_000)
+START_BOUND_SECONDS = 60.0
+STEP_SECONDS = 0.05
+CALL_TIMEOUT_SECONDS = 10.0
+LOG_TAIL_LINES = 20
+
+
+@dataclass(slots=True)
+class Program:
+    """One process that was started here.
+
+    Attributes:
+        settings: None for a stand-in.
+        log: Where its output goes.
+    """
+
+    name: str
+    process: "subprocess.Popen[str]"
+    log: Path
+    settings: ProcessSettings | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it has not ended."""
+        return self.process.poll() is None
+
+    def read_log_tail(self) -> str:
+        """Return the end of its output, for a person who looks for a fault."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-LOG_TAIL_LINES:])
+
+
+@dataclass(frozen=True, slots=True)
+class Switches:
+    """The address where a stand-in takes faults and tells what happened."""
+
+    address: str
+
+    def set_faults(self, **order: Any) -> None:
+        """Send an order; its fields are those of the stand-in's `FaultOrder`."""
+        call_json("POST", f"http://{self.address}/faults", order)
+
+    def read_calls(self) -> dict[str, int]:
+        """Return how often each kind of call came to the store."""
+        return dict(call_json("GET", f"http://{self.address}/calls"))
+
+    def read_ledger(self) -> Ledger:
+        """Return what ran on the workers."""
+        ledger = call_json("GET", f"http://{self.address}/ledger")
+        return msgspec.convert(ledger, Ledger)
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """The programs of one VM, by kind."""
+
+    name: str
+    failure_domain: str
+    programs: dict[str, Program] = field(default_factory=dict)
+
+
+class Deployment:
+    """One deployment: a store, workers, a VM list, and VMs with the programs.
+
+    Attributes:
+        settings: What operators set, with the workers' addresses here.
+        folder: Settings and logs of each process.
+        process_settings: Fields of `ProcessSettings` that all processes get.
+    """
+
+    def __init__(self, settings: Settings, **process_settings: Any) -> None:
+        self._held = contextlib.ExitStack()
+        name = self._held.enter_context(tempfile.TemporaryDirectory(prefix="tile-"))
+        self.folder = Path(name)
+        self.settings = settings
+        self.process_settings = process_settings
+        self.vms: dict[str, Vm] = {}
+        self.started: list[Program] = []
+        self._ports = iterate_ports()
+        self.store_address = self.vms_address = ""
+        self.store = Switches("")
+        self.workers = Switches("")
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def start_platform(self, lag_seconds: float = 1.0) -> None:
+        """Start the store, and the workers with the VM list, as two processes."""
+        self.store_address = self.take_address()
+        self.vms_address = self.take_address()
+        workers_address = self.take_address()
+        self.settings = move_workers(self.settings, workers_address)
+        fleet = self.folder / "fleet.json"
+        fleet.write_bytes(msgspec.json.encode(self.settings))
+        self.store = self._start_standin("store", "--store-listen", self.store_address)
+        asyncio.run(store_settings(self.store_address, self.settings))
+        self.workers = self._start_standin(
+            "workers",
+            *("--settings", str(fleet), "--workers-listen", workers_address),
+            *("--vms-listen", self.vms_address, "--lag-seconds", str(lag_seconds)),
+        )
+
+    def start_vm(
+        self, name: str, failure_domain: str, kinds: Sequence[str] = KINDS
+    ) -> Vm:
+        """Start a VM's programs and show the VM in the list."""
+        vm = self.vms[name] = Vm(name, failure_domain)
+        for kind in kinds:
+            if has_program(kind):
+                self.start_program(vm, kind)
+        self.workers.set_faults(vms={name: False})
+        return vm
+
+    def start_program(self, vm: Vm, kind: str) -> Program:
+        """Start one program of a VM, under the addresses it had before, if any."""
+        before = vm.programs.get(kind)
+        settings = before.settings if before else self._make_settings(vm, kind)
+        assert settings is not None
+        path = self.folder / f"{settings.name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        command = (f"primrosestile.programs.{kind}", "--settings", str(path))
+        program = self._start(settings.name, command, settings)
+        vm.programs[kind] = program
+        return program
+
+    def kill_vm(self, name: str) -> None:
+        """End a VM's programs at once, as the loss of the machine does."""
+        for program in self.vms[name].programs.values():
+            program.process.send_signal(signal.SIGKILL)
+        for program in self.vms[name].programs.values():
+            program.process.wait()
+        self.workers.set_faults(remove_vms=[name])
+
+    def drain_vm(self, name: str) -> None:
+        """Tell a VM's programs to end once nothing is in progress."""
+        self.workers.set_faults(vms={name: True})
+        for program in self.vms[name].programs.values():
+            program.process.send_signal(signal.SIGTERM)
+
+    def list_programs(self, kind: str) -> list[Program]:
+        """Return the running programs of one kind."""
+        found = (vm.programs.get(kind) for vm in self.vms.values())
+        return [each for each in found if each is not None and each.is_running]
+
+    def wait_until_ready(self, bound: float = START_BOUND_SECONDS) -> None:
+        """Return when every program says that it is ready.
+
+        Raises:
+            TimeoutError: With the log of one that is not.
+        """
+        for vm in self.vms.values():
+            for program in vm.programs.values():
+                self.wait_until(lambda program=program: is_ready(program), bound)
+
+    def wait_until(
+        self, condition: Callable[[], bool], bound: float = START_BOUND_SECONDS
+    ) -> None:
+        """Return when a condition holds.
+
+        Raises:
+            TimeoutError: When it does not within the bound.
+        """
+        end = time.monotonic() + bound
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(self.describe_logs())
+            time.sleep(STEP_SECONDS)
+
+    def describe_logs(self) -> str:
+        """Return the end of every process's output."""
+        return "\n".join(
+            f"---- {each.name}: exit {each.process.poll()}\n{each.read_log_tail()}"
+            for each in self.started
+        )
+
+    def take_address(self) -> str:
+        """Return an address that nothing listens on."""
+        return f"{HOST}:{next(self._ports)}"
+
+    def close(self) -> None:
+        """End every process that was started here."""
+        running = [each.process for each in self.started if each.is_running]
+        for process in running:
+            process.kill()
+        for process in running:
+            process.wait()
+        self._held.close()
+
+    def _make_settings(self, vm: Vm, kind: str) -> ProcessSettings:
+        settings = ProcessSettings(
+            name=f"{vm.name}-{kind}",
+            vm=vm.name,
+            failure_domain=vm.failure_domain,
+            store=(self.store_address,),
+            vm_list=self.vms_address,
+            http=self.take_address(),
+            peer=self.take_address(),
+        )
+        return replace(settings, **self.process_settings)
+
+    def _start_standin(self, name: str, *arguments: str) -> Switches:
+        address = self.take_address()
+        command = ("primrosestile_standin.program", *arguments, "--listen", address)
+        program = self._start(f"standin-{name}", command)
+        self.wait_until(
+            lambda: bool(program.log.read_text().strip()) or not program.is_running
+        )
+        if not program.is_running:
+            raise RuntimeError(program.read_log_tail())
+        return Switches(address)
+
+    def _start(
+        self,
+        name: str,
+        command: Sequence[str],
+        settings: ProcessSettings | None = None,
+    ) -> Program:
+        log = self.folder / f"{name}.log"
+        environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        with log.open("a") as output:
+            process = subprocess.Popen(
+                (sys.executable, "-m", *command),
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                cwd=ROOT,
+                env=environment,
+                text=True,
+            )
+        program = Program(name, process, log, settings)
+        self.started.append(program)
+        return program
+
+
+def has_program(kind: str) -> bool:
+    """Return whether this version has that program."""
+    return importlib.util.find_spec(f"primrosestile.programs.{kind}") is not None
+
+
+def read_settings(path: Path) -> Settings:
+    """Return the settings in a file."""
+    return msgspec.json.decode(path.read_bytes(), type=Settings)
+
+
+def move_workers(settings: Settings, address: str) -> Settings:
+    """Return the settings with all workers at one address of the stand-in."""
+    workers = tuple(
+        replace(each, address=f"{address}/workers/{each.name}")
+        for each in settings.fleet.workers
+    )
+    fleet: Fleet = replace(settings.fleet, workers=workers)
+    return replace(settings, fleet=fleet)
+
+
+def iterate_ports() -> Iterator[int]:
+    """Yield ports that nothing listens on, in an order of this process's own."""
+    ports = list(PORTS)
+    random.Random(os.getpid() * 1_000_003 + time.monotonic_ns()).shuffle(ports)
+    for port in ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        yield port
+
+
+def is_ready(program: Program) -> bool:
+    """Return whether a program answers that it is ready.
+
+    Raises:
+        RuntimeError: When it has ended.
+    """
+    if not program.is_running:
+        raise RuntimeError(f"{program.name} has ended:\n{program.read_log_tail()}")
+    assert program.settings is not None
+    url = f"http://{program.settings.http}/readyz"
+    try:
+        with urllib.request.urlopen(url, timeout=CALL_TIMEOUT_SECONDS) as answer:
+            return bool(answer.status == 200)
+    except OSError:
+        return False
+
+
+def call_json(method: str, url: str, body: Any = None, token: str = "") -> Any:
+    """Send a call and return the JSON of its answer.
+
+    Raises:
+        urllib.error.HTTPError: When the status says that it failed.
+        OSError: When there is no answer.
+    """
+    data = json.dumps(body).encode() if body is not None else None
+    request = urllib.request.Request(url, data=data, method=method)
+    if token:
+        request.add_header("Authorization", f"Bearer {token}")
+    with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_SECONDS) as answer:
+        return json.loads(answer.read())
+
+
+async def store_settings(address: str, settings: Settings) -> None:
+    """Write all settings into a store that has none, as their first revision."""
+    store = make_store(lambda: [address])
+    sections = {
+        FLEET_PATH: settings.fleet,
+        GUARANTEES_PATH: settings.guarantees,
+        POLICY_PATH: settings.policy,
+    }
+    teams = {f"{TEAMS_PREFIX}{team.name}": team for team in settings.teams}
+    for path, value in {**sections, **teams}.items():
+        text = msgspec.json.encode(value).decode()
+        await put_setting(store, path, text, 0, "launch", "first settings")
+    await store.close()
