--- a/src/primrosestile/programs/cliclient.py
+++ b/src/primrosestile/programs/cliclient.py
@@ -89,11 +89,17 @@
     """Return the token of a file or of the environment; empty when none is set.
 
     Raises:
-        Failure: MALFORMED when the file can't be read.
+        Failure: MALFORMED when the file can't be read, or holds more than a token.
     """
     if file is None:
-        return os.environ.get(TOKEN_VARIABLE, "").strip()
-    return read_file(file).decode(errors="replace").strip()
+        token = os.environ.get(TOKEN_VARIABLE, "").strip()
+    else:
+        token = read_file(file).decode(errors="replace").strip()
+    if not (token.isascii() and token.isprintable()) or " " in token:
+        # A header can't carry it. The text is not repeated: it may be a secret.
+        source = TOKEN_VARIABLE if file is None else str(file)
+        raise Failure(ErrorKind.MALFORMED, f"{source} does not hold one plain token")
+    return token
 
 
 def read_file(file: Path) -> bytes:
