Run the steward as a program on the common parts

The steward uses the parts, logs, metrics and end that every program shares; what it had of its own for health and JSON answers is gone. Job commands read the record as entries answer it.

--- a/features/settings/stewardworld.py
+++ b/features/settings/stewardworld.py
@@ -11,12 +11,7 @@
 from features.settings.doubles import make_loaded_store
 
 from primrosestile.coordination.follower import make_follower
-from primrosestile.programs.answers import answer_failures
-from primrosestile.programs.stewardapp import (
-    BODY_LIMIT_BYTES,
-    StewardParts,
-    add_steward_routes,
-)
+from primrosestile.programs.stewardapp import make_steward_app
 from primrosestile.state.jobs import ProcessRecord
 from primrosestile.transport.connections import Connections
 from primrosestile_standin.store import MemoryStore
@@ -47,11 +42,7 @@
         self.follower = make_follower(self.store, "vm-1-steward")
         self.task = asyncio.create_task(self.follower.run())
         await self.follower.wait_for_first()
-        parts = StewardParts("s", self.store, self.follower, self.connections)
-        app = web.Application(
-            middlewares=[answer_failures], client_max_size=BODY_LIMIT_BYTES
-        )
-        add_steward_routes(app, parts)
+        app = make_steward_app(self.store, self.follower, self.connections)
         self.address = await self.listen(app)
 
     async def listen(self, app: web.Application) -> str:
--- a/src/primrosestile/programs/cliclient.py
+++ b/src/primrosestile/programs/cliclient.py
@@ -14,8 +14,8 @@
 
 from primrosestile.decisions.settingscheck import Fault
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.programs.answers import REQUEST_ID_HEADER, ErrorBody
-from primrosestile.programs.clioutput import CommandFailure
+from primrosestile.programs.answers import REQUEST_ID_HEADER
+from primrosestile.programs.clioutput import CommandFailure, ErrorBody
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 from primrosestile.transport.wire import encode_json
 
--- a/src/primrosestile/programs/clijobs.py
+++ b/src/primrosestile/programs/clijobs.py
@@ -4,6 +4,7 @@
 import secrets
 from typing import Annotated, Any
 
+import msgspec
 import typer
 
 from primrosestile.clock import read_clock
@@ -26,7 +27,8 @@
     print_value,
     run_command,
 )
-from primrosestile.state.jobs import JobState
+from primrosestile.programs.reasons import describe_reason
+from primrosestile.state.jobs import JobState, Reason
 from primrosestile.state.tenancy import Adjacency
 
 POLL_SECONDS = 1.0
@@ -120,6 +122,8 @@
         found = run_client(entry, token_file, lambda client: client.call("DELETE", url))
         if as_json:
             print_value(found)
+        elif found["state"] in ENDED:
+            print_lines([f"{job_id} is {found['state']}"])
         else:
             print_lines([f"{job_id} is to be cancelled"])
 
@@ -150,13 +154,19 @@
 def _print_job(found: dict[str, Any], as_json: bool) -> None:
     if as_json:
         print_value(found)
+    elif "spec" in found:
+        print_lines([f"{found['spec']['job_id']} {found['state']}"])
+        print_lines(f"  {describe_reason(each)}" for each in _read_history(found))
     else:
-        state = found.get("state", JobState.ACCEPTED.value)
-        print_lines([f"{found['job_id']} {state}"])
+        print_lines([found["job_id"]])
     if found.get("state") in ENDED_BADLY:
         raise typer.Exit(Exit.ENDED_BADLY)
 
 
+def _read_history(found: dict[str, Any]) -> tuple[Reason, ...]:
+    return msgspec.convert(found["history"], tuple[Reason, ...])
+
+
 ENDED_BADLY = {
     state.value
     for state in JobState
--- a/src/primrosestile/programs/clioutput.py
+++ b/src/primrosestile/programs/clioutput.py
@@ -17,7 +17,6 @@
 
 from primrosestile.decisions.settingscheck import Fault
 from primrosestile.errors import ErrorKind, Failure, Ran
-from primrosestile.programs.answers import ErrorBody
 
 
 class Exit(IntEnum):
@@ -67,6 +66,18 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class ErrorBody:
+    """What the other end says of an error; the docs list the kinds."""
+
+    error: str
+    detail: str
+    ran: str
+    remedy: str
+    retry_after: float | None
+    request_id: str
+
+
 class CommandFailure(Exception):
     """A command's answer when it could not do what was asked."""
 
--- /dev/null
+++ b/src/primrosestile/programs/steward.py
@@ -0,0 +1,52 @@
+"""`primrosestile-steward`: settings, their audit trail, and views for operators.
+
+Any number of them may run. They keep nothing, and two that change one path at the
+same moment are told apart by the store's compare-and-swap.
+"""
+
+import asyncio
+
+from primrosestile.programs.common import (
+    add_health_routes,
+    parse_arguments,
+    run_program,
+    run_until_told,
+    set_up_logs,
+    start_http,
+)
+from primrosestile.programs.parts import make_parts
+from primrosestile.programs.stewardapp import make_steward_app
+from primrosestile.state.process import ProcessSettings
+from primrosestile.transport.connections import Connections
+
+PROGRAM = "steward"
+
+
+async def run_steward(settings: ProcessSettings) -> None:
+    """Run one steward until it is told to end."""
+    set_up_logs(settings)
+    parts = make_parts(settings, PROGRAM)
+    connections = Connections()
+    app = make_steward_app(parts.store, parts.follower, connections)
+    add_health_routes(app, settings, parts.health, parts.metrics)
+    runner = await start_http(app, settings.http)
+
+    async def drain() -> None:
+        parts.health.reasons["leaving"] = "the process is ending"
+        await parts.registration.announce_leaving()
+        await asyncio.sleep(settings.drain_seconds)
+        await runner.cleanup()
+        await connections.close()
+        await parts.close()
+
+    await run_until_told(parts.list_services(), drain)
+
+
+def main() -> None:
+    """Start the program."""
+    settings = parse_arguments("primrosestile-steward", "Serve operators.")
+    run_program(run_steward(settings))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/primrosestile/programs/stewardsettings.py
+++ b/src/primrosestile/programs/stewardsettings.py
@@ -24,7 +24,8 @@
 from primrosestile.decisions.access import require_operator
 from primrosestile.decisions.settingscheck import Fault, check_change, check_settings
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.programs.answers import make_json_answer, read_request_id
+from primrosestile.programs.answers import read_request_id
+from primrosestile.programs.common import answer_json
 from primrosestile.protocol.store import Store
 from primrosestile.state.settings import SETTINGS_PREFIX, AuditEntry
 from primrosestile.transport.wire import decode_json
@@ -110,7 +111,7 @@
         require_operator(self._follower.settings, request.headers.get("Authorization"))
         stale = await self._refresh_or_stale()
         shown = [self._show(path, stale) for path in sorted(self._follower.values)]
-        return make_json_answer({"settings": shown})
+        return answer_json({"settings": shown})
 
     async def show(self, request: web.Request) -> web.Response:
         """Answer one path with its revision and value."""
@@ -119,7 +120,7 @@
         stale = await self._refresh_or_stale()
         if path not in self._follower.values:
             raise Failure(ErrorKind.NOT_FOUND, f"there is no setting {path}")
-        return make_json_answer(self._show(path, stale))
+        return answer_json(self._show(path, stale))
 
     async def change(self, request: web.Request) -> web.Response:
         """Check and store one path."""
@@ -149,7 +150,7 @@
             actor=rights.key_name,
         )
         warnings = await self._find_warnings()
-        return make_json_answer(AcceptedChange(path, stored.revision, warnings))
+        return answer_json(AcceptedChange(path, stored.revision, warnings))
 
     async def show_history(self, request: web.Request) -> web.Response:
         """Answer a page of audit entries, newest first."""
@@ -159,7 +160,7 @@
         limit = _read_number(request, "limit") or PAGE_LIMIT
         page = await read_history(self._store, path, before, limit)
         entries = [_describe_entry(entry) for entry in page.entries]
-        return make_json_answer({"entries": entries, "next_before": page.next_before})
+        return answer_json({"entries": entries, "next_before": page.next_before})
 
     def _show(self, path: str, stale: bool) -> ShownSetting:
         stored = decode_stored(self._follower.values[path])
@@ -209,7 +210,7 @@
         request_id=request_id,
         faults=faults,
     )
-    return make_json_answer(body, answer.status)
+    return answer_json(body, answer.status)
 
 
 def _compact(value: bytes) -> str:
--- a/src/primrosestile/programs/stewardviews.py
+++ b/src/primrosestile/programs/stewardviews.py
@@ -19,7 +19,7 @@
 from primrosestile.decisions.access import require_operator, require_rights
 from primrosestile.decisions.guarantees import find_infeasible
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.programs.answers import make_json_answer
+from primrosestile.programs.common import answer_json
 from primrosestile.programs.reasons import STATE_SENTENCES, describe_reason
 from primrosestile.protocol.store import Store
 from primrosestile.state.jobs import JobRecord, ProcessRecord
@@ -97,7 +97,7 @@
             for path, revision in sorted(revisions.items())
         ]
         everywhere = all(path.applied == path.processes for path in paths)
-        return make_json_answer(
+        return answer_json(
             {"in_force_everywhere": everywhere, "paths": paths, "processes": processes}
         )
 
@@ -107,7 +107,7 @@
         fleet = self._follower.settings.fleet
         cells = await self._read_cells()
         owned = {cell.get("cell") for cell in cells}
-        return make_json_answer(
+        return answer_json(
             {
                 "workers": len(fleet.workers),
                 "accelerators": sum(each.accelerators for each in fleet.workers),
@@ -127,7 +127,7 @@
             {**asdict(each), "organisation_holds": held.get(each.organisation, 0)}
             for each in settings.guarantees.guarantees
         ]
-        return make_json_answer(
+        return answer_json(
             {
                 "guarantees": shown,
                 "infeasible": find_infeasible(settings.fleet, settings.guarantees),
@@ -147,7 +147,7 @@
             record.spec.organisation, record.spec.team
         ):
             raise Failure(ErrorKind.NOT_FOUND, f"there is no job {job_id}")
-        return make_json_answer(explain(record))
+        return answer_json(explain(record))
 
     def _require_operator(self, request: web.Request) -> None:
         require_operator(self._follower.settings, request.headers.get("Authorization"))
@@ -160,7 +160,7 @@
         records = await self._list_processes()
         placers = [each for each in records if each.program == PLACER]
         answers = await self._ask_all(placers, "/v1/cells")
-        return [cell for answer in answers if answer for cell in answer["cells"]]
+        return [cell for answer in answers if answer for cell in answer]
 
     async def _ask_all(self, records: list[ProcessRecord], path: str) -> list[Any]:
         asks = (self._ask(record, path) for record in records)
