Promise only waits that can be kept, and avoid targets that just failed

A target that fails at once looked idle.

Change: estimates from what each line drained, a learned correction, seven tenths of the slack as the limit, three seconds for urgent work; failures in a row count as load.

--- a/src/primrosestile/decisions/admission.py
+++ b/src/primrosestile/decisions/admission.py
@@ -15,7 +15,11 @@
 # Made for three times the load that the slots can serve. Urgent work has to
 # start within 5.8 seconds, so the queue never promises a wait that is close to
 # it: the estimate may be wrong by almost half before a caller notices.
-MOST_URGENT_WAIT = 4.0
+MOST_URGENT_WAIT = 3.0
+# Under lasting overload each request is let in at the very limit, so any error of
+# the estimate makes it late. This part of the time left absorbs the error: a
+# refusal on arrival is worth more to a caller than one after nine seconds.
+PROMISED_SHARE = 0.7
 # A caller told to come back later than this rather goes away; one told to come
 # back sooner than this only adds load.
 LONGEST_RETRY = 30.0
@@ -110,6 +114,7 @@
 
 def allow_wait(urgency: Urgency, slack: float) -> float:
     """Return the longest wait in seconds that is worth queueing for."""
+    allowed = slack * PROMISED_SHARE
     if urgency is Urgency.URGENT:
-        return min(slack, MOST_URGENT_WAIT)
-    return slack
+        return min(allowed, MOST_URGENT_WAIT)
+    return allowed
--- a/src/primrosestile/decisions/fairness.py
+++ b/src/primrosestile/decisions/fairness.py
@@ -10,7 +10,7 @@
 import heapq
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from primrosestile.decisions.admission import Waiting
 
@@ -25,10 +25,18 @@
 
 @dataclass(slots=True)
 class Entry:
-    """A waiting request with the work that it was counted as; None once taken."""
+    """A waiting request; None once taken or removed.
+
+    Attributes:
+        work: The seconds of slot that it was counted as.
+        offered_at: When it was queued, on the loop's clock.
+        foreseen_wait: The raw estimate of its wait, in seconds.
+    """
 
     waiting: Waiting | None
     work: float
+    offered_at: float = 0.0
+    foreseen_wait: float = 0.0
 
 
 class _Flow:
@@ -138,18 +146,19 @@
         self.count = 0
         self.work = 0.0
 
-    def add(self, waiting: Waiting, work: float) -> Entry:
-        """Put a request, counted as that many seconds of work, behind its class."""
+    def add(self, entry: Entry) -> None:
+        """Put a request behind those of its class."""
+        waiting = entry.waiting
+        if waiting is None:
+            return
         party = self._parties.get(waiting.organisation)
         if party is None:
             party = self._parties[waiting.organisation] = _Party()
         flow = party.find_class(waiting.class_key)
-        entry = Entry(waiting, work)
         flow.entries.append(entry)
-        self._count(party, flow, 1, work)
+        self._count(party, flow, 1, entry.work)
         party.turns.list_new(flow)
         self._turns.list_new(party)
-        return entry
 
     def take(self, accept: Callable[[Waiting], bool] | None) -> Entry | None:
         """Remove and return the next entry that `accept` takes.
@@ -183,7 +192,7 @@
                 continue
             tries -= 1
             if accept is None or accept(entry.waiting):
-                taken = Entry(entry.waiting, entry.work)
+                taken = replace(entry)
                 flow.entries.popleft()
                 self._count(party, flow, -1, -entry.work)
                 party.turns.charge(flow, entry.work)
--- a/src/primrosestile/decisions/learning.py
+++ b/src/primrosestile/decisions/learning.py
@@ -12,7 +12,7 @@
 # seconds at the rates of one entry.
 SAMPLES_KEPT = 64
 # An average that weighs a new run by a tenth settles within some twenty runs.
-NEW_SAMPLE_WEIGHT = 0.1
+NEW_SAMPLE_WEIGHT = 0.03
 # Classes come and go with settings; this bounds memory at some 4 MB.
 MOST_CLASSES = 2048
 
@@ -82,13 +82,19 @@
     that for the lasting rate would promise far too much.
     """
 
-    MEMORY_SECONDS = 2.0
     PRIOR_SECONDS = 0.5
     # Keeps a wait finite when there is no slot at all.
     LEAST = 0.01
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, memory: float) -> None:
+        """Start from the slots.
+
+        Args:
+            slots: How many there are.
+            memory: Seconds over which what was seen fades.
+        """
         self.slots = slots
+        self._memory = memory
         self._work = 0.0
         self._time = 0.0
 
@@ -96,11 +102,11 @@
         """Note how long there was, or was not, some work waiting."""
         if seconds <= 0:
             return
-        kept = math.exp(-seconds / self.MEMORY_SECONDS)
+        kept = math.exp(-seconds / self._memory)
         self._work *= kept
         self._time *= kept
         if waiting:
-            self._time += min(seconds, self.MEMORY_SECONDS)
+            self._time += min(seconds, self._memory)
 
     def note_left(self, work: float) -> None:
         """Note that so many seconds of work left while others waited."""
@@ -111,3 +117,29 @@
         work = self._work + self.slots * self.PRIOR_SECONDS
         rate = work / (self._time + self.PRIOR_SECONDS)
         return max(self.LEAST, min(rate, float(self.slots)))
+
+
+class Correction:
+    """How much longer requests wait than was foreseen.
+
+    The estimate looks at what waits now. It can not know who will arrive and be
+    served before, or which grant is about to shrink, so it errs on the hopeful
+    side, and a queue that promises too little is full of requests that are too
+    late. The factor is learned from raw estimates, so it does not chase itself.
+    """
+
+    WEIGHT = 0.02
+    LEAST = 0.5
+    MOST = 8.0
+    # Below this a wait is mostly chance.
+    SHORTEST = 0.25
+
+    def __init__(self) -> None:
+        self.factor = 1.0
+
+    def note(self, foreseen: float, waited: float) -> None:
+        """Learn from one request that left the queue, served or not."""
+        if foreseen < self.SHORTEST:
+            return
+        ratio = min(self.MOST, max(self.LEAST, waited / foreseen))
+        self.factor += self.WEIGHT * (ratio - self.factor)
--- a/src/primrosestile/decisions/queueing.py
+++ b/src/primrosestile/decisions/queueing.py
@@ -22,7 +22,7 @@
     decide_admission,
 )
 from primrosestile.decisions.fairness import Entry, FairLine
-from primrosestile.decisions.learning import DrainRate, Experience
+from primrosestile.decisions.learning import Correction, DrainRate, Experience
 from primrosestile.errors import ErrorKind
 from primrosestile.state.tenancy import Policy, Urgency
 
@@ -35,6 +35,11 @@
 CLASS_FACTOR = 1.0
 # Slots assumed until the entry has told how many it may use.
 FIRST_SLOTS = 8
+# The capacity can fall at any moment, so its estimate follows within seconds.
+CAPACITY_MEMORY = 2.0
+# What urgent work leaves to patient work comes and goes by the second, while a
+# patient request waits for several: the average over such a wait is what counts.
+LINE_MEMORY = 8.0
 # Runs that experience calls too long are let in this seldom, so that a slow
 # spell that has ended is noticed.
 PROBE_SECONDS = 1.0
@@ -56,7 +61,11 @@
         self._latest_starts: list[tuple[float, str]] = []
         self._hopeless: list[Waiting] = []
         self._experience = Experience()
-        self._drain = DrainRate(FIRST_SLOTS)
+        self._drain = DrainRate(FIRST_SLOTS, CAPACITY_MEMORY)
+        self._line_drains = {
+            urgency: DrainRate(FIRST_SLOTS, LINE_MEMORY) for urgency in Urgency
+        }
+        self._corrections = {urgency: Correction() for urgency in Urgency}
         self._patient_credit = 0.0
         self._last_seen: float | None = None
         self._next_look: float | None = None
@@ -73,6 +82,8 @@
     def set_slots(self, slots: int) -> None:
         """Tell how many slots this entry may use now."""
         self._drain.slots = slots
+        for drain in self._line_drains.values():
+            drain.slots = slots
 
     def offer(self, waiting: Waiting, now: float) -> Refusal | None:
         """Queue a request, or return why it is refused."""
@@ -81,12 +92,16 @@
             detail = "a request of the same id waits already"
             return Refusal(ErrorKind.IN_PROGRESS, detail, SHORTEST_RETRY)
         run = self._expect_run(waiting, now)
-        refusal = decide_admission(waiting, self._foresee(waiting, run), now)
+        line = self._lines[waiting.urgency]
+        foreseen = self._foresee_wait(waiting.urgency, line.work_ahead(waiting, run))
+        wait = foreseen * self._corrections[waiting.urgency].factor
+        prospect = Prospect(self._count_places(waiting), wait, run)
+        refusal = decide_admission(waiting, prospect, now)
         if refusal is not None:
             return self._spread_return(refusal, waiting, run, now)
-        self._entries[waiting.request_id] = self._lines[waiting.urgency].add(
-            waiting, run
-        )
+        entry = Entry(waiting, run, now, foreseen)
+        line.add(entry)
+        self._entries[waiting.request_id] = entry
         latest = waiting.deadline - run
         heapq.heappush(self._latest_starts, (latest, waiting.request_id))
         if self._next_look is None:
@@ -107,6 +122,9 @@
             entry = self._take_from(urgency, now, accept)
             if entry is not None and entry.waiting is not None:
                 self._charge(urgency, entry.work)
+                self._corrections[urgency].note(
+                    entry.foreseen_wait, now - entry.offered_at
+                )
                 return entry.waiting
         return None
 
@@ -148,7 +166,10 @@
 
     def _advance(self, now: float) -> None:
         if self._last_seen is not None:
-            self._drain.note_time(now - self._last_seen, bool(self._entries))
+            passed = now - self._last_seen
+            self._drain.note_time(passed, bool(self._entries))
+            for urgency, line in self._lines.items():
+                self._line_drains[urgency].note_time(passed, line.count > 0)
         self._last_seen = now
 
     def _expect_run(self, waiting: Waiting, now: float) -> float:
@@ -171,26 +192,17 @@
         self._probes[waiting.class_key] = now + PROBE_SECONDS
         return time_left / 2
 
-    def _foresee(self, waiting: Waiting, run: float) -> Prospect:
-        line = self._lines[waiting.urgency]
-        ahead = line.work_ahead(waiting, run)
-        return Prospect(
-            self._count_places(waiting), self._foresee_wait(waiting.urgency, ahead), run
-        )
-
     def _foresee_wait(self, urgency: Urgency, ahead: float) -> float:
         """Return the seconds until so much work of one line has left."""
         rate = self._drain.estimate()
         share = self._policy.patient_share
-        urgent = self._lines[Urgency.URGENT]
-        patient = self._lines[Urgency.PATIENT]
         if urgency is Urgency.URGENT:
-            kept = share if patient.count else 0.0
+            kept = share if self._lines[Urgency.PATIENT].count else 0.0
             return ahead / (rate * max(1 - kept, 0.01))
-        behind_urgent = (ahead + urgent.work) / rate
-        if share <= 0:
-            return behind_urgent
-        return min(behind_urgent, ahead / (rate * share))
+        # What urgent work leaves to patient work shows only in what got through;
+        # the kept share is the least.
+        own_rate = max(self._line_drains[urgency].estimate(), rate * share)
+        return ahead / min(rate, own_rate)
 
     def _count_places(self, waiting: Waiting) -> int:
         """Return how many more requests of this kind may wait.
@@ -238,6 +250,8 @@
     def _charge(self, urgency: Urgency, work: float) -> None:
         if self._entries:
             self._drain.note_left(work)
+        if self._lines[urgency].count:
+            self._line_drains[urgency].note_left(work)
         share = self._policy.patient_share
         if not self._lines[Urgency.PATIENT].count:
             # Credit for work that nobody asked for would become a burst of
@@ -288,9 +302,12 @@
             if latest > now:
                 heapq.heappush(self._latest_starts, (latest, request_id))
                 continue
-            waiting = self._discard(request_id)
-            if waiting is not None:
-                self._hopeless.append(waiting)
+            # Learned from as well: those that were served tell only of the
+            # estimates that held.
+            self._corrections[entry.waiting.urgency].note(
+                entry.foreseen_wait, now - entry.offered_at
+            )
+            self._hopeless += self.remove([request_id])
 
     def _look_at_tails(self, now: float) -> None:
         """Give up what stands too far back to be served in time.
--- a/src/primrosestile/decisions/retries.py
+++ b/src/primrosestile/decisions/retries.py
@@ -7,7 +7,7 @@
 """
 
 # Lets a quiet entry retry its first failures; small against any real traffic.
-FIRST_TOKENS = 1.0
+FIRST_TOKENS = 3.0
 # Tokens saved up in quiet hours must not be spent as one burst: this many
 # retries at once are less than the slots of two workers.
 MOST_TOKENS = 10.0
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -26,7 +26,7 @@
 SAMPLE = 4
 # Patient work that runs longer than this must leave room for urgent work, since
 # its slots come free too seldom. Shorter work frees a slot soon enough anyway.
-LONG_SECONDS = 1.0
+LONG_SECONDS = 2.0
 # Most slots that are kept free of long patient work.
 MOST_RESERVED = 0.25
 # The peak of urgent work is forgotten at this rate, so that a morning's rush
@@ -178,9 +178,16 @@
         return self._capacity.count_in_flight()
 
     def _rank(self, target: str) -> tuple[int, float]:
+        """Return what makes a target worse: load first, then recent run times.
+
+        A failure counts as much as a request in flight. Else a target that fails
+        at once, and so is always empty, would be the first choice each time.
+        """
         health = self._outliers.find(target)
-        slowness = health.slowness if health else 0.0
-        return (self._capacity.count_at(target), slowness)
+        load = self._capacity.count_at(target)
+        if health is None:
+            return (load, 0.0)
+        return (load + health.failures_in_a_row, health.slowness)
 
     def _leaves_room(self, waiting: Waiting) -> bool:
         """Whether the request leaves the slots free that urgent work may need.
--- a/tools/bench/requests.py
+++ b/tools/bench/requests.py
@@ -44,7 +44,9 @@
     results = outcome.results
     good = [each for each in results if each.good]
     served = [each for each in results if each.outcome == "ok"]
-    times = [each.ended - each.arrival.waiting.arrived_at for each in served if each.ended]
+    times = [
+        each.ended - each.arrival.waiting.arrived_at for each in served if each.ended
+    ]
     first = sum(each.started is not None for each in results)
     offered = Counter(each.arrival.waiting.organisation for each in results)
     good_by = Counter(each.arrival.waiting.organisation for each in good)
@@ -65,7 +67,8 @@
             "p99": take_quantile(times, 0.99),
         },
         "good_share_by_organisation": {
-            name: round(good_by[name] / count, 3) for name, count in sorted(offered.items())
+            name: round(good_by[name] / count, 3)
+            for name, count in sorted(offered.items())
         },
     }
 
--- a/tools/bench/requests_driver.py
+++ b/tools/bench/requests_driver.py
@@ -43,6 +43,7 @@
 
     @property
     def worker_names(self) -> list[str]:
+        """Names of the plan's workers."""
         return [f"worker-{number}" for number in range(self.workers)]
 
 
@@ -77,10 +78,12 @@
         self._sequence = 0
 
     def call_at(self, time: float, call: Callable[[], None]) -> None:
+        """Run something at a time, or now if that has passed."""
         self._sequence += 1
         heapq.heappush(self._events, (max(time, self.now), self._sequence, call))
 
     def run(self) -> None:
+        """Run until nothing is left to do."""
         while self._events:
             self.now, _, call = heapq.heappop(self._events)
             call()
@@ -93,16 +96,12 @@
         self._plan = plan
         self._clock = clock
         self._queue_inside = queue_inside
-        self._workers = {
-            name: _Worker(name, plan.slots) for name in plan.worker_names
-        }
+        self._workers = {name: _Worker(name, plan.slots) for name in plan.worker_names}
         self.attempts = 0
         self.refused = 0
         self.busy_seconds = 0.0
 
-    def send(
-        self, name: str, run: float, done: Callable[[str, float], None]
-    ) -> None:
+    def send(self, name: str, run: float, done: Callable[[str, float], None]) -> None:
         """Run a request; `done` gets `ok`, `failed`, `refused` or `leaving`."""
         worker = self._workers[name]
         self.attempts += 1
--- a/tools/bench/requests_policies.py
+++ b/tools/bench/requests_policies.py
@@ -2,13 +2,12 @@
 
 import random
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 
-from primrosestile.decisions.queueing import Refusal, RequestQueue, make_queue
+from primrosestile.decisions.queueing import RequestQueue, Waiting, make_queue
 from primrosestile.decisions.routing import Outcome, Router, make_router
 from primrosestile.decisions.slots import GRANT_SECONDS, make_grant_ledger
-from primrosestile.state.tenancy import Policy, Urgency
+from primrosestile.state.tenancy import Policy
 from tools.bench.requests_driver import Clock, Entries, Fleet, Plan, Result
 
 OUTCOMES = {
@@ -40,10 +39,12 @@
         self._most = plan.workers * plan.slots // plan.entries
 
     def arrive(self, result: Result) -> None:
+        """Take in one request."""
         self._waiting[result.arrival.entry].append(result)
         self._pump(result.arrival.entry)
 
     def cancel(self, results: list[Result]) -> None:
+        """Cancel what still waits."""
         for result in results:
             if result.outcome == "open" and result.started is None:
                 self._waiting[result.arrival.entry].remove(result)
@@ -99,6 +100,7 @@
         self.router: Router = make_router(name, policy)
 
     def arrive(self, result: Result) -> None:
+        """Take in one request, or refuse it."""
         waiting = result.arrival.waiting
         refusal = self.queue.offer(waiting, self._clock.now)
         if refusal is not None:
@@ -109,12 +111,14 @@
         self.pump()
 
     def cancel(self, results: list[Result]) -> None:
+        """Cancel what still waits, in one pass."""
         ids = [result.arrival.waiting.request_id for result in results]
         for waiting in self.queue.remove(ids):
             attempt = self._attempts.pop(waiting.request_id)
             end(attempt.result, "cancelled", self._clock.now)
 
     def pump(self) -> None:
+        """Send what has a slot; answer what has become hopeless."""
         now = self._clock.now
         self.queue.set_slots(self.router.count_slots(now))
         chosen = ""
@@ -194,12 +198,18 @@
         if outcome != "ok":
             if attempt.open_attempts:
                 return
-            if (waiting.idempotent or not_run) and self.router.may_retry(waiting, now):
-                if self.queue.offer(waiting, now) is None:
-                    return
+            again = waiting.idempotent or not_run
+            if again and self._try_again(waiting):
+                return
         self._attempts.pop(waiting.request_id, None)
         end(attempt.result, outcome, now)
 
+    def _try_again(self, waiting: Waiting) -> bool:
+        now = self._clock.now
+        if not self.router.may_retry(waiting, now):
+            return False
+        return self.queue.offer(waiting, now) is None
+
 
 class ProductEntries:
     """All entries of the product, and the owner that grants them slots."""
@@ -218,9 +228,11 @@
         self._grant()
 
     def arrive(self, result: Result) -> None:
+        """Take in one request."""
         self.entries[result.arrival.entry].arrive(result)
 
     def cancel(self, results: list[Result]) -> None:
+        """Cancel what still waits."""
         for number, entry in enumerate(self.entries):
             entry.cancel([each for each in results if each.arrival.entry == number])
 
--- a/tools/bench/requests_workloads.py
+++ b/tools/bench/requests_workloads.py
@@ -47,7 +47,9 @@
     big = Source("a", "bulk", Urgency.URGENT, SLOTS, RUN, DEADLINE)
     sources = [big, replace(big, entry=0)]
     for organisation in ORGANISATIONS[1:]:
-        quote = Source(organisation, "quote", Urgency.URGENT, SLOTS * 0.1, RUN, DEADLINE)
+        quote = Source(
+            organisation, "quote", Urgency.URGENT, SLOTS * 0.1, RUN, DEADLINE
+        )
         sources.append(quote)
     return make_plan("skew", sources)
 
@@ -65,13 +67,17 @@
     urgent = Source("a", "quote", Urgency.URGENT, SLOTS * 0.5, RUN, DEADLINE)
     bulk = Source("b", "captions", Urgency.PATIENT, SLOTS * 2.0, RUN, 120.0)
     plan = make_plan("cancellation-waves", [urgent, bulk])
-    return replace(plan, arrivals=tuple(cancel_in_waves(each) for each in plan.arrivals))
+    return replace(
+        plan, arrivals=tuple(cancel_in_waves(each) for each in plan.arrivals)
+    )
 
 
 def cancel_in_waves(arrival: Arrival) -> Arrival:
     if arrival.waiting.urgency is Urgency.URGENT:
         return arrival
-    wave = next((time for time in (15.0, 30.0, 45.0) if time > arrival.waiting.arrived_at), None)
+    wave = next(
+        (time for time in (15.0, 30.0, 45.0) if time > arrival.waiting.arrived_at), None
+    )
     return replace(arrival, cancelled_at=wave)
 
 
@@ -84,6 +90,12 @@
         make_skew(),
         make_plan("even-fleet", spread(0.7)),
         make_plan("one-slow-target", spread(0.7), slow={"worker-5": 10.0}),
+        make_plan("even-runs", spread(0.7, shape="uniform")),
+        make_plan(
+            "even-runs-slow-target",
+            spread(0.7, shape="uniform"),
+            slow={"worker-5": 10.0},
+        ),
         make_long_short(),
         make_waves(),
         make_plan(
