--- a/tools/bench/requests_driver.py
+++ b/tools/bench/requests_driver.py
@@ -43,6 +43,7 @@
 
     @property
     def worker_names(self) -> list[str]:
+        """Names of the plan's workers."""
         return [f"worker-{number}" for number in range(self.workers)]
 
 
@@ -77,10 +78,12 @@
         self._sequence = 0
 
     def call_at(self, time: float, call: Callable[[], None]) -> None:
+        """Run something at a time, or now if that has passed."""
         self._sequence += 1
         heapq.heappush(self._events, (max(time, self.now), self._sequence, call))
 
     def run(self) -> None:
+        """Run until nothing is left to do."""
         while self._events:
             self.now, _, call = heapq.heappop(self._events)
             call()
--- a/tools/bench/requests_workloads.py
+++ b/tools/bench/requests_workloads.py
@@ -90,6 +90,12 @@
         make_skew(),
         make_plan("even-fleet", spread(0.7)),
         make_plan("one-slow-target", spread(0.7), slow={"worker-5": 10.0}),
+        make_plan("even-runs", spread(0.7, shape="uniform")),
+        make_plan(
+            "even-runs-slow-target",
+            spread(0.7, shape="uniform"),
+            slow={"worker-5": 10.0},
+        ),
         make_long_short(),
         make_waves(),
         make_plan(
