Mend nine faults found by reading the core against the model's guards

Cause, each found by reading the code against the guards of the specification: a failed start used up a task id that its retry used again; renewals looked at reachability only and so kept half a gang, or an attempt that was being stopped, alive; a renewal gave a whole lease whatever the age of what was known of the other members; a write whose answer was lost could be called not written; a claim stayed with nobody working on it; a claim of a live holder counted as not run; the target's own word on leaving was dropped when it ran the request; a failure of the store from before a pause counted as an outage; a cell that was handed over was taken back at once (seen in the first run of features/path: given up and re-acquired within 4 ms). Ruled out: longer leases, which only widen each window. Change: a new attempt number for each try; renewals only of gangs whose every member is well, shortened by the age of that knowledge; LOST_WRITE_NOT_DISPROVED; claims settled on every exit; leaving noted from any answer and checked at the send; store_down limited to the time between two calls; a given-up key is forgotten.

--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -55,6 +55,7 @@
     def __init__(self, data: CellData) -> None:
         self._data = data
         self._start_failures: dict[str, int] = {}
+        self._tried: dict[str, int] = {}
 
     async def start(
         self, record: JobRecord, members: tuple[Member, ...], reason: Reason
@@ -64,7 +65,7 @@
         started = replace(
             record,
             state=JobState.STARTED,
-            attempt=record.attempt + 1,
+            attempt=self._next_attempt(record),
             epoch=self._data.command.epoch,
             members=members,
             started_at=read_wall_clock(),
@@ -85,6 +86,25 @@
         else:
             await self._put_back(record, outcome)
 
+    def _next_attempt(self, record: JobRecord) -> int:
+        """Return a number that no earlier try has used.
+
+        A worker that has stopped a task refuses its id from then on. A start that
+        failed before its record used up its number on every worker that it
+        reached, and an earlier owner's tries show only in workers' reports.
+        """
+        job_id = record.spec.job_id
+        seen = [
+            task.attempt
+            for contact in self._data.contacts.values()
+            if contact.report is not None
+            for task in contact.report.tasks
+            if task.job_id == job_id
+        ]
+        attempt = max(record.attempt, self._tried.get(job_id, 0), *seen, 0) + 1
+        self._tried[job_id] = attempt
+        return attempt
+
     async def _put_back(self, record: JobRecord, outcome: StartOutcome) -> None:
         """Free what a start held that was not recorded, and try again later."""
         job_id = record.spec.job_id
@@ -131,6 +151,11 @@
                 _log.info("unstarted_unsettled", job_id=job_id, kind=failure.kind.value)
             await asyncio.sleep(START_RETRY_SECONDS)
 
+    async def _stop(self, record: JobRecord) -> list[str]:
+        """Stop an attempt; nothing of it is renewed from now on."""
+        self._data.stopping.add(record.spec.job_id)
+        return await stop_gang(self._data.command, record)
+
     async def evict(self, record: JobRecord, code: ReasonCode, detail: str) -> bool:
         """Checkpoint and stop a job so that it can run again; True when done.
 
@@ -142,7 +167,7 @@
         saved = record.checkpoint
         if record.spec.checkpoints:
             saved = await checkpoint_gang(self._data.command, record)
-        unconfirmed = await stop_gang(self._data.command, record)
+        unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
         waiting = replace(
             record, state=JobState.ACCEPTED, checkpoint=saved, members=()
@@ -173,7 +198,7 @@
     async def _lose(
         self, record: JobRecord, workers: tuple[str, ...], code: ReasonCode
     ) -> None:
-        unconfirmed = await stop_gang(self._data.command, record)
+        unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
         detail = f"on {', '.join(workers)}"
         if record.spec.restartable:
@@ -198,6 +223,7 @@
         self._data.waiting_reasons.pop(job_id, None)
         self._data.retry_at.pop(job_id, None)
         self._data.started_at.pop(job_id, None)
+        self._tried.pop(job_id, None)
         _log.info("job_ended", job_id=job_id, state=state.value, reason=code.value)
 
     async def finish(self, record: JobRecord) -> None:
@@ -215,7 +241,7 @@
         now = read_wall_clock()
         for worker in workers:
             self._data.failures.record(worker, record.spec.job_id, True, now)
-        unconfirmed = await stop_gang(self._data.command, record)
+        unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
         failures = record.failures + 1
         detail = f"failed on {', '.join(workers)}"
@@ -235,7 +261,7 @@
     async def cancel(self, record: JobRecord) -> None:
         """End a job whose caller has asked for it."""
         if record.state is JobState.STARTED:
-            unconfirmed = await stop_gang(self._data.command, record)
+            unconfirmed = await self._stop(record)
             await self._wait_for_lapse(unconfirmed)
         await self.end(record, JobState.CANCELLED, ReasonCode.CANCELLED_BY_CALLER)
 
@@ -264,4 +290,5 @@
             _log.warning("job_action_stopped", job_id=job_id, kind=failure.kind.value)
         finally:
             self._data.busy.discard(job_id)
+            self._data.stopping.discard(job_id)
             self._data.wake()
--- a/src/primrosestile/coordination/celldata.py
+++ b/src/primrosestile/coordination/celldata.py
@@ -71,6 +71,9 @@
         view: Who holds which accelerators.
         contacts: Its workers by name.
         busy: Jobs that an action is under way for; no other one touches them.
+        stopping: Those among them whose attempt is being stopped; their leases
+            are not renewed, or a member that can't be told to stop would run on
+            beside the next attempt.
         waiting_reasons: The latest reason of each job that waits.
         retry_at: Loop time before which a job is not tried again.
         started_at: Loop time at which the latest start of a job was complete.
@@ -88,6 +91,7 @@
     failures: FailureLedger
     wake: Callable[[], None]
     busy: set[str] = field(default_factory=set)
+    stopping: set[str] = field(default_factory=set)
     waiting_reasons: dict[str, Reason] = field(default_factory=dict)
     retry_at: dict[str, float] = field(default_factory=dict)
     started_at: dict[str, float] = field(default_factory=dict)
--- a/src/primrosestile/coordination/claims.py
+++ b/src/primrosestile/coordination/claims.py
@@ -78,14 +78,21 @@
             self._lease_until = now + SHARED_LEASE_PERIOD_SECONDS
         return self._lease
 
-    def _make_token(self) -> str:
+    def make_token(self) -> str:
+        """Return a token that no other write has."""
         return f"{self._token_source.getrandbits(96):024x}"
 
     async def claim(
-        self, organisation: str, request_id: str, fingerprint: str
+        self, organisation: str, request_id: str, fingerprint: str, token: str
     ) -> HeldClaim | Claim:
         """Claim a request, or return the finished claim that answers it.
 
+        Args:
+            organisation: Whose request it is.
+            request_id: The caller's id.
+            fingerprint: Of the class and body.
+            token: A new one; `release` finds the claim by it should this fail.
+
         Raises:
             Failure: CONFLICT for another body under the same id, IN_PROGRESS
                 while another process works on it, OUTCOME_UNKNOWN when it may
@@ -93,7 +100,7 @@
         """
         key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
         claim = Claim(
-            token=self._make_token(),
+            token=token,
             state=ClaimState.CLAIMED,
             entry=self._holder,
             fingerprint=fingerprint,
@@ -108,12 +115,34 @@
             raise Failure(ErrorKind.STORE_UNAVAILABLE, "the claim came and went")
         return await self._meet(key, claim, swap.current)
 
-    async def find(self, organisation: str, request_id: str) -> Claim | None:
-        """Return the claim as it stands, or None; one read, no write."""
-        entry = await self._store.get(f"{CLAIMS_PREFIX}{organisation}/{request_id}")
+    async def settle_abandoned(
+        self, organisation: str, request_id: str
+    ) -> Claim | None:
+        """Return the claim as it stands; one that nobody can act on is ended first.
+
+        A claim whose holder has ended before it dispatched is taken over and
+        settled as not run: until that is done, a holder that was only paused
+        could still dispatch it.
+        """
+        key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
+        entry = await self._store.get(key)
         if entry is None:
             return None
-        return msgspec.json.decode(entry.value, type=Claim)
+        claim = msgspec.json.decode(entry.value, type=Claim)
+        if claim.state is ClaimState.CLAIMED and not self._check.is_alive(claim.entry):
+            held = HeldClaim(key, claim, entry.mod_revision)
+            return (await self.mark_not_run(held)).claim
+        return claim
+
+    async def release(self, organisation: str, request_id: str, token: str) -> None:
+        """Settle a claim as not run if it still is the one with this token."""
+        key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
+        entry = await self._store.get(key)
+        if entry is None:
+            return
+        claim = msgspec.json.decode(entry.value, type=Claim)
+        if claim.token == token:
+            await self.mark_not_run(HeldClaim(key, claim, entry.mod_revision))
 
     async def claim_job(
         self, organisation: str, request_id: str, fingerprint: str, job_id: str
@@ -126,7 +155,7 @@
         """
         key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
         claim = Claim(
-            token=self._make_token(),
+            token=self.make_token(),
             state=ClaimState.DONE,
             entry=self._holder,
             fingerprint=fingerprint,
@@ -187,7 +216,7 @@
         """Record the target; only after this returns may anything be sent."""
         claim = replace(
             held.claim,
-            token=self._make_token(),
+            token=self.make_token(),
             state=ClaimState.DISPATCHED,
             target=target,
         )
@@ -196,13 +225,13 @@
     async def mark_not_run(self, held: HeldClaim) -> HeldClaim:
         """Record that the target proved that the request did not run."""
         claim = replace(
-            held.claim, token=self._make_token(), state=ClaimState.NOT_RUN, target=""
+            held.claim, token=self.make_token(), state=ClaimState.NOT_RUN, target=""
         )
         return await self._swap(held, claim)
 
     async def mark_unknown(self, held: HeldClaim) -> None:
         """Record that the request may have run, so that it is never sent again."""
-        claim = replace(held.claim, token=self._make_token(), state=ClaimState.UNKNOWN)
+        claim = replace(held.claim, token=self.make_token(), state=ClaimState.UNKNOWN)
         await self._swap(held, claim)
 
     async def mark_done(self, held: HeldClaim, status: int, answer: str) -> None:
@@ -210,7 +239,7 @@
         kept = answer if len(answer) <= KEPT_ANSWER_BYTES else ""
         claim = replace(
             held.claim,
-            token=self._make_token(),
+            token=self.make_token(),
             state=ClaimState.DONE,
             status=status,
             answer=kept,
--- a/src/primrosestile/coordination/dispatch.py
+++ b/src/primrosestile/coordination/dispatch.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 import structlog
 
@@ -103,7 +104,7 @@
         self._claims = claims
         self._turns: dict[str, _Turn] = {}
         self._wake = asyncio.Event()
-        self._settling: set[asyncio.Task[None]] = set()
+        self._settling: set[asyncio.Task[Any]] = set()
         self._reads = _ReadBudget(REFUSAL_READS_PER_SECOND)
 
     @property
@@ -216,12 +217,7 @@
         self.router.note_first_attempt()
         if order.idempotent:
             return await self._answer_idempotent(order, waiting)
-        try:
-            return await self._answer_claimed(order, waiting)
-        except Failure as failure:
-            if not failure.not_run or attempt == 1:
-                raise
-            return await self._check_earlier(order, failure)
+        return await self._answer_claimed(order, waiting, attempt)
 
     async def _check_earlier(
         self, order: RequestOrder, failure: Failure
@@ -235,14 +231,16 @@
         try:
             if not self._reads.take(read_clock()):
                 raise Failure(ErrorKind.STORE_UNAVAILABLE, "too many refusals")
-            claim = await self._claims.find(order.organisation, order.request_id)
+            claim = await self._claims.settle_abandoned(
+                order.organisation, order.request_id
+            )
         except Failure:
             raise Failure(
                 ErrorKind.EARLIER_SENDING_UNKNOWN,
                 failure.detail,
                 failure.come_back_after,
             ) from failure
-        if claim is None or claim.state in (ClaimState.CLAIMED, ClaimState.NOT_RUN):
+        if claim is None or claim.state is ClaimState.NOT_RUN:
             raise failure
         if claim.state is ClaimState.DONE:
             return _answer_from(claim, order)
@@ -320,6 +318,8 @@
         try:
             timeout = max(0.001, waiting.deadline - started)
             answer = await self._targets.send(target, order, timeout)
+            if answer.leaving:
+                self.router.note_leaving(target)
             outcome = _judge(answer)
             return _accept(answer, target)
         except Failure as failure:
@@ -329,32 +329,65 @@
             self._finish(target, waiting, outcome, started)
 
     async def _answer_claimed(
-        self, order: RequestOrder, waiting: Waiting
+        self, order: RequestOrder, waiting: Waiting, attempt: int
     ) -> RequestAnswer:
         """Serve a non-idempotent request under its claim.
 
         The claim is made when the turn has come, not on arrival: a queue that is
         given up or cancelled in a wave then costs the store nothing.
         """
-        tried: frozenset[str] = frozenset()
-        held: HeldClaim | None = None
-        while True:
-            target = await self._wait_for_turn(waiting, tried)
-            try:
-                step = await self._take_claim(held, target, order)
-            except BaseException:
-                self._finish(target, waiting, Outcome.REFUSED, read_clock())
+        try:
+            target = await self._wait_for_turn(waiting, frozenset())
+            step = await self._claim(target, order, waiting)
+        except Failure as failure:
+            if not failure.not_run or attempt == 1:
                 raise
-            if isinstance(step, Claim):
+            return await self._check_earlier(order, failure)
+        if isinstance(step, Claim):
+            return _answer_from(step, order)
+        return await self._run_claimed(step, target, order, waiting)
+
+    async def _claim(
+        self, target: str, order: RequestOrder, waiting: Waiting
+    ) -> HeldClaim | Claim:
+        """Claim the request; free the target's slot unless the claim is held."""
+        step: HeldClaim | Claim | None = None
+        fingerprint = compute_fingerprint(order.job_class, order.body)
+        token = self._claims.make_token()
+        try:
+            step = await self._claims.claim(
+                order.organisation, order.request_id, fingerprint, token
+            )
+            return step
+        except BaseException as error:
+            self._release_later(order, token)
+            if _is_lost_answer(error):
+                # Nothing was sent under this claim. The table's row for a lost
+                # answer speaks of the write, not of the caller's request.
+                raise Failure(ErrorKind.STORE_UNAVAILABLE, str(error)) from error
+            raise
+        finally:
+            if not isinstance(step, HeldClaim):
                 self._finish(target, waiting, Outcome.REFUSED, read_clock())
-                return _answer_from(step, order)
-            held = step
+
+    async def _run_claimed(
+        self, held: HeldClaim, target: str, order: RequestOrder, waiting: Waiting
+    ) -> RequestAnswer:
+        """Send under a claim until it ran, may have run, or is given up.
+
+        Whichever way this ends without a sending, the claim is settled as not
+        run, so that the same id is not shut out by a claim that nobody works on.
+        """
+        tried: frozenset[str] = frozenset()
+        while True:
+            held_now = held
             try:
+                held = await self._mark_dispatched(held, target, waiting)
                 # Shielded: a caller who goes away does not undo what was sent,
                 # and the claim must still learn how it ended.
-                return await asyncio.shield(
-                    asyncio.ensure_future(self._send_claimed(held, order, waiting))
-                )
+                sending = asyncio.create_task(self._send_claimed(held, order, waiting))
+                self._keep(sending)
+                return await asyncio.shield(sending)
             except Failure as failure:
                 if not failure.not_run:
                     raise
@@ -362,27 +395,44 @@
                 if not self.router.may_retry(waiting, read_clock()):
                     self._settle_later(held, "not_run")
                     raise
+            except asyncio.CancelledError:
+                if held is held_now:
+                    self._settle_later(held, "not_run")
+                raise
+            target = await self._wait_again(held, waiting, tried)
 
-    async def _take_claim(
-        self, held: HeldClaim | None, target: str, order: RequestOrder
-    ) -> HeldClaim | Claim:
-        """Claim and record the dispatch; a lost answer here means: not sent."""
+    async def _wait_again(
+        self, held: HeldClaim, waiting: Waiting, tried: frozenset[str]
+    ) -> str:
+        """Wait for another target; settle the claim if there will be none."""
         try:
-            if held is None:
-                fingerprint = compute_fingerprint(order.job_class, order.body)
-                step = await self._claims.claim(
-                    order.organisation, order.request_id, fingerprint
-                )
-                if isinstance(step, Claim):
-                    return step
-                held = step
-            return await self._claims.mark_dispatched(held, target)
+            return await self._wait_for_turn(waiting, tried)
+        except BaseException:
+            self._settle_later(held, "not_run")
+            raise
+
+    async def _mark_dispatched(
+        self, held: HeldClaim, target: str, waiting: Waiting
+    ) -> HeldClaim:
+        """Record the dispatch; free the target's slot if it can't be recorded.
+
+        LEAVING_CHECKED_AT_SEND: the claim's writes take seconds when the store is
+        slow, and the target may have begun to leave meanwhile.
+        """
+        recorded = False
+        try:
+            marked = await self._claims.mark_dispatched(held, target)
+            if self.router.is_leaving(target, read_clock()):
+                raise Failure(ErrorKind.TARGET_REFUSED, f"{target} is leaving")
+            recorded = True
+            return marked
         except Failure as failure:
             if failure.kind is ErrorKind.STORE_ANSWER_LOST:
-                # Nothing was sent under this claim. The table's row for a lost
-                # answer speaks of the write, not of the caller's request.
                 raise Failure(ErrorKind.STORE_UNAVAILABLE, failure.detail) from failure
             raise
+        finally:
+            if not recorded:
+                self._finish(target, waiting, Outcome.REFUSED, read_clock())
 
     async def _send_claimed(
         self, held: HeldClaim, order: RequestOrder, waiting: Waiting
@@ -408,10 +458,25 @@
     def _settle_later(
         self, held: HeldClaim, end: str, status: int = 0, answer: str = ""
     ) -> None:
-        task = asyncio.create_task(self._settle(held, end, status, answer))
+        self._keep(asyncio.create_task(self._settle(held, end, status, answer)))
+
+    def _release_later(self, order: RequestOrder, token: str) -> None:
+        self._keep(asyncio.create_task(self._release(order, token)))
+
+    def _keep(self, task: "asyncio.Task[Any]") -> None:
+        """Hold on to a task that outlives its caller, until it ends."""
         self._settling.add(task)
         task.add_done_callback(self._settling.discard)
 
+    async def _release(self, order: RequestOrder, token: str) -> None:
+        """Settle a claim whose write may have been made although it failed."""
+        for _ in range(SETTLE_RETRY_LIMIT):
+            try:
+                await self._claims.release(order.organisation, order.request_id, token)
+                return
+            except Failure:
+                await asyncio.sleep(SETTLE_RETRY_SECONDS)
+
     async def _settle(
         self, held: HeldClaim, end: str, status: int, answer: str
     ) -> None:
@@ -436,6 +501,10 @@
             await asyncio.wait(set(self._settling))
 
 
+def _is_lost_answer(error: BaseException) -> bool:
+    return isinstance(error, Failure) and error.kind is ErrorKind.STORE_ANSWER_LOST
+
+
 def _make_failure(refusal: Refusal) -> Failure:
     return Failure(refusal.kind, refusal.detail, refusal.retry_after)
 
--- a/src/primrosestile/coordination/following.py
+++ b/src/primrosestile/coordination/following.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 
 import structlog
 
@@ -24,9 +25,20 @@
 # While jobs wait in the cell, a finished task is worth noticing sooner.
 BUSY_ROUND_SECONDS = 1.0
 
+# A member that has finished waits for the others, which may go on.
+_WELL = (TaskPhase.HELD, TaskPhase.RUNNING, TaskPhase.FINISHED)
+
 _log = structlog.get_logger()
 
 
+@dataclass(slots=True)
+class _Renewal:
+    """What one call renews, and for how long."""
+
+    task_ids: list[str]
+    seconds: float
+
+
 class Following:
     """Keeps in touch with the workers of one cell."""
 
@@ -50,17 +62,18 @@
 
     async def _run_round(self, group: asyncio.TaskGroup, contact: Contact) -> None:
         command = self._data.command
-        task_ids = self._list_renewable(contact)
+        renewal = self._plan_renewal(contact)
         asked_at = read_clock()
-        if task_ids:
+        if renewal.task_ids:
             contact.renewed_at = asked_at
+        was_reachable = contact.reachable
         try:
             report = await command.workers.renew(
                 contact.worker.name,
                 command.cell,
                 command.epoch,
-                task_ids,
-                command.lease_seconds,
+                renewal.task_ids,
+                renewal.seconds,
             )
         except Failure as failure:
             self._note_failure(contact, failure)
@@ -69,6 +82,11 @@
         else:
             contact.report_at = asked_at
             self._note_report(contact, report)
+            if not was_reachable:
+                # What runs there was left out of the renewal while nobody knew
+                # whether it still ran.
+                await self._run_round(group, contact)
+                return
         if command.may_act():
             self._consider(group, contact)
 
@@ -103,29 +121,55 @@
             and any(member.worker == name for member in record.members)
         ]
 
-    def _list_renewable(self, contact: Contact) -> list[str]:
-        """Return the tasks there whose gang was whole in the last round.
+    def _plan_renewal(self, contact: Contact) -> _Renewal:
+        """Return the tasks there whose gang is whole, and for how long to renew.
+
+        RENEWED_ONLY_WHOLE and CARETAKER_RENEWS_WHOLE. The lease is shortened by
+        the age of what is known of the gang's other members: so that a gang whose
+        member died just after its round still stops everywhere within one lease.
 
-        RENEWED_ONLY_WHOLE. While this process's own lease is in doubt it renews
-        only in an outage of the store, in which nobody can have become the owner;
-        a process that was paused renews nothing before it has asked the store.
+        While this process's own lease is in doubt it renews only in an outage of
+        the store, in which nobody can have become the owner; a process that was
+        paused renews nothing before it has asked the store.
         """
         command = self._data.command
+        now = read_clock()
+        renewal = _Renewal([], command.lease_seconds)
+        if not contact.reachable:
+            return renewal
         if not command.may_act() and not command.may_care():
-            return []
-        return [
-            make_task_id(record.spec.job_id, record.attempt)
-            for record in self._jobs_on(contact)
-            if self._is_whole(record, contact)
-        ]
-
-    def _is_whole(self, record: JobRecord, asking: Contact) -> bool:
-        others = (
-            self._data.contacts.get(member.worker)
-            for member in record.members
-            if member.worker != asking.worker.name
-        )
-        return all(other is not None and other.reachable for other in others)
+            return renewal
+        for record in self._jobs_on(contact):
+            if record.spec.job_id in self._data.stopping:
+                continue
+            oldest = self._find_oldest_sight(record, contact)
+            if oldest is None:
+                continue
+            task_id = make_task_id(record.spec.job_id, record.attempt)
+            renewal.task_ids.append(task_id)
+            left = command.lease_seconds - (now - oldest)
+            renewal.seconds = min(renewal.seconds, left)
+        renewal.seconds = max(renewal.seconds, 0.0)
+        return renewal
+
+    def _find_oldest_sight(self, record: JobRecord, asking: Contact) -> float | None:
+        """Return since when a gang's other members are known to be well.
+
+        None when one of them is not: unreachable, or seen in another phase than
+        the gang's. A start counts as a sight of each member.
+        """
+        started = self._data.started_at.get(record.spec.job_id, 0.0)
+        oldest = read_clock()
+        for member in record.members:
+            if member.worker == asking.worker.name:
+                continue
+            contact = self._data.contacts.get(member.worker)
+            if contact is None or not contact.reachable:
+                return None
+            if self._find_phase(member.worker, record) not in _WELL:
+                return None
+            oldest = min(oldest, max(contact.report_at, started))
+        return oldest
 
     def _consider(self, group: asyncio.TaskGroup, contact: Contact) -> None:
         for record in self._jobs_on(contact):
--- a/src/primrosestile/coordination/membership.py
+++ b/src/primrosestile/coordination/membership.py
@@ -27,6 +27,9 @@
 # store can have given its cells away, since clocks run at different speeds.
 LEASE_MARGIN_SECONDS = 0.25
 STORE_RETRY_SECONDS = 0.5
+# The longest time between two failed calls: a third of the lease, a call's own
+# timeout, and a pause before the next try.
+STORE_DOWN_SECONDS = 5.0
 
 _log = structlog.get_logger()
 
@@ -34,10 +37,9 @@
 class ProcessLease:
     """One store lease, renewed by a task; everything this process owns hangs on it.
 
-    Attributes:
-        store_down: Whether the latest call to the store failed. A process that
-            was merely paused has not called since, so it does not take its own
-            pause for an outage.
+    It also knows whether the store is down: whether a call failed just now and none
+    succeeded since. A failure from before a pause says nothing about the present,
+    so it counts for no longer than the time between two calls.
     """
 
     def __init__(self, store: Store, seconds: int) -> None:
@@ -45,7 +47,7 @@
         self._seconds = seconds
         self._valid_until = 0.0
         self.lease = 0
-        self.store_down = False
+        self._store_failed_at = -STORE_DOWN_SECONDS
         self.gained = asyncio.Event()
         self.lost = asyncio.Event()
         self.lost.set()
@@ -54,6 +56,11 @@
         """Whether this process may act on what it owns, now."""
         return self.lease != 0 and read_clock() < self._valid_until
 
+    @property
+    def store_down(self) -> bool:
+        """Whether a call to the store failed just now and none succeeded since."""
+        return read_clock() - self._store_failed_at < STORE_DOWN_SECONDS
+
     def seconds_left(self) -> float:
         """Seconds for which it may go on acting without a renewal."""
         return max(0.0, self._valid_until - read_clock()) if self.lease else 0.0
@@ -65,7 +72,7 @@
                 await self._gain()
                 await self._renew()
             except Failure as failure:
-                self.store_down = True
+                self._store_failed_at = read_clock()
                 _log.warning("process_lease_failed", kind=failure.kind.value)
             self._note_lapse()
             await asyncio.sleep(STORE_RETRY_SECONDS * random.uniform(0.5, 1.5))
@@ -79,7 +86,7 @@
         self.gained.set()
 
     def _extend(self, asked_at: float) -> None:
-        self.store_down = False
+        self._store_failed_at = -STORE_DOWN_SECONDS
         self._valid_until = asked_at + self._seconds - LEASE_MARGIN_SECONDS
 
     async def _renew(self) -> None:
@@ -89,7 +96,7 @@
             try:
                 alive = await self._store.keep_lease(self.lease)
             except Failure:
-                self.store_down = True
+                self._store_failed_at = read_clock()
                 if not self.is_valid():
                     # Renewing goes on: the store may come back before it has
                     # counted the lease out, and then nothing has to be rebuilt.
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -87,6 +87,12 @@
         if known is None or known.mod_revision < entry.mod_revision:
             self._owned[_cell_of(entry.key)] = _decode(entry)
 
+    def forget(self, cell: str, revision: int) -> None:
+        """Take in the removal of a key by this process."""
+        known = self._owned.get(cell)
+        if known is not None and known.mod_revision <= revision:
+            del self._owned[cell]
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -346,9 +352,13 @@
         if owned is None or not self._is_own(owned):
             return True
         try:
-            return await delete_settled(
+            given = await delete_settled(
                 self._store, CELLS_PREFIX + name, owned.mod_revision
             )
+            # Not seen by the watch yet; taken for still owned, the cell would be
+            # created anew at once, before the placer that it was given up for.
+            self._table.forget(name, owned.mod_revision)
+            return given
         except Failure as failure:
             _log.warning("cell_not_handed_over", cell=name, kind=failure.kind.value)
             return False
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -246,6 +246,7 @@
         finally:
             for victim in victims:
                 self._data.busy.discard(victim.spec.job_id)
+                self._data.stopping.discard(victim.spec.job_id)
         now = read_wall_clock()
         decision = decide_placement(
             self._data.view, make_demand(record), self._data.read_policy(), now
--- a/src/primrosestile/coordination/writing.py
+++ b/src/primrosestile/coordination/writing.py
@@ -24,16 +24,23 @@
 ) -> Swap:
     """Write if the key's revision is `expected`, and know whether it was made.
 
+    LOST_WRITE_NOT_DISPROVED: a write whose answer was lost may still be on its way
+    and land after a read that does not show it. So once one answer was lost, the
+    outcome is either found in the store or unknown, never "not written".
+
     Raises:
         Failure: STORE_UNAVAILABLE when nothing was written; STORE_ANSWER_LOST
             when that could not be found out.
     """
+    lost = False
     for _ in range(SETTLE_TRIES):
         try:
-            return await store.put(key, value, expected, lease)
+            swap = await store.put(key, value, expected, lease)
+            return _recognise(swap, value) if lost else swap
         except Failure as failure:
             if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
-                raise
+                raise _as_lost(failure, key) if lost else failure from failure
+        lost = True
         current = await _read_again(store, key)
         if current is not None and current.value == value:
             return Swap(True, current.mod_revision)
@@ -42,24 +49,36 @@
     raise Failure(ErrorKind.STORE_ANSWER_LOST, f"{key} could not be settled")
 
 
+def _recognise(swap: Swap, value: bytes) -> Swap:
+    """Take a swap that lost against one's own earlier try for done."""
+    current = swap.current
+    if not swap.done and current is not None and current.value == value:
+        return Swap(True, current.mod_revision)
+    return swap
+
+
+def _as_lost(failure: Failure, key: str) -> Failure:
+    return Failure(ErrorKind.STORE_ANSWER_LOST, f"{key}: {failure.detail}")
+
+
 async def _read_again(store: Store, key: str) -> Entry | None:
     """Read after a lost answer; a read that fails leaves the write unknown."""
     try:
         return await store.get(key)
     except Failure as failure:
-        raise Failure(
-            ErrorKind.STORE_ANSWER_LOST, f"{key}: {failure.detail}"
-        ) from failure
+        raise _as_lost(failure, key) from failure
 
 
 async def delete_settled(store: Store, key: str, expected: int) -> bool:
     """Remove if the key's revision is `expected`; return whether it is gone."""
+    lost = False
     for _ in range(SETTLE_TRIES):
         try:
             return (await store.delete(key, expected)).done
         except Failure as failure:
             if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
-                raise
+                raise _as_lost(failure, key) if lost else failure from failure
+        lost = True
         current = await _read_again(store, key)
         if current is None:
             return True
--- a/src/primrosestile/decisions/capacity.py
+++ b/src/primrosestile/decisions/capacity.py
@@ -89,6 +89,10 @@
         self._expect_change(self._refused[target], (target,))
         self._refresh(target)
 
+    def is_leaving(self, target: str) -> bool:
+        """Whether the list, its cell's owner or the target itself says so."""
+        return target in self._leaving or target in self._said_leaving
+
     def note_leaving(self, target: str) -> None:
         """Believe a target that says that it leaves."""
         self._said_leaving[target] = self._now + LEAVING_SECONDS
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -131,6 +131,19 @@
             self._urgent_in_flight -= 1
         self._learn(target, waiting, outcome, seconds, now)
 
+    def note_leaving(self, target: str) -> None:
+        """Note that a target says itself that it is leaving.
+
+        LEAVING_FROM_EITHER_SOURCE: the VM list lags, and the target's own word
+        comes with any answer.
+        """
+        self._capacity.note_leaving(target)
+
+    def is_leaving(self, target: str, now: float) -> bool:
+        """Whether a target is known to be leaving, by now."""
+        self._advance(now)
+        return self._capacity.is_leaving(target)
+
     def note_first_attempt(self) -> None:
         """Note a request's first attempt, which earns a part of a retry."""
         self._budget.earn()
--- a/src/primrosestile/programs/cli.py
+++ b/src/primrosestile/programs/cli.py
@@ -33,3 +33,7 @@
         print_note(f"internal: {type(error).__name__}: {error}")
         print_note("This is a fault of the program; report it with the command used.")
         sys.exit(Exit.FAULT)
+
+
+if __name__ == "__main__":
+    main()
