--- a/tools/launch.py
+++ b/tools/launch.py
@@ -20,6 +20,7 @@
 import urllib.request
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Self
@@ -204,7 +205,7 @@
         """
         for vm in self.vms.values():
             for program in vm.programs.values():
-                self.wait_until(lambda program=program: is_ready(program), bound)
+                self.wait_until(partial(is_ready, program), bound)
 
     def wait_until(
         self, condition: Callable[[], bool], bound: float = START_BOUND_SECONDS
