--- a/src/primrosestile/coordination/follower.py
+++ b/src/primrosestile/coordination/follower.py
@@ -113,6 +113,11 @@
         self._announce(applied)
         return True
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the settings have been read once, from store or peers."""
+        return self._first.is_set()
+
     def mark_ready(self) -> None:
         """Say that the settings are complete as far as anyone reachable knows."""
         self._first.set()
@@ -128,12 +133,17 @@
             await asyncio.sleep(delay)
 
     async def _follow(self) -> None:
-        revision = await self._list()
+        revision = await self.refresh()
         watch = self._store.watch(SETTINGS_PREFIX, revision)
         async for changes in _read_until_silent(watch, SILENCE_SECONDS):
             self.apply(_collect_values(changes))
 
-    async def _list(self) -> int:
+    async def refresh(self) -> int:
+        """Read every path from the store now; return the store's revision.
+
+        Raises:
+            Failure: STORE_UNAVAILABLE; what is in force stays.
+        """
         entries, revision = await list_all(self._store, SETTINGS_PREFIX)
         values = {
             each.key.removeprefix(SETTINGS_PREFIX): each.value for each in entries
--- a/src/primrosestile/programs/clijobs.py
+++ b/src/primrosestile/programs/clijobs.py
@@ -86,7 +86,10 @@
         # the same job again and not a second one.
         if not request_id:
             print_note(f"request id {own_id}")
-        _print_job(run_client(entry, token_file, send), as_json)
+        found = run_client(entry, token_file, send)
+        _print_job(found, as_json)
+        if found.get("state") in ENDED_BADLY:
+            raise typer.Exit(Exit.ENDED_BADLY)
 
     run_command(work, as_json)
 
@@ -159,8 +162,6 @@
         print_lines(f"  {describe_reason(each)}" for each in _read_history(found))
     else:
         print_lines([found["job_id"]])
-    if found.get("state") in ENDED_BADLY:
-        raise typer.Exit(Exit.ENDED_BADLY)
 
 
 def _read_history(found: dict[str, Any]) -> tuple[Reason, ...]:
--- a/src/primrosestile/programs/stewardsettings.py
+++ b/src/primrosestile/programs/stewardsettings.py
@@ -20,14 +20,13 @@
     encode_stored,
     put_setting,
 )
-from primrosestile.coordination.writing import list_all
 from primrosestile.decisions.access import require_operator
 from primrosestile.decisions.settingscheck import Fault, check_change, check_settings
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.programs.answers import read_request_id
 from primrosestile.programs.common import answer_json
 from primrosestile.protocol.store import Store
-from primrosestile.state.settings import SETTINGS_PREFIX, AuditEntry
+from primrosestile.state.settings import AuditEntry
 from primrosestile.transport.wire import decode_json
 
 COMMENT_LIMIT = 500
@@ -129,7 +128,7 @@
         path = request.match_info["path"]
         change = decode_json(await request.read(), SettingChange)
         value = bytes(change.value)
-        await self._refresh()
+        await self._follower.refresh()
         faults = check_change(self._follower.settings, path, value.decode())
         if faults:
             return _refuse(faults, read_request_id(request))
@@ -167,16 +166,9 @@
         value = stored.value.encode() or REMOVED
         return ShownSetting(path, stored.revision, msgspec.Raw(value), stale)
 
-    async def _refresh(self) -> None:
-        entries, _ = await list_all(self._store, SETTINGS_PREFIX)
-        values = {
-            each.key.removeprefix(SETTINGS_PREFIX): each.value for each in entries
-        }
-        self._follower.apply(values)
-
     async def _refresh_or_stale(self) -> bool:
         try:
-            await self._refresh()
+            await self._follower.refresh()
         except Failure:
             return True
         return False
@@ -189,7 +181,7 @@
         looks last sees both, and its operator is told.
         """
         try:
-            await self._refresh()
+            await self._follower.refresh()
         except Failure:
             return ()
         faults = check_settings(self._follower.settings)
--- a/src/primrosestile/programs/stewardviews.py
+++ b/src/primrosestile/programs/stewardviews.py
@@ -85,6 +85,8 @@
     async def show_status(self, request: web.Request) -> web.Response:
         """Answer which process has applied which revision."""
         self._require_operator(request)
+        # Another steward may have accepted a change that isn't known here yet.
+        await self._follower.refresh()
         revisions = dict(self._follower.revisions)
         records = await self._list_processes()
         answers = await self._ask_all(records, "/v1/applied")
