Finish a job that ended before it could be evicted

A job that finishes between the report that an eviction was decided on and the order to stop was put back into the queue. Ruled out: a worker that lost the stop; the ledger shows the first run finished. Change: after the stop the workers are asked once more; all finished means finished.

--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -22,10 +22,12 @@
     Stage,
     StartOutcome,
     checkpoint_gang,
+    make_task_id,
     start_gang,
     stop_gang,
 )
 from primrosestile.errors import Failure
+from primrosestile.protocol.workers import TaskPhase
 from primrosestile.state.jobs import (
     JobRecord,
     JobState,
@@ -169,11 +171,35 @@
             saved = await checkpoint_gang(self._data.command, record)
         unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
+        if await self._has_finished(record):
+            await self.finish(record)
+            return True
         waiting = replace(
             record, state=JobState.ACCEPTED, checkpoint=saved, members=()
         ).with_reason(make_reason(code, detail))
         return await self._write_and_release(waiting)
 
+    async def _has_finished(self, record: JobRecord) -> bool:
+        """Whether every member had finished before it was told to stop.
+
+        A job ends between the report that an eviction was decided on and the
+        order to stop. Put back into the queue, it would run to its end a second
+        time; the workers know better.
+        """
+        command = self._data.command
+        task_id = make_task_id(record.spec.job_id, record.attempt)
+        for member in record.members:
+            try:
+                report = await command.workers.report(
+                    member.worker, command.cell, command.epoch
+                )
+            except Failure:
+                return False
+            phases = [task.phase for task in report.tasks if task.task_id == task_id]
+            if phases != [TaskPhase.FINISHED]:
+                return False
+        return True
+
     async def _write_and_release(self, record: JobRecord) -> bool:
         written = await self._data.book.write(record)
         if written:
@@ -200,6 +226,9 @@
     ) -> None:
         unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
+        if await self._has_finished(record):
+            await self.finish(record)
+            return
         detail = f"on {', '.join(workers)}"
         if record.spec.restartable:
             waiting = replace(record, state=JobState.ACCEPTED, members=()).with_reason(
