Run the relay in every program

The relay takes the place of each process's own watch. ProcessSettings gains 'seeds', the addresses that a process asks when the store is down at its start; nothing else names peers at that moment, since their list is in the store.

--- a/src/primrosestile/coordination/relay.py
+++ b/src/primrosestile/coordination/relay.py
@@ -47,6 +47,8 @@
 # One peer alone may have slept through a change. Two that answer are taken as
 # enough, since each of them repairs itself from the others every 2 s.
 STARTING_PEERS = 2
+# The store is asked first and answers in milliseconds when it is up.
+STORE_PATIENCE_SECONDS = 2.0
 
 _log = structlog.get_logger()
 
@@ -143,6 +145,7 @@
         """
         needed = min(STARTING_PEERS, len(self._place.seeds))
         answered: set[str] = set()
+        await asyncio.sleep(STORE_PATIENCE_SECONDS)
         while needed and not self._follower.is_ready:
             for seed in self._place.seeds:
                 if await self._take_all(seed):
--- a/src/primrosestile/programs/parts.py
+++ b/src/primrosestile/programs/parts.py
@@ -15,6 +15,7 @@
     ProcessLease,
     Registration,
 )
+from primrosestile.coordination.relay import Place, Relay, make_relay
 from primrosestile.programs.common import Health, Metrics
 from primrosestile.state.fleet import Fleet
 from primrosestile.state.jobs import ProcessRecord
@@ -39,6 +40,7 @@
     directory: Directory
     registration: Registration
     follower: SettingsFollower
+    relay: Relay
     health: Health
     metrics: Metrics
 
@@ -48,7 +50,7 @@
             self.lease.run(),
             self.directory.run(),
             self.registration.run(),
-            self.follower.run(),
+            self.relay.run(),
             self.peers.serve(self.messages.answer),
             self._wait_for_settings(),
         ]
@@ -99,16 +101,22 @@
     follower = make_follower(store, settings.name)
     health = Health({"settings": NO_SETTINGS}, lambda: follower.revisions)
     messages = MessageTable(settings.vm, lambda: registration.record.leaving)
+    directory = Directory(store)
+    peers = make_peers(settings.name, settings.peer, settings.peer_keys)
+    place = Place(settings.name, settings.failure_domain, settings.seeds)
+    relay = make_relay(follower, peers, directory.records, place)
+    relay.add_handlers(messages)
     return Parts(
         settings=settings,
         store=store,
         vm_list=make_vm_list(settings.vm_list),
-        peers=make_peers(settings.name, settings.peer, settings.peer_keys),
+        peers=peers,
         messages=messages,
         lease=lease,
-        directory=Directory(store),
+        directory=directory,
         registration=registration,
         follower=follower,
+        relay=relay,
         health=health,
         metrics=Metrics(program),
     )
--- a/src/primrosestile/state/process.py
+++ b/src/primrosestile/state/process.py
@@ -39,6 +39,9 @@
         process_lease_seconds: Time to live of this process's lease.
         task_lease_seconds: Time to live of leases on workers; the bound within
             which a gang that lost a member has stopped everywhere.
+        seeds: Addresses of a few processes on other VMs, `ip:port` as in `peer`;
+            asked for the settings when the store is down at the start. Without
+            two of them such a process waits for the store.
     """
 
     name: str
@@ -53,3 +56,4 @@
     drain_seconds: float = 2.0
     process_lease_seconds: int = 4
     task_lease_seconds: float = 15.0
+    seeds: tuple[str, ...] = ()
