Write the operators' pages, and check them against the code

docs/errors.md and docs/settings.md are made from the tables and data classes by two tools; a feature compares them. docs/operating.md tells how to deploy, change settings, roll, rotate keys and read metrics, and has a row for each warning that a program logs; the feature compares both sets, and the commands and process settings that the page names. docs/glossary.md sets the users' words beside the terms of the field.

--- /dev/null
+++ b/features/settings/pages.feature
@@ -0,0 +1,16 @@
+Feature: The pages for operators and callers say what the code does
+
+  A page that has parted from the code costs its reader a refused change at best,
+  and a second run of work at worst.
+
+  Scenario: The page of errors is the table of errors
+    Then docs/errors.md is as the table of errors makes it
+
+  Scenario: The page of settings is the settings and their checks
+    Then docs/settings.md is as the settings make it
+    And every setting has a meaning on docs/settings.md
+
+  Scenario: The operators' page names only commands and metrics that exist
+    Then each command on docs/operating.md exists
+    And each program setting on docs/operating.md exists
+    And each warning that a program logs stands on docs/operating.md, and no other
