--- /dev/null
+++ b/features/requests/machines.py
@@ -0,0 +1,304 @@
+"""State machines that run the decisions against simple oracles."""
+
+from typing import Any
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from primrosestile.decisions.admission import LONGEST_RETRY, SHORTEST_RETRY
+from primrosestile.decisions.capacity import LEAVING_SECONDS
+from primrosestile.decisions.queueing import Refusal, Waiting, make_queue
+from primrosestile.decisions.routing import Outcome, make_router
+from primrosestile.decisions.slots import (
+    DELIVERY_SECONDS,
+    GRANT_SECONDS,
+    make_grant_ledger,
+    share_safely,
+)
+from primrosestile.errors import ANSWERS, Ran
+from primrosestile.state.tenancy import Policy, Urgency
+
+LIMIT = 24
+WORKERS = {"worker-a": 2, "worker-b": 3, "worker-c": 1}
+ENTRIES = ("entry-1", "entry-2", "entry-3", "entry-4")
+workers = st.sampled_from(sorted(WORKERS))
+
+
+class RequestMachine(RuleBasedStateMachine):
+    """One entry's queue and router; the oracle knows where each request is."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        policy = Policy(queue_limit=LIMIT)
+        self.now = 0.0
+        self.queue = make_queue(policy)
+        self.router = make_router("entry-1", policy)
+        self.router.set_entries(["entry-1"])
+        self.router.set_targets(WORKERS, frozenset(), self.now)
+        self.made = 0
+        self.waiting: dict[str, Waiting] = {}
+        self.running: list[tuple[str, Waiting]] = []
+        self.answered: dict[str, str] = {}
+        self.listed_leaving: frozenset[str] = frozenset()
+        self.said_leaving: dict[str, float] = {}
+        self.granted = dict(WORKERS)
+        self.granted_until = 0.0
+
+    def answer(self, waiting: Waiting, how: str) -> None:
+        assert waiting.request_id not in self.answered, "answered twice"
+        self.answered[waiting.request_id] = how
+
+    def check_refusal(self, refusal: Refusal) -> None:
+        assert ANSWERS[refusal.kind].ran is Ran.NOT_RUN
+        assert SHORTEST_RETRY <= refusal.retry_after <= LONGEST_RETRY
+
+    @rule(
+        organisation=st.sampled_from("ab"),
+        job_class=st.sampled_from("xy"),
+        urgency=st.sampled_from(Urgency),
+        idempotent=st.booleans(),
+        patience=st.floats(0.0, 20.0),
+        expected=st.floats(0.01, 50.0),
+        count=st.integers(1, 8),
+    )
+    def arrive(
+        self,
+        organisation: str,
+        job_class: str,
+        urgency: Urgency,
+        idempotent: bool,
+        patience: float,
+        expected: float,
+        count: int,
+    ) -> None:
+        for _ in range(count):
+            self.made += 1
+            waiting = Waiting(
+                request_id=f"r{self.made}",
+                organisation=organisation,
+                team=organisation,
+                job_class=job_class,
+                urgency=urgency,
+                idempotent=idempotent,
+                arrived_at=self.now,
+                deadline=self.now + patience,
+                expected_seconds=expected,
+            )
+            refusal = self.queue.offer(waiting, self.now)
+            if refusal is None:
+                self.waiting[waiting.request_id] = waiting
+            else:
+                self.check_refusal(refusal)
+                self.answer(waiting, "refused")
+
+    @rule()
+    def serve(self) -> None:
+        self.queue.set_slots(self.router.count_slots(self.now))
+        chosen: list[str] = []
+
+        def accept(waiting: Waiting) -> bool:
+            target = self.router.choose(waiting, self.now)
+            chosen.append(target or "")
+            return target is not None
+
+        while waiting := self.queue.take(self.now, accept):
+            target = chosen[-1]
+            self.check_target(target)
+            assert self.waiting.pop(waiting.request_id) is waiting
+            assert waiting.deadline >= self.now
+            self.router.start(target, waiting, self.now)
+            self.running.append((target, waiting))
+        for waiting in self.waiting.values():
+            assert self.router.choose(waiting, self.now) is None, "left waiting"
+
+    def check_target(self, target: str) -> None:
+        assert target not in self.listed_leaving
+        assert self.said_leaving.get(target, 0.0) <= self.now
+        used = sum(each == target for each, _ in self.running)
+        fresh = self.now < self.granted_until
+        allowed = self.granted.get(target, 0) if fresh else WORKERS[target]
+        assert used < min(allowed, WORKERS[target])
+
+    @precondition(lambda self: self.running)
+    @rule(
+        data=st.data(),
+        outcome=st.sampled_from(Outcome),
+        seconds=st.floats(0.001, 30.0),
+    )
+    def finish(self, data: Any, outcome: Outcome, seconds: float) -> None:
+        place = data.draw(st.integers(0, len(self.running) - 1))
+        target, waiting = self.running.pop(place)
+        self.router.finish(target, waiting, outcome, seconds, self.now)
+        if outcome is Outcome.LEAVING:
+            self.said_leaving[target] = self.now + LEAVING_SECONDS
+        if outcome is Outcome.OK:
+            self.queue.note_served(waiting, seconds, self.now)
+        if outcome is Outcome.REFUSED and self.router.may_retry(waiting, self.now):
+            refusal = self.queue.offer(waiting, self.now)
+            if refusal is None:
+                self.waiting[waiting.request_id] = waiting
+                return
+            self.check_refusal(refusal)
+        self.answer(waiting, outcome.value)
+
+    @rule(data=st.data())
+    def cancel(self, data: Any) -> None:
+        known = [f"r{number}" for number in range(1, self.made + 1)]
+        if not known:
+            return
+        wave = data.draw(st.lists(st.sampled_from(known), max_size=40))
+        removed = self.queue.remove(wave)
+        assert {each.request_id for each in removed} == set(wave) & set(self.waiting)
+        for waiting in removed:
+            del self.waiting[waiting.request_id]
+            self.answer(waiting, "cancelled")
+
+    @rule(seconds=st.floats(0.01, 5.0))
+    def wait(self, seconds: float) -> None:
+        """Time passes, and the entry wakes up when the queue asked for it."""
+        until = self.now + seconds
+        while (check := self.queue.next_check(self.now)) is not None and check <= until:
+            self.now = max(self.now, check)
+            before = len(self.waiting)
+            self.give_up()
+            if len(self.waiting) == before:
+                self.now = min(until, self.now + 1e-3)
+                if self.now >= until:
+                    break
+        self.now = until
+        self.give_up()
+
+    def give_up(self) -> None:
+        for waiting, refusal in self.queue.give_up(self.now):
+            self.check_refusal(refusal)
+            del self.waiting[waiting.request_id]
+            self.answer(waiting, "given up")
+
+    @rule(
+        grants=st.dictionaries(workers, st.integers(0, 4)),
+        seconds=st.floats(0.1, 3.0),
+    )
+    def grant(self, grants: dict[str, int], seconds: float) -> None:
+        self.granted = grants
+        self.granted_until = self.now + seconds
+        self.router.set_grants(WORKERS, grants, self.granted_until, self.now)
+
+    @rule(leaving=st.frozensets(workers, max_size=2))
+    def list_leaving(self, leaving: frozenset[str]) -> None:
+        self.router.set_targets(WORKERS, leaving, self.now)
+        self.listed_leaving = leaving
+
+    @invariant()
+    def nothing_lost_and_nothing_twice(self) -> None:
+        assert len(self.queue) == len(self.waiting) <= LIMIT
+        running = {waiting.request_id for _, waiting in self.running}
+        assert len(running) == len(self.running)
+        places = (self.waiting.keys(), running, self.answered.keys())
+        assert sum(len(place) for place in places) == self.made
+        assert len(set().union(*places)) == self.made
+
+    @invariant()
+    def nobody_waits_beyond_the_deadline(self) -> None:
+        assert all(each.deadline >= self.now - 1e-6 for each in self.waiting.values())
+
+    def teardown(self) -> None:
+        ids = [each.request_id for each in self.waiting.values()]
+        assert len(self.queue.remove(ids)) == len(ids)
+        assert len(self.queue) == 0
+
+
+class GrantMachine(RuleBasedStateMachine):
+    """One cell's owners and the entries; messages are late, lost and reordered."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.ledger = make_grant_ledger(self.now)
+        self.entries: list[str] = ["entry-1", "entry-2"]
+        self.demand = dict.fromkeys(ENTRIES, 0)
+        # What each entry believes: when it lapses and slots, by worker.
+        self.believed: dict[str, tuple[float, dict[str, int]]] = {}
+        self.under_way: list[tuple[float, str, dict[str, int]]] = []
+
+    @rule(entry=st.sampled_from(ENTRIES), count=st.integers(0, 20))
+    def change_demand(self, entry: str, count: int) -> None:
+        self.demand[entry] = count
+
+    @rule(lost=st.frozensets(st.sampled_from(ENTRIES), max_size=3))
+    def grant(self, lost: frozenset[str]) -> None:
+        demand = {entry: self.demand[entry] for entry in self.entries}
+        # What runs is what the entry was granted, at the most.
+        in_flight = {
+            entry: {name: min(count, self.demand[entry]) for name, count in by.items()}
+            for entry, (until, by) in self.believed.items()
+            if until > self.now
+        }
+        grants = self.ledger.grant(WORKERS, demand, in_flight, self.now)
+        for entry, by_worker in grants.items():
+            if entry not in lost:
+                self.under_way.append((self.now, entry, by_worker))
+
+    @precondition(lambda self: self.under_way)
+    @rule(data=st.data())
+    def deliver(self, data: Any) -> None:
+        place = data.draw(st.integers(0, len(self.under_way) - 1))
+        sent, entry, by_worker = self.under_way.pop(place)
+        if sent + DELIVERY_SECONDS >= self.now and entry in self.entries:
+            self.believed[entry] = (self.now + GRANT_SECONDS, by_worker)
+
+    @rule(seconds=st.floats(0.05, 2.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def join(self, entry: str) -> None:
+        if entry not in self.entries:
+            self.entries.append(entry)
+
+    @precondition(lambda self: len(self.entries) > 1)
+    @rule(data=st.data(), dies=st.booleans())
+    def lose(self, data: Any, dies: bool) -> None:
+        """An entry is no longer listed; unless it died, it goes on all the same."""
+        entry = data.draw(st.sampled_from(self.entries))
+        self.entries.remove(entry)
+        if dies:
+            self.believed.pop(entry, None)
+
+    @rule()
+    def change_owner(self) -> None:
+        self.ledger = make_grant_ledger(self.now)
+
+    @invariant()
+    def fresh_grants_fit_each_worker(self) -> None:
+        for worker, slots in WORKERS.items():
+            total = sum(
+                by_worker.get(worker, 0)
+                for until, by_worker in self.believed.values()
+                if until > self.now
+            )
+            assert total <= slots, (worker, total, self.believed)
+
+    @invariant()
+    def safe_shares_fit_each_worker(self) -> None:
+        shares = [share_safely(WORKERS, self.entries, each) for each in self.entries]
+        for worker, slots in WORKERS.items():
+            assert sum(share[worker] for share in shares) == slots
+
+
+def run_machine(machine: type[RuleBasedStateMachine], examples: int) -> None:
+    """Run one machine with the same choices each time."""
+    bounds = settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=examples,
+        stateful_step_count=40,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(machine, settings=bounds)
--- a/src/primrosestile/decisions/admission.py
+++ b/src/primrosestile/decisions/admission.py
@@ -22,7 +22,7 @@
 PROMISED_SHARE = 0.7
 # A caller told to come back later than this rather goes away; one told to come
 # back sooner than this only adds load.
-LONGEST_RETRY = 30.0
+LONGEST_RETRY = 60.0
 SHORTEST_RETRY = 0.1
 
 
--- a/src/primrosestile/decisions/learning.py
+++ b/src/primrosestile/decisions/learning.py
@@ -11,8 +11,13 @@
 # Enough to place the 95th percentile, few enough to follow a change within
 # seconds at the rates of one entry.
 SAMPLES_KEPT = 64
-# An average that weighs a new run by a tenth settles within some twenty runs.
+# An average over some thirty runs is within a fifth of the truth, where run times
+# vary as much as their mean. Less would make estimates of waits useless.
 NEW_SAMPLE_WEIGHT = 0.03
+# So many runs in a row that are all less than half, or all more than twice, what
+# was expected are no chance (one in two thousand): the level itself has changed.
+LEVEL_RUNS = 8
+LEVEL_FACTOR = 2.0
 # Classes come and go with settings; this bounds memory at some 4 MB.
 MOST_CLASSES = 2048
 
@@ -20,9 +25,11 @@
 class RunTimes:
     """Learned run times of one class, in seconds."""
 
-    __slots__ = ("_quantiles", "_samples", "count", "mean")
+    __slots__ = ("_above", "_below", "_quantiles", "_samples", "count", "mean")
 
     def __init__(self) -> None:
+        self._above = 0
+        self._below = 0
         self._samples: deque[float] = deque(maxlen=SAMPLES_KEPT)
         self._quantiles: dict[float, float] = {}
         self.mean = 0.0
@@ -34,9 +41,21 @@
         weight = max(NEW_SAMPLE_WEIGHT, 1.0 / self.count)
         self.mean += weight * (seconds - self.mean)
         self._samples.append(seconds)
+        self._watch_level(seconds)
         if self.count % 8 == 0:
             self._quantiles.clear()
 
+    def _watch_level(self, seconds: float) -> None:
+        self._above = self._above + 1 if seconds > self.mean * LEVEL_FACTOR else 0
+        self._below = self._below + 1 if seconds < self.mean / LEVEL_FACTOR else 0
+        if max(self._above, self._below) < LEVEL_RUNS:
+            return
+        latest = list(self._samples)[-LEVEL_RUNS:]
+        self.mean = sum(latest) / LEVEL_RUNS
+        self._samples = deque(latest, maxlen=SAMPLES_KEPT)
+        self._quantiles.clear()
+        self._above = self._below = 0
+
     def estimate_quantile(self, share: float) -> float:
         """Return the run time that `share` of the latest runs did not exceed."""
         known = self._quantiles.get(share)
--- a/src/primrosestile/decisions/quarantine.py
+++ b/src/primrosestile/decisions/quarantine.py
@@ -4,8 +4,8 @@
 a worker on which everything fails says nothing about the jobs. Counting
 failures of workers alone would let one broken job put a whole cell out of use;
 counting those of jobs alone would let one broken worker condemn every job that
-touches it. So a failure counts against a worker only if the same subject is not
-itself suspect, and against a subject only over several workers.
+touches it. So a failure counts against a worker only as far as the same subject
+succeeds elsewhere, and against a subject only over several workers.
 """
 
 from collections.abc import Sequence
@@ -13,9 +13,8 @@
 
 from primrosestile.state.tenancy import Policy
 
-# Different subjects that must have failed on a worker, and different workers on
-# which a subject must have failed. Two can be chance; waiting for more would
-# cost a job for each.
+# Failures that must count against a worker, and different workers on which a
+# subject must have failed. Two can be chance; more would cost a job for each.
 ENOUGH_CROSSED = 3
 # A worker is suspect when more than half of its latest runs failed.
 BAD_SHARE = 0.5
@@ -63,9 +62,14 @@
     since: float
     seconds: float
     canary_after: float
-    reason: str
+    share: float
     canaries: int = 0
 
+    def describe(self) -> str:
+        return (
+            f"{self.share:.0%} of its latest runs failed, of work that runs elsewhere"
+        )
+
 
 class FailureLedger:
     """Outcomes crossed by worker and subject, for one cell."""
@@ -120,19 +124,17 @@
         for worker in [each for each in self._resting if each not in present]:
             del self._resting[worker]
         most = int(self._policy.quarantine_share * len(present))
+        self._release_excess(most)
         suspects = [
             (share, worker)
             for worker in sorted(present - self._resting.keys())
             if (share := self._judge_worker(worker, now)) > BAD_SHARE
         ]
         suspects.sort(key=lambda suspect: (-suspect[0], suspect[1]))
-        for share, worker in suspects[: max(0, most - len(self._resting))]:
-            reason = (
-                f"{share:.0%} of its latest runs failed, of jobs that run elsewhere"
-            )
-            self._resting[worker] = _Rest(now, FIRST_REST, now + FIRST_REST, reason)
+        for share, worker in suspects[: most - len(self._resting)]:
+            self._resting[worker] = _Rest(now, FIRST_REST, now + FIRST_REST, share)
         return tuple(
-            Quarantined(worker, rest.since, rest.canary_after, rest.reason)
+            Quarantined(worker, rest.since, rest.canary_after, rest.describe())
             for worker, rest in sorted(self._resting.items())
         )
 
@@ -145,23 +147,41 @@
         rest = self._resting.get(worker)
         return rest is not None and now >= rest.canary_after
 
+    def _release_excess(self, most: int) -> None:
+        """Let the least bad workers back when the settings allow fewer."""
+        worst = sorted(self._resting, key=lambda worker: -self._resting[worker].share)
+        for worker in worst[most:]:
+            del self._resting[worker]
+
     def _judge_worker(self, worker: str, now: float) -> float:
-        """Return the share of failed runs that count, or 0 with too few."""
+        """Return the share of failed runs, as far as they count against it.
+
+        A subject that was seen nowhere else counts once, however often it
+        failed here: it may be at fault itself.
+        """
         since = now - MEMORY_SECONDS
-        runs = [
-            run
-            for run in self._workers.get(worker, ())
-            if run.time > since and not self._fails_elsewhere(run.other, worker)
+        blame, succeeded = 0.0, 0
+        unknown: set[str] = set()
+        for run in self._workers.get(worker, ()):
+            if run.time <= since:
+                continue
+            if not run.failed:
+                succeeded += 1
+                continue
+            share = self._share_failed_elsewhere(run.other, worker)
+            if share is None:
+                unknown.add(run.other)
+            else:
+                blame += 1 - share
+        blame += len(unknown)
+        return blame / (blame + succeeded) if blame >= ENOUGH_CROSSED else 0.0
+
+    def _share_failed_elsewhere(self, subject: str, worker: str) -> float | None:
+        """Return what share of a subject's runs on other workers failed."""
+        others = [
+            run.failed for run in self._subjects.get(subject, ()) if run.other != worker
         ]
-        failed = [run for run in runs if run.failed]
-        if len({run.other for run in failed}) < ENOUGH_CROSSED:
-            return 0.0
-        return len(failed) / len(runs)
-
-    def _fails_elsewhere(self, subject: str, worker: str) -> bool:
-        """Whether a subject fails on other workers too, and never succeeds."""
-        others = [run for run in self._subjects.get(subject, ()) if run.other != worker]
-        return bool(others) and all(run.failed for run in others)
+        return sum(others) / len(others) if others else None
 
     def _note_canary(
         self, worker: str, subject: str, failed: bool, rest: _Rest, now: float
@@ -173,7 +193,7 @@
                 # What it failed before it was mended must not count again.
                 self._workers[worker] = []
             return
-        if self._fails_elsewhere(subject, worker):
+        if self._share_failed_elsewhere(subject, worker) == 1:
             return
         rest.canaries = 0
         rest.seconds = min(LONGEST_REST, rest.seconds * 2)
--- a/src/primrosestile/decisions/queueing.py
+++ b/src/primrosestile/decisions/queueing.py
@@ -230,10 +230,11 @@
         self._booked_until += run / self._drain.estimate()
         self._booked_until = min(self._booked_until, now + LONGEST_RETRY)
         noise = xxhash.xxh32_intdigest(waiting.request_id.encode()) / 2**32
-        spread = (self._booked_until - now) * (1 + 0.1 * noise)
-        return replace(
-            refusal, retry_after=min(LONGEST_RETRY, max(SHORTEST_RETRY, spread))
-        )
+        wait = self._booked_until - now
+        if wait >= LONGEST_RETRY:
+            # Fully booked: then the returns are spread over half of the time.
+            wait *= 1 - noise / 2
+        return replace(refusal, retry_after=max(SHORTEST_RETRY, wait))
 
     def _order_lines(self) -> tuple[Urgency, Urgency]:
         """Return which line goes first.
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -7,6 +7,7 @@
 same target at once.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping, Sequence
 from enum import Enum
@@ -24,6 +25,9 @@
 
 # Targets looked at for one choice. The bench of requests weighs other figures.
 SAMPLE = 4
+# Recent run times that differ by less than a half count as the same. Chance makes
+# such differences, and all entries would run after the same fastest target.
+LOG_STEP = math.log(1.5)
 # Patient work that runs longer than this must leave room for urgent work, since
 # its slots come free too seldom. Shorter work frees a slot soon enough anyway.
 LONG_SECONDS = 2.0
@@ -177,7 +181,7 @@
         """Return the requests of this entry at each target that has any."""
         return self._capacity.count_in_flight()
 
-    def _rank(self, target: str) -> tuple[int, float]:
+    def _rank(self, target: str) -> tuple[int, int]:
         """Return what makes a target worse: load first, then recent run times.
 
         A failure counts as much as a request in flight. Else a target that fails
@@ -186,8 +190,8 @@
         health = self._outliers.find(target)
         load = self._capacity.count_at(target)
         if health is None:
-            return (load, 0.0)
-        return (load + health.failures_in_a_row, health.slowness)
+            return (load, 0)
+        return (load + health.failures_in_a_row, int(health.slowness / LOG_STEP))
 
     def _leaves_room(self, waiting: Waiting) -> bool:
         """Whether the request leaves the slots free that urgent work may need.
--- a/src/primrosestile/decisions/sampling.py
+++ b/src/primrosestile/decisions/sampling.py
@@ -35,12 +35,18 @@
     def sample(
         self, source: random.Random, count: int, exclude: frozenset[str]
     ) -> list[str]:
-        """Return up to `count` different names, none of those excluded."""
-        if len(self._names) <= count + len(exclude):
-            return [name for name in self._names if name not in exclude][:count]
+        """Return up to `count` different names, none of those excluded.
+
+        In random order, so that the first of equals is not always the same one.
+        """
+        names = self._names
+        if len(names) <= count + len(exclude):
+            first = int(source.random() * len(names))
+            turned = names[first:] + names[:first]
+            return [name for name in turned if name not in exclude][:count]
         picked: list[str] = []
         while len(picked) < count:
-            name = self._names[int(source.random() * len(self._names))]
+            name = names[int(source.random() * len(names))]
             if name not in exclude and name not in picked:
                 picked.append(name)
         return picked
