Pace rounds by a budget of rounds a second

Cause: while jobs wait, each worker was read each second; at 1,667 workers a placer that is 1,667 rounds a second of about 0.5 ms, where control may use 2.5% of a core. Ruled out: longer leases alone, which lengthen the time a gang may run in part.

--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -51,12 +51,15 @@
         command: Command,
         read_settings: Callable[[], Settings],
         read_pictures: PictureSource,
+        count_followed: Callable[[], int],
     ) -> None:
         self.cell = cell
         self._read_settings = read_settings
         self.recovered = asyncio.Event()
         self._inputs = _collect_inputs(read_settings(), cell.name)
-        self._data = _make_data(cell, store, command, read_settings, self._wake)
+        self._data = _make_data(
+            cell, store, command, read_settings, self._wake, count_followed
+        )
         self._actions = JobActions(self._data)
         self._placing = Placing(self._data, self._actions, store, read_pictures)
         self._following = Following(self._data, self._actions)
@@ -77,6 +80,11 @@
         """Set once a worker has seen a higher epoch."""
         return self._following.superseded
 
+    @property
+    def worker_count(self) -> int:
+        """How many workers the cell has."""
+        return len(self._data.contacts)
+
     def needs_restart(self, settings: Settings) -> bool:
         """Whether the cell's workers or promises are others by now."""
         return _collect_inputs(settings, self.cell.name) != self._inputs
@@ -357,6 +365,7 @@
     command: Command,
     read_settings: Callable[[], Settings],
     wake: Callable[[], None],
+    count_followed: Callable[[], int],
 ) -> CellData:
     inputs = _collect_inputs(read_settings(), cell.name)
     return CellData(
@@ -370,6 +379,7 @@
         run_times=RunTimes(),
         failures=make_ledger(read_settings().policy),
         wake=wake,
+        count_followed=count_followed,
     )
 
 
--- a/src/primrosestile/coordination/celldata.py
+++ b/src/primrosestile/coordination/celldata.py
@@ -70,6 +70,7 @@
         book: Its job records.
         view: Who holds which accelerators.
         contacts: Its workers by name.
+        count_followed: Says how many workers this process follows in all cells.
         busy: Jobs that an action is under way for; no other one touches them.
         stopping: Those among them whose attempt is being stopped; their leases
             are not renewed, or a member that can't be told to stop would run on
@@ -90,6 +91,7 @@
     run_times: RunTimes
     failures: FailureLedger
     wake: Callable[[], None]
+    count_followed: Callable[[], int]
     busy: set[str] = field(default_factory=set)
     stopping: set[str] = field(default_factory=set)
     waiting_reasons: dict[str, Reason] = field(default_factory=dict)
--- a/src/primrosestile/coordination/following.py
+++ b/src/primrosestile/coordination/following.py
@@ -16,15 +16,11 @@
 from primrosestile.coordination.actions import JobActions
 from primrosestile.coordination.celldata import CellData, Contact
 from primrosestile.coordination.gangs import Stage, go_gang, make_task_id
+from primrosestile.decisions.pacing import choose_round_seconds
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.workers import TaskPhase, WorkerReport
 from primrosestile.state.jobs import JobRecord, JobState, ReasonCode
 
-# Three renewals within a lease: one lost renewal and a slow second do no harm.
-ROUNDS_PER_LEASE = 3
-# While jobs wait in the cell, a finished task is worth noticing sooner.
-BUSY_ROUND_SECONDS = 1.0
-
 # A member that has finished waits for the others, which may go on.
 _WELL = (TaskPhase.HELD, TaskPhase.RUNNING, TaskPhase.FINISHED)
 
@@ -55,10 +51,13 @@
             await self._run_round(group, contact)
 
     def _choose_pause(self) -> float:
-        pause = self._data.command.lease_seconds / ROUNDS_PER_LEASE
-        if any(each.state is JobState.ACCEPTED for each in self._data.book):
-            pause = min(pause, BUSY_ROUND_SECONDS)
-        return pause * random.uniform(0.8, 1.0)
+        jobs_wait = any(each.state is JobState.ACCEPTED for each in self._data.book)
+        seconds = choose_round_seconds(
+            self._data.command.lease_seconds,
+            jobs_wait,
+            self._data.count_followed(),
+        )
+        return seconds * random.uniform(0.8, 1.0)
 
     async def _run_round(self, group: asyncio.TaskGroup, contact: Contact) -> None:
         command = self._data.command
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -304,9 +304,17 @@
             may_care=lambda: self._lease.store_down,
         )
         return CellKeeper(
-            cell, self._store, command, lambda: self._settings, self._read_pictures
+            cell,
+            self._store,
+            command,
+            lambda: self._settings,
+            self._read_pictures,
+            self._count_followed,
         )
 
+    def _count_followed(self) -> int:
+        return sum(each.worker_count for each in self._keepers.values())
+
     async def _watch_keeper(
         self, keeper: CellKeeper, run: "asyncio.Task[None]", name: str, lease: int
     ) -> bool:
