Judge the demo's jobs by their payload, keep evidence, and show a job run twice

A job may be moved to another cell under another id, so the verdict joined the ledger to callers by an id that changes and called a finished job one that never ran. The payload is the caller's own and stays. When a demo fails its logs and ledger are kept in run/demo.

The cause is in coordination/actions.py, evict: what stop_gang meets as finished is written back as waiting. Not mended here, since that folder is another's.

--- a/src/primrosestile_standin/ledger.py
+++ b/src/primrosestile_standin/ledger.py
@@ -31,6 +31,8 @@
     """One task from its go until it ended.
 
     Attributes:
+        payload: The caller's own text, which stays the same when the programs
+            give its job another id.
         end: Loop time in seconds; None while it runs.
         outcome: The phase in which it ended; `running` until then.
     """
@@ -42,6 +44,7 @@
     attempt: int
     epoch: int
     accelerators: tuple[int, ...]
+    payload: str
     start: float
     end: float | None = None
     outcome: str = "running"
--- a/src/primrosestile_standin/worker.py
+++ b/src/primrosestile_standin/worker.py
@@ -282,6 +282,7 @@
                 order.attempt,
                 epoch,
                 order.member.accelerators,
+                order.payload,
                 start=now,
             )
         )
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -11,6 +11,7 @@
 import argparse
 import asyncio
 import contextlib
+import shutil
 import subprocess
 import sys
 import time
@@ -18,6 +19,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+import msgspec
 import uvloop
 
 from tools.democallers import Balancer, Callers
@@ -81,7 +83,7 @@
         verdict.faults += judge_exits(losses)
         print_verdict(verdict)
         if verdict.faults:
-            print(made.describe_logs())
+            keep_evidence(made, files.name)
     print(f"{files.name}: {time.monotonic() - began:.1f} s")
     return verdict.faults
 
@@ -103,6 +105,15 @@
         print(f"FAULT {fault}")
 
 
+def keep_evidence(deployment: Deployment, name: str) -> None:
+    """Copy every log, and what ran, to where a person can look at them."""
+    kept = ROOT / "run" / "demo" / name
+    shutil.copytree(deployment.folder, kept, dirs_exist_ok=True)
+    ledger = deployment.workers.read_ledger()
+    (kept / "ledger.json").write_bytes(msgspec.json.encode(ledger))
+    print(f"logs and ledger are in {kept.relative_to(ROOT)}")
+
+
 def count_cells(deployment: Deployment) -> Counter[str]:
     """Return how many cells each VM's placer owns."""
     cells: Counter[str] = Counter()
--- a/tools/democallers.py
+++ b/tools/democallers.py
@@ -129,6 +129,7 @@
         body: dict[str, Any] = {"team": piece.team, "class": piece.job_class.name}
         if piece.is_job:
             body["declared_seconds"] = piece.declared_seconds
+            body["payload"] = piece.work_id
         else:
             body["body"] = piece.body
         piece.attempts += 1
@@ -193,8 +194,10 @@
         while True:
             reply = await self._exchange(piece, "GET", path, headers)
             if reply is not None and reply.status == 200:
-                state = reply.read_fields().get("state")
+                fields = reply.read_fields()
+                state = fields.get("state")
                 if state in FINAL_STATES:
+                    piece.reasons = [each["code"] for each in fields["history"]]
                     piece.outcome = ANSWERED if state == FINISHED else LOST
                     piece.detail = "" if state == FINISHED else f"ended {state}"
                     return
--- a/tools/demoverdict.py
+++ b/tools/demoverdict.py
@@ -77,14 +77,14 @@
         requests[run.request_id].append(run)
     tasks = defaultdict(list)
     for task in ledger.tasks:
-        tasks[task.job_id].append(task)
+        tasks[task.payload].append(task)
     for piece in pieces:
         row = verdict.rows[piece.job_class.name]
         row.sent += 1
         starts = [run.start for run in requests[piece.work_id]]
         faults = judge_request(piece, len(starts))
         if piece.is_job:
-            runs = tasks[piece.job_id] if piece.job_id else []
+            runs = tasks[piece.work_id]
             starts = [run.start for run in runs]
             faults = judge_job(piece, runs, part_bound)
         if drained in piece.cuts:
@@ -120,24 +120,25 @@
 def judge_job(piece: Piece, runs: list[TaskRun], part_bound: float) -> list[str]:
     """Return what went wrong with a gang job."""
     faults = []
-    attempts: dict[int, list[TaskRun]] = defaultdict(list)
+    attempts: dict[str, list[TaskRun]] = defaultdict(list)
     for run in runs:
-        attempts[run.attempt].append(run)
+        attempts[run.task_id].append(run)
     if piece.outcome == LOST:
         faults.append(f"{piece.work_id} was lost: {piece.detail}")
     if piece.outcome == REFUSED and runs:
         faults.append(f"{piece.work_id} was refused as not run and ran")
     if piece.outcome == ANSWERED and not runs:
         faults.append(f"{piece.work_id} finished and never ran")
-    finished = [number for number in attempts if is_finished(attempts[number])]
+    finished = [task_id for task_id in attempts if is_finished(attempts[task_id])]
     if len(finished) > 1:
-        faults.append(f"{piece.work_id} ran to its end twice or more")
+        steps = ", ".join(piece.reasons)
+        faults.append(f"{piece.work_id} ran to its end twice or more: {steps}")
     shape = piece.job_class.shape
-    for number, members in attempts.items():
+    for task_id, members in attempts.items():
         seconds = measure_part(members, shape.accelerators if shape else 0)
         if seconds > part_bound + PART_SLACK_SECONDS:
             faults.append(
-                f"{piece.work_id}, attempt {number}, ran in part for {seconds:.1f} s"
+                f"{piece.work_id} ran in part for {seconds:.1f} s as {task_id}"
             )
     return faults
 
--- a/tools/demowork.py
+++ b/tools/demowork.py
@@ -46,6 +46,7 @@
         sent_at: Loop time of its first sending.
         ended_at: Loop time of its whole answer or final state.
         cuts: Names of the VMs that cut its connection.
+        reasons: Why each step of a job was taken, as its record says.
     """
 
     work_id: str
@@ -61,6 +62,7 @@
     ended_at: float = 0.0
     attempts: int = 0
     cuts: list[str] = field(default_factory=list)
+    reasons: list[str] = field(default_factory=list)
 
     @property
     def is_job(self) -> bool:
