Split the dispatcher, the owner table and the cell by their ideas; mend honest refusals of retries

An idempotent request whose first try may have run could be refused as not run by its second; a hedge's refusal could hide the other sending's unknown outcome; a slot freed without a sending counted as the target's failure; a lost answer to the record of a dispatch left a claim that its holder never settled. Change: turns, sending, claimed, slotsharing, cellpage and ownertable as modules; the gravest of several failures is told; cancelled sendings are neutral; one token for each sending with a step that rises, so a claim is released by its token.

--- a/src/primrosestile/coordination/caretaking.py
+++ b/src/primrosestile/coordination/caretaking.py
@@ -16,7 +16,7 @@
 
 from primrosestile.coordination.cell import CellKeeper
 from primrosestile.coordination.membership import Directory, ProcessLease
-from primrosestile.coordination.ownership import rank_placers
+from primrosestile.coordination.ownertable import rank_placers
 from primrosestile.errors import Failure
 from primrosestile.protocol.workers import TaskPhase, WorkerReport, Workers
 from primrosestile.state.fleet import Cell
--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -8,30 +8,27 @@
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.actions import JobActions
-from primrosestile.coordination.celldata import CellData, Contact, make_class_key
+from primrosestile.coordination.celldata import CellData, Contact
+from primrosestile.coordination.cellpage import CellPage, describe_cell
 from primrosestile.coordination.following import Following
 from primrosestile.coordination.gangs import Command, go_gang
 from primrosestile.coordination.jobbook import JobBook
 from primrosestile.coordination.placing import PictureSource, Placing
 from primrosestile.coordination.reconciling import Recovery, decide_recovery
+from primrosestile.coordination.slotsharing import SlotSharing
 from primrosestile.decisions.cell import CellView
-from primrosestile.decisions.fragmentation import measure_fragmentation
 from primrosestile.decisions.guarantees import assign_guarantees
 from primrosestile.decisions.learning import RunTimes
 from primrosestile.decisions.quarantine import make_ledger
-from primrosestile.decisions.slots import GRANT_SECONDS, make_grant_ledger
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.protocol.messages import CellDigest
+from primrosestile.protocol.messages import CellDigest, DemandReport
 from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import WorkerReport
 from primrosestile.state.fleet import Cell, Worker
-from primrosestile.state.jobs import JobState, ReasonCode
+from primrosestile.state.jobs import ReasonCode
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Shape
 
-# Each entry reports once a second; sharing more often than this would only grant
-# the same slots again.
-SHARE_SECONDS = 0.8
 # Reports asked for at once during a take-over. Each costs about a millisecond of
 # processor; without a limit a cell of 128 workers would stall everything else.
 RECOVERY_CONCURRENCY = 32
@@ -63,12 +60,7 @@
         self._actions = JobActions(self._data)
         self._placing = Placing(self._data, self._actions, store, read_pictures)
         self._following = Following(self._data, self._actions)
-        self._demand: dict[str, int] = {}
-        self._in_flight: dict[str, Mapping[str, int]] = {}
-        self._reported_at: dict[str, float] = {}
-        self._grants = make_grant_ledger(read_clock())
-        self._shares: Mapping[str, Mapping[str, int]] = {}
-        self._shared_at = -GRANT_SECONDS
+        self._sharing = SlotSharing()
 
     @property
     def epoch(self) -> int:
@@ -229,15 +221,18 @@
             contact.listed_leaving = name in leaving
         self._data.refresh_usable()
 
-    def note_demand(
-        self, entry: str, queued: int, in_flight: Mapping[str, int]
-    ) -> None:
-        """Take in what an entry reports of its need of slots."""
-        self._demand[entry] = queued
-        self._in_flight[entry] = in_flight
-        self._reported_at[entry] = read_clock()
-
-    def note_used(self, used: Mapping[str, int]) -> None:
+    def note_demand(self, report: DemandReport) -> None:
+        """Take in an entry's need of slots, and how its requests fared."""
+        self._sharing.note(report)
+        now = read_wall_clock()
+        subject = f"requests of {report.entry}"
+        for outcomes, failed in ((report.failures, True), (report.successes, False)):
+            for worker in outcomes:
+                if worker in self._data.contacts:
+                    self._data.failures.record(worker, subject, failed, now)
+        self._note_used(report.used)
+
+    def _note_used(self, used: Mapping[str, int]) -> None:
         """Take in what teams hold over all cells, as an entry sees it."""
         here: dict[str, int] = {}
         for holding in self._data.view.holdings.values():
@@ -246,45 +241,10 @@
             team: max(0, count - here.get(team, 0)) for team, count in used.items()
         }
 
-    def note_outcomes(
-        self, entry: str, failures: Mapping[str, int], successes: Mapping[str, int]
-    ) -> None:
-        """Take in how requests of an entry fared at each worker."""
-        now = read_wall_clock()
-        for worker, count in failures.items():
-            if worker in self._data.contacts and count:
-                self._data.failures.record(worker, f"requests of {entry}", True, now)
-        for worker, count in successes.items():
-            if worker in self._data.contacts and count:
-                self._data.failures.record(worker, f"requests of {entry}", False, now)
-
-    def _drop_silent_entries(self) -> None:
-        oldest = read_clock() - GRANT_SECONDS
-        for entry, at in list(self._reported_at.items()):
-            if at < oldest:
-                del self._reported_at[entry]
-                self._demand.pop(entry, None)
-                self._in_flight.pop(entry, None)
-
-    def _share_slots(self) -> Mapping[str, Mapping[str, int]]:
-        """Return the grants of this second; they are made once for all entries."""
-        now = read_clock()
-        if now - self._shared_at >= SHARE_SECONDS:
-            self._drop_silent_entries()
-            slots = {
-                name: contact.worker.slots
-                for name, contact in self._data.contacts.items()
-                if contact.usable
-            }
-            self._shares = self._grants.grant(slots, self._demand, self._in_flight, now)
-            if self._shares:
-                self._shared_at = now
-        return self._shares
-
     def make_digest(self, entry: str) -> CellDigest:
         """Return what one entry needs to know of this cell."""
         contacts = self._data.contacts
-        shares = self._share_slots()
+        granted = self._sharing.grant(contacts.values())
         used: dict[str, int] = {}
         for holding in self._data.view.holdings.values():
             count = sum(len(member.accelerators) for member in holding.members)
@@ -294,53 +254,16 @@
             epoch=self.epoch,
             free=self._data.view.free,
             used=used,
-            slots=dict(shares.get(entry, {})),
-            seconds=max(0.0, self._shared_at + GRANT_SECONDS - read_clock()),
+            slots=granted.get(entry, {}),
+            seconds=self._sharing.seconds_left(),
             leaving=tuple(n for n, each in contacts.items() if each.leaving),
             quarantined=tuple(n for n, each in contacts.items() if each.quarantined),
             waiting=len(self._placing.list_waiting()),
         )
 
-    def describe(self) -> dict[str, object]:
+    def describe(self) -> CellPage:
         """Return the cell as operators see it."""
-        data = self._data
-        holdings = data.view.holdings.values()
-        return {
-            "cell": self.cell.name,
-            "epoch": self.epoch,
-            "recovered": self.recovered.is_set(),
-            "accelerators": sum(
-                each.worker.accelerators for each in data.contacts.values()
-            ),
-            "free": data.view.free,
-            "fragmentation": measure_fragmentation(data.view),
-            "held": [
-                {
-                    "job_id": each.job_id,
-                    "organisation": each.organisation,
-                    "members": each.members,
-                    "reclaimable": each.evictable,
-                }
-                for each in holdings
-            ],
-            "leaving": [n for n, each in data.contacts.items() if each.leaving],
-            "quarantined": [n for n, each in data.contacts.items() if each.quarantined],
-            "unreachable": [
-                n for n, each in data.contacts.items() if not each.reachable
-            ],
-            "waiting": {
-                job_id: reason
-                for job_id, reason in data.waiting_reasons.items()
-                if (record := data.book.find(job_id)) is not None
-                and record.state is JobState.ACCEPTED
-            },
-            "run_times": {
-                make_class_key(record): data.run_times.estimate(
-                    make_class_key(record), record.spec.declared_seconds, 0.5
-                )
-                for record in data.book
-            },
-        }
+        return describe_cell(self._data, self.epoch, self.recovered.is_set())
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosestile/coordination/claims.py
+++ b/src/primrosestile/coordination/claims.py
@@ -135,13 +135,18 @@
         return claim
 
     async def release(self, organisation: str, request_id: str, token: str) -> None:
-        """Settle a claim as not run if it still is the one with this token."""
+        """Settle a claim as not run if it still is the one with this token.
+
+        For the caller to know that nothing was sent under it, or that each target
+        proved that it did not run.
+        """
         key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
         entry = await self._store.get(key)
         if entry is None:
             return
         claim = msgspec.json.decode(entry.value, type=Claim)
-        if claim.token == token:
+        open_states = (ClaimState.CLAIMED, ClaimState.DISPATCHED)
+        if claim.token == token and claim.state in open_states:
             await self.mark_not_run(HeldClaim(key, claim, entry.mod_revision))
 
     async def claim_job(
@@ -216,7 +221,7 @@
         """Record the target; only after this returns may anything be sent."""
         claim = replace(
             held.claim,
-            token=self.make_token(),
+            step=held.claim.step + 1,
             state=ClaimState.DISPATCHED,
             target=target,
         )
@@ -239,7 +244,7 @@
         kept = answer if len(answer) <= KEPT_ANSWER_BYTES else ""
         claim = replace(
             held.claim,
-            token=self.make_token(),
+            step=held.claim.step + 1,
             state=ClaimState.DONE,
             status=status,
             answer=kept,
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -11,32 +11,31 @@
 """
 
 import asyncio
-import random
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import msgspec
 import structlog
-import xxhash
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.cell import CellKeeper
 from primrosestile.coordination.gangs import Command
 from primrosestile.coordination.membership import Directory, ProcessLease
-from primrosestile.coordination.placing import PictureSource
-from primrosestile.coordination.writing import (
-    delete_settled,
-    list_all,
-    put_settled,
+from primrosestile.coordination.ownertable import (
+    CELLS_PREFIX,
+    Owned,
+    OwnerTable,
+    decode_owned,
+    rank_placers,
 )
+from primrosestile.coordination.placing import PictureSource
+from primrosestile.coordination.writing import delete_settled, put_settled
 from primrosestile.errors import Failure
-from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import Workers
 from primrosestile.state.fleet import Cell
 from primrosestile.state.jobs import CellOwner, ProcessRecord
 from primrosestile.state.settings import Settings
 
-CELLS_PREFIX = "cells/"
 # The head start of each placer over the next in the order of a cell.
 RANK_DELAY_SECONDS = 0.3
 # A cell that nobody has taken is looked at again after this; covers a watch that
@@ -50,98 +49,6 @@
 _log = structlog.get_logger()
 
 
-def rank_placers(cell: str, placers: list[str]) -> list[str]:
-    """Return placers in the order in which they try for a cell."""
-
-    def weigh(name: str) -> int:
-        return xxhash.xxh64_intdigest(f"{cell}\0{name}".encode())
-
-    return sorted(placers, key=weigh, reverse=True)
-
-
-@dataclass(frozen=True, slots=True)
-class _Owned:
-    """A cell that the store shows as owned."""
-
-    owner: CellOwner
-    create_revision: int
-    mod_revision: int
-
-
-class OwnerTable:
-    """Who owns each cell, by list and watch of `cells/`."""
-
-    def __init__(self, store: Store) -> None:
-        self._store = store
-        self._owned: dict[str, _Owned] = {}
-        self.changed = asyncio.Event()
-        self.listed = asyncio.Event()
-
-    def find(self, cell: str) -> _Owned | None:
-        """Return the owner of a cell as last seen."""
-        return self._owned.get(cell)
-
-    def note(self, entry: Entry) -> None:
-        """Take in a key that this process has just written or read."""
-        known = self._owned.get(_cell_of(entry.key))
-        if known is None or known.mod_revision < entry.mod_revision:
-            self._owned[_cell_of(entry.key)] = _decode(entry)
-
-    def forget(self, cell: str, revision: int) -> None:
-        """Take in the removal of a key by this process."""
-        known = self._owned.get(cell)
-        if known is not None and known.mod_revision <= revision:
-            del self._owned[cell]
-
-    async def run(self) -> None:
-        """Follow the store until cancelled."""
-        while True:
-            try:
-                entries, revision = await list_all(self._store, CELLS_PREFIX)
-                self._replace(entries, revision)
-                self.listed.set()
-                self._tell()
-                async for changes in self._store.watch(CELLS_PREFIX, revision + 1):
-                    self._apply(changes)
-            except Failure as failure:
-                _log.info("owners_watch_broke", kind=failure.kind.value)
-            await asyncio.sleep(RECHECK_SECONDS * random.uniform(0.3, 0.7))
-
-    def _replace(self, entries: list[Entry], revision: int) -> None:
-        """Take in a listing, but keep what was written after it was made."""
-        newer = {
-            cell: owned
-            for cell, owned in self._owned.items()
-            if owned.mod_revision > revision
-        }
-        self._owned = {_cell_of(each.key): _decode(each) for each in entries} | newer
-
-    def _apply(self, changes: tuple[Change, ...]) -> None:
-        for change in changes:
-            cell = _cell_of(change.key)
-            known = self._owned.get(cell)
-            if known is not None and known.mod_revision >= change.revision:
-                continue
-            if change.entry is None:
-                self._owned.pop(cell, None)
-            else:
-                self._owned[cell] = _decode(change.entry)
-        self._tell()
-
-    def _tell(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
-def _cell_of(key: str) -> str:
-    return key.removeprefix(CELLS_PREFIX)
-
-
-def _decode(entry: Entry) -> _Owned:
-    owner = msgspec.json.decode(entry.value, type=CellOwner)
-    return _Owned(owner, entry.create_revision, entry.mod_revision)
-
-
 class Ownership:
     """Gains, keeps and hands over cells for one placer process."""
 
@@ -238,7 +145,7 @@
             _log.info("cell_not_acquired", cell=name, kind=failure.kind.value)
             return None
 
-    def _is_own(self, owned: _Owned) -> bool:
+    def _is_own(self, owned: Owned) -> bool:
         return owned.owner.process == self._holder
 
     @property
@@ -269,7 +176,7 @@
             current = await self._store.get(key)
         if current is None or current.lease != lease:
             return None
-        if not self._is_own(_decode(current)):
+        if not self._is_own(decode_owned(current)):
             return None
         self._table.note(current)
         return current.create_revision
--- /dev/null
+++ b/src/primrosestile/coordination/ownertable.py
@@ -0,0 +1,118 @@
+"""Who owns each cell, as the store shows it."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+import xxhash
+
+from primrosestile.coordination.writing import list_all
+from primrosestile.errors import Failure
+from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.state.jobs import CellOwner
+
+CELLS_PREFIX = "cells/"
+WATCH_RETRY_SECONDS = 0.5
+
+_log = structlog.get_logger()
+
+
+def rank_placers(cell: str, placers: list[str]) -> list[str]:
+    """Return placers in the order in which they try for a cell."""
+
+    def weigh(name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{cell}\0{name}".encode())
+
+    return sorted(placers, key=weigh, reverse=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Owned:
+    """A cell that the store shows as owned.
+
+    Attributes:
+        create_revision: The epoch of its owner.
+    """
+
+    owner: CellOwner
+    create_revision: int
+    mod_revision: int
+
+
+class OwnerTable:
+    """Who owns each cell, by list and watch of `cells/`."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._owned: dict[str, Owned] = {}
+        self.changed = asyncio.Event()
+        self.listed = asyncio.Event()
+
+    def find(self, cell: str) -> Owned | None:
+        """Return the owner of a cell as last seen."""
+        return self._owned.get(cell)
+
+    def note(self, entry: Entry) -> None:
+        """Take in a key that this process has just written or read."""
+        known = self._owned.get(_cell_of(entry.key))
+        if known is None or known.mod_revision < entry.mod_revision:
+            self._owned[_cell_of(entry.key)] = decode_owned(entry)
+
+    def forget(self, cell: str, revision: int) -> None:
+        """Take in the removal of a key by this process."""
+        known = self._owned.get(cell)
+        if known is not None and known.mod_revision <= revision:
+            del self._owned[cell]
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                entries, revision = await list_all(self._store, CELLS_PREFIX)
+                self._replace(entries, revision)
+                self.listed.set()
+                self._tell()
+                async for changes in self._store.watch(CELLS_PREFIX, revision + 1):
+                    self._apply(changes)
+            except Failure as failure:
+                _log.info("owners_watch_broke", kind=failure.kind.value)
+            await asyncio.sleep(WATCH_RETRY_SECONDS * random.uniform(0.6, 1.4))
+
+    def _replace(self, entries: list[Entry], revision: int) -> None:
+        """Take in a listing, but keep what was written after it was made."""
+        newer = {
+            cell: owned
+            for cell, owned in self._owned.items()
+            if owned.mod_revision > revision
+        }
+        self._owned = {
+            _cell_of(each.key): decode_owned(each) for each in entries
+        } | newer
+
+    def _apply(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            cell = _cell_of(change.key)
+            known = self._owned.get(cell)
+            if known is not None and known.mod_revision >= change.revision:
+                continue
+            if change.entry is None:
+                self._owned.pop(cell, None)
+            else:
+                self._owned[cell] = decode_owned(change.entry)
+        self._tell()
+
+    def _tell(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def _cell_of(key: str) -> str:
+    return key.removeprefix(CELLS_PREFIX)
+
+
+def decode_owned(entry: Entry) -> Owned:
+    """Return the owner in a stored value."""
+    owner = msgspec.json.decode(entry.value, type=CellOwner)
+    return Owned(owner, entry.create_revision, entry.mod_revision)
--- /dev/null
+++ b/src/primrosestile/coordination/sending.py
@@ -0,0 +1,118 @@
+"""One sending of a request to a target whose slot is held for it."""
+
+import asyncio
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.turns import Turns
+from primrosestile.decisions.queueing import Waiting
+from primrosestile.decisions.routing import Outcome
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.workers import RequestAnswer, RequestOrder, Targets
+
+SHORTEST_TIMEOUT_SECONDS = 0.001
+
+_OUTCOMES = {
+    ErrorKind.NO_TARGET: Outcome.UNREACHABLE,
+    ErrorKind.OUTCOME_UNKNOWN: Outcome.UNKNOWN,
+}
+
+
+class Sending:
+    """Sends, frees the slot in any case, and tells what became of it."""
+
+    def __init__(self, turns: Turns, targets: Targets) -> None:
+        self._turns = turns
+        self._targets = targets
+
+    async def send(
+        self, target: str, order: RequestOrder, waiting: Waiting
+    ) -> RequestAnswer:
+        """Send once and return a good answer.
+
+        Raises:
+            Failure: TARGET_REFUSED and NO_TARGET when it was not run,
+                TARGET_FAILED when it ran and failed, OUTCOME_UNKNOWN.
+        """
+        started = read_clock()
+        outcome = Outcome.CANCELLED
+        try:
+            timeout = max(SHORTEST_TIMEOUT_SECONDS, waiting.deadline - started)
+            answer = await self._targets.send(target, order, timeout)
+            if answer.leaving:
+                self._turns.router.note_leaving(target)
+            outcome = _judge(answer)
+            return _accept(answer, target)
+        except Failure as failure:
+            outcome = _OUTCOMES.get(failure.kind, outcome)
+            raise
+        finally:
+            self._turns.finish(target, waiting, outcome, started)
+
+    async def send_hedged(
+        self, target: str, order: RequestOrder, waiting: Waiting
+    ) -> RequestAnswer:
+        """Send, and send once more elsewhere if the answer is late.
+
+        Only the router may allow it, and it does so for idempotent urgent work
+        alone; the first good answer wins and the other sending is cancelled.
+        """
+        first = asyncio.create_task(self.send(target, order, waiting))
+        delay = self._turns.router.hedge_after(waiting, read_clock())
+        try:
+            if delay is not None:
+                await asyncio.wait({first}, timeout=delay)
+            if delay is None or first.done():
+                return await first
+            return await self._race(first, target, order, waiting)
+        finally:
+            first.cancel()
+
+    async def _race(
+        self,
+        first: "asyncio.Task[RequestAnswer]",
+        target: str,
+        order: RequestOrder,
+        waiting: Waiting,
+    ) -> RequestAnswer:
+        router = self._turns.router
+        other = router.choose(waiting, read_clock(), frozenset({target}))
+        if other is None:
+            return await first
+        self._turns.start(other, waiting)
+        second = asyncio.create_task(self.send(other, order, waiting))
+        try:
+            return await _take_best({first, second})
+        finally:
+            second.cancel()
+
+
+async def _take_best(pending: "set[asyncio.Task[RequestAnswer]]") -> RequestAnswer:
+    """Return the first good answer; if there is none, the gravest failure.
+
+    Of two failures the one that may have run counts: "not run" would be untrue if
+    only the other sending was refused.
+    """
+    failures: list[Failure] = []
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            try:
+                return task.result()
+            except Failure as failure:
+                failures.append(failure)
+    raise min(failures, key=lambda failure: failure.not_run)
+
+
+def _judge(answer: RequestAnswer) -> Outcome:
+    if not answer.ran:
+        return Outcome.LEAVING if answer.leaving else Outcome.REFUSED
+    return Outcome.OK if answer.ok else Outcome.FAILED
+
+
+def _accept(answer: RequestAnswer, target: str) -> RequestAnswer:
+    """Return a good answer; turn the target's refusal or failure into a kind."""
+    if not answer.ran:
+        raise Failure(ErrorKind.TARGET_REFUSED, f"{target} refused it")
+    if not answer.ok:
+        raise Failure(ErrorKind.TARGET_FAILED, f"{target} ran it and failed")
+    return answer
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -126,9 +126,7 @@
     assert isinstance(report, DemandReport)
     keepers = [each for each in ownership.keepers.values() if each.recovered.is_set()]
     for keeper in keepers:
-        keeper.note_demand(report.entry, report.queued, report.in_flight)
-        keeper.note_outcomes(report.entry, report.failures, report.successes)
-        keeper.note_used(report.used)
+        keeper.note_demand(report)
     return CellDigests(tuple(each.make_digest(report.entry) for each in keepers))
 
 
--- a/src/primrosestile/state/jobs.py
+++ b/src/primrosestile/state/jobs.py
@@ -162,8 +162,9 @@
     """The stored claim on one (organisation, request id).
 
     Attributes:
-        token: Random, made for each attempt to write; tells one's own write
+        token: Random, one for each sending by a caller; tells one's own write
             from another's when the store's answer was lost.
+        step: Rises with each write under one token, so that no two are alike.
         entry: Name of the process that holds it.
         target: The worker to which it was dispatched.
         answer: The whole answer, when it is small enough to keep.
@@ -178,6 +179,7 @@
     answer: str = ""
     status: int = 0
     time: float = 0.0
+    step: int = 0
 
 
 @dataclass(frozen=True, slots=True)
