Show in the demo how often a piece of work was started

Reclaims start a gang again, and a job was seen to be reclaimed eleven times; the table shows the most starts of a class, so that such thrashing is noticed.

--- a/tools/demoverdict.py
+++ b/tools/demoverdict.py
@@ -18,6 +18,7 @@
 # A gang that lost a member may run in part until the lease of its members ends,
 # and the worker's timer and this process's reading of it take a moment more.
 PART_SLACK_SECONDS = 1.0
+TIME_HEADS = ("wait p50 / p99 s", "completion p50 / p99 s")
 
 
 class Times:
@@ -43,11 +44,17 @@
 
 @dataclass(slots=True)
 class Row:
-    """One class of work: counts by outcome, and times."""
+    """One class of work: counts by outcome, and times.
+
+    Attributes:
+        most_starts: How often the piece that was started most often was started;
+            a gang that was reclaimed or lost a VM's worker starts again.
+    """
 
     sent: int = 0
     outcomes: Counter[str] = field(default_factory=Counter)
     twice: int = 0
+    most_starts: int = 0
     wait: Times = field(default_factory=Times)
     completion: Times = field(default_factory=Times)
 
@@ -85,7 +92,8 @@
         faults = judge_request(piece, len(starts))
         if piece.is_job:
             runs = tasks[piece.work_id]
-            starts = [run.start for run in runs]
+            first = {run.task_id: run.start for run in runs}
+            starts = list(first.values())
             faults = judge_job(piece, runs, part_bound)
         if drained in piece.cuts:
             faults.append(f"{piece.work_id} was cut off by the drained {drained}")
@@ -98,6 +106,7 @@
     """Add one piece to its row."""
     row.outcomes[piece.outcome] += 1
     row.twice += any("twice" in fault for fault in faults)
+    row.most_starts = max(row.most_starts, len(starts))
     if piece.outcome == ANSWERED and starts:
         row.wait.add(max(0.0, min(starts) - piece.sent_at))
         row.completion.add(piece.ended_at - piece.sent_at)
@@ -167,12 +176,13 @@
 
 def format_verdict(verdict: Verdict) -> list[str]:
     """Return the lines of the table."""
-    heads = ("work", "sent", *OUTCOMES, "run twice", "wait s", "completion s")
+    heads = ("work", "sent", *OUTCOMES, "run twice", "most starts", *TIME_HEADS)
     lines = [heads]
     for name, row in verdict.rows.items():
         counts = (str(row.outcomes[outcome]) for outcome in OUTCOMES)
         times = (row.wait.describe(), row.completion.describe())
-        lines.append((name, str(row.sent), *counts, str(row.twice), *times))
+        repeats = (str(row.twice), str(row.most_starts))
+        lines.append((name, str(row.sent), *counts, *repeats, *times))
     widths = [max(len(line[column]) for line in lines) for column in range(len(heads))]
     return [
         "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True))
