--- a/src/primrosestile/decisions/cell.py
+++ b/src/primrosestile/decisions/cell.py
@@ -3,94 +3,60 @@
 A mutable picture, because a placer updates it with each report and each decision,
 thousands of times an hour, and copying a cell of 1,024 workers each time would
 cost more than the decision. It holds no clock and does no input or output, and it
-can be rebuilt from workers' reports alone.
+can be rebuilt from workers' reports alone, in any order of the holdings.
 """
 
-from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
 from types import MappingProxyType
 
-from primrosestile.decisions.guarantees_rooms import Layout, Need, Room, find_rooms
+from primrosestile.decisions.cell_records import Demand, Holding, Reservation
+from primrosestile.decisions.cell_rooms import Pinned, Rooms
+from primrosestile.decisions.guarantees_rooms import Layout
 from primrosestile.state.fleet import Worker
 from primrosestile.state.jobs import Member
 from primrosestile.state.tenancy import Shape, Urgency
 
-
-@dataclass(frozen=True, slots=True)
-class Holding:
-    """One job that holds accelerators in the cell.
-
-    Attributes:
-        evictable: Whether it may be stopped and run again.
-        checkpoints: Whether its progress can be saved first.
-        started_at: Seconds, on the same clock as the `now` of decisions.
-        checkpointed_at: When its progress was last saved; at first `started_at`.
-        job_class: The key under which its run time is learned.
-        ends_at: When it is expected to end, by learned run times; 0.0 unknown.
-    """
-
-    job_id: str
-    organisation: str
-    team: str
-    members: tuple[Member, ...]
-    shape: Shape
-    urgency: Urgency
-    evictable: bool
-    checkpoints: bool
-    started_at: float
-    checkpointed_at: float
-    job_class: str = ""
-    ends_at: float = 0.0
-
-    @property
-    def accelerators(self) -> int:
-        """How many accelerators it holds."""
-        return sum(len(member.accelerators) for member in self.members)
-
-
-@dataclass(frozen=True, slots=True)
-class Demand:
-    """One job that waits for a place."""
-
-    job_id: str
-    organisation: str
-    team: str
-    job_class: str
-    shape: Shape
-    urgency: Urgency
-    evictable: bool
-    checkpoints: bool
-    accepted_at: float
-    declared_seconds: float
+__all__ = ["CellView", "Demand", "Holding", "Reservation"]
 
 
 class CellView:
     """One cell's workers, what is held on them, and the rooms of its promises.
 
-    A *unit* is one promised shape of one organisation. Work that cannot be
-    stopped (not evictable) is *charged* to a unit of its own organisation where
-    one can enclose it: that unit is in use. All other units have a room that
-    only free or evictable accelerators are part of.
+    Attributes:
+        index: Worker index by name; all counts below are by worker index.
+        capacity: Accelerators.
+        usable: Whether new work may go there.
+        free_bits: Free accelerators, as a bit for each number.
+        free_counts: The number of them, since decisions scan it each time.
+        jobs_on: Accelerators held by each job.
+        rooms: Rooms of the promises.
+        mix: Weight of each shape that is asked for, for the measure of
+            fragmentation; empty until some demand was seen.
+        reservation: What is kept for the job that has waited longest.
+        known_fits: Whether the empty cell can hold a shape, for those asked.
     """
 
     def __init__(
         self, workers: Sequence[Worker], promised: Sequence[tuple[str, Shape]]
     ) -> None:
         self.workers = tuple(workers)
-        self.promised = tuple(promised)
         self.index = {worker.name: each for each, worker in enumerate(workers)}
         self.capacity = [worker.accelerators for worker in workers]
         self.usable = [True] * len(self.workers)
         self.free_bits = [(1 << count) - 1 for count in self.capacity]
-        # Counts are kept beside the bits, since decisions scan them each time.
         self.free_counts = list(self.capacity)
-        self.pinned_counts = [0] * len(self.workers)
         self.jobs_on: list[dict[str, int]] = [{} for _ in self.workers]
+        self.layout = _make_layout(self.workers, self.usable)
+        self.rooms = Rooms(self.layout, promised)
+        self.mix: Mapping[Shape, float] = {}
+        self.reservation: Reservation | None = None
+        self.known_fits: dict[Shape, bool] = {}
         self._holdings: dict[str, Holding] = {}
-        self._charges: dict[str, int] = {}
-        self._rooms: list[Room] | None = None
-        self._rooms_known = False
-        self._layout = _make_layout(self.workers, self.capacity, self.usable)
+        self._incoming: dict[str, Holding] = {}
+        self._stopping: dict[str, set[str]] = {}
+        self._claimed_bits = [0] * len(self.workers)
+        self._by_organisation: dict[str, dict[str, Holding]] = {}
+        self._known_borrowers: dict[str, frozenset[str]] = {}
 
     @property
     def holdings(self) -> Mapping[str, Holding]:
@@ -98,9 +64,19 @@
         return MappingProxyType(self._holdings)
 
     @property
-    def layout(self) -> Layout:
-        """The usable workers; unusable ones have no capacity."""
-        return self._layout
+    def incoming(self) -> Mapping[str, Holding]:
+        """Jobs for whose place others are being stopped, by job id."""
+        return MappingProxyType(self._incoming)
+
+    @property
+    def stopping(self) -> Mapping[str, set[str]]:
+        """Jobs that are being stopped, with the jobs that they make way for."""
+        return MappingProxyType(self._stopping)
+
+    @property
+    def promised(self) -> tuple[tuple[str, Shape], ...]:
+        """The shapes promised in this cell, by organisation."""
+        return self.rooms.promised
 
     @property
     def free(self) -> dict[str, int]:
@@ -111,10 +87,39 @@
             if self.usable[index]
         }
 
-    @property
-    def charges(self) -> Mapping[str, int]:
-        """The unit that each charged holding uses, by job id."""
-        return MappingProxyType(self._charges)
+    def list_held_by(self, organisation: str) -> list[Holding]:
+        """Return an organisation's jobs that run on, and those that come in."""
+        held = [
+            holding
+            for job_id, holding in self._by_organisation.get(organisation, {}).items()
+            if job_id not in self._stopping
+        ]
+        held += [
+            holding
+            for holding in self._incoming.values()
+            if holding.organisation == organisation
+        ]
+        return held
+
+    def find_borrowers(self, organisation: str) -> frozenset[str]:
+        """Find an organisation's jobs that run beyond what it is promised here.
+
+        Its jobs count against the promise in the order of how hard they are to
+        take back: what cannot be stopped, then urgent work, then the oldest.
+        The ones past the promised number are borrowing.
+        """
+        known = self._known_borrowers.get(organisation)
+        if known is not None:
+            return known
+        left = self.count_promised(organisation)
+        borrowers = []
+        for holding in sorted(self.list_held_by(organisation), key=_rank_claim):
+            if holding.accelerators <= left:
+                left -= holding.accelerators
+            else:
+                borrowers.append(holding.job_id)
+        self._known_borrowers[organisation] = frozenset(borrowers)
+        return self._known_borrowers[organisation]
 
     def hold(self, holding: Holding) -> None:
         """Note that a job holds its members; a repeated call changes nothing.
@@ -124,44 +129,83 @@
         """
         known = self._holdings.get(holding.job_id)
         if known is not None and known.members == holding.members:
-            self._holdings[holding.job_id] = holding
+            self._note(holding)
             return
+        incoming = self._incoming.get(holding.job_id)
+        expected = incoming is not None and incoming.members == holding.members
+        if expected:
+            self._check_opened(holding)
+        elif incoming is not None:
+            self.cancel_reclaim(holding.job_id)
         if known is not None:
             self.release(holding.job_id)
-        taken = [self._read_bits(member) for member in holding.members]
+        taken = self._read_members(holding.members, expected)
         for worker, bits in taken:
-            count = bits.bit_count()
-            self.free_bits[worker] &= ~bits
-            self.free_counts[worker] -= count
-            self.jobs_on[worker][holding.job_id] = count
-        self._holdings[holding.job_id] = holding
-        if not holding.evictable:
-            self._pin(holding, {worker: bits.bit_count() for worker, bits in taken})
+            self._claimed_bits[worker] &= ~bits
+            self._take(worker, bits)
+            self.jobs_on[worker][holding.job_id] = bits.bit_count()
+        self._note(holding)
+        if expected:
+            self._forget_incoming(holding.job_id)
+        if expected and holding.evictable:
+            self.rooms.unpin(holding.job_id)
+        if not expected and not holding.evictable:
+            self._pin(holding)
 
     def release(self, job_id: str) -> Holding | None:
         """Note that a job holds nothing any more; return what it held."""
         holding = self._holdings.pop(job_id, None)
         if holding is None:
             return None
-        unit = self._charges.pop(job_id, None)
+        self._stopping.pop(job_id, None)
+        del self._by_organisation[holding.organisation][job_id]
+        self._known_borrowers.pop(holding.organisation, None)
         for member in holding.members:
             worker = self.index[member.worker]
-            bits = _make_bits(member.accelerators)
-            count = bits.bit_count()
-            self.free_bits[worker] |= bits
-            self.free_counts[worker] += count
+            bits = _make_bits(member.accelerators) & ~self._claimed_bits[worker]
+            self._give(worker, bits)
             del self.jobs_on[worker][job_id]
-            if holding.evictable:
-                continue
-            self.pinned_counts[worker] -= count
-            if unit is not None and self._rooms is not None and self.usable[worker]:
-                # The room stays where it is: what the job held of it is free now.
-                room = self._rooms[unit]
-                room[worker] = room.get(worker, 0) + count
-        if not holding.evictable and self._rooms is None:
-            self._rooms_known = False
+        if not holding.evictable:
+            self.rooms.unpin(job_id)
         return holding
 
+    def begin_reclaim(self, holding: Holding, victims: Iterable[str]) -> None:
+        """Keep a place for a job while others are stopped to make way for it.
+
+        Stopping takes seconds. Without this note, the first accelerators that
+        come free would be given to the next job in the queue, and the
+        organisation that took its guarantee back would still wait. A job that
+        comes in counts as work that cannot be stopped until it is there, so a
+        second reclaim never builds on a place that the first has not opened yet.
+
+        Args:
+            holding: The job, with the members that the decision named.
+            victims: Those that are being stopped. Each gives its accelerators
+                up with `release`; then `hold` ends the reclaim.
+        """
+        for worker, bits in self._read_members(holding.members, True):
+            self._take(worker, bits & self.free_bits[worker])
+            self._claimed_bits[worker] |= bits
+        self._incoming[holding.job_id] = holding
+        for job_id in victims:
+            self._stopping.setdefault(job_id, set()).add(holding.job_id)
+            self._known_borrowers.pop(self._holdings[job_id].organisation, None)
+        self._known_borrowers.pop(holding.organisation, None)
+        self._pin(holding)
+
+    def cancel_reclaim(self, job_id: str) -> None:
+        """Give a kept place up; victims that still run are no longer wanted."""
+        holding = self._incoming.get(job_id)
+        if holding is None:
+            return
+        self._forget_incoming(job_id)
+        self.rooms.unpin(job_id)
+        for member in holding.members:
+            worker = self.index[member.worker]
+            bits = _make_bits(member.accelerators)
+            self._claimed_bits[worker] &= ~bits
+            self._give(worker, bits & ~self._read_held(worker))
+
     def set_usable(self, worker: str, usable: bool) -> None:
         """Note whether new work may go to a worker.
 
@@ -172,22 +216,13 @@
         if self.usable[index] == usable:
             return
         self.usable[index] = usable
-        self._layout = _make_layout(self.workers, self.capacity, self.usable)
-        self._rooms_known = False
+        self.layout = _make_layout(self.workers, self.usable)
+        self.rooms.set_layout(self.layout)
 
     def set_promised(self, promised: Sequence[tuple[str, Shape]]) -> None:
         """Replace the promises, after a change of guarantees or of the fleet."""
-        if tuple(promised) == self.promised:
-            return
-        self.promised = tuple(promised)
-        self._charges.clear()
-        self._rooms_known = False
-
-    def find_units(self, organisation: str) -> list[int]:
-        """Return the units of one organisation."""
-        return [
-            unit for unit, (name, _) in enumerate(self.promised) if name == organisation
-        ]
+        self.rooms.set_promised(promised)
+        self._known_borrowers.clear()
 
     def count_promised(self, organisation: str) -> int:
         """Return how many accelerators of this cell an organisation is promised."""
@@ -195,185 +230,89 @@
             shape.accelerators for name, shape in self.promised if name == organisation
         )
 
-    def read_rooms(self) -> list[Room] | None:
-        """Return the rooms of all units, without what is charged to them.
-
-        None when the promises cannot all be kept at this instant, which only a
-        lost worker or a change of settings brings about.
-        """
-        if not self._rooms_known:
-            self._rooms = self._search_rooms()
-            self._rooms_known = True
-        return self._rooms
-
-    def list_available(self) -> list[int]:
-        """Return by worker what is free or held by evictable work."""
-        return [
-            capacity - pinned if usable else 0
-            for capacity, pinned, usable in zip(
-                self.capacity, self.pinned_counts, self.usable, strict=True
-            )
-        ]
-
-    def list_needs(self) -> list[Need]:
-        """Return each unit's shape with what is charged to it."""
-        charged: list[dict[int, int]] = [{} for _ in self.promised]
-        for job_id, unit in self._charges.items():
-            for worker, count in self._locate(self._holdings[job_id]).items():
-                charged[unit][worker] = charged[unit].get(worker, 0) + count
-        return [
-            Need(shape, charged[unit]) for unit, (_, shape) in enumerate(self.promised)
-        ]
-
-    def find_charge(
-        self, organisation: str, counts: Mapping[int, int]
-    ) -> tuple[int | None, list[Room]] | None:
-        """Find how unstoppable work could be there with every promise kept.
-
-        Args:
-            organisation: Whose work it is.
-            counts: Accelerators by worker index, not yet noted as held.
-
-        Returns:
-            The unit it would use (None: it needs none) and the rooms of all
-            units then; None when a promise could not be kept.
-        """
-        rooms = self.read_rooms()
-        if rooms is None:
-            return None
-        quick = self._find_quick_charge(organisation, counts, rooms)
-        if quick is not None:
-            return quick
-        available = self.list_available()
-        for worker, count in counts.items():
-            available[worker] -= count
-        needs = self.list_needs()
-        for unit in self._order_units(organisation, needs):
-            need = _charge(needs[unit], counts)
-            found = find_rooms(
-                self._layout, available, [*needs[:unit], need, *needs[unit + 1 :]]
-            )
-            if found is not None:
-                return unit, found
-        found = find_rooms(self._layout, available, needs)
-        return None if found is None else (None, found)
-
-    def _find_quick_charge(
-        self, organisation: str, counts: Mapping[int, int], rooms: list[Room]
-    ) -> tuple[int | None, list[Room]] | None:
-        """Answer from the known rooms, without a search, where they suffice."""
-        own = self._order_units(organisation, None)
-        for unit in own:
-            if all(rooms[unit].get(each, 0) >= count for each, count in counts.items()):
-                changed = list(rooms)
-                changed[unit] = {
-                    worker: left - counts.get(worker, 0)
-                    for worker, left in rooms[unit].items()
-                }
-                return unit, changed
-        if own:
-            return None
-        spare = self.list_spare()
-        if all(spare[worker] >= count for worker, count in counts.items()):
-            return None, rooms
-        return None
-
-    def list_spare(self) -> list[int]:
-        """Return by worker what is available and part of no room."""
-        spare = self.list_available()
-        for room in self.read_rooms() or ():
-            for worker, count in room.items():
-                spare[worker] -= count
-        return spare
-
-    def _order_units(
-        self, organisation: str, needs: Sequence[Need] | None
-    ) -> list[int]:
-        # A unit in use is filled up before another is broken into, and a small
-        # unit is used before a large one, so that large ones stay whole.
-        used = set(self._charges.values())
-        return sorted(
-            self.find_units(organisation),
-            key=lambda unit: (
-                unit not in used,
-                self.promised[unit][1].accelerators,
-                unit,
-            ),
-        )
-
-    def _pin(self, holding: Holding, counts: dict[int, int]) -> None:
-        found = None
-        if all(self.usable[worker] for worker in counts):
-            found = self.find_charge(holding.organisation, counts)
-        for worker, count in counts.items():
-            self.pinned_counts[worker] += count
-        if found is None:
-            self._rooms_known = False
-            return
-        unit, rooms = found
-        if unit is not None:
-            self._charges[holding.job_id] = unit
-        self._rooms = rooms
-
-    def _search_rooms(self) -> list[Room] | None:
-        """Search all rooms anew, and charges too where the known ones fail."""
-        self._drop_lost_charges()
-        rooms = find_rooms(self._layout, self.list_available(), self.list_needs())
-        if rooms is not None:
-            return rooms
-        return self._charge_anew()
-
-    def _drop_lost_charges(self) -> None:
-        for job_id in list(self._charges):
-            located = self._locate(self._holdings[job_id])
-            if not all(self.usable[worker] for worker in located):
-                del self._charges[job_id]
-
-    def _charge_anew(self) -> list[Room] | None:
-        self._charges.clear()
-        pinned = [each for each in self._holdings.values() if not each.evictable]
-        pinned.sort(key=lambda each: (-each.accelerators, each.job_id))
-        for holding in pinned:
-            counts = self._locate(holding)
-            if not all(self.usable[worker] for worker in counts):
-                continue
-            needs = self.list_needs()
-            for unit in self._order_units(holding.organisation, needs):
-                charged = _charge(needs[unit], counts)
-                trial = [*needs[:unit], charged, *needs[unit + 1 :]]
-                # What is not charged yet is left out of what is available, so
-                # only the units that are charged so far are asked for.
-                tied = [each for each in trial if each.charged]
-                if find_rooms(self._layout, self.list_available(), tied) is not None:
-                    self._charges[holding.job_id] = unit
-                    break
-        return find_rooms(self._layout, self.list_available(), self.list_needs())
-
-    def _locate(self, holding: Holding) -> dict[int, int]:
+    def locate(self, holding: Holding) -> dict[int, int]:
+        """Return the accelerators of a holding by worker index."""
         return {
             self.index[member.worker]: len(member.accelerators)
             for member in holding.members
         }
 
-    def _read_bits(self, member: Member) -> tuple[int, int]:
-        worker = self.index.get(member.worker)
-        if worker is None:
-            raise ValueError(f"{member.worker} is not a worker of this cell")
-        bits = _make_bits(member.accelerators)
-        if bits & ~self.free_bits[worker]:
-            raise ValueError(f"accelerators of {member.worker} are held by another job")
-        return worker, bits
-
-    def list_racks(self) -> Iterator[tuple[int, ...]]:
-        """Yield the worker indices of each rack."""
-        yield from self._layout.racks
-
+    def read_unclaimed(self, job_id: str) -> dict[int, int]:
+        """Return the bits of a job's accelerators that no incoming job claims."""
+        unclaimed: dict[int, int] = {}
+        for member in self._holdings[job_id].members:
+            worker = self.index[member.worker]
+            bits = _make_bits(member.accelerators) & ~self._claimed_bits[worker]
+            unclaimed[worker] = unclaimed.get(worker, 0) | bits
+        return unclaimed
 
-def _charge(need: Need, counts: Mapping[int, int]) -> Need:
-    charged = dict(need.charged)
-    for worker, count in counts.items():
-        charged[worker] = charged.get(worker, 0) + count
-    return Need(need.shape, charged)
+    def _note(self, holding: Holding) -> None:
+        self._holdings[holding.job_id] = holding
+        own = self._by_organisation.setdefault(holding.organisation, {})
+        own[holding.job_id] = holding
+        self._known_borrowers.pop(holding.organisation, None)
+
+    def _pin(self, holding: Holding) -> None:
+        pinned = Pinned(holding.organisation, self.locate(holding))
+        self.rooms.pin(holding.job_id, pinned)
+
+    def _take(self, worker: int, bits: int) -> None:
+        self.free_counts[worker] -= (self.free_bits[worker] & bits).bit_count()
+        self.free_bits[worker] &= ~bits
+
+    def _give(self, worker: int, bits: int) -> None:
+        self.free_bits[worker] |= bits
+        self.free_counts[worker] = self.free_bits[worker].bit_count()
+
+    def _forget_incoming(self, job_id: str) -> None:
+        holding = self._incoming.pop(job_id)
+        self._known_borrowers.pop(holding.organisation, None)
+        for victim, waiting in list(self._stopping.items()):
+            waiting.discard(job_id)
+            if not waiting:
+                del self._stopping[victim]
+                self._known_borrowers.pop(self._holdings[victim].organisation, None)
+
+    def _read_held(self, worker: int) -> int:
+        """Return the bits of a worker that some job holds."""
+        name = self.workers[worker].name
+        held = 0
+        for job_id in self.jobs_on[worker]:
+            for member in self._holdings[job_id].members:
+                if member.worker == name:
+                    held |= _make_bits(member.accelerators)
+        return held
+
+    def _check_opened(self, holding: Holding) -> None:
+        for worker, bits in self._read_members(holding.members, True):
+            if bits & self._read_held(worker):
+                name = self.workers[worker].name
+                raise ValueError(f"accelerators of {name} are still held by a victim")
+
+    def _read_members(
+        self, members: Sequence[Member], claimed: bool
+    ) -> list[tuple[int, int]]:
+        """Return worker index and bits of each member, checked to be free."""
+        taken = []
+        for member in members:
+            worker = self.index.get(member.worker)
+            if worker is None:
+                raise ValueError(f"{member.worker} is not a worker of this cell")
+            bits = _make_bits(member.accelerators)
+            if not claimed and bits & ~self.free_bits[worker]:
+                name = member.worker
+                raise ValueError(f"accelerators of {name} are held by another job")
+            taken.append((worker, bits))
+        return taken
+
+
+def _rank_claim(holding: Holding) -> tuple[bool, bool, float, str]:
+    return (
+        holding.evictable,
+        holding.urgency is Urgency.PATIENT,
+        holding.started_at,
+        holding.job_id,
+    )
 
 
 def _make_bits(accelerators: Sequence[int]) -> int:
@@ -383,9 +322,7 @@
     return bits
 
 
-def _make_layout(
-    workers: Sequence[Worker], capacity: Sequence[int], usable: Sequence[bool]
-) -> Layout:
+def _make_layout(workers: Sequence[Worker], usable: Sequence[bool]) -> Layout:
     racks: dict[str, list[int]] = {}
     for index, worker in enumerate(workers):
         racks.setdefault(worker.rack, []).append(index)
@@ -395,7 +332,10 @@
         for worker in members
     }
     return Layout(
-        tuple(count if usable[index] else 0 for index, count in enumerate(capacity)),
+        tuple(
+            worker.accelerators if usable[index] else 0
+            for index, worker in enumerate(workers)
+        ),
         tuple(rack_of[index] for index in range(len(workers))),
         tuple(tuple(members) for members in racks.values()),
     )
--- a/src/primrosestile/decisions/placement.py
+++ b/src/primrosestile/decisions/placement.py
@@ -5,10 +5,10 @@
 stopped is given a place, every promise of the cell must still have a room.
 """
 
-from collections.abc import Iterator
+from collections.abc import Sequence
 from dataclasses import dataclass
 
-from primrosestile.decisions.backfill import order_demands
+from primrosestile.decisions.backfill import list_open, order_demands
 from primrosestile.decisions.cell import CellView, Demand
 from primrosestile.decisions.placement_rooms import (
     Place,
@@ -17,12 +17,12 @@
     list_places,
     make_members,
 )
+from primrosestile.decisions.placement_score import make_price
 from primrosestile.decisions.reclaim import (
     PLACE_LIMIT,
     Opening,
     is_entitled,
-    list_openings,
-    list_victim_tiers,
+    list_tiers,
 )
 from primrosestile.state.jobs import Member, ReasonCode
 from primrosestile.state.tenancy import Policy, Urgency
@@ -103,7 +103,7 @@
     if not fits_empty(view, demand.shape):
         return NeverFits(f"{_word(demand)} is more than the empty cell can hold")
     entitled = is_entitled(view, demand)
-    place = _find_free(view, demand, policy)
+    place = _find_free(view, demand, policy, now)
     if place is not None:
         members = make_members(view, place)
         if entitled:
@@ -115,87 +115,107 @@
     return _wait(view, demand, entitled)
 
 
-def _find_free(view: CellView, demand: Demand, policy: Policy) -> Place | None:
-    free = list_free(view)
-    places = list_places(
-        view.layout,
-        free,
-        demand.shape,
-        lambda worker, _: float(free[worker]),
-        PLACE_LIMIT,
-    )
-    for _, place in places:
-        if keeps_promises(view, demand, place):
+def _find_free(
+    view: CellView, demand: Demand, policy: Policy, now: float
+) -> Place | None:
+    """Find the free place that leaves the cell in the best state.
+
+    Made for a cell in which small and large work comes and goes all day. The
+    harm it prevents is free capacity in crumbs, which no render can use. Only
+    the best few places are examined, see `PLACE_LIMIT`.
+    """
+    free = list_open(view, demand, now)
+    price = make_price(view, demand, policy)
+    for _, place in list_places(view.layout, free, demand.shape, price, PLACE_LIMIT):
+        if demand.evictable or keeps_promises(view, demand, place):
             return place
     if demand.evictable:
         return None
-    for place in _list_own_rooms(view, demand):
-        if all(free[worker] >= count for worker, count in place.items()):
-            return place
-    return None
+    return _find_in_own_rooms(view, demand, free)
 
 
 def keeps_promises(view: CellView, demand: Demand, place: Place) -> bool:
     """Whether every promise still has a room when the job is there for good."""
-    if demand.evictable:
-        return True
-    return view.find_charge(demand.organisation, place) is not None
+    return view.rooms.find_charge(demand.organisation, place) is not None
 
 
-def _list_own_rooms(view: CellView, demand: Demand) -> Iterator[Place]:
-    """Yield a place within each room of the organisation's own units."""
-    rooms = view.read_rooms()
+def _find_in_own_rooms(
+    view: CellView, demand: Demand, counts: Sequence[int]
+) -> Place | None:
+    """Find a place inside the room of one of the organisation's own units."""
+    rooms = view.rooms.read()
     if rooms is None:
-        return
-    for unit in view.find_units(demand.organisation):
-        counts = [rooms[unit].get(each, 0) for each in range(len(view.workers))]
-        for _, place in list_places(
-            view.layout, counts, demand.shape, lambda *_: 0.0, 1
-        ):
-            yield place
+        return None
+    for unit in view.rooms.order_units(demand.organisation):
+        inside = [0] * len(counts)
+        for worker, count in rooms[unit].items():
+            inside[worker] = min(count, counts[worker])
+        places = list_places(view.layout, inside, demand.shape, lambda *_: 0.0, 1)
+        if places:
+            return places[0][1]
+    return None
 
 
 def _find_reclaim(
     view: CellView, demand: Demand, entitled: bool, now: float
 ) -> Reclaim | None:
-    tiers = list(list_victim_tiers(view, demand, entitled))
-    for opening in list_openings(view, tiers, now):
-        place = _find_place_to_open(view, demand, opening)
-        if place is None:
+    """Find the place whose opening loses the least work.
+
+    Made for a cell that is lent out to the last accelerator. The harm it
+    prevents is an organisation that waits for what it was promised: it gets
+    this answer at once, and only the stopping takes time.
+    """
+    before: frozenset[str] | None = None
+    for tier in list_tiers(view, demand, entitled):
+        if tier.victims == before and not tier.in_own_rooms:
             continue
-        victims = opening.choose_victims(place)
-        members = make_members(view, place, victims)
-        detail = f"{_word(demand)} takes back the place of {len(victims)} job(s)"
-        reason = ReasonCode.PLACED_IN_GUARANTEE if entitled else ReasonCode.PLACED
-        return Reclaim(victims, members, reason, detail)
+        before = tier.victims
+        opening = Opening(view, tier.victims, now)
+        if sum(opening.counts) < demand.shape.accelerators:
+            continue
+        place = _find_place_to_open(view, demand, opening, tier.in_own_rooms)
+        if place is not None:
+            return _make_reclaim(view, demand, entitled, opening, place)
     return None
 
 
 def _find_place_to_open(
-    view: CellView, demand: Demand, opening: Opening
+    view: CellView, demand: Demand, opening: Opening, in_own_rooms: bool
 ) -> Place | None:
-    for _, place in opening.list_places(demand, PLACE_LIMIT):
-        if keeps_promises(view, demand, place):
-            return place
-    if demand.evictable:
-        return None
-    for place in _list_own_rooms(view, demand):
-        if all(opening.counts[worker] >= count for worker, count in place.items()):
-            return place
-    return None
+    # Also a job that may be stopped must keep the promises here: until it is
+    # there, nobody can stop it.
+    if not in_own_rooms:
+        for _, place in opening.list_places(demand, PLACE_LIMIT):
+            if keeps_promises(view, demand, place):
+                return place
+    return _find_in_own_rooms(view, demand, opening.counts)
+
+
+def _make_reclaim(
+    view: CellView, demand: Demand, entitled: bool, opening: Opening, place: Place
+) -> Reclaim:
+    victims = opening.choose_victims(place)
+    members = make_members(view, place, victims)
+    reason = ReasonCode.PLACED_IN_GUARANTEE if entitled else ReasonCode.PLACED
+    lost = opening.measure_lost(victims)
+    detail = f"{_word(demand)} in place of {len(victims)} job(s)"
+    detail += f" that lose {lost:.0f} accelerator seconds"
+    return Reclaim(victims, members, reason, detail)
 
 
 def _wait(view: CellView, demand: Demand, entitled: bool) -> Waits:
-    free = sum(list_free(view))
-    detail = f"{_word(demand)} finds no place among {free} free accelerators"
-    if view.read_rooms() is None and not demand.evictable:
+    free = list_free(view)
+    detail = f"{_word(demand)} finds no place among {sum(free)} free accelerators"
+    if view.rooms.read() is None and not demand.evictable:
         detail += "; guarantees of this cell lack room until workers return"
         return Waits(ReasonCode.WAITS_FOR_GUARANTEE, detail, RETRY_SECONDS)
-    fits = list_places(view.layout, list_free(view), demand.shape, lambda *_: 0.0, 1)
-    if fits and not demand.evictable:
+    fits = list_places(view.layout, free, demand.shape, lambda *_: 0.0, 1)
+    if fits and view.reservation is not None and demand.evictable:
+        detail += f"; they are reserved for {view.reservation.job_id}"
+    elif fits:
         detail += "; it cannot be stopped, and what is free is promised to others"
         return Waits(ReasonCode.WAITS_FOR_GUARANTEE, detail, RETRY_SECONDS)
-    if entitled:
+    elif entitled:
         detail += "; its guarantee is in use by work that cannot be stopped"
     elif demand.urgency is Urgency.PATIENT:
         detail += "; it waits for work to end"
--- a/src/primrosestile/decisions/placement_rooms.py
+++ b/src/primrosestile/decisions/placement_rooms.py
@@ -127,9 +127,12 @@
 
 def fits_empty(view: CellView, shape: Shape) -> bool:
     """Whether the cell could hold a shape with all workers usable and empty."""
-    capacity = tuple(view.capacity)
-    layout = Layout(capacity, view.layout.rack, view.layout.racks)
-    return bool(list_places(layout, capacity, shape, lambda *_: 0.0, 1))
+    if shape not in view.known_fits:
+        capacity = tuple(view.capacity)
+        layout = Layout(capacity, view.layout.rack, view.layout.racks)
+        places = list_places(layout, capacity, shape, lambda *_: 0.0, 1)
+        view.known_fits[shape] = bool(places)
+    return view.known_fits[shape]
 
 
 def list_free(view: CellView) -> list[int]:
@@ -165,10 +168,8 @@
     """Name the accelerators of a place: free ones first, then the victims'."""
     opened: dict[int, int] = {}
     for job_id in victims:
-        for member in view.holdings[job_id].members:
-            worker = view.index[member.worker]
-            for number in member.accelerators:
-                opened[worker] = opened.get(worker, 0) | 1 << number
+        for worker, bits in view.read_unclaimed(job_id).items():
+            opened[worker] = opened.get(worker, 0) | bits
     members = []
     for worker in sorted(place):
         free = _list_numbers(view.free_bits[worker])
--- a/src/primrosestile/decisions/reclaim.py
+++ b/src/primrosestile/decisions/reclaim.py
@@ -5,7 +5,8 @@
 as little as possible; so the victims are those who lose the least work.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 
 from primrosestile.decisions.cell import CellView, Demand, Holding
 from primrosestile.decisions.placement_rooms import Place, list_free, list_places
@@ -40,36 +41,6 @@
     return (seconds + RESTART_SECONDS) * holding.accelerators
 
 
-def find_borrowers(view: CellView) -> frozenset[str]:
-    """Find the jobs that run beyond what their organisation is promised here.
-
-    An organisation's jobs count against its promise in the order of urgency,
-    then of start; the ones past the promised number are borrowing.
-    """
-    by_organisation: dict[str, list[Holding]] = {}
-    for holding in view.holdings.values():
-        by_organisation.setdefault(holding.organisation, []).append(holding)
-    borrowers = set()
-    for organisation, holdings in by_organisation.items():
-        left = view.count_promised(organisation)
-        holdings.sort(key=_rank_claim)
-        for holding in holdings:
-            if holding.accelerators <= left:
-                left -= holding.accelerators
-            else:
-                borrowers.add(holding.job_id)
-    return frozenset(borrowers)
-
-
-def _rank_claim(holding: Holding) -> tuple[bool, bool, float, str]:
-    return (
-        holding.evictable,
-        holding.urgency is Urgency.PATIENT,
-        holding.started_at,
-        holding.job_id,
-    )
-
-
 def is_entitled(view: CellView, demand: Demand) -> bool:
     """Whether a job lies within what its organisation is promised in this cell.
 
@@ -82,56 +53,70 @@
     urgent = demand.urgency is Urgency.URGENT
     held = sum(
         holding.accelerators
-        for holding in view.holdings.values()
-        if holding.organisation == demand.organisation
-        and not (urgent and holding.evictable and holding.urgency is Urgency.PATIENT)
+        for holding in view.list_held_by(demand.organisation)
+        if not (urgent and holding.evictable and holding.urgency is Urgency.PATIENT)
     )
     return held + demand.shape.accelerators <= promised
 
 
-def list_victim_tiers(
-    view: CellView, demand: Demand, entitled: bool
-) -> Iterator[frozenset[str]]:
-    """Yield sets of jobs that may be stopped for a demand, the mildest first.
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """Jobs that may be stopped for a demand.
+
+    Attributes:
+        in_own_rooms: Whether only the rooms of the organisation's own units may
+            be opened.
+    """
+
+    victims: frozenset[str]
+    in_own_rooms: bool = False
+
+
+def list_tiers(view: CellView, demand: Demand, entitled: bool) -> Iterator[Tier]:
+    """Yield what may be stopped for a demand, the mildest first.
 
     Patient borrowers come first. Within a guarantee all borrowers follow, then
-    everything that can be stopped: a promise is a promise even when another
-    organisation's own work happens to sit across its only room; that work has a
-    room of its own and goes there next. Beyond a guarantee only urgent work
-    stops anything, and only its own organisation's patient work and patient
-    borrowers.
+    everything that can be stopped, but only in the organisation's own rooms: a
+    promise is a promise even when other organisations' guaranteed work sits
+    across its only room. That work has a room of its own and goes there next;
+    were it stopped elsewhere too, two organisations could stop one another's
+    work in turn for ever. Beyond a guarantee only urgent work stops anything,
+    and only its own organisation's patient work and patient borrowers.
     """
     urgent = demand.urgency is Urgency.URGENT
     if not entitled and not urgent:
         return
-    borrowers = find_borrowers(view)
-    evictable = [each for each in view.holdings.values() if each.evictable]
+    own = demand.organisation
+    evictable = [
+        each
+        for job_id, each in view.holdings.items()
+        if each.evictable and job_id not in view.stopping
+    ]
     patient = [each for each in evictable if each.urgency is Urgency.PATIENT]
     mild = {
         each.job_id
         for each in patient
-        if each.job_id in borrowers
-        and (urgent or each.organisation != demand.organisation)
+        if (urgent or each.organisation != own) and _borrows(view, each)
     }
-    yield frozenset(mild)
+    yield Tier(frozenset(mild))
     if urgent:
-        mild |= {
-            each.job_id for each in patient if each.organisation == demand.organisation
-        }
-        yield frozenset(mild)
+        mild |= {each.job_id for each in patient if each.organisation == own}
+        yield Tier(frozenset(mild))
     if not entitled:
         return
     mild |= {
         each.job_id
         for each in evictable
-        if each.job_id in borrowers and each.organisation != demand.organisation
+        if each.organisation != own and _borrows(view, each)
     }
-    yield frozenset(mild)
-    mild |= {
-        each.job_id for each in evictable if each.organisation != demand.organisation
-    }
-    yield frozenset(mild)
-    yield frozenset(each.job_id for each in evictable)
+    yield Tier(frozenset(mild))
+    mild |= {each.job_id for each in evictable if each.organisation != own}
+    yield Tier(frozenset(mild), in_own_rooms=True)
+    yield Tier(frozenset(each.job_id for each in evictable), in_own_rooms=True)
+
+
+def _borrows(view: CellView, holding: Holding) -> bool:
+    return holding.job_id in view.find_borrowers(holding.organisation)
 
 
 class Opening:
@@ -139,16 +124,24 @@
 
     def __init__(self, view: CellView, allowed: frozenset[str], now: float) -> None:
         self._view = view
-        self._costs = {
-            job_id: measure_lost_work(view.holdings[job_id], now) for job_id in allowed
-        }
+        self._now = now
+        self._costs: dict[str, float] = {}
         self._free = list_free(view)
-        self.counts = list(self._free)
-        for worker, jobs in enumerate(view.jobs_on):
-            if view.usable[worker]:
-                self.counts[worker] += sum(
-                    count for job_id, count in jobs.items() if job_id in self._costs
-                )
+        self._held: list[dict[str, int]] = [
+            {job_id: count for job_id, count in jobs.items() if job_id in allowed}
+            for jobs in view.jobs_on
+        ]
+        # What is being stopped anyway may give more than its reclaim needs.
+        for job_id in view.stopping:
+            self._costs[job_id] = 0.0
+            for worker, bits in view.read_unclaimed(job_id).items():
+                self._held[worker][job_id] = bits.bit_count()
+        self.counts = [
+            free + sum(jobs.values()) if usable else 0
+            for free, jobs, usable in zip(
+                self._free, self._held, view.usable, strict=True
+            )
+        ]
         self._known: dict[tuple[int, int], float] = {}
 
     def price(self, worker: int, count: int) -> float:
@@ -156,7 +149,7 @@
         key = (worker, count)
         if key not in self._known:
             victims = self._choose_on(worker, count, set())
-            self._known[key] = sum(self._costs[job_id] for job_id in victims)
+            self._known[key] = sum(self._measure(job_id) for job_id in victims)
         return self._known[key]
 
     def list_places(self, demand: Demand, limit: int) -> list[tuple[float, Place]]:
@@ -169,10 +162,14 @@
         chosen: set[str] = set()
         for worker, count in sorted(place.items()):
             chosen |= self._choose_on(worker, count, chosen)
-        for job_id in sorted(chosen, key=lambda each: -self._costs[each]):
+        for job_id in sorted(chosen, key=lambda each: (-self._measure(each), each)):
             if self._opens(place, chosen - {job_id}):
                 chosen.discard(job_id)
-        return tuple(sorted(chosen, key=lambda each: (self._costs[each], each)))
+        return tuple(sorted(chosen, key=lambda each: (self._measure(each), each)))
+
+    def measure_lost(self, victims: Iterable[str]) -> float:
+        """Return the lost work of stopping these, in accelerator seconds."""
+        return sum(self._measure(job_id) for job_id in victims)
 
     def _opens(self, place: Place, chosen: set[str]) -> bool:
         return all(
@@ -180,36 +177,33 @@
             for worker, count in place.items()
         )
 
+    def _measure(self, job_id: str) -> float:
+        if job_id not in self._costs:
+            holding = self._view.holdings[job_id]
+            self._costs[job_id] = measure_lost_work(holding, self._now)
+        return self._costs[job_id]
+
     def _count(self, worker: int, chosen: set[str]) -> int:
-        jobs = self._view.jobs_on[worker]
+        if not chosen:
+            return 0
+        jobs = self._held[worker]
         return sum(count for job_id, count in jobs.items() if job_id in chosen)
 
     def _choose_on(self, worker: int, count: int, chosen: set[str]) -> set[str]:
         missing = count - self._free[worker] - self._count(worker, chosen)
         if missing <= 0:
             return set()
-        jobs = self._view.jobs_on[worker]
         options = [
-            (self._costs[job_id] / min(held, missing), job_id, held)
-            for job_id, held in jobs.items()
-            if job_id in self._costs and job_id not in chosen
+            (self._measure(job_id) / max(1, min(held, missing)), job_id, held)
+            for job_id, held in self._held[worker].items()
+            if job_id not in chosen
         ]
         options.sort()
         picked: set[str] = set()
         for _, job_id, held in options:
             if missing <= 0:
                 break
-            picked.add(job_id)
-            missing -= held
+            if held:
+                picked.add(job_id)
+                missing -= held
         return picked
-
-
-def list_openings(
-    view: CellView, allowed: Sequence[frozenset[str]], now: float
-) -> Iterator[Opening]:
-    """Yield an opening for each set that is larger than the one before."""
-    before = -1
-    for tier in allowed:
-        if len(tier) > before:
-            before = len(tier)
-            yield Opening(view, tier, now)
