--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -8,7 +8,7 @@
 from tools.bench.requests import take_quantile
 from tools.bench.requests_driver import Outcome, drive
 from tools.bench.requests_policies import make_product
-from tools.bench.requests_workloads import make_plans
+from tools.bench.requests_workloads import find_plan
 
 from primrosestile.decisions.allowances import Allowances
 from primrosestile.decisions.quarantine import make_ledger
@@ -20,7 +20,7 @@
 
 @cache
 def run_workload(name: str) -> Outcome:
-    return drive(make_plans()[name], make_product, queue_inside=False)
+    return drive(find_plan(name), make_product, queue_inside=False)
 
 
 def list_waits(outcome: Outcome, urgency: Urgency) -> list[float]:
@@ -112,7 +112,7 @@
 @then("a worker that said it leaves gets at most one more request from each entry")
 def check_leaving(context: Any) -> None:
     # What was sent before the worker's answer came is refused by it as not run.
-    plan = make_plans()["half-the-fleet-leaves"]
+    plan = find_plan("half-the-fleet-leaves")
     assert context.outcome.refused_by_workers <= len(plan.leaving) * plan.entries
 
 
--- a/tools/bench/requests_policies.py
+++ b/tools/bench/requests_policies.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from primrosestile.decisions.queueing import RequestQueue, Waiting, make_queue
@@ -89,15 +90,15 @@
 class Entry:
     """One entry of the product, wired as the entry program wires it."""
 
-    def __init__(self, name: str, plan: Plan, clock: Clock, fleet: Fleet) -> None:
+    def __init__(self, name: str, clock: Clock, fleet: Fleet, ways: "Ways") -> None:
         self.name = name
         self._clock = clock
         self._fleet = fleet
         self._attempts: dict[str, Attempt] = {}
         self._check_at: float | None = None
         policy = Policy()
-        self.queue: RequestQueue = make_queue(policy)
-        self.router: Router = make_router(name, policy)
+        self.queue = ways.queue(policy)
+        self.router = ways.router(name, policy)
 
     def arrive(self, result: Result) -> None:
         """Take in one request, or refuse it."""
@@ -211,14 +212,22 @@
         return self.queue.offer(waiting, now) is None
 
 
+@dataclass(frozen=True, slots=True)
+class Ways:
+    """How to queue and how to choose targets; the product's ways by default."""
+
+    queue: Callable[[Policy], RequestQueue] = make_queue
+    router: Callable[[str, Policy], Router] = make_router
+
+
 class ProductEntries:
     """All entries of the product, and the owner that grants them slots."""
 
-    def __init__(self, plan: Plan, clock: Clock, fleet: Fleet) -> None:
+    def __init__(self, plan: Plan, clock: Clock, fleet: Fleet, ways: Ways) -> None:
         self._plan = plan
         self._clock = clock
         names = [f"entry-{number}" for number in range(plan.entries)]
-        self.entries = [Entry(name, plan, clock, fleet) for name in names]
+        self.entries = [Entry(name, clock, fleet, ways) for name in names]
         self._ledger = make_grant_ledger(0.0, took_over=False)
         last = max((each.waiting.arrived_at for each in plan.arrivals), default=0.0)
         self._grant_until = last + 30.0
@@ -271,4 +280,4 @@
 
 def make_product(plan: Plan, clock: Clock, fleet: Fleet) -> Entries:
     """Return the product's decisions."""
-    return ProductEntries(plan, clock, fleet)
+    return ProductEntries(plan, clock, fleet, Ways())
--- a/tools/bench/requests_workloads.py
+++ b/tools/bench/requests_workloads.py
@@ -1,6 +1,8 @@
 """The workloads of the bench of requests: fixed seeds, 24 workers with 8 slots."""
 
+from collections.abc import Callable
 from dataclasses import replace
+from functools import cache
 
 from primrosestile.state.tenancy import Urgency
 from tools.bench.requests_driver import Arrival, Plan, Source, make_arrivals
@@ -81,33 +83,43 @@
     return replace(arrival, cancelled_at=wave)
 
 
-def make_plans() -> dict[str, Plan]:
-    """Return all workloads by name."""
-    plans = [
-        make_plan("capacity", spread(1.0)),
-        make_plan("saturation-3x", spread(3.0)),
-        make_bursts(),
-        make_skew(),
-        make_plan("even-fleet", spread(0.7)),
-        make_plan("one-slow-target", spread(0.7), slow={"worker-5": 10.0}),
-        make_plan("even-runs", spread(0.7, shape="uniform")),
-        make_plan(
-            "even-runs-slow-target",
-            spread(0.7, shape="uniform"),
-            slow={"worker-5": 10.0},
-        ),
-        make_long_short(),
-        make_waves(),
-        make_plan(
-            "failing-workers",
-            spread(0.7),
-            failing=frozenset(("worker-3", "worker-11", "worker-19")),
-        ),
-        make_plan(
-            "half-the-fleet-leaves",
-            spread(0.9),
-            leaving={f"worker-{number}": 20.0 for number in range(12)},
-        ),
-        make_plan("declared-far-off", spread(1.5, declared=30.0)),
-    ]
-    return {plan.name: plan for plan in plans}
+def make_half_leaves() -> Plan:
+    """Half of the workers leave while nearly all slots are in use."""
+    leaving = {f"worker-{number}": 20.0 for number in range(12)}
+    return make_plan("half-the-fleet-leaves", spread(0.9), leaving=leaving)
+
+
+def make_failing() -> Plan:
+    """Three workers fail each request within a hundredth of a second."""
+    failing = frozenset(("worker-3", "worker-11", "worker-19"))
+    return make_plan("failing-workers", spread(0.7), failing=failing)
+
+
+def make_slow(name: str, shape: str) -> Plan:
+    """One worker of 24 takes ten times as long."""
+    return make_plan(name, spread(0.7, shape=shape), slow={"worker-5": 10.0})
+
+
+PLANS: dict[str, Callable[[], Plan]] = {
+    "capacity": lambda: make_plan("capacity", spread(1.0)),
+    "saturation-3x": lambda: make_plan("saturation-3x", spread(3.0)),
+    "bursts": make_bursts,
+    "skew": make_skew,
+    "even-fleet": lambda: make_plan("even-fleet", spread(0.7)),
+    "one-slow-target": lambda: make_slow("one-slow-target", "exponential"),
+    "even-runs": lambda: make_plan("even-runs", spread(0.7, shape="uniform")),
+    "even-runs-slow-target": lambda: make_slow("even-runs-slow-target", "uniform"),
+    "long-short": make_long_short,
+    "cancellation-waves": make_waves,
+    "failing-workers": make_failing,
+    "half-the-fleet-leaves": make_half_leaves,
+    "declared-far-off": lambda: make_plan(
+        "declared-far-off", spread(1.5, declared=30.0)
+    ),
+}
+
+
+@cache
+def find_plan(name: str) -> Plan:
+    """Return a workload by its name."""
+    return PLANS[name]()
