Index settings and job records for the sizes to come

Cause: each digest scanned all workers and each round all records of a cell; at 15,000 workers and 3,000 tasks a cell both alone would cost several cores. Ruled out: caching by value; hashing a fleet of 15,000 workers is itself a scan. Change: one indexed view for each picture of the settings; the job book keeps its records by state and by worker; targets are sorted in only when their set changes.

--- a/src/primrosestile/coordination/caretaking.py
+++ b/src/primrosestile/coordination/caretaking.py
@@ -17,6 +17,7 @@
 from primrosestile.coordination.cell import CellKeeper
 from primrosestile.coordination.membership import Directory, ProcessLease
 from primrosestile.coordination.ownertable import rank_placers
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.workers import TaskPhase, WorkerReport, Workers
 from primrosestile.state.fleet import Cell
@@ -99,8 +100,9 @@
             except Failure:
                 return
 
+        workers = view_settings(self._read_settings()).workers_in.get(cell.name, ())
         async with asyncio.TaskGroup() as group:
-            for worker in self._read_settings().fleet.workers_of(cell):
+            for worker in workers:
                 group.create_task(read(worker.name))
         return reports
 
--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -17,15 +17,15 @@
 from primrosestile.coordination.reconciling import Recovery, decide_recovery
 from primrosestile.coordination.slotsharing import SlotSharing
 from primrosestile.decisions.cell import CellView
-from primrosestile.decisions.guarantees import assign_guarantees
 from primrosestile.decisions.learning import RunTimes
 from primrosestile.decisions.quarantine import make_ledger
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.messages import CellDigest, DemandReport
 from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import WorkerReport
 from primrosestile.state.fleet import Cell, Worker
-from primrosestile.state.jobs import ReasonCode
+from primrosestile.state.jobs import JobState, ReasonCode
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Shape
 
@@ -212,7 +212,7 @@
     def note_lost(self, domains: frozenset[str]) -> None:
         """Take over promises of failure domains that are lost."""
         settings = self._read_settings()
-        promised = assign_guarantees(settings.fleet, settings.guarantees, domains)
+        promised = view_settings(settings).find_promises(domains)
         self._data.view.set_promised(promised.get(self.cell.name, ()))
 
     def note_listed(self, leaving: frozenset[str]) -> None:
@@ -258,7 +258,7 @@
             seconds=self._sharing.seconds_left(),
             leaving=tuple(n for n, each in contacts.items() if each.leaving),
             quarantined=tuple(n for n, each in contacts.items() if each.quarantined),
-            waiting=len(self._placing.list_waiting()),
+            waiting=self._data.book.count_in(JobState.ACCEPTED),
         )
 
     def describe(self) -> CellPage:
@@ -275,11 +275,8 @@
 
 
 def _collect_inputs(settings: Settings, name: str) -> _Inputs:
-    cell = settings.fleet.find_cell(name)
-    if cell is None:
-        return _Inputs((), ())
-    promised = assign_guarantees(settings.fleet, settings.guarantees)
-    return _Inputs(settings.fleet.workers_of(cell), promised.get(name, ()))
+    view = view_settings(settings)
+    return _Inputs(view.workers_in.get(name, ()), view.find_promises().get(name, ()))
 
 
 def _make_data(
@@ -308,5 +305,5 @@
 
 def _read_quota(settings: Settings, name: str) -> int:
     """Return a team's quota; a team that was removed starts nothing more."""
-    team = settings.find_team(name)
+    team = view_settings(settings).teams.get(name)
     return team.quota_accelerators if team else 0
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -16,6 +16,7 @@
 from primrosestile.coordination.exchange import DigestTable
 from primrosestile.coordination.membership import Directory
 from primrosestile.decisions.cellchoice import CellPicture
+from primrosestile.decisions.settingsview import SettingsView, view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.messages import CellDigests, DemandReport
 from primrosestile.protocol.peers import Peers
@@ -54,6 +55,7 @@
         self._read_settings = read_settings
         self._table = DigestTable()
         self._listed_leaving: frozenset[str] = frozenset()
+        self._routed: tuple[SettingsView | None, set[str]] = (None, set())
         self._changed = asyncio.Event()
         directory.on_change(self._changed.set)
 
@@ -118,9 +120,8 @@
         self._dispatcher.wake()
 
     def _workers_of(self, cell_name: str) -> list[str]:
-        fleet = self._read_settings().fleet
-        cell = fleet.find_cell(cell_name)
-        return [worker.name for worker in fleet.workers_of(cell)] if cell else []
+        view = view_settings(self._read_settings())
+        return [worker.name for worker in view.workers_in.get(cell_name, ())]
 
     async def _read_vm_list(self) -> None:
         while True:
@@ -136,14 +137,17 @@
 
     def refresh_targets(self) -> None:
         """Tell the router which targets there are, and which are leaving."""
-        fleet = self._read_settings().fleet
-        slots = {worker.name: worker.slots for worker in fleet.workers}
+        view = view_settings(self._read_settings())
         leaving = set(self._listed_leaving)
         for digest in self._table:
             leaving.update(digest.leaving)
             leaving.update(digest.quarantined)
         now = read_clock()
-        self._dispatcher.router.set_targets(slots, frozenset(leaving), now)
+        if self._routed != (view, leaving):
+            # Sorting in 15,000 targets takes tens of milliseconds; digests come
+            # many times a second and seldom change the set.
+            self._routed = (view, leaving)
+            self._dispatcher.router.set_targets(view.slots, frozenset(leaving), now)
         self._dispatcher.queue.set_slots(self._dispatcher.router.count_slots(now))
         self._dispatcher.wake()
 
--- a/src/primrosestile/coordination/exchange.py
+++ b/src/primrosestile/coordination/exchange.py
@@ -14,8 +14,8 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.membership import Directory
-from primrosestile.decisions.cellchoice import CellPicture, can_ever_fit
-from primrosestile.decisions.guarantees import assign_guarantees
+from primrosestile.decisions.cellchoice import CellPicture
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.messages import CellDigest, CellDigests, DigestRequest
 from primrosestile.protocol.peers import Peers
@@ -89,15 +89,16 @@
             shape: What is asked for.
             seconds: The age from which a digest is not fresh any more.
         """
-        promised = assign_guarantees(settings.fleet, settings.guarantees)
+        view = view_settings(settings)
+        promised = view.find_promises()
         return [
             self._picture(
-                cell.name,
-                _is_promised(promised.get(cell.name, ()), organisation, shape),
+                name,
+                _is_promised(promised.get(name, ()), organisation, shape),
                 seconds,
             )
-            for cell in settings.fleet.cells
-            if can_ever_fit(settings.fleet, cell, shape)
+            for name, capacity in view.capacity.items()
+            if capacity.can_hold(shape)
         ]
 
     def _picture(self, cell: str, promised: bool, seconds: float) -> CellPicture:
@@ -172,12 +173,9 @@
         A cell that nobody speaks for may be well; only an owner that says that it
         reaches no worker at all is evidence of a loss.
         """
-        fleet = self._read_settings().fleet
-        domains = {rack.name: rack.failure_domain for rack in fleet.racks}
         working: dict[str, bool] = {}
-        for cell in fleet.cells:
-            domain = domains.get(cell.racks[0], "") if cell.racks else ""
-            digest = self.table.find_fresh(cell.name, FRESH_SECONDS)
+        for cell, domain in view_settings(self._read_settings()).domain_of.items():
+            digest = self.table.find_fresh(cell, FRESH_SECONDS)
             works = digest is None or bool(digest.free)
             working[domain] = working.get(domain, False) or works
         return working
--- a/src/primrosestile/coordination/following.py
+++ b/src/primrosestile/coordination/following.py
@@ -51,7 +51,7 @@
             await self._run_round(group, contact)
 
     def _choose_pause(self) -> float:
-        jobs_wait = any(each.state is JobState.ACCEPTED for each in self._data.book)
+        jobs_wait = self._data.book.count_in(JobState.ACCEPTED) > 0
         seconds = choose_round_seconds(
             self._data.command.lease_seconds,
             jobs_wait,
@@ -111,15 +111,6 @@
             self._data.refresh_usable()
             self._data.wake()
 
-    def _jobs_on(self, contact: Contact) -> list[JobRecord]:
-        name = contact.worker.name
-        return [
-            record
-            for record in self._data.book
-            if record.state is JobState.STARTED
-            and any(member.worker == name for member in record.members)
-        ]
-
     def _plan_renewal(self, contact: Contact) -> _Renewal:
         """Return the tasks there whose gang is whole, and for how long to renew.
 
@@ -138,7 +129,7 @@
             return renewal
         if not command.may_act() and not command.may_care():
             return renewal
-        for record in self._jobs_on(contact):
+        for record in self._data.book.list_on(contact.worker.name):
             if record.spec.job_id in self._data.stopping:
                 continue
             oldest = self._find_oldest_sight(record, contact)
@@ -171,7 +162,7 @@
         return oldest
 
     def _consider(self, group: asyncio.TaskGroup, contact: Contact) -> None:
-        for record in self._jobs_on(contact):
+        for record in self._data.book.list_on(contact.worker.name):
             if record.spec.job_id in self._data.busy:
                 continue
             if record.cancel_requested:
--- a/src/primrosestile/coordination/jobbook.py
+++ b/src/primrosestile/coordination/jobbook.py
@@ -23,7 +23,7 @@
 )
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Change, Entry, Store
-from primrosestile.state.jobs import JOBS_PREFIX, JobRecord
+from primrosestile.state.jobs import JOBS_PREFIX, JobRecord, JobState
 
 # How long the record of an ended job can be read. A night's renders are looked
 # at the next morning; at 40,000 jobs a day and 2 KB each this is below 100 MB. It
@@ -61,11 +61,50 @@
         self._store = store
         self._prefix = f"{JOBS_PREFIX}{cell}/"
         self._booked: dict[str, Booked] = {}
+        self._by_state: dict[JobState, set[str]] = {state: set() for state in JobState}
+        self._by_worker: dict[str, set[str]] = {}
         self._revision = 0
 
     def __iter__(self) -> Iterator[JobRecord]:
         return iter([booked.record for booked in self._booked.values()])
 
+    def list_in(self, state: JobState) -> list[JobRecord]:
+        """Return the records in one state."""
+        return [self._booked[job_id].record for job_id in self._by_state[state]]
+
+    def count_in(self, state: JobState) -> int:
+        """Return how many records are in one state."""
+        return len(self._by_state[state])
+
+    def list_on(self, worker: str) -> list[JobRecord]:
+        """Return the records of started jobs with a member on a worker.
+
+        Asked at each round of each worker; a scan of a cell's few thousand
+        records would cost a placer with 1,667 workers several cores.
+        """
+        return [
+            self._booked[job_id].record for job_id in self._by_worker.get(worker, ())
+        ]
+
+    def _put(self, booked: Booked) -> None:
+        record = booked.record
+        job_id = record.spec.job_id
+        self._drop(job_id)
+        self._booked[job_id] = booked
+        self._by_state[record.state].add(job_id)
+        if record.state is JobState.STARTED:
+            for member in record.members:
+                self._by_worker.setdefault(member.worker, set()).add(job_id)
+
+    def _drop(self, job_id: str) -> None:
+        booked = self._booked.pop(job_id, None)
+        if booked is None:
+            return
+        self._by_state[booked.record.state].discard(job_id)
+        if booked.record.state is JobState.STARTED:
+            for member in booked.record.members:
+                self._by_worker[member.worker].discard(job_id)
+
     def find(self, job_id: str) -> JobRecord | None:
         """Return the copy of a record."""
         booked = self._booked.get(job_id)
@@ -78,20 +117,21 @@
             Failure: STORE_UNAVAILABLE; the copy is then as it was.
         """
         entries, self._revision = await list_all(self._store, self._prefix)
-        self._booked = {}
+        for job_id in list(self._booked):
+            self._drop(job_id)
         for entry in entries:
             self._note(entry)
 
     def _note(self, entry: Entry) -> JobRecord:
         record = decode_job(entry.value)
-        self._booked[record.spec.job_id] = Booked(record, entry.mod_revision)
+        self._put(Booked(record, entry.mod_revision))
         return record
 
     async def refresh(self, job_id: str) -> JobRecord | None:
         """Read one record again."""
         entry = await self._store.get(make_job_key(job_id))
         if entry is None:
-            self._booked.pop(job_id, None)
+            self._drop(job_id)
             return None
         return self._note(entry)
 
@@ -110,12 +150,12 @@
         expected = self._booked[job_id].revision
         swap = await put_settled(self._store, make_job_key(job_id), value, expected)
         if swap.done:
-            self._booked[job_id] = Booked(record, swap.revision)
+            self._put(Booked(record, swap.revision))
             return True
         if swap.current is not None:
             self._note(swap.current)
         else:
-            self._booked.pop(job_id, None)
+            self._drop(job_id)
         return False
 
     async def forget_old(self, now: float) -> None:
@@ -126,7 +166,7 @@
             if ended and now - record.finished_at > RETENTION_SECONDS:
                 job_id = record.spec.job_id
                 await delete_settled(self._store, make_job_key(job_id), booked.revision)
-                self._booked.pop(job_id, None)
+                self._drop(job_id)
 
     async def follow(self, on_change: Callable[[JobRecord], None]) -> None:
         """Take in others' changes until cancelled.
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -29,6 +29,7 @@
 )
 from primrosestile.coordination.placing import PictureSource
 from primrosestile.coordination.writing import delete_settled, put_settled
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import Workers
@@ -186,7 +187,7 @@
         _log.info("cell_acquired", cell=name, epoch=epoch)
         lease = self._lease.lease
         while True:
-            cell = self._settings.fleet.find_cell(name)
+            cell = view_settings(self._settings).cells.get(name)
             if cell is None:
                 return
             keeper = self._make_keeper(cell, epoch, lease)
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -94,7 +94,7 @@
 
     def list_waiting(self) -> list[JobRecord]:
         """Return the jobs that wait for a place."""
-        return [each for each in self._data.book if each.state is JobState.ACCEPTED]
+        return self._data.book.list_in(JobState.ACCEPTED)
 
     def _run_pass(self, group: asyncio.TaskGroup) -> None:
         data = self._data
@@ -125,9 +125,9 @@
 
     def _cancel_asked(self, group: asyncio.TaskGroup) -> None:
         """Carry out cancellations; a wave of them is one pass over the book."""
-        for record in self._data.book:
-            asked = record.cancel_requested and not record.state.is_final
-            if asked and record.spec.job_id not in self._data.busy:
+        book = self._data.book
+        for record in book.list_in(JobState.ACCEPTED) + book.list_in(JobState.STARTED):
+            if record.cancel_requested and record.spec.job_id not in self._data.busy:
                 self._actions.spawn(group, record, self._actions.cancel(record))
 
     def _decide(
@@ -172,9 +172,8 @@
 
     def _finish_moves(self, group: asyncio.TaskGroup) -> None:
         """Finish what an earlier owner, or a store that failed, left half done."""
-        for record in self._data.book:
-            moving = record.state is JobState.MOVING
-            if moving and record.spec.job_id not in self._data.busy:
+        for record in self._data.book.list_in(JobState.MOVING):
+            if record.spec.job_id not in self._data.busy:
                 finish = finish_move(self._store, self._data, record)
                 self._actions.spawn(group, record, finish)
 
@@ -190,8 +189,8 @@
         }
         if not leaving:
             return
-        for record in self._data.book:
-            if record.state is not JobState.STARTED or not record.spec.checkpoints:
+        for record in self._data.book.list_in(JobState.STARTED):
+            if not record.spec.checkpoints:
                 continue
             there = [each.worker for each in record.members if each.worker in leaving]
             if there and record.spec.job_id not in self._data.busy:
--- a/src/primrosestile/decisions/cellchoice.py
+++ b/src/primrosestile/decisions/cellchoice.py
@@ -10,7 +10,6 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from primrosestile.state.fleet import Cell, Fleet
 from primrosestile.state.tenancy import Adjacency, Shape, Urgency
 
 
@@ -42,20 +41,6 @@
         return self.fresh and bool(self.free)
 
 
-def can_ever_fit(fleet: Fleet, cell: Cell, shape: Shape) -> bool:
-    """Whether an empty cell could hold the shape."""
-    workers = fleet.workers_of(cell)
-    sizes = [worker.accelerators for worker in workers]
-    if shape.adjacency is Adjacency.WORKER:
-        return shape.accelerators <= max(sizes, default=0)
-    if shape.adjacency is Adjacency.CELL:
-        return shape.accelerators <= sum(sizes)
-    by_rack: dict[str, int] = {}
-    for worker in workers:
-        by_rack[worker.rack] = by_rack.get(worker.rack, 0) + worker.accelerators
-    return shape.accelerators <= max(by_rack.values(), default=0)
-
-
 def has_room(picture: CellPicture, shape: Shape) -> bool:
     """Whether the shape may fit now, as far as the free counts show."""
     counts = picture.free.values()
--- a/src/primrosestile/programs/entryrequests.py
+++ b/src/primrosestile/programs/entryrequests.py
@@ -10,6 +10,7 @@
 
 from primrosestile.coordination.submission import make_job_id
 from primrosestile.decisions.access import Rights
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.state.jobs import JobSpec
 from primrosestile.state.settings import Settings
@@ -91,7 +92,7 @@
         Failure: FORBIDDEN for another team than the key's, also for one that does
             not exist, so that keys can't be used to find out names; UNKNOWN_CLASS.
     """
-    team = settings.find_team(team_name)
+    team = view_settings(settings).teams.get(team_name)
     if team is None or not rights.may_act_for(team):
         raise Failure(ErrorKind.FORBIDDEN, f"the key is not for team {team_name}")
     job_class = team.find_class(class_name)
--- a/src/primrosestile/programs/parts.py
+++ b/src/primrosestile/programs/parts.py
@@ -16,8 +16,8 @@
     Registration,
 )
 from primrosestile.coordination.relay import Place, Relay, make_relay
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.programs.common import Health, Metrics
-from primrosestile.state.fleet import Fleet
 from primrosestile.state.jobs import ProcessRecord
 from primrosestile.state.process import ProcessSettings
 from primrosestile.transport.peers import ZmqPeers, make_peers
@@ -72,16 +72,11 @@
 
     def __init__(self, follower: SettingsFollower) -> None:
         self._follower = follower
-        self._fleet: Fleet | None = None
-        self._addresses: dict[str, str] = {}
 
     def find(self, worker: str) -> str:
         """Return a worker's address; empty when the settings do not know it."""
-        fleet = self._follower.settings.fleet
-        if fleet is not self._fleet:
-            self._fleet = fleet
-            self._addresses = {each.name: each.address for each in fleet.workers}
-        return self._addresses.get(worker, "")
+        known = view_settings(self._follower.settings).workers.get(worker)
+        return known.address if known else ""
 
 
 def make_parts(settings: ProcessSettings, program: str) -> Parts:
