--- a/src/primrosestile/decisions/backfill.py
+++ b/src/primrosestile/decisions/backfill.py
@@ -35,6 +35,10 @@
 ORDER_QUANTILE = 0.5
 FILL_QUANTILE = 0.9
 
+# A job that has run for longer than its kind usually does still has something
+# left; without a floor it would look finished and go before all others.
+LEAST_LEFT_SHARE = 0.1
+
 
 def order_demands(
     demands: Iterable[Demand],
@@ -68,9 +72,7 @@
     ordered = [
         replace(
             demand,
-            expected_seconds=learned.estimate(
-                demand.job_class, demand.declared_seconds, FILL_QUANTILE
-            ),
+            expected_seconds=_estimate_left(demand, learned, FILL_QUANTILE),
         )
         for _, _, demand in ranked
     ]
@@ -93,9 +95,7 @@
         return (0 if is_entitled(view, demand) else 1), demand.accepted_at
     if is_overdue(demand, now):
         return 2, demand.accepted_at
-    seconds = learned.estimate(
-        demand.job_class, demand.declared_seconds, ORDER_QUANTILE
-    )
+    seconds = _estimate_left(demand, learned, ORDER_QUANTILE)
     # With all the weight on completion time, work goes by its length times its
     # size, which ends most jobs soonest. With all of it on fragmentation, a
     # large job is not held back for being large: it needs the room while the
@@ -106,6 +106,12 @@
     return 3, cost / (1.0 + age / AGE_SECONDS)
 
 
+def _estimate_left(demand: Demand, learned: RunTimes, quantile: float) -> float:
+    """Estimate the seconds of work that are left, less what was saved."""
+    whole = learned.estimate(demand.job_class, demand.declared_seconds, quantile)
+    return max(whole - demand.done_seconds, whole * LEAST_LEFT_SHARE)
+
+
 def _reserve(
     ordered: Sequence[Demand], view: CellView, now: float
 ) -> Reservation | None:
--- a/src/primrosestile/decisions/cell_records.py
+++ b/src/primrosestile/decisions/cell_records.py
@@ -48,6 +48,7 @@
         declared_seconds: The caller's guess of its run time.
         expected_seconds: A safe learned run time, which `order_demands` fills
             in; 0.0 where it is unknown.
+        done_seconds: Work saved by an earlier attempt.
     """
 
     job_id: str
@@ -61,6 +62,7 @@
     accepted_at: float
     declared_seconds: float
     expected_seconds: float = 0.0
+    done_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosestile/decisions/cell_rooms.py
+++ b/src/primrosestile/decisions/cell_rooms.py
@@ -174,18 +174,48 @@
             self._layout.capacity[worker] < count for worker, count in counts.items()
         ):
             return None
-        own = self.order_units(organisation)
-        inside = _find_enclosing(own, rooms, counts)
-        if inside is not None:
-            return inside
-        if not own:
+        options = self._order_charges(organisation, sum(counts.values()))
+        # The rooms as they are answer most questions without a search.
+        for unit in options:
+            kept = self._find_inside(unit, rooms, counts)
+            if kept is not None:
+                return unit, kept
+        return self._search_charge(options, counts)
+
+    def _order_charges(self, organisation: str, accelerators: int) -> list[int | None]:
+        """Order the units that work could use, and where using none stands (None).
+
+        Small work goes beside the rooms rather than into a unit that it would
+        not half fill: a caption pass on one accelerator that cannot be stopped
+        would keep its own organisation's render of a whole rack waiting.
+        """
+        used = set(self.charges.values())
+        suited: list[int | None] = []
+        broken: list[int | None] = []
+        for unit in self.order_units(organisation):
+            large = self.promised[unit][1].accelerators
+            if unit in used or 2 * accelerators > large:
+                suited.append(unit)
+            else:
+                broken.append(unit)
+        return [*suited, None, *broken]
+
+    def _find_inside(
+        self, unit: int | None, rooms: list[Room], counts: Mapping[int, int]
+    ) -> list[Room] | None:
+        """Return the rooms if the work fits one as it is, or beside all of them."""
+        if unit is None:
             spare = self.list_spare()
-            if all(spare[worker] >= count for worker, count in counts.items()):
-                return None, rooms
-        return self._search_charge(own, counts)
+            fits = all(spare[worker] >= count for worker, count in counts.items())
+            return rooms if fits else None
+        room = rooms[unit]
+        if any(room.get(worker, 0) < count for worker, count in counts.items()):
+            return None
+        left = {worker: count - counts.get(worker, 0) for worker, count in room.items()}
+        return [*rooms[:unit], left, *rooms[unit + 1 :]]
 
     def _search_charge(
-        self, own: Sequence[int], counts: Mapping[int, int]
+        self, options: Sequence[int | None], counts: Mapping[int, int]
     ) -> tuple[int | None, list[Room]] | None:
         available = self.list_available()
         for worker, count in counts.items():
@@ -193,14 +223,14 @@
             if available[worker] < 0:
                 return None
         needs = self.list_needs()
-        for unit in own:
+        for unit in options:
             trial = list(needs)
-            trial[unit] = add_charge(needs[unit], counts)
+            if unit is not None:
+                trial[unit] = add_charge(needs[unit], counts)
             found = find_rooms(self._layout, available, trial)
             if found is not None:
                 return unit, found
-        found = find_rooms(self._layout, available, needs)
-        return None if found is None else (None, found)
+        return None
 
     def _search(self) -> list[Room] | None:
         """Search all rooms anew, and the charges too where the known ones fail."""
@@ -268,7 +298,7 @@
         left = list(available)
         for worker, count in pinned.counts.items():
             left[worker] -= count
-        for unit in (*self.order_units(pinned.organisation), None):
+        for unit in self._order_charges(pinned.organisation, pinned.accelerators):
             self._steps -= 1
             if self._steps < 0:
                 return None
@@ -285,20 +315,6 @@
         return all(self._layout.capacity[worker] for worker in pinned.counts)
 
 
-def _find_enclosing(
-    own: Sequence[int], rooms: list[Room], counts: Mapping[int, int]
-) -> tuple[int, list[Room]] | None:
-    """Find the first own unit whose room, as it is, encloses the work."""
-    for unit in own:
-        room = rooms[unit]
-        if all(room.get(worker, 0) >= count for worker, count in counts.items()):
-            left = {
-                worker: count - counts.get(worker, 0) for worker, count in room.items()
-            }
-            return unit, [*rooms[:unit], left, *rooms[unit + 1 :]]
-    return None
-
-
 def add_charge(need: Need, counts: Mapping[int, int]) -> Need:
     """Return a need whose room must enclose some more work."""
     charged = dict(need.charged)
--- a/src/primrosestile/decisions/fragmentation.py
+++ b/src/primrosestile/decisions/fragmentation.py
@@ -35,9 +35,13 @@
     return max(shapes, key=lambda shape: (shape.accelerators, shape.adjacency.value))
 
 
-def measure_fragmentation(view: CellView) -> float:
+def measure_fragmentation(view: CellView, shape: Shape | None = None) -> float:
     """Measure what share of the free accelerators cannot host the largest shape.
 
+    Args:
+        view: The cell.
+        shape: Measured against this one; by default the largest promised one.
+
     Returns:
         From 0 (every free accelerator is part of a room for it, or none is
         free) to 1 (it fits nowhere).
@@ -45,7 +49,7 @@
     free = sum(view.free.values())
     if not free:
         return 0.0
-    return 1.0 - count_hosted(view, find_largest_shape(view)) / free
+    return 1.0 - count_hosted(view, shape or find_largest_shape(view)) / free
 
 
 def weigh_shapes(view: CellView, demands: Iterable[Demand]) -> dict[Shape, float]:
--- a/src/primrosestile/decisions/placement_score.py
+++ b/src/primrosestile/decisions/placement_score.py
@@ -20,6 +20,11 @@
 # each time, rooms have to be searched anew.
 PINNED_LENT_SHARE = 8.0
 
+# Work that can save its progress loses almost nothing when it is stopped. It is
+# the best borrower, and leaves the space beside the rooms to work that would
+# have to begin again.
+SAVED_SPARE_SHARE = 0.1
+
 # Order among equal places: the fullest worker, then the rack with the fewest
 # whole workers, so that the whole ones stay together. Small enough never to
 # outweigh one accelerator.
@@ -31,9 +36,14 @@
     """Make the function that prices accelerators of one worker for a demand."""
     growth = Growth(view, view.mix or weigh_shapes(view, ()))
     unlent = _list_unlent(view, demand)
-    lent_share = LENT_SHARE if demand.evictable else PINNED_LENT_SHARE
-    lent_weight = lent_share * max(policy.completion_weight, 0.1)
     growth_weight = max(policy.fragmentation_weight, 0.1)
+    lent_weight = max(policy.completion_weight, 0.1)
+    if not demand.evictable:
+        lent_weight *= PINNED_LENT_SHARE
+    elif demand.checkpoints:
+        lent_weight *= -SAVED_SPARE_SHARE
+    else:
+        lent_weight *= LENT_SHARE
 
     def price(worker: int, count: int) -> float:
         lent = max(0, count - unlent[worker])
@@ -48,13 +58,18 @@
 
 
 def _list_unlent(view: CellView, demand: Demand) -> list[int]:
-    """Return by worker what is part of no other organisation's room."""
+    """Return by worker what the demand may take without being in the way.
+
+    That is what lies beside all rooms, and the rooms of its own organisation;
+    for work that cannot be stopped only those that are in use already.
+    """
     unlent = view.rooms.list_spare()
     rooms = view.rooms.read()
     if rooms is None:
         return unlent
-    for unit, (organisation, _) in enumerate(view.promised):
-        if organisation == demand.organisation:
+    used = set(view.rooms.charges.values())
+    for unit in view.rooms.order_units(demand.organisation):
+        if demand.evictable or unit in used:
             for worker, count in rooms[unit].items():
                 unlent[worker] += count
     return unlent
--- /dev/null
+++ b/tools/bench/placement_schedulers.py
@@ -0,0 +1,85 @@
+"""The policies under test: ours, with variations, and the baselines."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from primrosestile.decisions.cell import CellView, Demand
+from primrosestile.decisions.learning import RunTimes
+from primrosestile.decisions.placement import Decision, Placed, Waits, order_demands
+from primrosestile.decisions.placement_queue import decide_waiting
+from primrosestile.decisions.placement_rooms import (
+    list_free,
+    list_places,
+    make_members,
+)
+from primrosestile.state.fleet import Worker
+from primrosestile.state.jobs import ReasonCode
+from primrosestile.state.tenancy import Policy, Shape
+
+
+@dataclass
+class Primrosestile:
+    """The decisions as they are.
+
+    Attributes:
+        learns: Whether run times are learned; if not, declared ones are used.
+    """
+
+    policy: Policy
+    learns: bool = True
+    learned: RunTimes = field(default_factory=RunTimes)
+
+    def make_view(
+        self, workers: Sequence[Worker], promised: Sequence[tuple[str, Shape]]
+    ) -> CellView:
+        return CellView(workers, promised)
+
+    def decide(
+        self, view: CellView, waiting: Sequence[Demand], now: float
+    ) -> Iterator[tuple[Demand, Decision]]:
+        ordered = order_demands(waiting, view, self.policy, self.learned, now)
+        return decide_waiting(view, ordered, self.policy, now)
+
+    def learn(self, job_class: str, seconds: float) -> None:
+        if self.learns:
+            self.learned.record(job_class, seconds)
+
+
+@dataclass
+class FirstFit:
+    """In order of arrival, at the first place that fits; stops nothing.
+
+    Attributes:
+        blocks: Whether a job that finds no place holds back those behind it.
+    """
+
+    blocks: bool
+
+    def make_view(
+        self, workers: Sequence[Worker], promised: Sequence[tuple[str, Shape]]
+    ) -> CellView:
+        return CellView(workers, ())
+
+    def decide(
+        self, view: CellView, waiting: Sequence[Demand], now: float
+    ) -> Iterator[tuple[Demand, Decision]]:
+        ordered = sorted(waiting, key=lambda each: (each.accepted_at, each.job_id))
+        failed: set[Shape] = set()
+        for demand in ordered:
+            if demand.shape in failed:
+                continue
+            free = list_free(view)
+            places = list_places(
+                view.layout, free, demand.shape, lambda worker, _: float(worker), 1
+            )
+            if places:
+                members = make_members(view, places[0][1])
+                yield demand, Placed(members, ReasonCode.PLACED, "")
+                continue
+            failed.add(demand.shape)
+            yield demand, Waits(ReasonCode.WAITS_FOR_ROOM, "", 1.0)
+            if self.blocks:
+                return
+
+    def learn(self, job_class: str, seconds: float) -> None:
+        pass
