Open a reclaimed place by its accelerators, not by its victims

Change: the view tells whether a kept place is open; driver and fuzz ask it. Conclusion: a reclaim ends when its accelerators are free.

--- a/features/steps/placement_machine.py
+++ b/features/steps/placement_machine.py
@@ -58,7 +58,7 @@
         super().__init__()
         self.count = 0
         self.now = 0.0
-        self.reclaims: dict[str, tuple[Holding, set[str]]] = {}
+        self.reclaims: dict[str, Holding] = {}
 
     @initialize(sizes=RACK_SIZES, capacity=st.sampled_from((2, 3)), promises=PROMISES)
     def make_cell(
@@ -127,7 +127,12 @@
     @rule(data=st.data())
     def stop_victims(self, data: st.DataObject) -> None:
         job_id = data.draw(st.sampled_from(sorted(self.reclaims)))
-        for victim in sorted(self.reclaims[job_id][1]):
+        victims = [
+            victim
+            for victim, incoming in self.view.stopping.items()
+            if job_id in incoming
+        ]
+        for victim in victims:
             self.view.release(victim)
         self.finish_reclaims()
 
@@ -139,8 +144,8 @@
         self.view.cancel_reclaim(job_id)
 
     def finish_reclaims(self) -> None:
-        for job_id, (holding, victims) in list(self.reclaims.items()):
-            if not victims & set(self.view.holdings):
+        for job_id, holding in list(self.reclaims.items()):
+            if self.view.is_opened(job_id):
                 self.view.hold(holding)
                 del self.reclaims[job_id]
 
@@ -174,7 +179,7 @@
         for victim in decision.victims:
             assert self.view.holdings[victim].evictable, victim
         self.view.begin_reclaim(holding, decision.victims)
-        self.reclaims[job_id] = (holding, set(decision.victims))
+        self.reclaims[job_id] = holding
         return decision
 
     def check_gang(self, holding: Holding) -> None:
--- a/src/primrosestile/decisions/cell.py
+++ b/src/primrosestile/decisions/cell.py
@@ -193,6 +193,20 @@
         self._known_borrowers.pop(holding.organisation, None)
         self._pin(holding)
 
+    def is_opened(self, job_id: str) -> bool:
+        """Whether nobody holds the place any more that is kept for a job.
+
+        Asked of the accelerators, not of the victims: one that has stopped may
+        have started again elsewhere before the last of them has stopped.
+        """
+        incoming = self._incoming.get(job_id)
+        if incoming is None:
+            return False
+        return not any(
+            bits & self._read_held(worker)
+            for worker, bits in self._read_members(incoming.members, True)
+        )
+
     def cancel_reclaim(self, job_id: str) -> None:
         """Give a kept place up; victims that still run are no longer wanted."""
         holding = self._incoming.get(job_id)
@@ -284,10 +298,8 @@
         return held
 
     def _check_opened(self, holding: Holding) -> None:
-        for worker, bits in self._read_members(holding.members, True):
-            if bits & self._read_held(worker):
-                name = self.workers[worker].name
-                raise ValueError(f"accelerators of {name} are still held by a victim")
+        if not self.is_opened(holding.job_id):
+            raise ValueError(f"victims still hold the place of {holding.job_id}")
 
     def _read_members(
         self, members: Sequence[Member], claimed: bool
--- a/tools/bench/placement_driver.py
+++ b/tools/bench/placement_driver.py
@@ -119,7 +119,7 @@
         self.failures: dict[str, int] = {}
         self.jobs = {each.job_id: _Job(each, each.true_seconds) for each in arrivals}
         self.waiting: dict[str, Demand] = {}
-        self.reclaims: dict[str, tuple[Holding, set[str]]] = {}
+        self.reclaims: dict[str, Holding] = {}
         self.window = window
         self.outcome = Outcome()
         self.events: list[tuple[float, int, str, str, int]] = []
@@ -254,7 +254,7 @@
 
     def _reclaim(self, holding: Holding, decision: Reclaim, now: float) -> None:
         self.view.begin_reclaim(holding, decision.victims)
-        self.reclaims[holding.job_id] = (holding, set(decision.victims))
+        self.reclaims[holding.job_id] = holding
         for victim in decision.victims:
             if len(self.view.stopping[victim]) > 1:
                 continue
@@ -282,8 +282,8 @@
         self._finish_reclaims(now)
 
     def _finish_reclaims(self, now: float) -> None:
-        for job_id, (holding, victims) in list(self.reclaims.items()):
-            if not victims & set(self.view.holdings):
+        for job_id, holding in list(self.reclaims.items()):
+            if self.view.is_opened(job_id):
                 del self.reclaims[job_id]
                 shift = now - holding.started_at
                 self._start(
