Count what was just handed to a cell

Ruled out: asking owners for each job, which costs messages by jobs times cells. Change: an entry and a placer take what they handed off the picture until the cell's next digest; a pass may move 16 jobs.

--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -13,7 +13,7 @@
 from primrosestile.coordination.following import Following
 from primrosestile.coordination.gangs import Command, go_gang
 from primrosestile.coordination.jobbook import JobBook
-from primrosestile.coordination.placing import PictureSource, Placing
+from primrosestile.coordination.placing import Elsewhere, Placing
 from primrosestile.coordination.reconciling import Recovery, decide_recovery
 from primrosestile.coordination.slotsharing import SlotSharing
 from primrosestile.decisions.cell import CellView
@@ -47,7 +47,7 @@
         store: Store,
         command: Command,
         read_settings: Callable[[], Settings],
-        read_pictures: PictureSource,
+        elsewhere: Elsewhere,
         count_followed: Callable[[], int],
     ) -> None:
         self.cell = cell
@@ -58,7 +58,7 @@
             cell, store, command, read_settings, self._wake, count_followed
         )
         self._actions = JobActions(self._data)
-        self._placing = Placing(self._data, self._actions, store, read_pictures)
+        self._placing = Placing(self._data, self._actions, store, elsewhere)
         self._following = Following(self._data, self._actions)
         self._sharing = SlotSharing()
 
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -151,6 +151,10 @@
         self._dispatcher.queue.set_slots(self._dispatcher.router.count_slots(now))
         self._dispatcher.wake()
 
+    def note_handed(self, cell: str, accelerators: int) -> None:
+        """Note a job that was handed to a cell."""
+        self._table.note_handed(cell, accelerators)
+
     def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
         """Return what is known of each cell that could ever hold the shape."""
         return self._table.list_pictures(
--- a/src/primrosestile/coordination/exchange.py
+++ b/src/primrosestile/coordination/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
@@ -43,6 +44,11 @@
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
+        self._handed: Counter[str] = Counter()
+
+    def note_handed(self, cell: str, accelerators: int) -> None:
+        """Note a job handed to a cell; its next digest takes it into account."""
+        self._handed[cell] += accelerators
 
     def take_in(self, digests: Iterable[CellDigest]) -> list[CellDigest]:
         """Keep the digests of the newest epochs; return those that were kept.
@@ -57,6 +63,7 @@
             if known is not None and known.digest.epoch > digest.epoch:
                 continue
             self._known[digest.cell] = _Known(digest, now)
+            self._handed.pop(digest.cell, None)
             kept.append(digest)
         return kept
 
@@ -105,7 +112,14 @@
         digest = self.find_fresh(cell, seconds)
         if digest is None:
             return CellPicture(cell, {}, 0, promised, fresh=False)
-        return CellPicture(cell, digest.free, digest.waiting, promised, fresh=True)
+        return CellPicture(
+            cell,
+            digest.free,
+            digest.waiting,
+            promised,
+            fresh=True,
+            handed=self._handed[cell],
+        )
 
 
 def _is_promised(
@@ -180,6 +194,16 @@
             working[domain] = working.get(domain, False) or works
         return working
 
+    def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
+        """Return what is known of each cell that could ever hold a shape."""
+        return self.table.list_pictures(
+            self._read_settings(), organisation, shape, FRESH_SECONDS
+        )
+
+    def note_handed(self, cell: str, accelerators: int) -> None:
+        """Note a job that was moved to a cell."""
+        self.table.note_handed(cell, accelerators)
+
     def list_lost_domains(self) -> frozenset[str]:
         """Return the failure domains none of whose workers can be used."""
         now = read_clock()
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -27,7 +27,7 @@
     decode_owned,
     rank_placers,
 )
-from primrosestile.coordination.placing import PictureSource
+from primrosestile.coordination.placing import Elsewhere
 from primrosestile.coordination.writing import delete_settled, put_settled
 from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
@@ -61,7 +61,7 @@
         directory: Directory,
         record: ProcessRecord,
         task_lease_seconds: float,
-        read_pictures: PictureSource,
+        elsewhere: Elsewhere,
     ) -> None:
         self._store = store
         self._workers = workers
@@ -69,7 +69,7 @@
         self._directory = directory
         self._record = record
         self._task_lease_seconds = task_lease_seconds
-        self._read_pictures = read_pictures
+        self._elsewhere = elsewhere
         self._settings = Settings()
         self._settings_changed = asyncio.Event()
         self._table = OwnerTable(store)
@@ -216,7 +216,7 @@
             self._store,
             command,
             lambda: self._settings,
-            self._read_pictures,
+            self._elsewhere,
             self._count_followed,
         )
 
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from typing import Protocol
 
 import structlog
 
@@ -37,11 +37,22 @@
 # Decisions of one pass. At the larger cells a decision takes up to 2 ms, so a
 # pass blocks the loop, and the renewals on it, for at most half a second.
 PASS_LIMIT = 256
-# Moves begun in one pass. All of them are decided on one picture of the other
-# cells; a flood would fill the room that each of them saw free.
-SHIFTS_PER_PASS = 4
+# Moves begun in one pass: three writes each, so that a full cell's queue does not
+# take the store's several hundred writes a second for itself.
+SHIFTS_PER_PASS = 16
+
+
+class Elsewhere(Protocol):
+    """What is known of the other cells."""
+
+    def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
+        """Return the cells that could ever hold a shape, this one included."""
+        ...
+
+    def note_handed(self, cell: str, accelerators: int) -> None:
+        """Note a job that was moved to a cell."""
+        ...
 
-PictureSource = Callable[[str, Shape], list[CellPicture]]
 
 _log = structlog.get_logger()
 
@@ -54,12 +65,12 @@
         data: CellData,
         actions: JobActions,
         store: Store,
-        read_pictures: PictureSource,
+        elsewhere: Elsewhere,
     ) -> None:
         self._data = data
         self._actions = actions
         self._store = store
-        self._read_pictures = read_pictures
+        self._elsewhere = elsewhere
         self._woken = asyncio.Event()
         self._closed = False
         self._shifts_left = SHIFTS_PER_PASS
@@ -159,7 +170,8 @@
 
     def _consider_shift(self, group: asyncio.TaskGroup, record: JobRecord) -> None:
         """Move a job that waits here to a cell that could start it now."""
-        pictures = self._read_pictures(record.spec.organisation, record.spec.shape)
+        shape = record.spec.shape
+        pictures = self._elsewhere.list_pictures(record.spec.organisation, shape)
         here = next((each for each in pictures if each.cell == self._data.name), None)
         others = [each for each in pictures if each.cell != self._data.name]
         if here is None or self._shifts_left <= 0:
@@ -167,6 +179,7 @@
         destination = find_destination(record, here, others)
         if destination is not None:
             self._shifts_left -= 1
+            self._elsewhere.note_handed(destination, shape.accelerators)
             move = move_job(self._store, self._data, record, destination)
             self._actions.spawn(group, record, move)
 
--- a/src/primrosestile/decisions/cellchoice.py
+++ b/src/primrosestile/decisions/cellchoice.py
@@ -23,6 +23,9 @@
         promised: Whether the asking organisation has a guarantee there that
             holds the shape.
         fresh: Whether its owner has spoken lately.
+        handed: Accelerators that the jobs handed there by this process since
+            its owner spoke ask for. Without them a burst within one second
+            would all go to the cell that was the best at its beginning.
     """
 
     cell: str
@@ -30,6 +33,7 @@
     waiting: int
     promised: bool
     fresh: bool
+    handed: int = 0
 
     @property
     def is_working(self) -> bool:
@@ -44,9 +48,11 @@
 def has_room(picture: CellPicture, shape: Shape) -> bool:
     """Whether the shape may fit now, as far as the free counts show."""
     counts = picture.free.values()
+    if shape.accelerators > sum(counts) - picture.handed:
+        return False
     if shape.adjacency is Adjacency.WORKER:
         return shape.accelerators <= max(counts, default=0)
-    return shape.accelerators <= sum(counts)
+    return True
 
 
 # A waiting job moves once another cell could start it at once, but not before its
@@ -110,7 +116,7 @@
 
     def rank(picture: CellPicture) -> tuple[bool, bool, bool, int, int, str]:
         room = has_room(picture, shape) and picture.waiting == 0
-        total = sum(picture.free.values())
+        total = sum(picture.free.values()) - picture.handed
         return (
             not picture.is_working,
             not room,
--- a/src/primrosestile/programs/entryapp.py
+++ b/src/primrosestile/programs/entryapp.py
@@ -176,6 +176,7 @@
                 f"no cell holds {shape.accelerators} by {shape.adjacency.value}",
             )
         spec = make_spec(body, caller, cell, shape)
+        self._parts.cells.note_handed(cell, shape.accelerators)
         fingerprint = compute_fingerprint(body.job_class, data)
         job_id = await self._parts.submissions.submit(
             Submission(spec, request_id, fingerprint)
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -7,9 +7,8 @@
 from aiohttp import web
 
 from primrosestile.coordination.caretaking import Caretaker
-from primrosestile.coordination.exchange import FRESH_SECONDS, Exchange
+from primrosestile.coordination.exchange import Exchange
 from primrosestile.coordination.ownership import Ownership
-from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.errors import Failure
 from primrosestile.programs.common import (
     add_health_routes,
@@ -30,7 +29,6 @@
     Envelope,
 )
 from primrosestile.state.process import ProcessSettings
-from primrosestile.state.tenancy import Shape
 from primrosestile.transport.workers import make_workers
 
 PROGRAM = "placer"
@@ -54,12 +52,6 @@
         lambda: _list_digests(ownership),
     )
 
-    def list_pictures(organisation: str, shape: Shape) -> list[CellPicture]:
-        in_force = parts.follower.settings
-        return exchange.table.list_pictures(
-            in_force, organisation, shape, FRESH_SECONDS
-        )
-
     ownership = Ownership(
         parts.store,
         workers,
@@ -67,7 +59,7 @@
         parts.directory,
         parts.registration.record,
         settings.task_lease_seconds,
-        list_pictures,
+        exchange,
     )
     parts.follower.add_handler(ownership.take_settings)
     caretaker = Caretaker(
