Count the age of running requests against targets, and hope in bursts

Cause: a target that became ten times slower was known only after 28 s to 74 s, when its first answers came; one that hangs never would be. In bursts the wait of patient work was estimated as if urgent work never ended, and it was refused though slots came free soon after.

Change: runs that exceed four times their mean count before they end; patient waits are estimated from what waits now, and corrected by what came.

--- a/src/primrosestile/decisions/outliers.py
+++ b/src/primrosestile/decisions/outliers.py
@@ -13,9 +13,9 @@
 # A target is slow when its run times, measured against what its classes need
 # elsewhere, are this many times the median target's.
 SLOW_FACTOR = 3.0
-# Weight of a new run; averages of logarithms settle within some ten runs and are
+# Weight of a new run; averages of logarithms settle within some twenty runs and are
 # not thrown by one long run.
-NEW_RUN_WEIGHT = 0.15
+NEW_RUN_WEIGHT = 0.1
 # Runs before a target can be called slow, since one long run says little.
 ENOUGH_RUNS = 4
 # Failures in a row that set a target aside. A target that fails one request in
--- a/src/primrosestile/decisions/queueing.py
+++ b/src/primrosestile/decisions/queueing.py
@@ -37,12 +37,11 @@
 FIRST_SLOTS = 8
 # The capacity can fall at any moment, so its estimate follows within seconds.
 CAPACITY_MEMORY = 2.0
-# What urgent work leaves to patient work comes and goes by the second, while a
-# patient request waits for several: the average over such a wait is what counts.
-LINE_MEMORY = 8.0
 # Runs that experience calls too long are let in this seldom, so that a slow
 # spell that has ended is noticed.
 PROBE_SECONDS = 1.0
+# Requests no longer waiting that may stand among the latest starts.
+SPARE_STARTS = 256
 # The tail of a queue is looked at again after this long: four looks a second
 # give an answer far sooner than a caller would give up.
 LOOK_SECONDS = 0.25
@@ -62,9 +61,6 @@
         self._hopeless: list[Waiting] = []
         self._experience = Experience()
         self._drain = DrainRate(FIRST_SLOTS, CAPACITY_MEMORY)
-        self._line_drains = {
-            urgency: DrainRate(FIRST_SLOTS, LINE_MEMORY) for urgency in Urgency
-        }
         self._corrections = {urgency: Correction() for urgency in Urgency}
         self._patient_credit = 0.0
         self._last_seen: float | None = None
@@ -82,8 +78,6 @@
     def set_slots(self, slots: int) -> None:
         """Tell how many slots this entry may use now."""
         self._drain.slots = slots
-        for drain in self._line_drains.values():
-            drain.slots = slots
 
     def offer(self, waiting: Waiting, now: float) -> Refusal | None:
         """Queue a request, or return why it is refused."""
@@ -102,8 +96,7 @@
         entry = Entry(waiting, run, now, foreseen)
         line.add(entry)
         self._entries[waiting.request_id] = entry
-        latest = waiting.deadline - run
-        heapq.heappush(self._latest_starts, (latest, waiting.request_id))
+        self._note_latest_start(waiting, run)
         if self._next_look is None:
             self._next_look = now + LOOK_SECONDS
         return None
@@ -166,12 +159,18 @@
 
     def _advance(self, now: float) -> None:
         if self._last_seen is not None:
-            passed = now - self._last_seen
-            self._drain.note_time(passed, bool(self._entries))
-            for urgency, line in self._lines.items():
-                self._line_drains[urgency].note_time(passed, line.count > 0)
+            self._drain.note_time(now - self._last_seen, bool(self._entries))
         self._last_seen = now
 
+    def _note_latest_start(self, waiting: Waiting, run: float) -> None:
+        starts = self._latest_starts
+        heapq.heappush(starts, (waiting.deadline - run, waiting.request_id))
+        # What was taken stays listed until its time comes, which for work that
+        # may wait all night would be far too long.
+        if len(starts) > 2 * len(self._entries) + SPARE_STARTS:
+            self._latest_starts = [each for each in starts if each[1] in self._entries]
+            heapq.heapify(self._latest_starts)
+
     def _expect_run(self, waiting: Waiting, now: float) -> float:
         """Return the run time in seconds to count with.
 
@@ -199,10 +198,12 @@
         if urgency is Urgency.URGENT:
             kept = share if self._lines[Urgency.PATIENT].count else 0.0
             return ahead / (rate * max(1 - kept, 0.01))
-        # What urgent work leaves to patient work shows only in what got through;
-        # the kept share is the least.
-        own_rate = max(self._line_drains[urgency].estimate(), rate * share)
-        return ahead / min(rate, own_rate)
+        # Patient work waits for all urgent work, or gets by on the kept share. The
+        # estimate hopes that no more urgent work comes: a burst ends, and what
+        # was refused in it can not be made good. If urgent work goes on, the
+        # correction learns it within some fifty requests.
+        urgent = self._lines[Urgency.URGENT]
+        return min((ahead + urgent.work) / rate, ahead / (rate * max(share, 0.01)))
 
     def _count_places(self, waiting: Waiting) -> int:
         """Return how many more requests of this kind may wait.
@@ -251,8 +252,6 @@
     def _charge(self, urgency: Urgency, work: float) -> None:
         if self._entries:
             self._drain.note_left(work)
-        if self._lines[urgency].count:
-            self._line_drains[urgency].note_left(work)
         share = self._policy.patient_share
         if not self._lines[Urgency.PATIENT].count:
             # Credit for work that nobody asked for would become a burst of
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -18,6 +18,7 @@
 from primrosestile.decisions.capacity import Capacity
 from primrosestile.decisions.learning import Experience
 from primrosestile.decisions.outliers import make_outliers
+from primrosestile.decisions.overdue import OverdueWatch, Running
 from primrosestile.decisions.retries import make_retry_budget
 from primrosestile.state.tenancy import Policy, Urgency
 
@@ -61,6 +62,7 @@
         self._capacity = Capacity(process_name)
         self._outliers = make_outliers(policy.quarantine_share)
         self._experience = Experience()
+        self._overdue = OverdueWatch()
         self._budget = make_retry_budget(policy.retry_ratio)
         # Only spreads load, so a fixed seed takes nothing away, and a test sees
         # the same choices each time.
@@ -116,6 +118,10 @@
         self._advance(now)
         self._capacity.start(target)
         self._outliers.start_try(target)
+        times = self._experience.find(waiting.class_key)
+        if times is not None:
+            running = Running(target, waiting.request_id, now, times.mean)
+            self._overdue.start(running)
         if waiting.urgency is Urgency.URGENT:
             self._urgent_in_flight += 1
             self._urgent_peak = max(self._urgent_peak, float(self._urgent_in_flight))
@@ -131,9 +137,18 @@
         """Note what became of an attempt that was started."""
         self._advance(now)
         self._capacity.finish(target)
+        was_overdue = self._overdue.finish(target, waiting.request_id)
         if waiting.urgency is Urgency.URGENT:
             self._urgent_in_flight -= 1
-        self._learn(target, waiting, outcome, seconds, now)
+        if outcome is Outcome.OK:
+            expected = self._experience.estimate(waiting.class_key, seconds)
+            self._experience.note(waiting.class_key, seconds)
+            # What was overdue has been counted against the target by its age.
+            if not was_overdue:
+                self._outliers.note_run(target, seconds, expected, now)
+        else:
+            self._learn_trouble(target, outcome, now)
+        self._capacity.set_resting(self._outliers.list_resting())
 
     def note_first_attempt(self) -> None:
         """Note a request's first attempt, which earns a part of a retry."""
@@ -222,30 +237,27 @@
                 return target
         return None
 
-    def _learn(
-        self,
-        target: str,
-        waiting: Waiting,
-        outcome: Outcome,
-        seconds: float,
-        now: float,
-    ) -> None:
-        if outcome is Outcome.OK:
-            expected = self._experience.estimate(waiting.class_key, seconds)
-            self._experience.note(waiting.class_key, seconds)
-            self._outliers.note_run(target, seconds, expected, now)
-        elif outcome in (Outcome.FAILED, Outcome.UNREACHABLE, Outcome.UNKNOWN):
+    def _learn_trouble(self, target: str, outcome: Outcome, now: float) -> None:
+        if outcome in (Outcome.FAILED, Outcome.UNREACHABLE, Outcome.UNKNOWN):
             self._outliers.note_failure(target, now)
-        else:
-            self._outliers.drop_try(target)
+            return
+        self._outliers.drop_try(target)
         if outcome is Outcome.REFUSED:
             self._capacity.note_refused(target)
         if outcome is Outcome.LEAVING:
             self._capacity.note_leaving(target)
-        self._capacity.set_resting(self._outliers.list_resting())
+
+    def _learn_from_overdue(self, now: float) -> None:
+        found = self._overdue.collect(now)
+        for running in found:
+            age = now - running.started_at
+            self._outliers.note_run(running.target, age, running.expected, now)
+        if found:
+            self._capacity.set_resting(self._outliers.list_resting())
 
     def _advance(self, now: float) -> None:
         self._capacity.advance(now)
+        self._learn_from_overdue(now)
         passed = now - self._peak_time
         if passed > 0:
             excess = self._urgent_peak - self._urgent_in_flight
--- a/tools/bench/requests_ways.py
+++ b/tools/bench/requests_ways.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from primrosestile.decisions.queueing import Refusal, RequestQueue, Waiting
-from primrosestile.decisions.routing import Router
+from primrosestile.decisions.routing import Outcome, Router
 from primrosestile.errors import ErrorKind
 from primrosestile.state.tenancy import Policy
 from tools.bench.requests_driver import Clock, Entries, Factory, Fleet, Plan
@@ -158,8 +158,16 @@
         sample = self._capacity.sample(self._random, self.SAMPLE, exclude)
         return min(sample, key=self._capacity.count_at, default=None)
 
-    def _learn(self, target: str, waiting: Waiting, *rest: object) -> None:
-        """Set no target aside."""
+    def finish(
+        self,
+        target: str,
+        waiting: Waiting,
+        outcome: Outcome,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Note the end, and learn nothing about the target from it."""
+        super().finish(target, waiting, Outcome.CANCELLED, seconds, now)
 
 
 class TwoChoicesRouter(RandomRouter):
