Take in grants and fleets by what changed, and renew settled grants

Cause: an entry worked out every target again for each cell's grants each second, and an owner shared all slots anew each second: at 15,000 targets both cost more than a fortieth of a core.

Change: a grant is one object for its cell, only changed figures are worked out, lapses check whether a later grant came; settled grants are renewed; the median of run times is refreshed by fleet size.

--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -10,7 +10,7 @@
 from tools.bench.requests_policies import make_product
 from tools.bench.requests_workloads import find_plan
 
-from primrosestile.decisions.allowances import Allowances
+from primrosestile.decisions.allowances import Allowances, Grant
 from primrosestile.decisions.quarantine import make_ledger
 from primrosestile.decisions.queueing import Waiting, make_queue
 from primrosestile.decisions.routing import Outcome as Ended, Router, make_router
@@ -336,9 +336,8 @@
         ):
             # They hear of it one after another, within the time allowed for it.
             heard = now + 0.3 * number
-            allowances.set_grants(
-                context.slots, grants[name], heard + GRANT_SECONDS, heard
-            )
+            grant = Grant(grants[name], heard + GRANT_SECONDS, GRANT_SECONDS)
+            allowances.set_grant(context.slots, grant, heard)
     return float(rounds - 1)
 
 
--- a/src/primrosestile/decisions/allowances.py
+++ b/src/primrosestile/decisions/allowances.py
@@ -17,14 +17,25 @@
 FIRST_SHARE = 1
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class Grant:
-    """Slots at one worker, and when they lapse on the loop's clock."""
+    """What the owner of one cell granted; shared by all workers of the cell.
 
-    slots: int
+    Attributes:
+        slots: By worker; a worker left out gets none.
+        until: When it lapses, on the loop's clock.
+        seconds: How long it was granted for.
+    """
+
+    slots: Mapping[str, int]
     until: float
     seconds: float
 
+    @property
+    def settled_at(self) -> float:
+        """When every grant of the same owner has lapsed, if it is dead."""
+        return self.until + self.seconds
+
 
 class Allowances:
     """The slots that this entry may use, by target."""
@@ -36,16 +47,17 @@
         self._safe: dict[str, int] = {}
         self._grants: dict[str, Grant] = {}
 
-    def set_slots(self, slots: Mapping[str, int]) -> None:
-        """Take in the fleet; only what changed is worked out again."""
-        for worker in self._slots.keys() - slots.keys():
+    def set_slots(self, slots: Mapping[str, int]) -> set[str]:
+        """Take in the fleet; return which targets came, went or changed."""
+        known = self._slots
+        gone = known.keys() - slots.keys()
+        changed = {name for name, count in slots.items() if known.get(name) != count}
+        for worker in gone:
             self._grants.pop(worker, None)
             self._safe.pop(worker, None)
-        changed = [
-            name for name, count in slots.items() if self._slots.get(name) != count
-        ]
         self._slots = dict(slots)
         self._work_out(changed)
+        return changed | gone
 
     def set_entries(self, names: Sequence[str]) -> None:
         """Take in the live entries."""
@@ -54,17 +66,26 @@
             self._entries = entries
             self._work_out(self._slots)
 
-    def set_grants(
-        self,
-        workers: Iterable[str],
-        grants: Mapping[str, int],
-        until: float,
-        now: float,
-    ) -> None:
-        """Take in the grants of one cell's owner; a worker left out gets none."""
+    def set_grant(self, workers: Iterable[str], grant: Grant, now: float) -> list[str]:
+        """Take in what one cell's owner granted; return where it changes a figure."""
+        changed = []
         for worker in workers:
-            if worker in self._slots:
-                self._grants[worker] = Grant(grants.get(worker, 0), until, until - now)
+            if worker not in self._slots:
+                continue
+            before = self._grants.get(worker)
+            self._grants[worker] = grant
+            fresh = before is not None and now < before.until
+            if not fresh or not self._is_same(worker, before, grant):
+                changed.append(worker)
+        return changed
+
+    def list_targets(self) -> list[str]:
+        """Return all targets in order."""
+        return sorted(self._slots)
+
+    def list_under(self, grant: Grant, workers: Iterable[str]) -> tuple[str, ...]:
+        """Return those for which no later grant has come."""
+        return tuple(each for each in workers if self._grants.get(each) is grant)
 
     def find(self, worker: str, now: float) -> int:
         """Return how many requests this entry may have at the worker now."""
@@ -73,17 +94,19 @@
             return allowed
         return min(allowed, max(1, CONNECTIONS // len(self._entries)))
 
+    def _is_same(self, worker: str, before: Grant | None, after: Grant) -> bool:
+        if before is None:
+            return False
+        return before.slots.get(worker, 0) == after.slots.get(worker, 0)
+
     def _find_slots(self, worker: str, now: float) -> int:
         slots = self._slots.get(worker, 0)
         safe = self._safe.get(worker, 0)
         grant = self._grants.get(worker)
-        if grant is None:
+        if grant is None or now >= grant.settled_at:
             return safe
-        if now < grant.until:
-            return min(grant.slots, slots)
-        if now < grant.until + grant.seconds:
-            return min(grant.slots, safe)
-        return safe
+        granted = grant.slots.get(worker, 0)
+        return min(granted, slots if now < grant.until else safe)
 
     def _work_out(self, workers: Iterable[str]) -> None:
         for worker in workers:
--- a/src/primrosestile/decisions/capacity.py
+++ b/src/primrosestile/decisions/capacity.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Iterable, Mapping, Sequence
 
-from primrosestile.decisions.allowances import Allowances
+from primrosestile.decisions.allowances import Allowances, Grant
 from primrosestile.decisions.sampling import SampledSet
 
 # How long a target that refused, as not run, is left alone: others hold its
@@ -25,7 +25,6 @@
 
     def __init__(self, self_name: str) -> None:
         self._allowances = Allowances(self_name)
-        self._targets: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
         self._said_leaving: dict[str, float] = {}
         self._refused: dict[str, float] = {}
@@ -33,7 +32,8 @@
         self._in_flight: dict[str, int] = {}
         self._allowed: dict[str, int] = {}
         self._free = SampledSet()
-        self._due: list[tuple[float, int, tuple[str, ...]]] = []
+        # When figures change by themselves: whose, and under which grant.
+        self._due: list[tuple[float, int, tuple[str, ...], Grant | None]] = []
         self._sequence = 0
         self._now = 0.0
         self.total_slots = 0
@@ -44,35 +44,41 @@
     ) -> None:
         """Take in the fleet and which of it leaves."""
         self.advance(now)
-        gone = self._targets - slots.keys()
-        self._targets = frozenset(slots)
+        changed = self._allowances.set_slots(slots)
+        changed |= self._leaving ^ leaving
         self._leaving = leaving
-        for target in gone:
+        for target in changed - slots.keys():
             self._said_leaving.pop(target, None)
             self._refused.pop(target, None)
-        self._allowances.set_slots(slots)
-        self._refresh_all([*gone, *sorted(slots)])
+        self._refresh_all(sorted(changed))
 
     def set_entries(self, names: Sequence[str]) -> None:
         """Take in the live entries."""
         self._allowances.set_entries(names)
-        self._refresh_all(sorted(self._targets))
+        self._refresh_all(self._allowances.list_targets())
 
     def set_grants(
         self, workers: Iterable[str], grants: Mapping[str, int], until: float
     ) -> None:
-        """Take in the grants of one cell, and when they lapse."""
+        """Take in the grants of one cell, and when they lapse.
+
+        Grants come for each cell each second, mostly the same as before. So only
+        what changes is worked out again, and a lapse only if no later grant came.
+        """
+        grant = Grant(grants, until, until - self._now)
         concerned = tuple(workers)
-        self._allowances.set_grants(concerned, grants, until, self._now)
-        self._refresh_all(concerned)
-        self._expect_change(until, concerned)
-        self._expect_change(2 * until - self._now, concerned)
+        changed = self._allowances.set_grant(concerned, grant, self._now)
+        self._refresh_all(changed)
+        self._expect_change(until, concerned, grant)
+        self._expect_change(grant.settled_at, concerned, grant)
 
     def advance(self, now: float) -> None:
         """Follow the clock: grants lapse, refusals are forgotten."""
         self._now = max(self._now, now)
         while self._due and self._due[0][0] <= self._now:
-            _, _, concerned = heapq.heappop(self._due)
+            _, _, concerned, grant = heapq.heappop(self._due)
+            if grant is not None:
+                concerned = self._allowances.list_under(grant, concerned)
             self._refresh_all(concerned)
 
     def start(self, target: str) -> None:
@@ -95,11 +101,13 @@
         self._expect_change(self._said_leaving[target], (target,))
         self._refresh(target)
 
-    def set_resting(self, resting: frozenset[str]) -> None:
-        """Keep some targets out of ordinary choice."""
-        changed = self._resting ^ resting
-        self._resting = set(resting)
-        self._refresh_all(sorted(changed))
+    def set_resting(self, target: str, resting: bool) -> None:
+        """Keep a target out of ordinary choice, or let it back."""
+        if resting:
+            self._resting.add(target)
+        else:
+            self._resting.discard(target)
+        self._sort_in(target)
 
     def has_room(self, target: str) -> bool:
         """Whether a request may be sent there, set aside or not."""
@@ -135,9 +143,11 @@
             self._in_flight.pop(target, None)
         self._sort_in(target)
 
-    def _expect_change(self, time: float, concerned: tuple[str, ...]) -> None:
+    def _expect_change(
+        self, time: float, concerned: tuple[str, ...], grant: Grant | None = None
+    ) -> None:
         self._sequence += 1
-        heapq.heappush(self._due, (time, self._sequence, concerned))
+        heapq.heappush(self._due, (time, self._sequence, concerned, grant))
 
     def _refresh_all(self, concerned: Iterable[str]) -> None:
         for target in concerned:
@@ -160,9 +170,7 @@
         self._sort_in(target)
 
     def _find_allowed(self, target: str) -> int:
-        if target not in self._targets or target in self._leaving:
-            return 0
-        if target in self._said_leaving:
+        if target in self._leaving or target in self._said_leaving:
             return 0
         return self._allowances.find(target, self._now)
 
--- a/src/primrosestile/decisions/outliers.py
+++ b/src/primrosestile/decisions/outliers.py
@@ -8,6 +8,7 @@
 
 import math
 import statistics
+from collections.abc import Set
 from dataclasses import dataclass
 
 # A target is slow when its run times, measured against what its classes need
@@ -24,7 +25,8 @@
 # Rest before one request is tried again, doubled after each failed try.
 FIRST_REST = 5.0
 LONGEST_REST = 60.0
-# The median is worked out again after so many runs; it moves slowly.
+# The median is worked out again after so many runs, or as many as there are
+# targets if that is more: it moves slowly, and sorting thousands takes long.
 RUNS_BETWEEN_MEDIANS = 16
 
 
@@ -63,14 +65,18 @@
         self.most_share = most_share
         self._targets: dict[str, Health] = {}
         self._resting: set[str] = set()
+        self._changed: set[str] = set()
+        self._next_try = math.inf
         self._median = 0.0
         self._runs = 0
 
-    def set_targets(self, names: set[str]) -> None:
+    def set_targets(self, names: Set[str]) -> None:
         """Forget targets that are gone, and take in new ones."""
         for name in self._targets.keys() - names:
             del self._targets[name]
-            self._resting.discard(name)
+            if name in self._resting:
+                self._resting.discard(name)
+                self._changed.add(name)
         for name in sorted(names - self._targets.keys()):
             self._targets[name] = Health(slowness=self._median)
 
@@ -78,9 +84,14 @@
         """Return a target's health, or None when it is not in the fleet."""
         return self._targets.get(name)
 
-    def list_resting(self) -> frozenset[str]:
-        """Return the targets that are set aside."""
-        return frozenset(self._resting)
+    def is_resting(self, name: str) -> bool:
+        """Whether a target is set aside."""
+        return name in self._resting
+
+    def collect_changed(self) -> set[str]:
+        """Return what was set aside or let back since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
 
     def note_run(self, name: str, seconds: float, expected: float, now: float) -> None:
         """Learn from a run that succeeded."""
@@ -118,8 +129,9 @@
     def drop_try(self, name: str) -> None:
         """Note that the try told nothing about the target."""
         health = self._targets.get(name)
-        if health is not None:
+        if health is not None and health.trying:
             health.trying = False
+            self._next_try = min(self._next_try, health.resting_until)
 
     def list_to_try(self, now: float, urgent: bool) -> list[str]:
         """Return those that have rested long enough for one request.
@@ -127,18 +139,21 @@
         Urgent work is used only where patient work has not come for as long as
         the rest itself: nobody should wait at a target that is likely bad.
         """
-        return [
-            name
-            for name in sorted(self._resting)
-            if self._targets[name].is_due(now, urgent)
-        ]
+        if now < self._next_try:
+            return []
+        resting = sorted(self._resting)
+        waiting = [each for each in resting if not self._targets[each].trying]
+        times = (self._targets[name].resting_until for name in waiting)
+        self._next_try = min(times, default=math.inf)
+        return [name for name in waiting if self._targets[name].is_due(now, urgent)]
 
     def _is_slow(self, slowness: float) -> bool:
         return slowness - self._median > math.log(SLOW_FACTOR)
 
     def _refresh_median(self) -> None:
         self._runs += 1
-        if self._runs % RUNS_BETWEEN_MEDIANS == 0:
+        if self._runs >= max(RUNS_BETWEEN_MEDIANS, len(self._targets)):
+            self._runs = 0
             known = [each.slowness for each in self._targets.values() if each.runs]
             self._median = statistics.median(known)
 
@@ -152,13 +167,18 @@
         if health.is_resting or len(self._resting) >= min(most, len(self._targets) - 1):
             return
         self._resting.add(name)
+        self._changed.add(name)
         health.rest = FIRST_REST
-        health.resting_until = now + health.rest
+        self._rest_until(health, now + health.rest)
 
     def _rest_again(self, health: Health, now: float) -> None:
         health.trying = False
         health.rest = min(LONGEST_REST, health.rest * 2)
-        health.resting_until = now + health.rest
+        self._rest_until(health, now + health.rest)
+
+    def _rest_until(self, health: Health, time: float) -> None:
+        health.resting_until = time
+        self._next_try = min(self._next_try, time)
 
     def _end_try(self, name: str, health: Health, ratio: float, now: float) -> None:
         if self._is_slow(ratio):
@@ -169,6 +189,7 @@
         health.slowness = self._median
         health.runs = 0
         self._resting.discard(name)
+        self._changed.add(name)
 
 
 def make_outliers(most_share: float) -> Outliers:
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -80,9 +80,9 @@
         self, slots: Mapping[str, int], leaving: frozenset[str], now: float
     ) -> None:
         """Take in the whole fleet, or this entry's part of it."""
-        self._outliers.set_targets(set(slots))
+        self._outliers.set_targets(slots.keys())
         self._capacity.set_targets(slots, leaving, now)
-        self._capacity.set_resting(self._outliers.list_resting())
+        self._set_resting()
 
     def set_grants(
         self,
@@ -148,7 +148,7 @@
                 self._outliers.note_run(target, seconds, expected, now)
         else:
             self._learn_trouble(target, outcome, now)
-        self._capacity.set_resting(self._outliers.list_resting())
+        self._set_resting()
 
     def note_first_attempt(self) -> None:
         """Note a request's first attempt, which earns a part of a retry."""
@@ -253,7 +253,11 @@
             age = now - running.started_at
             self._outliers.note_run(running.target, age, running.expected, now)
         if found:
-            self._capacity.set_resting(self._outliers.list_resting())
+            self._set_resting()
+
+    def _set_resting(self) -> None:
+        for target in self._outliers.collect_changed():
+            self._capacity.set_resting(target, self._outliers.is_resting(target))
 
     def _advance(self, now: float) -> None:
         self._capacity.advance(now)
--- a/src/primrosestile/decisions/slots.py
+++ b/src/primrosestile/decisions/slots.py
@@ -32,6 +32,11 @@
 # decides between near equals and connections are not opened without need.
 KEEP_BONUS = 0.5
 
+# A change of an entry's part by less than this share of an even part moves nothing.
+STEADY_SHARE = 0.1
+# Rounds after a change in which slots that were held may still come free.
+ROUNDS_TO_SETTLE = 6
+
 Grants = Mapping[str, Mapping[str, int]]
 
 
@@ -176,6 +181,10 @@
     def __init__(self, quiet_until: float) -> None:
         self._quiet_until = quiet_until
         self._settled = False
+        self._latest: dict[str, dict[str, int]] = {}
+        self._shared_slots: dict[str, int] = {}
+        self._settled_demand: dict[str, int] = {}
+        self._rounds = 0
         # By entry and worker: (when it lapses for certain, slots).
         self._granted: dict[str, dict[str, list[tuple[float, int]]]] = {}
 
@@ -199,10 +208,37 @@
         if not self._settled:
             self._settled = True
             self._count_safe_shares(slots, demand, now)
+        if not self._must_share_anew(slots, demand):
+            self._note(self._latest, now)
+            return self._latest
         held = self.count_held(now)
-        shares = share_slots(slots, demand, in_flight, held)
-        self._note(shares, now)
-        return shares
+        self._latest = share_slots(slots, demand, in_flight, held)
+        self._settled_demand = dict(demand)
+        self._note(self._latest, now)
+        return self._latest
+
+    def _must_share_anew(
+        self, slots: Mapping[str, int], demand: Mapping[str, int]
+    ) -> bool:
+        """Whether the grants have to change, or can just be renewed.
+
+        Made for thousands of workers: to share them all anew each second would
+        cost more than a fortieth of a core. While held grants still hide a
+        change that was asked for, and while demand moves, sharing goes on.
+        """
+        if dict(slots) != self._shared_slots or demand.keys() != self._latest.keys():
+            self._shared_slots = dict(slots)
+            self._rounds = 0
+            return True
+        total = sum(slots.values())
+        wanted = divide_by_demand(total, demand)
+        before = divide_by_demand(total, self._settled_demand)
+        leeway = max(1.0, STEADY_SHARE * total / max(1, len(demand)))
+        if any(abs(wanted[entry] - before[entry]) > leeway for entry in wanted):
+            self._rounds = 0
+            return True
+        self._rounds += 1
+        return self._rounds <= ROUNDS_TO_SETTLE
 
     def count_held(self, now: float) -> dict[str, dict[str, int]]:
         """Return the most that each entry may still hold, by entry and worker."""
--- a/tools/bench/requests_slopes.py
+++ b/tools/bench/requests_slopes.py
@@ -5,11 +5,12 @@
 
 from primrosestile.decisions.queueing import RequestQueue, Waiting, make_queue
 from primrosestile.decisions.routing import Outcome, Router, make_router
-from primrosestile.decisions.slots import share_safely, share_slots
+from primrosestile.decisions.slots import make_grant_ledger, share_safely, share_slots
 from primrosestile.state.tenancy import Policy, Urgency
 
 LENGTHS = (100, 1_000, 10_000)
-FLEETS = (24, 128, 1_024)
+FLEETS = (24, 128, 1_024, 15_000)
+CELL = 64
 ENTRIES = [f"entry-{number}" for number in range(9)]
 REPEATS = 5
 
@@ -97,24 +98,54 @@
             router.finish(target, waiting, Outcome.OK, 0.001, 0.0)
         return 500
 
-    def grant() -> int:
-        router.set_grants(slots, slots, 1.0, 0.0)
+    names = list(slots)
+    cells = [names[first : first + CELL] for first in range(0, workers, CELL)]
+    granted = dict.fromkeys(names, 1)
+
+    def take_in_grants() -> int:
+        for cell in cells:
+            router.set_grants(cell, granted, 3.0, 0.0)
+        return 1
+
+    def take_in_fleet() -> int:
+        router.set_targets(slots, frozenset(), 0.0)
         return 1
 
-    demand = {entry: 10 * number for number, entry in enumerate(ENTRIES)}
     return {
         "choose_start_finish_us": measure(serve),
-        "take_in_grants_us": measure(grant),
-        "share_slots_us": measure(lambda: len(share_slots(slots, demand, {})) // 9),
+        "take_in_all_grants_us": measure(take_in_grants),
+        "take_in_fleet_us": measure(take_in_fleet),
         "share_safely_us": measure(
             lambda: len(share_safely(slots, ENTRIES, "entry-0")) // workers
         ),
     }
 
 
+def measure_owner(workers: int) -> dict[str, float]:
+    """Return what a round of grants costs the owner of so many workers."""
+    slots = {f"worker-{number}": 8 for number in range(workers)}
+    demand = {entry: 10 * number for number, entry in enumerate(ENTRIES)}
+    ledger = make_grant_ledger(0.0, took_over=False)
+    times = iter(range(1000))
+    for _ in range(10):
+        ledger.grant(slots, demand, {}, float(next(times)))
+
+    def renew() -> int:
+        ledger.grant(slots, demand, {}, float(next(times)))
+        return 1
+
+    return {
+        "share_slots_us": measure(lambda: len(share_slots(slots, demand, {})) // 9),
+        "renew_us": measure(renew),
+    }
+
+
 def measure_slopes() -> dict[str, object]:
     """Return all costs in microseconds."""
     return {
         "queue_length": {str(each): measure_queue(each) for each in LENGTHS},
         "targets": {str(each): measure_router(each) for each in FLEETS},
+        "workers_of_one_owner": {
+            str(each): measure_owner(each) for each in (CELL, 1_024)
+        },
     }
