--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from dataclasses import replace
 
 import structlog
@@ -179,6 +179,28 @@
         ).with_reason(make_reason(code, detail))
         return await self._write_and_release(waiting)
 
+    async def evict_all(
+        self, records: Sequence[JobRecord], code: ReasonCode, detail: str
+    ) -> None:
+        """Evict several jobs at once; they must be marked as busy already."""
+
+        async def evict(record: JobRecord) -> None:
+            try:
+                await self.evict(record, code, detail)
+            except Failure as failure:
+                _log.warning(
+                    "eviction_failed",
+                    job_id=record.spec.job_id,
+                    kind=failure.kind.value,
+                )
+            finally:
+                self._data.busy.discard(record.spec.job_id)
+                self._data.stopping.discard(record.spec.job_id)
+
+        async with asyncio.TaskGroup() as group:
+            for record in records:
+                group.create_task(evict(record))
+
     async def _has_finished(self, record: JobRecord) -> bool:
         """Whether every member had finished before it was told to stop.
 
@@ -296,7 +318,9 @@
 
     def adopt(self, record: JobRecord) -> None:
         """Hold the accelerators of a job that an earlier owner started."""
-        holding = make_holding(record, record.members, record.started_at)
+        holding = make_holding(
+            record, record.members, record.started_at, self._data.run_times
+        )
         self._data.view.hold(holding)
         self._data.started_at[record.spec.job_id] = read_clock()
 
--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -234,9 +234,7 @@
 
     def _note_used(self, used: Mapping[str, int]) -> None:
         """Take in what teams hold over all cells, as an entry sees it."""
-        here: dict[str, int] = {}
-        for holding in self._data.view.holdings.values():
-            here[holding.team] = here.get(holding.team, 0) + holding.accelerators
+        here = self._data.count_used_here()
         self._data.used_elsewhere = {
             team: max(0, count - here.get(team, 0)) for team, count in used.items()
         }
@@ -245,15 +243,11 @@
         """Return what one entry needs to know of this cell."""
         contacts = self._data.contacts
         granted = self._sharing.grant(contacts.values())
-        used: dict[str, int] = {}
-        for holding in self._data.view.holdings.values():
-            count = sum(len(member.accelerators) for member in holding.members)
-            used[holding.team] = used.get(holding.team, 0) + count
         return CellDigest(
             cell=self.cell.name,
             epoch=self.epoch,
             free=self._data.view.free,
-            used=used,
+            used=self._data.count_used_here(),
             slots=granted.get(entry, {}),
             seconds=self._sharing.seconds_left(),
             leaving=tuple(n for n, each in contacts.items() if each.leaving),
--- a/src/primrosestile/coordination/celldata.py
+++ b/src/primrosestile/coordination/celldata.py
@@ -19,7 +19,8 @@
 from primrosestile.state.jobs import JobRecord, Member, Reason
 from primrosestile.state.tenancy import Policy
 
-RUN_TIMES_LIMIT = 4096
+# The share of its kind that has ended by the time at which a job is expected to.
+END_QUANTILE = 0.5
 
 
 @dataclass(slots=True)
@@ -54,6 +55,11 @@
         """
         return self.listed_leaving or (self.report is not None and self.report.leaving)
 
+    @property
+    def is_canary(self) -> bool:
+        """Whether it gets work only to see whether it is well."""
+        return self.quarantined and self.wants_canary
+
     @property
     def usable(self) -> bool:
         """Whether new work may be placed there."""
@@ -110,21 +116,25 @@
             usable = contact.usable and (evictable or not contact.quarantined)
             self.view.set_usable(name, usable)
 
-    def is_over_quota(self, demand: Demand) -> bool:
-        """Whether a place would take a team over its quota, over all cells.
+    def count_used(self) -> dict[str, int]:
+        """Return the accelerators that each team holds, over all cells.
 
-        What the team holds elsewhere is known to about a second; two cells that
-        place at the same moment can overshoot by one job each. The quota bounds
-        cost, not safety, and an exact count would need a write for each start.
+        What a team holds elsewhere is known to about a second; two cells that
+        place at the same moment can overshoot its quota by one job each. The
+        quota bounds cost, not safety, and an exact count would need a write for
+        each start.
         """
-        quota = self.read_quota(demand.team)
-        here = sum(
-            holding.accelerators
-            for holding in self.view.holdings.values()
-            if holding.team == demand.team
-        )
-        used = here + self.used_elsewhere.get(demand.team, 0)
-        return used + demand.shape.accelerators > quota
+        used = dict(self.used_elsewhere)
+        for team, count in self.count_used_here().items():
+            used[team] = used.get(team, 0) + count
+        return used
+
+    def count_used_here(self) -> dict[str, int]:
+        """Return the accelerators that each team holds in this cell."""
+        used: dict[str, int] = {}
+        for holding in self.view.holdings.values():
+            used[holding.team] = used.get(holding.team, 0) + holding.accelerators
+        return used
 
     def may_try(self, job_id: str) -> bool:
         """Whether a waiting job may be tried now."""
@@ -148,21 +158,27 @@
         job_id=spec.job_id,
         organisation=spec.organisation,
         team=spec.team,
-        job_class=spec.job_class,
+        job_class=make_class_key(record),
         shape=spec.shape,
         urgency=spec.urgency,
         evictable=spec.restartable,
         checkpoints=spec.checkpoints,
         accepted_at=record.accepted_at,
         declared_seconds=spec.declared_seconds,
+        done_seconds=record.checkpoint,
     )
 
 
 def make_holding(
-    record: JobRecord, members: tuple[Member, ...], started_at: float
+    record: JobRecord,
+    members: tuple[Member, ...],
+    started_at: float,
+    run_times: RunTimes,
 ) -> Holding:
     """Return a placed job as the placement decision sees it."""
     spec = record.spec
+    key = make_class_key(record)
+    seconds = run_times.estimate(key, spec.declared_seconds, END_QUANTILE)
     return Holding(
         job_id=spec.job_id,
         organisation=spec.organisation,
@@ -174,5 +190,6 @@
         checkpoints=spec.checkpoints,
         started_at=started_at,
         checkpointed_at=started_at,
-        job_class=spec.job_class,
+        job_class=key,
+        ends_at=started_at + max(0.0, seconds - record.checkpoint),
     )
