--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from dataclasses import replace
 
 import structlog
@@ -22,10 +22,12 @@
     Stage,
     StartOutcome,
     checkpoint_gang,
+    make_task_id,
     start_gang,
     stop_gang,
 )
 from primrosestile.errors import Failure
+from primrosestile.protocol.workers import TaskPhase
 from primrosestile.state.jobs import (
     JobRecord,
     JobState,
@@ -55,6 +57,7 @@
     def __init__(self, data: CellData) -> None:
         self._data = data
         self._start_failures: dict[str, int] = {}
+        self._tried: dict[str, int] = {}
 
     async def start(
         self, record: JobRecord, members: tuple[Member, ...], reason: Reason
@@ -64,7 +67,7 @@
         started = replace(
             record,
             state=JobState.STARTED,
-            attempt=record.attempt + 1,
+            attempt=self._next_attempt(record),
             epoch=self._data.command.epoch,
             members=members,
             started_at=read_wall_clock(),
@@ -85,6 +88,25 @@
         else:
             await self._put_back(record, outcome)
 
+    def _next_attempt(self, record: JobRecord) -> int:
+        """Return a number that no earlier try has used.
+
+        A worker that has stopped a task refuses its id from then on. A start that
+        failed before its record used up its number on every worker that it
+        reached, and an earlier owner's tries show only in workers' reports.
+        """
+        job_id = record.spec.job_id
+        seen = [
+            task.attempt
+            for contact in self._data.contacts.values()
+            if contact.report is not None
+            for task in contact.report.tasks
+            if task.job_id == job_id
+        ]
+        attempt = max(record.attempt, self._tried.get(job_id, 0), *seen, 0) + 1
+        self._tried[job_id] = attempt
+        return attempt
+
     async def _put_back(self, record: JobRecord, outcome: StartOutcome) -> None:
         """Free what a start held that was not recorded, and try again later."""
         job_id = record.spec.job_id
@@ -131,6 +153,11 @@
                 _log.info("unstarted_unsettled", job_id=job_id, kind=failure.kind.value)
             await asyncio.sleep(START_RETRY_SECONDS)
 
+    async def _stop(self, record: JobRecord) -> list[str]:
+        """Stop an attempt; nothing of it is renewed from now on."""
+        self._data.stopping.add(record.spec.job_id)
+        return await stop_gang(self._data.command, record)
+
     async def evict(self, record: JobRecord, code: ReasonCode, detail: str) -> bool:
         """Checkpoint and stop a job so that it can run again; True when done.
 
@@ -142,13 +169,59 @@
         saved = record.checkpoint
         if record.spec.checkpoints:
             saved = await checkpoint_gang(self._data.command, record)
-        unconfirmed = await stop_gang(self._data.command, record)
+        unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
+        if await self._has_finished(record):
+            await self.finish(record)
+            return True
         waiting = replace(
             record, state=JobState.ACCEPTED, checkpoint=saved, members=()
         ).with_reason(make_reason(code, detail))
         return await self._write_and_release(waiting)
 
+    async def evict_all(
+        self, records: Sequence[JobRecord], code: ReasonCode, detail: str
+    ) -> None:
+        """Evict several jobs at once; they must be marked as busy already."""
+
+        async def evict(record: JobRecord) -> None:
+            try:
+                await self.evict(record, code, detail)
+            except Failure as failure:
+                _log.warning(
+                    "eviction_failed",
+                    job_id=record.spec.job_id,
+                    kind=failure.kind.value,
+                )
+            finally:
+                self._data.busy.discard(record.spec.job_id)
+                self._data.stopping.discard(record.spec.job_id)
+
+        async with asyncio.TaskGroup() as group:
+            for record in records:
+                group.create_task(evict(record))
+
+    async def _has_finished(self, record: JobRecord) -> bool:
+        """Whether every member had finished before it was told to stop.
+
+        A job ends between the report that an eviction was decided on and the
+        order to stop. Put back into the queue, it would run to its end a second
+        time; the workers know better.
+        """
+        command = self._data.command
+        task_id = make_task_id(record.spec.job_id, record.attempt)
+        for member in record.members:
+            try:
+                report = await command.workers.report(
+                    member.worker, command.cell, command.epoch
+                )
+            except Failure:
+                return False
+            phases = [task.phase for task in report.tasks if task.task_id == task_id]
+            if phases != [TaskPhase.FINISHED]:
+                return False
+        return True
+
     async def _write_and_release(self, record: JobRecord) -> bool:
         written = await self._data.book.write(record)
         if written:
@@ -173,8 +246,11 @@
     async def _lose(
         self, record: JobRecord, workers: tuple[str, ...], code: ReasonCode
     ) -> None:
-        unconfirmed = await stop_gang(self._data.command, record)
+        unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
+        if await self._has_finished(record):
+            await self.finish(record)
+            return
         detail = f"on {', '.join(workers)}"
         if record.spec.restartable:
             waiting = replace(record, state=JobState.ACCEPTED, members=()).with_reason(
@@ -198,6 +274,7 @@
         self._data.waiting_reasons.pop(job_id, None)
         self._data.retry_at.pop(job_id, None)
         self._data.started_at.pop(job_id, None)
+        self._tried.pop(job_id, None)
         _log.info("job_ended", job_id=job_id, state=state.value, reason=code.value)
 
     async def finish(self, record: JobRecord) -> None:
@@ -215,7 +292,7 @@
         now = read_wall_clock()
         for worker in workers:
             self._data.failures.record(worker, record.spec.job_id, True, now)
-        unconfirmed = await stop_gang(self._data.command, record)
+        unconfirmed = await self._stop(record)
         await self._wait_for_lapse(unconfirmed)
         failures = record.failures + 1
         detail = f"failed on {', '.join(workers)}"
@@ -235,13 +312,15 @@
     async def cancel(self, record: JobRecord) -> None:
         """End a job whose caller has asked for it."""
         if record.state is JobState.STARTED:
-            unconfirmed = await stop_gang(self._data.command, record)
+            unconfirmed = await self._stop(record)
             await self._wait_for_lapse(unconfirmed)
         await self.end(record, JobState.CANCELLED, ReasonCode.CANCELLED_BY_CALLER)
 
     def adopt(self, record: JobRecord) -> None:
         """Hold the accelerators of a job that an earlier owner started."""
-        holding = make_holding(record, record.members, record.started_at)
+        holding = make_holding(
+            record, record.members, record.started_at, self._data.run_times
+        )
         self._data.view.hold(holding)
         self._data.started_at[record.spec.job_id] = read_clock()
 
@@ -264,4 +343,5 @@
             _log.warning("job_action_stopped", job_id=job_id, kind=failure.kind.value)
         finally:
             self._data.busy.discard(job_id)
+            self._data.stopping.discard(job_id)
             self._data.wake()
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -11,31 +11,32 @@
 """
 
 import asyncio
-import random
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import msgspec
 import structlog
-import xxhash
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.cell import CellKeeper
 from primrosestile.coordination.gangs import Command
 from primrosestile.coordination.membership import Directory, ProcessLease
-from primrosestile.coordination.writing import (
-    delete_settled,
-    list_all,
-    put_settled,
+from primrosestile.coordination.ownertable import (
+    CELLS_PREFIX,
+    Owned,
+    OwnerTable,
+    decode_owned,
+    rank_placers,
 )
+from primrosestile.coordination.placing import Elsewhere
+from primrosestile.coordination.writing import delete_settled, put_settled
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
-from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import Workers
 from primrosestile.state.fleet import Cell
 from primrosestile.state.jobs import CellOwner, ProcessRecord
 from primrosestile.state.settings import Settings
 
-CELLS_PREFIX = "cells/"
 # The head start of each placer over the next in the order of a cell.
 RANK_DELAY_SECONDS = 0.3
 # A cell that nobody has taken is looked at again after this; covers a watch that
@@ -49,92 +50,6 @@
 _log = structlog.get_logger()
 
 
-def rank_placers(cell: str, placers: list[str]) -> list[str]:
-    """Return placers in the order in which they try for a cell."""
-
-    def weigh(name: str) -> int:
-        return xxhash.xxh64_intdigest(f"{cell}\0{name}".encode())
-
-    return sorted(placers, key=weigh, reverse=True)
-
-
-@dataclass(frozen=True, slots=True)
-class _Owned:
-    """A cell that the store shows as owned."""
-
-    owner: CellOwner
-    create_revision: int
-    mod_revision: int
-
-
-class OwnerTable:
-    """Who owns each cell, by list and watch of `cells/`."""
-
-    def __init__(self, store: Store) -> None:
-        self._store = store
-        self._owned: dict[str, _Owned] = {}
-        self.changed = asyncio.Event()
-        self.listed = asyncio.Event()
-
-    def find(self, cell: str) -> _Owned | None:
-        """Return the owner of a cell as last seen."""
-        return self._owned.get(cell)
-
-    def note(self, entry: Entry) -> None:
-        """Take in a key that this process has just written or read."""
-        known = self._owned.get(_cell_of(entry.key))
-        if known is None or known.mod_revision < entry.mod_revision:
-            self._owned[_cell_of(entry.key)] = _decode(entry)
-
-    async def run(self) -> None:
-        """Follow the store until cancelled."""
-        while True:
-            try:
-                entries, revision = await list_all(self._store, CELLS_PREFIX)
-                self._replace(entries, revision)
-                self.listed.set()
-                self._tell()
-                async for changes in self._store.watch(CELLS_PREFIX, revision + 1):
-                    self._apply(changes)
-            except Failure as failure:
-                _log.info("owners_watch_broke", kind=failure.kind.value)
-            await asyncio.sleep(RECHECK_SECONDS * random.uniform(0.3, 0.7))
-
-    def _replace(self, entries: list[Entry], revision: int) -> None:
-        """Take in a listing, but keep what was written after it was made."""
-        newer = {
-            cell: owned
-            for cell, owned in self._owned.items()
-            if owned.mod_revision > revision
-        }
-        self._owned = {_cell_of(each.key): _decode(each) for each in entries} | newer
-
-    def _apply(self, changes: tuple[Change, ...]) -> None:
-        for change in changes:
-            cell = _cell_of(change.key)
-            known = self._owned.get(cell)
-            if known is not None and known.mod_revision >= change.revision:
-                continue
-            if change.entry is None:
-                self._owned.pop(cell, None)
-            else:
-                self._owned[cell] = _decode(change.entry)
-        self._tell()
-
-    def _tell(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
-def _cell_of(key: str) -> str:
-    return key.removeprefix(CELLS_PREFIX)
-
-
-def _decode(entry: Entry) -> _Owned:
-    owner = msgspec.json.decode(entry.value, type=CellOwner)
-    return _Owned(owner, entry.create_revision, entry.mod_revision)
-
-
 class Ownership:
     """Gains, keeps and hands over cells for one placer process."""
 
@@ -146,6 +61,7 @@
         directory: Directory,
         record: ProcessRecord,
         task_lease_seconds: float,
+        elsewhere: Elsewhere,
     ) -> None:
         self._store = store
         self._workers = workers
@@ -153,6 +69,7 @@
         self._directory = directory
         self._record = record
         self._task_lease_seconds = task_lease_seconds
+        self._elsewhere = elsewhere
         self._settings = Settings()
         self._settings_changed = asyncio.Event()
         self._table = OwnerTable(store)
@@ -229,7 +146,7 @@
             _log.info("cell_not_acquired", cell=name, kind=failure.kind.value)
             return None
 
-    def _is_own(self, owned: _Owned) -> bool:
+    def _is_own(self, owned: Owned) -> bool:
         return owned.owner.process == self._holder
 
     @property
@@ -260,7 +177,7 @@
             current = await self._store.get(key)
         if current is None or current.lease != lease:
             return None
-        if not self._is_own(_decode(current)):
+        if not self._is_own(decode_owned(current)):
             return None
         self._table.note(current)
         return current.create_revision
@@ -270,7 +187,7 @@
         _log.info("cell_acquired", cell=name, epoch=epoch)
         lease = self._lease.lease
         while True:
-            cell = self._settings.fleet.find_cell(name)
+            cell = view_settings(self._settings).cells.get(name)
             if cell is None:
                 return
             keeper = self._make_keeper(cell, epoch, lease)
@@ -294,7 +211,17 @@
             may_act=lambda: self._lease.is_valid() and self._lease.lease == lease,
             may_care=lambda: self._lease.store_down,
         )
-        return CellKeeper(cell, self._store, command, lambda: self._settings)
+        return CellKeeper(
+            cell,
+            self._store,
+            command,
+            lambda: self._settings,
+            self._elsewhere,
+            self._count_followed,
+        )
+
+    def _count_followed(self) -> int:
+        return sum(each.worker_count for each in self._keepers.values())
 
     async def _watch_keeper(
         self, keeper: CellKeeper, run: "asyncio.Task[None]", name: str, lease: int
@@ -341,9 +268,13 @@
         if owned is None or not self._is_own(owned):
             return True
         try:
-            return await delete_settled(
+            given = await delete_settled(
                 self._store, CELLS_PREFIX + name, owned.mod_revision
             )
+            # Not seen by the watch yet; taken for still owned, the cell would be
+            # created anew at once, before the placer that it was given up for.
+            self._table.forget(name, owned.mod_revision)
+            return given
         except Failure as failure:
             _log.warning("cell_not_handed_over", cell=name, kind=failure.kind.value)
             return False
--- a/src/primrosestile/decisions/cellchoice.py
+++ b/src/primrosestile/decisions/cellchoice.py
@@ -10,8 +10,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from primrosestile.state.fleet import Cell, Fleet
-from primrosestile.state.tenancy import Adjacency, Shape
+from primrosestile.state.tenancy import Adjacency, Shape, Urgency
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +23,9 @@
         promised: Whether the asking organisation has a guarantee there that
             holds the shape.
         fresh: Whether its owner has spoken lately.
+        handed: Accelerators that the jobs handed there by this process since
+            its owner spoke ask for. Without them a burst within one second
+            would all go to the cell that was the best at its beginning.
     """
 
     cell: str
@@ -31,28 +33,75 @@
     waiting: int
     promised: bool
     fresh: bool
+    handed: int = 0
 
+    @property
+    def is_working(self) -> bool:
+        """Whether its owner speaks and reaches any worker that takes work.
 
-def can_ever_fit(fleet: Fleet, cell: Cell, shape: Shape) -> bool:
-    """Whether an empty cell could hold the shape."""
-    workers = fleet.workers_of(cell)
-    sizes = [worker.accelerators for worker in workers]
-    if shape.adjacency is Adjacency.WORKER:
-        return shape.accelerators <= max(sizes, default=0)
-    if shape.adjacency is Adjacency.CELL:
-        return shape.accelerators <= sum(sizes)
-    by_rack: dict[str, int] = {}
-    for worker in workers:
-        by_rack[worker.rack] = by_rack.get(worker.rack, 0) + worker.accelerators
-    return shape.accelerators <= max(by_rack.values(), default=0)
+        A failure domain that is cut off leaves an owner that speaks for workers
+        none of which it reaches; a job handed there would wait for hours.
+        """
+        return self.fresh and bool(self.free)
 
 
-def _has_room(picture: CellPicture, shape: Shape) -> bool:
+def has_room(picture: CellPicture, shape: Shape) -> bool:
     """Whether the shape may fit now, as far as the free counts show."""
     counts = picture.free.values()
+    if shape.accelerators > sum(counts) - picture.handed:
+        return False
     if shape.adjacency is Adjacency.WORKER:
         return shape.accelerators <= max(counts, default=0)
-    return shape.accelerators <= sum(counts)
+    return True
+
+
+# A waiting job moves once another cell could start it at once, but not before its
+# own cell has had the time to reclaim room: that takes a round or two of seconds.
+SHIFT_AFTER_SECONDS = 4.0
+# Urgent work has 5.8 s to start, of which a move and a start may take three.
+SHIFT_URGENT_AFTER_SECONDS = 1.5
+# A job that was just moved stays put, or two full cells would pass it to and fro.
+SHIFT_PAUSE_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class ShiftQuestion:
+    """A waiting job, asked about from its own cell.
+
+    Attributes:
+        waited: Seconds since it began to wait in this cell.
+        entitled: Whether it waits for its organisation's own guarantee here.
+    """
+
+    shape: Shape
+    urgency: Urgency
+    waited: float
+    entitled: bool
+
+
+def decide_shift(
+    question: ShiftQuestion, here: CellPicture, others: Sequence[CellPicture]
+) -> str | None:
+    """Return the cell to which a waiting job should move, or None.
+
+    Made for uneven load, since entries choose cells by pictures a second old and
+    jobs wait for hours, and for the loss of a whole cell or failure domain. The
+    harm prevented is a job that waits beside free room. A job moves only to room
+    that is free now: moving it from one queue to another helps nobody.
+    """
+    lost = not here.is_working
+    patience = SHIFT_AFTER_SECONDS
+    if question.urgency is Urgency.URGENT or lost:
+        patience = SHIFT_URGENT_AFTER_SECONDS
+    if question.waited < patience or (question.entitled and not lost):
+        return None
+    candidates = [
+        picture
+        for picture in others
+        if picture.is_working
+        and (lost or (has_room(picture, question.shape) and picture.waiting == 0))
+    ]
+    return choose_cell(candidates, question.shape)
 
 
 def choose_cell(pictures: Sequence[CellPicture], shape: Shape) -> str | None:
@@ -66,10 +115,10 @@
     """
 
     def rank(picture: CellPicture) -> tuple[bool, bool, bool, int, int, str]:
-        room = _has_room(picture, shape) and picture.waiting == 0
-        total = sum(picture.free.values())
+        room = has_room(picture, shape) and picture.waiting == 0
+        total = sum(picture.free.values()) - picture.handed
         return (
-            not picture.fresh,
+            not picture.is_working,
             not room,
             not picture.promised,
             picture.waiting,
--- a/src/primrosestile/decisions/queueing.py
+++ b/src/primrosestile/decisions/queueing.py
@@ -22,7 +22,7 @@
     decide_admission,
 )
 from primrosestile.decisions.fairness import Entry, FairLine
-from primrosestile.decisions.servicetimes import DrainRate, Experience
+from primrosestile.decisions.servicetimes import Correction, DrainRate, Experience
 from primrosestile.errors import ErrorKind
 from primrosestile.state.tenancy import Policy, Urgency
 
@@ -35,9 +35,13 @@
 CLASS_FACTOR = 1.0
 # Slots assumed until the entry has told how many it may use.
 FIRST_SLOTS = 8
+# The capacity can fall at any moment, so its estimate follows within seconds.
+CAPACITY_MEMORY = 2.0
 # Runs that experience calls too long are let in this seldom, so that a slow
 # spell that has ended is noticed.
 PROBE_SECONDS = 1.0
+# Requests no longer waiting that may stand among the latest starts.
+SPARE_STARTS = 256
 # The tail of a queue is looked at again after this long: four looks a second
 # give an answer far sooner than a caller would give up.
 LOOK_SECONDS = 0.25
@@ -56,7 +60,8 @@
         self._latest_starts: list[tuple[float, str]] = []
         self._hopeless: list[Waiting] = []
         self._experience = Experience()
-        self._drain = DrainRate(FIRST_SLOTS)
+        self._drain = DrainRate(FIRST_SLOTS, CAPACITY_MEMORY)
+        self._corrections = {urgency: Correction() for urgency in Urgency}
         self._patient_credit = 0.0
         self._last_seen: float | None = None
         self._next_look: float | None = None
@@ -81,14 +86,17 @@
             detail = "a request of the same id waits already"
             return Refusal(ErrorKind.IN_PROGRESS, detail, SHORTEST_RETRY)
         run = self._expect_run(waiting, now)
-        refusal = decide_admission(waiting, self._foresee(waiting, run), now)
+        line = self._lines[waiting.urgency]
+        foreseen = self._foresee_wait(waiting.urgency, line.work_ahead(waiting, run))
+        wait = foreseen * self._corrections[waiting.urgency].factor
+        prospect = Prospect(self._count_places(waiting), wait, run)
+        refusal = decide_admission(waiting, prospect, now)
         if refusal is not None:
             return self._spread_return(refusal, waiting, run, now)
-        self._entries[waiting.request_id] = self._lines[waiting.urgency].add(
-            waiting, run
-        )
-        latest = waiting.deadline - run
-        heapq.heappush(self._latest_starts, (latest, waiting.request_id))
+        entry = Entry(waiting, run, now, foreseen)
+        line.add(entry)
+        self._entries[waiting.request_id] = entry
+        self._note_latest_start(waiting, run)
         if self._next_look is None:
             self._next_look = now + LOOK_SECONDS
         return None
@@ -107,6 +115,9 @@
             entry = self._take_from(urgency, now, accept)
             if entry is not None and entry.waiting is not None:
                 self._charge(urgency, entry.work)
+                self._corrections[urgency].note(
+                    entry.foreseen_wait, now - entry.offered_at
+                )
                 return entry.waiting
         return None
 
@@ -151,6 +162,15 @@
             self._drain.note_time(now - self._last_seen, bool(self._entries))
         self._last_seen = now
 
+    def _note_latest_start(self, waiting: Waiting, run: float) -> None:
+        starts = self._latest_starts
+        heapq.heappush(starts, (waiting.deadline - run, waiting.request_id))
+        # What was taken stays listed until its time comes, which for work that
+        # may wait all night would be far too long.
+        if len(starts) > 2 * len(self._entries) + SPARE_STARTS:
+            self._latest_starts = [each for each in starts if each[1] in self._entries]
+            heapq.heapify(self._latest_starts)
+
     def _expect_run(self, waiting: Waiting, now: float) -> float:
         """Return the run time in seconds to count with.
 
@@ -171,26 +191,19 @@
         self._probes[waiting.class_key] = now + PROBE_SECONDS
         return time_left / 2
 
-    def _foresee(self, waiting: Waiting, run: float) -> Prospect:
-        line = self._lines[waiting.urgency]
-        ahead = line.work_ahead(waiting, run)
-        return Prospect(
-            self._count_places(waiting), self._foresee_wait(waiting.urgency, ahead), run
-        )
-
     def _foresee_wait(self, urgency: Urgency, ahead: float) -> float:
         """Return the seconds until so much work of one line has left."""
         rate = self._drain.estimate()
         share = self._policy.patient_share
-        urgent = self._lines[Urgency.URGENT]
-        patient = self._lines[Urgency.PATIENT]
         if urgency is Urgency.URGENT:
-            kept = share if patient.count else 0.0
+            kept = share if self._lines[Urgency.PATIENT].count else 0.0
             return ahead / (rate * max(1 - kept, 0.01))
-        behind_urgent = (ahead + urgent.work) / rate
-        if share <= 0:
-            return behind_urgent
-        return min(behind_urgent, ahead / (rate * share))
+        # Patient work waits for all urgent work, or gets by on the kept share. The
+        # estimate hopes that no more urgent work comes: a burst ends, and what
+        # was refused in it can not be made good. If urgent work goes on, the
+        # correction learns it within some fifty requests.
+        urgent = self._lines[Urgency.URGENT]
+        return min((ahead + urgent.work) / rate, ahead / (rate * max(share, 0.01)))
 
     def _count_places(self, waiting: Waiting) -> int:
         """Return how many more requests of this kind may wait.
@@ -218,10 +231,11 @@
         self._booked_until += run / self._drain.estimate()
         self._booked_until = min(self._booked_until, now + LONGEST_RETRY)
         noise = xxhash.xxh32_intdigest(waiting.request_id.encode()) / 2**32
-        spread = (self._booked_until - now) * (1 + 0.1 * noise)
-        return replace(
-            refusal, retry_after=min(LONGEST_RETRY, max(SHORTEST_RETRY, spread))
-        )
+        wait = self._booked_until - now
+        if wait >= LONGEST_RETRY:
+            # Fully booked: then the returns are spread over half of the time.
+            wait *= 1 - noise / 2
+        return replace(refusal, retry_after=max(SHORTEST_RETRY, wait))
 
     def _order_lines(self) -> tuple[Urgency, Urgency]:
         """Return which line goes first.
@@ -288,9 +302,12 @@
             if latest > now:
                 heapq.heappush(self._latest_starts, (latest, request_id))
                 continue
-            waiting = self._discard(request_id)
-            if waiting is not None:
-                self._hopeless.append(waiting)
+            # Learned from as well: those that were served tell only of the
+            # estimates that held.
+            self._corrections[entry.waiting.urgency].note(
+                entry.foreseen_wait, now - entry.offered_at
+            )
+            self._hopeless += self.remove([request_id])
 
     def _look_at_tails(self, now: float) -> None:
         """Give up what stands too far back to be served in time.
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -7,6 +7,7 @@
 same target at once.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping, Sequence
 from enum import Enum
@@ -16,6 +17,7 @@
 from primrosestile.decisions.admission import Waiting
 from primrosestile.decisions.capacity import Capacity
 from primrosestile.decisions.outliers import make_outliers
+from primrosestile.decisions.overdue import OverdueWatch, Running
 from primrosestile.decisions.retries import make_retry_budget
 from primrosestile.decisions.servicetimes import Experience
 from primrosestile.state.tenancy import Policy, Urgency
@@ -24,9 +26,12 @@
 
 # Targets looked at for one choice. The bench of requests weighs other figures.
 SAMPLE = 4
+# Recent run times that differ by less than a half count as the same. Chance makes
+# such differences, and all entries would run after the same fastest target.
+LOG_STEP = math.log(1.5)
 # Patient work that runs longer than this must leave room for urgent work, since
 # its slots come free too seldom. Shorter work frees a slot soon enough anyway.
-LONG_SECONDS = 1.0
+LONG_SECONDS = 2.0
 # Most slots that are kept free of long patient work.
 MOST_RESERVED = 0.25
 # The peak of urgent work is forgotten at this rate, so that a morning's rush
@@ -57,6 +62,7 @@
         self._capacity = Capacity(process_name)
         self._outliers = make_outliers(policy.quarantine_share)
         self._experience = Experience()
+        self._overdue = OverdueWatch()
         self._budget = make_retry_budget(policy.retry_ratio)
         # Only spreads load, so a fixed seed takes nothing away, and a test sees
         # the same choices each time.
@@ -74,9 +80,9 @@
         self, slots: Mapping[str, int], leaving: frozenset[str], now: float
     ) -> None:
         """Take in the whole fleet, or this entry's part of it."""
-        self._outliers.set_targets(set(slots))
+        self._outliers.set_targets(slots.keys())
         self._capacity.set_targets(slots, leaving, now)
-        self._capacity.set_resting(self._outliers.list_resting())
+        self._set_resting()
 
     def set_grants(
         self,
@@ -112,6 +118,10 @@
         self._advance(now)
         self._capacity.start(target)
         self._outliers.start_try(target)
+        times = self._experience.find(waiting.class_key)
+        if times is not None:
+            running = Running(target, waiting.request_id, now, times.mean)
+            self._overdue.start(running)
         if waiting.urgency is Urgency.URGENT:
             self._urgent_in_flight += 1
             self._urgent_peak = max(self._urgent_peak, float(self._urgent_in_flight))
@@ -127,9 +137,31 @@
         """Note what became of an attempt that was started."""
         self._advance(now)
         self._capacity.finish(target)
+        was_overdue = self._overdue.finish(target, waiting.request_id)
         if waiting.urgency is Urgency.URGENT:
             self._urgent_in_flight -= 1
-        self._learn(target, waiting, outcome, seconds, now)
+        if outcome is Outcome.OK:
+            expected = self._experience.estimate(waiting.class_key, seconds)
+            self._experience.note(waiting.class_key, seconds)
+            # What was overdue has been counted against the target by its age.
+            if not was_overdue:
+                self._outliers.note_run(target, seconds, expected, now)
+        else:
+            self._learn_trouble(target, outcome, now)
+        self._set_resting()
+
+    def note_leaving(self, target: str) -> None:
+        """Note that a target says itself that it is leaving.
+
+        LEAVING_FROM_EITHER_SOURCE: the VM list lags, and the target's own word
+        comes with any answer.
+        """
+        self._capacity.note_leaving(target)
+
+    def is_leaving(self, target: str, now: float) -> bool:
+        """Whether a target is known to be leaving, by now."""
+        self._advance(now)
+        return self._capacity.is_leaving(target)
 
     def note_first_attempt(self) -> None:
         """Note a request's first attempt, which earns a part of a retry."""
@@ -177,10 +209,17 @@
         """Return the requests of this entry at each target that has any."""
         return self._capacity.count_in_flight()
 
-    def _rank(self, target: str) -> tuple[int, float]:
+    def _rank(self, target: str) -> tuple[int, int]:
+        """Return what makes a target worse: load first, then recent run times.
+
+        A failure counts as much as a request in flight. Else a target that fails
+        at once, and so is always empty, would be the first choice each time.
+        """
         health = self._outliers.find(target)
-        slowness = health.slowness if health else 0.0
-        return (self._capacity.count_at(target), slowness)
+        load = self._capacity.count_at(target)
+        if health is None:
+            return (load, 0)
+        return (load + health.failures_in_a_row, int(health.slowness / LOG_STEP))
 
     def _leaves_room(self, waiting: Waiting) -> bool:
         """Whether the request leaves the slots free that urgent work may need.
@@ -211,30 +250,31 @@
                 return target
         return None
 
-    def _learn(
-        self,
-        target: str,
-        waiting: Waiting,
-        outcome: Outcome,
-        seconds: float,
-        now: float,
-    ) -> None:
-        if outcome is Outcome.OK:
-            expected = self._experience.estimate(waiting.class_key, seconds)
-            self._experience.note(waiting.class_key, seconds)
-            self._outliers.note_run(target, seconds, expected, now)
-        elif outcome in (Outcome.FAILED, Outcome.UNREACHABLE, Outcome.UNKNOWN):
+    def _learn_trouble(self, target: str, outcome: Outcome, now: float) -> None:
+        if outcome in (Outcome.FAILED, Outcome.UNREACHABLE, Outcome.UNKNOWN):
             self._outliers.note_failure(target, now)
-        else:
-            self._outliers.drop_try(target)
+            return
+        self._outliers.drop_try(target)
         if outcome is Outcome.REFUSED:
             self._capacity.note_refused(target)
         if outcome is Outcome.LEAVING:
             self._capacity.note_leaving(target)
-        self._capacity.set_resting(self._outliers.list_resting())
+
+    def _learn_from_overdue(self, now: float) -> None:
+        found = self._overdue.collect(now)
+        for running in found:
+            age = now - running.started_at
+            self._outliers.note_run(running.target, age, running.expected, now)
+        if found:
+            self._set_resting()
+
+    def _set_resting(self) -> None:
+        for target in self._outliers.collect_changed():
+            self._capacity.set_resting(target, self._outliers.is_resting(target))
 
     def _advance(self, now: float) -> None:
         self._capacity.advance(now)
+        self._learn_from_overdue(now)
         passed = now - self._peak_time
         if passed > 0:
             excess = self._urgent_peak - self._urgent_in_flight
--- a/src/primrosestile/decisions/servicetimes.py
+++ b/src/primrosestile/decisions/servicetimes.py
@@ -11,8 +11,13 @@
 # Enough to place the 95th percentile, few enough to follow a change within
 # seconds at the rates of one entry.
 SAMPLES_KEPT = 64
-# An average that weighs a new run by a tenth settles within some twenty runs.
-NEW_SAMPLE_WEIGHT = 0.1
+# An average over some thirty runs is within a fifth of the truth, where run times
+# vary as much as their mean. Less would make estimates of waits useless.
+NEW_SAMPLE_WEIGHT = 0.03
+# So many runs in a row that are all less than half, or all more than twice, what
+# was expected are no chance (one in two thousand): the level itself has changed.
+LEVEL_RUNS = 8
+LEVEL_FACTOR = 2.0
 # Classes come and go with settings; this bounds memory at some 4 MB.
 MOST_CLASSES = 2048
 
@@ -20,9 +25,11 @@
 class RunTimes:
     """Learned run times of one class, in seconds."""
 
-    __slots__ = ("_quantiles", "_samples", "count", "mean")
+    __slots__ = ("_above", "_below", "_quantiles", "_samples", "count", "mean")
 
     def __init__(self) -> None:
+        self._above = 0
+        self._below = 0
         self._samples: deque[float] = deque(maxlen=SAMPLES_KEPT)
         self._quantiles: dict[float, float] = {}
         self.mean = 0.0
@@ -34,9 +41,21 @@
         weight = max(NEW_SAMPLE_WEIGHT, 1.0 / self.count)
         self.mean += weight * (seconds - self.mean)
         self._samples.append(seconds)
+        self._watch_level(seconds)
         if self.count % 8 == 0:
             self._quantiles.clear()
 
+    def _watch_level(self, seconds: float) -> None:
+        self._above = self._above + 1 if seconds > self.mean * LEVEL_FACTOR else 0
+        self._below = self._below + 1 if seconds < self.mean / LEVEL_FACTOR else 0
+        if max(self._above, self._below) < LEVEL_RUNS:
+            return
+        latest = list(self._samples)[-LEVEL_RUNS:]
+        self.mean = sum(latest) / LEVEL_RUNS
+        self._samples = deque(latest, maxlen=SAMPLES_KEPT)
+        self._quantiles.clear()
+        self._above = self._below = 0
+
     def estimate_quantile(self, share: float) -> float:
         """Return the run time that `share` of the latest runs did not exceed."""
         known = self._quantiles.get(share)
@@ -82,13 +101,19 @@
     that for the lasting rate would promise far too much.
     """
 
-    MEMORY_SECONDS = 2.0
     PRIOR_SECONDS = 0.5
     # Keeps a wait finite when there is no slot at all.
     LEAST = 0.01
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, memory: float) -> None:
+        """Start from the slots.
+
+        Args:
+            slots: How many there are.
+            memory: Seconds over which what was seen fades.
+        """
         self.slots = slots
+        self._memory = memory
         self._work = 0.0
         self._time = 0.0
 
@@ -96,11 +121,11 @@
         """Note how long there was, or was not, some work waiting."""
         if seconds <= 0:
             return
-        kept = math.exp(-seconds / self.MEMORY_SECONDS)
+        kept = math.exp(-seconds / self._memory)
         self._work *= kept
         self._time *= kept
         if waiting:
-            self._time += min(seconds, self.MEMORY_SECONDS)
+            self._time += min(seconds, self._memory)
 
     def note_left(self, work: float) -> None:
         """Note that so many seconds of work left while others waited."""
@@ -111,3 +136,29 @@
         work = self._work + self.slots * self.PRIOR_SECONDS
         rate = work / (self._time + self.PRIOR_SECONDS)
         return max(self.LEAST, min(rate, float(self.slots)))
+
+
+class Correction:
+    """How much longer requests wait than was foreseen.
+
+    The estimate looks at what waits now. It can not know who will arrive and be
+    served before, or which grant is about to shrink, so it errs on the hopeful
+    side, and a queue that promises too little is full of requests that are too
+    late. The factor is learned from raw estimates, so it does not chase itself.
+    """
+
+    WEIGHT = 0.02
+    LEAST = 0.5
+    MOST = 8.0
+    # Below this a wait is mostly chance.
+    SHORTEST = 0.25
+
+    def __init__(self) -> None:
+        self.factor = 1.0
+
+    def note(self, foreseen: float, waited: float) -> None:
+        """Learn from one request that left the queue, served or not."""
+        if foreseen < self.SHORTEST:
+            return
+        ratio = min(self.MOST, max(self.LEAST, waited / foreseen))
+        self.factor += self.WEIGHT * (ratio - self.factor)
--- a/src/primrosestile/programs/parts.py
+++ b/src/primrosestile/programs/parts.py
@@ -15,8 +15,9 @@
     ProcessLease,
     Registration,
 )
+from primrosestile.coordination.relay import Place, Relay, make_relay
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.programs.common import Health, Metrics
-from primrosestile.state.fleet import Fleet
 from primrosestile.state.jobs import ProcessRecord
 from primrosestile.state.process import ProcessSettings
 from primrosestile.transport.peers import ZmqPeers, make_peers
@@ -39,6 +40,7 @@
     directory: Directory
     registration: Registration
     follower: SettingsFollower
+    relay: Relay
     health: Health
     metrics: Metrics
 
@@ -48,7 +50,7 @@
             self.lease.run(),
             self.directory.run(),
             self.registration.run(),
-            self.follower.run(),
+            self.relay.run(),
             self.peers.serve(self.messages.answer),
             self._wait_for_settings(),
         ]
@@ -70,16 +72,11 @@
 
     def __init__(self, follower: SettingsFollower) -> None:
         self._follower = follower
-        self._fleet: Fleet | None = None
-        self._addresses: dict[str, str] = {}
 
     def find(self, worker: str) -> str:
         """Return a worker's address; empty when the settings do not know it."""
-        fleet = self._follower.settings.fleet
-        if fleet is not self._fleet:
-            self._fleet = fleet
-            self._addresses = {each.name: each.address for each in fleet.workers}
-        return self._addresses.get(worker, "")
+        known = view_settings(self._follower.settings).workers.get(worker)
+        return known.address if known else ""
 
 
 def make_parts(settings: ProcessSettings, program: str) -> Parts:
@@ -99,16 +96,22 @@
     follower = make_follower(store, settings.name)
     health = Health({"settings": NO_SETTINGS}, lambda: follower.revisions)
     messages = MessageTable(settings.vm, lambda: registration.record.leaving)
+    directory = Directory(store)
+    peers = make_peers(settings.name, settings.peer, settings.peer_keys)
+    place = Place(settings.name, settings.failure_domain, settings.seeds)
+    relay = make_relay(follower, peers, directory.records, place)
+    relay.add_handlers(messages)
     return Parts(
         settings=settings,
         store=store,
         vm_list=make_vm_list(settings.vm_list),
-        peers=make_peers(settings.name, settings.peer, settings.peer_keys),
+        peers=peers,
         messages=messages,
         lease=lease,
-        directory=Directory(store),
+        directory=directory,
         registration=registration,
         follower=follower,
+        relay=relay,
         health=health,
         metrics=Metrics(program),
     )
--- a/tools/bench/requests_policies.py
+++ b/tools/bench/requests_policies.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from primrosestile.decisions.queueing import Refusal, RequestQueue, make_queue
+from primrosestile.decisions.queueing import RequestQueue, Waiting, make_queue
 from primrosestile.decisions.routing import Outcome, Router, make_router
 from primrosestile.decisions.slots import GRANT_SECONDS, make_grant_ledger
-from primrosestile.state.tenancy import Policy, Urgency
+from primrosestile.state.tenancy import Policy
 from tools.bench.requests_driver import Clock, Entries, Fleet, Plan, Result
 
 OUTCOMES = {
@@ -40,10 +40,12 @@
         self._most = plan.workers * plan.slots // plan.entries
 
     def arrive(self, result: Result) -> None:
+        """Take in one request."""
         self._waiting[result.arrival.entry].append(result)
         self._pump(result.arrival.entry)
 
     def cancel(self, results: list[Result]) -> None:
+        """Cancel what still waits."""
         for result in results:
             if result.outcome == "open" and result.started is None:
                 self._waiting[result.arrival.entry].remove(result)
@@ -88,17 +90,18 @@
 class Entry:
     """One entry of the product, wired as the entry program wires it."""
 
-    def __init__(self, name: str, plan: Plan, clock: Clock, fleet: Fleet) -> None:
+    def __init__(self, name: str, clock: Clock, fleet: Fleet, ways: "Ways") -> None:
         self.name = name
         self._clock = clock
         self._fleet = fleet
         self._attempts: dict[str, Attempt] = {}
         self._check_at: float | None = None
         policy = Policy()
-        self.queue: RequestQueue = make_queue(policy)
-        self.router: Router = make_router(name, policy)
+        self.queue = ways.queue(policy)
+        self.router = ways.router(name, policy)
 
     def arrive(self, result: Result) -> None:
+        """Take in one request, or refuse it."""
         waiting = result.arrival.waiting
         refusal = self.queue.offer(waiting, self._clock.now)
         if refusal is not None:
@@ -109,12 +112,14 @@
         self.pump()
 
     def cancel(self, results: list[Result]) -> None:
+        """Cancel what still waits, in one pass."""
         ids = [result.arrival.waiting.request_id for result in results]
         for waiting in self.queue.remove(ids):
             attempt = self._attempts.pop(waiting.request_id)
             end(attempt.result, "cancelled", self._clock.now)
 
     def pump(self) -> None:
+        """Send what has a slot; answer what has become hopeless."""
         now = self._clock.now
         self.queue.set_slots(self.router.count_slots(now))
         chosen = ""
@@ -194,21 +199,35 @@
         if outcome != "ok":
             if attempt.open_attempts:
                 return
-            if (waiting.idempotent or not_run) and self.router.may_retry(waiting, now):
-                if self.queue.offer(waiting, now) is None:
-                    return
+            again = waiting.idempotent or not_run
+            if again and self._try_again(waiting):
+                return
         self._attempts.pop(waiting.request_id, None)
         end(attempt.result, outcome, now)
 
+    def _try_again(self, waiting: Waiting) -> bool:
+        now = self._clock.now
+        if not self.router.may_retry(waiting, now):
+            return False
+        return self.queue.offer(waiting, now) is None
+
+
+@dataclass(frozen=True, slots=True)
+class Ways:
+    """How to queue and how to choose targets; the product's ways by default."""
+
+    queue: Callable[[Policy], RequestQueue] = make_queue
+    router: Callable[[str, Policy], Router] = make_router
+
 
 class ProductEntries:
     """All entries of the product, and the owner that grants them slots."""
 
-    def __init__(self, plan: Plan, clock: Clock, fleet: Fleet) -> None:
+    def __init__(self, plan: Plan, clock: Clock, fleet: Fleet, ways: Ways) -> None:
         self._plan = plan
         self._clock = clock
         names = [f"entry-{number}" for number in range(plan.entries)]
-        self.entries = [Entry(name, plan, clock, fleet) for name in names]
+        self.entries = [Entry(name, clock, fleet, ways) for name in names]
         self._ledger = make_grant_ledger(0.0, took_over=False)
         last = max((each.waiting.arrived_at for each in plan.arrivals), default=0.0)
         self._grant_until = last + 30.0
@@ -218,9 +237,11 @@
         self._grant()
 
     def arrive(self, result: Result) -> None:
+        """Take in one request."""
         self.entries[result.arrival.entry].arrive(result)
 
     def cancel(self, results: list[Result]) -> None:
+        """Cancel what still waits."""
         for number, entry in enumerate(self.entries):
             entry.cancel([each for each in results if each.arrival.entry == number])
 
@@ -259,4 +280,4 @@
 
 def make_product(plan: Plan, clock: Clock, fleet: Fleet) -> Entries:
     """Return the product's decisions."""
-    return ProductEntries(plan, clock, fleet)
+    return ProductEntries(plan, clock, fleet, Ways())
--- a/tools/bench/requests_workloads.py
+++ b/tools/bench/requests_workloads.py
@@ -1,6 +1,8 @@
 """The workloads of the bench of requests: fixed seeds, 24 workers with 8 slots."""
 
+from collections.abc import Callable
 from dataclasses import replace
+from functools import cache
 
 from primrosestile.state.tenancy import Urgency
 from tools.bench.requests_driver import Arrival, Plan, Source, make_arrivals
@@ -47,7 +49,9 @@
     big = Source("a", "bulk", Urgency.URGENT, SLOTS, RUN, DEADLINE)
     sources = [big, replace(big, entry=0)]
     for organisation in ORGANISATIONS[1:]:
-        quote = Source(organisation, "quote", Urgency.URGENT, SLOTS * 0.1, RUN, DEADLINE)
+        quote = Source(
+            organisation, "quote", Urgency.URGENT, SLOTS * 0.1, RUN, DEADLINE
+        )
         sources.append(quote)
     return make_plan("skew", sources)
 
@@ -65,37 +69,57 @@
     urgent = Source("a", "quote", Urgency.URGENT, SLOTS * 0.5, RUN, DEADLINE)
     bulk = Source("b", "captions", Urgency.PATIENT, SLOTS * 2.0, RUN, 120.0)
     plan = make_plan("cancellation-waves", [urgent, bulk])
-    return replace(plan, arrivals=tuple(cancel_in_waves(each) for each in plan.arrivals))
+    return replace(
+        plan, arrivals=tuple(cancel_in_waves(each) for each in plan.arrivals)
+    )
 
 
 def cancel_in_waves(arrival: Arrival) -> Arrival:
     if arrival.waiting.urgency is Urgency.URGENT:
         return arrival
-    wave = next((time for time in (15.0, 30.0, 45.0) if time > arrival.waiting.arrived_at), None)
+    wave = next(
+        (time for time in (15.0, 30.0, 45.0) if time > arrival.waiting.arrived_at), None
+    )
     return replace(arrival, cancelled_at=wave)
 
 
-def make_plans() -> dict[str, Plan]:
-    """Return all workloads by name."""
-    plans = [
-        make_plan("capacity", spread(1.0)),
-        make_plan("saturation-3x", spread(3.0)),
-        make_bursts(),
-        make_skew(),
-        make_plan("even-fleet", spread(0.7)),
-        make_plan("one-slow-target", spread(0.7), slow={"worker-5": 10.0}),
-        make_long_short(),
-        make_waves(),
-        make_plan(
-            "failing-workers",
-            spread(0.7),
-            failing=frozenset(("worker-3", "worker-11", "worker-19")),
-        ),
-        make_plan(
-            "half-the-fleet-leaves",
-            spread(0.9),
-            leaving={f"worker-{number}": 20.0 for number in range(12)},
-        ),
-        make_plan("declared-far-off", spread(1.5, declared=30.0)),
-    ]
-    return {plan.name: plan for plan in plans}
+def make_half_leaves() -> Plan:
+    """Half of the workers leave while nearly all slots are in use."""
+    leaving = {f"worker-{number}": 20.0 for number in range(12)}
+    return make_plan("half-the-fleet-leaves", spread(0.9), leaving=leaving)
+
+
+def make_failing() -> Plan:
+    """Three workers fail each request within a hundredth of a second."""
+    failing = frozenset(("worker-3", "worker-11", "worker-19"))
+    return make_plan("failing-workers", spread(0.7), failing=failing)
+
+
+def make_slow(name: str, shape: str) -> Plan:
+    """One worker of 24 takes ten times as long."""
+    return make_plan(name, spread(0.7, shape=shape), slow={"worker-5": 10.0})
+
+
+PLANS: dict[str, Callable[[], Plan]] = {
+    "capacity": lambda: make_plan("capacity", spread(1.0)),
+    "saturation-3x": lambda: make_plan("saturation-3x", spread(3.0)),
+    "bursts": make_bursts,
+    "skew": make_skew,
+    "even-fleet": lambda: make_plan("even-fleet", spread(0.7)),
+    "one-slow-target": lambda: make_slow("one-slow-target", "exponential"),
+    "even-runs": lambda: make_plan("even-runs", spread(0.7, shape="uniform")),
+    "even-runs-slow-target": lambda: make_slow("even-runs-slow-target", "uniform"),
+    "long-short": make_long_short,
+    "cancellation-waves": make_waves,
+    "failing-workers": make_failing,
+    "half-the-fleet-leaves": make_half_leaves,
+    "declared-far-off": lambda: make_plan(
+        "declared-far-off", spread(1.5, declared=30.0)
+    ),
+}
+
+
+@cache
+def find_plan(name: str) -> Plan:
+    """Return a workload by its name."""
+    return PLANS[name]()
