Fuzz gangs and requests over the real coordination code on a paused clock

Cause: promises about gangs and requests depend on the order in which processes sleep, calls get lost and writes land. Change: Hypothesis state machines for placers with workers and for entries with targets; the oracle reads what workers wrote down and what callers heard, and at the end, with every fault gone, that nothing is stuck and no id is shut out.

--- a/features/doubles/cells.py
+++ b/features/doubles/cells.py
@@ -24,6 +24,7 @@
 )
 from primrosestile.coordination.ownership import Ownership
 from primrosestile.coordination.submission import Submission, Submissions
+from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.errors import Failure
 from primrosestile.state.fleet import Cell, FailureDomain, Fleet, Rack, Worker
 from primrosestile.state.jobs import (
@@ -80,6 +81,16 @@
         return True
 
 
+class NoOtherCell:
+    """Knows of no cell that a waiting job could be moved to."""
+
+    def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
+        return []
+
+    def note_handed(self, cell: str, accelerators: int) -> None:
+        raise AssertionError(f"a job was moved to {cell}")
+
+
 class Placer:
     """One placer process, wired as its program wires it."""
 
@@ -97,7 +108,13 @@
         )
         self.registration = Registration(store, self.lease, record)
         self.ownership = Ownership(
-            store, workers, self.lease, self.directory, record, TASK_LEASE_SECONDS
+            store,
+            workers,
+            self.lease,
+            self.directory,
+            record,
+            TASK_LEASE_SECONDS,
+            NoOtherCell(),
         )
         self.caretaker = Caretaker(
             name,
--- a/features/doubles/network.py
+++ b/features/doubles/network.py
@@ -236,26 +236,48 @@
         )
 
 
-class FaultyTargets:
-    """Implements `protocol.workers.Targets` over one process's link.
+@dataclass(frozen=True, slots=True)
+class Reached:
+    """One sending that reached a target, and the caller's call that it was for."""
 
-    Attributes:
-        sent: Calls that may have reached a target, by the caller's own mark.
-    """
+    call: object
+    target: str
+    request_id: str
+    time: float
+
+
+current_call: contextvars.ContextVar[object] = contextvars.ContextVar(
+    "call", default=None
+)
 
-    def __init__(self, core: Targets, link: Link) -> None:
+
+class FaultyTargets:
+    """Implements `protocol.workers.Targets` over one process's link."""
+
+    def __init__(self, core: Targets, link: Link, reached: list[Reached]) -> None:
         self._core = core
         self._link = link
+        self._reached = reached
 
     async def send(
         self, target: str, order: RequestOrder, timeout: float
     ) -> RequestAnswer:
+        call = current_call.get()
+
+        async def work() -> RequestAnswer:
+            now = asyncio.get_running_loop().time()
+            self._reached.append(Reached(call, target, order.request_id, now))
+            return await self._core.send(target, order, timeout)
+
         fate = self._link.take_fate()
         if target in self._link.cut_workers:
             fate = Fate.NEVER_SENT
+        # A connection carries a request once; only its answer can be lost.
+        if fate is Fate.TWICE:
+            fate = Fate.DONE
         return await pass_link(
             fate,
-            lambda: self._core.send(target, order, timeout),
+            work,
             timeout,
             self._link.late_seconds,
             ErrorKind.OUTCOME_UNKNOWN,
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -9,6 +9,9 @@
     check_settled,
 )
 from features.doubles.network import Fate
+from features.fuzzing.gangs import GangMachine
+from features.fuzzing.requests import RequestMachine
+from features.fuzzing.running import run_machine
 
 
 def start_deployment(context: Any) -> Deployment:
@@ -98,3 +101,13 @@
     context.deployment.advance(SETTLE_SECONDS)
     check_gangs(context.deployment)
     check_settled(context.deployment)
+
+
+@then("{runs:d} runs of {steps:d} steps with placers and workers keep every promise")
+def run_gangs(context: Any, runs: int, steps: int) -> None:
+    run_machine(GangMachine, runs, steps)
+
+
+@then("{runs:d} runs of {steps:d} steps with entries and targets keep every promise")
+def run_requests(context: Any, runs: int, steps: int) -> None:
+    run_machine(RequestMachine, runs, steps)
