Search rooms only where work touches them

Cause: at 1,024 workers each piece of work that cannot be stopped cost a search over all promises. Change: rooms that the work does not touch stay; the search keeps its own stack.

--- a/src/primrosestile/decisions/cell.py
+++ b/src/primrosestile/decisions/cell.py
@@ -152,6 +152,16 @@
         if not expected and not holding.evictable:
             self._pin(holding)
 
+    def hold_all(self, holdings: Iterable[Holding]) -> None:
+        """Note many holdings, as when a cell is taken over.
+
+        The largest are noted first: what they use of their organisation's
+        promises leaves least choice, so rooms are found with fewest searches.
+        """
+        ordered = sorted(holdings, key=lambda each: (-each.accelerators, each.job_id))
+        for holding in ordered:
+            self.hold(holding)
+
     def release(self, job_id: str) -> Holding | None:
         """Note that a job holds nothing any more; return what it held."""
         holding = self._holdings.pop(job_id, None)
--- a/src/primrosestile/decisions/cell_rooms.py
+++ b/src/primrosestile/decisions/cell_rooms.py
@@ -20,6 +20,10 @@
 # takeover within its seconds; past it, work that cannot be stopped waits.
 RECHARGE_STEP_LIMIT = 200
 
+# Most pieces of work that are charged anew. Beyond it the search would take
+# longer than the work; the cell then waits for some of it to end.
+RECHARGE_WORK_LIMIT = 300
+
 
 @dataclass(frozen=True, slots=True)
 class Pinned:
@@ -180,7 +184,7 @@
             kept = self._find_inside(unit, rooms, counts)
             if kept is not None:
                 return unit, kept
-        return self._search_charge(options, counts)
+        return self._search_charge(options, counts, rooms)
 
     def _order_charges(self, organisation: str, accelerators: int) -> list[int | None]:
         """Order the units that work could use, and where using none stands (None).
@@ -215,7 +219,10 @@
         return [*rooms[:unit], left, *rooms[unit + 1 :]]
 
     def _search_charge(
-        self, options: Sequence[int | None], counts: Mapping[int, int]
+        self,
+        options: Sequence[int | None],
+        counts: Mapping[int, int],
+        rooms: list[Room],
     ) -> tuple[int | None, list[Room]] | None:
         available = self.list_available()
         for worker, count in counts.items():
@@ -227,11 +234,44 @@
             trial = list(needs)
             if unit is not None:
                 trial[unit] = add_charge(needs[unit], counts)
-            found = find_rooms(self._layout, available, trial)
+            found = self._shift_rooms(unit, counts, rooms, trial, available)
+            if found is None:
+                found = find_rooms(self._layout, available, trial)
             if found is not None:
                 return unit, found
         return None
 
+    def _shift_rooms(
+        self,
+        unit: int | None,
+        counts: Mapping[int, int],
+        rooms: list[Room],
+        needs: Sequence[Need],
+        available: Sequence[int],
+    ) -> list[Room] | None:
+        """Find new rooms only for the units that the work touches.
+
+        A cell of 1,024 workers has hundreds of units, and work touches two or
+        three of them. Searching for all would take most of a second.
+        """
+        touched = [
+            index
+            for index, room in enumerate(rooms)
+            if index == unit or any(room.get(worker, 0) for worker in counts)
+        ]
+        left = list(available)
+        for index, room in enumerate(rooms):
+            if index not in touched:
+                for worker, count in room.items():
+                    left[worker] -= count
+        found = find_rooms(self._layout, left, [needs[index] for index in touched])
+        if found is None:
+            return None
+        shifted = list(rooms)
+        for index, room in zip(touched, found, strict=True):
+            shifted[index] = room
+        return shifted
+
     def _search(self) -> list[Room] | None:
         """Search all rooms anew, and the charges too where the known ones fail."""
         self._suspend_lost()
@@ -243,7 +283,7 @@
             for job_id in resumed:
                 del self.charges[job_id]
             rooms = self._find_for_charges()
-        if rooms is None and self._pinned:
+        if rooms is None and 0 < len(self._pinned) <= RECHARGE_WORK_LIMIT:
             rooms = self._charge_anew()
         return rooms
 
--- a/src/primrosestile/decisions/guarantees_rooms.py
+++ b/src/primrosestile/decisions/guarantees_rooms.py
@@ -74,12 +74,15 @@
         return []
     if sum(need.shape.accelerators for need in needs) > sum(layout.capacity):
         return None
-    search = _Search(layout, list(available), needs)
-    return search.rooms if search.descend(0) else None
+    return _Search(layout, list(available), needs).run()
 
 
 class _Search:
-    """Depth-first search over the needs, one need a level."""
+    """Depth-first search over the needs, one need a level.
+
+    It keeps its own stack: a large cell has more promises than the interpreter
+    allows nested calls.
+    """
 
     def __init__(
         self, layout: Layout, available: list[int], needs: Sequence[Need]
@@ -89,28 +92,39 @@
         self.needs = needs
         self.order = sorted(range(len(needs)), key=lambda each: _rank(needs[each]))
         self.rooms: list[Room] = [{} for _ in needs]
-        self.steps = STEP_LIMIT
         self.dead_ends: set[tuple[int, tuple[int, ...]]] = set()
 
-    def descend(self, level: int) -> bool:
-        if level == len(self.order):
-            return True
-        # Only a search that had to step back pays for remembering dead ends.
-        key = (level, tuple(self.available)) if self.dead_ends else None
-        if key in self.dead_ends:
-            return False
-        index = self.order[level]
-        for room in list_rooms(self.layout, self.available, self.needs[index]):
-            self.steps -= 1
-            if self.steps < 0:
-                return False
+    def run(self) -> list[Room] | None:
+        steps = STEP_LIMIT + len(self.order)
+        choices = [self._list_choices(0)]
+        while True:
+            level = len(choices) - 1
+            room = next(choices[-1], None)
+            if room is None:
+                choices.pop()
+                self.dead_ends.add((level, tuple(self.available)))
+                if not choices:
+                    return None
+                self._undo(level - 1)
+                continue
+            steps -= 1
+            if steps < 0:
+                return None
+            self.rooms[self.order[level]] = room
             self._take(room, 1)
-            self.rooms[index] = room
-            if self.descend(level + 1):
-                return True
-            self._take(room, -1)
-        self.dead_ends.add((level, tuple(self.available)))
-        return False
+            if level + 1 == len(self.order):
+                return self.rooms
+            # Only a search that had to step back pays for looking these up.
+            if self.dead_ends and (level + 1, tuple(self.available)) in self.dead_ends:
+                self._undo(level)
+                continue
+            choices.append(self._list_choices(level + 1))
+
+    def _list_choices(self, level: int) -> Iterator[Room]:
+        return list_rooms(self.layout, self.available, self.needs[self.order[level]])
+
+    def _undo(self, level: int) -> None:
+        self._take(self.rooms[self.order[level]], -1)
 
     def _take(self, room: Room, sign: int) -> None:
         for worker, count in room.items():
@@ -155,18 +169,29 @@
             yield {worker: missing}
         return
     count = need.shape.accelerators
-    seen = set()
     options = [(left, worker) for worker, left in enumerate(available) if left >= count]
+    if not options:
+        return
+    # The first choice is nearly always the last one: it needs no sorting.
+    yield {min(options)[1]: count}
     options.sort()
-    for left, worker in options:
+    seen = {_look_at_worker(layout, available, options[0][1])}
+    for _, worker in options:
         # Two workers are the same choice when they and their racks look alike.
-        rack = layout.racks[layout.rack[worker]]
-        look = (left, layout.capacity[worker], _look_at(layout, available, rack))
+        look = _look_at_worker(layout, available, worker)
         if look not in seen:
             seen.add(look)
             yield {worker: count}
 
 
+def _look_at_worker(
+    layout: Layout, available: Sequence[int], worker: int
+) -> tuple[int, int, tuple[tuple[int, int], ...]]:
+    rack = layout.racks[layout.rack[worker]]
+    look = _look_at(layout, available, rack)
+    return available[worker], layout.capacity[worker], look
+
+
 def _look_at(
     layout: Layout, available: Sequence[int], rack: tuple[int, ...]
 ) -> tuple[tuple[int, int], ...]:
