--- a/src/primrosestile/decisions/cell.py
+++ b/src/primrosestile/decisions/cell.py
@@ -161,6 +161,7 @@
         ordered = sorted(holdings, key=lambda each: (-each.accelerators, each.job_id))
         for holding in ordered:
             self.hold(holding)
+        self.rooms.search_again()
 
     def release(self, job_id: str) -> Holding | None:
         """Note that a job holds nothing any more; return what it held."""
--- a/src/primrosestile/decisions/cell_rooms.py
+++ b/src/primrosestile/decisions/cell_rooms.py
@@ -15,10 +15,11 @@
 from primrosestile.decisions.guarantees_rooms import Layout, Need, Room, find_rooms
 from primrosestile.state.tenancy import Shape
 
-# Steps of charging all work anew, beside two for each job. That happens when a
-# cell is taken over or loses a worker, not on each decision. The limit keeps the
-# takeover within its seconds; past it, work that cannot be stopped waits.
-RECHARGE_STEP_LIMIT = 200
+# Steps of charging all work anew, times the number of promises that each step
+# finds rooms for. That happens when a cell is taken over or loses a worker, not on
+# each decision. The limit keeps the takeover within a second or two; past it, work
+# that cannot be stopped waits until some has ended.
+RECHARGE_STEP_LIMIT = 10_000
 
 # Most pieces of work that are charged anew. Beyond it the search would take
 # longer than the work; the cell then waits for some of it to end.
@@ -72,17 +73,51 @@
     def pin(self, job_id: str, pinned: Pinned) -> None:
         """Note work that cannot be stopped, wherever it is."""
         found = self.find_charge(pinned.organisation, pinned.counts)
+        if found is None and self._rooms is not None:
+            found = self._find_beside_uncharged(pinned)
         self._pinned[job_id] = pinned
         for worker, count in pinned.counts.items():
             self._pinned_counts[worker] += count
         if found is None:
-            self._known = False
+            # More work never makes rooms: what could not be kept before it, is
+            # not searched again.
+            self._known = self._known and self._rooms is None
             return
         unit, rooms = found
         if unit is not None:
             self.charges[job_id] = unit
         self._rooms = rooms
 
+    def _find_beside_uncharged(
+        self, pinned: Pinned
+    ) -> tuple[int | None, list[Room]] | None:
+        """Find a charge after freeing its neighbours of theirs.
+
+        Reports of a cell that is taken over come in another order than the work
+        did. A neighbour on the same worker may have been charged to a unit whose
+        room now wants the whole worker, though there was no need for that.
+        """
+        before = dict(self.charges)
+        rooms = self._rooms
+        for job_id in before:
+            if not self._pinned[job_id].counts.keys().isdisjoint(pinned.counts):
+                del self.charges[job_id]
+        if len(self.charges) < len(before):
+            self._rooms = self._find_for_charges()
+            found = None
+            if self._rooms is not None:
+                found = self.find_charge(pinned.organisation, pinned.counts)
+            if found is not None:
+                return found
+        self.charges = before
+        self._rooms = rooms
+        return None
+
+    def search_again(self) -> None:
+        """Forget that promises could not be kept, after much has changed."""
+        if self._rooms is None:
+            self._known = False
+
     def unpin(self, job_id: str) -> None:
         """Note that such work has ended."""
         pinned = self._pinned.pop(job_id, None)
@@ -323,7 +358,7 @@
         for _, pinned in work:
             for worker, count in pinned.counts.items():
                 available[worker] += count
-        self._steps = RECHARGE_STEP_LIMIT + 2 * len(work)
+        self._steps = RECHARGE_STEP_LIMIT // max(1, len(self.promised))
         rooms = self._charge_next(work, 0, available)
         if rooms is None:
             self.charges = before
--- a/src/primrosestile/decisions/guarantees_rooms.py
+++ b/src/primrosestile/decisions/guarantees_rooms.py
@@ -21,7 +21,7 @@
 # whose first descent succeeds; a descent costs one step for each promise. The
 # limit bounds the time that an awkward mix can hold up all other decisions of
 # the cell: without it one placement could take minutes.
-STEP_LIMIT = 4000
+STEP_LIMIT = 500
 
 Room = dict[int, int]
 
