--- a/tools/bench/placement_driver.py
+++ b/tools/bench/placement_driver.py
@@ -59,6 +59,7 @@
     useless: list[float] = field(default_factory=list)
     gangs_in_part: int = 0
     infeasible_steps: int = 0
+    infeasible_samples: int = 0
     steps: int = 0
     stopped: int = 0
     moved: int = 0
@@ -82,6 +83,7 @@
         for name in (
             "gangs_in_part",
             "infeasible_steps",
+            "infeasible_samples",
             "steps",
             "stopped",
             "moved",
@@ -216,12 +218,22 @@
         if free >= DEFAULT_SHAPE.accelerators:
             eight = measure_fragmentation(self.view, DEFAULT_SHAPE)
             self.outcome.scattered_eight.append(eight)
+        self.outcome.infeasible_samples += not self._can_keep_promises()
         for victim in self.scheduler.move(self.view, now):
             self.outcome.moved += 1
             self._stop(victim, now)
         if now + SAMPLE_SECONDS <= self.window:
             self._at(now + SAMPLE_SECONDS, "sample", "")
 
+    def _can_keep_promises(self) -> bool:
+        """Whether rooms are found, also for a policy that knows of no promises."""
+        view = CellView(self.view.workers, self.promised)
+        for worker, usable in zip(view.workers, self.view.usable, strict=True):
+            view.set_usable(worker.name, usable)
+        held = self.view.holdings.values()
+        view.hold_all([holding for holding in held if not holding.evictable])
+        return is_reclaimable(view)
+
     def _decide(self, now: float) -> None:
         waiting = list(self.waiting.values())
         for demand, decision in self.scheduler.decide(self.view, waiting, now):
