--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -13,7 +13,7 @@
 from primrosestile.coordination.following import Following
 from primrosestile.coordination.gangs import Command, go_gang
 from primrosestile.coordination.jobbook import JobBook
-from primrosestile.coordination.placing import PictureSource, Placing
+from primrosestile.coordination.placing import Elsewhere, Placing
 from primrosestile.coordination.reconciling import Recovery, decide_recovery
 from primrosestile.coordination.slotsharing import SlotSharing
 from primrosestile.decisions.cell import CellView
@@ -47,7 +47,7 @@
         store: Store,
         command: Command,
         read_settings: Callable[[], Settings],
-        read_pictures: PictureSource,
+        elsewhere: Elsewhere,
         count_followed: Callable[[], int],
     ) -> None:
         self.cell = cell
@@ -58,7 +58,7 @@
             cell, store, command, read_settings, self._wake, count_followed
         )
         self._actions = JobActions(self._data)
-        self._placing = Placing(self._data, self._actions, store, read_pictures)
+        self._placing = Placing(self._data, self._actions, store, elsewhere)
         self._following = Following(self._data, self._actions)
         self._sharing = SlotSharing()
 
@@ -234,9 +234,7 @@
 
     def _note_used(self, used: Mapping[str, int]) -> None:
         """Take in what teams hold over all cells, as an entry sees it."""
-        here: dict[str, int] = {}
-        for holding in self._data.view.holdings.values():
-            here[holding.team] = here.get(holding.team, 0) + holding.accelerators
+        here = self._data.count_used_here()
         self._data.used_elsewhere = {
             team: max(0, count - here.get(team, 0)) for team, count in used.items()
         }
@@ -245,15 +243,11 @@
         """Return what one entry needs to know of this cell."""
         contacts = self._data.contacts
         granted = self._sharing.grant(contacts.values())
-        used: dict[str, int] = {}
-        for holding in self._data.view.holdings.values():
-            count = sum(len(member.accelerators) for member in holding.members)
-            used[holding.team] = used.get(holding.team, 0) + count
         return CellDigest(
             cell=self.cell.name,
             epoch=self.epoch,
             free=self._data.view.free,
-            used=used,
+            used=self._data.count_used_here(),
             slots=granted.get(entry, {}),
             seconds=self._sharing.seconds_left(),
             leaving=tuple(n for n, each in contacts.items() if each.leaving),
--- a/tools/bench/placement_driver.py
+++ b/tools/bench/placement_driver.py
@@ -40,6 +40,8 @@
 
     def learn(self, job_class: str, seconds: float) -> None: ...
 
+    def move(self, view: CellView, now: float) -> Sequence[str]: ...
+
 
 @dataclass
 class Outcome:
@@ -57,8 +59,10 @@
     useless: list[float] = field(default_factory=list)
     gangs_in_part: int = 0
     infeasible_steps: int = 0
+    infeasible_samples: int = 0
     steps: int = 0
     stopped: int = 0
+    moved: int = 0
     lost_seconds: float = 0.0
     not_restarted: int = 0
 
@@ -79,8 +83,10 @@
         for name in (
             "gangs_in_part",
             "infeasible_steps",
+            "infeasible_samples",
             "steps",
             "stopped",
+            "moved",
             "lost_seconds",
             "not_restarted",
         ):
@@ -212,9 +218,22 @@
         if free >= DEFAULT_SHAPE.accelerators:
             eight = measure_fragmentation(self.view, DEFAULT_SHAPE)
             self.outcome.scattered_eight.append(eight)
+        self.outcome.infeasible_samples += not self._can_keep_promises()
+        for victim in self.scheduler.move(self.view, now):
+            self.outcome.moved += 1
+            self._stop(victim, now)
         if now + SAMPLE_SECONDS <= self.window:
             self._at(now + SAMPLE_SECONDS, "sample", "")
 
+    def _can_keep_promises(self) -> bool:
+        """Whether rooms are found, also for a policy that knows of no promises."""
+        view = CellView(self.view.workers, self.promised)
+        for worker, usable in zip(view.workers, self.view.usable, strict=True):
+            view.set_usable(worker.name, usable)
+        held = self.view.holdings.values()
+        view.hold_all([holding for holding in held if not holding.evictable])
+        return is_reclaimable(view)
+
     def _decide(self, now: float) -> None:
         waiting = list(self.waiting.values())
         for demand, decision in self.scheduler.decide(self.view, waiting, now):
@@ -256,12 +275,14 @@
         self.view.begin_reclaim(holding, decision.victims)
         self.reclaims[holding.job_id] = holding
         for victim in decision.victims:
-            if len(self.view.stopping[victim]) > 1:
-                continue
-            seconds = STOP_SECONDS
-            if self.view.holdings[victim].checkpoints:
-                seconds += CHECKPOINT_SECONDS
-            self._at(now + seconds, "stop", victim, self.jobs[victim].attempt)
+            if len(self.view.stopping[victim]) == 1:
+                self._stop(victim, now)
+
+    def _stop(self, victim: str, now: float) -> None:
+        seconds = STOP_SECONDS
+        if self.view.holdings[victim].checkpoints:
+            seconds += CHECKPOINT_SECONDS
+        self._at(now + seconds, "stop", victim, self.jobs[victim].attempt)
 
     def _on_stop(self, now: float, job_id: str, attempt: int) -> None:
         job = self.jobs[job_id]
