Keep most promises when a worker is lost

Cause: while one promise had no room, every organisation that asked for its guarantee was told to wait: one quarantined worker stopped a whole rack. Ruled out: placing by the sum of what is free; it breaks adjacency. Change: promises without room are named as lost and the others keep theirs; meanwhile work that cannot be stopped starts only where all promises have rooms again once all workers are back. Charges have a module of their own. Conclusion: a lost worker costs only the promises that it made impossible.

--- a/features/placement/decisions.feature
+++ b/features/placement/decisions.feature
@@ -30,6 +30,28 @@
     When "guest" asks for 8 unstoppable accelerators at 10
     Then the placement waits because of a guarantee
 
+  Scenario: One lost worker does not void the guarantees of everybody else
+    A worker is quarantined, and the largest guarantee of the cell has no room
+    until it returns. Another organisation's clerks ask for theirs, which is lent
+    out. Were they told to wait, one bad worker would stop a whole rack.
+    Given a placement cell of 1 rack with 3 workers that promises 16 to "dome"
+    Given the placement cell also promises 8 to "till"
+    When worker 0 of the placement cell is quarantined
+    When "guest" runs "first" on 8 accelerators since 0 with checkpoints
+    When "guest" runs "second" on 8 accelerators since 50 with checkpoints
+    When "till" asks for 8 accelerators at 100
+    Then the placement stops exactly "second"
+
+  Scenario: Work that must not run twice takes no room of a promise that is away
+    While a worker is quarantined, a promise has no room. A surcharge run that
+    nothing may stop takes what is free now; when the worker returns, the
+    promise could not be kept for as long as the run lasts.
+    Given a placement cell of 1 rack with 3 workers that promises 16 to "dome"
+    When worker 0 of the placement cell is quarantined
+    When "guest" runs the unstoppable "captions" on 8 accelerators since 0
+    When "guest" asks for 1 unstoppable accelerators at 10
+    Then the placement waits because of a guarantee
+
   Scenario: A victim that runs again elsewhere does not hold a reclaim up
     A render stops for a producer and starts again on another worker before the
     last victim has stopped. A placer that waits for the victims to be gone, not
--- a/features/steps/placement_decisions_steps.py
+++ b/features/steps/placement_decisions_steps.py
@@ -93,6 +93,17 @@
     context.view = CellView(context.workers, [(name, make_shape(count))])
 
 
+@given('the placement cell also promises {count:d} to "{name}"')
+def promise_also(context: Any, count: int, name: str) -> None:
+    promised = (*context.view.promised, (name, make_shape(count)))
+    context.view = CellView(context.workers, promised)
+
+
+@when("worker {worker:d} of the placement cell is quarantined")
+def quarantine(context: Any, worker: int) -> None:
+    context.view.set_usable(f"w{worker}", False)
+
+
 @when(
     '"guest" runs "{job_id}" on {count:d} accelerators since '
     "{since:d} without checkpoints"
--- a/src/primrosestile/decisions/cell.py
+++ b/src/primrosestile/decisions/cell.py
@@ -9,8 +9,9 @@
 from collections.abc import Iterable, Mapping, Sequence
 from types import MappingProxyType
 
+from primrosestile.decisions.cell_charges import Pinned
 from primrosestile.decisions.cell_records import Demand, Holding, Reservation
-from primrosestile.decisions.cell_rooms import Pinned, Rooms
+from primrosestile.decisions.cell_rooms import Rooms
 from primrosestile.decisions.guarantees_rooms import Layout
 from primrosestile.state.fleet import Worker
 from primrosestile.state.jobs import Member
--- /dev/null
+++ b/src/primrosestile/decisions/cell_charges.py
@@ -0,0 +1,178 @@
+"""Which unit of its organisation a piece of unstoppable work uses.
+
+A *unit* is one promised shape of one organisation. Work that cannot be stopped is
+*charged* to a unit of its own organisation where one can enclose it; that unit is
+then in use. Everything else that cannot be stopped stays out of all rooms.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from primrosestile.decisions.guarantees_rooms import Layout, Need, Room, find_rooms
+from primrosestile.state.tenancy import Shape
+
+# Steps of charging all work anew, times the number of promises that each step
+# finds rooms for. That happens when a cell is taken over or loses a worker, not on
+# each decision. The limit keeps the takeover within a second or two; past it, work
+# that cannot be stopped waits until some has ended.
+RECHARGE_STEP_LIMIT = 10_000
+
+# Most pieces of work that are charged anew. Beyond it the search would take
+# longer than the work; the cell then waits for some of it to end.
+RECHARGE_WORK_LIMIT = 300
+
+Promised = Sequence[tuple[str, Shape]]
+
+
+@dataclass(frozen=True, slots=True)
+class Pinned:
+    """Work that cannot be stopped, by worker index and number of accelerators."""
+
+    organisation: str
+    counts: Mapping[int, int]
+
+    @property
+    def accelerators(self) -> int:
+        """How many accelerators it holds."""
+        return sum(self.counts.values())
+
+    def is_usable(self, layout: Layout) -> bool:
+        """Whether all of it is on workers that are usable now."""
+        return all(layout.capacity[worker] for worker in self.counts)
+
+
+def add_charge(need: Need, counts: Mapping[int, int]) -> Need:
+    """Return a need whose room must enclose some more work."""
+    charged = dict(need.charged)
+    for worker, count in counts.items():
+        charged[worker] = charged.get(worker, 0) + count
+    return Need(need.shape, charged)
+
+
+def list_needs(
+    promised: Promised, charges: Mapping[str, int], pinned: Mapping[str, Pinned]
+) -> list[Need]:
+    """Return each unit's shape with what is charged to it."""
+    needs = [Need(shape) for _, shape in promised]
+    for job_id, unit in charges.items():
+        needs[unit] = add_charge(needs[unit], pinned[job_id].counts)
+    return needs
+
+
+def order_units(
+    promised: Promised, organisation: str, used: frozenset[int]
+) -> list[int]:
+    """Order an organisation's units: those that its next work should use first.
+
+    A unit in use is filled up before another is broken into, and a small one is
+    used before a large one, so that large ones stay whole.
+    """
+    own = [unit for unit, (name, _) in enumerate(promised) if name == organisation]
+    own.sort(key=lambda unit: (unit not in used, promised[unit][1].accelerators, unit))
+    return own
+
+
+def order_charges(
+    promised: Promised, organisation: str, used: frozenset[int], accelerators: int
+) -> list[int | None]:
+    """Order the units that work could use, and where using none stands (None).
+
+    Small work goes beside the rooms rather than into a unit that it would not
+    half fill: a caption pass on one accelerator that cannot be stopped would
+    keep its own organisation's render of a whole rack waiting.
+    """
+    suited: list[int | None] = []
+    broken: list[int | None] = []
+    for unit in order_units(promised, organisation, used):
+        fills = 2 * accelerators > promised[unit][1].accelerators
+        if unit in used or fills:
+            suited.append(unit)
+        else:
+            broken.append(unit)
+    return [*suited, None, *broken]
+
+
+class Recharge:
+    """Charges all work anew, stepping back where a choice leads nowhere."""
+
+    def __init__(
+        self, layout: Layout, promised: Promised, pinned: Mapping[str, Pinned]
+    ) -> None:
+        self.charges: dict[str, int] = {}
+        self._layout = layout
+        self._promised = promised
+        self._pinned = pinned
+        self._work = sorted(
+            (job_id for job_id, work in pinned.items() if work.is_usable(layout)),
+            key=lambda job_id: (-pinned[job_id].accelerators, job_id),
+        )
+        self._steps = RECHARGE_STEP_LIMIT // max(1, len(promised))
+
+    def run(self) -> list[Room] | None:
+        """Return the rooms of all units for `charges`, or None."""
+        if not 0 < len(self._work) <= RECHARGE_WORK_LIMIT:
+            return None
+        # Work that is still to be charged counts as free: it may open the room
+        # of its own unit, so leaving it out can only make rooms easier to find.
+        return self._descend(0, list(self._layout.capacity))
+
+    def _descend(self, level: int, available: list[int]) -> list[Room] | None:
+        if level == len(self._work):
+            return self._find(available)
+        job_id = self._work[level]
+        work = self._pinned[job_id]
+        left = list(available)
+        for worker, count in work.counts.items():
+            left[worker] -= count
+        used = frozenset(self.charges.values())
+        for unit in order_charges(
+            self._promised, work.organisation, used, work.accelerators
+        ):
+            self._steps -= 1
+            if self._steps < 0:
+                return None
+            if unit is not None:
+                self.charges[job_id] = unit
+            if self._find(left) is not None:
+                rooms = self._descend(level + 1, left)
+                if rooms is not None:
+                    return rooms
+            self.charges.pop(job_id, None)
+        return None
+
+    def _find(self, available: list[int]) -> list[Room] | None:
+        needs = list_needs(self._promised, self.charges, self._pinned)
+        return find_rooms(self._layout, available, needs)
+
+
+def keep_most(
+    layout: Layout, available: Sequence[int], needs: Sequence[Need]
+) -> tuple[list[Room], frozenset[int]]:
+    """Keep the rooms of as many units as can be; the others are lost.
+
+    Units in use come first, since work is in them that nothing may stop; then
+    small ones, so that most organisations keep theirs.
+
+    Returns:
+        A room for each unit, empty for the lost ones; and which are lost.
+    """
+    order = sorted(
+        range(len(needs)),
+        key=lambda unit: (
+            not needs[unit].charged,
+            needs[unit].shape.accelerators,
+            unit,
+        ),
+    )
+    left = list(available)
+    rooms: list[Room] = [{} for _ in needs]
+    lost = set()
+    for unit in order:
+        found = find_rooms(layout, left, [needs[unit]])
+        if found is None:
+            lost.add(unit)
+            continue
+        rooms[unit] = found[0]
+        for worker, count in found[0].items():
+            left[worker] -= count
+    return rooms, frozenset(lost)
--- a/src/primrosestile/decisions/cell_rooms.py
+++ b/src/primrosestile/decisions/cell_rooms.py
@@ -1,46 +1,38 @@
 """The rooms of one cell's promises, kept as work comes and goes.
 
-A *unit* is one promised shape of one organisation. Work that cannot be stopped is
-*charged* to a unit of its own organisation where one can enclose it; that unit is
-then in use. Everything else that cannot be stopped stays out of all rooms.
-
 Rooms are remembered, not searched each time: most work can be stopped and changes
 nothing, and most of the rest fits beside the rooms or inside its own. Only what
 does neither pays for a search.
+
+When a worker is lost, some promises may have no room for a time. They are named
+as lost and the others keep theirs: one quarantined worker must not stop every
+other organisation from taking its guarantee back.
 """
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
+from primrosestile.decisions.cell_charges import (
+    Pinned,
+    Recharge,
+    add_charge,
+    keep_most,
+    list_needs,
+    order_charges,
+    order_units,
+)
 from primrosestile.decisions.guarantees_rooms import Layout, Need, Room, find_rooms
 from primrosestile.state.tenancy import Shape
 
-# Steps of charging all work anew, times the number of promises that each step
-# finds rooms for. That happens when a cell is taken over or loses a worker, not on
-# each decision. The limit keeps the takeover within a second or two; past it, work
-# that cannot be stopped waits until some has ended.
-RECHARGE_STEP_LIMIT = 10_000
-
-# Most pieces of work that are charged anew. Beyond it the search would take
-# longer than the work; the cell then waits for some of it to end.
-RECHARGE_WORK_LIMIT = 300
-
-
-@dataclass(frozen=True, slots=True)
-class Pinned:
-    """Work that cannot be stopped, by worker index and number of accelerators."""
-
-    organisation: str
-    counts: Mapping[int, int]
-
-    @property
-    def accelerators(self) -> int:
-        """How many accelerators it holds."""
-        return sum(self.counts.values())
+Charge = tuple[int | None, list[Room]]
 
 
 class Rooms:
-    """Charges and rooms of one cell."""
+    """Charges and rooms of one cell.
+
+    Attributes:
+        promised: The units: organisation and shape.
+        charges: The unit that each charged piece of work uses, by job id.
+    """
 
     def __init__(
         self, layout: Layout, promised: Sequence[tuple[str, Shape]] = ()
@@ -48,18 +40,21 @@
         self.promised = tuple(promised)
         self.charges: dict[str, int] = {}
         self._layout = layout
+        self._whole_layout = layout
+        self._whole: Rooms | None = None
         self._pinned: dict[str, Pinned] = {}
         self._pinned_counts = [0] * len(layout.capacity)
         # Charges of work on workers that are unusable now, for their return.
         self._suspended: dict[str, int] = {}
-        self._steps = 0
-        self._rooms: list[Room] | None = None
+        self._rooms: list[Room] = []
+        self._lost: frozenset[int] = frozenset()
         self._known = False
+        self._may_recharge = True
 
     def set_layout(self, layout: Layout) -> None:
         """Replace the layout, after a worker became usable or unusable."""
         self._layout = layout
-        self._known = False
+        self.search_again()
 
     def set_promised(self, promised: Sequence[tuple[str, Shape]]) -> None:
         """Replace the promises, after a change of guarantees or of the fleet."""
@@ -68,67 +63,47 @@
         self.promised = tuple(promised)
         self.charges.clear()
         self._suspended.clear()
+        self._whole = None
+        self.search_again()
+
+    def search_again(self) -> None:
+        """Search all rooms anew when they are asked for next."""
         self._known = False
+        self._may_recharge = True
 
     def pin(self, job_id: str, pinned: Pinned) -> None:
         """Note work that cannot be stopped, wherever it is."""
-        found = self.find_charge(pinned.organisation, pinned.counts)
-        if found is None and self._rooms is not None:
+        found = self._find_charge(pinned.organisation, pinned.counts)
+        if found is None and not self._lost:
             found = self._find_beside_uncharged(pinned)
         self._pinned[job_id] = pinned
         for worker, count in pinned.counts.items():
             self._pinned_counts[worker] += count
+        if self._whole is not None:
+            self._whole.pin(job_id, pinned)
         if found is None:
-            # More work never makes rooms: what could not be kept before it, is
-            # not searched again.
-            self._known = self._known and self._rooms is None
+            # More work never makes rooms: where one was lost already, it is
+            # enough to see which are left.
+            self._may_recharge = not self._lost
+            self._known = False
             return
-        unit, rooms = found
+        unit, self._rooms = found
         if unit is not None:
             self.charges[job_id] = unit
-        self._rooms = rooms
-
-    def _find_beside_uncharged(
-        self, pinned: Pinned
-    ) -> tuple[int | None, list[Room]] | None:
-        """Find a charge after freeing its neighbours of theirs.
-
-        Reports of a cell that is taken over come in another order than the work
-        did. A neighbour on the same worker may have been charged to a unit whose
-        room now wants the whole worker, though there was no need for that.
-        """
-        before = dict(self.charges)
-        rooms = self._rooms
-        for job_id in before:
-            if not self._pinned[job_id].counts.keys().isdisjoint(pinned.counts):
-                del self.charges[job_id]
-        if len(self.charges) < len(before):
-            self._rooms = self._find_for_charges()
-            found = None
-            if self._rooms is not None:
-                found = self.find_charge(pinned.organisation, pinned.counts)
-            if found is not None:
-                return found
-        self.charges = before
-        self._rooms = rooms
-        return None
-
-    def search_again(self) -> None:
-        """Forget that promises could not be kept, after much has changed."""
-        if self._rooms is None:
-            self._known = False
 
     def unpin(self, job_id: str) -> None:
         """Note that such work has ended."""
         pinned = self._pinned.pop(job_id, None)
         if pinned is None:
             return
+        if self._whole is not None:
+            self._whole.unpin(job_id)
         for worker, count in pinned.counts.items():
             self._pinned_counts[worker] -= count
         unit = self.charges.pop(job_id, None)
         self._suspended.pop(job_id, None)
-        if self._rooms is None:
-            self._known = False
+        if self._lost:
+            self.search_again()
         elif unit is not None and self._known:
             # The room stays where it is: what the work held of it is free now.
             room = dict(self._rooms[unit])
@@ -136,17 +111,25 @@
                 room[worker] = room.get(worker, 0) + count
             self._rooms = [*self._rooms[:unit], room, *self._rooms[unit + 1 :]]
 
-    def read(self) -> list[Room] | None:
+    def read(self) -> list[Room]:
         """Return the room of each unit, without what is charged to it.
 
-        None when the promises cannot all be kept at this instant, which only a
-        lost worker or a change of settings brings about.
+        The room of a unit that is lost is empty.
         """
         if not self._known:
-            self._rooms = self._search()
+            self._search()
             self._known = True
+            self._may_recharge = False
+            if not self._lost:
+                self._whole = None
         return self._rooms
 
+    @property
+    def lost(self) -> frozenset[int]:
+        """Units without a room, after a lost worker or a change of settings."""
+        self.read()
+        return self._lost
+
     def list_available(self) -> list[int]:
         """Return by worker what is free or held by work that may be stopped."""
         return [
@@ -158,46 +141,28 @@
 
     def list_spare(self) -> list[int]:
         """Return by worker what is available and part of no room."""
+        rooms = self.read()
         spare = self.list_available()
-        for room in self.read() or ():
+        for room in rooms:
             for worker, count in room.items():
                 spare[worker] -= count
         return spare
 
-    def list_needs(self) -> list[Need]:
-        """Return each unit's shape with what is charged to it."""
-        charged: list[dict[int, int]] = [{} for _ in self.promised]
-        for job_id, unit in self.charges.items():
-            for worker, count in self._pinned[job_id].counts.items():
-                charged[unit][worker] = charged[unit].get(worker, 0) + count
-        return [
-            Need(shape, charged[unit]) for unit, (_, shape) in enumerate(self.promised)
-        ]
-
     def order_units(self, organisation: str) -> list[int]:
-        """Order an organisation's units: those that its next work should use first.
-
-        A unit in use is filled up before another is broken into, and a small
-        one is used before a large one, so that large ones stay whole.
-        """
-        used = set(self.charges.values())
-        own = [
-            unit for unit, (name, _) in enumerate(self.promised) if name == organisation
-        ]
-        own.sort(
-            key=lambda unit: (
-                unit not in used,
-                self.promised[unit][1].accelerators,
-                unit,
-            )
-        )
-        return own
+        """Order an organisation's units that have a room, see `cell_charges`."""
+        lost = self.lost
+        used = frozenset(self.charges.values())
+        ordered = order_units(self.promised, organisation, used)
+        return [unit for unit in ordered if unit not in lost]
 
     def find_charge(
         self, organisation: str, counts: Mapping[int, int]
-    ) -> tuple[int | None, list[Room]] | None:
+    ) -> Charge | None:
         """Find how work that cannot be stopped could be there, all promises kept.
 
+        While some promise is lost, it must have a room again when all workers
+        are back.
+
         Args:
             organisation: Whose work it is.
             counts: Accelerators by worker index; not yet pinned.
@@ -206,14 +171,37 @@
             The unit it would use (None: it needs none) and the rooms of all
             units then; None when a promise could not be kept.
         """
-        rooms = self.read()
-        if rooms is None:
+        found = self._find_charge(organisation, counts)
+        if found is None or not self._lost:
+            return found
+        whole = self._make_whole()
+        if whole.lost or whole.find_charge(organisation, counts) is None:
             return None
-        if any(
-            self._layout.capacity[worker] < count for worker, count in counts.items()
-        ):
+        return found
+
+    def _make_whole(self) -> "Rooms":
+        """Make the rooms as they would be with all workers back."""
+        if self._whole is None:
+            self._whole = Rooms(self._whole_layout, self.promised)
+            for job_id, pinned in self._pinned.items():
+                self._whole.pin(job_id, pinned)
+            self._whole.search_again()
+        return self._whole
+
+    def _find_charge(
+        self, organisation: str, counts: Mapping[int, int]
+    ) -> Charge | None:
+        rooms = self.read()
+        capacity = self._layout.capacity
+        if any(capacity[worker] < count for worker, count in counts.items()):
             return None
-        options = self._order_charges(organisation, sum(counts.values()))
+        used = frozenset(self.charges.values())
+        size = sum(counts.values())
+        options = [
+            unit
+            for unit in order_charges(self.promised, organisation, used, size)
+            if unit not in self._lost
+        ]
         # The rooms as they are answer most questions without a search.
         for unit in options:
             kept = self._find_inside(unit, rooms, counts)
@@ -221,24 +209,6 @@
                 return unit, kept
         return self._search_charge(options, counts, rooms)
 
-    def _order_charges(self, organisation: str, accelerators: int) -> list[int | None]:
-        """Order the units that work could use, and where using none stands (None).
-
-        Small work goes beside the rooms rather than into a unit that it would
-        not half fill: a caption pass on one accelerator that cannot be stopped
-        would keep its own organisation's render of a whole rack waiting.
-        """
-        used = set(self.charges.values())
-        suited: list[int | None] = []
-        broken: list[int | None] = []
-        for unit in self.order_units(organisation):
-            large = self.promised[unit][1].accelerators
-            if unit in used or 2 * accelerators > large:
-                suited.append(unit)
-            else:
-                broken.append(unit)
-        return [*suited, None, *broken]
-
     def _find_inside(
         self, unit: int | None, rooms: list[Room], counts: Mapping[int, int]
     ) -> list[Room] | None:
@@ -258,20 +228,20 @@
         options: Sequence[int | None],
         counts: Mapping[int, int],
         rooms: list[Room],
-    ) -> tuple[int | None, list[Room]] | None:
+    ) -> Charge | None:
         available = self.list_available()
         for worker, count in counts.items():
             available[worker] -= count
             if available[worker] < 0:
                 return None
-        needs = self.list_needs()
+        needs = self._list_needs()
         for unit in options:
             trial = list(needs)
             if unit is not None:
                 trial[unit] = add_charge(needs[unit], counts)
             found = self._shift_rooms(unit, counts, rooms, trial, available)
             if found is None:
-                found = find_rooms(self._layout, available, trial)
+                found = self._find_kept(trial, available)
             if found is not None:
                 return unit, found
         return None
@@ -307,92 +277,85 @@
             shifted[index] = room
         return shifted
 
-    def _search(self) -> list[Room] | None:
+    def _find_beside_uncharged(self, pinned: Pinned) -> Charge | None:
+        """Find a charge after freeing its neighbours of theirs.
+
+        Reports of a cell that is taken over come in another order than the work
+        did. A neighbour on the same worker may have been charged to a unit whose
+        room now wants the whole worker, though there was no need for that.
+        """
+        before = dict(self.charges)
+        rooms = self._rooms
+        for job_id in before:
+            if not self._pinned[job_id].counts.keys().isdisjoint(pinned.counts):
+                del self.charges[job_id]
+        if len(self.charges) < len(before):
+            freed = self._find_kept(self._list_needs(), self.list_available())
+            if freed is not None:
+                self._rooms = freed
+                found = self._find_charge(pinned.organisation, pinned.counts)
+                if found is not None:
+                    return found
+        self.charges = before
+        self._rooms = rooms
+        return None
+
+    def _list_needs(self) -> list[Need]:
+        return list_needs(self.promised, self.charges, self._pinned)
+
+    def _find_kept(
+        self, needs: Sequence[Need], available: Sequence[int]
+    ) -> list[Room] | None:
+        """Find rooms for the units that are not lost."""
+        kept = [unit for unit in range(len(needs)) if unit not in self._lost]
+        found = find_rooms(self._layout, available, [needs[unit] for unit in kept])
+        if found is None:
+            return None
+        rooms: list[Room] = [{} for _ in needs]
+        for unit, room in zip(kept, found, strict=True):
+            rooms[unit] = room
+        return rooms
+
+    def _search(self) -> None:
         """Search all rooms anew, and the charges too where the known ones fail."""
+        self._lost = frozenset()
         self._suspend_lost()
         resumed = self._resume_returned()
-        rooms = self._find_for_charges()
+        rooms = self._find_kept(self._list_needs(), self.list_available())
         if rooms is None and resumed:
             # While its worker was away the unit has found a room elsewhere, and
             # other work may have come to rely on that.
             for job_id in resumed:
                 del self.charges[job_id]
-            rooms = self._find_for_charges()
-        if rooms is None and 0 < len(self._pinned) <= RECHARGE_WORK_LIMIT:
-            rooms = self._charge_anew()
-        return rooms
+            rooms = self._find_kept(self._list_needs(), self.list_available())
+        if rooms is None and self._may_recharge:
+            recharge = Recharge(self._layout, self.promised, self._pinned)
+            rooms = recharge.run()
+            if rooms is not None:
+                self.charges = recharge.charges
+        if rooms is None:
+            rooms = self._keep_most()
+        self._rooms = rooms
 
-    def _find_for_charges(self) -> list[Room] | None:
-        return find_rooms(self._layout, self.list_available(), self.list_needs())
+    def _keep_most(self) -> list[Room]:
+        needs = self._list_needs()
+        rooms, self._lost = keep_most(self._layout, self.list_available(), needs)
+        for job_id, unit in list(self.charges.items()):
+            if unit in self._lost:
+                del self.charges[job_id]
+        return rooms
 
     def _suspend_lost(self) -> None:
         for job_id, unit in list(self.charges.items()):
-            if not self._is_usable(self._pinned[job_id]):
+            if not self._pinned[job_id].is_usable(self._layout):
                 self._suspended[job_id] = unit
                 del self.charges[job_id]
 
     def _resume_returned(self) -> list[str]:
         resumed = []
         for job_id, unit in list(self._suspended.items()):
-            if self._is_usable(self._pinned[job_id]):
+            if self._pinned[job_id].is_usable(self._layout):
                 self.charges[job_id] = unit
                 del self._suspended[job_id]
                 resumed.append(job_id)
         return resumed
-
-    def _charge_anew(self) -> list[Room] | None:
-        """Charge all work anew, stepping back where a choice leads nowhere."""
-        before = dict(self.charges)
-        self.charges.clear()
-        work = sorted(
-            (
-                (job_id, pinned)
-                for job_id, pinned in self._pinned.items()
-                if self._is_usable(pinned)
-            ),
-            key=lambda each: (-each[1].accelerators, each[0]),
-        )
-        # Work that is still to be charged counts as free: it may open the room
-        # of its own unit, so leaving it out can only make rooms easier to find.
-        available = self.list_available()
-        for _, pinned in work:
-            for worker, count in pinned.counts.items():
-                available[worker] += count
-        self._steps = RECHARGE_STEP_LIMIT // max(1, len(self.promised))
-        rooms = self._charge_next(work, 0, available)
-        if rooms is None:
-            self.charges = before
-        return rooms
-
-    def _charge_next(
-        self, work: Sequence[tuple[str, Pinned]], level: int, available: list[int]
-    ) -> list[Room] | None:
-        if level == len(work):
-            return find_rooms(self._layout, available, self.list_needs())
-        job_id, pinned = work[level]
-        left = list(available)
-        for worker, count in pinned.counts.items():
-            left[worker] -= count
-        for unit in self._order_charges(pinned.organisation, pinned.accelerators):
-            self._steps -= 1
-            if self._steps < 0:
-                return None
-            if unit is not None:
-                self.charges[job_id] = unit
-            if find_rooms(self._layout, left, self.list_needs()) is not None:
-                rooms = self._charge_next(work, level + 1, left)
-                if rooms is not None:
-                    return rooms
-            self.charges.pop(job_id, None)
-        return None
-
-    def _is_usable(self, pinned: Pinned) -> bool:
-        return all(self._layout.capacity[worker] for worker in pinned.counts)
-
-
-def add_charge(need: Need, counts: Mapping[int, int]) -> Need:
-    """Return a need whose room must enclose some more work."""
-    charged = dict(need.charged)
-    for worker, count in counts.items():
-        charged[worker] = charged.get(worker, 0) + count
-    return Need(need.shape, charged)
--- a/src/primrosestile/decisions/guarantees.py
+++ b/src/primrosestile/decisions/guarantees.py
@@ -112,7 +112,7 @@
     At once and side by side, by evicting only work that may be evicted, and
     with each organisation's own unstoppable work inside its own rooms.
     """
-    return view.rooms.read() is not None
+    return not view.rooms.lost
 
 
 def _list_losses(
--- a/src/primrosestile/decisions/placement.py
+++ b/src/primrosestile/decisions/placement.py
@@ -144,8 +144,6 @@
 ) -> Place | None:
     """Find a place inside the room of one of the organisation's own units."""
     rooms = view.rooms.read()
-    if rooms is None:
-        return None
     for unit in view.rooms.order_units(demand.organisation):
         inside = [0] * len(counts)
         for worker, count in rooms[unit].items():
@@ -206,8 +204,8 @@
 def _wait(view: CellView, demand: Demand, entitled: bool) -> Waits:
     free = list_free(view)
     detail = f"{_word(demand)} finds no place among {sum(free)} free accelerators"
-    if view.rooms.read() is None and not demand.evictable:
-        detail += "; guarantees of this cell lack room until workers return"
+    if view.rooms.lost and not demand.evictable:
+        detail += "; promised shapes of this cell lack room until workers return"
         return Waits(ReasonCode.WAITS_FOR_GUARANTEE, detail, RETRY_SECONDS)
     fits = list_places(view.layout, free, demand.shape, lambda *_: 0.0, 1)
     if fits and view.reservation is not None and demand.evictable:
--- a/src/primrosestile/decisions/placement_score.py
+++ b/src/primrosestile/decisions/placement_score.py
@@ -65,8 +65,6 @@
     """
     unlent = view.rooms.list_spare()
     rooms = view.rooms.read()
-    if rooms is None:
-        return unlent
     used = set(view.rooms.charges.values())
     for unit in view.rooms.order_units(demand.organisation):
         if demand.evictable or unit in used:
