--- /dev/null
+++ b/src/primrosestile/coordination/celldata.py
@@ -0,0 +1,195 @@
+"""What the parts of one owned cell share.
+
+Placing, following and recovering a cell are separate modules; they meet in this
+one picture, which lives in a single event loop, so each of them may read and
+change it between two awaits without a lock.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.gangs import Command
+from primrosestile.coordination.jobbook import JobBook
+from primrosestile.decisions.cell import CellView, Demand, Holding
+from primrosestile.decisions.learning import RunTimes
+from primrosestile.decisions.quarantine import FailureLedger
+from primrosestile.protocol.workers import WorkerReport
+from primrosestile.state.fleet import Worker
+from primrosestile.state.jobs import JobRecord, Member, Reason
+from primrosestile.state.tenancy import Policy
+
+# The share of its kind that has ended by the time at which a job is expected to.
+END_QUANTILE = 0.5
+
+
+@dataclass(slots=True)
+class Contact:
+    """What is known of one worker, and since when.
+
+    Attributes:
+        reachable: Whether the latest call was answered.
+        renewed_at: Loop time before the latest renewal that may have reached it;
+            no lease there can outlive this by more than its time to live.
+        report_at: Loop time at which the latest report was asked for.
+        listed_leaving: Whether the VM list shows it as leaving.
+        quarantined: Whether it gets no work but canaries.
+        wants_canary: Whether one run of idempotent work may be tried there now.
+    """
+
+    worker: Worker
+    reachable: bool = False
+    renewed_at: float = 0.0
+    report_at: float = 0.0
+    listed_leaving: bool = False
+    quarantined: bool = False
+    wants_canary: bool = False
+    report: WorkerReport | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the list or the worker itself says that it is leaving.
+
+        LEAVING_FROM_EITHER_SOURCE: the list lags, and a worker that is cut off
+        from us can't say so; either of the two is enough.
+        """
+        return self.listed_leaving or (self.report is not None and self.report.leaving)
+
+    @property
+    def is_canary(self) -> bool:
+        """Whether it gets work only to see whether it is well."""
+        return self.quarantined and self.wants_canary
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may be placed there."""
+        rested = not self.quarantined or self.wants_canary
+        return self.reachable and not self.leaving and rested
+
+
+@dataclass(slots=True)
+class CellData:
+    """One owned cell.
+
+    Attributes:
+        command: Authority over its workers, with the epoch.
+        book: Its job records.
+        view: Who holds which accelerators.
+        contacts: Its workers by name.
+        count_followed: Says how many workers this process follows in all cells.
+        busy: Jobs that an action is under way for; no other one touches them.
+        stopping: Those among them whose attempt is being stopped; their leases
+            are not renewed, or a member that can't be told to stop would run on
+            beside the next attempt.
+        waiting_reasons: The latest reason of each job that waits.
+        retry_at: Loop time before which a job is not tried again.
+        started_at: Loop time at which the latest start of a job was complete.
+        used_elsewhere: Accelerators that each team holds in other cells.
+    """
+
+    name: str
+    command: Command
+    book: JobBook
+    view: CellView
+    contacts: dict[str, Contact]
+    read_policy: Callable[[], Policy]
+    read_quota: Callable[[str], int]
+    run_times: RunTimes
+    failures: FailureLedger
+    wake: Callable[[], None]
+    count_followed: Callable[[], int]
+    busy: set[str] = field(default_factory=set)
+    stopping: set[str] = field(default_factory=set)
+    waiting_reasons: dict[str, Reason] = field(default_factory=dict)
+    retry_at: dict[str, float] = field(default_factory=dict)
+    started_at: dict[str, float] = field(default_factory=dict)
+    used_elsewhere: dict[str, int] = field(default_factory=dict)
+
+    def refresh_usable(self, evictable: bool = True) -> None:
+        """Tell the view which workers may get new work.
+
+        Args:
+            evictable: Whether the work may be run again; only such work goes to
+                a worker in quarantine as a canary.
+        """
+        for name, contact in self.contacts.items():
+            usable = contact.usable and (evictable or not contact.quarantined)
+            self.view.set_usable(name, usable)
+
+    def count_used(self) -> dict[str, int]:
+        """Return the accelerators that each team holds, over all cells.
+
+        What a team holds elsewhere is known to about a second; two cells that
+        place at the same moment can overshoot its quota by one job each. The
+        quota bounds cost, not safety, and an exact count would need a write for
+        each start.
+        """
+        used = dict(self.used_elsewhere)
+        for team, count in self.count_used_here().items():
+            used[team] = used.get(team, 0) + count
+        return used
+
+    def count_used_here(self) -> dict[str, int]:
+        """Return the accelerators that each team holds in this cell."""
+        used: dict[str, int] = {}
+        for holding in self.view.holdings.values():
+            used[holding.team] = used.get(holding.team, 0) + holding.accelerators
+        return used
+
+    def may_try(self, job_id: str) -> bool:
+        """Whether a waiting job may be tried now."""
+        return read_clock() >= self.retry_at.get(job_id, 0.0)
+
+    def lapse_of(self, workers: Sequence[str]) -> float:
+        """Return the loop time by which leases on these workers have lapsed."""
+        renewed = [self.contacts[name].renewed_at for name in workers]
+        return max(renewed, default=0.0) + self.command.lease_seconds
+
+
+def make_class_key(record: JobRecord) -> str:
+    """Return the name under which run times of such jobs are learned."""
+    return f"{record.spec.team}/{record.spec.job_class}"
+
+
+def make_demand(record: JobRecord) -> Demand:
+    """Return a waiting job as the placement decision sees it."""
+    spec = record.spec
+    return Demand(
+        job_id=spec.job_id,
+        organisation=spec.organisation,
+        team=spec.team,
+        job_class=make_class_key(record),
+        shape=spec.shape,
+        urgency=spec.urgency,
+        evictable=spec.restartable,
+        checkpoints=spec.checkpoints,
+        accepted_at=record.accepted_at,
+        declared_seconds=spec.declared_seconds,
+        done_seconds=record.checkpoint,
+    )
+
+
+def make_holding(
+    record: JobRecord,
+    members: tuple[Member, ...],
+    started_at: float,
+    run_times: RunTimes,
+) -> Holding:
+    """Return a placed job as the placement decision sees it."""
+    spec = record.spec
+    key = make_class_key(record)
+    seconds = run_times.estimate(key, spec.declared_seconds, END_QUANTILE)
+    return Holding(
+        job_id=spec.job_id,
+        organisation=spec.organisation,
+        team=spec.team,
+        members=members,
+        shape=spec.shape,
+        urgency=spec.urgency,
+        evictable=spec.restartable,
+        checkpoints=spec.checkpoints,
+        started_at=started_at,
+        checkpointed_at=started_at,
+        job_class=key,
+        ends_at=started_at + max(0.0, seconds - record.checkpoint),
+    )
--- /dev/null
+++ b/src/primrosestile/coordination/settingstore.py
@@ -0,0 +1,265 @@
+"""Change one stored setting, with its audit entry, by one compare-and-swap.
+
+Two operators may change one path at the same moment, the process may die between
+any two calls, and the store may do a write and lose the answer. One value that
+holds both the setting and its latest audit entries makes each of these harmless:
+there is no moment at which a change stands without its entry, or an entry
+without its change.
+"""
+
+import asyncio
+import zlib
+from dataclasses import replace
+
+import msgspec
+
+from primrosestile.clock import read_wall_clock
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.store import Entry, Store
+from primrosestile.state.settings import SETTINGS_PREFIX, AuditEntry, StoredSetting
+
+AUDIT_PREFIX = "audit/"
+# Entries kept beside the value, by number and by the text in them. A history page
+# is then one read, and every watcher is sent the whole value at each change, so a
+# large fleet keeps its newest entry only.
+AUDIT_KEPT = 16
+AUDIT_KEPT_CHARACTERS = 256 * 1024
+# A fleet of thousands of workers is above a megabyte as text and repeats itself;
+# small values stay readable in the store.
+COMPRESS_ABOVE_BYTES = 32 * 1024
+VALUE_LIMIT_BYTES = 1_000_000
+# A lost answer is asked about this often, with a wait between, before the
+# operator is told that the outcome isn't known.
+ATTEMPTS = 5
+RETRY_SECONDS = 0.2
+
+_COMPRESSED = b"z"
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(StoredSetting)
+_entry_decoder = msgspec.json.Decoder(AuditEntry)
+
+
+def _pack(text: bytes) -> bytes:
+    if len(text) <= COMPRESS_ABOVE_BYTES:
+        return text
+    return _COMPRESSED + zlib.compress(text)
+
+
+def _unpack(data: bytes) -> bytes:
+    if not data.startswith(_COMPRESSED):
+        return data
+    try:
+        return zlib.decompress(data[len(_COMPRESSED) :])
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+
+
+def encode_stored(stored: StoredSetting) -> bytes:
+    """Return the bytes that the store keeps."""
+    return _pack(_encoder.encode(stored))
+
+
+def decode_stored(data: bytes) -> StoredSetting:
+    """Return the stored setting in `data`.
+
+    Raises:
+        ValueError: When it is none.
+    """
+    return _decoder.decode(_unpack(data))
+
+
+def encode_entry(entry: AuditEntry) -> bytes:
+    """Return the bytes of an audit entry that has a key of its own."""
+    return _pack(_encoder.encode(entry))
+
+
+def decode_entry(data: bytes) -> AuditEntry:
+    """Return the audit entry in `data`.
+
+    Raises:
+        ValueError: When it is none.
+    """
+    return _entry_decoder.decode(_unpack(data))
+
+
+def make_setting_key(path: str) -> str:
+    """Return the store's key of a path."""
+    return SETTINGS_PREFIX + path
+
+
+def make_audit_prefix(path: str) -> str:
+    """Return the prefix of a path's rolled audit entries."""
+    return f"{AUDIT_PREFIX}{path}/"
+
+
+def make_audit_key(path: str, revision: int) -> str:
+    """Return the key of one rolled audit entry; keys sort by revision."""
+    return f"{make_audit_prefix(path)}{revision:010d}"
+
+
+async def read_setting(
+    store: Store, path: str
+) -> tuple[StoredSetting | None, Entry | None]:
+    """Return a path's stored setting and the entry that holds it.
+
+    Raises:
+        Failure: STORE_UNAVAILABLE when the store doesn't answer.
+    """
+    entry = await store.get(make_setting_key(path))
+    if entry is None:
+        return None, None
+    return decode_stored(entry.value), entry
+
+
+async def put_setting(
+    store: Store, path: str, value: str, expected: int, actor: str, comment: str = ""
+) -> StoredSetting:
+    """Store a checked value, and return the setting as it now stands.
+
+    Args:
+        store: The platform's store.
+        path: Such as `fleet` or `teams/<team>`.
+        value: JSON text; empty removes the path but keeps its revision, so that
+            a path that comes back goes on counting up.
+        expected: The path's revision that the operator has seen; 0 for none.
+        actor: Name of the operator's key.
+        comment: Why, in the operator's words.
+
+    Raises:
+        Failure: CONFLICT when the path has another revision, with both values in
+            the detail; TOO_LARGE; STORE_UNAVAILABLE when nothing was changed;
+            STORE_ANSWER_LOST when the change may have been made.
+    """
+    current, entry = await read_setting(store, path)
+    _require_revision(path, current, expected, value)
+    change = _make_entry(current, value, actor, comment)
+    after = await _append_entry(store, path, current, change)
+    data = encode_stored(after)
+    if len(data) > VALUE_LIMIT_BYTES:
+        raise Failure(ErrorKind.TOO_LARGE, f"{path} has {len(data)} bytes when stored")
+    await _swap(store, path, data, entry.mod_revision if entry else 0, change)
+    return after
+
+
+def _make_entry(
+    current: StoredSetting | None, value: str, actor: str, comment: str
+) -> AuditEntry:
+    return AuditEntry(
+        actor=actor,
+        time=read_wall_clock(),
+        revision=(current.revision if current else 0) + 1,
+        before=current.value if current else "",
+        after=value,
+        comment=comment,
+    )
+
+
+def _require_revision(
+    path: str, current: StoredSetting | None, expected: int, value: str
+) -> None:
+    revision = current.revision if current else 0
+    if revision == expected:
+        return
+    stands = current.value if current else "(nothing)"
+    raise Failure(
+        ErrorKind.CONFLICT,
+        f"{path} is at revision {revision}, your change expects {expected};"
+        f" stands: {stands}; yours: {value}",
+    )
+
+
+async def _append_entry(
+    store: Store, path: str, current: StoredSetting | None, change: AuditEntry
+) -> StoredSetting:
+    audit = (*(current.audit if current else ()), change)
+    kept = audit[-_count_kept(audit) :]
+    # Older entries get keys of their own before they are cut from the value. If
+    # this process dies in between, they stand twice, which readers pass over;
+    # the other way round an entry would be gone for good.
+    for old in audit[: -len(kept)]:
+        await _roll_entry(store, path, old)
+    return StoredSetting(change.revision, change.after, kept)
+
+
+def _count_kept(audit: tuple[AuditEntry, ...]) -> int:
+    """Return how many of the newest entries stay beside the value, at least 1."""
+    room = AUDIT_KEPT_CHARACTERS
+    for count, entry in enumerate(reversed(audit)):
+        room -= len(entry.before) + len(entry.after)
+        if count == AUDIT_KEPT or (room < 0 and count):
+            return count
+    return len(audit)
+
+
+async def _roll_entry(store: Store, path: str, old: AuditEntry) -> None:
+    key = make_audit_key(path, old.revision)
+    data = encode_entry(old)
+    try:
+        await store.put(key, data, 0)
+    except Failure as failure:
+        if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
+            raise
+        if await store.get(key) is None:
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, "audit entry not kept") from None
+
+
+async def _swap(
+    store: Store, path: str, data: bytes, expected: int, change: AuditEntry
+) -> None:
+    """Write, and find out what became of a write whose answer was lost.
+
+    The same bytes with the same expected revision can be sent again: either this
+    write or the lost one takes effect, never both.
+    """
+    lost = False
+    for _ in range(ATTEMPTS):
+        try:
+            if lost and await _is_settled(store, path, change):
+                return
+            swap = await store.put(make_setting_key(path), data, expected)
+        except Failure as failure:
+            if failure.kind is ErrorKind.CONFLICT:
+                raise
+            if failure.kind is not ErrorKind.STORE_ANSWER_LOST and not lost:
+                raise
+            # Once an answer was lost, "unavailable" would be a lie: it says that
+            # nothing changed, and the operator would send the change again.
+            lost = True
+            await asyncio.sleep(RETRY_SECONDS)
+            continue
+        if swap.done:
+            return
+        if not lost:
+            current = decode_stored(swap.current.value) if swap.current else None
+            _require_revision(path, current, change.revision - 1, change.after)
+        lost = True
+    raise Failure(ErrorKind.STORE_ANSWER_LOST, f"{path}: read it before changing it")
+
+
+async def _is_settled(store: Store, path: str, change: AuditEntry) -> bool:
+    """Return whether one's own change stands; False while nothing has changed.
+
+    Raises:
+        Failure: CONFLICT when another change took its place.
+    """
+    current, _ = await read_setting(store, path)
+    if await _find_entry(store, path, current, change.revision) == change:
+        return True
+    _require_revision(path, current, change.revision - 1, change.after)
+    return False
+
+
+async def _find_entry(
+    store: Store, path: str, current: StoredSetting | None, revision: int
+) -> AuditEntry | None:
+    kept = current.audit if current else ()
+    found = next((each for each in kept if each.revision == revision), None)
+    if found is not None:
+        return found
+    entry = await store.get(make_audit_key(path, revision))
+    return None if entry is None else decode_entry(entry.value)
+
+
+def strip_audit(data: bytes) -> bytes:
+    """Return a stored value without its audit entries, for sending to peers."""
+    return encode_stored(replace(decode_stored(data), audit=()))
--- /dev/null
+++ b/src/primrosestile/programs/answers.py
@@ -0,0 +1,56 @@
+"""Failures of the steward's handlers as answers, from the one table of errors.
+
+Each handler raises `Failure` and nothing else decides about statuses or wording.
+What is not a `Failure` is a fault of the program: its trace goes to the log, and
+the operator gets the request id to report, never the trace.
+"""
+
+import secrets
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import structlog
+from aiohttp import web
+
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.programs.common import answer_failure
+
+REQUEST_ID_HEADER = "X-Request-Id"
+REQUEST_ID_LIMIT = 128
+FIRST_ERROR_STATUS = 400
+
+# What aiohttp refuses by itself, before any handler of ours.
+_WEB_KINDS = {404: ErrorKind.NOT_FOUND, 413: ErrorKind.TOO_LARGE}
+
+WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+_log = structlog.get_logger()
+
+
+def read_request_id(request: web.Request) -> str:
+    """Return the sender's id of a request, or a new one."""
+    given = request.headers.get(REQUEST_ID_HEADER, "")[:REQUEST_ID_LIMIT]
+    return given or secrets.token_hex(8)
+
+
+@web.middleware
+async def answer_failures(
+    request: web.Request, handler: WebHandler
+) -> web.StreamResponse:
+    """Turn failures of a handler into answers."""
+    request_id = read_request_id(request)
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        if error.status < FIRST_ERROR_STATUS:
+            raise
+        kind = _WEB_KINDS.get(error.status, ErrorKind.MALFORMED)
+        return answer_failure(Failure(kind, error.reason), request_id)
+    except Failure as failure:
+        return answer_failure(failure, request_id)
+    except msgspec.MsgspecError as error:
+        malformed = Failure(ErrorKind.MALFORMED, str(error))
+        return answer_failure(malformed, request_id)
+    except Exception:
+        _log.exception("request_failed", request_id=request_id, path=request.path)
+        return answer_failure(Failure(ErrorKind.INTERNAL), request_id)
--- /dev/null
+++ b/src/primrosestile/programs/stewardapp.py
@@ -0,0 +1,31 @@
+"""The steward's web application, put together from its parts."""
+
+from aiohttp import web
+
+from primrosestile.coordination.follower import SettingsFollower
+from primrosestile.programs.answers import answer_failures
+from primrosestile.programs.stewardsettings import SettingsPages
+from primrosestile.programs.stewardviews import Views
+from primrosestile.protocol.store import Store
+from primrosestile.transport.connections import Connections
+
+# A fleet of 15,000 workers is about 2 MB of JSON.
+BODY_LIMIT_BYTES = 8_000_000
+
+
+def make_steward_app(
+    store: Store, follower: SettingsFollower, connections: Connections
+) -> web.Application:
+    """Return the application that operators use.
+
+    Args:
+        store: The platform's store.
+        follower: The settings in force in this process.
+        connections: For asking the other processes.
+    """
+    app = web.Application(
+        middlewares=[answer_failures], client_max_size=BODY_LIMIT_BYTES
+    )
+    SettingsPages(store, follower).add_routes(app)
+    Views(store, follower, connections).add_routes(app)
+    return app
--- a/src/primrosestile/protocol/messages.py
+++ b/src/primrosestile/protocol/messages.py
@@ -19,12 +19,15 @@
         slots: The slots that the receiving entry may use, by worker.
         leaving: Workers that take no new work.
         quarantined: Workers that get canaries only.
+        waiting: Jobs that wait for a place in this cell.
+        used: Accelerators that each team holds in this cell.
         seconds: How long the slots are granted for.
     """
 
     cell: str
     epoch: int
     free: dict[str, int]
+    used: dict[str, int]
     slots: dict[str, int]
     leaving: tuple[str, ...]
     quarantined: tuple[str, ...]
@@ -32,14 +35,28 @@
     seconds: float
 
 
+class CellDigests(msgspec.Struct, frozen=True, tag=True):
+    """All cells that one process owns; the answer to a demand report."""
+
+    cells: tuple[CellDigest, ...]
+
+
+class DigestRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks a placer for the digests of its cells, without slots."""
+
+
 class DemandReport(msgspec.Struct, frozen=True, tag=True):
-    """An entry's need of slots, sent to the owner of each cell each second.
+    """An entry's need of slots, sent to each placer each second.
+
+    One message for each pair of processes, not for each cell: at 128 cells the
+    latter would cost an entry more processor than control may use.
 
     Attributes:
         queued: Requests waiting here that any target could serve.
         in_flight: Requests of this entry at each worker.
         failures: Failed requests at each worker since the last report.
         successes: Successful ones.
+        used: Accelerators that each team holds, over all cells.
     """
 
     entry: str
@@ -47,20 +64,7 @@
     in_flight: dict[str, int]
     failures: dict[str, int]
     successes: dict[str, int]
-
-
-class JobNotice(msgspec.Struct, frozen=True, tag=True):
-    """Tells a cell's owner to look at a job record now, not at its next sweep."""
-
-    cell: str
-    job_id: str
-
-
-class JobNoticed(msgspec.Struct, frozen=True, tag=True):
-    """The owner has read the record."""
-
-    cell: str
-    job_id: str
+    used: dict[str, int]
 
 
 class SettingsDigest(msgspec.Struct, frozen=True, tag=True):
@@ -96,10 +100,9 @@
 
 
 Body = (
-    CellDigest
+    CellDigests
+    | DigestRequest
     | DemandReport
-    | JobNotice
-    | JobNoticed
     | SettingsDigest
     | SettingsRequest
     | SettingsValues
