--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -8,20 +8,20 @@
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.actions import JobActions
-from primrosestile.coordination.celldata import CellData, Contact, make_class_key
+from primrosestile.coordination.celldata import CellData, Contact
+from primrosestile.coordination.cellpage import CellPage, describe_cell
 from primrosestile.coordination.following import Following
 from primrosestile.coordination.gangs import Command, go_gang
 from primrosestile.coordination.jobbook import JobBook
-from primrosestile.coordination.placing import PictureSource, Placing
+from primrosestile.coordination.placing import Elsewhere, Placing
 from primrosestile.coordination.reconciling import Recovery, decide_recovery
+from primrosestile.coordination.slotsharing import SlotSharing
 from primrosestile.decisions.cell import CellView
-from primrosestile.decisions.fragmentation import measure_fragmentation
-from primrosestile.decisions.guarantees import assign_guarantees
 from primrosestile.decisions.learning import RunTimes
 from primrosestile.decisions.quarantine import make_ledger
-from primrosestile.decisions.slots import GRANT_SECONDS, make_grant_ledger
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.protocol.messages import CellDigest
+from primrosestile.protocol.messages import CellDigest, DemandReport
 from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import WorkerReport
 from primrosestile.state.fleet import Cell, Worker
@@ -29,9 +29,6 @@
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Shape
 
-# Each entry reports once a second; sharing more often than this would only grant
-# the same slots again.
-SHARE_SECONDS = 0.8
 # Reports asked for at once during a take-over. Each costs about a millisecond of
 # processor; without a limit a cell of 128 workers would stall everything else.
 RECOVERY_CONCURRENCY = 32
@@ -50,22 +47,20 @@
         store: Store,
         command: Command,
         read_settings: Callable[[], Settings],
-        read_pictures: PictureSource,
+        elsewhere: Elsewhere,
+        count_followed: Callable[[], int],
     ) -> None:
         self.cell = cell
         self._read_settings = read_settings
         self.recovered = asyncio.Event()
         self._inputs = _collect_inputs(read_settings(), cell.name)
-        self._data = _make_data(cell, store, command, read_settings, self._wake)
+        self._data = _make_data(
+            cell, store, command, read_settings, self._wake, count_followed
+        )
         self._actions = JobActions(self._data)
-        self._placing = Placing(self._data, self._actions, store, read_pictures)
+        self._placing = Placing(self._data, self._actions, store, elsewhere)
         self._following = Following(self._data, self._actions)
-        self._demand: dict[str, int] = {}
-        self._in_flight: dict[str, Mapping[str, int]] = {}
-        self._reported_at: dict[str, float] = {}
-        self._grants = make_grant_ledger(read_clock())
-        self._shares: Mapping[str, Mapping[str, int]] = {}
-        self._shared_at = -GRANT_SECONDS
+        self._sharing = SlotSharing()
 
     @property
     def epoch(self) -> int:
@@ -77,6 +72,11 @@
         """Set once a worker has seen a higher epoch."""
         return self._following.superseded
 
+    @property
+    def worker_count(self) -> int:
+        """How many workers the cell has."""
+        return len(self._data.contacts)
+
     def needs_restart(self, settings: Settings) -> bool:
         """Whether the cell's workers or promises are others by now."""
         return _collect_inputs(settings, self.cell.name) != self._inputs
@@ -212,7 +212,7 @@
     def note_lost(self, domains: frozenset[str]) -> None:
         """Take over promises of failure domains that are lost."""
         settings = self._read_settings()
-        promised = assign_guarantees(settings.fleet, settings.guarantees, domains)
+        promised = view_settings(settings).find_promises(domains)
         self._data.view.set_promised(promised.get(self.cell.name, ()))
 
     def note_listed(self, leaving: frozenset[str]) -> None:
@@ -221,118 +221,43 @@
             contact.listed_leaving = name in leaving
         self._data.refresh_usable()
 
-    def note_demand(
-        self, entry: str, queued: int, in_flight: Mapping[str, int]
-    ) -> None:
-        """Take in what an entry reports of its need of slots."""
-        self._demand[entry] = queued
-        self._in_flight[entry] = in_flight
-        self._reported_at[entry] = read_clock()
-
-    def note_used(self, used: Mapping[str, int]) -> None:
+    def note_demand(self, report: DemandReport) -> None:
+        """Take in an entry's need of slots, and how its requests fared."""
+        self._sharing.note(report)
+        now = read_wall_clock()
+        subject = f"requests of {report.entry}"
+        for outcomes, failed in ((report.failures, True), (report.successes, False)):
+            for worker in outcomes:
+                if worker in self._data.contacts:
+                    self._data.failures.record(worker, subject, failed, now)
+        self._note_used(report.used)
+
+    def _note_used(self, used: Mapping[str, int]) -> None:
         """Take in what teams hold over all cells, as an entry sees it."""
-        here: dict[str, int] = {}
-        for holding in self._data.view.holdings.values():
-            here[holding.team] = here.get(holding.team, 0) + holding.accelerators
+        here = self._data.count_used_here()
         self._data.used_elsewhere = {
             team: max(0, count - here.get(team, 0)) for team, count in used.items()
         }
 
-    def note_outcomes(
-        self, entry: str, failures: Mapping[str, int], successes: Mapping[str, int]
-    ) -> None:
-        """Take in how requests of an entry fared at each worker."""
-        now = read_wall_clock()
-        for worker, count in failures.items():
-            if worker in self._data.contacts and count:
-                self._data.failures.record(worker, f"requests of {entry}", True, now)
-        for worker, count in successes.items():
-            if worker in self._data.contacts and count:
-                self._data.failures.record(worker, f"requests of {entry}", False, now)
-
-    def _drop_silent_entries(self) -> None:
-        oldest = read_clock() - GRANT_SECONDS
-        for entry, at in list(self._reported_at.items()):
-            if at < oldest:
-                del self._reported_at[entry]
-                self._demand.pop(entry, None)
-                self._in_flight.pop(entry, None)
-
-    def _share_slots(self) -> Mapping[str, Mapping[str, int]]:
-        """Return the grants of this second; they are made once for all entries."""
-        now = read_clock()
-        if now - self._shared_at >= SHARE_SECONDS:
-            self._drop_silent_entries()
-            slots = {
-                name: contact.worker.slots
-                for name, contact in self._data.contacts.items()
-                if contact.usable
-            }
-            self._shares = self._grants.grant(slots, self._demand, self._in_flight, now)
-            if self._shares:
-                self._shared_at = now
-        return self._shares
-
     def make_digest(self, entry: str) -> CellDigest:
         """Return what one entry needs to know of this cell."""
         contacts = self._data.contacts
-        shares = self._share_slots()
-        used: dict[str, int] = {}
-        for holding in self._data.view.holdings.values():
-            count = sum(len(member.accelerators) for member in holding.members)
-            used[holding.team] = used.get(holding.team, 0) + count
+        granted = self._sharing.grant(contacts.values())
         return CellDigest(
             cell=self.cell.name,
             epoch=self.epoch,
             free=self._data.view.free,
-            used=used,
-            slots=dict(shares.get(entry, {})),
-            seconds=max(0.0, self._shared_at + GRANT_SECONDS - read_clock()),
+            used=self._data.count_used_here(),
+            slots=granted.get(entry, {}),
+            seconds=self._sharing.seconds_left(),
             leaving=tuple(n for n, each in contacts.items() if each.leaving),
             quarantined=tuple(n for n, each in contacts.items() if each.quarantined),
-            waiting=len(self._placing.list_waiting()),
+            waiting=self._data.book.count_in(JobState.ACCEPTED),
         )
 
-    def describe(self) -> dict[str, object]:
+    def describe(self) -> CellPage:
         """Return the cell as operators see it."""
-        data = self._data
-        holdings = data.view.holdings.values()
-        return {
-            "cell": self.cell.name,
-            "epoch": self.epoch,
-            "recovered": self.recovered.is_set(),
-            "accelerators": sum(
-                each.worker.accelerators for each in data.contacts.values()
-            ),
-            "free": data.view.free,
-            "fragmentation": measure_fragmentation(data.view),
-            "held": [
-                {
-                    "job_id": each.job_id,
-                    "organisation": each.organisation,
-                    "members": each.members,
-                    "reclaimable": each.evictable,
-                }
-                for each in holdings
-            ],
-            "leaving": [n for n, each in data.contacts.items() if each.leaving],
-            "quarantined": [n for n, each in data.contacts.items() if each.quarantined],
-            "unreachable": [
-                n for n, each in data.contacts.items() if not each.reachable
-            ],
-            "waiting": {
-                job_id: reason
-                for job_id, reason in data.waiting_reasons.items()
-                if (record := data.book.find(job_id)) is not None
-                and record.state is JobState.ACCEPTED
-            },
-            "run_times": {
-                make_class_key(record): data.run_times.estimate(
-                    make_class_key(record), record.spec.declared_seconds, 0.5
-                )
-                for record in data.book
-            },
-        }
+        return describe_cell(self._data, self.epoch, self.recovered.is_set())
 
 
 @dataclass(frozen=True, slots=True)
@@ -344,11 +269,8 @@
 
 
 def _collect_inputs(settings: Settings, name: str) -> _Inputs:
-    cell = settings.fleet.find_cell(name)
-    if cell is None:
-        return _Inputs((), ())
-    promised = assign_guarantees(settings.fleet, settings.guarantees)
-    return _Inputs(settings.fleet.workers_of(cell), promised.get(name, ()))
+    view = view_settings(settings)
+    return _Inputs(view.workers_in.get(name, ()), view.find_promises().get(name, ()))
 
 
 def _make_data(
@@ -357,6 +279,7 @@
     command: Command,
     read_settings: Callable[[], Settings],
     wake: Callable[[], None],
+    count_followed: Callable[[], int],
 ) -> CellData:
     inputs = _collect_inputs(read_settings(), cell.name)
     return CellData(
@@ -370,10 +293,11 @@
         run_times=RunTimes(),
         failures=make_ledger(read_settings().policy),
         wake=wake,
+        count_followed=count_followed,
     )
 
 
 def _read_quota(settings: Settings, name: str) -> int:
     """Return a team's quota; a team that was removed starts nothing more."""
-    team = settings.find_team(name)
+    team = view_settings(settings).teams.get(name)
     return team.quota_accelerators if team else 0
--- a/src/primrosestile/coordination/exchange.py
+++ b/src/primrosestile/coordination/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
@@ -14,8 +15,8 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.membership import Directory
-from primrosestile.decisions.cellchoice import CellPicture, can_ever_fit
-from primrosestile.decisions.guarantees import assign_guarantees
+from primrosestile.decisions.cellchoice import CellPicture
+from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.messages import CellDigest, CellDigests, DigestRequest
 from primrosestile.protocol.peers import Peers
@@ -43,6 +44,11 @@
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
+        self._handed: Counter[str] = Counter()
+
+    def note_handed(self, cell: str, accelerators: int) -> None:
+        """Note a job handed to a cell; its next digest takes it into account."""
+        self._handed[cell] += accelerators
 
     def take_in(self, digests: Iterable[CellDigest]) -> list[CellDigest]:
         """Keep the digests of the newest epochs; return those that were kept.
@@ -57,6 +63,7 @@
             if known is not None and known.digest.epoch > digest.epoch:
                 continue
             self._known[digest.cell] = _Known(digest, now)
+            self._handed.pop(digest.cell, None)
             kept.append(digest)
         return kept
 
@@ -89,22 +96,30 @@
             shape: What is asked for.
             seconds: The age from which a digest is not fresh any more.
         """
-        promised = assign_guarantees(settings.fleet, settings.guarantees)
+        view = view_settings(settings)
+        promised = view.find_promises()
         return [
             self._picture(
-                cell.name,
-                _is_promised(promised.get(cell.name, ()), organisation, shape),
+                name,
+                _is_promised(promised.get(name, ()), organisation, shape),
                 seconds,
             )
-            for cell in settings.fleet.cells
-            if can_ever_fit(settings.fleet, cell, shape)
+            for name, capacity in view.capacity.items()
+            if capacity.can_hold(shape)
         ]
 
     def _picture(self, cell: str, promised: bool, seconds: float) -> CellPicture:
         digest = self.find_fresh(cell, seconds)
         if digest is None:
             return CellPicture(cell, {}, 0, promised, fresh=False)
-        return CellPicture(cell, digest.free, digest.waiting, promised, fresh=True)
+        return CellPicture(
+            cell,
+            digest.free,
+            digest.waiting,
+            promised,
+            fresh=True,
+            handed=self._handed[cell],
+        )
 
 
 def _is_promised(
@@ -172,16 +187,23 @@
         A cell that nobody speaks for may be well; only an owner that says that it
         reaches no worker at all is evidence of a loss.
         """
-        fleet = self._read_settings().fleet
-        domains = {rack.name: rack.failure_domain for rack in fleet.racks}
         working: dict[str, bool] = {}
-        for cell in fleet.cells:
-            domain = domains.get(cell.racks[0], "") if cell.racks else ""
-            digest = self.table.find_fresh(cell.name, FRESH_SECONDS)
+        for cell, domain in view_settings(self._read_settings()).domain_of.items():
+            digest = self.table.find_fresh(cell, FRESH_SECONDS)
             works = digest is None or bool(digest.free)
             working[domain] = working.get(domain, False) or works
         return working
 
+    def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
+        """Return what is known of each cell that could ever hold a shape."""
+        return self.table.list_pictures(
+            self._read_settings(), organisation, shape, FRESH_SECONDS
+        )
+
+    def note_handed(self, cell: str, accelerators: int) -> None:
+        """Note a job that was moved to a cell."""
+        self.table.note_handed(cell, accelerators)
+
     def list_lost_domains(self) -> frozenset[str]:
         """Return the failure domains none of whose workers can be used."""
         now = read_clock()
--- a/src/primrosestile/decisions/cellchoice.py
+++ b/src/primrosestile/decisions/cellchoice.py
@@ -10,7 +10,6 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from primrosestile.state.fleet import Cell, Fleet
 from primrosestile.state.tenancy import Adjacency, Shape, Urgency
 
 
@@ -24,6 +23,9 @@
         promised: Whether the asking organisation has a guarantee there that
             holds the shape.
         fresh: Whether its owner has spoken lately.
+        handed: Accelerators that the jobs handed there by this process since
+            its owner spoke ask for. Without them a burst within one second
+            would all go to the cell that was the best at its beginning.
     """
 
     cell: str
@@ -31,6 +33,7 @@
     waiting: int
     promised: bool
     fresh: bool
+    handed: int = 0
 
     @property
     def is_working(self) -> bool:
@@ -42,26 +45,14 @@
         return self.fresh and bool(self.free)
 
 
-def can_ever_fit(fleet: Fleet, cell: Cell, shape: Shape) -> bool:
-    """Whether an empty cell could hold the shape."""
-    workers = fleet.workers_of(cell)
-    sizes = [worker.accelerators for worker in workers]
-    if shape.adjacency is Adjacency.WORKER:
-        return shape.accelerators <= max(sizes, default=0)
-    if shape.adjacency is Adjacency.CELL:
-        return shape.accelerators <= sum(sizes)
-    by_rack: dict[str, int] = {}
-    for worker in workers:
-        by_rack[worker.rack] = by_rack.get(worker.rack, 0) + worker.accelerators
-    return shape.accelerators <= max(by_rack.values(), default=0)
-
-
 def has_room(picture: CellPicture, shape: Shape) -> bool:
     """Whether the shape may fit now, as far as the free counts show."""
     counts = picture.free.values()
+    if shape.accelerators > sum(counts) - picture.handed:
+        return False
     if shape.adjacency is Adjacency.WORKER:
         return shape.accelerators <= max(counts, default=0)
-    return shape.accelerators <= sum(counts)
+    return True
 
 
 # A waiting job moves once another cell could start it at once, but not before its
@@ -125,7 +116,7 @@
 
     def rank(picture: CellPicture) -> tuple[bool, bool, bool, int, int, str]:
         room = has_room(picture, shape) and picture.waiting == 0
-        total = sum(picture.free.values())
+        total = sum(picture.free.values()) - picture.handed
         return (
             not picture.is_working,
             not room,
