Model a job's move between cells; a cancellation can be lost on the way: red

Cause: a move writes two keys, one at a time, while owners change and callers cancel. Change: the moving model with four guards, and a scenario over the real code. Found: the caller cancels the record that is being left after the new one was created; shortest run: owner 0 decides to move, records the move, creates the new record; the caller asks for cancellation; owner 1 goes on with the move, creates the new record (it stands), lets go of the job. CANCEL_WAITS_FOR_MOVE mends it: cancel only where the job has arrived. 'A cancellation that meets a moving job is kept' FAILS over the real code and stays red until it is mended.

--- a/features/doubles/cells.py
+++ b/features/doubles/cells.py
@@ -3,9 +3,10 @@
 import asyncio
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import pairwise
 
+import msgspec
 from features.doubles.network import (
     CONTROL_TIMEOUT_SECONDS,
     FaultyStore,
@@ -16,7 +17,7 @@
 
 from primrosestile.coordination.caretaking import Caretaker
 from primrosestile.coordination.claims import Claims
-from primrosestile.coordination.jobbook import decode_job
+from primrosestile.coordination.jobbook import decode_job, make_job_key
 from primrosestile.coordination.membership import (
     Directory,
     ProcessLease,
@@ -42,6 +43,7 @@
 from primrosestile_standin.worker import MemoryWorker
 
 CELL = "osborne-1"
+MOVED_JOB = "malaga-1.0000"
 WORKERS = ("w0", "w1", "w2", "w3")
 PLACERS = ("p0", "p1", "p2")
 ACCELERATORS = 2
@@ -235,14 +237,33 @@
             submitted.told = failure.kind.value
             submitted.not_run = failure.not_run
 
-    def cancel(self, number: int) -> None:
-        self.runner.run(self._cancel(self.submitted[number].spec.job_id))
+    def cancel(self, number: int) -> bool:
+        """Ask for a job's cancellation; return whether that was taken in."""
+        return self.runner.run(self._cancel(self.submitted[number].spec.job_id))
 
-    async def _cancel(self, job_id: str) -> None:
+    async def _cancel(self, job_id: str) -> bool:
         try:
             await self.submissions.cancel(job_id)
         except Failure:
-            return
+            return False
+        return True
+
+    def put_half_moved(self, number: int) -> None:
+        """Leave a waiting job as a mover does that dies before its last write."""
+        self.runner.run(self._put_half_moved(self.submitted[number].spec.job_id))
+
+    async def _put_half_moved(self, job_id: str) -> None:
+        key = make_job_key(job_id)
+        entry = self.store.read_all()[key]
+        record = decode_job(entry.value)
+        there = replace(record, spec=replace(record.spec, job_id=MOVED_JOB))
+        moving = replace(record, state=JobState.MOVING, moved_to=MOVED_JOB)
+        await self.store.put(key, msgspec.json.encode(moving), entry.mod_revision)
+        await self.store.put(make_job_key(MOVED_JOB), msgspec.json.encode(there), 0)
+
+    def read_moved(self) -> JobRecord:
+        """Return the record of the job that was half moved."""
+        return decode_job(self.store.read_all()[make_job_key(MOVED_JOB)].value)
 
     def pause(self, name: str) -> None:
         self.placers[name].process.pause()
--- a/features/fuzzing/found.feature
+++ b/features/fuzzing/found.feature
@@ -53,3 +53,12 @@
     And a restartable gang of 5 seconds is submitted to the fuzzed cell
     And 10 seconds pass in the fuzzed cell
     Then every promise about gangs holds in the fuzzed cell
+
+  Scenario: A cancellation that meets a moving job is kept
+    The owner of a cell dies after it has made a waiting job's record in another
+    cell, before it let go of it here. The caller cancels meanwhile. If that were
+    written into the record that is being left, a cancelled render would run.
+    Given a fuzzed cell whose owner died while it moved a job to another cell
+    When the caller of the moving job asks for its cancellation
+    And 10 seconds pass in the fuzzed cell with every placer replaced
+    Then the caller was refused, or the moved job is asked to be cancelled
--- a/features/model/guards.feature
+++ b/features/model/guards.feature
@@ -24,6 +24,10 @@
       | CARETAKER_ONLY_RENEWS             | gang lease | two attempts of a gang never run at once           |
       | CARETAKER_RENEWS_WHOLE            | gang lease | a gang runs in part for less than one lease        |
       | CARETAKER_ONLY_IN_OUTAGE          | gang lease | two attempts of a gang never run at once           |
+      | MOVE_RECORDED_FIRST               | moving     | a moved job is started once                        |
+      | MOVE_NAMES_NEW_ID                 | moving     | a moved job is started once                        |
+      | MOVED_JOB_CREATED_ONCE            | moving     | a moved job is started once                        |
+      | CANCEL_WAITS_FOR_MOVE             | moving     | a cancellation that was asked for is kept          |
       | CLAIM_BEFORE_DISPATCH             | claims     | a non-idempotent request runs at most once         |
       | CLAIM_COMPARED                    | claims     | a non-idempotent request runs at most once         |
       | DISPATCH_RECORDED_BEFORE_SEND     | claims     | a non-idempotent request runs at most once         |
--- a/features/model/promises.feature
+++ b/features/model/promises.feature
@@ -13,6 +13,7 @@
       | model      |
       | gang start |
       | gang lease |
+      | moving     |
       | claims     |
       | submission |
       | answers    |
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -104,6 +104,32 @@
     context.deployment.advance(float(seconds))
 
 
+@given("a fuzzed cell whose owner died while it moved a job to another cell")
+def give_moving_job(context: Any) -> None:
+    deployment = start_deployment(context)
+    for name in deployment.placers:
+        deployment.kill(name)
+    deployment.submit(5.0, restartable=True)
+    deployment.put_half_moved(0)
+
+
+@when("the caller of the moving job asks for its cancellation")
+def cancel_moving(context: Any) -> None:
+    context.cancelled = context.deployment.cancel(0)
+
+
+@when("{seconds:d} seconds pass in the fuzzed cell with every placer replaced")
+def replace_all(context: Any, seconds: int) -> None:
+    context.deployment.heal()
+    context.deployment.advance(float(seconds))
+
+
+@then("the caller was refused, or the moved job is asked to be cancelled")
+def check_cancelled(context: Any) -> None:
+    moved = context.deployment.read_moved()
+    assert not context.cancelled or moved.cancel_requested
+
+
 @then("every promise about gangs holds in the fuzzed cell")
 def check_promises(context: Any) -> None:
     check_gangs(context.deployment)
--- a/specification/guards.py
+++ b/specification/guards.py
@@ -48,6 +48,21 @@
         "the gang was not seen whole for one time to live of the lease."
     )
 
+    # Jobs that move to another cell.
+    MOVE_RECORDED_FIRST = (
+        "The old record says that the job is moving before the new record is created."
+    )
+    MOVE_NAMES_NEW_ID = (
+        "The old record fixes the job's new id, so that whoever goes on with the move "
+        "creates the same record."
+    )
+    MOVED_JOB_CREATED_ONCE = (
+        "The new record is created only where none stands, whatever became of it."
+    )
+    CANCEL_WAITS_FOR_MOVE = (
+        "A job that is moving is cancelled only once it has arrived, in its new record."
+    )
+
     # Running gangs.
     LEASE_LAPSE_STOPS_TASK = "A worker stops a task whose lease has lapsed."
     RENEWED_ONLY_WHOLE = (
--- a/specification/models.py
+++ b/specification/models.py
@@ -7,6 +7,7 @@
     gang_lease,
     gang_start,
     leaving,
+    moving,
     restart,
     settings,
     submission,
@@ -18,6 +19,7 @@
     for module in (
         gang_start,
         gang_lease,
+        moving,
         claims,
         submission,
         answers,
