Let lost writes land seconds after their sender gave up

Cause: a slow store carries writes out late; half a second was too short for the sender to lose its cell meanwhile. Change: the machines choose 0.5, 4 or 10 seconds.

--- a/features/fuzzing/gangs.py
+++ b/features/fuzzing/gangs.py
@@ -22,6 +22,9 @@
 # Most of what goes wrong does so around the cell's owner.
 placers = st.sampled_from((OWNER, OWNER, *PLACERS))
 workers = st.sampled_from(WORKERS)
+# A slow store may carry a write out long after its sender gave up on it; by then
+# the sender may have lost its cell.
+late = st.sampled_from((0.5, 4.0, 10.0))
 fates = st.lists(st.sampled_from(Fate), min_size=1, max_size=3)
 
 
@@ -84,15 +87,23 @@
         fate=st.sampled_from(Fate),
         restartable=st.booleans(),
         kill=st.booleans(),
+        late=late,
         wait=st.sampled_from(PAUSES),
     )
     def submit_and_stop_owner(
-        self, before: int, fate: Fate, restartable: bool, kill: bool, wait: float
+        self,
+        before: int,
+        fate: Fate,
+        restartable: bool,
+        kill: bool,
+        late: float,
+        wait: float,
     ) -> None:
         """Stop the owner between the stages of a start."""
         owner = self.find_placer(OWNER)
         link = self.deployment.placers[owner].store_link
         link.fates.extend([Fate.DONE] * before + [fate])
+        link.late_seconds = late
         self.deployment.submit(30.0, restartable)
         self.pass_time(0.05)
         if kill:
@@ -143,10 +154,11 @@
     def slow_store(self, seconds: float) -> None:
         self.deployment.store.faults.slow_seconds = seconds
 
-    @rule(name=placers, chosen=fates)
-    def trouble_store_writes(self, name: str, chosen: list[Fate]) -> None:
-        name = self.find_placer(name)
-        self.deployment.placers[name].store_link.fates.extend(chosen)
+    @rule(name=placers, chosen=fates, late=late)
+    def trouble_store_writes(self, name: str, chosen: list[Fate], late: float) -> None:
+        link = self.deployment.placers[self.find_placer(name)].store_link
+        link.fates.extend(chosen)
+        link.late_seconds = late
 
     @rule(chosen=fates)
     def trouble_entry_writes(self, chosen: list[Fate]) -> None:
--- a/features/fuzzing/requests.py
+++ b/features/fuzzing/requests.py
@@ -86,9 +86,11 @@
     def slow_store(self, seconds: float) -> None:
         self.world.store.faults.slow_seconds = seconds
 
-    @rule(name=entries, chosen=fates)
-    def trouble_store_writes(self, name: str, chosen: list[Fate]) -> None:
-        self.world.entries[name].store_link.fates.extend(chosen)
+    @rule(name=entries, chosen=fates, late=st.sampled_from((0.5, 4.0, 10.0)))
+    def trouble_store_writes(self, name: str, chosen: list[Fate], late: float) -> None:
+        link = self.world.entries[name].store_link
+        link.fates.extend(chosen)
+        link.late_seconds = late
 
     @rule(name=entries, chosen=fates)
     def trouble_sendings(self, name: str, chosen: list[Fate]) -> None:
--- a/features/fuzzing/settings.py
+++ b/features/fuzzing/settings.py
@@ -49,9 +49,11 @@
         self.subtree.change(name, removes)
         self.pass_time(wait)
 
-    @rule(name=operators, chosen=fates)
-    def trouble_writes(self, name: str, chosen: list[Fate]) -> None:
-        self.subtree.operator_links[name].fates.extend(chosen)
+    @rule(name=operators, chosen=fates, late=st.sampled_from((0.5, 4.0, 10.0)))
+    def trouble_writes(self, name: str, chosen: list[Fate], late: float) -> None:
+        link = self.subtree.operator_links[name]
+        link.fates.extend(chosen)
+        link.late_seconds = late
 
     @rule(name=followers, data=st.data())
     def relay_old_value(self, name: str, data: st.DataObject) -> None:
