Do not choose a starting job as the first victim

Cause: a start has to end before a stop can begin, and the youngest job has lost least work, so urgent work could wait behind one start after the other. Change: a job in its first 3 s counts as if it had run for minutes. The scenario on moves asks 10 s later, since its younger job was still starting; it expects the same single victim. Measured: the new scenario fails on the code before (it stops 'starting') and passes now; 26 scenarios of the folder pass. Conclusion: a reclaim stops what can be stopped at once.

--- a/features/placement/decisions.feature
+++ b/features/placement/decisions.feature
@@ -13,6 +13,16 @@
     When "dome" asks for 8 accelerators at 3600
     Then the placement stops exactly "fresh"
 
+  Scenario: A job that is still starting is not the first to be stopped
+    The youngest job has lost least work. But it is still being started, and a
+    start has to end before a stop can begin: in a busy cell, an operator's
+    preview would wait behind one start after the other.
+    Given a placement cell of 1 rack with 2 workers that promises 8 to "dome"
+    When "guest" runs "settled" on 8 accelerators since 3500 without checkpoints
+    When "guest" runs "starting" on 8 accelerators since 3599 without checkpoints
+    When "dome" asks for 8 accelerators at 3600
+    Then the placement stops exactly "settled"
+
   Scenario: Work that must not run twice is never stopped
     A caption pass borrows, a producer asks for its shape, and the only other
     work is a long render. Stopping the caption pass would bill a client twice.
@@ -99,7 +109,7 @@
     Given a placement cell of 1 rack with 2 workers that promises 8 to "dome"
     When "guest" runs "left" on 2 accelerators of worker 0 since 95
     When "guest" runs "right" on 2 accelerators of worker 1 since 99
-    Then a placement move at 100 stops exactly one job
+    Then a placement move at 110 stops exactly one job
     Then no placement move is made when fragmentation has no weight
 
   Scenario: Losing a failure domain moves only the guarantees that were there
--- a/src/primrosestile/decisions/reclaim.py
+++ b/src/primrosestile/decisions/reclaim.py
@@ -24,6 +24,13 @@
 # It keeps the choice from stopping many small young jobs in place of one.
 RESTART_SECONDS = 5.0
 
+# Seconds in which a job is still starting, and what stopping it then is taken to
+# cost beside. It has lost least work of all, so it would be the first choice; but
+# a start has to end before a stop can begin, and in a cell where something always
+# starts, urgent work would wait behind one start after the other.
+STARTING_SECONDS = 3.0
+STARTING_COST_SECONDS = 300.0
+
 # Most places whose effect on the promises is examined for one decision; the
 # rooms of the organisation's own units come on top and always hold. Each look
 # can cost a search for rooms: without a limit a full cell of 1,024 workers would
@@ -32,12 +39,17 @@
 
 
 def measure_lost_work(holding: Holding, now: float) -> float:
-    """Measure the work lost by stopping a job now, in accelerator seconds."""
+    """Measure the work lost by stopping a job now, in accelerator seconds.
+
+    A job that is still starting counts as if it had run for minutes.
+    """
     since = max(0.0, now - max(holding.started_at, holding.checkpointed_at))
     if holding.checkpoints:
         seconds = min(since, CHECKPOINT_SECONDS) + since * CHECKPOINT_FAILURE_SHARE
     else:
         seconds = since
+    if now - holding.started_at < STARTING_SECONDS:
+        seconds += STARTING_COST_SECONDS
     return (seconds + RESTART_SECONDS) * holding.accelerators
 
 
