Refuse at once rooms that the free capacity cannot hold

Cause: in a full cell, work that cannot be stopped searched for rooms in vain. Change: the search compares the sums of what is needed and available first.

--- a/src/primrosestile/decisions/guarantees_rooms.py
+++ b/src/primrosestile/decisions/guarantees_rooms.py
@@ -72,7 +72,10 @@
     """
     if not needs:
         return []
-    if sum(need.shape.accelerators for need in needs) > sum(layout.capacity):
+    missing = sum(
+        need.shape.accelerators - sum(need.charged.values()) for need in needs
+    )
+    if missing > sum(available):
         return None
     return _Search(layout, list(available), needs).run()
 
