Show status, fleet and guarantees also while the store is down

Cause: the views read the list of processes from the store at each look, so they failed in an outage, when operators look. They now use the directory that every process keeps, which also saves a store call a look.

--- a/features/settings/steward.feature
+++ b/features/settings/steward.feature
@@ -70,7 +70,16 @@
     And a process named vm-3-entry that does not answer
     When the queue limit is put as 5 on revision 1
     And the steward is asked for the status
-    Then the status shows vm-2-entry behind at policy and vm-3-entry as silent
+    Then the status names vm-2-entry as behind at policy and vm-3-entry as silent
+
+  Scenario: The status in an outage of the store
+    Operators look at the status when something is wrong, and the store may be what
+    is wrong.
+    Given the steward is asked with the token demo-domeworks-operator
+    And a process named vm-2-entry that has applied policy at revision 0
+    And the steward's store is down
+    When the steward is asked for the status
+    Then the status shows vm-2-entry behind at policy
 
   Scenario: A job is explained to its team and hidden from others
     Given a stored job of dome-operations that was placed and reclaimed
--- a/features/settings/stewardworld.py
+++ b/features/settings/stewardworld.py
@@ -11,6 +11,7 @@
 from features.settings.doubles import make_loaded_store
 
 from primrosestile.coordination.follower import make_follower
+from primrosestile.coordination.membership import Directory
 from primrosestile.programs.stewardapp import make_steward_app
 from primrosestile.state.jobs import ProcessRecord
 from primrosestile.transport.connections import Connections
@@ -42,7 +43,11 @@
         self.follower = make_follower(self.store, "vm-1-steward")
         self.task = asyncio.create_task(self.follower.run())
         await self.follower.wait_for_first()
-        app = make_steward_app(self.store, self.follower, self.connections)
+        self.directory = Directory(self.store)
+        self.listing = asyncio.create_task(self.directory.run())
+        app = make_steward_app(
+            self.store, self.follower, self.directory.records, self.connections
+        )
         self.address = await self.listen(app)
 
     async def listen(self, app: web.Application) -> str:
@@ -83,6 +88,15 @@
         record = ProcessRecord(name, name[:4], program, "osborne", http, "")
         key = f"processes/{name}"
         self.run(self.store.put(key, msgspec.json.encode(record), 0))
+        self.run(self._wait_for_record(name))
+
+    async def _wait_for_record(self, name: str) -> None:
+        listed = asyncio.Event()
+        self.directory.on_change(listed.set)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while self.directory.find(name) is None:
+                await listed.wait()
+                listed.clear()
 
     def close(self) -> None:
         self.run(self._close())
@@ -92,7 +106,8 @@
 
     async def _close(self) -> None:
         self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
+        self.listing.cancel()
+        await asyncio.gather(self.task, self.listing, return_exceptions=True)
         await self.connections.close()
         for runner in self.runners:
             await runner.cleanup()
--- a/features/steps/steward_steps.py
+++ b/features/steps/steward_steps.py
@@ -180,7 +180,13 @@
     context.steward.register(name, "127.0.0.1:1")
 
 
-@then("the status shows {behind} behind at policy and {silent} as silent")
+@then("the status shows {name} behind at policy")
+def check_behind(context: Any, name: str) -> None:
+    processes = {each["name"]: each for each in context.steward.answer["processes"]}
+    assert set(processes[name]["behind"]) == {"policy"}
+
+
+@then("the status names {behind} as behind at policy and {silent} as silent")
 def check_processes(context: Any, behind: str, silent: str) -> None:
     answer = context.steward.answer
     processes = {each["name"]: each for each in answer["processes"]}
--- a/src/primrosestile/programs/steward.py
+++ b/src/primrosestile/programs/steward.py
@@ -27,7 +27,9 @@
     set_up_logs(settings)
     parts = make_parts(settings, PROGRAM)
     connections = Connections()
-    app = make_steward_app(parts.store, parts.follower, connections)
+    app = make_steward_app(
+        parts.store, parts.follower, parts.directory.records, connections
+    )
     add_health_routes(app, settings, parts.health, parts.metrics)
     runner = await start_http(app, settings.http)
 
--- a/src/primrosestile/programs/stewardapp.py
+++ b/src/primrosestile/programs/stewardapp.py
@@ -5,7 +5,7 @@
 from primrosestile.coordination.follower import SettingsFollower
 from primrosestile.programs.answers import answer_failures
 from primrosestile.programs.stewardsettings import SettingsPages
-from primrosestile.programs.stewardviews import Views
+from primrosestile.programs.stewardviews import ListRecords, Views
 from primrosestile.protocol.store import Store
 from primrosestile.transport.connections import Connections
 
@@ -14,18 +14,22 @@
 
 
 def make_steward_app(
-    store: Store, follower: SettingsFollower, connections: Connections
+    store: Store,
+    follower: SettingsFollower,
+    list_records: ListRecords,
+    connections: Connections,
 ) -> web.Application:
     """Return the application that operators use.
 
     Args:
         store: The platform's store.
         follower: The settings in force in this process.
+        list_records: Returns the live processes.
         connections: For asking the other processes.
     """
     app = web.Application(
         middlewares=[answer_failures], client_max_size=BODY_LIMIT_BYTES
     )
     SettingsPages(store, follower).add_routes(app)
-    Views(store, follower, connections).add_routes(app)
+    Views(store, follower, list_records, connections).add_routes(app)
     return app
--- a/src/primrosestile/programs/stewardviews.py
+++ b/src/primrosestile/programs/stewardviews.py
@@ -1,11 +1,13 @@
 """The steward's views: who applies which settings, the fleet, why a job waits.
 
-Nothing here is kept. Each view asks the store and the running processes at that
-moment, and says of each process whether it answered.
+Nothing here is kept. Each view asks the running processes at that moment and says
+of each whether it answered. Which processes there are stands in this process's
+directory, so the views work while the store is down, when operators need them most.
 """
 
 import asyncio
-from collections.abc import Mapping
+import contextlib
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -14,8 +16,6 @@
 
 from primrosestile.coordination.follower import SettingsFollower
 from primrosestile.coordination.jobbook import decode_job, make_job_key
-from primrosestile.coordination.membership import PROCESSES_PREFIX, decode_process
-from primrosestile.coordination.writing import list_all
 from primrosestile.decisions.access import require_operator, require_rights
 from primrosestile.decisions.guarantees import find_infeasible
 from primrosestile.errors import ErrorKind, Failure
@@ -31,6 +31,8 @@
 ASK_AT_ONCE = 32
 PLACER = "placer"
 
+ListRecords = Callable[[], Sequence[ProcessRecord]]
+
 _KINDS = FailureKinds(ErrorKind.NO_TARGET, ErrorKind.NO_TARGET)
 
 
@@ -68,10 +70,15 @@
     """Handlers that show what is."""
 
     def __init__(
-        self, store: Store, follower: SettingsFollower, connections: Connections
+        self,
+        store: Store,
+        follower: SettingsFollower,
+        list_records: ListRecords,
+        connections: Connections,
     ) -> None:
         self._store = store
         self._follower = follower
+        self._list_records = list_records
         self._connections = connections
         self._asking = asyncio.Semaphore(ASK_AT_ONCE)
 
@@ -86,9 +93,10 @@
         """Answer which process has applied which revision."""
         self._require_operator(request)
         # Another steward may have accepted a change that isn't known here yet.
-        await self._follower.refresh()
+        with contextlib.suppress(Failure):
+            await self._follower.refresh()
         revisions = dict(self._follower.revisions)
-        records = await self._list_processes()
+        records = self._list_records()
         answers = await self._ask_all(records, "/v1/applied")
         processes = [
             _describe_process(record, answer, revisions)
@@ -154,17 +162,13 @@
     def _require_operator(self, request: web.Request) -> None:
         require_operator(self._follower.settings, request.headers.get("Authorization"))
 
-    async def _list_processes(self) -> list[ProcessRecord]:
-        entries, _ = await list_all(self._store, PROCESSES_PREFIX)
-        return [decode_process(entry.value) for entry in entries]
-
     async def _read_cells(self) -> list[dict[str, Any]]:
-        records = await self._list_processes()
+        records = self._list_records()
         placers = [each for each in records if each.program == PLACER]
         answers = await self._ask_all(placers, "/v1/cells")
         return [cell for answer in answers if answer for cell in answer]
 
-    async def _ask_all(self, records: list[ProcessRecord], path: str) -> list[Any]:
+    async def _ask_all(self, records: Sequence[ProcessRecord], path: str) -> list[Any]:
         asks = (self._ask(record, path) for record in records)
         return await asyncio.gather(*asks)
 
