Let a new owner know from the start who is leaving

Ruled out: reading the list at each take-over, one more call that can hang there. Change: one VmWatch for entry and placer, which stood twice before; ownership keeps the latest list for cells to come and owns nothing before the first try to read it.

--- a/features/doubles/cells.py
+++ b/features/doubles/cells.py
@@ -24,6 +24,7 @@
 )
 from primrosestile.coordination.ownership import Ownership
 from primrosestile.coordination.submission import Submission, Submissions
+from primrosestile.coordination.vmwatch import VmWatch
 from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.errors import Failure
 from primrosestile.state.fleet import Cell, FailureDomain, Fleet, Rack, Worker
@@ -52,7 +53,6 @@
 # its way takes at most its timeout, and one that comes late half a second more.
 PARTIAL_BOUND_SECONDS = TASK_LEASE_SECONDS + CONTROL_TIMEOUT_SECONDS + 0.5
 LEAVING_BOUND_SECONDS = 5.0
-VM_LIST_SECONDS = 2.0
 # After every fault has ended: two leases, a recovery, and the longest pause before
 # a start is tried again, for four jobs of a minute, two at a time.
 SETTLE_SECONDS = 300.0
@@ -116,6 +116,7 @@
             TASK_LEASE_SECONDS,
             NoOtherCell(),
         )
+        self.vms = VmWatch(deployment.vm_list, self.ownership.note_listed)
         self.caretaker = Caretaker(
             name,
             workers,
@@ -129,6 +130,10 @@
     def start(self) -> None:
         self.process.main = self.process.start(self._run())
 
+    async def _own(self) -> None:
+        await self.vms.looked.wait()
+        await self.ownership.run()
+
     async def _run(self) -> None:
         self.ownership.take_settings(self._deployment.settings)
         async with asyncio.TaskGroup() as group:
@@ -136,20 +141,12 @@
                 self.lease.run(),
                 self.directory.run(),
                 self.registration.run(),
-                self.ownership.run(),
+                self._own(),
                 self.caretaker.run(),
-                self._read_vm_list(),
+                self.vms.run(),
             ):
                 group.create_task(work)
 
-    async def _read_vm_list(self) -> None:
-        while True:
-            listed = await self._deployment.vm_list.read()
-            leaving = frozenset(each.name for each in listed if each.leaving)
-            for keeper in self.ownership.keepers.values():
-                keeper.note_listed(leaving)
-            await asyncio.sleep(VM_LIST_SECONDS)
-
     @property
     def crash(self) -> BaseException | None:
         main = self.process.main
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -15,6 +15,7 @@
 from primrosestile.coordination.dispatch import Dispatcher
 from primrosestile.coordination.exchange import DigestTable
 from primrosestile.coordination.membership import Directory
+from primrosestile.coordination.vmwatch import VmWatch
 from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.decisions.settingsview import SettingsView, view_settings
 from primrosestile.errors import Failure
@@ -29,8 +30,6 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 # A digest older than this says nothing about free room any more.
 FRESH_SECONDS = 4.0
-# The list lags by itself; reading it more often finds nothing sooner.
-VM_LIST_SECONDS = 2.0
 
 _log = structlog.get_logger()
 
@@ -51,7 +50,7 @@
         self._peers = peers
         self._directory = directory
         self._dispatcher = dispatcher
-        self._vm_list = vm_list
+        self._vms = VmWatch(vm_list, self.note_listed)
         self._read_settings = read_settings
         self._table = DigestTable()
         self._listed_leaving: frozenset[str] = frozenset()
@@ -62,7 +61,7 @@
     async def run(self) -> None:
         """Keep one task for each placer in the directory, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._read_vm_list())
+            group.create_task(self._vms.run())
             tasks: dict[str, asyncio.Task[None]] = {}
             while True:
                 self._changed.clear()
@@ -123,17 +122,10 @@
         view = view_settings(self._read_settings())
         return [worker.name for worker in view.workers_in.get(cell_name, ())]
 
-    async def _read_vm_list(self) -> None:
-        while True:
-            try:
-                listed = await self._vm_list.read()
-                self._listed_leaving = frozenset(
-                    each.name for each in listed if each.leaving
-                )
-                self.refresh_targets()
-            except Failure as failure:
-                _log.info("vm_list_unread", kind=failure.kind.value)
-            await asyncio.sleep(VM_LIST_SECONDS * random.uniform(0.8, 1.0))
+    def note_listed(self, leaving: frozenset[str]) -> None:
+        """Take in which workers the VM list shows as leaving."""
+        self._listed_leaving = leaving
+        self.refresh_targets()
 
     def refresh_targets(self) -> None:
         """Tell the router which targets there are, and which are leaving."""
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -74,6 +74,8 @@
         self._settings_changed = asyncio.Event()
         self._table = OwnerTable(store)
         self._keepers: dict[str, CellKeeper] = {}
+        self._followed = 0
+        self._listed_leaving: frozenset[str] = frozenset()
         self._leaving = False
         self._first_since: dict[str, float] = {}
 
@@ -191,12 +193,13 @@
             if cell is None:
                 return
             keeper = self._make_keeper(cell, epoch, lease)
-            self._keepers[name] = keeper
+            keeper.note_listed(self._listed_leaving)
+            self._set_keeper(name, keeper)
             run = asyncio.create_task(keeper.run(), name=f"keeper {name} {epoch}")
             try:
                 kept = await self._watch_keeper(keeper, run, name, lease)
             finally:
-                self._keepers.pop(name, None)
+                self._set_keeper(name, None)
                 await _end_task(run)
             if not kept:
                 _log.info("cell_given_up", cell=name, epoch=epoch)
@@ -217,11 +220,27 @@
             command,
             lambda: self._settings,
             self._elsewhere,
-            self._count_followed,
+            lambda: self._followed,
         )
 
-    def _count_followed(self) -> int:
-        return sum(each.worker_count for each in self._keepers.values())
+    def _set_keeper(self, name: str, keeper: CellKeeper | None) -> None:
+        if keeper is None:
+            self._keepers.pop(name, None)
+        else:
+            self._keepers[name] = keeper
+        # Asked at each round of each worker, so it is counted here.
+        self._followed = sum(each.worker_count for each in self._keepers.values())
+
+    def note_listed(self, leaving: frozenset[str]) -> None:
+        """Take in which workers the VM list shows as leaving.
+
+        Kept for cells that are taken over later: a new owner that knew only what
+        workers say themselves would place work on one that the list shows as
+        leaving, until the list is read the next time.
+        """
+        self._listed_leaving = leaving
+        for keeper in self._keepers.values():
+            keeper.note_listed(leaving)
 
     async def _watch_keeper(
         self, keeper: CellKeeper, run: "asyncio.Task[None]", name: str, lease: int
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -1,15 +1,13 @@
 """`primrosestile-placer`: owns cells, places gangs, renews what runs."""
 
 import asyncio
-import random
 
-import structlog
 from aiohttp import web
 
 from primrosestile.coordination.caretaking import Caretaker
 from primrosestile.coordination.exchange import Exchange
 from primrosestile.coordination.ownership import Ownership
-from primrosestile.errors import Failure
+from primrosestile.coordination.vmwatch import VmWatch
 from primrosestile.programs.common import (
     add_health_routes,
     answer_json,
@@ -32,12 +30,8 @@
 from primrosestile.transport.workers import make_workers
 
 PROGRAM = "placer"
-# The list lags by itself; reading it more often finds nothing sooner.
-VM_LIST_SECONDS = 2.0
 LOST_CHECK_SECONDS = 2.0
 
-_log = structlog.get_logger()
-
 
 async def run_placer(settings: ProcessSettings) -> None:
     """Run one placer until it is told to end."""
@@ -62,6 +56,7 @@
         exchange,
     )
     parts.follower.add_handler(ownership.take_settings)
+    vms = VmWatch(parts.vm_list, ownership.note_listed)
     caretaker = Caretaker(
         settings.name,
         workers,
@@ -99,17 +94,18 @@
 
     services = [
         *parts.list_services(),
-        _run_when_ready(parts, ownership),
+        _run_when_ready(parts, ownership, vms),
         caretaker.run(),
         exchange.run(),
         _tell_lost_domains(exchange, ownership),
-        _read_vm_list(parts, ownership),
+        vms.run(),
     ]
     await run_until_told(services, drain)
 
 
-async def _run_when_ready(parts: Parts, ownership: Ownership) -> None:
+async def _run_when_ready(parts: Parts, ownership: Ownership, vms: VmWatch) -> None:
     await parts.follower.wait_for_first()
+    await vms.looked.wait()
     ownership.take_settings(parts.follower.settings)
     await ownership.run()
 
@@ -136,18 +132,6 @@
             keeper.note_lost(lost)
 
 
-async def _read_vm_list(parts: Parts, ownership: Ownership) -> None:
-    while True:
-        try:
-            listed = await parts.vm_list.read()
-            leaving = frozenset(each.name for each in listed if each.leaving)
-            for keeper in ownership.keepers.values():
-                keeper.note_listed(leaving)
-        except Failure as failure:
-            _log.info("vm_list_unread", kind=failure.kind.value)
-        await asyncio.sleep(VM_LIST_SECONDS * random.uniform(0.8, 1.0))
-
-
 def main() -> None:
     """Start the program."""
     settings = parse_arguments("primrosestile-placer", "Own cells and place gangs.")
