--- a/features/settings/cli.feature
+++ b/features/settings/cli.feature
@@ -73,12 +73,15 @@
       | settings unknown                                               | 2    |
 
   Scenario: A token that is not valid
+    A key was rotated and the old token is still in use. The operator sees that it is
+    the token, and not the settings.
     Given a steward for the command line with the token wrong
     When the command "settings get policy" is run
     Then the command exits with 4
     And the command shows "unauthenticated"
 
   Scenario: Two operators edit from one revision
+    The second one to store would wipe out the first one's change without a word.
     Given a steward for the command line with the operator's token
     And the file FILE holds a policy with a queue limit of 9
     When the command "settings put policy FILE --revision 1" is run
--- a/features/settings/relay.feature
+++ b/features/settings/relay.feature
@@ -25,6 +25,8 @@
     Then a settings change is in force at every relaying process within 11 seconds
 
   Scenario: The watchers of a domain die
+    The processes that a domain relies on end at once, as when a rack fails. Until
+    others take over, nobody would bring it changes.
     Given 12 relaying processes in 3 failure domains
     When the relaying processes have run for 30 seconds
     And the watchers of the first failure domain die
@@ -59,4 +61,6 @@
     Then the started process is ready with the changed settings within 11 seconds
 
   Scenario: Losses, delays, repetitions, outages and restarts in any order
+    Any of these may come at any moment. A setting that came back from the past would
+    let work in that an operator has shut out.
     Then under any such faults no applied revision falls and all reach the accepted
--- a/features/settings/steward.feature
+++ b/features/settings/steward.feature
@@ -4,6 +4,8 @@
     Given a steward of the domeworks example
 
   Scenario Outline: Whoever lacks the right is refused, and nothing changes
+    Somebody tries with no token, a wrong one, or that of a team. A team could
+    otherwise raise its own quota.
     Given the steward is asked with the token <token>
     When the queue limit is put as 5 on revision 1
     Then the steward answers <status> <error>
@@ -31,6 +33,7 @@
     And the steward's answer shows a queue limit of 5 and of 6
 
   Scenario: A faulty change is refused with each fault
+    An operator mistypes two things at once and sees both.
     Given the steward is asked with the token demo-domeworks-operator
     When policy is put with a share of 7 and an unknown key
     Then the steward answers 422 invalid_settings
@@ -38,6 +41,8 @@
     And the stored policy is at revision 1
 
   Scenario: A team is removed, and its path goes on counting
+    Were the revision to begin again, a process that has seen the team would take its
+    return for something old.
     Given the steward is asked with the token demo-domeworks-operator
     When the steward removes teams/archive-captions on revision 1
     Then the steward answers 200
--- a/features/settings/store.feature
+++ b/features/settings/store.feature
@@ -41,6 +41,7 @@
     Then the settings change is answered as store_answer_lost
 
   Scenario: The store is down
+    Nothing was written, and the operator may send the same change again.
     Given a settings store with policy at revision 1
     And the settings store is down
     When an operator changes policy from revision 1
