Count what runs as need when slots are shared

Cause: an owner is told what waits at an entry and what runs there. Shared by what waits alone, an entry whose queue is empty loses the slots that it uses.

Change: need is both, counted in one place.

--- a/features/requests/targets.feature
+++ b/features/requests/targets.feature
@@ -36,6 +36,13 @@
     When the owner grants by a demand of 100, 0 and 3 for 10 seconds
     Then entry 1 may use at least 18 slots and each other at least 1
 
+  Scenario: An entry whose queue is empty keeps the slots that it uses
+    Twenty requests run at one entry and none wait, while the others are idle. By
+    its queue alone it would lose its slots, queue, and get them back in turns.
+    Given 3 entries that share 4 workers of 8 slots
+    When 20 requests run at entry 1 and the owner grants for 10 seconds
+    Then entry 1 may use at least 20 slots and each other at least 1
+
   Scenario: With more entries than slots each worker has a few entries
     A hundred entries and a worker that takes 64 connections: if each entry kept
     one, the worker would refuse the rest.
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -338,10 +338,14 @@
 
 
 def send_grants(
-    context: Any, demands: list[int], now: float, heard: list[float | None]
+    context: Any,
+    demands: list[int],
+    now: float,
+    heard: list[float | None],
+    in_flight: dict[str, dict[str, int]] | None = None,
 ) -> None:
     demand = dict(zip(context.names, demands, strict=True))
-    grants = context.ledger.grant(context.slots, demand, {}, now)
+    grants = context.ledger.grant(context.slots, demand, in_flight or {}, now)
     for name, entry, time in zip(context.names, context.allowances, heard, strict=True):
         if time is not None:
             grant = Grant(grants[name], time + GRANT_SECONDS, GRANT_SECONDS)
@@ -360,6 +364,17 @@
         send_grants(context, [a, b, c], float(second), [float(second + late)] * 3)
 
 
+@when("{count:d} requests run at entry 1 and the owner grants for {seconds:d} seconds")
+def grant_running(context: Any, count: int, seconds: int) -> None:
+    context.died = float(seconds - 1)
+    context.ledger = make_grant_ledger(0.0, took_over=False)
+    each = count // len(context.slots)
+    running = {"entry-1": dict.fromkeys(context.slots, each)}
+    for second in range(seconds):
+        now = float(second)
+        send_grants(context, [0, 0, 0], now, [now] * 3, running)
+
+
 @when("it grants by a demand of {a:d}, {b:d} and {c:d}, of which entry 1 hears nothing")
 def cut_unheard(context: Any, a: int, b: int, c: int) -> None:
     context.moments = []
--- a/src/primrosestile/decisions/slots.py
+++ b/src/primrosestile/decisions/slots.py
@@ -81,6 +81,25 @@
     }
 
 
+def count_needs(
+    slots: Mapping[str, int], demand: Mapping[str, int], in_flight: Grants
+) -> dict[str, int]:
+    """Return what each entry could have running now: what waits, and what runs.
+
+    An entry whose queue is empty because its slots suffice needs those slots;
+    counted by its queue alone it would lose them and get them back in turns.
+    """
+    return {
+        entry: waiting
+        + sum(
+            count
+            for worker, count in in_flight.get(entry, {}).items()
+            if worker in slots
+        )
+        for entry, waiting in demand.items()
+    }
+
+
 def divide_by_demand(total: int, demand: Mapping[str, int]) -> dict[str, float]:
     """Return each entry's part of the slots: what it needs, at most its fair share.
 
@@ -114,7 +133,7 @@
 
     Args:
         slots: Of each usable worker.
-        demand: Requests that each entry could have running now.
+        demand: Requests that wait at each entry.
         in_flight: What runs, by entry and worker.
         held: Unexpired grants, by entry and worker.
     """
@@ -122,7 +141,7 @@
     total = sum(slots.values())
     if not demand or total <= 0:
         return shares
-    parts = divide_by_demand(total, demand)
+    parts = divide_by_demand(total, count_needs(slots, demand, in_flight))
     credit = {
         entry: xxhash.xxh32_intdigest(entry.encode()) / 2**32 * 1e-3 for entry in parts
     }
@@ -184,7 +203,7 @@
         self._settled = False
         self._latest: dict[str, dict[str, int]] = {}
         self._shared_slots: dict[str, int] = {}
-        self._settled_demand: dict[str, int] = {}
+        self._settled_needs: dict[str, int] = {}
         self._changed_at = 0.0
         # By entry and worker: (when it lapses for certain, slots).
         self._granted: dict[str, dict[str, list[tuple[float, int]]]] = {}
@@ -200,7 +219,8 @@
 
         Args:
             slots: Of each usable worker of the cell.
-            demand: By each live entry; an entry left out gets nothing.
+            demand: Requests that wait at each live entry; an entry left out gets
+                nothing.
             in_flight: By entry and worker.
             now: Seconds of the loop's clock.
         """
@@ -209,17 +229,18 @@
         if not self._settled:
             self._settled = True
             self._count_safe_shares(slots, demand, now)
-        if not self._must_share_anew(slots, demand, now):
+        needs = count_needs(slots, demand, in_flight)
+        if not self._must_share_anew(slots, needs, now):
             self._note(self._latest, now)
             return self._latest
         held = self.count_held(now)
         self._latest = share_slots(slots, demand, in_flight, held)
-        self._settled_demand = dict(demand)
+        self._settled_needs = needs
         self._note(self._latest, now)
         return self._latest
 
     def _must_share_anew(
-        self, slots: Mapping[str, int], demand: Mapping[str, int], now: float
+        self, slots: Mapping[str, int], needs: Mapping[str, int], now: float
     ) -> bool:
         """Whether the grants have to change, or can just be renewed.
 
@@ -227,14 +248,14 @@
         cost more than a fortieth of a core. While held grants still hide a
         change that was asked for, and while demand moves, sharing goes on.
         """
-        if dict(slots) != self._shared_slots or demand.keys() != self._latest.keys():
+        if dict(slots) != self._shared_slots or needs.keys() != self._latest.keys():
             self._shared_slots = dict(slots)
             self._changed_at = now
             return True
         total = sum(slots.values())
-        wanted = divide_by_demand(total, demand)
-        before = divide_by_demand(total, self._settled_demand)
-        leeway = max(1.0, STEADY_SHARE * total / max(1, len(demand)))
+        wanted = divide_by_demand(total, needs)
+        before = divide_by_demand(total, self._settled_needs)
+        leeway = max(1.0, STEADY_SHARE * total / max(1, len(needs)))
         if any(abs(wanted[entry] - before[entry]) > leeway for entry in wanted):
             self._changed_at = now
             return True
--- a/tools/bench/requests_policies.py
+++ b/tools/bench/requests_policies.py
@@ -254,10 +254,7 @@
         in_flight = {
             entry.name: entry.router.count_in_flight() for entry in self.entries
         }
-        demand = {
-            entry.name: len(entry.queue) + sum(in_flight[entry.name].values())
-            for entry in self.entries
-        }
+        demand = {entry.name: len(entry.queue) for entry in self.entries}
         usable = {
             name: count for name, count in self._slots.items() if name not in leaving
         }
