Never look at an attempt without an age for ever

An attempt that is found is watched again at twice its age; when its age is 0, as it is for a target that answers within one step of the loop's clock, that is due at once and the loop never ends. Ruled out: the store, the workers and the targets' adapter, which were all idle.

Change: nothing is due before 0.05 s of age.

--- a/features/requests/targets.feature
+++ b/features/requests/targets.feature
@@ -33,6 +33,14 @@
     When "target-1" says that it leaves
     Then none of 60 choices is "target-1"
 
+  Scenario: A target that answers at once does not hold the entry up
+    Answers come within the step of the loop's clock, so an attempt is looked at
+    in the moment at which it began. Twice an age of nothing is nothing: the entry
+    would look at it for ever, and all its callers would wait in vain.
+    Given an attempt that began at this moment and is expected to take no time
+    When attempts that run too long are looked for at this moment
+    Then the search ends
+
   Scenario: A target that refuses is left alone for a moment
     Another entry uses its slots. Asked again at once, it would refuse again and
     cost a round trip each time.
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -1,3 +1,4 @@
+import threading
 from collections.abc import Iterator
 from dataclasses import replace
 from functools import cache
@@ -11,6 +12,7 @@
 from tools.bench.requests_workloads import find_plan
 
 from primrosestile.decisions.allowances import Allowances, Grant
+from primrosestile.decisions.overdue import OverdueWatch, Running
 from primrosestile.decisions.quarantine import make_ledger
 from primrosestile.decisions.queueing import Waiting, make_queue
 from primrosestile.decisions.routing import Outcome as Ended, Router, make_router
@@ -605,3 +607,23 @@
 def pass_canaries(context: Any, count: int, worker: str) -> None:
     for _ in range(count):
         context.ledger.record(worker, "canary", False, context.now)
+
+
+@given("an attempt that began at this moment and is expected to take no time")
+def start_quick_attempt(context: Any) -> None:
+    context.overdue = OverdueWatch()
+    context.overdue.start(Running("target-1", "r1", 10.0, 0.0))
+
+
+@when("attempts that run too long are looked for at this moment")
+def collect_quick_attempt(context: Any) -> None:
+    context.finder = threading.Thread(
+        target=context.overdue.collect, args=(10.0,), daemon=True
+    )
+    context.finder.start()
+
+
+@then("the search ends")
+def check_search_ended(context: Any) -> None:
+    context.finder.join(timeout=10.0)
+    assert not context.finder.is_alive()
--- a/src/primrosestile/decisions/overdue.py
+++ b/src/primrosestile/decisions/overdue.py
@@ -11,6 +11,9 @@
 # One request in fifty runs four times its mean where run times vary as much as
 # their mean, so a single one proves nothing; it is one sample among others.
 OVERDUE_FACTOR = 4.0
+# The loop's clock moves in steps, and a target may answer within one. An attempt
+# without an age would be due again at once, for ever, and the entry would stop.
+LEAST_AGE_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,4 +66,5 @@
 
     def _watch(self, running: Running, age: float) -> None:
         self._sequence += 1
-        heapq.heappush(self._due, (running.started_at + age, self._sequence, running))
+        due = running.started_at + max(age, LEAST_AGE_SECONDS)
+        heapq.heappush(self._due, (due, self._sequence, running))
