--- a/features/requests/targets.feature
+++ b/features/requests/targets.feature
@@ -5,6 +5,22 @@
     that believe they hold the same slot would overload the worker.
     Then 400 runs of the grant machine keep to the oracle
 
+  Scenario: A grant that was cut counts in full until it has lapsed
+    The message with the smaller grant is lost, so the entry goes on using the
+    larger one. Its slots must not be given to another meanwhile.
+    Given 3 entries that share 4 workers of 8 slots
+    When the owner grants by a demand of 100, 0 and 3 for 10 seconds
+    And it grants by a demand of 0, 100 and 3, of which entry 1 hears nothing
+    Then at no time do the grants together exceed 8 slots of a worker
+
+  Scenario: A grant that arrives late counts from its arrival
+    The message takes the longest time allowed for it, and the entry believes the
+    grant for as much longer.
+    Given 3 entries that share 4 workers of 8 slots
+    When the owner grants by a demand of 100, 0 and 3 and is heard 1 second late
+    And it grants by a demand of 0, 100 and 3, of which entry 1 hears nothing
+    Then at no time do the grants together exceed 8 slots of a worker
+
   Scenario: The death of a cell's owner frees no slot twice
     The owner dies and grants lapse one after another. An entry that fell back to
     its full safe share too early would use a slot that another still holds.
@@ -20,6 +36,13 @@
     When the owner grants by a demand of 100, 0 and 3 for 10 seconds
     Then entry 1 may use at least 18 slots and each other at least 1
 
+  Scenario: An entry whose queue is empty keeps the slots that it uses
+    Twenty requests run at one entry and none wait, while the others are idle. By
+    its queue alone it would lose its slots, queue, and get them back in turns.
+    Given 3 entries that share 4 workers of 8 slots
+    When 20 requests run at entry 1 and the owner grants for 10 seconds
+    Then entry 1 may use at least 20 slots and each other at least 1
+
   Scenario: With more entries than slots each worker has a few entries
     A hundred entries and a worker that takes 64 connections: if each entry kept
     one, the worker would refuse the rest.
@@ -33,6 +56,14 @@
     When "target-1" says that it leaves
     Then none of 60 choices is "target-1"
 
+  Scenario: A target that answers at once does not hold the entry up
+    Answers come within the step of the loop's clock, so an attempt is looked at
+    in the moment at which it began. Twice an age of nothing is nothing: the entry
+    would look at it for ever, and all its callers would wait in vain.
+    Given an attempt that began at this moment and is expected to take no time
+    When attempts that run too long are looked for at this moment
+    Then the search ends
+
   Scenario: A target that refuses is left alone for a moment
     Another entry uses its slots. Asked again at once, it would refuse again and
     cost a round trip each time.
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -1,3 +1,4 @@
+import threading
 from collections.abc import Iterator
 from dataclasses import replace
 from functools import cache
@@ -11,6 +12,7 @@
 from tools.bench.requests_workloads import find_plan
 
 from primrosestile.decisions.allowances import Allowances, Grant
+from primrosestile.decisions.overdue import OverdueWatch, Running
 from primrosestile.decisions.quarantine import make_ledger
 from primrosestile.decisions.queueing import Waiting, make_queue
 from primrosestile.decisions.routing import Outcome as Ended, Router, make_router
@@ -320,27 +322,84 @@
     context.names = [f"entry-{number}" for number in range(1, entries + 1)]
     context.slots = {f"worker-{number}": slots for number in range(workers)}
     context.allowances = [Allowances(name) for name in context.names]
+    context.grants = {}
     for allowances in context.allowances:
         allowances.set_slots(context.slots)
         allowances.set_entries(context.names)
 
 
-def grant_for(context: Any, demands: list[int], rounds: int) -> float:
-    ledger = make_grant_ledger(0.0, took_over=False)
-    demand = dict(zip(context.names, demands, strict=True))
+def grant_for(
+    context: Any, demands: list[int], rounds: int, late: float = 0.3
+) -> float:
+    context.ledger = make_grant_ledger(0.0, took_over=False)
     for second in range(rounds):
-        now = float(second)
-        grants = ledger.grant(context.slots, demand, {}, now)
-        for number, (name, allowances) in enumerate(
-            zip(context.names, context.allowances, strict=True)
-        ):
-            # They hear of it one after another, within the time allowed for it.
-            heard = now + 0.3 * number
-            grant = Grant(grants[name], heard + GRANT_SECONDS, GRANT_SECONDS)
-            allowances.set_grant(context.slots, grant, heard)
+        # They hear of it one after another, within the time allowed for it.
+        heard = [float(second) + late * number for number in (1, 2, 3)]
+        send_grants(context, demands, float(second), heard)
     return float(rounds - 1)
 
 
+def send_grants(
+    context: Any,
+    demands: list[int],
+    now: float,
+    heard: list[float | None],
+    in_flight: dict[str, dict[str, int]] | None = None,
+) -> None:
+    demand = dict(zip(context.names, demands, strict=True))
+    grants = context.ledger.grant(context.slots, demand, in_flight or {}, now)
+    for name, entry, time in zip(context.names, context.allowances, heard, strict=True):
+        if time is not None:
+            grant = Grant(grants[name], time + GRANT_SECONDS, GRANT_SECONDS)
+            entry.set_grant(context.slots, grant, time)
+            context.grants[name] = grant
+
+
+@when(
+    "the owner grants by a demand of {a:d}, {b:d} and {c:d} and is heard "
+    "{late:d} second late"
+)
+def grant_late(context: Any, a: int, b: int, c: int, late: int) -> None:
+    context.died = 9.0
+    context.ledger = make_grant_ledger(0.0, took_over=False)
+    for second in range(10):
+        send_grants(context, [a, b, c], float(second), [float(second + late)] * 3)
+
+
+@when("{count:d} requests run at entry 1 and the owner grants for {seconds:d} seconds")
+def grant_running(context: Any, count: int, seconds: int) -> None:
+    context.died = float(seconds - 1)
+    context.ledger = make_grant_ledger(0.0, took_over=False)
+    each = count // len(context.slots)
+    running = {"entry-1": dict.fromkeys(context.slots, each)}
+    for second in range(seconds):
+        now = float(second)
+        send_grants(context, [0, 0, 0], now, [now] * 3, running)
+
+
+@when("it grants by a demand of {a:d}, {b:d} and {c:d}, of which entry 1 hears nothing")
+def cut_unheard(context: Any, a: int, b: int, c: int) -> None:
+    context.moments = []
+    for step in range(1, 60):
+        now = context.died + step * 0.2
+        send_grants(context, [a, b, c], now, [None, now, now])
+        context.moments.append((now, dict(context.grants)))
+    final = context.moments[-1][1]["entry-2"]
+    assert sum(final.slots.values()) >= 18, "entry 2 never got what entry 1 lost"
+
+
+@then("at no time do the grants together exceed {slots:d} slots of a worker")
+def check_grants(context: Any, slots: int) -> None:
+    for now, grants in context.moments:
+        for worker in context.slots:
+            total = sum(
+                grant.slots.get(worker, 0)
+                for grant in grants.values()
+                if grant.until > now
+            )
+            assert total <= slots, (worker, now, total)
+
+
 @when("the owner grants by a demand of {a:d}, {b:d} and {c:d} and then dies")
 def grant_and_die(context: Any, a: int, b: int, c: int) -> None:
     context.died = grant_for(context, [a, b, c], 10)
@@ -605,3 +664,23 @@
 def pass_canaries(context: Any, count: int, worker: str) -> None:
     for _ in range(count):
         context.ledger.record(worker, "canary", False, context.now)
+
+
+@given("an attempt that began at this moment and is expected to take no time")
+def start_quick_attempt(context: Any) -> None:
+    context.overdue = OverdueWatch()
+    context.overdue.start(Running("target-1", "r1", 10.0, 0.0))
+
+
+@when("attempts that run too long are looked for at this moment")
+def collect_quick_attempt(context: Any) -> None:
+    context.finder = threading.Thread(
+        target=context.overdue.collect, args=(10.0,), daemon=True
+    )
+    context.finder.start()
+
+
+@then("the search ends")
+def check_search_ended(context: Any) -> None:
+    context.finder.join(timeout=10.0)
+    assert not context.finder.is_alive()
