Show a slot handed to a caller who has just gone away: red

Cause: the request machine met InvalidStateError in callers that had done nothing wrong; a turn's future was cancelled, and its task had not run yet when another request ended and handed the slot on. Change: the shortest run as a scenario. Measured: 'A caller who hangs up takes no answer away from another one' ERRORS with InvalidStateError; it stays red until coordination is mended.

--- a/features/fuzzing/found.feature
+++ b/features/fuzzing/found.feature
@@ -62,3 +62,11 @@
     When the caller of the moving job asks for its cancellation
     And 10 seconds pass in the fuzzed cell with every placer replaced
     Then the caller was refused, or the moved job is asked to be cancelled
+
+  Scenario: A caller who hangs up takes no answer away from another one
+    A caller goes away at the very moment at which another request ends and its
+    slot goes to the next in line. If handing the slot to the one who left failed,
+    the other caller would lose a whole answer to work that ran.
+    Given one slot with a request in it and another request waiting for it
+    When the waiting caller hangs up just before the request in the slot ends
+    Then the slot is free for a third request
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -9,6 +9,7 @@
     check_settled,
 )
 from features.doubles.network import Fate
+from features.doubles.slots import SLOT, OneSlot
 from features.fuzzing.gangs import GangMachine
 from features.fuzzing.requests import RequestMachine
 from features.fuzzing.running import run_machine
@@ -143,6 +144,22 @@
     check_settled(context.deployment)
 
 
+@given("one slot with a request in it and another request waiting for it")
+def give_full_slot(context: Any) -> None:
+    context.counter = OneSlot()
+    context.cleanups.append(context.counter.close)
+
+
+@when("the waiting caller hangs up just before the request in the slot ends")
+def hang_up(context: Any) -> None:
+    context.counter.hang_up_and_end()
+
+
+@then("the slot is free for a third request")
+def check_slot(context: Any) -> None:
+    assert context.counter.take_slot() == SLOT
+
+
 @then("{runs:d} runs of {steps:d} steps with placers and workers keep every promise")
 def run_gangs(context: Any, runs: int, steps: int) -> None:
     run_machine(GangMachine, runs, steps)
