Show an id that is shut out when its caller hangs up early: red

Cause: with a slow store the request machine met ids that got 'in progress' for ever. The claim is given back before its own write has landed; it finds nothing there, and the claim lands under a holder that lives.

--- a/features/fuzzing/found.feature
+++ b/features/fuzzing/found.feature
@@ -70,3 +70,12 @@
     Given one slot with a request in it and another request waiting for it
     When the waiting caller hangs up just before the request in the slot ends
     Then the slot is free for a third request
+
+  Scenario: A caller who hangs up while the claim is written does not shut its id out
+    The store is slow, a caller goes away before the claim on its request stands. If
+    giving the claim back found nothing there, and the claim landed afterwards, the
+    same surcharge run could not be sent again for a day.
+    Given a fuzzed counter with two entries
+    And the store of the fuzzed counter takes 1.5 seconds for each call
+    When a clerk sends a surcharge run and hangs up 2.0 seconds later
+    Then the surcharge run is answered when it is sent again
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -9,6 +9,12 @@
     check_settled,
 )
 from features.doubles.network import Fate
+from features.doubles.requests import (
+    SETTLE_SECONDS as SETTLE_REQUESTS_SECONDS,
+    Counter,
+    check_answerable,
+    check_requests,
+)
 from features.doubles.slots import SLOT, OneSlot
 from features.fuzzing.gangs import GangMachine
 from features.fuzzing.requests import RequestMachine
@@ -160,6 +166,33 @@
     assert context.counter.take_slot() == SLOT
 
 
+@given("a fuzzed counter with two entries")
+def give_counter(context: Any) -> None:
+    context.counter = Counter()
+    context.cleanups.append(context.counter.close)
+    context.counter.advance(3.0)
+
+
+@given("the store of the fuzzed counter takes {seconds:f} seconds for each call")
+def slow_counter_store(context: Any, seconds: float) -> None:
+    context.counter.store.faults.slow_seconds = seconds
+
+
+@when("a clerk sends a surcharge run and hangs up {seconds:f} seconds later")
+def send_and_hang_up(context: Any, seconds: float) -> None:
+    context.counter.send_new("e0", idempotent=False, seconds=0.1)
+    context.counter.advance(seconds)
+    context.counter.hang_up(0)
+
+
+@then("the surcharge run is answered when it is sent again")
+def check_sent_again(context: Any) -> None:
+    context.counter.heal()
+    context.counter.advance(SETTLE_REQUESTS_SECONDS)
+    check_answerable(context.counter)
+    check_requests(context.counter)
+
+
 @then("{runs:d} runs of {steps:d} steps with placers and workers keep every promise")
 def run_gangs(context: Any, runs: int, steps: int) -> None:
     run_machine(GangMachine, runs, steps)
