Keep cells, reports and short requests within their region

Ruled out: rarer reports, since grants of slots lapse in 3 s. Change: placers of a cell's own region come first in its order, entries speak to and send to their own region, far ones serve only where there is none near; placers ask one another at most 10 times a second.

--- a/src/primrosestile/coordination/caretaking.py
+++ b/src/primrosestile/coordination/caretaking.py
@@ -16,7 +16,7 @@
 
 from primrosestile.coordination.cell import CellKeeper
 from primrosestile.coordination.membership import Directory, ProcessLease
-from primrosestile.coordination.ownertable import rank_placers
+from primrosestile.decisions.nearness import rank_placers
 from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.workers import TaskPhase, WorkerReport, Workers
@@ -66,15 +66,14 @@
             await asyncio.sleep(pause * random.uniform(0.6, 1.0))
 
     def _choose_cells(self) -> list[Cell]:
-        placers = [record.name for record in self._directory.records("placer")]
-        if self._name not in placers:
-            placers.append(self._name)
+        placers = self._directory.records("placer")
         mine = self._read_keepers()
+        view = view_settings(self._read_settings())
         return [
             cell
-            for cell in self._read_settings().fleet.cells
-            if cell.name not in mine
-            and self._name in rank_placers(cell.name, placers)[:CARETAKERS_PER_CELL]
+            for name, cell in view.cells.items()
+            if name not in mine
+            and self._name in rank_placers(name, placers, view)[:CARETAKERS_PER_CELL]
         ]
 
     async def _visit_cells(self) -> None:
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -17,6 +17,7 @@
 from primrosestile.coordination.membership import Directory
 from primrosestile.coordination.vmwatch import VmWatch
 from primrosestile.decisions.cellchoice import CellPicture
+from primrosestile.decisions.nearness import choose_near, choose_near_targets
 from primrosestile.decisions.settingsview import SettingsView, view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.messages import CellDigests, DemandReport
@@ -40,6 +41,7 @@
     def __init__(
         self,
         name: str,
+        failure_domain: str,
         peers: Peers,
         directory: Directory,
         dispatcher: Dispatcher,
@@ -47,6 +49,7 @@
         read_settings: Callable[[], Settings],
     ) -> None:
         self._name = name
+        self._failure_domain = failure_domain
         self._peers = peers
         self._directory = directory
         self._dispatcher = dispatcher
@@ -72,14 +75,18 @@
     def _match_tasks(
         self, group: asyncio.TaskGroup, tasks: dict[str, "asyncio.Task[None]"]
     ) -> None:
-        placers = {record.name: record for record in self._directory.records("placer")}
+        view = view_settings(self._read_settings())
+        found = self._directory.records("placer")
+        near = choose_near(self._failure_domain, found, view)
+        placers = {record.name: record for record in near}
         for name in [name for name in tasks if name not in placers]:
             tasks.pop(name).cancel()
         for name, record in placers.items():
             if name not in tasks:
                 tasks[name] = group.create_task(self._follow(record))
-        entries = [each.name for each in self._directory.records("entry")]
-        self._dispatcher.router.set_entries(entries)
+        entries = self._directory.records("entry")
+        sharing = choose_near(self._failure_domain, entries, view)
+        self._dispatcher.router.set_entries([each.name for each in sharing])
 
     async def _follow(self, record: ProcessRecord) -> None:
         while True:
@@ -138,8 +145,12 @@
         if self._routed != (view, leaving):
             # Sorting in 15,000 targets takes tens of milliseconds; digests come
             # many times a second and seldom change the set.
+            if self._routed[0] is not view:
+                # Other settings may put other placers near.
+                self._changed.set()
             self._routed = (view, leaving)
-            self._dispatcher.router.set_targets(view.slots, frozenset(leaving), now)
+            slots = choose_near_targets(self._failure_domain, view)
+            self._dispatcher.router.set_targets(slots, frozenset(leaving), now)
         self._dispatcher.queue.set_slots(self._dispatcher.router.count_slots(now))
         self._dispatcher.wake()
 
--- a/src/primrosestile/coordination/exchange.py
+++ b/src/primrosestile/coordination/exchange.py
@@ -1,6 +1,6 @@
 """What placers tell one another of their cells, and what follows from it.
 
-Every two seconds each placer asks the others for digests. The picture is soft: it
+Every few seconds each placer asks the others for digests. The picture is soft: it
 decides where a waiting job might do better and which failure domains are lost, and
 a mistake costs a detour or some room kept for nothing, never a promise.
 """
@@ -16,6 +16,10 @@
 from primrosestile.clock import read_clock
 from primrosestile.coordination.membership import Directory
 from primrosestile.decisions.cellchoice import CellPicture
+from primrosestile.decisions.pacing import (
+    EXCHANGE_SECONDS,
+    choose_exchange_seconds,
+)
 from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.messages import CellDigest, CellDigests, DigestRequest
@@ -23,9 +27,9 @@
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Shape
 
-EXCHANGE_SECONDS = 2.0
 EXCHANGE_TIMEOUT_SECONDS = 1.0
-FRESH_SECONDS = 6.0
+# A digest counts as fresh for this many questions: two may be lost.
+FRESH_ROUNDS = 3
 # A domain counts as lost only after this: re-assigning its guarantees evicts work
 # elsewhere, which a cut of a few seconds is not worth.
 LOST_AFTER_SECONDS = 10.0
@@ -148,18 +152,28 @@
         self._directory = directory
         self._read_settings = read_settings
         self._read_own = read_own
+        self._seconds = EXCHANGE_SECONDS
         self._empty_since: dict[str, float] = {}
 
     async def run(self) -> None:
-        """Ask every two seconds until cancelled."""
+        """Ask every few seconds until cancelled."""
         while True:
             self.table.take_in(self._read_own())
+            others = [
+                record
+                for record in self._directory.records("placer")
+                if record.name != self._name
+            ]
+            self._seconds = choose_exchange_seconds(len(others))
             async with asyncio.TaskGroup() as group:
-                for record in self._directory.records("placer"):
-                    if record.name != self._name:
-                        group.create_task(self._ask(record.peer))
+                for record in others:
+                    group.create_task(self._ask(record.peer))
             self._note_empty_domains()
-            await asyncio.sleep(EXCHANGE_SECONDS * random.uniform(0.8, 1.0))
+            await asyncio.sleep(self._seconds * random.uniform(0.8, 1.0))
+
+    @property
+    def _fresh_seconds(self) -> float:
+        return FRESH_ROUNDS * self._seconds
 
     async def _ask(self, peer: str) -> None:
         try:
@@ -189,7 +203,7 @@
         """
         working: dict[str, bool] = {}
         for cell, domain in view_settings(self._read_settings()).domain_of.items():
-            digest = self.table.find_fresh(cell, FRESH_SECONDS)
+            digest = self.table.find_fresh(cell, self._fresh_seconds)
             works = digest is None or bool(digest.free)
             working[domain] = working.get(domain, False) or works
         return working
@@ -197,7 +211,7 @@
     def list_pictures(self, organisation: str, shape: Shape) -> list[CellPicture]:
         """Return what is known of each cell that could ever hold a shape."""
         return self.table.list_pictures(
-            self._read_settings(), organisation, shape, FRESH_SECONDS
+            self._read_settings(), organisation, shape, self._fresh_seconds
         )
 
     def note_handed(self, cell: str, accelerators: int) -> None:
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -25,10 +25,10 @@
     Owned,
     OwnerTable,
     decode_owned,
-    rank_placers,
 )
 from primrosestile.coordination.placing import Elsewhere
 from primrosestile.coordination.writing import delete_settled, put_settled
+from primrosestile.decisions.nearness import rank_placers
 from primrosestile.decisions.settingsview import view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Store
@@ -157,13 +157,14 @@
 
     def _rank_of(self, name: str) -> int:
         placers = [
-            record.name
+            record
             for record in self._directory.records("placer")
-            if not record.leaving
+            if not record.leaving and record.name != self._record.name
         ]
-        if self._record.name not in placers:
-            placers.append(self._record.name)
-        return rank_placers(name, placers).index(self._record.name)
+        ranked = rank_placers(
+            name, [*placers, self._record], view_settings(self._settings)
+        )
+        return ranked.index(self._record.name)
 
     async def _create_key(self, name: str) -> int | None:
         key = CELLS_PREFIX + name
--- a/src/primrosestile/coordination/ownertable.py
+++ b/src/primrosestile/coordination/ownertable.py
@@ -6,7 +6,6 @@
 
 import msgspec
 import structlog
-import xxhash
 
 from primrosestile.coordination.writing import list_all
 from primrosestile.errors import Failure
@@ -19,15 +18,6 @@
 _log = structlog.get_logger()
 
 
-def rank_placers(cell: str, placers: list[str]) -> list[str]:
-    """Return placers in the order in which they try for a cell."""
-
-    def weigh(name: str) -> int:
-        return xxhash.xxh64_intdigest(f"{cell}\0{name}".encode())
-
-    return sorted(placers, key=weigh, reverse=True)
-
-
 @dataclass(frozen=True, slots=True)
 class Owned:
     """A cell that the store shows as owned.
--- a/src/primrosestile/decisions/pacing.py
+++ b/src/primrosestile/decisions/pacing.py
@@ -16,6 +16,22 @@
 MOST_ROUNDS_PER_SECOND = 40.0
 
 
+# Placers speak to one another this often while they are few.
+EXCHANGE_SECONDS = 2.0
+# Questions of one placer each second. At 0.4 ms for asking and being asked, this
+# is 0.4% of a core.
+MOST_EXCHANGES_PER_SECOND = 10.0
+
+
+def choose_exchange_seconds(peers: int) -> float:
+    """Return the seconds between two questions of a placer to the same other one.
+
+    Made for 9 to some hundred placers. What they tell one another decides where a
+    waiting job might do better, which may be slower where there are more cells.
+    """
+    return max(EXCHANGE_SECONDS, peers / MOST_EXCHANGES_PER_SECOND)
+
+
 def choose_round_seconds(
     lease_seconds: float, jobs_wait: bool, workers_followed: int
 ) -> float:
--- a/src/primrosestile/decisions/settingsview.py
+++ b/src/primrosestile/decisions/settingsview.py
@@ -51,6 +51,7 @@
         slots: Of each worker, by its name.
         workers_in: The workers of each cell, in the order of settings.
         domain_of: The failure domain of each cell.
+        region_of: The region of each failure domain.
         capacity: Of each cell.
         teams: By name.
     """
@@ -68,6 +69,7 @@
             cell.name: domains.get(cell.racks[0], "") if cell.racks else ""
             for cell in fleet.cells
         }
+        self.region_of = {each.name: each.region for each in fleet.failure_domains}
         self.capacity = {
             name: _measure(workers) for name, workers in self.workers_in.items()
         }
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -64,6 +64,7 @@
     )
     cells = CellWatch(
         settings.name,
+        settings.failure_domain,
         parts.peers,
         parts.directory,
         dispatcher,
