--- a/src/primrosestile/decisions/fragmentation_moves.py
+++ b/src/primrosestile/decisions/fragmentation_moves.py
@@ -21,17 +21,18 @@
 from primrosestile.decisions.reclaim import Opening
 from primrosestile.state.tenancy import Policy, Shape, Urgency
 
-# Largest part of a cell's accelerator time that moves may cost, with all policy
-# weight on fragmentation. Operators pay for every accelerator second, working or
-# moving; at this limit moves cannot cost more than they see in everyday noise.
-COST_SHARE = 0.05
+# Largest part of a cell's accelerator time that the move of one interval may cost,
+# with all policy weight on fragmentation. It bounds a single move, which seldom
+# comes: most of the time nothing is scattered, or what would have to move fits
+# nowhere else. Half of it made half as many moves, and work ended no sooner.
+COST_SHARE = 0.2
 
 # Seconds between moves of one cell. It bounds how often a job can be disturbed,
 # and lets the effect of one move be seen before the next.
-INTERVAL_SECONDS = 120.0
+INTERVAL_SECONDS = 60.0
 
 # Most jobs of one move; their stops and starts burden the same workers at once.
-VICTIM_LIMIT = 6
+VICTIM_LIMIT = 8
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/bench/placement.py
+++ b/tools/bench/placement.py
@@ -115,6 +115,7 @@
         ),
         "guarantee_start_max_seconds": find_quantile(outcome.owed_delays, 1.0),
         "fragmentation": average(outcome.fragmentation),
+        "fragmentation_floor": average(outcome.floor),
         "fragmentation_when_largest_could_fit": average(outcome.scattered),
         "fragmentation_of_eight_adjacent": average(outcome.scattered_eight),
         "free_accelerators": average([float(each) for each in outcome.free]),
--- a/tools/bench/placement_driver.py
+++ b/tools/bench/placement_driver.py
@@ -53,6 +53,7 @@
     owed_delays: list[float] = field(default_factory=list)
     longest_wait: float = 0.0
     fragmentation: list[float] = field(default_factory=list)
+    floor: list[float] = field(default_factory=list)
     scattered: list[float] = field(default_factory=list)
     scattered_eight: list[float] = field(default_factory=list)
     free: list[int] = field(default_factory=list)
@@ -73,6 +74,7 @@
             "probe_delays",
             "owed_delays",
             "fragmentation",
+            "floor",
             "scattered",
             "scattered_eight",
             "free",
@@ -213,6 +215,7 @@
         self.outcome.useless.append(share * free)
         if free:
             self.outcome.fragmentation.append(share)
+            self.outcome.floor.append(self._find_floor(free))
         if free >= self.largest.accelerators:
             self.outcome.scattered.append(share)
         if free >= DEFAULT_SHAPE.accelerators:
@@ -225,6 +228,12 @@
         if now + SAMPLE_SECONDS <= self.window:
             self._at(now + SAMPLE_SECONDS, "sample", "")
 
+    def _find_floor(self, free: int) -> float:
+        """Return the fragmentation of as many free accelerators, packed tightest."""
+        if free < self.largest.accelerators:
+            return 1.0
+        return free % DEFAULT_SHAPE.accelerators / free
+
     def _can_keep_promises(self) -> bool:
         """Whether rooms are found, also for a policy that knows of no promises."""
         view = CellView(self.view.workers, self.promised)
