Bound the slots of long patient work by what urgent work uses

Cause: a quarter of the slots at most was left to urgent work, though it used more than half. Ages also weighed little: a slow target of even runs was set aside after 31 s to 64 s, by five of six entries.

Change: long patient work holds at most what the average of urgent work leaves, and at least its kept share; an age of four times what nine in ten of the class need counts two fifths.

--- a/features/requests/targets.feature
+++ b/features/requests/targets.feature
@@ -94,3 +94,17 @@
     Given a router with 3 targets
     When 100 runs of each kind of work take 1 second
     Then only urgent idempotent work is hedged
+
+  Scenario: Long patient work leaves a slot for the first urgent request
+    A bulk of long patient work comes in a quiet hour. If it took every slot, a
+    quote a moment later would wait until one of them ends.
+    Given a router with 1 targets
+    When patient requests that run for 60 seconds start as long as one may
+    Then 7 of 8 slots are used and an urgent request still gets one
+
+  Scenario: Long patient work gets its kept share beside a flood of urgent work
+    Urgent work uses every slot there is. If it kept long patient work out, the
+    overnight tables would never be ready.
+    Given a router with 5 targets
+    When urgent requests take every slot for 100 seconds and then 10 of them end
+    Then 8 patient requests that run for 60 seconds may start
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -662,3 +662,56 @@
 def pass_canaries(context: Any, count: int, worker: str) -> None:
     for _ in range(count):
         context.ledger.record(worker, "canary", False, context.now)
+
+
+def make_long(number: int, now: float) -> Waiting:
+    return make_waiting(
+        f"long-{number}",
+        now,
+        urgency=Urgency.PATIENT,
+        job_class="tables",
+        expected_seconds=60.0,
+        deadline=now + 1000.0,
+    )
+
+
+def start_long(router: Router, now: float) -> int:
+    for number in range(100):
+        waiting = make_long(number, now)
+        target = router.choose(waiting, now)
+        if target is None:
+            return number
+        router.start(target, waiting, now)
+    raise AssertionError("there are not so many slots")
+
+
+@when("patient requests that run for 60 seconds start as long as one may")
+def fill_long(context: Any) -> None:
+    context.started = start_long(context.router, 0.0)
+
+
+@then("{used:d} of {slots:d} slots are used and an urgent request still gets one")
+def check_one_left(context: Any, used: int, slots: int) -> None:
+    assert context.router.count_slots(0.0) == slots
+    assert context.started == used
+    assert context.router.choose(make_waiting("urgent"), 0.0) is not None
+
+
+@when(
+    "urgent requests take every slot for {seconds:d} seconds and then {count:d} "
+    "of them end"
+)
+def flood_urgent(context: Any, seconds: int, count: int) -> None:
+    started = []
+    while target := context.router.choose(make_waiting(len(started)), 0.0):
+        waiting = make_waiting(len(started))
+        context.router.start(target, waiting, 0.0)
+        started.append((target, waiting))
+    context.now = float(seconds)
+    for target, waiting in started[:count]:
+        context.router.finish(target, waiting, Ended.OK, 1.0, context.now)
+
+
+@then("{count:d} patient requests that run for 60 seconds may start")
+def check_kept_share(context: Any, count: int) -> None:
+    assert start_long(context.router, context.now) == count
--- a/src/primrosestile/decisions/outliers.py
+++ b/src/primrosestile/decisions/outliers.py
@@ -17,8 +17,14 @@
 # Weight of a new run; averages of logarithms settle within some twenty runs and are
 # not thrown by one long run.
 NEW_RUN_WEIGHT = 0.1
+# Weight of the age of a run that is far overdue. Such ages are rare by chance, so
+# two of them are enough to call a target slow, and one is not.
+OVERDUE_WEIGHT = 0.4
 # Runs before a target can be called slow, since one long run says little.
 ENOUGH_RUNS = 4
+# Keep the logarithm finite for runs that took no measurable time.
+SHORTEST_RUN = 1e-6
+LEAST_RATIO = 1e-6
 # Failures in a row that set a target aside. A target that fails one request in
 # ten does this once in a thousand.
 FAILURES_IN_A_ROW = 3
@@ -99,12 +105,29 @@
         if health is None:
             return
         health.failures_in_a_row = 0
-        ratio = math.log(max(seconds, 1e-6) / max(expected, 1e-6))
+        self._note_ratio(
+            name, health, seconds / max(expected, SHORTEST_RUN), NEW_RUN_WEIGHT, now
+        )
+
+    def note_overdue(
+        self, name: str, seconds: float, expected: float, now: float
+    ) -> None:
+        """Learn from the age of a run that should have ended long ago."""
+        health = self._targets.get(name)
+        if health is not None:
+            self._note_ratio(
+                name, health, seconds / max(expected, SHORTEST_RUN), OVERDUE_WEIGHT, now
+            )
+
+    def _note_ratio(
+        self, name: str, health: Health, ratio: float, weight: float, now: float
+    ) -> None:
+        slowness = math.log(max(ratio, LEAST_RATIO))
         health.runs += 1
         if health.trying:
-            self._end_try(name, health, ratio, now)
+            self._end_try(name, health, slowness, now)
             return
-        health.slowness += NEW_RUN_WEIGHT * (ratio - health.slowness)
+        health.slowness += weight * (slowness - health.slowness)
         self._refresh_median()
         if health.runs >= ENOUGH_RUNS and self._is_slow(health.slowness):
             self._set_aside(name, health, now)
@@ -180,8 +203,8 @@
         health.resting_until = time
         self._next_try = min(self._next_try, time)
 
-    def _end_try(self, name: str, health: Health, ratio: float, now: float) -> None:
-        if self._is_slow(ratio):
+    def _end_try(self, name: str, health: Health, slowness: float, now: float) -> None:
+        if self._is_slow(slowness):
             self._rest_again(health, now)
             return
         health.trying = False
--- a/src/primrosestile/decisions/overdue.py
+++ b/src/primrosestile/decisions/overdue.py
@@ -8,8 +8,9 @@
 import heapq
 from dataclasses import dataclass
 
-# One request in fifty runs four times its mean where run times vary as much as
-# their mean, so a single one proves nothing; it is one sample among others.
+# An attempt is remarkable once it has run four times as long as nine in ten of
+# its class. Where run times vary as much as their mean, one in ten thousand does.
+OVERDUE_QUANTILE = 0.9
 OVERDUE_FACTOR = 4.0
 
 
@@ -19,12 +20,14 @@
 
     Attributes:
         expected: Seconds that its class takes on average.
+        remarkable: Seconds after which its age says something about the target.
     """
 
     target: str
     request_id: str
     started_at: float
     expected: float
+    remarkable: float
 
 
 class OverdueWatch:
@@ -39,7 +42,7 @@
     def start(self, running: Running) -> None:
         """Watch an attempt."""
         self._running[(running.target, running.request_id)] = running
-        self._watch(running, running.expected * OVERDUE_FACTOR)
+        self._watch(running, running.remarkable)
 
     def finish(self, target: str, request_id: str) -> bool:
         """Watch it no longer; return whether it had become remarkable."""
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -16,8 +16,14 @@
 
 from primrosestile.decisions.admission import Waiting
 from primrosestile.decisions.capacity import Capacity
+from primrosestile.decisions.headroom import Headroom
 from primrosestile.decisions.outliers import make_outliers
-from primrosestile.decisions.overdue import OverdueWatch, Running
+from primrosestile.decisions.overdue import (
+    OVERDUE_FACTOR,
+    OVERDUE_QUANTILE,
+    OverdueWatch,
+    Running,
+)
 from primrosestile.decisions.retries import make_retry_budget
 from primrosestile.decisions.servicetimes import Experience
 from primrosestile.state.tenancy import Policy, Urgency
@@ -29,18 +35,11 @@
 # Recent run times that differ by less than a half count as the same. Chance makes
 # such differences, and all entries would run after the same fastest target.
 LOG_STEP = math.log(1.5)
-# Patient work that runs longer than this must leave room for urgent work, since
-# its slots come free too seldom. Shorter work frees a slot soon enough anyway.
-LONG_SECONDS = 2.0
-# Most slots that are kept free of long patient work.
-MOST_RESERVED = 0.25
-# The peak of urgent work is forgotten at this rate, so that a morning's rush
-# reserves nothing all day.
-PEAK_MEMORY_SECONDS = 60.0
 # A hedge is sent when a request has taken longer than this share of its class:
 # at most one request in twenty is sent twice.
 HEDGE_QUANTILE = 0.95
-HEDGE_SAMPLES = 20
+# Runs of a class from which its quantiles are taken for known.
+ENOUGH_SAMPLES = 20
 
 
 class Outcome(Enum):
@@ -67,14 +66,13 @@
         # Only spreads load, so a fixed seed takes nothing away, and a test sees
         # the same choices each time.
         self._random = random.Random(xxhash.xxh64_intdigest(process_name.encode()))
-        self._urgent_in_flight = 0
-        self._urgent_peak = 0.0
-        self._peak_time = 0.0
+        self._headroom = Headroom(policy.patient_share)
 
     def set_policy(self, policy: Policy) -> None:
         """Follow a change of settings; the budget earned so far is kept."""
         self._outliers.most_share = policy.quarantine_share
         self._budget.ratio = policy.retry_ratio
+        self._headroom.patient_share = policy.patient_share
 
     def set_targets(
         self, slots: Mapping[str, int], leaving: frozenset[str], now: float
@@ -105,7 +103,8 @@
     ) -> str | None:
         """Return the target for a request, or None when no slot is free for it."""
         self._advance(now)
-        if not self._leaves_room(waiting):
+        slots = self._capacity.total_slots
+        if not self._headroom.allows(waiting, self._expect_run(waiting), slots):
             return None
         tried = self._choose_to_try(waiting, now, exclude)
         if tried is not None:
@@ -119,12 +118,12 @@
         self._capacity.start(target)
         self._outliers.start_try(target)
         times = self._experience.find(waiting.class_key)
-        if times is not None:
-            running = Running(target, waiting.request_id, now, times.mean)
-            self._overdue.start(running)
-        if waiting.urgency is Urgency.URGENT:
-            self._urgent_in_flight += 1
-            self._urgent_peak = max(self._urgent_peak, float(self._urgent_in_flight))
+        if times is not None and times.count >= ENOUGH_SAMPLES:
+            remarkable = times.estimate_quantile(OVERDUE_QUANTILE) * OVERDUE_FACTOR
+            self._overdue.start(
+                Running(target, waiting.request_id, now, times.mean, remarkable)
+            )
+        self._headroom.start(target, waiting, self._expect_run(waiting))
 
     def finish(
         self,
@@ -138,8 +137,7 @@
         self._advance(now)
         self._capacity.finish(target)
         was_overdue = self._overdue.finish(target, waiting.request_id)
-        if waiting.urgency is Urgency.URGENT:
-            self._urgent_in_flight -= 1
+        self._headroom.finish(target, waiting)
         if outcome is Outcome.OK:
             expected = self._experience.estimate(waiting.class_key, seconds)
             self._experience.note(waiting.class_key, seconds)
@@ -188,7 +186,7 @@
         if waiting.urgency is not Urgency.URGENT or not waiting.idempotent:
             return None
         times = self._experience.find(waiting.class_key)
-        if times is None or times.count < HEDGE_SAMPLES:
+        if times is None or times.count < ENOUGH_SAMPLES:
             return None
         if not self._budget.can_spend():
             return None
@@ -221,22 +219,8 @@
             return (load, 0)
         return (load + health.failures_in_a_row, int(health.slowness / LOG_STEP))
 
-    def _leaves_room(self, waiting: Waiting) -> bool:
-        """Whether the request leaves the slots free that urgent work may need.
-
-        Made for a bulk of long patient work in a quiet moment. If it took every
-        slot, an urgent request a second later would wait for its end. The limit
-        is the urgent work that was seen lately, and a quarter of the slots, so
-        that little idles where no urgent work comes.
-        """
-        if waiting.urgency is Urgency.URGENT:
-            return True
-        run = self._experience.estimate(waiting.class_key, waiting.expected_seconds)
-        if run <= LONG_SECONDS:
-            return True
-        needed = max(0.0, self._urgent_peak - self._urgent_in_flight)
-        most = MOST_RESERVED * self._capacity.total_slots
-        return self._capacity.free_slots > min(needed, most)
+    def _expect_run(self, waiting: Waiting) -> float:
+        return self._experience.estimate(waiting.class_key, waiting.expected_seconds)
 
     def _choose_to_try(
         self, waiting: Waiting, now: float, exclude: frozenset[str]
@@ -264,7 +248,7 @@
         found = self._overdue.collect(now)
         for running in found:
             age = now - running.started_at
-            self._outliers.note_run(running.target, age, running.expected, now)
+            self._outliers.note_overdue(running.target, age, running.expected, now)
         if found:
             self._set_resting()
 
@@ -275,11 +259,7 @@
     def _advance(self, now: float) -> None:
         self._capacity.advance(now)
         self._learn_from_overdue(now)
-        passed = now - self._peak_time
-        if passed > 0:
-            excess = self._urgent_peak - self._urgent_in_flight
-            self._urgent_peak -= excess * min(1.0, passed / PEAK_MEMORY_SECONDS)
-            self._peak_time = now
+        self._headroom.advance(now)
 
 
 def make_router(process_name: str, policy: Policy) -> Router:
