--- /dev/null
+++ b/features/failures/requests.feature
@@ -0,0 +1,22 @@
+Feature: Short requests when an entry fails
+
+  Scenario: An entry dies while caption passes are in flight
+    An entry's VM is lost; its callers' connections are cut, and they send the
+    same ids to another entry. A pass that ran twice would bill a client twice.
+    An answer that stays "in progress" for ever would leave the caller with
+    nothing to act on.
+
+    Given 3 VMs serve requests
+    When 24 caption passes are sent to one entry, which is killed once 6 of them run
+    And each caller repeats its pass at another entry until the answer is final
+    Then each pass ran at most once, and what callers were told is true
+
+  Scenario: An entry is paused between its claim and its sending
+    An entry's VM is stopped for longer than its lease, just when a pass is
+    claimed or recorded as sent. Another entry answers for it meanwhile; when the
+    first goes on, it must not send what it had ready, or a client is billed twice.
+
+    Given 3 VMs serve requests
+    When an entry is paused while its claim is written, and a repeat ends elsewhere
+    And an entry is paused while its dispatch is written, and a repeat ends elsewhere
+    Then each pass ran at most once, and what callers were told is true
