Settle a claim whose write is still on its way, and hand no slot to a caller who left

A future whose caller had just hung up was given a target: the slot leaked, and the error struck another caller's answer. A release that found no claim took that for settled, while the claim's own write landed later under a live holder and shut its id out. Change: such turns are passed over; a release puts a settled claim where none stands. 'Requests run at most once' still finds 'told STORE_UNAVAILABLE and had run'; looked into next.

--- a/src/primrosestile/coordination/claimed.py
+++ b/src/primrosestile/coordination/claimed.py
@@ -211,8 +211,12 @@
         sending.add_done_callback(look)
 
     def _release(self, order: RequestOrder, token: str) -> None:
+        fingerprint = compute_fingerprint(order.job_class, order.body)
+
         async def release() -> None:
-            await self._claims.release(order.organisation, order.request_id, token)
+            await self._claims.release(
+                order.organisation, order.request_id, fingerprint, token
+            )
 
         self.settling.settle(order.request_id, release)
 
--- a/src/primrosestile/coordination/claims.py
+++ b/src/primrosestile/coordination/claims.py
@@ -134,16 +134,35 @@
             return (await self.mark_not_run(held)).claim
         return claim
 
-    async def release(self, organisation: str, request_id: str, token: str) -> None:
+    async def release(
+        self, organisation: str, request_id: str, fingerprint: str, token: str
+    ) -> None:
         """Settle a claim as not run if it still is the one with this token.
 
         For the caller to know that nothing was sent under it, or that each target
         proved that it did not run.
+
+        A claim that is not there may still be on its way: its write was given up,
+        and the store has not seen it yet. Left alone it would land later under a
+        holder that is alive, and shut the id out for a day. So it is settled where
+        none stands, and the late write then loses its compare.
         """
         key = f"{CLAIMS_PREFIX}{organisation}/{request_id}"
         entry = await self._store.get(key)
         if entry is None:
-            return
+            settled = Claim(
+                token=self.make_token(),
+                state=ClaimState.NOT_RUN,
+                entry=self._holder,
+                fingerprint=fingerprint,
+                time=read_wall_clock(),
+            )
+            value = msgspec.json.encode(settled)
+            lease = await self._shared_lease()
+            swap = await put_settled(self._store, key, value, 0, lease)
+            if swap.done or swap.current is None:
+                return
+            entry = swap.current
         claim = msgspec.json.decode(entry.value, type=Claim)
         open_states = (ClaimState.CLAIMED, ClaimState.DISPATCHED)
         if claim.token == token and claim.state in open_states:
--- a/src/primrosestile/coordination/turns.py
+++ b/src/primrosestile/coordination/turns.py
@@ -92,8 +92,13 @@
             chosen: list[str] = []
 
             def accept(waiting: Waiting, chosen: list[str] = chosen) -> bool:
-                tried = self._turns[waiting.request_id].tried
-                target = self.router.choose(waiting, now, tried)
+                turn = self._turns[waiting.request_id]
+                if turn.future.done():
+                    # Its caller has just gone away and its task has not run yet.
+                    # A target handed to it would leak the slot, and the error
+                    # would strike the caller whose end has set this off.
+                    return False
+                target = self.router.choose(waiting, now, turn.tried)
                 if target is not None:
                     chosen.append(target)
                 return target is not None
