Write a job only over the record that was decided on; cut tries short; move what is not entitled

Cause, by the failure scenarios on real processes and the fuzzing: a cancellation that the watch took in between an action's reading and its write was overwritten (16 of 200 cancelled jobs ran on); jobs of an organisation with any guarantee in a cell never moved from it, although the guarantee was in use (10 gangs waited beside 64 free accelerators); after all open connections had gone silent a preview waited its whole deadline on one of them; an entry took traffic knowing one cell of three. Change: the job book compares by the record itself; entitled means within what is left of the guarantee; a try of work that may be sent again ends after four times its class's usual time, a given-up call retires a silent pool, and silence at two addresses replaces every older connection; an entry is ready once each placer has answered or 5 s have passed.

--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -76,7 +76,7 @@
             self._data.contacts[member.worker].renewed_at = read_clock()
 
         async def write() -> bool:
-            return await self._data.book.write(started)
+            return await self._data.book.write(started, record)
 
         outcome = await start_gang(self._data.command, started, write)
         if outcome.started:
@@ -147,7 +147,7 @@
                 if current.epoch != self._data.command.epoch:
                     return
                 again = replace(current, state=JobState.ACCEPTED, members=())
-                if await self._data.book.write(again):
+                if await self._data.book.write(again, current):
                     return
             except Failure as failure:
                 _log.info("unstarted_unsettled", job_id=job_id, kind=failure.kind.value)
@@ -177,7 +177,7 @@
         waiting = replace(
             record, state=JobState.ACCEPTED, checkpoint=saved, members=()
         ).with_reason(make_reason(code, detail))
-        return await self._write_and_release(waiting)
+        return await self._write_and_release(waiting, record)
 
     async def evict_all(
         self, records: Sequence[JobRecord], code: ReasonCode, detail: str
@@ -222,8 +222,8 @@
                 return False
         return True
 
-    async def _write_and_release(self, record: JobRecord) -> bool:
-        written = await self._data.book.write(record)
+    async def _write_and_release(self, record: JobRecord, base: JobRecord) -> bool:
+        written = await self._data.book.write(record, base)
         if written:
             self._data.view.release(record.spec.job_id)
             self._data.wake()
@@ -256,19 +256,27 @@
             waiting = replace(record, state=JobState.ACCEPTED, members=()).with_reason(
                 make_reason(code, detail)
             )
-            await self._write_and_release(waiting)
+            await self._write_and_release(waiting, record)
             return
         # RESTART_ONLY_IF_ALLOWED: it may have run, so it never runs again.
         await self.end(record, JobState.UNKNOWN, code, detail)
 
     async def end(
-        self, record: JobRecord, state: JobState, code: ReasonCode, detail: str = ""
+        self,
+        record: JobRecord,
+        state: JobState,
+        code: ReasonCode,
+        detail: str = "",
+        failures: int = 0,
     ) -> None:
         """Write a job's end and free its accelerators."""
-        ended = replace(record, state=state, finished_at=read_wall_clock()).with_reason(
-            make_reason(code, detail)
-        )
-        if not await self._write_and_release(ended):
+        ended = replace(
+            record,
+            state=state,
+            finished_at=read_wall_clock(),
+            failures=max(failures, record.failures),
+        ).with_reason(make_reason(code, detail))
+        if not await self._write_and_release(ended, record):
             return
         job_id = record.spec.job_id
         self._data.waiting_reasons.pop(job_id, None)
@@ -300,14 +308,14 @@
             record.spec.job_id
         )
         if given_up or not record.spec.restartable:
-            ended = replace(record, failures=failures)
-            await self.end(ended, JobState.FAILED, ReasonCode.FAILED_EVERYWHERE, detail)
+            code = ReasonCode.FAILED_EVERYWHERE
+            await self.end(record, JobState.FAILED, code, detail, failures)
             return
         waiting = replace(
             record, state=JobState.ACCEPTED, members=(), failures=failures
         ).with_reason(make_reason(ReasonCode.RESTARTED, detail))
         self._data.retry_at[record.spec.job_id] = read_clock() + START_RETRY_SECONDS
-        await self._write_and_release(waiting)
+        await self._write_and_release(waiting, record)
 
     async def cancel(self, record: JobRecord) -> None:
         """End a job whose caller has asked for it."""
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -59,6 +59,9 @@
         self._listed_leaving: frozenset[str] = frozenset()
         self._routed: tuple[SettingsView | None, set[str]] = (None, set())
         self._changed = asyncio.Event()
+        self._asked: set[str] = set()
+        self._following: set[str] = set()
+        self.informed = asyncio.Event()
         directory.on_change(self._changed.set)
 
     async def run(self) -> None:
@@ -84,6 +87,9 @@
         for name, record in placers.items():
             if name not in tasks:
                 tasks[name] = group.create_task(self._follow(record))
+        self._following = set(placers)
+        if self._directory.listed.is_set() and self._following <= self._asked:
+            self.informed.set()
         entries = self._directory.records("entry")
         sharing = choose_near(self._failure_domain, entries, view)
         self._dispatcher.router.set_entries([each.name for each in sharing])
@@ -101,8 +107,18 @@
             else:
                 if isinstance(answer, CellDigests):
                     self._take_in(answer)
+            self._note_asked(record.name)
             await asyncio.sleep(REPORT_SECONDS * random.uniform(0.8, 1.0))
 
+    def _note_asked(self, placer: str) -> None:
+        """Count as informed once each placer has answered, or failed to, once.
+
+        An entry that knows one cell of three hands it every job of a burst.
+        """
+        self._asked.add(placer)
+        if self._following <= self._asked:
+            self.informed.set()
+
     def _make_report(self) -> DemandReport:
         in_flight, failures, successes = self._dispatcher.counts.take()
         return DemandReport(
--- a/src/primrosestile/coordination/jobbook.py
+++ b/src/primrosestile/coordination/jobbook.py
@@ -135,11 +135,17 @@
             return None
         return self._note(entry)
 
-    async def write(self, record: JobRecord) -> bool:
-        """Write over the revision that the copy shows.
+    async def write(self, record: JobRecord, base: JobRecord) -> bool:
+        """Write over the revision of the record that was decided on.
 
         START_RECORD_COMPARED: a record changed by anyone since it was read makes
-        this return False, with the copy refreshed, and nothing is written.
+        this return False, with the copy refreshed, and nothing is written. That
+        includes a change that the watch has taken into the copy meanwhile: going
+        by the copy's revision alone, a caller's cancellation would be overwritten.
+
+        Args:
+            record: What is to stand.
+            base: The record from which it was made, as this book gave it out.
 
         Raises:
             Failure: STORE_UNAVAILABLE, or STORE_ANSWER_LOST when it is not known
@@ -147,7 +153,10 @@
         """
         job_id = record.spec.job_id
         value = msgspec.json.encode(record)
-        expected = self._booked[job_id].revision
+        booked = self._booked.get(job_id)
+        if booked is None or booked.record is not base:
+            return False
+        expected = booked.revision
         swap = await put_settled(self._store, make_job_key(job_id), value, expected)
         if swap.done:
             self._put(Booked(record, swap.revision))
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -27,6 +27,7 @@
     Waits,
 )
 from primrosestile.decisions.placement_queue import decide_waiting
+from primrosestile.decisions.reclaim import is_entitled
 from primrosestile.protocol.store import Store
 from primrosestile.state.jobs import JobRecord, JobState, ReasonCode
 from primrosestile.state.tenancy import Shape
@@ -195,7 +196,8 @@
         others = [each for each in pictures if each.cell != self._data.name]
         if here is None:
             return
-        destination = find_destination(record, here, others)
+        entitled = is_entitled(self._data.view, make_demand(record))
+        destination = find_destination(record, entitled, here, others)
         if destination is not None:
             self._shifts_left -= 1
             self._elsewhere.note_handed(destination, shape.accelerators)
--- a/src/primrosestile/coordination/sending.py
+++ b/src/primrosestile/coordination/sending.py
@@ -36,7 +36,8 @@
         started = read_clock()
         outcome = Outcome.CANCELLED
         try:
-            timeout = max(SHORTEST_TIMEOUT_SECONDS, waiting.deadline - started)
+            limit = self._turns.router.limit_try(waiting, started)
+            timeout = max(SHORTEST_TIMEOUT_SECONDS, limit)
             answer = await self._targets.send(target, order, timeout)
             if answer.leaving:
                 self._turns.router.note_leaving(target)
--- a/src/primrosestile/coordination/shifting.py
+++ b/src/primrosestile/coordination/shifting.py
@@ -33,9 +33,19 @@
 
 
 def find_destination(
-    record: JobRecord, here: CellPicture, others: Sequence[CellPicture]
+    record: JobRecord,
+    entitled: bool,
+    here: CellPicture,
+    others: Sequence[CellPicture],
 ) -> str | None:
-    """Return the cell to which a waiting job should move, or None."""
+    """Return the cell to which a waiting job should move, or None.
+
+    Args:
+        record: The waiting job.
+        entitled: Whether it is within its organisation's own guarantee here.
+        here: What is known of this cell.
+        others: What is known of the others.
+    """
     now = read_wall_clock()
     moved = [
         reason.time
@@ -46,7 +56,7 @@
         return None
     since = record.history[-1].time if record.history else record.accepted_at
     question = ShiftQuestion(
-        record.spec.shape, record.spec.urgency, now - since, here.promised
+        record.spec.shape, record.spec.urgency, now - since, entitled
     )
     return decide_shift(question, here, others)
 
@@ -60,7 +70,7 @@
     ).with_reason(
         make_reason(ReasonCode.MOVED_TO_CELL, f"from {data.name} to {destination}")
     )
-    if await data.book.write(moving):
+    if await data.book.write(moving, record):
         await finish_move(store, data, moving)
 
 
@@ -71,6 +81,6 @@
     key = make_job_key(record.moved_to)
     await put_settled(store, key, msgspec.json.encode(there), 0)
     moved = replace(record, state=JobState.MOVED, finished_at=read_wall_clock())
-    await data.book.write(moved)
+    await data.book.write(moved, record)
     data.waiting_reasons.pop(record.spec.job_id, None)
     _log.info("job_moved", job_id=record.spec.job_id, moved_to=record.moved_to)
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -41,6 +41,10 @@
 # Below this a second sending ends no sooner than the first: it takes a way of a few
 # milliseconds to another failure domain and, after a cancelled one, a connection.
 LEAST_HEDGE_SECONDS = 0.02
+# A try of work that may be sent again ends after four times what nearly all of its
+# class take: late enough for a busy target, early enough to leave time for another.
+TRY_FACTOR = 4.0
+LEAST_TRY_SECONDS = 1.0
 # Runs of a class from which its quantiles are taken for known.
 ENOUGH_SAMPLES = 20
 
@@ -196,6 +200,24 @@
         after = max(LEAST_HEDGE_SECONDS, times.estimate_quantile(HEDGE_QUANTILE))
         return after if now + after < waiting.deadline else None
 
+    def limit_try(self, waiting: Waiting, now: float) -> float:
+        """Return how many seconds one sending may take.
+
+        Made for connections that are silent for good, and for targets that hang:
+        were a try to last until the deadline, no time would be left for another.
+        Only work that may be sent again is cut short, and only while the retry
+        budget could pay for it; when run times turn out far longer than they are
+        known, the budget is soon used up and the work runs to its end.
+        """
+        left = waiting.deadline - now
+        if not waiting.idempotent or not self._budget.can_spend():
+            return left
+        usual = waiting.expected_seconds
+        times = self._experience.find(waiting.class_key)
+        if times is not None and times.count >= ENOUGH_SAMPLES:
+            usual = times.estimate_quantile(HEDGE_QUANTILE)
+        return min(left, max(LEAST_TRY_SECONDS, TRY_FACTOR * usual))
+
     def can_serve_any(self, now: float) -> bool:
         """Whether any slot is free."""
         self._advance(now)
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+import structlog
+
 from primrosestile.coordination.cellwatch import CellWatch
 from primrosestile.coordination.claims import Claims
 from primrosestile.coordination.dispatch import Dispatcher
@@ -29,6 +31,11 @@
 
 PROGRAM = "entry"
 GAUGE_SECONDS = 1.0
+NO_CELLS = "no placer has told of its cells yet"
+# In an outage of the store no placer is known; short requests are served without.
+INFORMED_SECONDS = 5.0
+
+_log = structlog.get_logger()
 
 
 class DirectoryCheck:
@@ -108,10 +115,22 @@
         dispatcher.run(),
         cells.run(),
         _measure(parts, dispatcher),
+        _wait_for_cells(parts, cells),
     ]
     await run_until_told(services, drain)
 
 
+async def _wait_for_cells(parts: Parts, cells: CellWatch) -> None:
+    """Take traffic once the cells are known, or could not be within some seconds."""
+    parts.health.reasons["cells"] = NO_CELLS
+    try:
+        async with asyncio.timeout(INFORMED_SECONDS):
+            await cells.informed.wait()
+    except TimeoutError:
+        _log.warning("cells_unknown")
+    del parts.health.reasons["cells"]
+
+
 async def _measure(parts: Parts, dispatcher: Dispatcher) -> None:
     while True:
         parts.metrics.state.set({"name": "in_progress"}, dispatcher.in_progress)
--- a/src/primrosestile/transport/connections.py
+++ b/src/primrosestile/transport/connections.py
@@ -5,13 +5,17 @@
 pool are then likely to be silent too, and each of them would cost one caller a
 whole timeout. One would notice it as a target that keeps timing out although it
 serves others. So after a timeout no idle connection of that address is used
-again: the next call opens a new one.
+again: the next call opens a new one. A caller that stops waiting after a second
+without an answer is evidence as good as a timeout. And when two addresses fall
+silent within seconds, whatever lost track of them has likely lost the others too,
+so every connection from before is replaced at its next use.
 
 Whether anything may have been sent decides between "not run" and "may have run".
 It is taken as sent from the moment a call holds a connection.
 """
 
 import asyncio
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from types import SimpleNamespace
@@ -20,6 +24,7 @@
 import aiohttp
 from yarl import URL
 
+from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
 
 # A worker accepts about this many connections; more of them would be refused.
@@ -27,6 +32,11 @@
 # Shorter than the time after which common servers close an idle connection, so
 # that a call does not meet a connection that is just being closed.
 IDLE_SECONDS = 10.0
+# A connection on which nothing came for this long was not worth the wait of whoever
+# gave it up; opening another costs a few milliseconds.
+SILENT_SECONDS = 1.0
+# Addresses that fall silent within this time of one another did so for one reason.
+TOGETHER_SECONDS = 10.0
 # No answer of the platform is larger; a foreign one must not fill the memory.
 ANSWER_LIMIT_BYTES = 16_000_000
 
@@ -65,6 +75,7 @@
     """The connections of one address that are trusted, and who uses them."""
 
     session: aiohttp.ClientSession
+    opened_at: float
     users: int = 0
     retired: bool = False
 
@@ -78,12 +89,38 @@
     urls: dict[str, URL] = field(default_factory=dict)
 
 
+class _Silence:
+    """Which connections are distrusted after silence at several addresses.
+
+    One silent address may be one slow worker. Two within `TOGETHER_SECONDS` point
+    to what lies between.
+    """
+
+    def __init__(self) -> None:
+        self._latest: dict[str, float] = {}
+        self._before = -math.inf
+
+    def note(self, address: str, now: float) -> None:
+        self._latest = {
+            each: at
+            for each, at in self._latest.items()
+            if now - at <= TOGETHER_SECONDS
+        }
+        self._latest[address] = now
+        if len(self._latest) >= 2 and now - self._before > TOGETHER_SECONDS:
+            self._before = now
+
+    def distrusts(self, opened_at: float) -> bool:
+        return opened_at < self._before
+
+
 class Connections:
     """Sends calls to many addresses with a deadline on each."""
 
     def __init__(self, limit: int = CONNECTIONS_PER_ADDRESS) -> None:
         self._limit = limit
         self._addresses: dict[str, _Address] = {}
+        self._silence = _Silence()
 
     async def call(
         self,
@@ -112,13 +149,18 @@
         """
         progress = _Progress()
         target = self._find(address)
+        started = read_clock()
         try:
             async with asyncio.timeout(timeout), target.places:
                 return await self._exchange(
                     target, address, path, body, headers, method, progress
                 )
+        except asyncio.CancelledError:
+            if progress.sent and read_clock() - started >= SILENT_SECONDS:
+                self._note_silence(address, target)
+            raise
         except TimeoutError:
-            self._retire(target)
+            self._note_silence(address, target)
             detail = f"{address}{path} did not answer within {timeout:g} s"
         except (aiohttp.ClientError, OSError) as error:
             detail = f"{address}{path}: {error or type(error).__name__}"
@@ -142,7 +184,11 @@
         method: str,
         progress: _Progress,
     ) -> Reply:
-        pool = target.pool or self._open(target)
+        pool = target.pool
+        if pool is not None and self._silence.distrusts(pool.opened_at):
+            self._retire(target)
+            pool = None
+        pool = pool or self._open(target)
         url = target.urls.get(path)
         if url is None:
             url = target.urls[path] = URL(f"http://{address}{path}")
@@ -180,9 +226,13 @@
             trace_configs=[_make_trace()],
             auto_decompress=False,
         )
-        target.pool = _Pool(session)
+        target.pool = _Pool(session, read_clock())
         return target.pool
 
+    def _note_silence(self, address: str, target: _Address) -> None:
+        self._retire(target)
+        self._silence.note(address, read_clock())
+
     def _retire(self, target: _Address) -> None:
         pool = target.pool
         target.pool = None
