Use the unit of the very shape before a larger one

Change: work that cannot be stopped takes a free place or takes one back for its own shape first; only then does it break into a larger unit. Conclusion: each promised shape stays for itself.

--- a/src/primrosestile/decisions/backfill.py
+++ b/src/primrosestile/decisions/backfill.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 
 from primrosestile.decisions.cell import CellView, Demand, Reservation
+from primrosestile.decisions.cell_charges import Pinned
 from primrosestile.decisions.fragmentation import weigh_shapes
 from primrosestile.decisions.learning import RunTimes
 from primrosestile.decisions.placement_rooms import list_free, list_places
@@ -150,7 +151,8 @@
 def _keeps_promises(view: CellView, demand: Demand, place: dict[int, int]) -> bool:
     if demand.evictable:
         return True
-    return view.rooms.find_charge(demand.organisation, place) is not None
+    work = Pinned(demand.organisation, demand.shape, place)
+    return view.rooms.find_charge(work) is not None
 
 
 def list_open(view: CellView, demand: Demand, now: float) -> list[int]:
--- a/src/primrosestile/decisions/cell.py
+++ b/src/primrosestile/decisions/cell.py
@@ -279,7 +279,7 @@
         self._known_borrowers.pop(holding.organisation, None)
 
     def _pin(self, holding: Holding) -> None:
-        pinned = Pinned(holding.organisation, self.locate(holding))
+        pinned = Pinned(holding.organisation, holding.shape, self.locate(holding))
         self.rooms.pin(holding.job_id, pinned)
 
     def _take(self, worker: int, bits: int) -> None:
--- a/src/primrosestile/decisions/cell_charges.py
+++ b/src/primrosestile/decisions/cell_charges.py
@@ -29,6 +29,7 @@
     """Work that cannot be stopped, by worker index and number of accelerators."""
 
     organisation: str
+    shape: Shape
     counts: Mapping[int, int]
 
     @property
@@ -72,24 +73,49 @@
     return own
 
 
-def order_charges(
-    promised: Promised, organisation: str, used: frozenset[int], accelerators: int
-) -> list[int | None]:
-    """Order the units that work could use, and where using none stands (None).
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Units that work could use, in order; None stands for using none.
+
+    Attributes:
+        preferred: Those that leave every other unit of the organisation whole.
+        others: Units that are larger than the work needs, or of another shape.
+    """
+
+    preferred: tuple[int | None, ...]
+    others: tuple[int | None, ...]
 
-    Small work goes beside the rooms rather than into a unit that it would not
-    half fill: a caption pass on one accelerator that cannot be stopped would
-    keep its own organisation's render of a whole rack waiting.
+    @property
+    def every(self) -> tuple[int | None, ...]:
+        """All of them."""
+        return self.preferred + self.others
+
+
+def order_charges(
+    promised: Promised, organisation: str, used: frozenset[int], shape: Shape
+) -> Options:
+    """Order the units that work of a shape could use.
+
+    Units in use come first, then those of the very shape, or the smallest that
+    it would fill by more than half. Small work goes beside the rooms rather than
+    into a larger unit: a caption pass on one accelerator that cannot be stopped
+    would keep its own organisation's render of a whole rack waiting.
     """
-    suited: list[int | None] = []
-    broken: list[int | None] = []
-    for unit in order_units(promised, organisation, used):
-        fills = 2 * accelerators > promised[unit][1].accelerators
-        if unit in used or fills:
-            suited.append(unit)
-        else:
-            broken.append(unit)
-    return [*suited, None, *broken]
+    own = order_units(promised, organisation, used)
+    unused = [unit for unit in own if unit not in used]
+    fitting = [unit for unit in unused if promised[unit][1] == shape]
+    if not fitting:
+        filled = [
+            unit
+            for unit in unused
+            if 2 * shape.accelerators > promised[unit][1].accelerators
+        ]
+        fitting = [
+            unit for unit in filled if promised[unit][1] == promised[filled[0]][1]
+        ]
+    preferred = [unit for unit in own if unit in used] + fitting
+    others = [unit for unit in unused if unit not in fitting]
+    return Options((*preferred, None), tuple(others))
 
 
 class Recharge:
@@ -126,8 +152,8 @@
             left[worker] -= count
         used = frozenset(self.charges.values())
         for unit in order_charges(
-            self._promised, work.organisation, used, work.accelerators
-        ):
+            self._promised, work.organisation, used, work.shape
+        ).every:
             self._steps -= 1
             if self._steps < 0:
                 return None
--- a/src/primrosestile/decisions/cell_rooms.py
+++ b/src/primrosestile/decisions/cell_rooms.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping, Sequence
 
 from primrosestile.decisions.cell_charges import (
+    Options,
     Pinned,
     Recharge,
     add_charge,
@@ -73,7 +74,7 @@
 
     def pin(self, job_id: str, pinned: Pinned) -> None:
         """Note work that cannot be stopped, wherever it is."""
-        found = self._find_charge(pinned.organisation, pinned.counts)
+        found = self._find_charge(self._list_options(pinned), pinned.counts)
         if found is None and not self._lost:
             found = self._find_beside_uncharged(pinned)
         self._pinned[job_id] = pinned
@@ -155,8 +156,21 @@
         ordered = order_units(self.promised, organisation, used)
         return [unit for unit in ordered if unit not in lost]
 
+    def list_charges(self, organisation: str, shape: Shape) -> Options:
+        """List the units with a room that work of a shape could use."""
+        lost = self.lost
+        used = frozenset(self.charges.values())
+        options = order_charges(self.promised, organisation, used, shape)
+        return Options(
+            tuple(unit for unit in options.preferred if unit not in lost),
+            tuple(unit for unit in options.others if unit not in lost),
+        )
+
     def find_charge(
-        self, organisation: str, counts: Mapping[int, int], thorough: bool = True
+        self,
+        work: Pinned,
+        options: Sequence[int | None] | None = None,
+        thorough: bool = True,
     ) -> Charge | None:
         """Find how work that cannot be stopped could be there, all promises kept.
 
@@ -164,8 +178,9 @@
         are back.
 
         Args:
-            organisation: Whose work it is.
-            counts: Accelerators by worker index; not yet pinned.
+            work: Not yet pinned.
+            options: The units that it may use, with None for none; by default
+                all that `list_charges` lists.
             thorough: Whether to search all rooms anew where moving those that
                 the work touches is not enough.
 
@@ -173,14 +188,19 @@
             The unit it would use (None: it needs none) and the rooms of all
             units then; None when a promise could not be kept.
         """
-        found = self._find_charge(organisation, counts, thorough)
+        if options is None:
+            options = self._list_options(work)
+        found = self._find_charge(options, work.counts, thorough)
         if found is None or not self._lost:
             return found
         whole = self._make_whole()
-        if whole.lost or whole.find_charge(organisation, counts) is None:
+        if whole.lost or whole.find_charge(work) is None:
             return None
         return found
 
+    def _list_options(self, work: Pinned) -> Sequence[int | None]:
+        return self.list_charges(work.organisation, work.shape).every
+
     def _make_whole(self) -> "Rooms":
         """Make the rooms as they would be with all workers back."""
         if self._whole is None:
@@ -191,19 +211,15 @@
         return self._whole
 
     def _find_charge(
-        self, organisation: str, counts: Mapping[int, int], thorough: bool = True
+        self,
+        options: Sequence[int | None],
+        counts: Mapping[int, int],
+        thorough: bool = True,
     ) -> Charge | None:
         rooms = self.read()
         capacity = self._layout.capacity
         if any(capacity[worker] < count for worker, count in counts.items()):
             return None
-        used = frozenset(self.charges.values())
-        size = sum(counts.values())
-        options = [
-            unit
-            for unit in order_charges(self.promised, organisation, used, size)
-            if unit not in self._lost
-        ]
         # The rooms as they are answer most questions without a search.
         for unit in options:
             kept = self._find_inside(unit, rooms, counts)
@@ -296,7 +312,7 @@
             freed = self._find_kept(self._list_needs(), self.list_available())
             if freed is not None:
                 self._rooms = freed
-                found = self._find_charge(pinned.organisation, pinned.counts)
+                found = self._find_charge(self._list_options(pinned), pinned.counts)
                 if found is not None:
                     return found
         self.charges = before
--- a/src/primrosestile/decisions/placement.py
+++ b/src/primrosestile/decisions/placement.py
@@ -10,6 +10,7 @@
 
 from primrosestile.decisions.backfill import list_open, order_demands
 from primrosestile.decisions.cell import CellView, Demand
+from primrosestile.decisions.cell_charges import Pinned
 from primrosestile.decisions.placement_rooms import (
     Place,
     fits_empty,
@@ -88,6 +89,7 @@
 
 
 Decision = Placed | Reclaim | Waits | NeverFits
+Units = Sequence[int | None]
 
 
 def decide_placement(
@@ -104,20 +106,32 @@
     if not fits_empty(view, demand.shape):
         return NeverFits(f"{_word(demand)} is more than the empty cell can hold")
     entitled = is_entitled(view, demand)
-    place = _find_free(view, demand, policy, now)
-    if place is not None:
-        members = make_members(view, place)
-        if entitled:
-            return Placed(members, ReasonCode.PLACED_IN_GUARANTEE, _word(demand))
-        return Placed(members, ReasonCode.PLACED_BORROWING, _word(demand))
-    reclaim = _find_reclaim(view, demand, entitled, now)
-    if reclaim is not None:
-        return reclaim
+    options = view.rooms.list_charges(demand.organisation, demand.shape)
+    # To take back the room of the very shape goes before breaking into a larger
+    # unit of the same organisation, which it may ask for next.
+    for units in (options.preferred, options.every):
+        place = _find_free(view, demand, policy, now, units)
+        if place is not None:
+            return _make_placed(view, demand, entitled, place)
+        reclaim = _find_reclaim(view, demand, entitled, now, units)
+        if reclaim is not None:
+            return reclaim
+        if not options.others:
+            break
     return _wait(view, demand, entitled)
 
 
+def _make_placed(
+    view: CellView, demand: Demand, entitled: bool, place: Place
+) -> Placed:
+    reason = ReasonCode.PLACED_BORROWING
+    if entitled:
+        reason = ReasonCode.PLACED_IN_GUARANTEE
+    return Placed(make_members(view, place), reason, _word(demand))
+
+
 def _find_free(
-    view: CellView, demand: Demand, policy: Policy, now: float
+    view: CellView, demand: Demand, policy: Policy, now: float, units: Units
 ) -> Place | None:
     """Find the free place that leaves the cell in the best state.
 
@@ -130,32 +144,38 @@
     places = list_places(view.layout, free, demand.shape, price, PLACE_LIMIT)
     if demand.evictable:
         return places[0][1] if places else None
-    place = _find_keeping(view, demand, places)
+    place = _find_keeping(view, demand, places, units)
     if place is not None:
         return place
-    return _find_in_own_rooms(view, demand, free)
+    return _find_in_own_rooms(view, demand, free, units)
 
 
 def _find_keeping(
-    view: CellView, demand: Demand, places: Sequence[tuple[float, Place]]
+    view: CellView,
+    demand: Demand,
+    places: Sequence[tuple[float, Place]],
+    units: Units,
 ) -> Place | None:
     """Find the first place with which every promise still has a room.
 
     Counted as if the job could not be stopped there.
     """
     for rank, (_, place) in enumerate(places):
+        work = Pinned(demand.organisation, demand.shape, place)
         thorough = rank < THOROUGH_LIMIT
-        if view.rooms.find_charge(demand.organisation, place, thorough) is not None:
+        if view.rooms.find_charge(work, units, thorough) is not None:
             return place
     return None
 
 
 def _find_in_own_rooms(
-    view: CellView, demand: Demand, counts: Sequence[int]
+    view: CellView, demand: Demand, counts: Sequence[int], units: Units
 ) -> Place | None:
     """Find a place inside the room of one of the organisation's own units."""
     rooms = view.rooms.read()
-    for unit in view.rooms.order_units(demand.organisation):
+    for unit in units:
+        if unit is None:
+            continue
         inside = [0] * len(counts)
         for worker, count in rooms[unit].items():
             inside[worker] = min(count, counts[worker])
@@ -166,7 +186,7 @@
 
 
 def _find_reclaim(
-    view: CellView, demand: Demand, entitled: bool, now: float
+    view: CellView, demand: Demand, entitled: bool, now: float, units: Units
 ) -> Reclaim | None:
     """Find the place whose opening loses the least work.
 
@@ -182,24 +202,19 @@
         opening = Opening(view, tier.victims, now)
         if sum(opening.counts) < demand.shape.accelerators:
             continue
-        place = _find_place_to_open(view, demand, opening, tier.in_own_rooms)
+        place = None
+        # Also a job that may be stopped must keep the promises here: until it is
+        # there, nobody can stop it.
+        if not tier.in_own_rooms:
+            places = opening.list_places(demand, PLACE_LIMIT)
+            place = _find_keeping(view, demand, places, units)
+        if place is None:
+            place = _find_in_own_rooms(view, demand, opening.counts, units)
         if place is not None:
             return _make_reclaim(view, demand, entitled, opening, place)
     return None
 
 
-def _find_place_to_open(
-    view: CellView, demand: Demand, opening: Opening, in_own_rooms: bool
-) -> Place | None:
-    # Also a job that may be stopped must keep the promises here: until it is
-    # there, nobody can stop it.
-    if not in_own_rooms:
-        place = _find_keeping(view, demand, opening.list_places(demand, PLACE_LIMIT))
-        if place is not None:
-            return place
-    return _find_in_own_rooms(view, demand, opening.counts)
-
-
 def _make_reclaim(
     view: CellView, demand: Demand, entitled: bool, opening: Opening, place: Place
 ) -> Reclaim:
--- a/src/primrosestile/decisions/placement_score.py
+++ b/src/primrosestile/decisions/placement_score.py
@@ -61,13 +61,13 @@
     """Return by worker what the demand may take without being in the way.
 
     That is what lies beside all rooms, and the rooms of its own organisation;
-    for work that cannot be stopped only those that are in use already.
+    for work that cannot be stopped only those that it should use.
     """
     unlent = view.rooms.list_spare()
     rooms = view.rooms.read()
-    used = set(view.rooms.charges.values())
-    for unit in view.rooms.order_units(demand.organisation):
-        if demand.evictable or unit in used:
+    options = view.rooms.list_charges(demand.organisation, demand.shape)
+    for unit in options.every if demand.evictable else options.preferred:
+        if unit is not None:
             for worker, count in rooms[unit].items():
                 unlent[worker] += count
     return unlent
