Count what is held beside a lost worker as held

Cause: charging work anew took gangs with a member on a lost worker for absent, and called the accelerators of their other members free: a room was named where work ran that nothing may stop. Change: such gangs keep their accelerators; work in its own room is checked against the workers' return too. Three shortest sequences stand as scenarios, and the machine checks after each step that rooms are disjoint and not held. Conclusion: rooms are real with workers lost, too.

--- a/features/placement/promises.feature
+++ b/features/placement/promises.feature
@@ -30,3 +30,38 @@
     Two organisations are each promised half of the fleet. Both are fine until a
     failure domain goes dark; then one of them is told that its promise is void.
     Then for 150 tiny fleets the accepted guarantees are those that brute force can assemble after each loss
+
+  Scenario: Work of one promised shape does not use up a larger promise
+    An organisation is promised a shape of four in a rack and one of three on a
+    worker. It starts the three first, in the only rack that could hold the
+    four, and is told to wait for the four that it was promised.
+    Given a tiny cell with racks of 2 and 1 workers with 3 accelerators
+    Given the tiny cell promises "north 1 cell, east 4 rack, east 3 worker"
+    When the tiny cell is asked for "north 3 rack, evictable"
+    When the tiny cell is asked for "east 3 worker, unstoppable"
+    When the tiny cell is asked for "east 4 rack, unstoppable"
+    Then the last request of the tiny cell comes at once
+
+  Scenario: Work of one adjacency does not use up a promise of another
+    Four accelerators anywhere and four in a rack are promised. The four
+    anywhere went into the rack, and the four in a rack were told to wait.
+    Given a tiny cell with racks of 2 and 1 workers with 3 accelerators
+    Given the tiny cell promises "north 4 rack, north 4 cell, south 1 worker"
+    When the tiny cell is asked for "north 4 cell, evictable"
+    When the tiny cell is asked for "north 4 cell, unstoppable"
+    When the tiny cell is asked for "north 4 rack, unstoppable"
+    Then the last request of the tiny cell comes at once
+
+  Scenario: Work in its own room does not spoil a promise whose worker is away
+    While a worker is quarantined, rooms lie elsewhere than before. Work that
+    nothing may stop starts in its own organisation's room, and when the worker
+    returns, another promise has no room left.
+    Given a tiny cell with racks of 2 and 2 workers with 3 accelerators
+    Given the tiny cell promises "north 3 worker, north 4 rack"
+    When the tiny cell is asked for "north 4 rack, unstoppable"
+    When the tiny cell is asked for "north 1 worker, unstoppable"
+    When the tiny cell is asked for "north 2 worker, unstoppable"
+    When worker 1 of the tiny cell is away
+    When the tiny cell is asked for "north 2 cell, unstoppable"
+    When worker 1 of the tiny cell is back
+    Then every promise of the tiny cell has a room
--- a/features/steps/placement_machine.py
+++ b/features/steps/placement_machine.py
@@ -213,6 +213,23 @@
         assert is_reclaimable(self.view)
         assert self.can_keep()
 
+    @invariant()
+    def rooms_are_real(self) -> None:
+        """Rooms are disjoint, and nothing in them is held for good."""
+        if not hasattr(self, "view"):
+            return
+        rooms = self.view.rooms.read()
+        left = [
+            capacity if usable else 0
+            for capacity, usable in zip(self.capacity, self.view.usable, strict=True)
+        ]
+        for _, counts in self.list_pinned():
+            left = [have - count for have, count in zip(left, counts, strict=True)]
+        for room in rooms:
+            for worker, count in room.items():
+                left[worker] -= count
+                assert count == 0 or left[worker] >= 0, (worker, rooms)
+
     @invariant()
     def counts_agree(self) -> None:
         if not hasattr(self, "view"):
--- a/src/primrosestile/decisions/cell_charges.py
+++ b/src/primrosestile/decisions/cell_charges.py
@@ -140,7 +140,12 @@
             return None
         # Work that is still to be charged counts as free: it may open the room
         # of its own unit, so leaving it out can only make rooms easier to find.
-        return self._descend(0, list(self._layout.capacity))
+        available = list(self._layout.capacity)
+        for job_id, work in self._pinned.items():
+            if job_id not in self._work:
+                for worker, count in work.counts.items():
+                    available[worker] = max(0, available[worker] - count)
+        return self._descend(0, available)
 
     def _descend(self, level: int, available: list[int]) -> list[Room] | None:
         if level == len(self._work):
--- a/src/primrosestile/decisions/placement.py
+++ b/src/primrosestile/decisions/placement.py
@@ -173,6 +173,9 @@
 ) -> Place | None:
     """Find a place inside the room of one of the organisation's own units."""
     rooms = view.rooms.read()
+    # While a worker is away, rooms lie elsewhere than they will on its return:
+    # what cannot be stopped could be in the way of another promise by then.
+    must_check = bool(view.rooms.lost) and not demand.evictable
     for unit in units:
         if unit is None:
             continue
@@ -180,7 +183,7 @@
         for worker, count in rooms[unit].items():
             inside[worker] = min(count, counts[worker])
         places = list_places(view.layout, inside, demand.shape, lambda *_: 0.0, 1)
-        if places:
+        if places and (not must_check or _find_keeping(view, demand, places, units)):
             return places[0][1]
     return None
 
