Bound the search for rooms by its cost

Cause: in a cell of 1,024 workers some waits took 437 ms (p99), since each step of a search looks at all workers. Change: steps are limited by workers; beyond 256 workers one placement only moves the rooms that it touches. Conclusion: the search gives up sooner where it is dear, on the safe side.

--- a/src/primrosestile/decisions/cell_rooms.py
+++ b/src/primrosestile/decisions/cell_rooms.py
@@ -26,6 +26,11 @@
 
 Charge = tuple[int | None, list[Room]]
 
+# Largest cell in which one placement may search all rooms anew. In larger ones it
+# may only move those that the work touches, and waits where that is not enough: a
+# search there takes 20 ms and more, and one decision asks for several.
+THOROUGH_WORKERS = 256
+
 
 class Rooms:
     """Charges and rooms of one cell.
@@ -259,7 +264,7 @@
             if unit is not None:
                 trial[unit] = add_charge(needs[unit], counts)
             found = self._shift_rooms(unit, counts, rooms, trial, available)
-            if found is None and thorough:
+            if found is None and thorough and len(available) <= THOROUGH_WORKERS:
                 found = self._find_kept(trial, available)
             if found is not None:
                 return unit, found
--- a/src/primrosestile/decisions/guarantees_rooms.py
+++ b/src/primrosestile/decisions/guarantees_rooms.py
@@ -17,11 +17,12 @@
 
 from primrosestile.state.tenancy import Adjacency, Shape
 
-# Steps of the search. The load it is made for is a cell of up to 1,024 workers
-# whose first descent succeeds; a descent costs one step for each promise. The
-# limit bounds the time that an awkward mix can hold up all other decisions of
+# Steps of the search beyond one for each promise, times the workers that a step
+# looks at. The load it is made for is a cell whose first descent succeeds. The
+# limit bounds the time for which an awkward mix holds up all other decisions of
 # the cell: without it one placement could take minutes.
-STEP_LIMIT = 500
+SEARCH_COST_LIMIT = 20_000
+LEAST_STEPS = 20
 
 Room = dict[int, int]
 
@@ -98,7 +99,8 @@
         self.dead_ends: set[tuple[int, tuple[int, ...]]] = set()
 
     def run(self) -> list[Room] | None:
-        steps = STEP_LIMIT + len(self.order)
+        spare = SEARCH_COST_LIMIT // max(1, len(self.available))
+        steps = len(self.order) + max(LEAST_STEPS, spare)
         choices = [self._list_choices(0)]
         while True:
             level = len(choices) - 1
