--- a/features/steps/failures_world.py
+++ b/features/steps/failures_world.py
@@ -34,6 +34,7 @@
 CALL_SECONDS = 30.0
 PAUSE_SECONDS = 0.1
 CALLERS = 40
+ALL_ACCELERATORS = 192
 NOT_RUN = "not run"
 FINAL = ("finished", "failed", "cancelled", "unknown")
 
@@ -198,6 +199,41 @@
             assert time.monotonic() < end, (request_id, reply)
             time.sleep(PAUSE_SECONDS)
 
+    def read_setting(self, vm: str, path: str) -> Any:
+        """Return a path's revision and value as a steward shows them."""
+        reply = self.call(vm, "GET", f"/v1/settings/{path}", kind="steward")
+        assert reply is not None
+        assert reply.status == 200, reply
+        return reply.fields
+
+    def change_setting(
+        self, vm: str, path: str, revision: int, value: Any
+    ) -> Reply | None:
+        """Send one change of a path through a steward."""
+        body = {"revision": revision, "value": value, "comment": "test"}
+        return self.call(vm, "PUT", f"/v1/settings/{path}", body, kind="steward")
+
+    def read_applied(self) -> dict[str, dict[str, int]]:
+        """Return which revisions each running process has applied."""
+        applied = {}
+        for name, vm in self.deployment.vms.items():
+            for kind, program in vm.programs.items():
+                reply = None
+                if program.is_running:
+                    reply = self.call(name, "GET", "/v1/applied", kind=kind)
+                if reply is not None:
+                    applied[program.name] = reply.fields["revisions"]
+        return applied
+
+    def wait_for_applied(self, path: str, revision: int) -> None:
+        """Wait until every process has applied a revision."""
+
+        def is_applied() -> bool:
+            applied = self.read_applied()
+            return all(each.get(path, 0) >= revision for each in applied.values())
+
+        self.wait_until(is_applied)
+
     def read_job(self, vm: str, request_id: str) -> Any:
         """Return a job's record, in the cell where it stands by now."""
         job_id = self.jobs[request_id]
@@ -276,10 +312,10 @@
     return reply.fields["retry_after"] is None
 
 
-def make_settings() -> Settings:
+def make_settings(quota: int) -> Settings:
     settings = read_settings(Path(EXAMPLES) / "domeworks" / "settings.json")
     teams = tuple(
-        replace(team, classes=CLASSES, quota_accelerators=192)
+        replace(team, classes=CLASSES, quota_accelerators=quota)
         if team.name == TEAM
         else team
         for team in settings.teams
@@ -288,10 +324,20 @@
 
 
 def start_world(
-    context: Any, vms: int, kinds: tuple[str, ...] = ("entry", "placer")
+    context: Any,
+    vms: int,
+    kinds: tuple[str, ...] = ("entry", "placer"),
+    quota: int = ALL_ACCELERATORS,
 ) -> World:
-    """Start a deployment that ends with the scenario."""
-    settings = make_settings()
+    """Start a deployment that ends with the scenario.
+
+    Args:
+        context: Of the scenario.
+        vms: How many VMs.
+        kinds: The programs of each.
+        quota: How many accelerators the callers' team may hold.
+    """
+    settings = make_settings(quota)
     tokens = json.loads((EXAMPLES / "domeworks" / "tokens.json").read_text())
     deployment = Deployment(
         settings,
