--- a/features/failures/gangs.feature
+++ b/features/failures/gangs.feature
@@ -28,3 +28,13 @@
     Then every gang has ended, whole and once
     And on each worker the epochs of what started only rise
     And each cell has one owner
+
+  Scenario: The owner dies when only one member of a gang has been told to go
+    The start of a gang stands in the store, one worker has begun, and the
+    message to the other is held up when the owner's VM is lost. Nobody but the
+    next owner can let the other go; until then half a render holds its GPUs.
+
+    Given 3 VMs hold the cells
+    When one member of a gang goes, the other's worker hangs, and the owner dies
+    And the worker answers again
+    Then every gang has ended, whole and once
--- a/features/steps/failures_gangs_steps.py
+++ b/features/steps/failures_gangs_steps.py
@@ -14,11 +14,13 @@
     start_world,
 )
 from path_steps import list_owned
+from tools.launch import call_json
 
 WAVE_RESTARTABLE = 3
 GANG_SIZE = 16
 GANG_SECONDS = 2.0
 POLL_SECONDS = 0.005
+RECORD_SECONDS = 0.8
 BOUND_SECONDS = 60.0
 
 
@@ -148,3 +150,42 @@
     world.wait_for_owners()
     cells = [name for name, _ in list_owned(world.deployment)]
     assert len(cells) == len(set(cells)), cells
+
+
+def list_held(world: World) -> list[str]:
+    """Return the workers that hold a task which may not run yet."""
+    held = []
+    for worker in world.deployment.settings.fleet.workers:
+        url = f"http://{worker.address}/control/report"
+        report = call_json("POST", url, {"cell": "", "epoch": 0})
+        if any(task["phase"] == "held" for task in report["tasks"]):
+            held.append(worker.name)
+    return held
+
+
+def set_frozen(world: World, worker: str, frozen: bool) -> None:
+    world.deployment.workers.set_faults(workers={worker: {"frozen": frozen}})
+
+
+@when("one member of a gang goes, the other's worker hangs, and the owner dies")
+def kill_between_goes(context: Any) -> None:
+    world: World = context.world
+    owners = find_owners(world)
+    # While the store takes its time over the record of the start, both members
+    # are held and neither has been told to go.
+    store = world.deployment.store
+    store.set_faults(store={"slow_seconds": RECORD_SECONDS})
+    world.submit("vm-1", "halved", "wide", GANG_SECONDS)
+    world.wait_until(lambda: len(list_held(world)) == 2 or count_starts(world, 0) > 0)
+    held = list_held(world)
+    assert len(held) == 2, "it had started before the store was slow"
+    context.frozen = held[0]
+    set_frozen(world, context.frozen, True)
+    world.wait_until(lambda: count_starts(world, 0) == 1)
+    world.send_signal(owners[find_latest_cell(world)], "placer", signal.SIGKILL)
+    store.set_faults(store={"slow_seconds": 0.0})
+
+
+@when("the worker answers again")
+def unfreeze(context: Any) -> None:
+    set_frozen(context.world, context.frozen, False)
--- a/features/steps/failures_requests_steps.py
+++ b/features/steps/failures_requests_steps.py
@@ -138,6 +138,8 @@
     """Pause the first entry until its lease has lapsed and a repeat has its end."""
     world.send_signal("vm-1", "entry", signal.SIGSTOP)
     world.deployment.store.set_faults(store={"slow_seconds": 0.0})
+    # Its write is still on its way, and the repeat must not come before it.
+    world.wait_until(lambda: bool(read_claim(world, request_id)))
     world.ask_to_the_end("vm-2", "caption", request_id)
     world.send_signal("vm-1", "entry", signal.SIGCONT)
     world.finish_asking()
