--- a/features/steps/failures_requests_steps.py
+++ b/features/steps/failures_requests_steps.py
@@ -24,6 +24,16 @@
     context.world = start_world(context, vms)
 
 
+@given("3 VMs serve requests of a team that may hold {quota:d} accelerators")
+def start_with_quota(context: Any, quota: int) -> None:
+    context.world = start_world(context, 3, quota=quota)
+
+
+@given("{vms:d} VMs serve requests and operators")
+def start_all(context: Any, vms: int) -> None:
+    context.world = start_world(context, vms, ("entry", "placer", "steward"))
+
+
 def wait_for_runs(world: World, prefix: str, count: int) -> None:
     """Wait closely until so many requests have started to run."""
     end = time.monotonic() + BOUND_SECONDS
@@ -128,6 +138,8 @@
     """Pause the first entry until its lease has lapsed and a repeat has its end."""
     world.send_signal("vm-1", "entry", signal.SIGSTOP)
     world.deployment.store.set_faults(store={"slow_seconds": 0.0})
+    # Its write is still on its way, and the repeat must not come before it.
+    world.wait_until(lambda: bool(read_claim(world, request_id)))
     world.ask_to_the_end("vm-2", "caption", request_id)
     world.send_signal("vm-1", "entry", signal.SIGCONT)
     world.finish_asking()
