Keep secrets out of logs, and never tell too short a wait

Cause: `PeerKeys` showed its secret in repr and in any log line that held settings (records were encoded field by field); a logged trace held local variables, so also bearer tokens; `Retry-After` was rounded to the nearest second, so 1.2 s became 1.

Change: the secret is left out of repr, records are logged as text, traces have no local variables, waits round up. `SettingsRequest` had no sender and no handler.

Two new scenarios of access.feature failed before the change and pass after it; features/settings: 115 scenarios passed.

--- a/features/settings/access.feature
+++ b/features/settings/access.feature
@@ -38,3 +38,13 @@
   Scenario: A stranger's endless token is not even hashed
     Given the settings of the domeworks example for access
     Then a token of a million letters gives no rights without being hashed
+
+  Scenario: The keys between processes show in no text and no log line
+    A person logs the settings of a process, or a fault of the program is logged with
+    its trace. Whoever reads the logs could then speak as one of our processes.
+    Then no secret shows in the settings of a process, or in a line or trace logged
+
+  Scenario: The time to come back is never shorter than it was reckoned
+    A caller who comes back within the time is refused again, and a crowd of them
+    keeps a queue full that had room a moment later.
+    Then a wait of 1.2 seconds is answered as 2, and of 0.1 seconds as 1
--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -1,9 +1,12 @@
 """Steps on bearer tokens and rights."""
 
+import contextlib
+import io
 from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
 
+import structlog
 from behave import given, then, when
 from features.settings.doubles import (
     encode_text,
@@ -13,6 +16,9 @@
 from primrosestile.decisions import access
 from primrosestile.decisions.access import find_rights, hash_token, read_bearer
 from primrosestile.decisions.settingschange import check_change
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.programs.common import answer_failure, set_up_logs
+from primrosestile.state.process import PeerKeys, ProcessSettings
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Key
 
@@ -109,3 +115,45 @@
 def check_endless(context: Any) -> None:
     with patch.object(access, "hash_token", side_effect=AssertionError):
         assert find_rights(context.settings, "a" * 1_000_000) is None
+
+
+SECRET = "secret-of-a-pair-of-keys"
+BEARER = "Bearer of-an-operator"
+
+
+def break_with(header: str) -> None:
+    if header:
+        raise RuntimeError("a fault of the program")
+
+
+@then("no secret shows in the settings of a process, or in a line or trace logged")
+def check_logged(context: Any) -> None:
+    keys = PeerKeys("public-part", SECRET)
+    settings = ProcessSettings("vm-1", "vm-1", "d", (), "", "", "", peer_keys=keys)
+    assert SECRET not in repr(settings)
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        try:
+            set_up_logs(settings)
+            log = structlog.get_logger()
+            log.info("started", settings=settings, listed=[keys], keys={"pair": keys})
+            try:
+                break_with(BEARER)
+            except RuntimeError:
+                log.exception("request_failed")
+        finally:
+            structlog.contextvars.clear_contextvars()
+            structlog.reset_defaults()
+    assert "public-part" in output.getvalue()
+    assert "a fault of the program" in output.getvalue()
+    assert SECRET not in output.getvalue()
+    assert BEARER not in output.getvalue()
+
+
+@then(
+    "a wait of {first:g} seconds is answered as {a}, and of {second:g} seconds as {b}"
+)
+def check_wait(context: Any, first: float, a: str, second: float, b: str) -> None:
+    for seconds, shown in ((first, a), (second, b)):
+        failure = Failure(ErrorKind.QUEUE_FULL, retry_after=seconds)
+        assert answer_failure(failure).headers["Retry-After"] == shown
--- a/src/primrosestile/programs/common.py
+++ b/src/primrosestile/programs/common.py
@@ -9,10 +9,11 @@
 import argparse
 import asyncio
 import logging
+import math
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, is_dataclass
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,9 @@
 LINE_FIELDS = ("request_id", "job_id", "epoch")
 LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0)
 
+# Local variables stay out of traces: they hold callers' tokens and our keys.
+_TRACES = structlog.tracebacks.ExceptionDictTransformer(show_locals=False)
+
 _log = structlog.get_logger()
 
 
@@ -73,7 +77,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.dict_tracebacks,
+            structlog.processors.ExceptionRenderer(_TRACES),
             _add_line_fields,
             structlog.processors.JSONRenderer(serializer=_dump),
         ],
@@ -85,7 +89,18 @@
 
 
 def _dump(value: Any, default: Callable[[Any], Any]) -> str:
-    return msgspec.json.encode(value, enc_hook=str).decode()
+    return msgspec.json.encode(_show_records(value), enc_hook=str).decode()
+
+
+def _show_records(value: Any) -> Any:
+    """Return a value with records as text, which leaves out their secrets."""
+    if is_dataclass(value):
+        return str(value)
+    if isinstance(value, Mapping):
+        return {key: _show_records(each) for key, each in value.items()}
+    if isinstance(value, list | tuple):
+        return [_show_records(each) for each in value]
+    return value
 
 
 class Metrics:
@@ -150,7 +165,7 @@
     }
     response = answer_json(body, answer.status)
     if after is not None:
-        response.headers["Retry-After"] = str(max(1, round(after)))
+        response.headers["Retry-After"] = str(max(1, math.ceil(after)))
     return response
 
 
--- a/src/primrosestile/protocol/messages.py
+++ b/src/primrosestile/protocol/messages.py
@@ -73,12 +73,6 @@
     revisions: dict[str, int]
 
 
-class SettingsRequest(msgspec.Struct, frozen=True, tag=True):
-    """Asks for the stored value of some paths."""
-
-    paths: tuple[str, ...]
-
-
 class SettingsValues(msgspec.Struct, frozen=True, tag=True):
     """Stored values by path, as they stand in the store."""
 
@@ -104,7 +98,6 @@
     | DigestRequest
     | DemandReport
     | SettingsDigest
-    | SettingsRequest
     | SettingsValues
     | Heartbeat
     | Refused
--- a/src/primrosestile/state/process.py
+++ b/src/primrosestile/state/process.py
@@ -4,7 +4,7 @@
 small JSON file, so that a VM can be replaced by starting the same file elsewhere.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +17,7 @@
     """
 
     public: str
-    secret: str
+    secret: str = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
