Renew once more at once over a new connection

Cause: scenario 'Open connections go silent for good': a gang of 15 s under leases of 6 s was stopped at 6.0 s and started again, since the second renewal waited a round after the first had timed out on a silent connection. Ruled out: longer leases in the scenario, which hide the same in a longer gap. Change: a renewal without an answer is tried again at once; the first try has closed the connection.

--- a/src/primrosestile/coordination/following.py
+++ b/src/primrosestile/coordination/following.py
@@ -61,19 +61,9 @@
 
     async def _run_round(self, group: asyncio.TaskGroup, contact: Contact) -> None:
         command = self._data.command
-        renewal = self._plan_renewal(contact)
-        asked_at = read_clock()
-        if renewal.task_ids:
-            contact.renewed_at = asked_at
         was_reachable = contact.reachable
         try:
-            report = await command.workers.renew(
-                contact.worker.name,
-                command.cell,
-                command.epoch,
-                renewal.task_ids,
-                renewal.seconds,
-            )
+            asked_at, report = await self._renew_patiently(contact)
         except Failure as failure:
             self._note_failure(contact, failure)
             if failure.kind is ErrorKind.STALE_EPOCH:
@@ -89,6 +79,38 @@
         if command.may_act():
             self._consider(group, contact)
 
+    async def _renew_patiently(self, contact: Contact) -> tuple[float, WorkerReport]:
+        """Renew, and once more at once if no answer comes.
+
+        The connection may have gone silent for good while a new one works. To
+        wait a round for the second try would cost the worker's tasks their lease
+        when leases are short; the first try has closed the connection, so the
+        second takes a new one.
+        """
+        try:
+            return await self._renew(contact)
+        except Failure as failure:
+            unheard = failure.kind is ErrorKind.WORKER_UNREACHABLE
+            if not unheard or not contact.reachable:
+                raise
+        return await self._renew(contact)
+
+    async def _renew(self, contact: Contact) -> tuple[float, WorkerReport]:
+        """Renew what may be renewed; return when it was asked, and the report."""
+        command = self._data.command
+        renewal = self._plan_renewal(contact)
+        asked_at = read_clock()
+        if renewal.task_ids:
+            contact.renewed_at = asked_at
+        report = await command.workers.renew(
+            contact.worker.name,
+            command.cell,
+            command.epoch,
+            renewal.task_ids,
+            renewal.seconds,
+        )
+        return asked_at, report
+
     def _note_failure(self, contact: Contact, failure: Failure) -> None:
         if failure.kind is ErrorKind.STALE_EPOCH:
             _log.warning("cell_superseded", worker=contact.worker.name)
