--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -15,7 +15,9 @@
 from primrosestile.coordination.dispatch import Dispatcher
 from primrosestile.coordination.exchange import DigestTable
 from primrosestile.coordination.membership import Directory
+from primrosestile.coordination.vmwatch import VmWatch
 from primrosestile.decisions.cellchoice import CellPicture
+from primrosestile.decisions.nearness import choose_near, choose_near_targets
 from primrosestile.decisions.settingsview import SettingsView, view_settings
 from primrosestile.errors import Failure
 from primrosestile.protocol.messages import CellDigests, DemandReport
@@ -29,8 +31,6 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 # A digest older than this says nothing about free room any more.
 FRESH_SECONDS = 4.0
-# The list lags by itself; reading it more often finds nothing sooner.
-VM_LIST_SECONDS = 2.0
 
 _log = structlog.get_logger()
 
@@ -41,6 +41,7 @@
     def __init__(
         self,
         name: str,
+        failure_domain: str,
         peers: Peers,
         directory: Directory,
         dispatcher: Dispatcher,
@@ -48,10 +49,11 @@
         read_settings: Callable[[], Settings],
     ) -> None:
         self._name = name
+        self._failure_domain = failure_domain
         self._peers = peers
         self._directory = directory
         self._dispatcher = dispatcher
-        self._vm_list = vm_list
+        self._vms = VmWatch(vm_list, self.note_listed)
         self._read_settings = read_settings
         self._table = DigestTable()
         self._listed_leaving: frozenset[str] = frozenset()
@@ -62,7 +64,7 @@
     async def run(self) -> None:
         """Keep one task for each placer in the directory, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._read_vm_list())
+            group.create_task(self._vms.run())
             tasks: dict[str, asyncio.Task[None]] = {}
             while True:
                 self._changed.clear()
@@ -73,14 +75,18 @@
     def _match_tasks(
         self, group: asyncio.TaskGroup, tasks: dict[str, "asyncio.Task[None]"]
     ) -> None:
-        placers = {record.name: record for record in self._directory.records("placer")}
+        view = view_settings(self._read_settings())
+        found = self._directory.records("placer")
+        near = choose_near(self._failure_domain, found, view)
+        placers = {record.name: record for record in near}
         for name in [name for name in tasks if name not in placers]:
             tasks.pop(name).cancel()
         for name, record in placers.items():
             if name not in tasks:
                 tasks[name] = group.create_task(self._follow(record))
-        entries = [each.name for each in self._directory.records("entry")]
-        self._dispatcher.router.set_entries(entries)
+        entries = self._directory.records("entry")
+        sharing = choose_near(self._failure_domain, entries, view)
+        self._dispatcher.router.set_entries([each.name for each in sharing])
 
     async def _follow(self, record: ProcessRecord) -> None:
         while True:
@@ -123,17 +129,10 @@
         view = view_settings(self._read_settings())
         return [worker.name for worker in view.workers_in.get(cell_name, ())]
 
-    async def _read_vm_list(self) -> None:
-        while True:
-            try:
-                listed = await self._vm_list.read()
-                self._listed_leaving = frozenset(
-                    each.name for each in listed if each.leaving
-                )
-                self.refresh_targets()
-            except Failure as failure:
-                _log.info("vm_list_unread", kind=failure.kind.value)
-            await asyncio.sleep(VM_LIST_SECONDS * random.uniform(0.8, 1.0))
+    def note_listed(self, leaving: frozenset[str]) -> None:
+        """Take in which workers the VM list shows as leaving."""
+        self._listed_leaving = leaving
+        self.refresh_targets()
 
     def refresh_targets(self) -> None:
         """Tell the router which targets there are, and which are leaving."""
@@ -146,8 +145,12 @@
         if self._routed != (view, leaving):
             # Sorting in 15,000 targets takes tens of milliseconds; digests come
             # many times a second and seldom change the set.
+            if self._routed[0] is not view:
+                # Other settings may put other placers near.
+                self._changed.set()
             self._routed = (view, leaving)
-            self._dispatcher.router.set_targets(view.slots, frozenset(leaving), now)
+            slots = choose_near_targets(self._failure_domain, view)
+            self._dispatcher.router.set_targets(slots, frozenset(leaving), now)
         self._dispatcher.queue.set_slots(self._dispatcher.router.count_slots(now))
         self._dispatcher.wake()
 
--- a/src/primrosestile/decisions/overdue.py
+++ b/src/primrosestile/decisions/overdue.py
@@ -12,6 +12,9 @@
 # its class. Where run times vary as much as their mean, one in ten thousand does.
 OVERDUE_QUANTILE = 0.9
 OVERDUE_FACTOR = 4.0
+# The loop's clock moves in steps, and a target may answer within one. An attempt
+# without an age would be due again at once, for ever, and the entry would stop.
+LEAST_AGE_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,4 +69,5 @@
 
     def _watch(self, running: Running, age: float) -> None:
         self._sequence += 1
-        heapq.heappush(self._due, (running.started_at + age, self._sequence, running))
+        due = running.started_at + max(age, LEAST_AGE_SECONDS)
+        heapq.heappush(self._due, (due, self._sequence, running))
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -38,6 +38,9 @@
 # A hedge is sent when a request has taken longer than this share of its class:
 # at most one request in twenty is sent twice.
 HEDGE_QUANTILE = 0.95
+# Below this a second sending ends no sooner than the first: it takes a way of a few
+# milliseconds to another failure domain and, after a cancelled one, a connection.
+LEAST_HEDGE_SECONDS = 0.02
 # Runs of a class from which its quantiles are taken for known.
 ENOUGH_SAMPLES = 20
 
@@ -190,7 +193,7 @@
             return None
         if not self._budget.can_spend():
             return None
-        after = times.estimate_quantile(HEDGE_QUANTILE)
+        after = max(LEAST_HEDGE_SECONDS, times.estimate_quantile(HEDGE_QUANTILE))
         return after if now + after < waiting.deadline else None
 
     def can_serve_any(self, now: float) -> bool:
