Spare failing targets that can not all be set aside

Cause: with half of the fleet failing at once, and at most a quarter set aside, the other failing targets were always free while the sound ones were full. All that waited was sent to them and failed, and its callers heard that it may have run.

Ruled out: a higher share set aside (the share of the settings bounds it).

Change: a target that keeps failing is left alone for a second after each failure, as long as no more than half of the targets do.

--- a/features/requests/targets.feature
+++ b/features/requests/targets.feature
@@ -82,6 +82,14 @@
     And after 6 seconds a patient idempotent request goes to "target-1"
     And once that has succeeded "target-1" is chosen again
 
+  Scenario: Failing targets do not get all that the full ones can not take
+    Half of the targets fail at once, more than may be set aside, and the others
+    are full. Always free, the failing ones would be sent all that waits; callers
+    would hear that their work may have run, where it could have been refused.
+    Given a router with 8 targets
+    When the first 4 targets fail 3 requests each and the others are full
+    Then at most 8 of 1000 requests within a second are sent there
+
   Scenario: When all targets are bad, most are used all the same
     A bad release makes every target fail. If all were set aside, nothing would
     even be tried.
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -488,6 +488,31 @@
         end_at(context.router, target, Ended.FAILED)
 
 
+@when(
+    "the first {count:d} targets fail {failures:d} requests each "
+    "and the others are full"
+)
+def fail_first(context: Any, count: int, failures: int) -> None:
+    for number in range(1, count + 1):
+        fail_some(context, f"target-{number}", failures)
+    for number in range(count + 1, 9):
+        for place in range(8):
+            waiting = make_waiting(f"full-{number}-{place}")
+            context.router.start(f"target-{number}", waiting, 0.0)
+
+
+@then("at most {most:d} of {count:d} requests within a second are sent there")
+def check_spared(context: Any, most: int, count: int) -> None:
+    sent = 0
+    for number in range(count):
+        now = number / count
+        target = context.router.choose(make_waiting(number, now), now)
+        if target is not None:
+            sent += 1
+            end_at(context.router, target, Ended.FAILED, now)
+    assert sent <= most, sent
+
+
 @when("every target fails {count:d} requests")
 def fail_all(context: Any, count: int) -> None:
     for number in range(1, 9):
--- a/src/primrosestile/decisions/capacity.py
+++ b/src/primrosestile/decisions/capacity.py
@@ -13,9 +13,6 @@
 from primrosestile.decisions.allowances import Allowances, Grant
 from primrosestile.decisions.sampling import SampledSet
 
-# How long a target that refused, as not run, is left alone: others hold its
-# slots, and about one request's time later that may have changed.
-REFUSED_SECONDS = 0.2
 # How long a target that said that it leaves is believed over a lagging list.
 LEAVING_SECONDS = 120.0
 
@@ -27,7 +24,7 @@
         self._allowances = Allowances(self_name)
         self._leaving: frozenset[str] = frozenset()
         self._said_leaving: dict[str, float] = {}
-        self._refused: dict[str, float] = {}
+        self._paused: dict[str, float] = {}
         self._resting: set[str] = set()
         self._in_flight: dict[str, int] = {}
         self._allowed: dict[str, int] = {}
@@ -49,7 +46,7 @@
         self._leaving = leaving
         for target in changed - slots.keys():
             self._said_leaving.pop(target, None)
-            self._refused.pop(target, None)
+            self._paused.pop(target, None)
         self._refresh_all(sorted(changed))
 
     def set_entries(self, names: Sequence[str]) -> None:
@@ -89,10 +86,15 @@
         """Note one request less."""
         self._change_in_flight(target, -1)
 
-    def note_refused(self, target: str) -> None:
+    def pause(self, target: str, seconds: float) -> None:
         """Leave a target alone for a moment."""
-        self._refused[target] = self._now + REFUSED_SECONDS
-        self._expect_change(self._refused[target], (target,))
+        self._paused[target] = self._now + seconds
+        self._expect_change(self._paused[target], (target,))
+        self._refresh(target)
+
+    def resume(self, target: str) -> None:
+        """Take a target into use before its pause is over."""
+        self._paused.pop(target, None)
         self._refresh(target)
 
     def is_leaving(self, target: str) -> bool:
@@ -116,7 +118,7 @@
     def has_room(self, target: str) -> bool:
         """Whether a request may be sent there, set aside or not."""
         used = self._in_flight.get(target, 0)
-        return used < self._allowed.get(target, 0) and target not in self._refused
+        return used < self._allowed.get(target, 0) and target not in self._paused
 
     def has_free(self) -> bool:
         """Whether any target is open to ordinary choice."""
@@ -158,8 +160,8 @@
             self._refresh(target)
 
     def _refresh(self, target: str) -> None:
-        if self._refused.get(target, self._now) <= self._now:
-            self._refused.pop(target, None)
+        if self._paused.get(target, self._now) <= self._now:
+            self._paused.pop(target, None)
         if self._said_leaving.get(target, self._now) <= self._now:
             self._said_leaving.pop(target, None)
         used = self._in_flight.get(target, 0)
--- a/src/primrosestile/decisions/outliers.py
+++ b/src/primrosestile/decisions/outliers.py
@@ -28,6 +28,8 @@
 # Failures in a row that set a target aside. A target that fails one request in
 # ten does this once in a thousand.
 FAILURES_IN_A_ROW = 3
+# Failing targets are an exception as long as they are no more than this share.
+MOST_PAUSED = 0.5
 # Rest before one request is tried again, doubled after each failed try.
 FIRST_REST = 5.0
 LONGEST_REST = 60.0
@@ -71,6 +73,7 @@
         self.most_share = most_share
         self._targets: dict[str, Health] = {}
         self._resting: set[str] = set()
+        self._failing: set[str] = set()
         self._changed: set[str] = set()
         self._next_try = math.inf
         self._median = 0.0
@@ -80,6 +83,7 @@
         """Forget targets that are gone, and take in new ones."""
         for name in self._targets.keys() - names:
             del self._targets[name]
+            self._failing.discard(name)
             if name in self._resting:
                 self._resting.discard(name)
                 self._changed.add(name)
@@ -94,6 +98,20 @@
         """Whether a target is set aside."""
         return name in self._resting
 
+    def must_pause(self, name: str) -> bool:
+        """Whether a target that keeps failing is to be left alone for a moment.
+
+        Made for more failing targets than may be set aside, while the sound ones
+        are full. Always free, the failing ones would be sent all that waits, and
+        fail it, though it could have been refused as not run. If more than half
+        fail, they are no exception, and nothing is gained by sparing them.
+        """
+        return name in self._failing and not self.most_fail()
+
+    def most_fail(self) -> bool:
+        """Whether failing targets are the rule and not the exception."""
+        return len(self._failing) > MOST_PAUSED * len(self._targets)
+
     def collect_changed(self) -> set[str]:
         """Return what was set aside or let back since the last call."""
         changed, self._changed = self._changed, set()
@@ -105,6 +123,7 @@
         if health is None:
             return
         health.failures_in_a_row = 0
+        self._failing.discard(name)
         self._note_ratio(
             name, health, seconds / max(expected, SHORTEST_RUN), NEW_RUN_WEIGHT, now
         )
@@ -138,6 +157,8 @@
         if health is None:
             return
         health.failures_in_a_row += 1
+        if health.failures_in_a_row >= FAILURES_IN_A_ROW:
+            self._failing.add(name)
         if health.trying:
             self._rest_again(health, now)
         elif health.failures_in_a_row >= FAILURES_IN_A_ROW:
--- a/src/primrosestile/decisions/routing.py
+++ b/src/primrosestile/decisions/routing.py
@@ -35,6 +35,12 @@
 # Recent run times that differ by less than a half count as the same. Chance makes
 # such differences, and all entries would run after the same fastest target.
 LOG_STEP = math.log(1.5)
+# How long a target that refused, as not run, is left alone: others hold its
+# slots, and about one request's time later that may have changed.
+REFUSED_SECONDS = 0.2
+# How long one that keeps failing is left alone after each failure, where too many
+# are set aside already: one request a second shows soon enough that it is well.
+FAILING_PAUSE_SECONDS = 1.0
 # A hedge is sent when a request has taken longer than this share of its class:
 # at most one request in twenty is sent twice.
 HEDGE_QUANTILE = 0.95
@@ -65,6 +71,7 @@
         self._outliers = make_outliers(policy.quarantine_share)
         self._experience = Experience()
         self._overdue = OverdueWatch()
+        self._paused_failing: set[str] = set()
         self._budget = make_retry_budget(policy.retry_ratio)
         # Only spreads load, so a fixed seed takes nothing away, and a test sees
         # the same choices each time.
@@ -84,6 +91,7 @@
         self._outliers.set_targets(slots.keys())
         self._capacity.set_targets(slots, leaving, now)
         self._set_resting()
+        self._paused_failing &= slots.keys()
 
     def set_grants(
         self,
@@ -240,13 +248,24 @@
     def _learn_trouble(self, target: str, outcome: Outcome, now: float) -> None:
         if outcome in (Outcome.FAILED, Outcome.UNREACHABLE, Outcome.UNKNOWN):
             self._outliers.note_failure(target, now)
+            self._pause_failing(target)
             return
         self._outliers.drop_try(target)
         if outcome is Outcome.REFUSED:
-            self._capacity.note_refused(target)
+            self._capacity.pause(target, REFUSED_SECONDS)
         if outcome is Outcome.LEAVING:
             self._capacity.note_leaving(target)
 
+    def _pause_failing(self, target: str) -> None:
+        if self._outliers.must_pause(target):
+            self._capacity.pause(target, FAILING_PAUSE_SECONDS)
+            self._paused_failing.add(target)
+        elif self._outliers.most_fail():
+            # They are no exception any more: whatever is free is tried again.
+            for paused in sorted(self._paused_failing):
+                self._capacity.resume(paused)
+            self._paused_failing.clear()
+
     def _learn_from_overdue(self, now: float) -> None:
         found = self._overdue.collect(now)
         for running in found:
--- a/tools/bench/requests_workloads.py
+++ b/tools/bench/requests_workloads.py
@@ -95,6 +95,12 @@
     return make_plan("failing-workers", spread(0.7), failing=failing)
 
 
+def make_half_fails() -> Plan:
+    """Half of the workers fail each request, at three times the capacity."""
+    failing = frozenset(f"worker-{number}" for number in range(12))
+    return make_plan("half-the-fleet-fails", spread(3.0), failing=failing)
+
+
 def make_slow(name: str, shape: str) -> Plan:
     """One worker of 24 takes ten times as long."""
     return make_plan(name, spread(0.7, shape=shape), slow={"worker-5": 10.0})
@@ -113,6 +119,7 @@
     "cancellation-waves": make_waves,
     "failing-workers": make_failing,
     "half-the-fleet-leaves": make_half_leaves,
+    "half-the-fleet-fails": make_half_fails,
     "declared-far-off": lambda: make_plan(
         "declared-far-off", spread(1.5, declared=30.0)
     ),
