Let `settings status` exit with 10 while a process lags

The commands had not been run against real processes.

Change: exit code 10 (`NOT_IN_FORCE`) beside the lines that name the process. `start_deployment` of the path's steps takes process settings, so that a stopped process stays listed.

--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -83,11 +83,13 @@
         self.deployment.wait_until(lambda: self.read_job(job_id)["state"] == state)
 
 
-def start_deployment(context: Any, name: str, vms: int) -> None:
+def start_deployment(
+    context: Any, name: str, vms: int, **process_settings: Any
+) -> None:
     """Start a deployment that ends with the scenario."""
     settings = read_settings(EXAMPLES / name / "settings.json")
     tokens = json.loads((EXAMPLES / name / "tokens.json").read_text())
-    deployment = Deployment(settings, drain_seconds=0.5)
+    deployment = Deployment(settings, drain_seconds=0.5, **process_settings)
     context.cleanups.append(deployment.close)
     deployment.start_platform()
     domains = [domain.name for domain in settings.fleet.failure_domains]
--- a/src/primrosestile/programs/clioutput.py
+++ b/src/primrosestile/programs/clioutput.py
@@ -32,6 +32,7 @@
     REFUSED = 7
     UNKNOWN = 8
     ENDED_BADLY = 9
+    NOT_IN_FORCE = 10
 
 
 EXIT_MEANINGS: dict[Exit, str] = {
@@ -45,6 +46,7 @@
     Exit.REFUSED: "refused and not run; come back later",
     Exit.UNKNOWN: "it may have been done; look before trying again",
     Exit.ENDED_BADLY: "the job ended without finishing",
+    Exit.NOT_IN_FORCE: "a process lags or does not answer; settings status names it",
 }
 
 _EXITS: dict[ErrorKind, Exit] = {
--- a/src/primrosestile/programs/clisettings.py
+++ b/src/primrosestile/programs/clisettings.py
@@ -1,5 +1,6 @@
 """Commands on settings: `primrosestile settings ...`."""
 
+from collections.abc import Iterator
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated, Any
@@ -174,7 +175,10 @@
     steward: Steward = STEWARD_DEFAULT,
     token_file: TokenFile = None,
 ) -> None:
-    """Show which process has applied which revision."""
+    """Show which process has applied which revision.
+
+    Exits with 10 while a process lags or does not answer.
+    """
 
     async def read(client: Client) -> Any:
         if wait:
@@ -185,16 +189,20 @@
         found = run_client(steward, token_file, read)
         if as_json:
             print_value(found)
-            return
-        print_lines(
-            f"{each['path']} revision {each['revision']}:"
-            f" {each['applied']} of {each['processes']} processes"
-            for each in found["paths"]
-        )
-        for process in found["processes"]:
-            if not process["answered"]:
-                print_lines([f"{process['name']} does not answer"])
-            elif process["behind"]:
-                print_lines([f"{process['name']} lags: {process['behind']}"])
+        else:
+            print_lines(_describe_status(found))
+        if not found["in_force_everywhere"]:
+            raise typer.Exit(Exit.NOT_IN_FORCE)
 
     run_command(work, as_json)
+
+
+def _describe_status(found: dict[str, Any]) -> Iterator[str]:
+    for each in found["paths"]:
+        applied = f"{each['applied']} of {each['processes']} processes"
+        yield f"{each['path']} revision {each['revision']}: {applied}"
+    for process in found["processes"]:
+        if not process["answered"]:
+            yield f"{process['name']} does not answer"
+        elif process["behind"]:
+            yield f"{process['name']} lags: {process['behind']}"
