Tell in `job explain` why a job waits now

Cause: the reason why a job waits stands with the owner of its cell only, so `job explain` said that it waits for a place and not what for.

Ruled out: writing each reason into the record, a store write with each pass.

Change: the steward asks the owners while the job waits, and shows the latest reason last. Without an answer the explanation is as before.

The new step of operators.feature failed before the change (not shown in 60 s) and passes after it; features/settings 115 scenarios passed.

--- a/features/path/operators.feature
+++ b/features/path/operators.feature
@@ -13,6 +13,7 @@
     Then "job status FIRST" shows "started" to the producer in the end
     And "job explain FIRST" shows "It was given a place" to the operator in the end
     And "job explain FOURTH" shows "accepted. It has not run yet." to the producer in the end
+    And "job explain FOURTH" shows "  It waits" to the producer in the end
     And "fleet" shows "0 of 64 accelerators free; 1 jobs run" to the operator in the end
     And "fleet" shows "fragmentation 0." to the operator in the end
     And "guarantees" shows "producers: 4 x 8 accelerators in one worker; it holds" to the operator in the end
--- a/src/primrosestile/programs/stewardviews.py
+++ b/src/primrosestile/programs/stewardviews.py
@@ -22,7 +22,7 @@
 from primrosestile.programs.common import answer_json
 from primrosestile.programs.reasons import STATE_SENTENCES, describe_reason
 from primrosestile.protocol.store import Store
-from primrosestile.state.jobs import JobRecord, ProcessRecord
+from primrosestile.state.jobs import JobRecord, JobState, ProcessRecord, Reason
 from primrosestile.transport.connections import Connections, FailureKinds
 
 ASK_TIMEOUT_SECONDS = 2.0
@@ -157,7 +157,18 @@
             record.spec.organisation, record.spec.team
         ):
             raise Failure(ErrorKind.NOT_FOUND, f"there is no job {job_id}")
-        return answer_json(explain(record))
+        # Why a job waits changes with each pass over the queue. It is not written
+        # into the record each time, so the owner of the cell is asked.
+        waiting = record.state is JobState.ACCEPTED
+        now = await self._find_waiting(job_id) if waiting else None
+        return answer_json(explain(record, now))
+
+    async def _find_waiting(self, job_id: str) -> Reason | None:
+        """Return why a job waits at this moment; None when nobody says so."""
+        for cell in await self._read_cells():
+            if job_id in cell.get("waiting", {}):
+                return msgspec.convert(cell["waiting"][job_id], Reason)
+        return None
 
     def _require_operator(self, request: web.Request) -> None:
         require_operator(self._follower.settings, request.headers.get("Authorization"))
@@ -223,9 +234,15 @@
     return held
 
 
-def explain(record: JobRecord) -> dict[str, Any]:
-    """Return where a job stands and each reason, as sentences."""
+def explain(record: JobRecord, now: Reason | None = None) -> dict[str, Any]:
+    """Return where a job stands and each reason, as sentences.
+
+    Args:
+        record: As it is stored.
+        now: Why it waits at this moment, if that is known.
+    """
     spec = record.spec
+    reasons = (*record.history, now) if now else record.history
     return {
         "job_id": spec.job_id,
         "organisation": spec.organisation,
@@ -244,6 +261,6 @@
                 "code": reason.code,
                 "sentence": describe_reason(reason),
             }
-            for reason in record.history
+            for reason in reasons
         ],
     }
