--- a/src/primrosestile/coordination/sending.py
+++ b/src/primrosestile/coordination/sending.py
@@ -36,7 +36,8 @@
         started = read_clock()
         outcome = Outcome.CANCELLED
         try:
-            timeout = max(SHORTEST_TIMEOUT_SECONDS, waiting.deadline - started)
+            limit = self._turns.router.limit_try(waiting, started)
+            timeout = max(SHORTEST_TIMEOUT_SECONDS, limit)
             answer = await self._targets.send(target, order, timeout)
             if answer.leaving:
                 self._turns.router.note_leaving(target)
@@ -75,8 +76,9 @@
         waiting: Waiting,
     ) -> RequestAnswer:
         router = self._turns.router
-        other = router.choose(waiting, read_clock(), frozenset({target}))
-        if other is None:
+        now = read_clock()
+        other = router.choose(waiting, now, frozenset({target}))
+        if other is None or not router.may_retry(waiting, now):
             return await first
         self._turns.start(other, waiting)
         second = asyncio.create_task(self.send(other, order, waiting))
