--- a/features/steps/failures_requests_steps.py
+++ b/features/steps/failures_requests_steps.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from behave import given, then, when
-from failures_world import World, check_told, start_world
+from failures_judge import check_told
+from failures_world import World, start_world
 from tools.launch import call_json
 
 SLOW_SECONDS = 0.8
@@ -24,11 +25,6 @@
     context.world = start_world(context, vms)
 
 
-@given("3 VMs serve requests of a team that may hold {quota:d} accelerators")
-def start_with_quota(context: Any, quota: int) -> None:
-    context.world = start_world(context, 3, quota=quota)
-
-
 @given("{vms:d} VMs serve requests and operators")
 def start_all(context: Any, vms: int) -> None:
     context.world = start_world(context, vms, ("entry", "placer", "steward"))
