--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -42,6 +42,10 @@
 START_RETRY_LIMIT_SECONDS = 30.0
 # A job that failed this often on workers where others succeed is itself at fault.
 FAILURE_LIMIT = 3
+# After this many it ends as failed wherever it ran. The same worker may have been
+# the best place each time, and then nothing tells the job's fault from the worker's;
+# a job that is tried for ever costs licensed accelerators and helps nobody.
+HOPELESS_LIMIT = 6
 
 _log = structlog.get_logger()
 
@@ -304,8 +308,9 @@
         await self._wait_for_lapse(unconfirmed)
         failures = record.failures + 1
         detail = f"failed on {', '.join(workers)}"
-        given_up = failures >= FAILURE_LIMIT and self._data.failures.is_bad_job(
-            record.spec.job_id
+        given_up = failures >= HOPELESS_LIMIT or (
+            failures >= FAILURE_LIMIT
+            and self._data.failures.is_bad_job(record.spec.job_id)
         )
         if given_up or not record.spec.restartable:
             code = ReasonCode.FAILED_EVERYWHERE
--- a/src/primrosestile/coordination/claimed.py
+++ b/src/primrosestile/coordination/claimed.py
@@ -105,6 +105,7 @@
         """
         try:
             target = await self._turns.wait(waiting, frozenset())
+            self._turns.router.note_first_attempt()
             step = await self._claim(target, order, waiting)
         except Failure as failure:
             if not failure.not_run or attempt == 1:
--- a/src/primrosestile/coordination/dispatch.py
+++ b/src/primrosestile/coordination/dispatch.py
@@ -62,7 +62,6 @@
                 sending under the id for non-idempotent work, and of this one for
                 idempotent work.
         """
-        self.router.note_first_attempt()
         if order.idempotent:
             return await self._answer_idempotent(order, waiting)
         return await self._claimed.answer(order, waiting, attempt)
@@ -75,13 +74,15 @@
         while True:
             try:
                 target = await self._turns.wait(waiting, tried)
+                if not tried:
+                    self.router.note_first_attempt()
                 return await self._sending.send_hedged(target, order, waiting)
             except Failure as failure:
                 last = failure
             if not last.not_run:
                 unknown = last
-            ended = last.kind is ErrorKind.TARGET_FAILED or not _was_sent(last)
-            if ended or not self.router.may_retry(waiting, read_clock()):
+            may_retry = _was_sent(last) and self.router.may_retry(waiting, read_clock())
+            if not may_retry:
                 raise _tell_gravest(last, unknown)
             tried |= {target}
 
@@ -94,6 +95,7 @@
     return failure.kind in (
         ErrorKind.NO_TARGET,
         ErrorKind.TARGET_REFUSED,
+        ErrorKind.TARGET_FAILED,
         ErrorKind.OUTCOME_UNKNOWN,
     )
 
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Protocol
 
 import structlog
@@ -41,6 +41,7 @@
 # Moves begun in one pass: three writes each, so that a full cell's queue does not
 # take the store's several hundred writes a second for itself.
 SHIFTS_PER_PASS = 16
+OPENING_CHECK_SECONDS = 0.05
 
 _log = structlog.get_logger()
 
@@ -221,27 +222,37 @@
         self, group: asyncio.TaskGroup, record: JobRecord, reclaim: Reclaim
     ) -> None:
         data = self._data
-        if any(victim in data.busy for victim in reclaim.victims):
-            # It is just starting, finishing or being stopped for another job; the
-            # end of that action wakes the next pass.
+        # Those that are being stopped for another job already only need waiting for.
+        to_stop = [each for each in reclaim.victims if each not in data.view.stopping]
+        if any(victim in data.busy for victim in to_stop):
+            # It is just starting or finishing; the end of that action wakes the
+            # next pass.
             return
-        victims = [data.book.find(victim) for victim in reclaim.victims]
         chosen = [
-            each
-            for each in victims
-            if each is not None and each.state is JobState.STARTED
+            victim
+            for each in to_stop
+            if (victim := data.book.find(each)) is not None
+            and victim.state is JobState.STARTED
         ]
-        if len(chosen) != len(reclaim.victims):
+        if len(chosen) != len(to_stop):
             return
         data.waiting_reasons[record.spec.job_id] = make_reason(
             ReasonCode.WAITS_FOR_RECLAIM, reclaim.detail
         )
         holding = self._make_holding(record, reclaim)
         data.view.begin_reclaim(holding, reclaim.victims)
-        data.busy.update(reclaim.victims)
+        data.busy.update(to_stop)
         reclaiming = self._evict_then_start(record, reclaim, holding, chosen)
         self._actions.spawn(group, record, reclaiming)
 
+    async def _wait_for_others(self, job_id: str, victims: Sequence[str]) -> None:
+        """Wait for victims that are being stopped for other jobs."""
+        data = self._data
+        while not data.view.is_opened(job_id):
+            if not any(victim in data.busy for victim in victims):
+                return
+            await asyncio.sleep(OPENING_CHECK_SECONDS)
+
     async def _evict_then_start(
         self,
         record: JobRecord,
@@ -259,6 +270,7 @@
         detail = f"for {record.spec.organisation}'s job {job_id}"
         try:
             await self._actions.evict_all(victims, ReasonCode.RECLAIMED, detail)
+            await self._wait_for_others(job_id, reclaim.victims)
         finally:
             opened = self._data.view.is_opened(job_id)
             if not opened:
--- a/src/primrosestile/decisions/guarantees.py
+++ b/src/primrosestile/decisions/guarantees.py
@@ -10,12 +10,12 @@
 same list of lost domains, so nothing has to be agreed: equal inputs, equal answer.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from primrosestile.decisions.cell import CellView
 from primrosestile.decisions.guarantees_rooms import Layout, Need, find_rooms
-from primrosestile.state.fleet import Cell, Fleet
+from primrosestile.state.fleet import Cell, Fleet, Worker
 from primrosestile.state.tenancy import Adjacency, Guarantee, Guarantees, Shape
 
 # Steps over (unit, cell) choices when guarantees change, a few times a day. The
@@ -41,6 +41,8 @@
 
     name: str
     failure_domain: str
+    racks: tuple[str, ...]
+    view: CellView
     layout: Layout
     units: list[_Unit]
 
@@ -57,6 +59,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _Shared:
+    """The cells with their units, and the units for which there was no room."""
+
+    rooms: list[_CellRoom]
+    left_out: list[_Unit]
+
+
 def find_infeasible(fleet: Fleet, guarantees: Guarantees) -> tuple[str, ...]:
     """Find the guarantees that could not be kept after the loss of a part.
 
@@ -70,12 +80,14 @@
         fleet, or when one failure domain or one rack is lost; empty when all
         can.
     """
+    units = _list_units(guarantees)
+    whole = _share_whole(fleet, units)
     faults: dict[int, str] = {}
-    for lost_domains, lost_racks, when in _list_losses(fleet):
-        _, left_out = _share_out(fleet, guarantees, lost_domains, lost_racks)
-        for unit in left_out:
-            guarantee = guarantees.guarantees[unit.guarantee]
-            faults.setdefault(unit.guarantee, _word_fault(guarantee, when))
+    _note_faults(faults, guarantees, whole.left_out, "with the whole fleet")
+    for lost_racks, when in _list_losses(fleet):
+        if _touches(whole, lost_racks):
+            left_out = _share_after_loss(fleet, units, whole, lost_racks).left_out
+            _note_faults(faults, guarantees, left_out, when)
     return tuple(faults[index] for index in sorted(faults))
 
 
@@ -99,10 +111,14 @@
     Returns:
         By the name of each cell, the promised shapes by organisation.
     """
-    rooms, _ = _share_out(fleet, guarantees, lost_domains, lost_racks)
+    units = _list_units(guarantees)
+    shared = _share_whole(fleet, units)
+    lost = lost_racks | _list_racks(fleet, lost_domains)
+    if lost:
+        shared = _share_after_loss(fleet, units, shared, lost)
     return {
         room.name: tuple((unit.organisation, unit.shape) for unit in room.units)
-        for room in rooms
+        for room in shared.rooms
     }
 
 
@@ -115,16 +131,30 @@
     return not view.rooms.lost
 
 
-def _list_losses(
-    fleet: Fleet,
-) -> Iterator[tuple[frozenset[str], frozenset[str], str]]:
-    none: frozenset[str] = frozenset()
-    yield none, none, "with the whole fleet"
+def _list_losses(fleet: Fleet) -> Iterator[tuple[frozenset[str], str]]:
     for domain in fleet.failure_domains:
-        lost = frozenset((domain.name,))
-        yield lost, none, f"when failure domain {domain.name} is lost"
+        lost = _list_racks(fleet, frozenset((domain.name,)))
+        yield lost, f"when failure domain {domain.name} is lost"
     for rack in fleet.racks:
-        yield none, frozenset((rack.name,)), f"when rack {rack.name} is lost"
+        yield frozenset((rack.name,)), f"when rack {rack.name} is lost"
+
+
+def _list_racks(fleet: Fleet, domains: frozenset[str]) -> frozenset[str]:
+    return frozenset(
+        rack.name for rack in fleet.racks if rack.failure_domain in domains
+    )
+
+
+def _note_faults(
+    faults: dict[int, str],
+    guarantees: Guarantees,
+    left_out: Iterable[_Unit],
+    when: str,
+) -> None:
+    """Word the first loss that breaks each guarantee."""
+    for unit in left_out:
+        guarantee = guarantees.guarantees[unit.guarantee]
+        faults.setdefault(unit.guarantee, _word_fault(guarantee, when))
 
 
 def _word_fault(guarantee: Guarantee, when: str) -> str:
@@ -136,33 +166,46 @@
     )
 
 
-def _share_out(
-    fleet: Fleet,
-    guarantees: Guarantees,
-    lost_domains: frozenset[str],
-    lost_racks: frozenset[str],
-) -> tuple[list[_CellRoom], list[_Unit]]:
-    """Share the units out; return the cells with theirs, and who was left out."""
-    units = _list_units(guarantees)
-    nothing: frozenset[str] = frozenset()
-    whole = _make_rooms(fleet, nothing, nothing)
-    left_out = _fill(whole, units)
-    if not lost_domains and not lost_racks:
-        return whole, left_out
-    # First with what survives left in place, so that work in progress keeps its
-    # rooms; only when that fails is everything shared out anew.
-    rooms = _make_rooms(fleet, lost_domains, lost_racks)
-    moved = list(left_out)
-    for room, before in zip(rooms, whole, strict=True):
+def _share_whole(fleet: Fleet, units: Sequence[_Unit]) -> _Shared:
+    """Share the units out over the whole fleet."""
+    rooms = _make_rooms(fleet)
+    return _Shared(rooms, _fill(rooms, units))
+
+
+def _touches(shared: _Shared, lost_racks: frozenset[str]) -> bool:
+    """Whether a loss takes from a cell that has units.
+
+    Most racks of a large fleet are promised to nobody; their loss changes nothing,
+    and to share 15,000 workers out anew for each of them took minutes.
+    """
+    return any(
+        room.units and not lost_racks.isdisjoint(room.racks) for room in shared.rooms
+    )
+
+
+def _share_after_loss(
+    fleet: Fleet, units: Sequence[_Unit], whole: _Shared, lost_racks: frozenset[str]
+) -> _Shared:
+    """Share the units out over what a loss leaves.
+
+    First with what survives left in place, so that work in progress keeps its
+    rooms; only when that fails is everything shared out anew.
+    """
+    rooms = [_lose_racks(room, lost_racks) for room in whole.rooms]
+    moved = list(whole.left_out)
+    for room, before in zip(rooms, whole.rooms, strict=True):
+        if room.layout is before.layout:
+            room.units.extend(before.units)
+            continue
         for unit in before.units:
             if room.has_room(unit):
                 room.units.append(unit)
             else:
                 moved.append(unit)
     if not _fill(rooms, sorted(moved, key=_rank_unit)):
-        return rooms, []
-    rooms = _make_rooms(fleet, lost_domains, lost_racks)
-    return rooms, _fill(rooms, units)
+        return _Shared(rooms, [])
+    rooms = [_lose_racks(room, lost_racks) for room in whole.rooms]
+    return _Shared(rooms, _fill(rooms, units))
 
 
 def _list_units(guarantees: Guarantees) -> list[_Unit]:
@@ -184,24 +227,32 @@
     )
 
 
-def _make_rooms(
-    fleet: Fleet, lost_domains: frozenset[str], lost_racks: frozenset[str]
-) -> list[_CellRoom]:
+def _make_rooms(fleet: Fleet) -> list[_CellRoom]:
     domains = {rack.name: rack.failure_domain for rack in fleet.racks}
-    lost = {
-        rack.name
-        for rack in fleet.racks
-        if rack.name in lost_racks or rack.failure_domain in lost_domains
-    }
+    by_rack: dict[str, list[Worker]] = {}
+    for worker in fleet.workers:
+        by_rack.setdefault(worker.rack, []).append(worker)
     rooms = []
     for cell in fleet.cells:
-        view = CellView(fleet.workers_of(cell), ())
-        for worker in view.workers:
-            view.set_usable(worker.name, worker.rack not in lost)
-        rooms.append(_CellRoom(cell.name, _find_domain(cell, domains), view.layout, []))
+        view = CellView(
+            [worker for rack in cell.racks for worker in by_rack.get(rack, ())], ()
+        )
+        domain = _find_domain(cell, domains)
+        rooms.append(_CellRoom(cell.name, domain, cell.racks, view, view.layout, []))
     return rooms
 
 
+def _lose_racks(room: _CellRoom, lost_racks: frozenset[str]) -> _CellRoom:
+    """Return the cell without units, and without the workers of lost racks."""
+    layout = room.layout
+    if not lost_racks.isdisjoint(room.racks):
+        view = CellView(room.view.workers, ())
+        for worker in view.workers:
+            view.set_usable(worker.name, worker.rack not in lost_racks)
+        layout = view.layout
+    return _CellRoom(room.name, room.failure_domain, room.racks, room.view, layout, [])
+
+
 def _find_domain(cell: Cell, domains: dict[str, str]) -> str:
     return domains.get(cell.racks[0], "") if cell.racks else ""
 
