--- a/specification/guards.py
+++ b/specification/guards.py
@@ -1,6 +1,6 @@
 """The rules of the core protocol that its promises rest on, by name.
 
-Code that keeps one of these rules names it in a comment, so that a reader who
+Code that keeps one of these rules may name it in a comment, so that a reader who
 wants to remove a check finds the run that breaks without it.
 """
 
