--- a/features/fuzzing/found.feature
+++ b/features/fuzzing/found.feature
@@ -70,3 +70,22 @@
     Given one slot with a request in it and another request waiting for it
     When the waiting caller hangs up just before the request in the slot ends
     Then the slot is free for a third request
+
+  Scenario: A caller who hangs up while the claim is written does not shut its id out
+    The store is slow, a caller goes away before the claim on its request stands. If
+    giving the claim back found nothing there, and the claim landed afterwards, the
+    same surcharge run could not be sent again for a day.
+    Given a fuzzed counter with two entries
+    And the store of the fuzzed counter takes 1.5 seconds for each call
+    When a clerk sends a surcharge run and hangs up 2.0 seconds later
+    Then the surcharge run is answered when it is sent again
+
+  Scenario: A sending that a later one overtook speaks for itself
+    The first sending waits in an entry that sleeps; the caller sends the request
+    again elsewhere, and it runs. The first entry wakes without a store and says "not
+    run", which is true of the sending that it had. It must never send it.
+    Given a fuzzed counter with two entries
+    When a clerk's surcharge run waits in an entry that sleeps
+    And the clerk sends it again to the other entry, which runs it
+    And the first entry wakes while the store is down
+    Then the surcharge run ran once and its first sending never reached a target
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -9,6 +9,12 @@
     check_settled,
 )
 from features.doubles.network import Fate
+from features.doubles.requests import (
+    SETTLE_SECONDS as SETTLE_REQUESTS_SECONDS,
+    Counter,
+    check_answerable,
+    check_requests,
+)
 from features.doubles.slots import SLOT, OneSlot
 from features.fuzzing.gangs import GangMachine
 from features.fuzzing.requests import RequestMachine
@@ -160,6 +166,62 @@
     assert context.counter.take_slot() == SLOT
 
 
+@given("a fuzzed counter with two entries")
+def give_counter(context: Any) -> None:
+    context.counter = Counter()
+    context.cleanups.append(context.counter.close)
+    context.counter.advance(3.0)
+
+
+@given("the store of the fuzzed counter takes {seconds:f} seconds for each call")
+def slow_counter_store(context: Any, seconds: float) -> None:
+    context.counter.store.faults.slow_seconds = seconds
+
+
+@when("a clerk sends a surcharge run and hangs up {seconds:f} seconds later")
+def send_and_hang_up(context: Any, seconds: float) -> None:
+    context.counter.send_new("e0", idempotent=False, seconds=0.1)
+    context.counter.advance(seconds)
+    context.counter.hang_up(0)
+
+
+@when("a clerk's surcharge run waits in an entry that sleeps")
+def send_to_sleeper(context: Any) -> None:
+    context.counter.pause("e1")
+    context.counter.send_new("e1", idempotent=False, seconds=3.0)
+    context.counter.advance(2.5)
+
+
+@when("the clerk sends it again to the other entry, which runs it")
+def send_elsewhere(context: Any) -> None:
+    context.counter.send_again(0, "e0")
+    context.counter.advance(6.0)
+    assert context.counter.requests[0].calls[1].answer is not None
+
+
+@when("the first entry wakes while the store is down")
+def wake_without_store(context: Any) -> None:
+    context.counter.store.faults.down = True
+    context.counter.resume("e1")
+    context.counter.advance(10.0)
+
+
+@then("the surcharge run ran once and its first sending never reached a target")
+def check_overtaken(context: Any) -> None:
+    check_requests(context.counter)
+    first = context.counter.requests[0].calls[0]
+    assert len(context.counter.list_runs()) == 1
+    assert not [each for each in context.counter.reached if each.call is first]
+
+
+@then("the surcharge run is answered when it is sent again")
+def check_sent_again(context: Any) -> None:
+    context.counter.heal()
+    context.counter.advance(SETTLE_REQUESTS_SECONDS)
+    check_answerable(context.counter)
+    check_requests(context.counter)
+
+
 @then("{runs:d} runs of {steps:d} steps with placers and workers keep every promise")
 def run_gangs(context: Any, runs: int, steps: int) -> None:
     run_machine(GangMachine, runs, steps)
