--- a/features/doubles/cells.py
+++ b/features/doubles/cells.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
 from itertools import pairwise
 
@@ -92,6 +93,9 @@
     def note_handed(self, cell: str, accelerators: int) -> None:
         raise AssertionError(f"a job was moved to {cell}")
 
+    def count_used(self, skipped: Collection[str]) -> Counter[str]:
+        return Counter()
+
 
 class Placer:
     """One placer process, wired as its program wires it."""
--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -329,13 +329,16 @@
             await self._wait_for_lapse(unconfirmed)
         await self.end(record, JobState.CANCELLED, ReasonCode.CANCELLED_BY_CALLER)
 
-    def adopt(self, record: JobRecord) -> None:
-        """Hold the accelerators of a job that an earlier owner started."""
-        holding = make_holding(
-            record, record.members, record.started_at, self._data.run_times
+    def adopt_all(self, records: Sequence[JobRecord]) -> None:
+        """Hold the accelerators of jobs that an earlier owner started."""
+        run_times = self._data.run_times
+        self._data.view.hold_all(
+            make_holding(each, each.members, each.started_at, run_times)
+            for each in records
         )
-        self._data.view.hold(holding)
-        self._data.started_at[record.spec.job_id] = read_clock()
+        now = read_clock()
+        for record in records:
+            self._data.started_at[record.spec.job_id] = now
 
     def spawn(
         self,
--- a/src/primrosestile/coordination/cell.py
+++ b/src/primrosestile/coordination/cell.py
@@ -1,7 +1,8 @@
 """One owned cell, from taking it over to handing it on."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -49,13 +50,20 @@
         read_settings: Callable[[], Settings],
         elsewhere: Elsewhere,
         count_followed: Callable[[], int],
+        count_used_elsewhere: Callable[[], Counter[str]],
     ) -> None:
         self.cell = cell
         self._read_settings = read_settings
         self.recovered = asyncio.Event()
         self._inputs = _collect_inputs(read_settings(), cell.name)
         self._data = _make_data(
-            cell, store, command, read_settings, self._wake, count_followed
+            cell,
+            store,
+            command,
+            read_settings,
+            self._wake,
+            count_followed,
+            count_used_elsewhere,
         )
         self._actions = JobActions(self._data)
         self._placing = Placing(self._data, self._actions, store, elsewhere)
@@ -161,12 +169,13 @@
                     task_id=orphan.task_id,
                     kind=failure.kind.value,
                 )
+        adopted_records = [each.record for each in recovery.adopted]
+        lost_records = [each.record for each in recovery.lost]
+        self._actions.adopt_all(adopted_records + lost_records)
         for adopted in recovery.adopted:
-            self._actions.adopt(adopted.record)
             if adopted.held:
                 await go_gang(command, adopted.record, adopted.held)
         for lost in recovery.lost:
-            self._actions.adopt(lost.record)
             try:
                 await self._actions.lose(lost.record, lost.missing)
             except Failure as failure:
@@ -230,14 +239,10 @@
             for worker in outcomes:
                 if worker in self._data.contacts:
                     self._data.failures.record(worker, subject, failed, now)
-        self._note_used(report.used)
 
-    def _note_used(self, used: Mapping[str, int]) -> None:
-        """Take in what teams hold over all cells, as an entry sees it."""
-        here = self._data.count_used_here()
-        self._data.used_elsewhere = {
-            team: max(0, count - here.get(team, 0)) for team, count in used.items()
-        }
+    def count_used(self) -> dict[str, int]:
+        """Return the accelerators that each team holds in this cell."""
+        return self._data.count_used_here()
 
     def make_digest(self, entry: str) -> CellDigest:
         """Return what one entry needs to know of this cell."""
@@ -280,6 +285,7 @@
     read_settings: Callable[[], Settings],
     wake: Callable[[], None],
     count_followed: Callable[[], int],
+    count_used_elsewhere: Callable[[], Counter[str]],
 ) -> CellData:
     inputs = _collect_inputs(read_settings(), cell.name)
     return CellData(
@@ -294,6 +300,7 @@
         failures=make_ledger(read_settings().policy),
         wake=wake,
         count_followed=count_followed,
+        count_used_elsewhere=count_used_elsewhere,
     )
 
 
--- a/src/primrosestile/coordination/celldata.py
+++ b/src/primrosestile/coordination/celldata.py
@@ -5,6 +5,7 @@
 change it between two awaits without a lock.
 """
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -76,6 +77,7 @@
         book: Its job records.
         view: Who holds which accelerators.
         contacts: Its workers by name.
+        count_used_elsewhere: Says what each team holds in other cells.
         count_followed: Says how many workers this process follows in all cells.
         busy: Jobs that an action is under way for; no other one touches them.
         stopping: Those among them whose attempt is being stopped; their leases
@@ -84,7 +86,6 @@
         waiting_reasons: The latest reason of each job that waits.
         retry_at: Loop time before which a job is not tried again.
         started_at: Loop time at which the latest start of a job was complete.
-        used_elsewhere: Accelerators that each team holds in other cells.
     """
 
     name: str
@@ -98,12 +99,12 @@
     failures: FailureLedger
     wake: Callable[[], None]
     count_followed: Callable[[], int]
+    count_used_elsewhere: Callable[[], Counter[str]]
     busy: set[str] = field(default_factory=set)
     stopping: set[str] = field(default_factory=set)
     waiting_reasons: dict[str, Reason] = field(default_factory=dict)
     retry_at: dict[str, float] = field(default_factory=dict)
     started_at: dict[str, float] = field(default_factory=dict)
-    used_elsewhere: dict[str, int] = field(default_factory=dict)
 
     def refresh_usable(self, evictable: bool = True) -> None:
         """Tell the view which workers may get new work.
@@ -116,17 +117,16 @@
             usable = contact.usable and (evictable or not contact.quarantined)
             self.view.set_usable(name, usable)
 
-    def count_used(self) -> dict[str, int]:
+    def count_used(self) -> Counter[str]:
         """Return the accelerators that each team holds, over all cells.
 
-        What a team holds elsewhere is known to about a second; two cells that
-        place at the same moment can overshoot its quota by one job each. The
-        quota bounds cost, not safety, and an exact count would need a write for
-        each start.
+        Cells of this process are counted as they stand. What a team holds under
+        other owners is known to a few seconds; cells of two owners that place at
+        the same moment can overshoot its quota by one job each. The quota bounds
+        cost, not safety, and an exact count would need a write for each start.
         """
-        used = dict(self.used_elsewhere)
-        for team, count in self.count_used_here().items():
-            used[team] = used.get(team, 0) + count
+        used = Counter(self.count_used_elsewhere())
+        used.update(self.count_used_here())
         return used
 
     def count_used_here(self) -> dict[str, int]:
--- a/src/primrosestile/coordination/cellwatch.py
+++ b/src/primrosestile/coordination/cellwatch.py
@@ -127,7 +127,6 @@
             in_flight=in_flight,
             failures=failures,
             successes=successes,
-            used=self._table.count_used(),
         )
 
     def _take_in(self, answer: CellDigests) -> None:
--- a/src/primrosestile/coordination/exchange.py
+++ b/src/primrosestile/coordination/exchange.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 import structlog
@@ -81,12 +81,12 @@
             return None
         return known.digest
 
-    def count_used(self) -> dict[str, int]:
-        """Return the accelerators that each team holds, over all cells."""
-        used: dict[str, int] = {}
-        for known in self._known.values():
-            for team, count in known.digest.used.items():
-                used[team] = used.get(team, 0) + count
+    def count_used(self, skipped: Collection[str]) -> Counter[str]:
+        """Return the accelerators that each team holds, but for some cells."""
+        used: Counter[str] = Counter()
+        for cell, known in self._known.items():
+            if cell not in skipped:
+                used.update(known.digest.used)
         return used
 
     def list_pictures(
@@ -144,17 +144,20 @@
         peers: Peers,
         directory: Directory,
         read_settings: Callable[[], Settings],
-        read_own: Callable[[], list[CellDigest]],
     ) -> None:
         self.table = DigestTable()
         self._name = name
         self._peers = peers
         self._directory = directory
         self._read_settings = read_settings
-        self._read_own = read_own
+        self._read_own: Callable[[], list[CellDigest]] = list
         self._seconds = EXCHANGE_SECONDS
         self._empty_since: dict[str, float] = {}
 
+    def speak_for(self, read_own: Callable[[], list[CellDigest]]) -> None:
+        """Take this process's own cells into the picture."""
+        self._read_own = read_own
+
     async def run(self) -> None:
         """Ask every few seconds until cancelled."""
         while True:
@@ -214,6 +217,10 @@
             self._read_settings(), organisation, shape, self._fresh_seconds
         )
 
+    def count_used(self, skipped: Collection[str]) -> Counter[str]:
+        """Return the accelerators that each team holds, but for some cells."""
+        return self.table.count_used(skipped)
+
     def note_handed(self, cell: str, accelerators: int) -> None:
         """Note a job that was moved to a cell."""
         self.table.note_handed(cell, accelerators)
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Mapping
 
 import msgspec
@@ -222,6 +223,7 @@
             lambda: self._settings,
             self._elsewhere,
             lambda: self._followed,
+            lambda: self._count_used_elsewhere(cell.name),
         )
 
     def _set_keeper(self, name: str, keeper: CellKeeper | None) -> None:
@@ -232,6 +234,14 @@
         # Asked at each round of each worker, so it is counted here.
         self._followed = sum(each.worker_count for each in self._keepers.values())
 
+    def _count_used_elsewhere(self, cell: str) -> Counter[str]:
+        """Return what teams hold outside a cell: here exactly, elsewhere lately."""
+        used = self._elsewhere.count_used(self._keepers.keys())
+        for name, keeper in self._keepers.items():
+            if name != cell:
+                used.update(keeper.count_used())
+        return used
+
     def note_listed(self, leaving: frozenset[str]) -> None:
         """Take in which workers the VM list shows as leaving.
 
--- a/src/primrosestile/coordination/placing.py
+++ b/src/primrosestile/coordination/placing.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Iterator, Sequence
+from collections import Counter
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Protocol
 
 import structlog
@@ -57,6 +58,10 @@
         """Note a job that was moved to a cell."""
         ...
 
+    def count_used(self, skipped: Collection[str]) -> Counter[str]:
+        """Return the accelerators that each team holds, but for some cells."""
+        ...
+
 
 class Placing:
     """Places, reclaims and explains the waiting jobs of one cell."""
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 import structlog
+from aiohttp import web
 
 from primrosestile.coordination.cellwatch import CellWatch
 from primrosestile.coordination.claims import Claims
@@ -27,7 +29,8 @@
 from primrosestile.programs.parts import AddressBook, Parts, make_parts
 from primrosestile.state.process import ProcessSettings
 from primrosestile.state.settings import Settings
-from primrosestile.transport.targets import make_targets
+from primrosestile.state.tenancy import Policy
+from primrosestile.transport.targets import HttpTargets, make_targets
 
 PROGRAM = "entry"
 GAUGE_SECONDS = 1.0
@@ -53,19 +56,25 @@
         return record is not None and record.incarnation == incarnation
 
 
-async def run_entry(settings: ProcessSettings) -> None:
-    """Run one entry until it is told to end."""
-    set_up_logs(settings)
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """The parts of an entry beside those that every program has."""
+
+    parts: Parts
+    targets: HttpTargets
+    dispatcher: Dispatcher
+    cells: CellWatch
+    submissions: Submissions
+
+
+def make_entry(settings: ProcessSettings) -> Entry:
+    """Build an entry; the settings in force reach its parts as they are read."""
     parts = make_parts(settings, PROGRAM)
-    addresses = AddressBook(parts.follower)
     record = parts.registration.record
-    claims = Claims(
-        parts.store,
-        f"{record.name}/{record.incarnation}",
-        DirectoryCheck(parts.directory),
-    )
-    policy = parts.follower.settings.policy
-    targets = make_targets(addresses.find)
+    holder = f"{record.name}/{record.incarnation}"
+    claims = Claims(parts.store, holder, DirectoryCheck(parts.directory))
+    targets = make_targets(AddressBook(parts.follower).find)
+    policy = Policy()
     dispatcher = Dispatcher(
         make_queue(policy), make_router(settings.name, policy), targets, claims
     )
@@ -85,39 +94,51 @@
         cells.refresh_targets()
 
     parts.follower.add_handler(follow_settings)
+    return Entry(parts, targets, dispatcher, cells, Submissions(parts.store, claims))
+
+
+async def run_entry(settings: ProcessSettings) -> None:
+    """Run one entry until it is told to end."""
+    set_up_logs(settings)
+    entry = make_entry(settings)
+    parts = entry.parts
     app = make_entry_app(
         EntryParts(
-            dispatcher,
-            Submissions(parts.store, claims),
-            cells,
+            entry.dispatcher,
+            entry.submissions,
+            entry.cells,
             parts.metrics,
             lambda: parts.follower.settings,
         )
     )
     add_health_routes(app, settings, parts.health, parts.metrics)
     runner = await start_http(app, settings.http)
-
-    async def drain() -> None:
-        # READINESS_OFF_FIRST and LISTEN_WHILE_BALANCER_LAGS: requests go on being
-        # served until the balancer must have seen it; the clean-up then ends idle
-        # connections and waits for those in use.
-        parts.health.reasons["leaving"] = "the process is ending"
-        await parts.registration.announce_leaving()
-        await asyncio.sleep(settings.drain_seconds)
-        # DRAIN_BEFORE_EXIT.
-        await runner.cleanup()
-        await dispatcher.finish_settling()
-        await targets.close()
-        await parts.close()
-
     services = [
         *parts.list_services(),
-        dispatcher.run(),
-        cells.run(),
-        _measure(parts, dispatcher),
-        _wait_for_cells(parts, cells),
+        entry.dispatcher.run(),
+        entry.cells.run(),
+        _measure(parts, entry.dispatcher),
+        _wait_for_cells(parts, entry.cells),
     ]
-    await run_until_told(services, drain)
+    await run_until_told(services, lambda: _drain(entry, runner))
+
+
+async def _drain(entry: Entry, runner: web.AppRunner) -> None:
+    """End without cutting off anybody.
+
+    The balancer goes on sending until it has looked again. So readiness goes off
+    first (READINESS_OFF_FIRST), requests are served until the balancer must have
+    seen it (LISTEN_WHILE_BALANCER_LAGS), and then the runner's clean-up closes idle
+    connections and waits for those in use (DRAIN_BEFORE_EXIT).
+    """
+    parts = entry.parts
+    parts.health.reasons["leaving"] = "the process is ending"
+    await parts.registration.announce_leaving()
+    await asyncio.sleep(parts.settings.drain_seconds)
+    await runner.cleanup()
+    await entry.dispatcher.finish_settling()
+    await entry.targets.close()
+    await parts.close()
 
 
 async def _wait_for_cells(parts: Parts, cells: CellWatch) -> None:
--- a/src/primrosestile/programs/entryapp.py
+++ b/src/primrosestile/programs/entryapp.py
@@ -19,6 +19,8 @@
 from primrosestile.programs.common import Metrics, answer_failure, answer_json
 from primrosestile.programs.entryrequests import (
     BODY_LIMIT_BYTES,
+    Caller,
+    RequestBody,
     check_deadline,
     check_job,
     check_request_id,
@@ -32,6 +34,9 @@
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Kind
 
+# Nobody sends one request a million times.
+ATTEMPT_DIGITS = 6
+
 _log = structlog.get_logger()
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -55,7 +60,7 @@
 def _read_attempt(request: web.Request) -> int:
     """Return the caller's count of sendings; 0 when it did not say one."""
     text = request.headers.get("X-Attempt", "0")
-    if not text.isascii() or not text.isdigit() or len(text) > 6:
+    if not text.isascii() or not text.isdigit() or len(text) > ATTEMPT_DIGITS:
         raise Failure(ErrorKind.MALFORMED, "X-Attempt must be a whole number")
     return int(text)
 
@@ -125,38 +130,32 @@
     async def serve_request(self, request: web.Request) -> web.StreamResponse:
         """Answer one short request."""
         rights = self._check_rights(request)
+        attempt = _read_attempt(request)
         body = read_request(await _read_body(request))
         settings = self._parts.read_settings()
         caller = find_caller(settings, rights, body.team, body.job_class, Kind.REQUEST)
-        job_class = caller.job_class
         request_id = _read_request_id(request)
-        check_request_id(request_id, job_class.idempotent)
-        now = read_clock()
-        deadline = now + check_deadline(body.deadline_seconds, job_class)
-        own_id = request_id or f"{self._ids.getrandbits(64):016x}"
-        order = RequestOrder(
-            request_id=own_id,
-            organisation=caller.team.organisation,
-            job_class=job_class.name,
-            idempotent=job_class.idempotent,
-            expected_seconds=job_class.expected_seconds,
-            body=body.body.encode(),
+        check_request_id(request_id, caller.job_class.idempotent)
+        order = self._make_order(caller, body, request_id)
+        seconds = check_deadline(body.deadline_seconds, caller.job_class)
+        waiting = _make_waiting(caller, order, seconds)
+        answer = await self._parts.dispatcher.answer(order, waiting, attempt)
+        return web.Response(
+            body=answer.body, headers={"X-Request-Id": order.request_id}
         )
-        waiting = Waiting(
-            # Two organisations may choose the same id.
-            request_id=f"{caller.team.organisation}/{own_id}",
+
+    def _make_order(
+        self, caller: Caller, body: RequestBody, request_id: str
+    ) -> RequestOrder:
+        """Return what a target will be sent."""
+        return RequestOrder(
+            request_id=request_id or f"{self._ids.getrandbits(64):016x}",
             organisation=caller.team.organisation,
-            team=caller.team.name,
-            job_class=job_class.name,
-            urgency=job_class.urgency,
-            idempotent=job_class.idempotent,
-            arrived_at=now,
-            deadline=deadline,
-            expected_seconds=job_class.expected_seconds,
+            job_class=caller.job_class.name,
+            idempotent=caller.job_class.idempotent,
+            expected_seconds=caller.job_class.expected_seconds,
+            body=body.body.encode(),
         )
-        attempt = _read_attempt(request)
-        answer = await self._parts.dispatcher.answer(order, waiting, attempt)
-        return web.Response(body=answer.body, headers={"X-Request-Id": own_id})
 
     async def submit_job(self, request: web.Request) -> web.StreamResponse:
         """Accept one gang job; it is durable before the answer."""
@@ -176,11 +175,11 @@
                 f"no cell holds {shape.accelerators} by {shape.adjacency.value}",
             )
         spec = make_spec(body, caller, cell, shape)
-        self._parts.cells.note_handed(cell, shape.accelerators)
         fingerprint = compute_fingerprint(body.job_class, data)
         job_id = await self._parts.submissions.submit(
             Submission(spec, request_id, fingerprint)
         )
+        self._parts.cells.note_handed(cell, shape.accelerators)
         return answer_json({"job_id": job_id}, 202)
 
     async def _find_job(self, request: web.Request) -> JobRecord:
@@ -201,6 +200,23 @@
         return answer_json(cancelled)
 
 
+def _make_waiting(caller: Caller, order: RequestOrder, seconds: float) -> Waiting:
+    """Return the request as the queue sees it."""
+    now = read_clock()
+    return Waiting(
+        # Two organisations may choose the same id.
+        request_id=f"{order.organisation}/{order.request_id}",
+        organisation=order.organisation,
+        team=caller.team.name,
+        job_class=order.job_class,
+        urgency=caller.job_class.urgency,
+        idempotent=order.idempotent,
+        arrived_at=now,
+        deadline=now + seconds,
+        expected_seconds=order.expected_seconds,
+    )
+
+
 def _log_refusal(failure: Failure, request_id: str) -> None:
     _log.info(
         "refused",
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -1,6 +1,7 @@
 """`primrosestile-placer`: owns cells, places gangs, renews what runs."""
 
 import asyncio
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -27,25 +28,31 @@
     Envelope,
 )
 from primrosestile.state.process import ProcessSettings
-from primrosestile.transport.workers import make_workers
+from primrosestile.transport.workers import HttpWorkers, make_workers
 
 PROGRAM = "placer"
 LOST_CHECK_SECONDS = 2.0
 
 
-async def run_placer(settings: ProcessSettings) -> None:
-    """Run one placer until it is told to end."""
-    set_up_logs(settings)
+@dataclass(frozen=True, slots=True)
+class Placer:
+    """The parts of a placer beside those that every program has."""
+
+    parts: Parts
+    workers: HttpWorkers
+    ownership: Ownership
+    exchange: Exchange
+    vms: VmWatch
+    caretaker: Caretaker
+
+
+def make_placer(settings: ProcessSettings) -> Placer:
+    """Build a placer; the settings in force reach its parts as they are read."""
     parts = make_parts(settings, PROGRAM)
     workers = make_workers(AddressBook(parts.follower).find)
     exchange = Exchange(
-        settings.name,
-        parts.peers,
-        parts.directory,
-        lambda: parts.follower.settings,
-        lambda: _list_digests(ownership),
+        settings.name, parts.peers, parts.directory, lambda: parts.follower.settings
     )
-
     ownership = Ownership(
         parts.store,
         workers,
@@ -55,8 +62,8 @@
         settings.task_lease_seconds,
         exchange,
     )
+    exchange.speak_for(lambda: _list_digests(ownership))
     parts.follower.add_handler(ownership.take_settings)
-    vms = VmWatch(parts.vm_list, ownership.note_listed)
     caretaker = Caretaker(
         settings.name,
         workers,
@@ -66,48 +73,72 @@
         lambda: ownership.keepers,
         settings.task_lease_seconds,
     )
+    vms = VmWatch(parts.vm_list, ownership.note_listed)
+    return Placer(parts, workers, ownership, exchange, vms, caretaker)
+
 
+def _add_message_handlers(placer: Placer) -> None:
     async def answer_demand(envelope: Envelope) -> Body:
-        return _answer_demand(ownership, envelope.body)
+        return _answer_demand(placer.ownership, envelope.body)
 
     async def answer_digests(envelope: Envelope) -> Body:
-        return CellDigests(tuple(_list_digests(ownership)))
+        return CellDigests(tuple(_list_digests(placer.ownership)))
 
-    parts.messages.add(DemandReport, answer_demand)
-    parts.messages.add(DigestRequest, answer_digests)
+    placer.parts.messages.add(DemandReport, answer_demand)
+    placer.parts.messages.add(DigestRequest, answer_digests)
 
+
+def _make_app(placer: Placer) -> web.Application:
     async def show_cells(request: web.Request) -> web.Response:
-        return answer_json([each.describe() for each in ownership.keepers.values()])
+        keepers = placer.ownership.keepers.values()
+        return answer_json([keeper.describe() for keeper in keepers])
 
     app = web.Application()
     app.router.add_get("/v1/cells", show_cells)
-    add_health_routes(app, settings, parts.health, parts.metrics)
-    runner = await start_http(app, settings.http)
+    parts = placer.parts
+    add_health_routes(app, parts.settings, parts.health, parts.metrics)
+    return app
 
-    async def drain() -> None:
-        parts.health.reasons["leaving"] = "the process is ending"
-        await parts.registration.announce_leaving()
-        await ownership.leave()
-        await runner.cleanup()
-        await workers.close()
-        await parts.close()
 
+async def run_placer(settings: ProcessSettings) -> None:
+    """Run one placer until it is told to end."""
+    set_up_logs(settings)
+    placer = make_placer(settings)
+    parts = placer.parts
+    _add_message_handlers(placer)
+    runner = await start_http(_make_app(placer), settings.http)
     services = [
         *parts.list_services(),
-        _run_when_ready(parts, ownership, vms),
-        caretaker.run(),
-        exchange.run(),
-        _tell_lost_domains(exchange, ownership),
-        vms.run(),
+        _run_when_ready(placer),
+        placer.caretaker.run(),
+        placer.exchange.run(),
+        _tell_lost_domains(placer.exchange, placer.ownership),
+        placer.vms.run(),
     ]
-    await run_until_told(services, drain)
+    await run_until_told(services, lambda: _drain(placer, runner))
+
+
+async def _drain(placer: Placer, runner: web.AppRunner) -> None:
+    """Hand the cells over and end; nobody is balanced here, so no lag is waited for.
+
+    HAND_OVER_BEFORE_EXIT: each cell finishes the starts that it has begun, then
+    gives its key up, and the next owner takes over at once.
+    """
+    parts = placer.parts
+    parts.health.reasons["leaving"] = "the process is ending"
+    await parts.registration.announce_leaving()
+    await placer.ownership.leave()
+    await runner.cleanup()
+    await placer.workers.close()
+    await parts.close()
 
 
-async def _run_when_ready(parts: Parts, ownership: Ownership, vms: VmWatch) -> None:
-    await parts.follower.wait_for_first()
-    await vms.looked.wait()
-    ownership.take_settings(parts.follower.settings)
-    await ownership.run()
+async def _run_when_ready(placer: Placer) -> None:
+    """Own cells once the settings, and who is leaving, are known."""
+    await placer.parts.follower.wait_for_first()
+    await placer.vms.looked.wait()
+    placer.ownership.take_settings(placer.parts.follower.settings)
+    await placer.ownership.run()
 
 
 def _answer_demand(ownership: Ownership, report: object) -> CellDigests:
@@ -119,7 +150,7 @@
 
 
 def _list_digests(ownership: Ownership) -> list[CellDigest]:
-    """Return the digests of recovered cells, for nobody's slots."""
+    """Return the digests of recovered cells, without grants of slots."""
     keepers = ownership.keepers.values()
     return [each.make_digest("") for each in keepers if each.recovered.is_set()]
 
--- a/src/primrosestile/protocol/messages.py
+++ b/src/primrosestile/protocol/messages.py
@@ -56,7 +56,6 @@
         in_flight: Requests of this entry at each worker.
         failures: Failed requests at each worker since the last report.
         successes: Successful ones.
-        used: Accelerators that each team holds, over all cells.
     """
 
     entry: str
@@ -64,7 +63,6 @@
     in_flight: dict[str, int]
     failures: dict[str, int]
     successes: dict[str, int]
-    used: dict[str, int]
 
 
 class SettingsDigest(msgspec.Struct, frozen=True, tag=True):
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -275,13 +275,13 @@
         f"{recovery['leaving_by_own_word']['last_new_work_after_seconds']:.1f} s "
         "| a few seconds |",
     ]
-    for row in recovery["settings"]:
-        lines.append(
-            f"| setting accepted, until in force in all {row['processes']} processes "
-            f"of {row['vms']} VMs | {max(row['seconds']):.2f} s at most, "
-            f"{row['store_calls']} store calls for {len(row['seconds'])} changes "
-            f"| 11 s: {word(max(row['seconds']) <= 11.0)} |"
-        )
+    lines.extend(
+        f"| setting accepted, until in force in all {row['processes']} processes "
+        f"of {row['vms']} VMs | {max(row['seconds']):.2f} s at most, "
+        f"{row['store_calls']} store calls for {len(row['seconds'])} changes "
+        f"| 11 s: {word(max(row['seconds']) <= 11.0)} |"
+        for row in recovery["settings"]
+    )
     outage = recovery["outage"]
     lines.append(
         f"| store down for {outage['outage_seconds']:.0f} s and the owner killed | "
