--- a/features/steps/pages_steps.py
+++ b/features/steps/pages_steps.py
@@ -1,9 +1,73 @@
+"""Steps on the pages for operators and callers."""
+
+import json
+import re
+from pathlib import Path
 from typing import Any
 
+import msgspec
+import typer
 from behave import then
-from tools.capacity import PAGE, make_page
+from tools import errorpage, settingspage
+
+from primrosestile.programs import cli
+from primrosestile.state.process import ProcessSettings
+
+DOCS = Path(__file__).parents[2] / "docs"
+
+
+@then("docs/errors.md is as the table of errors makes it")
+def check_errors(context: Any) -> None:
+    made = errorpage.render_page()
+    assert errorpage.PAGE.read_text() == made, "run: python -m tools.errorpage"
+
+
+@then("docs/settings.md is as the settings make it")
+def check_settings(context: Any) -> None:
+    made = settingspage.render_page()
+    assert settingspage.PAGE.read_text() == made, "run: python -m tools.settingspage"
+
+
+@then("every setting has a meaning on docs/settings.md")
+def check_meanings(context: Any) -> None:
+    rows = [line for line in settingspage.render_page().splitlines() if "| `" in line]
+    assert len(rows) > 40
+    for row in rows:
+        assert re.search(r"\| \S.* \|$", row.replace("|  |", "| |")), row
+        assert not row.endswith("|  |"), row
+
+
+@then("each command on docs/operating.md exists")
+def check_commands(context: Any) -> None:
+    text = (DOCS / "operating.md").read_text()
+    used = re.findall(r"primrosestile ((?:settings|job) [a-z]+|fleet|guarantees)", text)
+    assert len(used) > 8
+    root = typer.main.get_command(cli.app)
+    for words in used:
+        group: Any = root
+        for word in words.split():
+            assert word in group.commands, words
+            group = group.commands[word]
+
+
+@then("each program setting on docs/operating.md exists")
+def check_process_settings(context: Any) -> None:
+    text = (DOCS / "operating.md").read_text()
+    examples = re.findall(r"```json\n(.*?)```", text, re.DOTALL)
+    assert examples
+    for example in examples:
+        shown = json.loads(example)
+        assert set(shown) <= set(ProcessSettings.__dataclass_fields__)
+        msgspec.convert(shown, ProcessSettings)
+
+
+LOGGED = re.compile(r"log\.(?:warning|error|exception)\(\s*\"(\w+)\"")
 
 
-@then("the capacity page equals what the measured figures make")
-def check_capacity_page(context: Any) -> None:
-    assert PAGE.read_text() == make_page(), "run `python -m tools.capacity --write`"
+@then("each warning that a program logs stands on docs/operating.md, and no other")
+def check_alarms(context: Any) -> None:
+    sources = (DOCS.parent / "src" / "primrosestile").rglob("*.py")
+    logged = {name for path in sources for name in LOGGED.findall(path.read_text())}
+    _, _, table = (DOCS / "operating.md").read_text().partition("## Alarms")
+    shown = set(re.findall(r"^\| `(\w+)` \|", table, re.MULTILINE))
+    assert shown == logged, shown ^ logged
