Remove three functions that nothing calls

Cause: reading the whole change once more. Fleet.find_cell was replaced by the indexed view of the settings, ProcessLease.seconds_left and strip_audit were never called. Ruled out: other names; each of them is used by the programs or by a feature. Change: the three and an import that only they needed are gone; behaviour is as it was. The folders that start processes were not run again.

--- a/src/primrosestile/coordination/membership.py
+++ b/src/primrosestile/coordination/membership.py
@@ -61,10 +61,6 @@
         """Whether a call to the store failed just now and none succeeded since."""
         return read_clock() - self._store_failed_at < STORE_DOWN_SECONDS
 
-    def seconds_left(self) -> float:
-        """Seconds for which it may go on acting without a renewal."""
-        return max(0.0, self._valid_until - read_clock()) if self.lease else 0.0
-
     async def run(self) -> None:
         """Gain and renew until cancelled."""
         while True:
--- a/src/primrosestile/coordination/settingstore.py
+++ b/src/primrosestile/coordination/settingstore.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import zlib
-from dataclasses import replace
 
 import msgspec
 
@@ -258,8 +257,3 @@
         return found
     entry = await store.get(make_audit_key(path, revision))
     return None if entry is None else decode_entry(entry.value)
-
-
-def strip_audit(data: bytes) -> bytes:
-    """Return a stored value without its audit entries, for sending to peers."""
-    return encode_stored(replace(decode_stored(data), audit=()))
--- a/src/primrosestile/state/fleet.py
+++ b/src/primrosestile/state/fleet.py
@@ -71,7 +71,3 @@
         """Return the workers in the racks of a cell, in the order of settings."""
         racks = frozenset(cell.racks)
         return tuple(worker for worker in self.workers if worker.rack in racks)
-
-    def find_cell(self, name: str) -> Cell | None:
-        """Return the cell of that name."""
-        return next((cell for cell in self.cells if cell.name == name), None)
