Count the tasks that one pass gives a worker against the step's bound there

Ruled out: the worker's own count, which refuses nothing here. Change: a room counts what the pass gave it.

--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -94,6 +94,11 @@
         """Tasks that start together."""
         return self.step.count if self.step.gang else 1
 
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """Its step within its occurrence."""
+        return self.job.job_id, self.key.occurrence, self.key.step
+
     @property
     def idle(self) -> bool:
         """Whether it waits and nothing of an earlier run can still be there."""
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -8,8 +8,9 @@
 elsewhere, so it waits for that rack for a while before it goes elsewhere.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from primrosestile.decisions.work.board import Board, Unit, Worker
 from primrosestile.state.work import Need
@@ -25,12 +26,19 @@
 
 @dataclass(slots=True)
 class Room:
-    """What is free on one worker as a pass goes on; may be below zero."""
+    """What is free on one worker as a pass goes on; may be below zero.
+
+    Attributes:
+        steps: Tasks of each step with a bound on their number here: those that
+            the worker has, and those that this pass gave it. Were the latter left
+            out, one pass would put a whole step on one worker.
+    """
 
     worker: Worker
     processor: int
     memory: int
     accelerators: int
+    steps: Counter[tuple[str, int, int]] = field(default_factory=Counter)
 
     def count_fitting(self, need: Need, filling: bool) -> int:
         """Return how many tasks of a need fit."""
@@ -52,7 +60,13 @@
 
     def copy(self) -> "Room":
         """Return an independent copy."""
-        return Room(self.worker, self.processor, self.memory, self.accelerators)
+        return Room(
+            self.worker,
+            self.processor,
+            self.memory,
+            self.accelerators,
+            self.steps.copy(),
+        )
 
 
 Rooms = dict[str, Room]
@@ -65,11 +79,23 @@
         if worker.may_take(now):
             free = worker.find_room()
             rooms[worker.name] = Room(
-                worker, free.processor, free.memory, free.accelerators
+                worker,
+                free.processor,
+                free.memory,
+                free.accelerators,
+                _count_bounded(worker),
             )
     return rooms
 
 
+def _count_bounded(worker: Worker) -> Counter[tuple[str, int, int]]:
+    return Counter(
+        member.unit.step_key
+        for member in worker.members.values()
+        if member.unit.step.most_per_worker
+    )
+
+
 def copy_rooms(rooms: Rooms) -> Rooms:
     """Return an independent copy of all rooms."""
     return {name: room.copy() for name, room in rooms.items()}
@@ -94,11 +120,7 @@
     fitting = room.count_fitting(step.need, step.filling)
     if not step.most_per_worker or not fitting:
         return fitting
-    there = sum(
-        member.unit.job is unit.job
-        and member.unit.key[:2] == unit.key[:2]
-        for member in room.worker.members.values()
-    )
+    there = room.steps[unit.step_key]
     return max(0, min(fitting, step.most_per_worker - there))
 
 
@@ -192,3 +214,5 @@
         room = rooms.get(worker.name)
         if room is not None:
             room.take(unit.step.need, unit.step.filling)
+            if unit.step.most_per_worker:
+                room.steps[unit.step_key] += 1
