Keep room for gangs, learn run times, spare what was started just now

Change: room is kept for up to three such units, and stays kept; urgent work stops nothing started less than 2 s ago beyond its guarantee; late work goes behind what can be in time; run times are learned for each queue.

--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -148,9 +148,7 @@
             raise
         if not done.done:
             return None
-        term = Term(
-            done.revision, lease, asked_at, asyncio.Event(), self._read_clock
-        )
+        term = Term(done.revision, lease, asked_at, asyncio.Event(), self._read_clock)
         _log.info("ownership_gained", fence=term.fence)
         return term
 
--- a/src/primrosestile/coordination/work/policywatch.py
+++ b/src/primrosestile/coordination/work/policywatch.py
@@ -94,7 +94,9 @@
         try:
             policy = self._source.decode(entry)
         except msgspec.MsgspecError as error:
-            _log.error("policy_unreadable", revision=entry.mod_revision, error=str(error))
+            _log.error(
+                "policy_unreadable", revision=entry.mod_revision, error=str(error)
+            )
             return
         self._policy = policy
         self.loaded.set()
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -31,6 +31,7 @@
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
 from primrosestile.decisions.work.board import Board, Job, Member
+from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.planning import make_plan
 from primrosestile.decisions.work.trust import Trust
 from primrosestile.errors import Failure
@@ -78,6 +79,7 @@
         assert policy is not None, "a term begins after the first policy is read"
         self._board = Board(policy)
         self._trust = Trust()
+        self._durations = Durations()
         self._recorder = Recorder(store, term, self._board)
         self._wanted = asyncio.Event()
         self._links: dict[str, WorkerLink] = {}
@@ -163,6 +165,7 @@
         """Learn from an end which workers to trust."""
         if kind is EndKind.DONE:
             self._trust.note_done(member.worker)
+            self._learn(member)
         if kind is not EndKind.FAILED:
             return
         worker = self._board.workers.get(member.worker)
@@ -178,6 +181,16 @@
             worker.distrusted_until = until
             _log.warning("worker_distrusted", worker=worker.name)
 
+    def _learn(self, member: Member) -> None:
+        unit = member.unit
+        if not member.up_at or member.restored or member.resumed:
+            return
+        self._durations.learn(
+            unit.job.submission.queue,
+            unit.step.estimate_seconds,
+            read_clock() - member.up_at,
+        )
+
     async def _run_passes(self) -> None:
         while not self._term.lost.is_set():
             await self._wait()
@@ -202,7 +215,7 @@
 
     def _run_pass(self) -> None:
         if self._roster.recent and self._policies.recent:
-            plan = make_plan(self._board, read_clock())
+            plan = make_plan(self._board, self._durations, read_clock())
             for unit in plan.stops:
                 _log.info(
                     "run_preempted",
--- a/src/primrosestile/coordination/work/submitting.py
+++ b/src/primrosestile/coordination/work/submitting.py
@@ -146,9 +146,7 @@
             return False
         if organisation and submission.organisation != organisation:
             raise Failure(ErrorKind.FORBIDDEN, "the job is another organisation's")
-        write = Write(
-            make_cancel_key(job_id), encode_record(Cancellation(time.time()))
-        )
+        write = Write(make_cancel_key(job_id), encode_record(Cancellation(time.time())))
         outcome = await self._store.commit(
             [Condition(job_key, entry.mod_revision)], [write]
         )
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -48,6 +48,7 @@
     Attributes:
         since: When its run was decided, on the loop's clock.
         restored: It was ordered by an earlier owner, under a lower fence.
+        resumed: It began from a checkpoint, not from the beginning.
         up_at: When its worker first said that it runs.
         moved_at: When its progress was last seen to rise.
     """
@@ -59,6 +60,7 @@
     state: MemberState = MemberState.SENT
     since: float = 0.0
     restored: bool = False
+    resumed: bool = False
     percent: float = 0.0
     usage: float = 0.0
     up_at: float = 0.0
@@ -74,6 +76,8 @@
         abandoned: Its present run is to end; members are being stopped.
         failed_here: A failure of its present run was counted.
         failed_on: Workers on which a run of it failed.
+        claim: Workers that are being freed for it, or waited for.
+        claimed_until: When they are expected to be free.
     """
 
     job: "Job"
@@ -88,6 +92,8 @@
     abandoned: bool = False
     failed_here: bool = False
     failed_on: set[str] = field(default_factory=set)
+    claim: tuple[str, ...] = ()
+    claimed_until: float = 0.0
 
     @property
     def size(self) -> int:
@@ -159,7 +165,9 @@
 
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Whether all tasks of a step have ended well."""
-        return all(unit.phase is Phase.DONE for unit in self.list_step(occurrence, step))
+        return all(
+            unit.phase is Phase.DONE for unit in self.list_step(occurrence, step)
+        )
 
     def make_progress(self) -> Progress:
         """Return what the store keeps of it."""
@@ -299,6 +307,7 @@
         unit.run += 1
         unit.abandoned = False
         unit.failed_here = False
+        unit.claim = ()
         self.place_members(unit, workers, now)
         self.changed.add(unit.job)
 
@@ -311,6 +320,7 @@
                 unit.run,
                 name,
                 since=now,
+                resumed=bool(unit.checkpoint and unit.step.checkpoints),
                 moved_at=now,
             )
             for position, name in enumerate(workers)
--- a/src/primrosestile/decisions/work/ordering.py
+++ b/src/primrosestile/decisions/work/ordering.py
@@ -4,15 +4,16 @@
 the order of arrival, urgent work with two seconds of slack waits behind renders
 that have twenty. So urgent work goes first, that within its organisation's
 guarantee before the rest, and then what has the least slack against its
-objective. Work whose objective is past by so much that its caller gains nothing
-any more goes behind everything that can still be in time.
+objective. Work that is late already goes behind what can still be in time: it
+would make that late as well, one after another. Work whose objective is past by
+so much that its caller gains nothing any more goes last.
 """
 
 from collections import Counter
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board, Job, Unit
-from primrosestile.state.work import Step
+from primrosestile.decisions.work.durations import Durations
 
 # Past this many times its objective a job's answer is of no use to its caller.
 USELESS_AFTER_OBJECTIVES = 3.0
@@ -32,39 +33,42 @@
     urgent: bool
     slack: float
 
-    def make_key(self) -> tuple[bool, bool, bool, float]:
-        """Return what units are sorted by."""
-        return (not self.entitled, self.useless, not self.urgent, self.slack)
-
+    @property
+    def late(self) -> bool:
+        """Whether it can't meet its objective any more."""
+        return self.slack < 0
 
-def find_chain_seconds(steps: tuple[Step, ...], begin: int = 0) -> float:
-    """Return the longest chain of estimates through a job's steps."""
-    longest: list[float] = []
-    for step in steps:
-        before = max((longest[each] for each in step.after), default=0.0)
-        longest.append(before + step.estimate_seconds)
-    return max(longest[begin:], default=0.0)
+    def make_key(self) -> tuple[bool, bool, bool, bool, float]:
+        """Return what units are sorted by."""
+        return (
+            not self.entitled,
+            self.useless,
+            not self.urgent,
+            self.late,
+            self.slack,
+        )
 
 
-def find_objective_seconds(job: Job) -> float:
-    """Return how long a job may take from its acceptance, as estimated."""
-    chain = find_chain_seconds(job.submission.steps)
-    return job.queue.stretch * chain + job.queue.objective_seconds
+def find_objective_seconds(job: Job, durations: Durations) -> float:
+    """Return how long a job may take from its acceptance."""
+    queue = job.queue
+    chain = durations.guess_chain(job.submission.queue, job.submission.steps)
+    return queue.stretch * chain + queue.objective_seconds
 
 
-def rank_unit(unit: Unit, now: float, entitled: bool) -> Rank:
+def rank_unit(unit: Unit, now: float, entitled: bool, durations: Durations) -> Rank:
     """Return where a waiting unit stands."""
     job = unit.job
-    objective = find_objective_seconds(job)
-    waited = now - job.accepted
-    if job.submission.repeats.count:
-        waited = now - (unit.ready_at or now)
-    slack = objective - waited - unit.step.estimate_seconds
+    objective = find_objective_seconds(job, durations)
+    began = job.accepted
+    if job.submission.repeats.count and unit.ready_at is not None:
+        began = unit.ready_at
+    left = durations.guess_unit(unit)
     return Rank(
         entitled=entitled,
-        useless=waited > USELESS_AFTER_OBJECTIVES * objective,
+        useless=now + left > began + USELESS_AFTER_OBJECTIVES * objective,
         urgent=job.queue.priority == 0,
-        slack=slack,
+        slack=began + objective - left - now,
     )
 
 
@@ -98,5 +102,3 @@
         (step.count * step.need.accelerators for step in job.submission.steps),
         default=0,
     )
-
-
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -24,11 +24,22 @@
 URGENT_PATIENCE_FACTOR = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """Room that is kept for a unit until it can start."""
+
+    need: Need
+    filling: bool
+    count: int
+    until: float
+
+
 @dataclass(slots=True)
 class Room:
     """What is free on one worker as a pass goes on; may be below zero.
 
     Attributes:
+        kept: What is kept for others; it is taken from the figures.
         steps: Tasks of each step with a bound on their number here: those that
             the worker has, and those that this pass gave it. Were the latter left
             out, one pass would put a whole step on one worker.
@@ -39,6 +50,7 @@
     memory: int
     accelerators: int
     steps: Counter[tuple[str, int, int]] = field(default_factory=Counter)
+    kept: list[Kept] = field(default_factory=list)
 
     def count_fitting(self, need: Need, filling: bool) -> int:
         """Return how many tasks of a need fit."""
@@ -66,8 +78,24 @@
             self.memory,
             self.accelerators,
             self.steps.copy(),
+            self.kept.copy(),
         )
 
+    def keep(self, need: Need, filling: bool, count: int, until: float) -> None:
+        """Keep room for a unit that can't start before a time."""
+        self.take(need, filling, count)
+        self.kept.append(Kept(need, filling, count, until))
+
+    def lend(self, ends_at: float) -> "Room":
+        """Return the room for work that ends before what is kept is needed."""
+        if not any(each.until >= ends_at for each in self.kept):
+            return self
+        lent = self.copy()
+        for each in self.kept:
+            if each.until >= ends_at:
+                lent.take(each.need, each.filling, -each.count)
+        return lent
+
 
 Rooms = dict[str, Room]
 
@@ -133,12 +161,19 @@
     return min(high, max(low, factor * unit.step.estimate_seconds))
 
 
-def place(unit: Unit, rooms: Rooms, now: float) -> list[Worker] | None:
+def place(unit: Unit, rooms: Rooms, now: float, seconds: float) -> list[Worker] | None:
     """Return a worker for each member, or None when it must wait.
 
     The rooms are not changed.
+
+    Args:
+        unit: To be placed.
+        rooms: What is free.
+        now: On the loop's clock.
+        seconds: How long its run is expected to take: room that is kept for
+            others until later may be used meanwhile.
     """
-    eligible = find_eligible(unit, rooms)
+    eligible = [room.lend(now + seconds) for room in find_eligible(unit, rooms)]
     patient = now - (unit.ready_at or now) < find_patience(unit)
     for group in list_groups(unit, eligible, patient):
         workers = fill(unit, group)
@@ -163,33 +198,43 @@
         groups += sorted(racks.values(), key=_count_free)
     else:
         return [list(eligible)]
-    if not patient or not _could_ever_fit(unit, groups):
+    if not patient or not any(could_hold(unit, group) for group in groups):
         groups.append(list(eligible))
     return groups
 
 
+def list_racks(unit: Unit, eligible: Sequence[Room]) -> list[list[Room]]:
+    """Return the sets of rooms within which a unit runs at its full speed."""
+    step = unit.step
+    racks: dict[str, list[Room]] = {}
+    for room in eligible:
+        racks.setdefault(room.worker.entry.rack, []).append(room)
+    if step.data_rack in racks:
+        groups = [racks[step.data_rack]]
+    elif step.one_rack and unit.size > 1:
+        groups = list(racks.values())
+    else:
+        return [list(eligible)]
+    groups = [group for group in groups if could_hold(unit, group)]
+    return groups or [list(eligible)]
+
+
 def _count_free(rooms: Iterable[Room]) -> int:
     return sum(max(0, room.accelerators) for room in rooms)
 
 
-def _could_ever_fit(unit: Unit, groups: Sequence[Sequence[Room]]) -> bool:
-    """Whether one of the groups could hold a unit, were it empty."""
+def could_hold(unit: Unit, group: Sequence[Room]) -> bool:
+    """Whether a set of workers could hold a unit, were they empty."""
     step = unit.step
-    for group in groups:
-        count = 0
-        for room in group:
-            capacity = room.worker.entry.capacity
-            empty = Room(
-                room.worker,
-                capacity.processor,
-                capacity.memory,
-                capacity.accelerators,
-            )
-            fitting = empty.count_fitting(step.need, step.filling)
-            count += min(fitting, step.most_per_worker or fitting)
-        if count >= unit.size:
-            return True
-    return False
+    count = 0
+    for room in group:
+        capacity = room.worker.entry.capacity
+        empty = Room(
+            room.worker, capacity.processor, capacity.memory, capacity.accelerators
+        )
+        fitting = empty.count_fitting(step.need, step.filling)
+        count += min(fitting, step.most_per_worker or fitting)
+    return count >= unit.size
 
 
 def fill(unit: Unit, rooms: Sequence[Room]) -> list[Worker] | None:
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -1,9 +1,9 @@
 """One pass over all that waits: what starts where, and what is stopped for it."""
 
-from collections.abc import Collection
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board, MemberState, Unit, Worker
+from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.ordering import Rank, find_entitled, rank_unit
 from primrosestile.decisions.work.placing import (
     Rooms,
@@ -13,6 +13,7 @@
     take_rooms,
 )
 from primrosestile.decisions.work.preempting import find_eviction
+from primrosestile.decisions.work.reserving import RESERVED_UNITS, keep_room
 
 # Units looked at in one pass: at 24 workers a unit that does not fit takes 0.05 ms,
 # so a full queue costs a pass a few milliseconds.
@@ -36,38 +37,91 @@
     stops: tuple[Unit, ...]
 
 
-def make_plan(board: Board, now: float) -> Plan:
+def make_plan(board: Board, durations: Durations, now: float) -> Plan:
     """Decide on every waiting unit, the most pressing first."""
-    entitled = find_entitled(board)
-    ranked = [
-        (rank_unit(unit, now, unit.job.job_id in entitled), unit)
-        for unit in board.list_waiting(now)
-    ]
-    ranked.sort(key=lambda pair: pair[0].make_key())
-    rooms = make_rooms(board, now)
-    soon = _add_stopping(board, rooms)
-    starts: list[Assignment] = []
-    stops: list[Unit] = []
-    hopeless: set[tuple[object, ...]] = set()
-    for rank, unit in ranked[:LOOK_LIMIT]:
-        likeness = _find_likeness(unit)
-        if likeness in hopeless:
-            continue
-        workers = place(unit, rooms, now)
+    return _Pass(board, durations, now).run()
+
+
+class _Pass:
+    """One pass.
+
+    Attributes:
+        rooms: What is free now, less what this pass gave away or keeps.
+        soon: The same, with what is being stopped counted as free.
+    """
+
+    def __init__(self, board: Board, durations: Durations, now: float) -> None:
+        self.board = board
+        self.durations = durations
+        self.now = now
+        self.entitled = find_entitled(board)
+        self.rooms = make_rooms(board, now)
+        self.soon = _add_stopping(board, self.rooms)
+        self.starts: list[Assignment] = []
+        self.stops: list[Unit] = []
+        self.reserved = 0
+
+    def run(self) -> Plan:
+        """Return what to do."""
+        # Units of one step are alike: if one can't go, none of the others can.
+        waiting: set[tuple[object, ...]] = set()
+        looked = 0
+        for rank, unit in self._rank():
+            likeness = (unit.step_key, *unit.failed_on)
+            if likeness in waiting:
+                continue
+            looked += 1
+            if looked > LOOK_LIMIT:
+                break
+            if not self._start(rank, unit):
+                waiting.add(likeness)
+        return Plan(tuple(self.starts), tuple(self.stops))
+
+    def _rank(self) -> list[tuple[Rank, Unit]]:
+        ranked = []
+        for unit in self.board.list_waiting(self.now):
+            entitled = unit.job.job_id in self.entitled
+            rank = rank_unit(unit, self.now, entitled, self.durations)
+            ranked.append((rank, unit))
+        ranked.sort(key=lambda pair: pair[0].make_key())
+        return ranked
+
+    def _start(self, rank: Rank, unit: Unit) -> bool:
+        """Start a unit, or have room freed or kept for it."""
+        seconds = self.durations.guess_unit(unit)
+        workers = place(unit, self.rooms, self.now, seconds)
         if workers is not None:
-            starts.append(Assignment(unit, tuple(workers), rank))
-            take_rooms(unit, workers, rooms)
-            take_rooms(unit, workers, soon)
-        elif not rank.urgent:
-            hopeless.add(likeness)
-        else:
-            _make_room(unit, board, rooms, soon, entitled, stops, now)
-    return Plan(tuple(starts), tuple(stops))
-
-
-def _find_likeness(unit: Unit) -> tuple[object, ...]:
-    """Return what makes two units of one step alike: if one can't go, none can."""
-    return (unit.job.job_id, unit.key.occurrence, unit.key.step, *unit.failed_on)
+            self.starts.append(Assignment(unit, tuple(workers), rank))
+            take_rooms(unit, workers, self.rooms)
+            take_rooms(unit, workers, self.soon)
+            return True
+        if rank.urgent and not rank.useless and self._free_room(unit):
+            return False
+        if rank.urgent or self.reserved < RESERVED_UNITS:
+            self.reserved += not rank.urgent
+            keep_room(unit, self.rooms, self.durations, self.now)
+        return False
+
+    def _free_room(self, unit: Unit) -> bool:
+        """Keep the room that is being freed for a unit, or have more freed."""
+        seconds = self.durations.guess_unit(unit)
+        workers = place(unit, self.soon, self.now, seconds)
+        if workers is None:
+            eviction = find_eviction(
+                unit, self.board, self.soon, self.entitled, self.now
+            )
+            if eviction is None:
+                return False
+            for victim in eviction.units:
+                self.stops.append(victim)
+                self.board.abandon(victim)
+                _give_room(victim, self.soon)
+            workers = place(unit, self.soon, self.now, seconds)
+        if workers is None:
+            return False
+        take_rooms(unit, workers, self.soon)
+        take_rooms(unit, workers, self.rooms)
+        return True
 
 
 def _add_stopping(board: Board, rooms: Rooms) -> Rooms:
@@ -75,36 +129,11 @@
     soon = copy_rooms(rooms)
     for member in board.list_stopping():
         room = soon.get(member.worker)
-        if room is not None and member.state is not MemberState.GONE:
+        if room is not None:
             room.take(member.unit.step.need, member.unit.step.filling, -1)
     return soon
 
 
-def _make_room(
-    unit: Unit,
-    board: Board,
-    rooms: Rooms,
-    soon: Rooms,
-    entitled: Collection[str],
-    stops: list[Unit],
-    now: float,
-) -> None:
-    """Keep the room that is being freed for a unit, or have more freed."""
-    workers = place(unit, soon, now)
-    if workers is None:
-        eviction = find_eviction(unit, board, soon, entitled, now)
-        if eviction is None:
-            return
-        for victim in eviction.units:
-            stops.append(victim)
-            board.abandon(victim)
-            _give_room(victim, soon)
-        workers = place(unit, soon, now)
-    if workers is not None:
-        take_rooms(unit, workers, soon)
-        take_rooms(unit, workers, rooms)
-
-
 def _give_room(victim: Unit, rooms: Rooms) -> None:
     for member in victim.members:
         room = rooms.get(member.worker)
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -19,6 +19,7 @@
     Rooms,
     count_allowed,
     find_eligible,
+    list_racks,
 )
 
 # An accelerator's second is worth this many of a core, as operators price them.
@@ -26,9 +27,10 @@
 # What stopping work with checkpoints costs: a restart of 0.1 to 0.25 s and the
 # gap until it is placed again.
 RESTART_SECONDS = 0.5
-# Beyond its guarantee urgent work stops what has run no longer than this: the
-# same order as the slack of an urgent job.
-CHEAP_SECONDS = 1.0
+# Beyond its guarantee urgent work stops nothing that was started less than this
+# ago: work that is stopped again and again for others never ends. Seen without it:
+# 14 starts of one rebuild within a minute.
+SPARED_SECONDS = 2.0
 # Urgent work of others goes last: stopping it makes one caller late for another.
 URGENT_VICTIM_FACTOR = 10.0
 
@@ -70,9 +72,7 @@
         return True
     if victim.job.queue.priority == 0:
         return False
-    if victim.step.checkpoints:
-        return True
-    return now - victim.members[0].since < CHEAP_SECONDS
+    return victim.step.checkpoints and now - victim.members[0].since > SPARED_SECONDS
 
 
 def find_eviction(
@@ -86,35 +86,13 @@
     eligible = find_eligible(unit, rooms)
     for_entitled = unit.job.job_id in entitled
     best: Eviction | None = None
-    for group in _list_groups(unit, eligible):
+    for group in list_racks(unit, eligible):
         found = _evict_in(unit, group, for_entitled, entitled, now)
         if found is not None and (best is None or found.cost < best.cost):
             best = found
     return best
 
 
-def _list_groups(unit: Unit, eligible: Sequence[Room]) -> list[list[Room]]:
-    """Return each rack, where one rack is asked for; all if no rack would do."""
-    if not unit.step.one_rack or unit.size == 1:
-        return [list(eligible)]
-    racks: dict[str, list[Room]] = {}
-    for room in eligible:
-        racks.setdefault(room.worker.entry.rack, []).append(room)
-    groups = [group for group in racks.values() if _holds_empty(unit, group)]
-    return groups or [list(eligible)]
-
-
-def _holds_empty(unit: Unit, group: Sequence[Room]) -> bool:
-    count = 0
-    for room in group:
-        capacity = room.worker.entry.capacity
-        empty = Room(
-            room.worker, capacity.processor, capacity.memory, capacity.accelerators
-        )
-        count += empty.count_fitting(unit.step.need, unit.step.filling)
-    return count >= unit.size
-
-
 def _evict_in(
     unit: Unit,
     group: Sequence[Room],
--- /dev/null
+++ b/src/primrosestile/decisions/work/reserving.py
@@ -0,0 +1,99 @@
+"""Which room is kept for a unit that needs more than is free anywhere.
+
+Load: gangs that need whole workers of one rack, among a stream of single tasks.
+Harm: as soon as an accelerator is free a small task takes it, so no worker is ever
+empty and the gang never starts; seen as renders that waited for forty seconds
+beside a fleet that was never full. So for a few such units the workers that will
+be free the soonest are kept, and stay kept: chosen anew each time, the choice
+would move on before any of them is empty. Until then, work that ends in time may
+use them.
+"""
+
+from collections.abc import Sequence
+
+from primrosestile.decisions.work.board import Member, MemberState, Unit
+from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.placing import (
+    Room,
+    Rooms,
+    count_allowed,
+    find_eligible,
+    list_racks,
+)
+
+# Units that are kept room for at one time, besides urgent ones. With more, so much
+# room stands empty that others wait for nothing.
+RESERVED_UNITS = 3
+# A claim that is overdue by this much is given up and made anew: what ran there
+# took longer than it should have.
+OVERDUE_SECONDS = 4.0
+
+
+def keep_room(unit: Unit, rooms: Rooms, durations: Durations, now: float) -> bool:
+    """Keep room for a unit; return whether there is any to be kept."""
+    if not _is_claim_good(unit, rooms, now):
+        _make_claim(unit, rooms, durations, now)
+    for name in unit.claim:
+        rooms[name].keep(
+            unit.step.need, unit.step.filling, 1, max(unit.claimed_until, now)
+        )
+    return bool(unit.claim)
+
+
+def _is_claim_good(unit: Unit, rooms: Rooms, now: float) -> bool:
+    if not unit.claim or now > unit.claimed_until + OVERDUE_SECONDS:
+        return False
+    return all(name in rooms and name not in unit.failed_on for name in unit.claim)
+
+
+def _make_claim(unit: Unit, rooms: Rooms, durations: Durations, now: float) -> None:
+    """Choose the workers on which a unit could start the soonest."""
+    unit.claim = ()
+    best: tuple[float, tuple[str, ...]] | None = None
+    for group in list_racks(unit, find_eligible(unit, rooms)):
+        found = _find_soonest(unit, group, durations, now)
+        if found is not None and (best is None or found[0] < best[0]):
+            best = found
+    if best is not None:
+        unit.claimed_until, unit.claim = best
+
+
+def _find_soonest(
+    unit: Unit, group: Sequence[Room], durations: Durations, now: float
+) -> tuple[float, tuple[str, ...]] | None:
+    slots: list[tuple[float, str]] = []
+    for room in group:
+        slots += _list_slots(unit, room, durations, now)
+    slots.sort()
+    chosen = slots[: unit.size]
+    if len(chosen) < unit.size:
+        return None
+    return chosen[-1][0], tuple(name for _, name in chosen)
+
+
+def _list_slots(
+    unit: Unit, room: Room, durations: Durations, now: float
+) -> list[tuple[float, str]]:
+    """Return when each task that a worker can hold could begin there."""
+    trial = room.copy()
+    name = room.worker.name
+    slots = [(now, name)] * count_allowed(unit, trial)
+    known = len(slots)
+    members = [
+        (now + durations.guess_left(member, now), index, member)
+        for index, member in enumerate(room.worker.members.values())
+        if member.state is not MemberState.GONE and not member.unit.step.lasting
+    ]
+    for ends_at, _, member in sorted(members, key=_rank_end):
+        step = member.unit.step
+        trial.take(step.need, step.filling, -1)
+        fitting = count_allowed(unit, trial)
+        slots += [(ends_at, name)] * max(0, fitting - known)
+        known = max(known, fitting)
+        if known >= unit.size:
+            break
+    return slots
+
+
+def _rank_end(item: tuple[float, int, Member]) -> tuple[float, int]:
+    return item[0], item[1]
--- a/src/primrosestile/platform/policy.py
+++ b/src/primrosestile/platform/policy.py
@@ -80,9 +80,7 @@
             each.name: Pool(each.name, each.admission_check, each.spare)
             for each in config.services
         },
-        keys={
-            key: tenant.name for tenant in config.tenants for key in tenant.api_keys
-        },
+        keys={key: tenant.name for tenant in config.tenants for key in tenant.api_keys},
         guarantees={
             tenant.name: int((tenant.guaranteed or {}).get("gpu", 0))
             for tenant in config.tenants
