Keep what an owner learned, spare workers that gangs wait for, let pressed work stop patient work

Cause: a new owner knew no slow worker and gave urgent work to them again; a gang's workers were taken one by one by urgent work (waits of over 30 s). Change: what was learned stands in the store; urgent work prefers workers that no gang waits for; work with under 4 s of slack may stop checkpointed work of lower priority for up to 250 core-seconds.

--- a/features/work/faults.feature
+++ b/features/work/faults.feature
@@ -26,7 +26,7 @@
     And the tasks of d2 take 8 s
     When job d2 is handed in with steps
       | count | accelerators |
-      | 4     | 8            |
+      | 3     | 8            |
     And 1.2 s pass
     And worker w1 says that it leaves
     Then job d2 is shown as completed within 40 s
--- a/src/primrosestile/coordination/work/__init__.py
+++ b/src/primrosestile/coordination/work/__init__.py
@@ -9,5 +9,6 @@
 - `roster`: which workers there are.
 - `links`: one task for each worker: its lease, what runs there, what ended.
 - `orders`: carries out decisions: record first, then start; stop until sure.
+- `learned`: what an owner has learned, for the next one.
 - `scheduling`: one term of ownership, from recovery to its end.
 """
--- a/src/primrosestile/coordination/work/keys.py
+++ b/src/primrosestile/coordination/work/keys.py
@@ -10,6 +10,8 @@
 CANCELS_PREFIX = "work/cancels/"
 # Written by the owner only, under its fence.
 PROGRESS_PREFIX = "progress/"
+# What the owner has learned about run times and workers.
+LEARNED_KEY = "learned"
 # Created by whoever becomes owner, under its lease; the revision of the creation
 # is the fence that workers are shown.
 OWNER_KEY = "owner"
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -19,6 +19,7 @@
     make_job_key,
     make_progress_key,
 )
+from primrosestile.coordination.work.learned import Memory
 from primrosestile.coordination.work.links import (
     CARE_SECONDS,
     LEASE_SECONDS,
@@ -81,6 +82,7 @@
         self._trust = Trust()
         self._durations = Durations()
         self._speeds = Speeds()
+        self._memory = Memory(store, term, self._durations, self._speeds)
         self._recorder = Recorder(store, term, self._board)
         self._wanted = asyncio.Event()
         self._links: dict[str, WorkerLink] = {}
@@ -123,6 +125,7 @@
         """Read everything that a first pass needs, however long the store takes."""
         while True:
             try:
+                await self._memory.load()
                 await self._intake.load()
                 await self._roster.refresh()
             except Failure as failure:
@@ -208,6 +211,8 @@
             if self._term.may_act():
                 self._run_pass()
             self._recorder.ask()
+            if self._memory.due:
+                self._tasks.create_task(self._memory.save())
 
     async def _wait(self) -> None:
         try:
--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -85,6 +85,10 @@
             return elapsed * (100.0 - member.percent) / member.percent
         return max(0.0, self.guess_unit(member.unit) - elapsed)
 
-    def show(self) -> Mapping[str, Seen]:
-        """Return what is known, by queue."""
-        return self._seen
+    def make_record(self) -> dict[str, Seen]:
+        """Return what a next owner begins with."""
+        return dict(self._seen)
+
+    def restore(self, record: Mapping[str, Seen]) -> None:
+        """Begin with what an earlier owner learned."""
+        self._seen.update(record)
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -40,6 +40,9 @@
 
     Attributes:
         kept: What is kept for others; it is taken from the figures.
+        wanted: A gang waits for this worker. Urgent work, which goes before what
+            is kept, takes another one where it can: a gang whose workers were
+            taken one by one waited for over thirty seconds.
         steps: Tasks of each step with a bound on their number here: those that
             the worker has, and those that this pass gave it. Were the latter left
             out, one pass would put a whole step on one worker.
@@ -51,6 +54,7 @@
     accelerators: int
     steps: Counter[tuple[str, int, int]] = field(default_factory=Counter)
     kept: list[Kept] = field(default_factory=list)
+    wanted: bool = False
 
     def count_fitting(self, need: Need, filling: bool) -> int:
         """Return how many tasks of a need fit."""
@@ -79,6 +83,7 @@
             self.accelerators,
             self.steps.copy(),
             self.kept.copy(),
+            self.wanted,
         )
 
     def keep(self, need: Need, filling: bool, count: int, until: float) -> None:
@@ -179,11 +184,12 @@
     """
     eligible = [room.lend(now + seconds) for room in find_eligible(unit, rooms)]
     patient = now - (unit.ready_at or now) < find_patience(unit)
-    if slow and unit.job.queue.priority == 0:
+    if unit.job.queue.priority == 0:
         fast = [room for room in eligible if room.worker.name not in slow]
-        workers = _place_in(unit, fast, patient)
-        if workers is not None:
-            return workers
+        for group in ([room for room in fast if not room.wanted], fast):
+            workers = _place_in(unit, group, patient)
+            if workers is not None:
+                return workers
     return _place_in(unit, eligible, patient)
 
 
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -26,6 +26,11 @@
 # Guaranteed work must have begun 2.9 s after its acceptance. A stop and the start
 # after it take half a second, and an expectation may be wrong by as much again.
 RECLAIM_WAIT_SECONDS = 1.5
+# Work with less slack than this is about to be late.
+PRESSED_SECONDS = 4.0
+# What may be thrown away so that it is not: a few restarts, against hundreds of
+# core-seconds of a gang that would come too late for its caller.
+PRESSED_CORE_SECONDS = 250.0
 # Units looked at in one pass: at 24 workers a unit that does not fit takes 0.05 ms,
 # so a full queue costs a pass a few milliseconds.
 LOOK_LIMIT = 200
@@ -83,6 +88,8 @@
         self.slow = _find_slow(board, durations, speeds, now)
         self.entitled = find_entitled(board)
         self.rooms = make_rooms(board, now)
+        self.waiting = board.list_waiting(now)
+        _mark_wanted(self.waiting, self.rooms)
         self.soon = _add_stopping(board, self.rooms)
         self.starts: list[Assignment] = []
         self.stops: list[Stop] = []
@@ -106,7 +113,7 @@
 
     def _rank(self) -> list[tuple[Rank, Unit]]:
         ranked = []
-        for unit in self.board.list_waiting(self.now):
+        for unit in self.waiting:
             entitled = unit.job.job_id in self.entitled
             rank = rank_unit(unit, self.now, entitled, self.durations)
             ranked.append((rank, unit))
@@ -122,13 +129,23 @@
             take_rooms(unit, workers, self.rooms)
             take_rooms(unit, workers, self.soon)
             return True
-        if rank.urgent and not rank.useless and self._free_room(unit, rank):
+        if self._may_evict(rank) and self._free_room(unit, rank):
             return False
         if rank.urgent or self.reserved < RESERVED_UNITS:
             self.reserved += not rank.urgent
             keep_room(unit, self.rooms, self.durations, self.now)
         return False
 
+    def _may_evict(self, rank: Rank) -> bool:
+        """Whether something may be stopped for a unit.
+
+        Urgent work may always have that. Other work may stop what has a lower
+        priority and loses next to nothing, once it would be late otherwise.
+        """
+        if rank.urgent:
+            return not rank.useless
+        return 0 <= rank.slack < PRESSED_SECONDS
+
     def _free_room(self, unit: Unit, rank: Rank) -> bool:
         """Keep the room that is being freed for a unit, or have more freed."""
         seconds = self.durations.guess_unit(unit)
@@ -139,6 +156,8 @@
             )
             if eviction is None or self._should_wait(unit, rank, eviction):
                 return False
+            if not rank.urgent and eviction.cost > PRESSED_CORE_SECONDS:
+                return False
             for victim in eviction.units:
                 self.stops.append(Stop(victim, unit, eviction.cost))
                 self.board.abandon(victim)
@@ -160,6 +179,13 @@
         return find_soonest(unit, self.rooms, self.durations, self.now) < latest
 
 
+def _mark_wanted(waiting: list[Unit], rooms: Rooms) -> None:
+    for unit in waiting:
+        for name in unit.claim:
+            if name in rooms:
+                rooms[name].wanted = True
+
+
 def _find_slow(
     board: Board, durations: Durations, speeds: Speeds, now: float
 ) -> set[str]:
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -4,7 +4,7 @@
 Harm: an organisation that does not get its guaranteed accelerators within 2.9 s,
 or hours of work thrown away for a quote that could have waited. So within its
 guarantee urgent work stops whatever is not within a guarantee itself, the
-cheapest first; beyond it, only what loses next to nothing.
+cheapest first; other work only what has a lower priority and loses next to nothing.
 
 Work with checkpoints saves one as it is stopped, so it loses only its restart. A
 gang is lost whole with any of its members.
@@ -60,17 +60,15 @@
     return cost
 
 
-def may_stop(
-    victim: Unit, for_entitled: bool, entitled: Collection[str], now: float
-) -> bool:
-    """Whether a unit may be stopped for urgent work at all."""
+def may_stop(victim: Unit, gainer: Unit, entitled: Collection[str], now: float) -> bool:
+    """Whether a unit may be stopped for another one at all."""
     if victim.abandoned or victim.step.lasting or not victim.members:
         return False
     if victim.job.job_id in entitled:
         return False
-    if for_entitled:
+    if gainer.job.job_id in entitled:
         return True
-    if victim.job.queue.priority == 0:
+    if victim.job.queue.priority <= gainer.job.queue.priority:
         return False
     return victim.step.checkpoints and now - victim.members[0].since > SPARED_SECONDS
 
@@ -84,10 +82,9 @@
 ) -> Eviction | None:
     """Return the cheapest units whose end makes room for a unit, or None."""
     eligible = find_eligible(unit, rooms)
-    for_entitled = unit.job.job_id in entitled
     best: Eviction | None = None
     for group in list_racks(unit, eligible):
-        found = _evict_in(unit, group, for_entitled, entitled, now)
+        found = _evict_in(unit, group, entitled, now)
         if found is not None and (best is None or found.cost < best.cost):
             best = found
     return best
@@ -96,7 +93,6 @@
 def _evict_in(
     unit: Unit,
     group: Sequence[Room],
-    for_entitled: bool,
     entitled: Collection[str],
     now: float,
 ) -> Eviction | None:
@@ -105,7 +101,7 @@
     chosen: dict[int, Unit] = {}
     cost = 0.0
     for _ in range(unit.size):
-        option = _find_cheapest(unit, rooms, chosen, for_entitled, entitled, now)
+        option = _find_cheapest(unit, rooms, chosen, entitled, now)
         if option is None:
             return None
         room, victims = option
@@ -121,7 +117,6 @@
     unit: Unit,
     rooms: Rooms,
     chosen: dict[int, Unit],
-    for_entitled: bool,
     entitled: Collection[str],
     now: float,
 ) -> tuple[Room, list[Unit]] | None:
@@ -129,7 +124,7 @@
     for room in rooms.values():
         if count_allowed(unit, room):
             return room, []
-        victims = _pick_victims(unit, room, chosen, for_entitled, entitled, now)
+        victims = _pick_victims(unit, room, chosen, entitled, now)
         if victims is None:
             continue
         cost = sum(find_cost(victim, now) for victim in victims)
@@ -142,7 +137,6 @@
     unit: Unit,
     room: Room,
     chosen: dict[int, Unit],
-    for_entitled: bool,
     entitled: Collection[str],
     now: float,
 ) -> list[Unit] | None:
@@ -153,7 +147,7 @@
         victim = member.unit
         if id(victim) in chosen or id(victim) in options:
             continue
-        if may_stop(victim, for_entitled, entitled, now):
+        if may_stop(victim, unit, entitled, now):
             options[id(victim)] = victim
     victims = []
     for victim in sorted(options.values(), key=lambda each: find_cost(each, now)):
--- a/src/primrosestile/decisions/work/speeds.py
+++ b/src/primrosestile/decisions/work/speeds.py
@@ -9,6 +9,7 @@
 with the median progress of its members.
 """
 
+from collections.abc import Mapping
 from statistics import median
 
 from primrosestile.decisions.work.board import Member, Unit
@@ -20,6 +21,8 @@
 FEWEST_COMPARISONS = 3
 # Between the usual 1.0 and a slow worker's 1.3, with 15% between tasks.
 SLOW_FACTOR = 1.14
+# A comparison counts as no more than this.
+LARGEST_FACTOR = 2.0
 # Ended tasks of a step before another one is compared with them.
 FEWEST_SIBLINGS = 3
 # Steps remembered; older ones have ended.
@@ -79,8 +82,17 @@
     def _learn(self, worker: str, factor: float) -> None:
         count, known = self._factors.get(worker, (0, 1.0))
         # One comparison can be far off, as when a task waited for its data.
-        factor = min(3.0, max(0.5, factor))
-        self._factors[worker] = (count + 1, known + NEW_SHARE * (factor - known))
+        factor = min(LARGEST_FACTOR, max(1 / LARGEST_FACTOR, factor))
+        share = max(NEW_SHARE, 1 / (count + 1))
+        self._factors[worker] = (count + 1, known + share * (factor - known))
+
+    def make_record(self) -> dict[str, tuple[int, float]]:
+        """Return what a next owner begins with."""
+        return dict(self._factors)
+
+    def restore(self, record: Mapping[str, tuple[int, float]]) -> None:
+        """Begin with what an earlier owner learned."""
+        self._factors.update(record)
 
 
 def is_behind(member: Member, expected: float, now: float) -> bool:
