--- /dev/null
+++ b/features/platform/adapter.feature
@@ -0,0 +1,56 @@
+Feature: The platform is met as its pages say
+  Names and formats are decoded in one place; a wrong one there loses jobs.
+
+  Scenario: The settings file is read
+    Given the platform's settings file with a line that nobody knows
+    Then the process learns its addresses and bounds from it
+
+  Scenario: A settings file without the store's address ends the program
+    Given the platform's settings file without platform.address
+    Then reading it says which line is missing
+
+  Scenario Outline: A body that is no job is refused at once
+    When a caller hands in the body <body>
+    Then the body is refused as malformed
+
+    Examples:
+      | body                                                |
+      | {                                                   |
+      | []                                                  |
+      | {"spec":"x"}                                        |
+      | {"spec":"x","steps":[]}                             |
+      | {"spec":"x","steps":[{"count":0}]}                  |
+      | {"spec":"x","steps":[{"count":-4}]}                 |
+      | {"spec":"x","steps":[{"count":1,"gpu":-1}]}         |
+      | {"spec":"x","steps":[{"count":1,"after":[0]}]}      |
+      | {"spec":"x","steps":[{"count":99999}]}              |
+      | {"spec":7,"steps":[{"count":1}]}                    |
+
+  Scenario: Every field of a step has its own place
+    When a caller hands in a step that uses every field
+    Then the step says the same in our words
+
+  Scenario: A worker's entry is read
+    Then a worker's entry gives its rack, room and whether it leaves
+
+  Scenario: A policy is read
+    Then a stored configuration gives queues, keys, guarantees and limits
+    And the longest prefix selects the queue
+
+  Scenario: A process serves callers on the platform's stand-in over HTTP
+    Given the platform's stand-in over HTTP with 2 workers
+    And a process of ours on it
+    When a caller hands in a job over HTTP
+    Then the caller is shown the job as completed
+    And the stand-in's ledger shows nothing wrong
+    And callers' mistakes are answered
+      | method | path                    | key     | status |
+      | GET    | /usual/00000000000000ff | good    | 410    |
+      | DELETE | /usual/00000000000000ff | good    | 410    |
+      | GET    | /usual/nonsense         | good    | 404    |
+      | GET    | /nowhere/               | good    | 404    |
+      | GET    | /usual/                 | unknown | 401    |
+      | GET    | /usual/                 | good    | 200    |
+      | PUT    | /usual/00000000000000ff | good    | 405    |
+      | POST   | /usual/00000000000000ff | good    | 400    |
+    And the balancer is told that it is ready
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,304 @@
+"""Steps for the adapter to the users' platform."""
+
+import asyncio
+import json
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from behave import given, then, when
+from features.doubles.fleetworld import HOST, PlatformEntry, make_policy
+
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.callers import read_submission
+from primrosestile.platform.policy import POLICY_KEY, read_policy
+from primrosestile.platform.settings import BadSettings, parse_settings
+from primrosestile.platform.workers import read_worker
+from primrosestile.programs.node import Node
+from primrosestile.protocol.store import Entry
+from primrosestile.state.policy import Queue
+from primrosestile.state.work import Need
+from primrosestile_standin.fleet_http import StoreEnd, WorkersEnd
+from primrosestile_standin.fleetstore import FleetStore
+from primrosestile_standin.fleetworker import Fleet, Script
+
+SETTINGS = """
+node=front-1
+ip=127.0.0.1
+zone=leith-hall
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+port_range=7000,7015
+platform.address=127.0.0.1:{store}
+bounds.config_apply_ms=2000
+bounds.revoke_ms=5000
+bounds.grace_s=6
+a.new.line=nobody knows it
+"""
+WAIT_SECONDS = 30.0
+
+
+def find_free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+QUEUE = Queue("usual", HOST, "/usual/", "engine", 1, 2, 3.0, 1.0, 3.0)
+
+
+@given("the platform's settings file with a line that nobody knows")
+def step_settings(context: Any) -> None:
+    context.lines = SETTINGS.format(front=8521, ready=8523, store=8524)
+
+
+@given("the platform's settings file without platform.address")
+def step_settings_short(context: Any) -> None:
+    lines = SETTINGS.format(front=8521, ready=8523, store=8524).splitlines()
+    context.lines = "\n".join(line for line in lines if "platform" not in line)
+
+
+@then("the process learns its addresses and bounds from it")
+def step_learns(context: Any) -> None:
+    settings = parse_settings(context.lines)
+    assert settings.callers_address == "127.0.0.1:8521"
+    assert settings.store_address == "127.0.0.1:8524"
+    assert settings.inner_ports == (7000, 7015)
+    assert settings.bounds.key_revoked == 5.0
+    assert settings.bounds.lease_longest == 10.0
+
+
+@then("reading it says which line is missing")
+def step_missing(context: Any) -> None:
+    try:
+        parse_settings(context.lines)
+    except BadSettings as error:
+        assert "platform.address" in str(error)
+    else:
+        raise AssertionError("it was read")
+
+
+@when("a caller hands in the body {body}")
+def step_body(context: Any, body: str) -> None:
+    context.kind = None
+    try:
+        read_submission(body.encode(), "0" * 16, QUEUE, "domes", 0.0)
+    except Failure as failure:
+        context.kind = failure.kind
+
+
+@then("the body is refused as malformed")
+def step_malformed(context: Any) -> None:
+    assert context.kind is ErrorKind.MALFORMED, context.kind
+
+
+@when("a caller hands in a step that uses every field")
+def step_full(context: Any) -> None:
+    step = {
+        "count": 4,
+        "cpu": 500,
+        "mem_mb": 256,
+        "gpu": 2,
+        "estimate_ms": 900,
+        "after": [0],
+        "checkpoint": True,
+        "gang": True,
+        "same_rack": True,
+        "constraints": "a",
+        "affinity": "r1-3",
+        "anti_affinity": 2,
+        "speculative": True,
+        "daemon": True,
+        "image": "im",
+        "target_ms": 80,
+        "fills": True,
+        "may_miss": 1,
+        "a_new_field": 7,
+    }
+    body = {
+        "spec": "s",
+        "steps": [{"count": 1}, step],
+        "repeat_count": 3,
+        "start_at_ms": 5000,
+        "interval_ms": 2000,
+    }
+    context.submission = read_submission(
+        json.dumps(body).encode(), "0" * 16, QUEUE, "domes", 0.0
+    )
+
+
+@then("the step says the same in our words")
+def step_same(context: Any) -> None:
+    step = context.submission.steps[1]
+    assert step.need == Need(500, 256, 2)
+    assert (step.count, step.estimate_seconds, step.after) == (4, 0.9, (0,))
+    assert step.gang and step.one_rack and step.checkpoints and step.racing
+    assert (step.label, step.data_rack, step.most_per_worker) == ("a", "r1-3", 2)
+    assert step.lasting and step.filling
+    assert (step.image, step.target_seconds, step.away_limit) == ("im", 0.08, 1)
+    repeats = context.submission.repeats
+    assert (repeats.count, repeats.first_at, repeats.interval) == (3, 5.0, 2.0)
+
+
+@then("a worker's entry gives its rack, room and whether it leaves")
+def step_worker(context: Any) -> None:
+    shape = PlatformEntry("w1", "10.0.0.1:80", "r1-3", 8, ())
+    entry = read_worker(Entry("servers/w1", shape.encode("draining"), 1, 1))
+    assert entry is not None
+    assert (entry.worker, entry.rack, entry.leaving) == ("w1", "r1-3", True)
+    assert entry.capacity == Need(64_000, 131_072, 8)
+    assert read_worker(Entry("servers/w2", b"{", 1, 1)) is None
+
+
+@then("a stored configuration gives queues, keys, guarantees and limits")
+def step_policy(context: Any) -> None:
+    value = make_policy(7, guarantees={"domes": 32})
+    context.policy = read_policy(Entry(POLICY_KEY, value, 3, 12))
+    assert (context.policy.version, context.policy.revision) == (7, 12)
+    assert context.policy.keys == {"key-domes": "domes", "key-post": "post"}
+    assert context.policy.guarantees == {"domes": 32, "post": 0}
+    assert context.policy.pools["engine"].guards_capacity
+    assert context.policy.limits.body_bytes == 262_144
+
+
+@then("the longest prefix selects the queue")
+def step_prefix(context: Any) -> None:
+    found = context.policy.find_queue(HOST, "/urgent/0123")
+    assert found is not None and found.name == "urgent"
+    assert context.policy.find_queue(HOST, "/nowhere/0123") is None
+    assert context.policy.find_queue("other.example", "/urgent/0123") is None
+
+
+class Platform:
+    """The stand-in over HTTP and a process of ours, on one loop of real time."""
+
+    def __init__(self, workers: int) -> None:
+        self.runner = asyncio.Runner()
+        self.store = FleetStore()
+        self.fleet = Fleet()
+        self.fleet.default = Script(seconds=0.3)
+        self.ends: list[web.AppRunner] = []
+        self.ports = {name: find_free_port() for name in ("front", "ready", "store")}
+        self.runner.run(self._serve(workers))
+
+    async def _serve(self, workers: int) -> None:
+        self.store.put(POLICY_KEY, make_policy(1))
+        await self._listen(StoreEnd(self.store).make_app(), self.ports["store"])
+        for number in range(workers):
+            port = find_free_port()
+            await self._listen(WorkersEnd(self.fleet).make_app(), port)
+            shape = PlatformEntry(f"w{number}", f"127.0.0.1:{port}", "r1", 8, ())
+            self.store.put(f"servers/w{number}", shape.encode())
+            self.fleet.add(shape.make())
+
+    async def _listen(self, app: web.Application, port: int) -> None:
+        end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+        await end.setup()
+        await web.TCPSite(end, "127.0.0.1", port).start()
+        self.ends.append(end)
+
+    def start_node(self) -> None:
+        node = Node(parse_settings(SETTINGS.format(**self.ports)))
+
+        async def start() -> None:
+            self.node = asyncio.get_running_loop().create_task(node.run())
+            await self.wait_for("/v1/ready", "ready", 200)
+
+        self.runner.run(start())
+
+    async def wait_for(self, path: str, port: str, status: int) -> None:
+        until = asyncio.get_running_loop().time() + WAIT_SECONDS
+        while True:
+            try:
+                if (await self.call("GET", path, port=port))[0] == status:
+                    return
+            except aiohttp.ClientError:
+                pass
+            assert asyncio.get_running_loop().time() < until, "not in time"
+            await asyncio.sleep(0.05)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        key: str = "key-domes",
+        port: str = "front",
+    ) -> tuple[int, bytes]:
+        headers = {"Host": HOST, "Authorization": f"Token {key}"}
+        url = f"http://127.0.0.1:{self.ports[port]}{path}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, data=body, headers=headers) as response,
+        ):
+            return response.status, await response.read()
+
+    def close(self) -> None:
+        async def end() -> None:
+            self.node.cancel()
+            await asyncio.wait({self.node})
+            for each in self.ends:
+                await each.cleanup()
+
+        self.runner.run(end())
+        self.runner.close()
+
+
+@given("the platform's stand-in over HTTP with {count:d} workers")
+def step_http(context: Any, count: int) -> None:
+    context.platform = Platform(count)
+    context.cleanups.append(context.platform.close)
+
+
+@given("a process of ours on it")
+def step_node(context: Any) -> None:
+    context.platform.start_node()
+
+
+@when("a caller hands in a job over HTTP")
+def step_submit_http(context: Any) -> None:
+    steps = [{"count": 3, "cpu": 1000, "mem_mb": 1000, "gpu": 1}]
+    body = json.dumps({"spec": "x", "steps": steps}).encode()
+
+    async def send() -> None:
+        status, _ = await context.platform.call("POST", "/usual/00000000000000aa", body)
+        assert status == 200, status
+
+    context.platform.runner.run(send())
+
+
+@then("the caller is shown the job as completed")
+def step_completed(context: Any) -> None:
+    async def wait() -> None:
+        until = asyncio.get_running_loop().time() + WAIT_SECONDS
+        while True:
+            _, body = await context.platform.call("GET", "/usual/00000000000000aa")
+            if json.loads(body)["state"] == "completed":
+                return
+            assert asyncio.get_running_loop().time() < until, body
+            await asyncio.sleep(0.05)
+
+    context.platform.runner.run(wait())
+
+
+@then("the stand-in's ledger shows nothing wrong")
+def step_ledger_http(context: Any) -> None:
+    assert not context.platform.fleet.faults_found
+
+
+@then("callers' mistakes are answered")
+def step_mistakes(context: Any) -> None:
+    async def ask(row: Any) -> None:
+        key = "key-domes" if row["key"] == "good" else "key-nobody"
+        status, _ = await context.platform.call(row["method"], row["path"], b"{", key)
+        assert status == int(row["status"]), (row["method"], row["path"], status)
+
+    for row in context.table:
+        context.platform.runner.run(ask(row))
+
+
+@then("the balancer is told that it is ready")
+def step_ready_http(context: Any) -> None:
+    context.platform.runner.run(context.platform.wait_for("/v1/ready", "ready", 200))
--- /dev/null
+++ b/features/steps/work_submitting_steps.py
@@ -0,0 +1,226 @@
+"""Steps for what callers are told when they hand jobs in."""
+
+import asyncio
+import json
+from typing import Any
+
+from behave import then, when
+from features.doubles.fleetworld import HOST, FleetWorld, make_policy
+from features.steps.work_steps import make_id, write_script
+
+from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.callers import read_submission
+from primrosestile.platform.policy import POLICY_KEY
+from primrosestile.state.policy import Policy
+from primrosestile.state.work import Submission
+
+ONE_TASK = [{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1}]
+KEYS = {"domes": "key-domes", "post": "key-post"}
+
+
+def make_judge(job_id: str, organisation: str) -> Any:
+    """Return what judges a call by a policy, keys included."""
+
+    def make(policy: Policy) -> Submission:
+        if policy.keys.get(KEYS[organisation]) != organisation:
+            raise Failure(ErrorKind.UNAUTHENTICATED)
+        queue = policy.find_queue(HOST, f"/usual/{job_id}")
+        assert queue is not None
+        body = json.dumps({"spec": "", "steps": ONE_TASK}).encode()
+        return read_submission(body, job_id, queue, organisation, read_wall_clock())
+
+    return make
+
+
+async def hand_in(
+    context: Any, name: str, process: str, organisation: str = "domes"
+) -> None:
+    """Hand a job of one task in; what the caller is told is kept."""
+    job_id = make_id(name)
+    write_script(context, job_id, ONE_TASK)
+    began = read_clock()
+    submitting = context.world.processes[process].submitting
+    try:
+        await submitting.submit(job_id, make_judge(job_id, organisation))
+        context.told.append("accepted")
+    except Failure as failure:
+        context.told.append(failure.kind.value)
+    context.took = read_clock() - began
+
+
+@when("job {name} is handed in at p1 and again at p2")
+def step_twice(context: Any, name: str) -> None:
+    context.told = []
+
+    async def send() -> None:
+        await hand_in(context, name, "p1")
+        await hand_in(context, name, "p2")
+
+    context.world.run(send())
+
+
+@when("job {name} is handed in at p1 and by post at p2")
+def step_two_callers(context: Any, name: str) -> None:
+    context.told = []
+
+    async def send() -> None:
+        await hand_in(context, name, "p1")
+        await hand_in(context, name, "p2", "post")
+
+    context.world.run(send())
+
+
+@when("job {name} is handed in at p1")
+def step_one(context: Any, name: str) -> None:
+    context.told = []
+    context.world.run(hand_in(context, name, "p1"))
+
+
+@when("job {name} is handed in at p1 at once")
+def step_at_once(context: Any, name: str) -> None:
+    step_one(context, name)
+
+
+@when("the next write is carried out {seconds:g} s late and the store goes down")
+def step_late_and_down(context: Any, seconds: float) -> None:
+    faults = context.world.store.faults
+    faults.late_writes = [seconds]
+    commit = context.world.store.connect("p1").commit
+    assert commit is not None
+    faults.leases_pause = True
+
+    async def go_down() -> None:
+        loop = asyncio.get_running_loop()
+        # Down as soon as the write has been taken in.
+        loop.call_later(0.006, setattr, faults, "down", True)
+
+    context.world.run(go_down())
+
+
+@when("the key of {organisation} is taken away")
+def step_revoke(context: Any, organisation: str) -> None:
+    async def revoke() -> None:
+        others = {name: [key] for name, key in KEYS.items() if name != organisation}
+        context.world.store.put(POLICY_KEY, make_policy(2, keys=others))
+
+    context.world.run(revoke())
+
+
+@when("{process} is turned away by the store")
+def step_turned_away(context: Any, process: str) -> None:
+    context.world.store.faults.refused.add(process)
+
+
+@when("policy version {version:d} is in force")
+def step_version(context: Any, version: int) -> None:
+    async def put() -> None:
+        world: FleetWorld = context.world
+        context.older = world.store.read(POLICY_KEY)
+        world.store.put(POLICY_KEY, make_policy(version))
+        await asyncio.sleep(1.0)
+
+    context.world.run(put())
+
+
+@when("p1 is shown policy version {version:d} by a late answer")
+def step_older(context: Any, version: int) -> None:
+    context.world.processes["p1"].policies.note(context.older)
+
+
+@then("p1 goes on by version {version:d}")
+def step_goes_on(context: Any, version: int) -> None:
+    policy = context.world.processes["p1"].policies.policy
+    assert policy is not None and policy.version == version
+
+
+@then("both are told that it was accepted")
+def step_both(context: Any) -> None:
+    assert context.told == ["accepted", "accepted"], context.told
+
+
+@then("the second is told {kind}")
+def step_second(context: Any, kind: str) -> None:
+    assert context.told[1] == kind, context.told
+
+
+@then("the caller is told that it was accepted")
+def step_accepted(context: Any) -> None:
+    assert context.told == ["accepted"], context.told
+
+
+@then("the caller is told {kind} within {seconds:g} s")
+def step_told_within(context: Any, kind: str, seconds: float) -> None:
+    assert context.told == [kind], context.told
+    assert context.took <= seconds, context.took
+
+
+@then("the caller is told {kind:w}")
+def step_told(context: Any, kind: str) -> None:
+    assert context.told == [kind], context.told
+
+
+@then("{count:d} task of {name} was started in {seconds:g} s")
+def step_started(context: Any, count: int, name: str, seconds: float) -> None:
+    async def look() -> None:
+        await asyncio.sleep(seconds)
+        job = make_id(name)
+        starts = [each for each in context.world.fleet.starts if each[0][:16] == job]
+        assert len(starts) == count, starts
+
+    context.world.run(look())
+
+
+@then("{count:d} tasks of {name} were started in {seconds:g} s")
+def step_started_many(context: Any, count: int, name: str, seconds: float) -> None:
+    step_started(context, count, name, seconds)
+
+
+@then("{process} is not ready")
+def step_not_ready(context: Any, process: str) -> None:
+    async def look() -> None:
+        assert not context.world.processes[process].policies.recent
+
+    context.world.run(look())
+
+
+@then("{process} is ready")
+def step_ready(context: Any, process: str) -> None:
+    async def look() -> None:
+        assert context.world.processes[process].policies.recent
+
+    context.world.run(look())
+
+
+@then("a call with the key of {organisation} at {process} is told {kind}")
+def step_call_told(context: Any, organisation: str, process: str, kind: str) -> None:
+    context.told = []
+    context.world.run(hand_in(context, "z1", process, organisation))
+    assert context.told == [kind], context.told
+
+
+@then("cancelling job {name} at {process} finds none")
+def step_cancel_none(context: Any, name: str, process: str) -> None:
+    async def cancel() -> None:
+        running = context.world.processes[process]
+        queue = running.policies.require().find_named("usual")
+        assert not await running.submitting.cancel(make_id(name), queue, "domes")
+
+    context.world.run(cancel())
+
+
+@then("the state of job {name} at {process} is none")
+def step_state_none(context: Any, name: str, process: str) -> None:
+    state = context.world.run(context.world.read_state(process, make_id(name), "usual"))
+    assert state is None, state
+
+
+@then("{process} counts {count:d} waiting job")
+def step_pending(context: Any, process: str, count: int) -> None:
+    async def look() -> int:
+        running = context.world.processes[process]
+        queue = running.policies.require().find_named("usual")
+        found = await running.submitting.count_pending(queue)
+        return int(found)
+
+    assert context.world.run(look()) == count
--- /dev/null
+++ b/features/work/submitting.feature
@@ -0,0 +1,79 @@
+Feature: Callers hear the truth about what they hand in
+  A job is accepted once the store has it, and "not run" is said only when it is sure.
+
+  Background:
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+
+  Scenario: A job that is sent again under its id remains one job
+    When job g1 is handed in at p1 and again at p2
+    Then both are told that it was accepted
+    And 1 task of g1 was started in 5 s
+
+  Scenario: Another organisation's job under the same id is refused
+    When job g2 is handed in at p1 and by post at p2
+    Then the second is told conflict
+
+  Scenario: The answer to a submission is lost
+    The store has written the job, but its answer never comes. The caller must not
+    be told that the job did not run, since it will.
+    When the answers to the next 1 writes are lost
+    And job g3 is handed in at p1
+    Then the caller is told that it was accepted
+    And 1 task of g3 was started in 5 s
+
+  Scenario: A submission is written late, while the store can't be read
+    The store leaves the write unanswered, goes down, and carries it out later. The
+    caller may only be told that the outcome is unknown.
+    When the next write is carried out 3 s late and the store goes down
+    And job g4 is handed in at p1
+    Then the caller is told store_answer_lost
+    When 1 s pass
+    And the store is back
+    Then 1 task of g4 was started in 8 s
+
+  Scenario: The store is known to be down
+    The caller is told at once that the job did not run, and when to come back; held
+    until its deadline, it could not try elsewhere.
+    When the store goes down and its leases pause
+    And 1 s pass
+    And job g5 is handed in at p1
+    Then the caller is told store_unavailable within 0.05 s
+    And 0 tasks of g5 were started in 5 s
+
+  Scenario: The policy changes under a submission
+    A key is taken away between the moment at which a process read the policy and
+    the write of the job. The store refuses the write and shows the newer policy.
+    When the key of domes is taken away
+    And job g6 is handed in at p1 at once
+    Then the caller is told unauthenticated
+
+  Scenario: A process that is cut off from the store stops serving by its policy
+    It can't know whether a key is still good, so it refuses before the time at which
+    a key that was taken away must be useless.
+    When p1 is turned away by the store
+    And 2 s pass
+    Then p1 is not ready
+    And a call with the key of domes at p1 is told store_unavailable
+    And p2 is ready
+
+  Scenario: An older policy never comes back into force
+    When policy version 5 is in force
+    And p1 is shown policy version 4 by a late answer
+    Then p1 goes on by version 5
+
+  Scenario: A cancelled job that does not exist is said not to exist
+    Then cancelling job g9 at p1 finds none
+    And the state of job g9 at p1 is none
+
+  Scenario: Waiting jobs are counted until their first task starts
+    Given the tasks of h1 take 60 s
+    When job h1 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And h1 runs on the fleet
+    And job h2 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    And 1 s pass
+    Then p1 counts 1 waiting job
--- a/src/primrosestile/platform/callers.py
+++ b/src/primrosestile/platform/callers.py
@@ -122,7 +122,7 @@
         image=step.image,
         target_seconds=step.target_ms / 1000,
         filling=step.fills,
-        may_miss=step.may_miss,
+        away_limit=step.may_miss,
     )
 
 
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -74,6 +74,15 @@
         callers = await _listen(self._calls.answer, self.settings.callers_address)
         ready = await _listen(self._calls.answer_ready, self.settings.ready_address)
         _log.info("started", address=self.settings.callers_address)
+        try:
+            await self._serve(told, callers, ready)
+        finally:
+            await self._connections.close()
+        _log.info("ended")
+
+    async def _serve(
+        self, told: asyncio.Event, callers: web.ServerRunner, ready: web.ServerRunner
+    ) -> None:
         async with asyncio.TaskGroup() as tasks:
             running = [
                 tasks.create_task(self._policies.run()),
@@ -83,8 +92,6 @@
             await self._end(callers, ready)
             for task in running:
                 task.cancel()
-        await self._connections.close()
-        _log.info("ended")
 
     def _note_reload(self) -> None:
         # Nothing in the file can change for a running process but the seeds, which
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -62,7 +62,7 @@
         image: What its tasks run; tasks of one image behave alike.
         target_seconds: A lasting task's own users must be answered within this.
         filling: Its processor need is not reserved; it uses what others leave.
-        may_miss: Lasting tasks that we may have away at one time.
+        away_limit: Lasting tasks that we may have away at one time.
     """
 
     count: int
@@ -80,7 +80,7 @@
     image: str = ""
     target_seconds: float = 0.0
     filling: bool = False
-    may_miss: int = 0
+    away_limit: int = 0
 
 
 class Repeats(msgspec.Struct, frozen=True, array_like=True):
