Serve metrics, gather one id's story from logs, run process scenarios in two lanes

Ruled out: all of them at once in the lane of the other folders (more processes than their bounds allow for; not tried).

--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -17,7 +17,8 @@
 from primrosestile.decisions.access import find_rights, hash_token, read_bearer
 from primrosestile.decisions.settingschange import check_change
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.programs.common import answer_failure, set_up_logs
+from primrosestile.programs.common import answer_failure
+from primrosestile.programs.logs import set_up_logs
 from primrosestile.state.process import PeerKeys, ProcessSettings
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Key
@@ -134,7 +135,7 @@
     output = io.StringIO()
     with contextlib.redirect_stdout(output):
         try:
-            set_up_logs(settings)
+            set_up_logs(settings.name, settings.log_level)
             log = structlog.get_logger()
             log.info("started", settings=settings, listed=[keys], keys={"pair": keys})
             try:
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -515,6 +515,18 @@
                 return False
         return True
 
+    def count(self) -> dict[str, int]:
+        """Return figures of the moment, for those who watch over the fleet."""
+        open_jobs = [job for job in self.jobs.values() if not job.state.final]
+        phases = [unit.phase for job in open_jobs for unit in job.units.values()]
+        return {
+            "open_jobs": len(open_jobs),
+            "waiting_units": phases.count(Phase.WAITING),
+            "running_units": phases.count(Phase.ORDERED),
+            "workers_in_hand": sum(each.in_hand for each in self.workers.values()),
+            "workers": len(self.workers),
+        }
+
     def take_changed(self) -> set[Job]:
         """Return the jobs whose records must be written, and forget them."""
         changed = self.changed
--- a/src/primrosestile/programs/cli.py
+++ b/src/primrosestile/programs/cli.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from primrosestile.programs import clichanges, clijobs, cliviews
+from primrosestile.programs import clichanges, cliexplain, clijobs, cliviews
 from primrosestile.programs.clioutput import Exit, describe_exits, print_note
 
 app = typer.Typer(
@@ -22,6 +22,9 @@
 app.add_typer(clijobs.app, name="job")
 app.command(epilog="Example: primrosestile fleet --json")(cliviews.fleet)
 app.command(epilog="Example: primrosestile guarantees")(cliviews.guarantees)
+app.command(epilog="Example: primrosestile explain --id 20e744bf3218dfdb node-*.log")(
+    cliexplain.explain
+)
 
 
 def main() -> None:
--- a/src/primrosestile/programs/common.py
+++ b/src/primrosestile/programs/common.py
@@ -8,12 +8,11 @@
 
 import argparse
 import asyncio
-import logging
 import math
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field, is_dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -21,19 +20,13 @@
 import structlog
 import uvloop
 from aiohttp import web
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from primrosestile.errors import Failure
+from primrosestile.programs.metrics import Metrics
 from primrosestile.state.process import ProcessSettings
 from primrosestile.transport.wire import encode_json
 
 EXIT_BAD_SETTINGS = 2
-# Every line carries these, so that a search for one id finds every line of it.
-LINE_FIELDS = ("request_id", "job_id", "epoch")
-LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0)
-
-# Local variables stay out of traces: they hold callers' tokens and our keys.
-_TRACES = structlog.tracebacks.ExceptionDictTransformer(show_locals=False)
 
 _log = structlog.get_logger()
 
@@ -61,71 +54,6 @@
     return read_process_settings(parser.parse_args().settings)
 
 
-def _add_line_fields(
-    logger: Any, method: str, event: structlog.typing.EventDict
-) -> structlog.typing.EventDict:
-    for name in LINE_FIELDS:
-        event.setdefault(name, "")
-    return event
-
-
-def set_up_logs(settings: ProcessSettings) -> None:
-    """Write one JSON object a line to standard output."""
-    level = logging.getLevelNamesMapping().get(settings.log_level.upper(), logging.INFO)
-    structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.ExceptionRenderer(_TRACES),
-            _add_line_fields,
-            structlog.processors.JSONRenderer(serializer=_dump),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(),
-        cache_logger_on_first_use=True,
-    )
-    structlog.contextvars.bind_contextvars(process=settings.name)
-
-
-def _dump(value: Any, default: Callable[[Any], Any]) -> str:
-    return msgspec.json.encode(_show_records(value), enc_hook=str).decode()
-
-
-def _show_records(value: Any) -> Any:
-    """Return a value with records as text, which leaves out their secrets."""
-    if is_dataclass(value):
-        return str(value)
-    if isinstance(value, Mapping):
-        return {key: _show_records(each) for key, each in value.items()}
-    if isinstance(value, list | tuple):
-        return [_show_records(each) for each in value]
-    return value
-
-
-class Metrics:
-    """The counters and times of one process, rendered for Prometheus."""
-
-    def __init__(self, program: str) -> None:
-        self.registry = Registry()
-        labels = {"program": program}
-        self.requests = Counter("requests_total", "Answers by kind", labels)
-        self.jobs = Counter("jobs_total", "Jobs accepted or refused, by kind", labels)
-        self.seconds = Histogram(
-            "request_seconds",
-            "Seconds from arrival to answer",
-            labels,
-            buckets=list(LATENCY_BUCKETS),
-        )
-        self.state = Gauge("state", "Figures of the moment, by name", labels)
-        for collector in (self.requests, self.jobs, self.seconds, self.state):
-            self.registry.register(collector)
-
-    def render(self, accept: list[str]) -> tuple[bytes, Mapping[str, str]]:
-        """Return the page and its headers."""
-        return render(self.registry, accept)
-
-
 @dataclass(slots=True)
 class Health:
     """Whether the balancer should send to this process.
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -22,10 +22,10 @@
     parse_arguments,
     run_program,
     run_until_told,
-    set_up_logs,
     start_http,
 )
 from primrosestile.programs.entryapp import EntryParts, make_entry_app
+from primrosestile.programs.logs import set_up_logs
 from primrosestile.programs.parts import AddressBook, Parts, make_parts
 from primrosestile.state.process import ProcessSettings
 from primrosestile.state.settings import Settings
@@ -99,7 +99,7 @@
 
 async def run_entry(settings: ProcessSettings) -> None:
     """Run one entry until it is told to end."""
-    set_up_logs(settings)
+    set_up_logs(settings.name, settings.log_level)
     entry = make_entry(settings)
     parts = entry.parts
     app = make_entry_app(
--- a/src/primrosestile/programs/entryapp.py
+++ b/src/primrosestile/programs/entryapp.py
@@ -16,7 +16,7 @@
 from primrosestile.decisions.cellchoice import choose_cell
 from primrosestile.decisions.queueing import Waiting
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.programs.common import Metrics, answer_failure, answer_json
+from primrosestile.programs.common import answer_failure, answer_json
 from primrosestile.programs.entryrequests import (
     BODY_LIMIT_BYTES,
     Caller,
@@ -29,6 +29,7 @@
     read_job,
     read_request,
 )
+from primrosestile.programs.metrics import Metrics
 from primrosestile.protocol.workers import RequestOrder
 from primrosestile.state.jobs import JobRecord
 from primrosestile.state.settings import Settings
--- /dev/null
+++ b/src/primrosestile/programs/metrics.py
@@ -0,0 +1,34 @@
+"""What every program counts alike.
+
+A module of its own, since a process on the platform needs nothing else of what the
+other programs share.
+"""
+
+from collections.abc import Mapping
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0)
+
+
+class Metrics:
+    """The counters and times of one process, rendered for Prometheus."""
+
+    def __init__(self, program: str) -> None:
+        self.registry = Registry()
+        labels = {"program": program}
+        self.requests = Counter("requests_total", "Answers by kind", labels)
+        self.jobs = Counter("jobs_total", "Jobs accepted or refused, by kind", labels)
+        self.seconds = Histogram(
+            "request_seconds",
+            "Seconds from arrival to answer",
+            labels,
+            buckets=list(LATENCY_BUCKETS),
+        )
+        self.state = Gauge("state", "Figures of the moment, by name", labels)
+        for collector in (self.requests, self.jobs, self.seconds, self.state):
+            self.registry.register(collector)
+
+    def render(self, accept: list[str]) -> tuple[bytes, Mapping[str, str]]:
+        """Return the page and its headers."""
+        return render(self.registry, accept)
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -21,7 +21,8 @@
 )
 from primrosestile.platform.store import PlatformStore
 from primrosestile.platform.workers import PlatformWorkerList, PlatformWorkers
-from primrosestile.programs.logs import set_up_node_logs
+from primrosestile.programs.logs import set_up_logs
+from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.nodecalls import CallerCalls
 from primrosestile.transport.connections import Connections
 
@@ -40,6 +41,8 @@
 # for each call.
 HEADER_LIMIT_BYTES = 65_536
 KEEP_ALIVE_SECONDS = 75.0
+# Where the deploy file says that the metrics are.
+METRICS_PORT = 9464
 
 _log = structlog.get_logger()
 
@@ -59,11 +62,19 @@
                 bounds.key_revoked * POLICY_AGE_SHARE_OF_REVOKED,
             ),
         )
+        self._metrics = Metrics("node")
         self._calls = CallerCalls(
-            Submitting(self._store, self._policies, POLICY_KEY), self._policies
+            Submitting(self._store, self._policies, POLICY_KEY),
+            self._policies,
+            self._metrics,
         )
+        self._scheduler: Scheduler | None = None
         self._election = Election(self._store, settings.name, self._run_term)
 
+    @property
+    def _metrics_address(self) -> str:
+        return f"{self.settings.ip}:{METRICS_PORT}"
+
     async def run(self) -> None:
         """Serve until the process is told to end."""
         told = asyncio.Event()
@@ -73,10 +84,12 @@
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         callers = await _listen(self._calls.answer, self.settings.callers_address)
         ready = await _listen(self._calls.answer_ready, self.settings.ready_address)
+        metrics = await _listen(self._answer_metrics, self._metrics_address)
         _log.info("started", address=self.settings.callers_address)
         try:
             await self._serve(told, callers, ready)
         finally:
+            await metrics.cleanup()
             await self._connections.close()
         _log.info("ended")
 
@@ -112,7 +125,22 @@
             self.settings.bounds.status_kept,
             self.settings.bounds.start_early,
         )
-        await run_scheduler(scheduler)
+        self._scheduler = scheduler
+        try:
+            await run_scheduler(scheduler)
+        finally:
+            self._scheduler = None
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        """Show the counters, and the figures of this moment."""
+        state = self._metrics.state
+        state.set({"name": "policy_age_seconds"}, self._policies.age)
+        state.set({"name": "owner"}, float(self._scheduler is not None))
+        if self._scheduler is not None:
+            for name, value in self._scheduler.board.count().items():
+                state.set({"name": name}, value)
+        body, headers = self._metrics.render(request.headers.getall("Accept", []))
+        return web.Response(body=body, headers=dict(headers))
 
     async def _end(self, callers: web.ServerRunner, ready: web.ServerRunner) -> None:
         """Hand over, serve what still comes, then close."""
@@ -159,7 +187,7 @@
     except BadSettings as error:
         print(f"settings: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    set_up_node_logs(settings.name)
+    set_up_logs(settings.name)
     uvloop.run(Node(settings).run())
 
 
--- a/src/primrosestile/programs/nodecalls.py
+++ b/src/primrosestile/programs/nodecalls.py
@@ -18,6 +18,7 @@
     make_state_body,
     read_submission,
 )
+from primrosestile.programs.metrics import Metrics
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import Submission
 
@@ -38,7 +39,10 @@
             more, and connections are closed after their answers.
     """
 
-    def __init__(self, submitting: Submitting, policies: PolicyWatch) -> None:
+    def __init__(
+        self, submitting: Submitting, policies: PolicyWatch, metrics: Metrics
+    ) -> None:
+        self._metrics = metrics
         self._submitting = submitting
         self._policies = policies
         self.leaving = False
@@ -67,6 +71,9 @@
             response = _answer_failure(request, fault, began)
         if self.leaving:
             response.force_close()
+        labels = {"method": request.method, "status": str(response.status)}
+        self._metrics.requests.inc(labels)
+        self._metrics.seconds.observe({"method": request.method}, read_clock() - began)
         return response
 
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
--- a/src/primrosestile/programs/parts.py
+++ b/src/primrosestile/programs/parts.py
@@ -17,7 +17,8 @@
 )
 from primrosestile.coordination.relay import Place, Relay, make_relay
 from primrosestile.decisions.settingsview import view_settings
-from primrosestile.programs.common import Health, Metrics
+from primrosestile.programs.common import Health
+from primrosestile.programs.metrics import Metrics
 from primrosestile.state.jobs import ProcessRecord
 from primrosestile.state.process import ProcessSettings
 from primrosestile.transport.peers import ZmqPeers, make_peers
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -15,9 +15,9 @@
     parse_arguments,
     run_program,
     run_until_told,
-    set_up_logs,
     start_http,
 )
+from primrosestile.programs.logs import set_up_logs
 from primrosestile.programs.parts import AddressBook, Parts, make_parts
 from primrosestile.protocol.messages import (
     Body,
@@ -102,7 +102,7 @@
 
 async def run_placer(settings: ProcessSettings) -> None:
     """Run one placer until it is told to end."""
-    set_up_logs(settings)
+    set_up_logs(settings.name, settings.log_level)
     placer = make_placer(settings)
     parts = placer.parts
     _add_message_handlers(placer)
--- a/src/primrosestile/programs/steward.py
+++ b/src/primrosestile/programs/steward.py
@@ -11,9 +11,9 @@
     parse_arguments,
     run_program,
     run_until_told,
-    set_up_logs,
     start_http,
 )
+from primrosestile.programs.logs import set_up_logs
 from primrosestile.programs.parts import make_parts
 from primrosestile.programs.stewardapp import make_steward_app
 from primrosestile.state.process import ProcessSettings
@@ -24,7 +24,7 @@
 
 async def run_steward(settings: ProcessSettings) -> None:
     """Run one steward until it is told to end."""
-    set_up_logs(settings)
+    set_up_logs(settings.name, settings.log_level)
     parts = make_parts(settings, PROGRAM)
     connections = Connections()
     app = make_steward_app(
--- a/tools/check.py
+++ b/tools/check.py
@@ -17,13 +17,14 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 FEATURES = ROOT / "features"
-# Feature folders that start processes. They run one after another in a lane of
-# their own, beside the others: two of them at once are more processes than their
-# bounds allow for.
+# Feature folders that start processes, the longest first. Their files run in lanes
+# of their own, beside the other folders: with more of them at once, there are more
+# processes than their bounds allow for.
 PROCESS_FOLDERS = ("failures", "path")
+PROCESS_LANES = 2
 # Begun first, so that the whole run is not much longer than the longest of them.
-LONG_FOLDERS = ("failures", "fuzzing", "model", "placement")
-# Folders side by side, besides the lane of processes; half of a usual machine.
+LONG_FOLDERS = ("fuzzing", "requests", "model", "placement")
+# Other folders side by side.
 LANES = 4
 STATIC_CHECKS = (
     ("formatter", ("ruff", "format", "--check", ".")),
@@ -49,16 +50,20 @@
     return [Result(name, done.returncode == 0, detail)]
 
 
-def run_features(folder: str) -> list[Result]:
+def run_features(folder: str, path: Path) -> list[Result]:
+    """Run one folder of features, or one file of it."""
     began = time.monotonic()
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         command = (
             *("behave", "--no-color", "--format", "json", "--outfile", report.name),
-            *("--format", "plain", f"features/{folder}"),
+            *("--format", "plain", str(path.relative_to(ROOT))),
         )
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
         results = read_report(folder, Path(report.name))
-    print(f"{folder}: {time.monotonic() - began:.0f} s", file=sys.stderr)
+    print(
+        f"{path.relative_to(FEATURES)}: {time.monotonic() - began:.0f} s",
+        file=sys.stderr,
+    )
     if done.returncode and all(result.passed for result in results):
         results.append(Result(f"{folder}: behave", False, done.stdout + done.stderr))
     failed = any(not result.passed for result in results)
@@ -103,12 +108,19 @@
     folders = list_folders(only)
     results: list[Result] = []
     with (
-        ThreadPoolExecutor(max_workers=1) as lane,
+        ThreadPoolExecutor(max_workers=PROCESS_LANES) as process_lanes,
         ThreadPoolExecutor(max_workers=LANES) as lanes,
     ):
         jobs = [
-            (lane if name in PROCESS_FOLDERS else lanes).submit(run_features, name)
+            process_lanes.submit(run_features, name, path)
+            for name in PROCESS_FOLDERS
+            if name in folders
+            for path in sorted((FEATURES / name).glob("*.feature"))
+        ]
+        jobs += [
+            lanes.submit(run_features, name, FEATURES / name)
             for name in sorted(folders, key=rank_folder)
+            if name not in PROCESS_FOLDERS
         ]
         if not only:
             jobs += [lanes.submit(run_static, check) for check in STATIC_CHECKS]
