Split the board from what it is made of, start links without a hidden attribute

Change: units.py holds jobs, units, members and workers; the pass is given its task group and orders. Nothing behaves differently.

--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from hypothesis import given as draw, settings, strategies as st
 
-from primrosestile.decisions.work.board import Board, Unit
+from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuating import find_evacuations
 from primrosestile.decisions.work.ordering import find_entitled, rank_unit
@@ -15,6 +15,7 @@
 from primrosestile.decisions.work.planning import Plan, make_plan
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.trust import Trust
+from primrosestile.decisions.work.units import Unit
 from primrosestile.state.policy import Policy, Pool, Queue
 from primrosestile.state.work import Need, Step, Submission
 from primrosestile.state.workers import EndKind, WorkerEntry
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -20,7 +20,8 @@
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.recording import Recorder
-from primrosestile.decisions.work.board import Board, Member, MemberState, Worker
+from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.units import Member, MemberState, Worker
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import (
     EndedTask,
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -16,9 +16,10 @@
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.links import WorkerLink
 from primrosestile.coordination.work.recording import Recorder
-from primrosestile.decisions.work.board import Board, Member, MemberState, Worker
+from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.planning import Assignment
 from primrosestile.decisions.work.trust import UNHEALTHY_SECONDS
+from primrosestile.decisions.work.units import Member, MemberState, Worker
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder, WorkerCalls
 
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -17,7 +17,8 @@
 
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.keys import OWNER_KEY, make_progress_key
-from primrosestile.decisions.work.board import Board, Job
+from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.units import Job
 from primrosestile.errors import Failure
 from primrosestile.protocol.transactions import (
     CHANGE_LIMIT,
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -30,12 +30,13 @@
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
-from primrosestile.decisions.work.board import Board, Job, Member
+from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuating import find_evacuations
 from primrosestile.decisions.work.planning import Stop, make_plan
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.trust import Trust
+from primrosestile.decisions.work.units import Job, Member
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import WorkerCalls, WorkerList
 from primrosestile.protocol.transactions import Condition, TransactionalStore
@@ -87,6 +88,8 @@
         self._recorder = Recorder(store, term, self._board)
         self._wanted = asyncio.Event()
         self._links: dict[str, WorkerLink] = {}
+        # Set once the first links are started; workers that come later add theirs.
+        self._tasks: asyncio.TaskGroup | None = None
         self._intake = Intake(store, self._board, self._recorder, self._wake)
         self._roster = Roster(workers, self._board, self._add_worker, self._wake)
         self._began = read_clock()
@@ -104,7 +107,7 @@
         await self._load()
         async with asyncio.TaskGroup() as tasks:
             self._tasks = tasks
-            self._orders = Orders(
+            orders = Orders(
                 self._calls,
                 self._term,
                 self._board,
@@ -114,12 +117,12 @@
                 self._wake,
             )
             for worker in self._board.workers.values():
-                self._start_link(worker.name)
+                self._start_link(worker.name, tasks)
             tasks.create_task(self._recorder.run())
             tasks.create_task(self._intake.run())
             tasks.create_task(self._roster.run())
             tasks.create_task(self._clean_up())
-            await self._run_passes()
+            await self._run_passes(tasks, orders)
             raise _TermOver
 
     async def _load(self) -> None:
@@ -144,10 +147,10 @@
             rack=entry.rack,
             leaving=entry.leaving,
         )
-        if hasattr(self, "_orders"):
-            self._start_link(entry.worker)
+        if self._tasks is not None:
+            self._start_link(entry.worker, self._tasks)
 
-    def _start_link(self, name: str) -> None:
+    def _start_link(self, name: str, tasks: asyncio.TaskGroup) -> None:
         link = WorkerLink(
             self._board.workers[name],
             self._calls,
@@ -158,7 +161,7 @@
             self._note_end,
         )
         self._links[name] = link
-        self._tasks.create_task(self._run_link(name, link))
+        tasks.create_task(self._run_link(name, link))
 
     async def _run_link(self, name: str, link: WorkerLink) -> None:
         try:
@@ -201,7 +204,7 @@
             read_clock() - member.up_at,
         )
 
-    async def _run_passes(self) -> None:
+    async def _run_passes(self, tasks: asyncio.TaskGroup, orders: Orders) -> None:
         while not self._term.lost.is_set():
             await self._wait()
             self._board.wall = read_wall_clock()
@@ -211,10 +214,10 @@
             self._open_due()
             self._give_up_blind()
             if self._term.may_act():
-                self._run_pass()
+                self._run_pass(orders)
             self._recorder.ask()
             if self._memory.due:
-                self._tasks.create_task(self._memory.save())
+                tasks.create_task(self._memory.save())
 
     async def _wait(self) -> None:
         try:
@@ -225,7 +228,7 @@
         await asyncio.sleep(GATHER_SECONDS)
         self._wanted.clear()
 
-    def _run_pass(self) -> None:
+    def _run_pass(self, orders: Orders) -> None:
         now = read_clock()
         for unit in find_evacuations(self._board, self._durations, now):
             self._board.abandon(unit)
@@ -240,8 +243,8 @@
             plan = make_plan(self._board, self._durations, self._speeds, read_clock())
             for stop in plan.stops:
                 _log_stop(stop)
-            self._orders.start(plan.starts)
-        self._orders.stop_abandoned()
+            orders.start(plan.starts)
+        orders.stop_abandoned()
 
     def _open_due(self) -> None:
         """Open the occurrences whose time has come."""
--- a/src/primrosestile/decisions/work/__init__.py
+++ b/src/primrosestile/decisions/work/__init__.py
@@ -1,6 +1,7 @@
 """Decisions about jobs of steps, on one picture of the fleet.
 
-- `board`: the picture: jobs, units, members and workers, and what events change.
+- `units`: jobs, units, members and workers.
+- `board`: the picture that is made of them, and what events change in it.
 - `ordering`: which waiting unit goes first.
 - `placing`: where a unit goes.
 - `preempting`: what is stopped for whom.
--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from primrosestile.decisions.work.board import Member, Unit
+from primrosestile.decisions.work.units import Member, Unit
 from primrosestile.state.work import Step
 
 # The share of a new run in the mean and in the errors: about the last ten runs of
--- a/src/primrosestile/decisions/work/evacuating.py
+++ b/src/primrosestile/decisions/work/evacuating.py
@@ -9,8 +9,9 @@
 
 from collections.abc import Iterator
 
-from primrosestile.decisions.work.board import Board, Member, MemberState, Unit, Worker
+from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.units import Member, MemberState, Unit, Worker
 
 # Before the worker may be gone: the order is on its way, the stop takes up to 0.4 s,
 # and its end must be listed and recorded.
--- a/src/primrosestile/decisions/work/ordering.py
+++ b/src/primrosestile/decisions/work/ordering.py
@@ -14,8 +14,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from primrosestile.decisions.work.board import Board, Job, Unit
+from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.units import Job, Unit
 
 # Past this many times its objective a job's answer is of no use to its caller.
 USELESS_AFTER_OBJECTIVES = 3.0
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -12,7 +12,8 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from primrosestile.decisions.work.board import Board, Unit, Worker
+from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.units import Unit, Worker
 from primrosestile.state.work import Need
 
 # Away from its rack a task takes three times as long, so waiting pays for up to
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from primrosestile.decisions.work.board import Board, MemberState, Unit, Worker
+from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.ordering import Rank, find_entitled, rank_unit
 from primrosestile.decisions.work.placing import (
@@ -20,6 +20,7 @@
     keep_room,
 )
 from primrosestile.decisions.work.speeds import Speeds, is_behind
+from primrosestile.decisions.work.units import MemberState, Unit, Worker
 
 # An eviction that throws away less than this is made at once: what a small urgent
 # job itself takes.
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
-from primrosestile.decisions.work.board import Board, Member, MemberState, Unit
+from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.placing import (
     Room,
     Rooms,
@@ -22,6 +22,7 @@
     list_racks,
     take_room,
 )
+from primrosestile.decisions.work.units import Member, MemberState, Unit
 
 # An accelerator's second is worth this many of a core, as operators price them.
 CORES_PER_ACCELERATOR = 8
--- a/src/primrosestile/decisions/work/reserving.py
+++ b/src/primrosestile/decisions/work/reserving.py
@@ -12,7 +12,6 @@
 import math
 from collections.abc import Sequence
 
-from primrosestile.decisions.work.board import Member, MemberState, Unit
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.placing import (
     Room,
@@ -21,6 +20,7 @@
     find_eligible,
     list_racks,
 )
+from primrosestile.decisions.work.units import Member, MemberState, Unit
 
 # Units that are kept room for at one time, besides urgent ones. With more, so much
 # room stands empty that others wait for nothing.
--- a/src/primrosestile/decisions/work/speeds.py
+++ b/src/primrosestile/decisions/work/speeds.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from statistics import median
 
-from primrosestile.decisions.work.board import Member, Unit
+from primrosestile.decisions.work.units import Member, Unit
 
 # The weight of a new comparison: tasks of one step differ by 15% among themselves,
 # so about the last five count.
--- /dev/null
+++ b/src/primrosestile/decisions/work/units.py
@@ -0,0 +1,240 @@
+"""What the owner's picture of the fleet is made of.
+
+A unit is what starts as one: a task, or all tasks of a gang. Its members are the
+tasks of its latest run, one each on a worker. A member is gone only when that is
+certain: its end was listed, its start was definitely refused, its worker's life
+is over, or its lease has run out on the worker's clock. A unit may be started
+again only when all of its members are gone; otherwise a start that was carried
+out late, or a worker that was cut off and ran on, would run a task twice.
+"""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from primrosestile.state.policy import Queue
+from primrosestile.state.work import (
+    JobState,
+    Need,
+    Phase,
+    Progress,
+    Step,
+    Submission,
+    UnitKey,
+    UnitRecord,
+)
+from primrosestile.state.workers import WorkerEntry
+
+
+class MemberState(Enum):
+    """What is known of one member of the latest run.
+
+    `SENT`: its start was recorded; it may run. `UP`: its worker has said that it
+    runs. `GONE`: it certainly does not run, and never will.
+    """
+
+    SENT = 1
+    UP = 2
+    GONE = 3
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """One task of a unit's latest run, on one worker.
+
+    Attributes:
+        since: When its run was decided, on the loop's clock.
+        restored: It was ordered by an earlier owner, under a lower fence.
+        resumed: It began from a checkpoint, not from the beginning.
+        up_at: When its worker first said that it runs.
+        moved_at: When its progress was last seen to rise.
+    """
+
+    unit: "Unit"
+    task: str
+    run: int
+    worker: str
+    state: MemberState = MemberState.SENT
+    since: float = 0.0
+    restored: bool = False
+    resumed: bool = False
+    percent: float = 0.0
+    usage: float = 0.0
+    up_at: float = 0.0
+    moved_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Unit:
+    """What starts as one.
+
+    Attributes:
+        ready_at: When it became possible to start it; None before.
+        abandoned: Its present run is to end; members are being stopped.
+        failed_here: A failure of its present run was counted.
+        failed_on: Workers on which a run of it failed.
+        claim: Workers that are being freed for it, or waited for.
+        claimed_until: When they are expected to be free.
+    """
+
+    job: "Job"
+    key: UnitKey
+    step: Step
+    ready_at: float | None = None
+    phase: Phase = Phase.WAITING
+    run: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    members: tuple[Member, ...] = ()
+    abandoned: bool = False
+    failed_here: bool = False
+    failed_on: set[str] = field(default_factory=set)
+    claim: tuple[str, ...] = ()
+    claimed_until: float = 0.0
+
+    @property
+    def size(self) -> int:
+        """Tasks that start together."""
+        return self.step.count if self.step.gang else 1
+
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """Its step within its occurrence."""
+        return self.job.job_id, self.key.occurrence, self.key.step
+
+    @property
+    def idle(self) -> bool:
+        """Whether it waits and nothing of an earlier run can still be there."""
+        return self.phase is Phase.WAITING and not self.members
+
+    def name_task(self, position: int) -> str:
+        """Return the name of a member's task."""
+        number = position if self.step.gang else self.key.position
+        return f"{self.job.job_id}.{self.key.occurrence}.{self.key.step}.{number}"
+
+    def make_record(self) -> UnitRecord:
+        """Return what the store keeps of it."""
+        workers: tuple[str, ...] = ()
+        if self.phase is Phase.ORDERED:
+            workers = tuple(member.worker for member in self.members)
+        return UnitRecord(
+            *self.key,
+            phase=self.phase,
+            run=self.run,
+            failures=self.failures,
+            workers=workers,
+            checkpoint=self.checkpoint,
+        )
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One accepted job and its units so far.
+
+    Attributes:
+        accepted: When we learnt of it, on the loop's clock, moved back by its age.
+        occurrences: How many have been opened.
+    """
+
+    submission: Submission
+    queue: Queue
+    accepted: float
+    state: JobState = JobState.QUEUED
+    units: dict[UnitKey, Unit] = field(default_factory=dict)
+    occurrences: int = 0
+    ended_at: float = 0.0
+
+    @property
+    def job_id(self) -> str:
+        """The id that its caller chose."""
+        return self.submission.job_id
+
+    @property
+    def occurrence_count(self) -> int:
+        """How often its steps run in all."""
+        return max(1, self.submission.repeats.count)
+
+    def list_step(self, occurrence: int, step: int) -> Iterator[Unit]:
+        """Yield the units of one step of one occurrence."""
+        shape = self.submission.steps[step]
+        for index in range(1 if shape.gang else shape.count):
+            yield self.units[UnitKey(occurrence, step, index)]
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Whether all tasks of a step have ended well."""
+        return all(
+            unit.phase is Phase.DONE for unit in self.list_step(occurrence, step)
+        )
+
+    def make_progress(self) -> Progress:
+        """Return what the store keeps of it."""
+        units = tuple(
+            unit.make_record()
+            for unit in self.units.values()
+            if unit.run or unit.phase is not Phase.WAITING
+        )
+        return Progress(self.state, units, self.ended_at)
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """One life of a worker, and what is on it or may be.
+
+    Attributes:
+        in_hand: It has accepted our fence, and its clock is known.
+        listed: It stands in the store's list.
+        distrusted_until: It gets no work before, as work on it went badly.
+        leaves_at: When it may be gone, once it has said that it leaves.
+        used: What its members take, gone ones left out.
+    """
+
+    entry: WorkerEntry
+    in_hand: bool = False
+    listed: bool = True
+    distrusted_until: float = 0.0
+    leaves_at: float = math.inf
+    members: dict[tuple[str, int], Member] = field(default_factory=dict)
+    processor: int = 0
+    memory: int = 0
+    accelerators: int = 0
+
+    @property
+    def name(self) -> str:
+        """The name of this life."""
+        return self.entry.worker
+
+    def may_take(self, now: float) -> bool:
+        """Whether new work may go there at all."""
+        return (
+            self.in_hand
+            and self.listed
+            and not self.entry.leaving
+            and now >= self.distrusted_until
+        )
+
+    def attach(self, member: Member) -> None:
+        """Count a member in."""
+        self.members[member.task, member.run] = member
+        self._count(member.unit.step, 1)
+
+    def detach(self, member: Member) -> None:
+        """Count a member out."""
+        if self.members.pop((member.task, member.run), None) is not None:
+            self._count(member.unit.step, -1)
+
+    def _count(self, step: Step, sign: int) -> None:
+        need = step.need
+        if not step.filling:
+            self.processor += sign * need.processor
+        self.memory += sign * need.memory
+        self.accelerators += sign * need.accelerators
+
+    def find_room(self) -> Need:
+        """Return what is free."""
+        capacity = self.entry.capacity
+        return Need(
+            capacity.processor - self.processor,
+            capacity.memory - self.memory,
+            capacity.accelerators - self.accelerators,
+        )
