Run the scenario that replaces every VM by itself, and say how it failed

Cause: 'Every VM is told to end in turn under load' failed twice since process scenarios run in two lanes: once a program ended with 1 (its log was gone), once 209 of 1,100 requests were refused as 'overloaded: it would start in 5.0 s'. Not found: why an entry counts 5 s to a start just after it was replaced. Change: it runs last, by itself, as it did before the lanes; it stays in KNOWN-RED.txt.

--- a/tools/check.py
+++ b/tools/check.py
@@ -22,6 +22,10 @@
 # processes than their bounds allow for.
 PROCESS_FOLDERS = ("failures", "path")
 PROCESS_LANES = 2
+# Run after everything else, by itself: it replaces every VM under load and asks
+# that no request is refused. In the lanes, beside others, it failed twice in two
+# ways; what a VM needs to serve again after its start takes longer there.
+ALONE = FEATURES / "failures" / "operations.feature"
 # Begun first, so that the whole run is not much longer than the longest of them.
 LONG_FOLDERS = ("fuzzing", "requests", "model", "placement")
 # Other folders side by side.
@@ -116,6 +120,7 @@
             for name in PROCESS_FOLDERS
             if name in folders
             for path in sorted((FEATURES / name).glob("*.feature"))
+            if path != ALONE
         ]
         jobs += [
             lanes.submit(run_features, name, FEATURES / name)
@@ -126,6 +131,8 @@
             jobs += [lanes.submit(run_static, check) for check in STATIC_CHECKS]
         for job in jobs:
             results += job.result()
+    if ALONE.parent.name in folders:
+        results += run_features(ALONE.parent.name, ALONE)
     return results
 
 
