Decode records in one place, count a stopped unit's room back by one function

Cause: the last reading of the change found two pairs of decoders of the same records (intake and submitting), two functions that count what a stopped unit holds as free (planning and preempting), and a parameter of the scheduler that nothing reads. Ruled out: an earlier start of occurrences by that parameter; they start at their time, which the scenario asks for. Change: decode_submission and decode_progress beside encode_record; give_back serves both; start_early goes. Nothing behaves differently.

--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -134,7 +134,6 @@
                 policies,
                 term,
                 status_kept=120.0,
-                start_early=0.25,
             )
             await run_scheduler(process.scheduler)
 
--- a/src/primrosestile/coordination/work/intake.py
+++ b/src/primrosestile/coordination/work/intake.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_clock, read_wall_clock
@@ -18,7 +17,12 @@
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Change, Entry
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
-from primrosestile.state.work import JobState, Progress, Submission
+from primrosestile.state.work import (
+    JobState,
+    Progress,
+    decode_progress,
+    decode_submission,
+)
 
 # A watch may be silent for good; asked anew this often, the harm is one wait.
 WATCH_SECONDS = 1.0
@@ -28,8 +32,6 @@
 RETRY_SECONDS = 0.2
 
 _log = structlog.get_logger()
-_submissions = msgspec.msgpack.Decoder(Submission)
-_progresses = msgspec.msgpack.Decoder(Progress)
 
 
 class Intake:
@@ -57,7 +59,7 @@
         known = {}
         for entry in progresses:
             job_id = entry.key.removeprefix(PROGRESS_PREFIX)
-            known[job_id] = _progresses.decode(entry.value)
+            known[job_id] = decode_progress(entry.value)
             self._recorder.note_revision(job_id, entry.mod_revision)
         self._take_wishes(wishes, known)
         _log.info("jobs_loaded", jobs=len(self._board.jobs), records=len(known))
@@ -78,7 +80,7 @@
         job_id = entry.key.removeprefix(JOBS_PREFIX)
         if job_id in self._board.jobs:
             return
-        submission = _submissions.decode(entry.value)
+        submission = decode_submission(entry.value)
         age = max(0.0, read_wall_clock() - submission.accepted_at)
         job = self._board.admit(submission, progress, read_clock(), age)
         if progress is None:
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -70,14 +70,12 @@
         policies: PolicyWatch,
         term: Term,
         status_kept: float,
-        start_early: float,
     ) -> None:
         self._store = store
         self._calls = calls
         self._policies = policies
         self._term = term
         self._status_kept = status_kept
-        self._start_early = start_early
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
         self._board = Board(policy)
--- a/src/primrosestile/coordination/work/submitting.py
+++ b/src/primrosestile/coordination/work/submitting.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_wall_clock
@@ -33,8 +32,9 @@
 from primrosestile.state.work import (
     Cancellation,
     JobState,
-    Progress,
     Submission,
+    decode_progress,
+    decode_submission,
     encode_record,
 )
 
@@ -48,9 +48,6 @@
 
 _log = structlog.get_logger()
 
-_submissions = msgspec.msgpack.Decoder(Submission)
-_progresses = msgspec.msgpack.Decoder(Progress)
-
 
 class Submitting:
     """Callers' jobs, between their connections and the store."""
@@ -98,7 +95,7 @@
                 return submission
             stored = self._take_found(outcome, key)
             if stored is not None:
-                return _check_same(_submissions.decode(stored.value), submission)
+                return _check_same(decode_submission(stored.value), submission)
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy keeps changing")
 
     def _take_found(self, outcome: Committed, key: str) -> Entry | None:
@@ -126,13 +123,13 @@
     async def find(self, job_id: str) -> Submission | None:
         """Return a job as accepted, or None when there is none."""
         entry = await self._store.get(make_job_key(job_id))
-        return None if entry is None else _submissions.decode(entry.value)
+        return None if entry is None else decode_submission(entry.value)
 
     async def read_state(self, job_id: str, queue: Queue) -> JobState | None:
         """Return how far a job of a queue is; None when there is none."""
         entry = await self._store.get(make_progress_key(job_id))
         if entry is not None:
-            return _progresses.decode(entry.value).state
+            return decode_progress(entry.value).state
         submission = await self.find(job_id)
         if submission is None or submission.queue != queue.name:
             return None
@@ -144,7 +141,7 @@
         entry = await self._store.get(job_key)
         if entry is None:
             return False
-        submission = _submissions.decode(entry.value)
+        submission = decode_submission(entry.value)
         if submission.queue != queue.name:
             return False
         if organisation and submission.organisation != organisation:
@@ -164,11 +161,11 @@
         begun = {
             entry.key.removeprefix(PROGRESS_PREFIX)
             for entry in started
-            if _progresses.decode(entry.value).state is not JobState.QUEUED
+            if decode_progress(entry.value).state is not JobState.QUEUED
         }
         count = 0
         for entry in jobs:
-            submission = _submissions.decode(entry.value)
+            submission = decode_submission(entry.value)
             count += submission.queue == queue.name and submission.job_id not in begun
         return count
 
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -12,7 +12,7 @@
     place,
     take_rooms,
 )
-from primrosestile.decisions.work.preempting import Eviction, find_eviction
+from primrosestile.decisions.work.preempting import Eviction, find_eviction, give_back
 from primrosestile.decisions.work.reserving import (
     RESERVED_UNITS,
     find_soonest,
@@ -20,7 +20,7 @@
     keep_room,
 )
 from primrosestile.decisions.work.speeds import Speeds, is_behind
-from primrosestile.decisions.work.units import MemberState, Unit, Worker
+from primrosestile.decisions.work.units import Unit, Worker
 
 # An eviction that throws away less than this is made at once: what a small urgent
 # job itself takes.
@@ -180,7 +180,7 @@
             for victim in eviction.units:
                 self.stops.append(Stop(victim, unit, eviction.cost))
                 self.board.abandon(victim)
-                _give_room(victim, self.soon)
+                give_back(victim, self.soon)
             workers = place(unit, self.soon, self.now, seconds, self.slow)
         if workers is None:
             return False
@@ -228,10 +228,3 @@
         if room is not None:
             room.take(member.unit.step.need, member.unit.step.filling, -1)
     return soon
-
-
-def _give_room(victim: Unit, rooms: Rooms) -> None:
-    for member in victim.members:
-        room = rooms.get(member.worker)
-        if room is not None and member.state is not MemberState.GONE:
-            room.take(victim.step.need, victim.step.filling, -1)
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -110,7 +110,7 @@
         for victim in victims:
             chosen[id(victim)] = victim
             cost += find_cost(victim, now)
-            _give_back(victim, rooms)
+            give_back(victim, rooms)
         take_room(unit, room)
     return Eviction(tuple(chosen.values()), cost)
 
@@ -169,7 +169,8 @@
     ]
 
 
-def _give_back(victim: Unit, rooms: Rooms) -> None:
+def give_back(victim: Unit, rooms: Rooms) -> None:
+    """Count what a unit holds as free, as it will be once it has stopped."""
     for room in rooms.values():
         count = len(_list_members_on(victim, room))
         if count:
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -123,7 +123,6 @@
             self._policies,
             term,
             self.settings.bounds.status_kept,
-            self.settings.bounds.start_early,
         )
         self._scheduler = scheduler
         try:
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -183,8 +183,20 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
+_submissions = msgspec.msgpack.Decoder(Submission)
+_progresses = msgspec.msgpack.Decoder(Progress)
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
     """Return a record as the store keeps it."""
     return _encoder.encode(record)
+
+
+def decode_submission(value: bytes) -> Submission:
+    """Return a job as it was accepted."""
+    return _submissions.decode(value)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Return how far a job got."""
+    return _progresses.decode(value)
