Ask for tickets, pace batch work beside services, bring what lasts back at once

Cause: advice, pacing and services were accepted in jobs and not acted on. The stand-in has an advice service, tickets, services and paces. Not known: how the platform's own services react to pace; no deployment at hand uses it, so none of this was played on one.

--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -37,6 +37,7 @@
     guarantees: dict[str, int] | None = None,
     queues: dict[str, int] | None = None,
     attempts: int = 2,
+    advice: dict[str, float] | None = None,
 ) -> bytes:
     """Return an operators' configuration as the platform's store holds it."""
     keys = keys or {"domes": ["key-domes"], "post": ["key-post"]}
@@ -51,6 +52,7 @@
             "attempts": attempts,
             "stretch": 3.0,
             "slo_ms": 1000,
+            **({"advice": advice} if advice else {}),
         }
         for name, priority in (queues or QUEUES).items()
     ]
@@ -134,6 +136,7 @@
                 policies,
                 term,
                 status_kept=120.0,
+                advice=self.fleet.advice,
             )
             await run_scheduler(process.scheduler)
 
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -37,6 +37,14 @@
     Then a stored configuration gives queues, keys, guarantees and limits
     And the longest prefix selects the queue
 
+  Scenario: A queue whose workers only the advice service knows
+    Given the platform's stand-in over HTTP with 2 workers
+    And its queues' workers are known to its advice service only
+    And a process of ours on it
+    When a caller hands in a job over HTTP
+    Then the caller is shown the job as completed
+    And each start carried a good ticket
+
   Scenario: A process serves callers on the platform's stand-in over HTTP
     Given the platform's stand-in over HTTP with 2 workers
     And a process of ours on it
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -19,7 +19,7 @@
 from primrosestile.protocol.store import Entry
 from primrosestile.state.policy import Queue
 from primrosestile.state.work import Need
-from primrosestile_standin.fleet_http import StoreEnd, WorkersEnd
+from primrosestile_standin.fleet_http import AdviceEnd, StoreEnd, WorkersEnd
 from primrosestile_standin.fleetstore import FleetStore
 from primrosestile_standin.fleetworker import Fleet, Script
 
@@ -31,6 +31,7 @@
 listen.ready=127.0.0.1:{ready}
 port_range=7000,7015
 platform.address=127.0.0.1:{store}
+advice=127.0.0.1:{advice}
 bounds.config_apply_ms=2000
 bounds.revoke_ms=5000
 bounds.grace_s=6
@@ -180,12 +181,14 @@
         self.fleet = Fleet()
         self.fleet.default = Script(seconds=0.3)
         self.ends: list[web.AppRunner] = []
-        self.ports = {name: find_free_port() for name in ("front", "ready", "store")}
+        names = ("front", "ready", "store", "advice")
+        self.ports = {name: find_free_port() for name in names}
         self.runner.run(self._serve(workers))
 
     async def _serve(self, workers: int) -> None:
         self.store.put(POLICY_KEY, make_policy(1))
         await self._listen(StoreEnd(self.store).make_app(), self.ports["store"])
+        await self._listen(AdviceEnd(self.fleet).make_app(), self.ports["advice"])
         for number in range(workers):
             port = find_free_port()
             await self._listen(WorkersEnd(self.fleet).make_app(), port)
@@ -252,6 +255,21 @@
     context.cleanups.append(context.platform.close)
 
 
+@given("its queues' workers are known to its advice service only")
+def step_advised_http(context: Any) -> None:
+    platform = context.platform
+    platform.fleet.default = Script(seconds=0.3, ticketed=True)
+    advice = {"decide_ms": 100, "period_ms": 20, "valid_ms": 5000}
+    platform.store.put(POLICY_KEY, make_policy(2, advice=advice))
+
+
+@then("each start carried a good ticket")
+def step_tickets_http(context: Any) -> None:
+    fleet = context.platform.fleet
+    assert fleet.starts
+    assert fleet.tickets_refused == 0, fleet.tickets_refused
+
+
 @given("a process of ours on it")
 def step_node(context: Any) -> None:
     context.platform.start_node()
--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -215,7 +215,7 @@
         # Past every patience for a rack.
         unit.ready_at = -60.0
         rooms = make_rooms(board, 0.0)
-        could = could_hold(unit, find_eligible(unit, rooms))
+        could = could_hold(unit, find_eligible(unit, rooms, 0.0))
         started = any(start.unit is unit for start in plan_at(board, 0.0).starts)
         assert started == could
 
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -91,7 +91,7 @@
 
 @given("the tasks of {name} take {seconds:d} s")
 def step_takes(context: Any, name: str, seconds: int) -> None:
-    context.scripts[make_id(name)] = {"seconds": float(seconds)}
+    context.scripts.setdefault(make_id(name), {})["seconds"] = float(seconds)
 
 
 @given("job {name} fails wherever it runs")
--- /dev/null
+++ b/src/primrosestile/coordination/work/advising.py
@@ -0,0 +1,81 @@
+"""Asks the advice service on which workers steps may run, one question at a time."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.work.election import Term
+from primrosestile.decisions.work.advising import (
+    Question,
+    choose_question,
+    note_answer,
+)
+from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.durations import Durations
+from primrosestile.errors import Failure
+from primrosestile.protocol.advice import AdviceCalls
+
+# Nothing to ask now: a job that comes in between waits for this at the most.
+IDLE_SECONDS = 0.05
+# After a question without an answer; the service refuses when too many wait.
+RETRY_SECONDS = 0.3
+
+_log = structlog.get_logger()
+
+
+class Advisor:
+    """Keeps what is known of advised steps ahead of the scheduler."""
+
+    def __init__(
+        self,
+        calls: AdviceCalls,
+        board: Board,
+        durations: Durations,
+        term: Term,
+        wake: Callable[[], None],
+    ) -> None:
+        self._calls = calls
+        self._board = board
+        self._durations = durations
+        self._term = term
+        self._wake = wake
+
+    async def run(self) -> None:
+        """Ask until the term is lost."""
+        while not self._term.lost.is_set():
+            question = self._choose()
+            if question is None:
+                await asyncio.sleep(IDLE_SECONDS)
+                continue
+            try:
+                await self._ask(question)
+            except Failure as failure:
+                _log.info("advice_missing", step=question.step, reason=str(failure))
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def _choose(self) -> Question | None:
+        if not self._uses_advice():
+            return None
+        return choose_question(self._board, self._durations, read_clock())
+
+    def _uses_advice(self) -> bool:
+        return any(queue.advised for queue in self._board.policy.queues)
+
+    async def _ask(self, question: Question) -> None:
+        asked_at = read_clock()
+        answer = await self._calls.ask(
+            question.step, question.workers, question.seconds
+        )
+        allowed = {each.worker: each.ticket for each in answer}
+        note_answer(question, allowed, asked_at)
+        _log.info(
+            "advice_taken",
+            job_id=question.unit.job.job_id,
+            step=question.step,
+            asked=len(question.workers),
+            allowed=len(allowed),
+            seconds=round(read_clock() - asked_at, 3),
+        )
+        self._wake()
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -17,6 +17,7 @@
 from primrosestile.coordination.work.links import WorkerLink
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.pacing import Pace
 from primrosestile.decisions.work.planning import Assignment
 from primrosestile.decisions.work.trust import UNHEALTHY_SECONDS
 from primrosestile.decisions.work.units import Member, MemberState, Worker
@@ -124,6 +125,7 @@
             payload=unit.job.submission.payload,
             until=link.find_lease_end(),
             checkpoint=unit.checkpoint if unit.step.checkpoints else "",
+            ticket=_find_ticket(member),
         )
 
     def _take_answer(
@@ -152,6 +154,9 @@
         now = read_clock()
         if refusal is Refusal.FENCE:
             self._term.lost.set()
+        elif refusal is Refusal.TICKET:
+            unit = member.unit
+            unit.job.find_permits(unit.step_key).expire(worker.name)
         elif refusal is Refusal.UNHEALTHY:
             worker.distrusted_until = max(
                 worker.distrusted_until, now + UNHEALTHY_SECONDS
@@ -161,6 +166,46 @@
                 worker.distrusted_until, now + ROOM_AGAIN_SECONDS
             )
 
+    def pace(self, paces: Sequence[Pace]) -> None:
+        """Let filling tasks work faster or slower."""
+        now = read_clock()
+        for each in paces:
+            was = each.member.pace
+            each.member.pace = each.percent
+            each.member.paced_at = now
+            self._tasks.create_task(self._send_pace(each, was))
+
+    async def _send_pace(self, pace: Pace, was: int) -> None:
+        """Tell a worker; after silence the pace is taken as it was before.
+
+        The order is idempotent, so the next pass may give it again.
+        """
+        member = pace.member
+        link = self._links.get(member.worker)
+        if link is None or not self._term.may_act():
+            member.pace = was
+            return
+        try:
+            answer = await self._calls.pace(
+                link.entry, self._term.fence, member.task, member.run, pace.percent
+            )
+        except Failure as failure:
+            _log.info("pace_unanswered", task=member.task, reason=str(failure))
+            member.pace = was
+            return
+        link.note_answer(answer.clock)
+        _log.info(
+            "run_paced",
+            job_id=member.unit.job.job_id,
+            task=member.task,
+            run=member.run,
+            worker=member.worker,
+            percent=pace.percent,
+            refusal=answer.refusal.value if answer.refusal else "",
+        )
+        if answer.refusal is Refusal.FENCE:
+            self._term.lost.set()
+
     def stop_abandoned(self) -> None:
         """Begin to stop every run that is to end."""
         for member in list(self._board.list_stopping()):
@@ -220,3 +265,12 @@
                 await asyncio.sleep(STOP_AGAIN_SECONDS)
         finally:
             self._stopping.discard((task, run))
+
+
+def _find_ticket(member: Member) -> str:
+    """Return the ticket for a start; empty where the queue needs none."""
+    unit = member.unit
+    if unit.job.queue.advised is None:
+        return ""
+    permit = unit.job.find_permits(unit.step_key).granted.get(member.worker)
+    return "" if permit is None else permit.ticket
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -11,6 +11,7 @@
 import structlog
 
 from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.coordination.work.advising import Advisor
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.intake import Intake
 from primrosestile.coordination.work.keys import (
@@ -33,11 +34,13 @@
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuating import find_evacuations
+from primrosestile.decisions.work.pacing import find_paces
 from primrosestile.decisions.work.planning import Stop, make_plan
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.trust import Trust
+from primrosestile.decisions.work.trust import AT_ONCE_SECONDS, Trust
 from primrosestile.decisions.work.units import Job, Member
 from primrosestile.errors import Failure
+from primrosestile.protocol.advice import AdviceCalls
 from primrosestile.protocol.fleet import WorkerCalls, WorkerList
 from primrosestile.protocol.transactions import Condition, TransactionalStore
 from primrosestile.state.workers import EndKind, WorkerEntry
@@ -70,6 +73,7 @@
         policies: PolicyWatch,
         term: Term,
         status_kept: float,
+        advice: AdviceCalls,
     ) -> None:
         self._store = store
         self._calls = calls
@@ -90,6 +94,7 @@
         self._tasks: asyncio.TaskGroup | None = None
         self._intake = Intake(store, self._board, self._recorder, self._wake)
         self._roster = Roster(workers, self._board, self._add_worker, self._wake)
+        self._advisor = Advisor(advice, self._board, self._durations, term, self._wake)
         self._began = read_clock()
 
     @property
@@ -119,6 +124,7 @@
             tasks.create_task(self._recorder.run())
             tasks.create_task(self._intake.run())
             tasks.create_task(self._roster.run())
+            tasks.create_task(self._advisor.run())
             tasks.create_task(self._clean_up())
             await self._run_passes(tasks, orders)
             raise _TermOver
@@ -178,12 +184,15 @@
         if kind is not EndKind.FAILED:
             return
         worker = self._board.workers.get(member.worker)
-        if worker is None:
+        seconds = read_clock() - (member.up_at or member.since)
+        # What lasts may fail at any time; only at its start that tells of its worker.
+        expected = member.unit.step.lasting and seconds > AT_ONCE_SECONDS
+        if worker is None or expected:
             return
         until = self._trust.note_failed(
             member.worker,
             member.unit.job.job_id,
-            read_clock() - (member.up_at or member.since),
+            seconds,
             read_clock(),
             len(self._board.workers),
         )
@@ -242,6 +251,7 @@
             for stop in plan.stops:
                 _log_stop(stop)
             orders.start(plan.starts)
+        orders.pace(find_paces(self._board, now))
         orders.stop_abandoned()
 
     def _open_due(self) -> None:
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -5,7 +5,14 @@
 
 from collections.abc import Iterable, Iterator
 
-from primrosestile.decisions.work.units import Job, Member, MemberState, Unit, Worker
+from primrosestile.decisions.work.units import (
+    UNKNOWN_PACE,
+    Job,
+    Member,
+    MemberState,
+    Unit,
+    Worker,
+)
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import (
     JobState,
@@ -81,6 +88,7 @@
             self.place_members(unit, record.workers, now)
             for member in unit.members:
                 member.restored = True
+                member.pace = UNKNOWN_PACE
 
     def order(self, unit: Unit, workers: Iterable[str], now: float) -> None:
         """Give a waiting unit its next run on workers."""
--- a/src/primrosestile/decisions/work/ordering.py
+++ b/src/primrosestile/decisions/work/ordering.py
@@ -28,6 +28,8 @@
 
     Attributes:
         entitled: It is urgent, and within its organisation's guarantee.
+        lasting: Its tasks serve users of their own all the time; each second in
+            which one is away counts, however long ago its job was accepted.
         slack: Seconds that it can wait and still meet its objective.
     """
 
@@ -35,6 +37,7 @@
     useless: bool
     priority: int
     slack: float
+    lasting: bool = False
 
     @property
     def urgent(self) -> bool:
@@ -46,10 +49,11 @@
         """Whether it can't meet its objective any more."""
         return self.slack < 0
 
-    def make_key(self) -> tuple[bool, bool, bool, bool, int, float]:
+    def make_key(self) -> tuple[bool, bool, bool, bool, bool, int, float]:
         """Return what units are sorted by."""
         return (
             not self.entitled,
+            not self.lasting,
             self.useless,
             not self.urgent,
             self.late,
@@ -73,6 +77,8 @@
     if job.submission.repeats.count and unit.ready_at is not None:
         began = unit.ready_at
     left = durations.guess_unit(unit)
+    if unit.step.lasting:
+        return Rank(entitled, False, job.queue.priority, 0.0, lasting=True)
     return Rank(
         entitled=entitled,
         useless=now + left > began + USELESS_AFTER_OBJECTIVES * objective,
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -145,17 +145,27 @@
     return {name: room.copy() for name, room in rooms.items()}
 
 
-def find_eligible(unit: Unit, rooms: Rooms) -> list[Room]:
-    """Return the rooms of workers on which a unit's tasks are allowed."""
+def find_eligible(unit: Unit, rooms: Rooms, now: float) -> list[Room]:
+    """Return the rooms of workers on which a unit's tasks are allowed.
+
+    Workers on which a run of it failed are left out while the others could hold it:
+    with one worker of its label, a task that failed once would never start again.
+    """
     step = unit.step
     pool = unit.job.queue.pool or unit.job.submission.pool
-    return [
+    allowed = [
         room
         for room in rooms.values()
         if room.worker.entry.pool == pool
         and (not step.label or step.label in room.worker.entry.labels)
-        and room.worker.name not in unit.failed_on
     ]
+    if unit.job.queue.advised is not None:
+        permits = unit.job.find_permits(unit.step_key)
+        allowed = [room for room in allowed if permits.is_valid(room.worker.name, now)]
+    if not unit.failed_on:
+        return allowed
+    others = [room for room in allowed if room.worker.name not in unit.failed_on]
+    return others if could_hold(unit, others) else allowed
 
 
 def count_allowed(unit: Unit, room: Room) -> int:
@@ -217,7 +227,7 @@
             than it waits.
         idle: Whether much of its pool is.
     """
-    eligible = [room.lend(now + seconds) for room in find_eligible(unit, rooms)]
+    eligible = [room.lend(now + seconds) for room in find_eligible(unit, rooms, now)]
     waited = now - (unit.ready_at or now)
     patient = waited < find_patience(unit, seconds, idle)
     if unit.job.queue.priority == 0:
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -171,7 +171,7 @@
         0.788 (means of 12 drawn days of each heavy workload, `scripts/bench site`,
         with the stops of young work that `preempting` allows).
         """
-        if rank.urgent:
+        if rank.urgent or rank.lasting:
             return not rank.useless
         return not rank.late
 
@@ -184,7 +184,10 @@
             )
             if eviction is None or self._should_wait(unit, rank, eviction):
                 return False
-            if not rank.urgent and eviction.cost > PATIENT_CORE_SECONDS:
+            if (
+                not (rank.urgent or rank.lasting)
+                and eviction.cost > PATIENT_CORE_SECONDS
+            ):
                 return False
             for victim in eviction.units:
                 self.stops.append(Stop(victim, unit, eviction.cost))
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -77,6 +77,8 @@
         return False
     if gainer.job.job_id in entitled:
         return True
+    if gainer.step.lasting:
+        return victim.job.queue.priority > 0
     if victim.job.queue.priority <= gainer.job.queue.priority:
         return False
     age = now - victim.members[0].since
@@ -93,7 +95,7 @@
     now: float,
 ) -> Eviction | None:
     """Return the cheapest units whose end makes room for a unit, or None."""
-    eligible = find_eligible(unit, rooms)
+    eligible = find_eligible(unit, rooms, now)
     best: Eviction | None = None
     for group in list_racks(unit, eligible):
         found = _evict_in(unit, group, entitled, now)
--- a/src/primrosestile/decisions/work/reserving.py
+++ b/src/primrosestile/decisions/work/reserving.py
@@ -66,7 +66,7 @@
     unit: Unit, rooms: Rooms, durations: Durations, now: float
 ) -> tuple[float, tuple[str, ...]]:
     best: tuple[float, tuple[str, ...]] = (math.inf, ())
-    for group in list_racks(unit, find_eligible(unit, rooms)):
+    for group in list_racks(unit, find_eligible(unit, rooms, now)):
         found = _find_in_group(unit, group, durations, now)
         if found is not None and found[0] < best[0]:
             best = found
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -26,6 +26,11 @@
 )
 from primrosestile.state.workers import WorkerEntry
 
+# What an earlier owner told a worker is not known: beside a service such a filling
+# task stands still and comes up from there, since full speed may be what it was taken
+# down from.
+UNKNOWN_PACE = -1
+
 
 class MemberState(Enum):
     """What is known of one member of the latest run.
@@ -49,6 +54,9 @@
         resumed: It began from a checkpoint, not from the beginning.
         up_at: When its worker first said that it runs.
         moved_at: When its progress was last seen to rise.
+        pace: The share of its speed that its worker was told to give it, in percent;
+            UNKNOWN_PACE while that is not known.
+        paced_at: When that last changed.
     """
 
     unit: "Unit"
@@ -63,6 +71,8 @@
     usage: float = 0.0
     up_at: float = 0.0
     moved_at: float = 0.0
+    pace: int = 100
+    paced_at: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -128,6 +138,42 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """The advice service's word that a step may run on a worker.
+
+    Attributes:
+        until: When its ticket is not to be used any more, on the loop's clock.
+    """
+
+    ticket: str
+    until: float
+
+
+@dataclass(slots=True)
+class Permits:
+    """What the advice service has said of one step.
+
+    Attributes:
+        granted: By worker; the tickets may have run out.
+        refused: Workers on which it may never run.
+    """
+
+    granted: dict[str, Permit] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+
+    def is_valid(self, worker: str, now: float) -> bool:
+        """Whether the step may be started on a worker now."""
+        permit = self.granted.get(worker)
+        return permit is not None and now < permit.until
+
+    def expire(self, worker: str) -> None:
+        """Note that a worker did not take a ticket: a new one is needed."""
+        permit = self.granted.get(worker)
+        if permit is not None:
+            self.granted[worker] = Permit(permit.ticket, 0.0)
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """One accepted job and its units so far.
@@ -135,6 +181,7 @@
     Attributes:
         accepted: When we learnt of it, on the loop's clock, moved back by its age.
         occurrences: How many have been opened.
+        permits: What the advice service has said, by occurrence and step.
     """
 
     submission: Submission
@@ -144,6 +191,7 @@
     units: dict[UnitKey, Unit] = field(default_factory=dict)
     occurrences: int = 0
     ended_at: float = 0.0
+    permits: dict[tuple[int, int], Permits] = field(default_factory=dict)
 
     @property
     def job_id(self) -> str:
@@ -167,6 +215,11 @@
             unit.phase is Phase.DONE for unit in self.list_step(occurrence, step)
         )
 
+    def find_permits(self, step_key: tuple[str, int, int]) -> Permits:
+        """Return what the advice service has said of one of its steps."""
+        _, occurrence, step = step_key
+        return self.permits.setdefault((occurrence, step), Permits())
+
     def make_progress(self) -> Progress:
         """Return what the store keeps of it."""
         units = tuple(
--- a/src/primrosestile/errors.py
+++ b/src/primrosestile/errors.py
@@ -49,6 +49,7 @@
     INVALID_SETTINGS = "invalid_settings"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_ANSWER_LOST = "store_answer_lost"
+    ADVICE_UNAVAILABLE = "advice_unavailable"
     WORKER_UNREACHABLE = "worker_unreachable"
     STALE_EPOCH = "stale_epoch"
     NOT_OWNER = "not_owner"
@@ -150,6 +151,9 @@
     ErrorKind.STORE_ANSWER_LOST: Answer(
         504, _MAY, 5.0, "Ask for the state of the same id before sending it again."
     ),
+    ErrorKind.ADVICE_UNAVAILABLE: Answer(
+        503, _NOT, 1.0, "The service that knows a queue's workers is busy; retry."
+    ),
     ErrorKind.WORKER_UNREACHABLE: Answer(
         502, _MAY, 2.0, "Ask for the state of the same id before sending it again."
     ),
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -13,6 +13,7 @@
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.platform.advice import PlatformAdvice
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
 from primrosestile.platform.settings import (
     BadSettings,
@@ -123,6 +124,7 @@
             self._policies,
             term,
             self.settings.bounds.status_kept,
+            PlatformAdvice(self.settings.advice_address, self._connections),
         )
         self._scheduler = scheduler
         try:
--- /dev/null
+++ b/src/primrosestile/protocol/advice.py
@@ -0,0 +1,36 @@
+"""The service that knows which workers a queue's steps may run on."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class Allowed:
+    """One worker on which a step may run.
+
+    Attributes:
+        ticket: Shown to the worker with each start of the step.
+    """
+
+    worker: str
+    ticket: str
+
+
+class AdviceCalls(Protocol):
+    """Questions to the service; it answers one at a time for each process."""
+
+    async def ask(
+        self, step: str, workers: tuple[str, ...], seconds: float
+    ) -> tuple[Allowed, ...]:
+        """Return those of some workers on which a step may run.
+
+        Args:
+            step: The name that the step's tasks begin with.
+            workers: Those asked about.
+            seconds: What the answer is expected to take.
+
+        Raises:
+            Failure: ADVICE_UNAVAILABLE when there is no answer; asking again is
+                harmless.
+        """
+        ...
--- a/src/primrosestile_standin/fleet_http.py
+++ b/src/primrosestile_standin/fleet_http.py
@@ -143,6 +143,27 @@
         return answer({"ttl_ms": 0}) if alive else web.Response(status=404)
 
 
+class AdviceEnd:
+    """The advice service's call; it refuses while too many wait."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._advice = fleet.advice
+
+    def make_app(self) -> web.Application:
+        """Return the application that serves advice."""
+        app = web.Application()
+        app.router.add_post("/v1/advise", self._advise)
+        return app
+
+    async def _advise(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read())
+        try:
+            good = await self._advice.ask(body["step"], tuple(body["workers"]), 0.0)
+        except Failure:
+            return web.Response(status=429)
+        return answer({"good": [[each.worker, each.ticket] for each in good]})
+
+
 class WorkersEnd:
     """All workers' calls on one listener."""
 
@@ -156,6 +177,7 @@
         app.router.add_post("/v1/hold", self._hold)
         app.router.add_post("/v1/run-start", self._start)
         app.router.add_post("/v1/run-stop", self._stop)
+        app.router.add_post("/v1/pace", self._pace)
         return app
 
     def _find(self, request: web.Request) -> Any:
@@ -200,6 +222,7 @@
             body["spec"],
             body["until_ms"] / 1000,
             body.get("last_checkpoint", ""),
+            body.get("ticket", ""),
         )
         return self._show(await self._calls.start(entry, body["fence"], order))
 
@@ -212,6 +235,17 @@
             await self._calls.stop(entry, body["fence"], body["task"], body["run"])
         )
 
+    async def _pace(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read())
+        entry = self._find(request)
+        if entry is None:
+            return web.Response(status=421)
+        return self._show(
+            await self._calls.pace(
+                entry, body["fence"], body["task"], body["run"], body["percent"]
+            )
+        )
+
     def _show(self, done: OrderAnswer) -> web.Response:
         if done.refusal is not None:
             return self._refuse(done.refusal)
--- /dev/null
+++ b/src/primrosestile_standin/fleetadvice.py
@@ -0,0 +1,56 @@
+"""The platform's advice service in memory: which workers a step may run on."""
+
+import asyncio
+
+from primrosestile.clock import read_clock
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.advice import Allowed
+
+
+class FleetAdvice:
+    """Implements `protocol.advice.AdviceCalls`; workers ask it about tickets.
+
+    Attributes:
+        allowed: Workers on which every step may run; None for all.
+        decide_seconds, per_worker_seconds, valid_seconds: As the policy says.
+        down: It answers nobody.
+        questions: The steps that were asked about, in order.
+    """
+
+    def __init__(self) -> None:
+        self.allowed: set[str] | None = None
+        self.decide_seconds = 0.1
+        self.per_worker_seconds = 0.02
+        self.valid_seconds = 5.0
+        self.down = False
+        self.questions: list[str] = []
+        self._busy = asyncio.Lock()
+        self._issued: dict[tuple[str, str], float] = {}
+
+    async def ask(
+        self, step: str, workers: tuple[str, ...], seconds: float
+    ) -> tuple[Allowed, ...]:
+        """Return those of some workers on which a step may run."""
+        async with self._busy:
+            await asyncio.sleep(
+                self.decide_seconds + len(workers) * self.per_worker_seconds
+            )
+        self.questions.append(step)
+        if self.down:
+            raise Failure(ErrorKind.ADVICE_UNAVAILABLE, "down")
+        good = [
+            worker
+            for worker in workers
+            if self.allowed is None or worker in self.allowed
+        ]
+        for worker in good:
+            self._issued[step, worker] = read_clock()
+        return tuple(Allowed(worker, f"{step}@{worker}") for worker in good)
+
+    def is_good(self, task: str, worker: str, ticket: str) -> bool:
+        """Whether a worker takes a start with a ticket."""
+        step = task.rpartition(".")[0]
+        issued = self._issued.get((step, worker))
+        if issued is None or ticket != f"{step}@{worker}":
+            return False
+        return read_clock() < issued + self.valid_seconds
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -20,6 +20,7 @@
 )
 from primrosestile.state.work import Need
 from primrosestile.state.workers import EndKind, WorkerEntry
+from primrosestile_standin.fleetadvice import FleetAdvice
 
 ANSWER_SECONDS = 0.002
 TIMEOUT_SECONDS = 0.45
@@ -27,6 +28,9 @@
 LEASE_LONGEST_SECONDS = 10.0
 GANG_WAIT_SECONDS = 3.0
 DEFAULT_NEED = Need(1000, 1000, 1)
+# A service alone on a worker, and what each percent of a filling task adds.
+SERVES_ALONE_MS = 40.0
+DISTURBED_MS_PER_PERCENT = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,12 +40,16 @@
     Attributes:
         gang: How many members its run needs; 1 for a task of its own.
         fails: Every run of it fails.
+        ticketed: It starts with a good ticket only.
+        serves: It lasts, and is slower the more a filling task beside it works.
     """
 
     seconds: float = 2.0
     need: Need = DEFAULT_NEED
     gang: int = 1
     fails: bool = False
+    ticketed: bool = False
+    serves: bool = False
 
 
 @dataclass(slots=True)
@@ -74,6 +82,7 @@
     working: bool = False
     stopping: bool = False
     timer: asyncio.TimerHandle | None = None
+    pace: int = 100
 
 
 class FleetWorker:
@@ -125,11 +134,31 @@
     def make_look(self) -> WorkerLook:
         """Return what runs and what has ended."""
         running = tuple(
-            RunningTask(run.task, run.run, "", self._find_percent(run))
+            RunningTask(
+                run.task, run.run, "", self._find_percent(run), self.find_usage(run)
+            )
             for run in self.runs.values()
         )
         return WorkerLook(self.read_clock(), running, tuple(self._ended))
 
+    def find_usage(self, run: _Run) -> float:
+        """Return a service's slow answers in milliseconds; 0 for other tasks."""
+        if not run.script.serves:
+            return 0.0
+        others = sum(each.pace for each in self.runs.values() if not each.script.serves)
+        return SERVES_ALONE_MS + others * DISTURBED_MS_PER_PERCENT
+
+    def take_pace(self, fence: int, task: str, percent: int) -> Refusal | None:
+        """Let a run work at a share of its speed."""
+        if fence < self.fence:
+            return Refusal.FENCE
+        self.fence = fence
+        run = self.runs.get(task)
+        if run is None:
+            return Refusal.OLD
+        run.pace = percent
+        return None
+
     def _find_percent(self, run: _Run) -> float:
         if not run.working or self.faults.frozen_tasks:
             return 0.0
@@ -160,6 +189,11 @@
         if order.until <= self.read_clock():
             return Refusal.LATE
         script = self._fleet.find_script(order.task)
+        if script.ticketed and not self._fleet.advice.is_good(
+            order.task, self.entry.worker, order.ticket
+        ):
+            self._fleet.tickets_refused += 1
+            return Refusal.TICKET
         if not self._has_room(script):
             return Refusal.ROOM
         self._extend(order.until)
@@ -252,12 +286,15 @@
 
     Attributes:
         faults_found: Broken promises, as sentences; empty at the end of a test.
+        advice: Knows where steps may run, and which tickets are good.
     """
 
     def __init__(self) -> None:
         self.workers: dict[str, FleetWorker] = {}
         self.scripts: dict[str, Script] = {}
         self.default = Script()
+        self.advice = FleetAdvice()
+        self.tickets_refused = 0
         self.faults_found: list[str] = []
         self.starts: list[tuple[str, int, str]] = []
         self.ends: list[tuple[str, int, EndKind]] = []
@@ -366,7 +403,9 @@
         self, entry: WorkerEntry, fence: int, task: str, run: int, percent: int
     ) -> OrderAnswer:
         """Let a run work at a share of its speed."""
-        return await self._order(entry, lambda worker: None)
+        return await self._order(
+            entry, lambda worker: worker.take_pace(fence, task, percent)
+        )
 
     async def _order(
         self, entry: WorkerEntry, carry_out: Callable[[FleetWorker], Refusal | None]
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -56,7 +56,7 @@
     starts = []
     waiting = sorted(board.list_waiting(now), key=lambda unit: unit.job.accepted)
     for unit in waiting:
-        workers = fill(unit, find_eligible(unit, rooms))
+        workers = fill(unit, find_eligible(unit, rooms, now))
         if workers is not None:
             rank = Rank(False, False, unit.job.queue.priority, 0.0)
             starts.append(Assignment(unit, tuple(workers), rank))
