--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -37,6 +37,7 @@
 bounds.grace_s=6
 a.new.line=nobody knows it
 """
+EXAMPLE_PORTS = {"front": 8521, "ready": 8523, "store": 8524, "advice": 8525}
 WAIT_SECONDS = 30.0
 
 
@@ -52,12 +53,12 @@
 
 @given("the platform's settings file with a line that nobody knows")
 def step_settings(context: Any) -> None:
-    context.lines = SETTINGS.format(front=8521, ready=8523, store=8524)
+    context.lines = SETTINGS.format(**EXAMPLE_PORTS)
 
 
 @given("the platform's settings file without platform.address")
 def step_settings_short(context: Any) -> None:
-    lines = SETTINGS.format(front=8521, ready=8523, store=8524).splitlines()
+    lines = SETTINGS.format(**EXAMPLE_PORTS).splitlines()
     context.lines = "\n".join(line for line in lines if "platform" not in line)
 
 
--- a/src/primrosestile/programs/metrics.py
+++ b/src/primrosestile/programs/metrics.py
@@ -15,19 +15,20 @@
     """The counters and times of one process, rendered for Prometheus."""
 
     def __init__(self, program: str) -> None:
-        self.registry = Registry()
+        self.registry = registry = Registry()
         labels = {"program": program}
-        self.requests = Counter("requests_total", "Answers by kind", labels)
-        self.jobs = Counter("jobs_total", "Jobs accepted or refused, by kind", labels)
+        self.requests = Counter("requests_total", "Answers by kind", labels, registry)
+        self.jobs = Counter(
+            "jobs_total", "Jobs accepted or refused, by kind", labels, registry
+        )
         self.seconds = Histogram(
             "request_seconds",
             "Seconds from arrival to answer",
             labels,
-            buckets=list(LATENCY_BUCKETS),
+            registry,
+            list(LATENCY_BUCKETS),
         )
-        self.state = Gauge("state", "Figures of the moment, by name", labels)
-        for collector in (self.requests, self.jobs, self.seconds, self.state):
-            self.registry.register(collector)
+        self.state = Gauge("state", "Figures of the moment, by name", labels, registry)
 
     def render(self, accept: list[str]) -> tuple[bytes, Mapping[str, str]]:
         """Return the page and its headers."""
