--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -22,6 +22,7 @@
 from primrosestile.state.work import JobState, Submission
 from primrosestile.state.workers import WorkerEntry
 from primrosestile_standin.fleetstore import FleetStore
+from primrosestile_standin.fleetvms import FleetVms
 from primrosestile_standin.fleetworker import Fleet, FleetCalls, FleetWorker
 
 POOL = "engine"
@@ -99,10 +100,23 @@
     store: FleetStore = field(default_factory=FleetStore)
     fleet: Fleet = field(default_factory=Fleet)
     processes: dict[str, Process] = field(default_factory=dict)
+    vms: FleetVms = field(init=False)
     runner: asyncio.Runner = field(
         default_factory=lambda: asyncio.Runner(loop_factory=looptime.new_event_loop)
     )
 
+    def __post_init__(self) -> None:
+        self.vms = FleetVms(self.end_worker, self.begin_worker)
+
+    def end_worker(self, name: str) -> None:
+        """End a life of a worker for its VM's upkeep."""
+        self.fleet.workers[name].crash()
+        self.store.remove(f"servers/{name}")
+
+    def begin_worker(self, vm: str, name: str) -> None:
+        """Begin the next life of a worker on a VM."""
+        self.add_worker(name, address=f"{vm}:80")
+
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
         """Run a coroutine on the paused clock."""
         return self.runner.run(work)
@@ -137,6 +151,7 @@
                 term,
                 status_kept=120.0,
                 advice=self.fleet.advice,
+                upkeep=self.vms,
             )
             await run_scheduler(process.scheduler)
 
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -45,6 +45,11 @@
     Then the caller is shown the job as completed
     And each start carried a good ticket
 
+  Scenario: The list of VMs is read page by page, and upkeep is ordered
+    Then the VMs of two pages are read
+    And an order for upkeep carries its holder and fence
+    And a refused order is told by its reason
+
   Scenario: A process serves callers on the platform's stand-in over HTTP
     Given the platform's stand-in over HTTP with 2 workers
     And a process of ours on it
--- a/features/steps/errors_steps.py
+++ b/features/steps/errors_steps.py
@@ -12,6 +12,7 @@
     ErrorKind.ALREADY_DONE,
     ErrorKind.STORE_ANSWER_LOST,
     ErrorKind.DEADLINE_UNKNOWN,
+    ErrorKind.LIST_UNAVAILABLE,
     ErrorKind.WORKER_UNREACHABLE,
     ErrorKind.INTERNAL,
 }
--- /dev/null
+++ b/features/steps/platform_upkeep_steps.py
@@ -0,0 +1,99 @@
+"""Steps for the list of VMs and upkeep orders, over a listener of a few lines."""
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from aiohttp import web
+from behave import then
+from platform_steps import find_free_port
+
+from primrosestile.platform.upkeep import PlatformUpkeep
+from primrosestile.protocol.upkeep import UpkeepAnswer
+from primrosestile.state.upkeep import VmState, WorkerVm
+from primrosestile.transport.connections import Connections
+from primrosestile_standin.fleetstore import FleetStore
+
+PAGES = {
+    "": {
+        "machines": [
+            {"machine": "m1", "pool": "engine", "state": "up", "id": "w1", "zone": "z"}
+        ],
+        "next_token": "more",
+    },
+    "more": {"machines": [{"machine": "m2", "pool": "engine", "state": "upkeep"}]},
+}
+REFUSED = {
+    "m3": (409, "fence", UpkeepAnswer.FENCE),
+    "m4": (409, "busy", UpkeepAnswer.BUSY),
+    "m5": (409, "wave", UpkeepAnswer.NOT_THERE),
+    "m6": (400, "", UpkeepAnswer.NOT_THERE),
+    "m7": (429, "", UpkeepAnswer.BUSY),
+}
+
+
+def meet_list(use: Callable[[PlatformUpkeep, list[Any]], Coroutine[Any, Any, None]]):
+    """Run a use of the adapter against a listener; it sees the orders that came."""
+
+    async def run() -> None:
+        orders: list[Any] = []
+
+        async def show(request: web.Request) -> web.Response:
+            return web.json_response(PAGES[request.query.get("page_token", "")])
+
+        async def order(request: web.Request) -> web.Response:
+            body = await request.json()
+            orders.append((dict(request.headers), body))
+            status, reason, _ = REFUSED.get(body["machine"], (200, "", None))
+            return web.Response(status=status, text=json.dumps({"reason": reason}))
+
+        app = web.Application()
+        app.router.add_get("/v1/machines", show)
+        app.router.add_post("/v1/machine-upkeep", order)
+        end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+        await end.setup()
+        port = find_free_port()
+        await web.TCPSite(end, "127.0.0.1", port).start()
+        connections = Connections()
+        try:
+            store = FleetStore().connect("p1")
+            address = f"127.0.0.1:{port}"
+            await use(PlatformUpkeep(address, "p1", store, connections), orders)
+        finally:
+            await connections.close()
+            await end.cleanup()
+
+    asyncio.run(run())
+
+
+@then("the VMs of two pages are read")
+def step_pages(context: Any) -> None:
+    async def use(calls: PlatformUpkeep, orders: list[Any]) -> None:
+        assert await calls.list_vms() == (
+            WorkerVm("m1", "engine", VmState.UP, "w1"),
+            WorkerVm("m2", "engine", VmState.UPKEEP, ""),
+        )
+
+    meet_list(use)
+
+
+@then("an order for upkeep carries its holder and fence")
+def step_order(context: Any) -> None:
+    async def use(calls: PlatformUpkeep, orders: list[Any]) -> None:
+        assert await calls.begin("m1", 7, 42) is UpkeepAnswer.BEGUN
+        headers, body = orders[0]
+        assert body == {"machine": "m1", "wave": 7}
+        assert headers["Duty-Holder"] == "p1"
+        assert headers["Fence-Token"] == "42"
+
+    meet_list(use)
+
+
+@then("a refused order is told by its reason")
+def step_refused(context: Any) -> None:
+    async def use(calls: PlatformUpkeep, orders: list[Any]) -> None:
+        for machine, (_, _, answer) in REFUSED.items():
+            assert await calls.begin(machine, 7, 42) is answer, machine
+
+    meet_list(use)
--- a/features/steps/work_services_steps.py
+++ b/features/steps/work_services_steps.py
@@ -74,7 +74,8 @@
         entry = await world.store.connect("test").get(OWNER_KEY)
         owner = msgspec.msgpack.decode(entry.value, type=OwnerRecord).process
         await world.kill(owner)
-        context.paces.clear()
+        if "paces" in context:
+            context.paces.clear()
 
     world.run(lose())
 
--- a/src/primrosestile/coordination/work/keys.py
+++ b/src/primrosestile/coordination/work/keys.py
@@ -12,6 +12,8 @@
 PROGRESS_PREFIX = "progress/"
 # What the owner has learned about run times and workers.
 LEARNED_KEY = "learned"
+# How far waves of upkeep got, by the owner.
+UPKEEP_PREFIX = "upkeep/"
 # Created by whoever becomes owner, under its lease; the revision of the creation
 # is the fence that workers are shown.
 OWNER_KEY = "owner"
@@ -30,3 +32,8 @@
 def make_progress_key(job_id: str) -> str:
     """Return the key of how far a job got."""
     return PROGRESS_PREFIX + job_id
+
+
+def make_wave_key(number: int) -> str:
+    """Return the key of how far a wave of upkeep got."""
+    return f"{UPKEEP_PREFIX}{number}"
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -31,6 +31,7 @@
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
+from primrosestile.coordination.work.upkeep import UpkeepDuty
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuating import find_evacuations
@@ -43,6 +44,7 @@
 from primrosestile.protocol.advice import AdviceCalls
 from primrosestile.protocol.fleet import WorkerCalls, WorkerList
 from primrosestile.protocol.transactions import Condition, TransactionalStore
+from primrosestile.protocol.upkeep import UpkeepCalls
 from primrosestile.state.workers import EndKind, WorkerEntry
 
 # A pass without an event: for what only time brings, such as patience that ends.
@@ -74,6 +76,7 @@
         term: Term,
         status_kept: float,
         advice: AdviceCalls,
+        upkeep: UpkeepCalls,
     ) -> None:
         self._store = store
         self._calls = calls
@@ -94,6 +97,7 @@
         self._tasks: asyncio.TaskGroup | None = None
         self._intake = Intake(store, self._board, self._recorder, self._wake)
         self._roster = Roster(workers, self._board, self._add_worker, self._wake)
+        self._upkeep = UpkeepDuty(upkeep, store, term, self._board, self._wake)
         self._advisor = Advisor(advice, self._board, self._durations, term, self._wake)
         self._began = read_clock()
 
@@ -125,6 +129,7 @@
             tasks.create_task(self._intake.run())
             tasks.create_task(self._roster.run())
             tasks.create_task(self._advisor.run())
+            tasks.create_task(self._upkeep.run())
             tasks.create_task(self._clean_up())
             await self._run_passes(tasks, orders)
             raise _TermOver
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -237,6 +237,7 @@
     Attributes:
         in_hand: It has accepted our fence, and its clock is known.
         listed: It stands in the store's list.
+        closed: It is being emptied for its VM's upkeep.
         distrusted_until: It gets no work before, as work on it went badly.
         leaves_at: When it may be gone, once it has said that it leaves.
         used: What its members take, gone ones left out.
@@ -245,6 +246,7 @@
     entry: WorkerEntry
     in_hand: bool = False
     listed: bool = True
+    closed: bool = False
     distrusted_until: float = 0.0
     leaves_at: float = math.inf
     members: dict[tuple[str, int], Member] = field(default_factory=dict)
@@ -262,6 +264,7 @@
         return (
             self.in_hand
             and self.listed
+            and not self.closed
             and not self.entry.leaving
             and now >= self.distrusted_until
         )
--- /dev/null
+++ b/src/primrosestile/decisions/work/upkeep.py
@@ -0,0 +1,136 @@
+"""Which VMs of a wave go next, and which workers are emptied for it.
+
+Load: operators ask for the upkeep of many workers' VMs within some time, a few at
+once, while the fleet is at work. Harm: an order ends everything on its VM, so taken
+in any order a wave throws hours of work away, or takes more tasks of one service away
+than its users bear. So VMs with nothing on them go first, then those whose work can be
+saved; work that can't be saved is waited for as long as the deadline allows.
+"""
+
+import math
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.preempting import find_cost
+from primrosestile.decisions.work.units import Member, MemberState, Unit, Worker
+from primrosestile.state.upkeep import VmState, Wave, WorkerVm
+
+# One VM's upkeep takes 2 s; its worker is back in the list and in hand 1.5 s later.
+ROUND_SECONDS = 3.5
+# Kept of the deadline for a change of owner and an order that is not answered.
+SPARE_SECONDS = 6.0
+FULL_PERCENT = 100
+
+
+@dataclass(frozen=True, slots=True)
+class UpkeepPlan:
+    """What to do for a wave now.
+
+    Attributes:
+        begin: VMs whose upkeep is to be ordered.
+        empty: Workers that get no new work, since theirs is to be ordered soon.
+        save: Units on those that are stopped, as they lose nothing by it.
+    """
+
+    begin: tuple[WorkerVm, ...] = ()
+    empty: frozenset[str] = frozenset()
+    save: tuple[Unit, ...] = ()
+
+
+def plan_upkeep(
+    board: Board,
+    wave: Wave,
+    vms: dict[str, WorkerVm],
+    begun: Collection[str],
+    away: int,
+    seconds_left: float,
+    now: float,
+) -> UpkeepPlan:
+    """Decide on a wave.
+
+    Args:
+        board: What runs where.
+        wave: The wave.
+        vms: By name, as the platform lists them.
+        begun: Those that were ordered already.
+        away: How many of these are not back yet.
+        seconds_left: Until the wave's deadline.
+        now: On the loop's clock.
+    """
+    waiting = [
+        vms[name]
+        for name in wave.vms
+        if name not in begun and name in vms and vms[name].state is VmState.UP
+    ]
+    places = wave.most - away
+    if places <= 0 or not waiting:
+        return UpkeepPlan()
+    rounds = math.ceil(len(waiting) / wave.most)
+    pressed = seconds_left - SPARE_SECONDS < rounds * ROUND_SECONDS
+    waiting.sort(key=lambda vm: _find_loss(board.workers.get(vm.worker), now))
+    begin: list[WorkerVm] = []
+    empty: set[str] = set()
+    save: dict[int, Unit] = {}
+    taken: set[str] = set()
+    for vm in waiting:
+        if len(begin) + len(empty) >= places:
+            break
+        worker = board.workers.get(vm.worker)
+        if worker is not None and not _may_go(board, worker, taken):
+            continue
+        if worker is None or pressed or not _is_worth_waiting(worker):
+            begin.append(vm)
+            taken.add(vm.worker)
+            continue
+        empty.add(vm.worker)
+        taken.add(vm.worker)
+        for member in worker.members.values():
+            if _is_saved(member):
+                save[id(member.unit)] = member.unit
+    return UpkeepPlan(tuple(begin), frozenset(empty), tuple(save.values()))
+
+
+def _find_loss(worker: Worker | None, now: float) -> tuple[bool, float]:
+    if worker is None:
+        return (False, 0.0)
+    units = {id(member.unit): member.unit for member in worker.members.values()}
+    return (bool(units), sum(find_cost(unit, now) for unit in units.values()))
+
+
+def _is_worth_waiting(worker: Worker) -> bool:
+    """Whether something on a worker ends by itself; what lasts never does."""
+    return any(not each.unit.step.lasting for each in worker.members.values())
+
+
+def _is_saved(member: Member) -> bool:
+    unit = member.unit
+    return unit.step.checkpoints and not unit.step.lasting and not unit.abandoned
+
+
+def _may_go(board: Board, worker: Worker, taken: Collection[str]) -> bool:
+    """Whether its services bear being away; others of theirs may be just now."""
+    for member in worker.members.values():
+        step = member.unit.step
+        if not step.lasting or not step.away_limit:
+            continue
+        job = member.unit.job
+        others = list(job.list_step(member.unit.key.occurrence, member.unit.key.step))
+        away = sum(
+            not _serves(unit) or _is_on(unit, taken) or _is_on(unit, {worker.name})
+            for unit in others
+        )
+        if away > step.away_limit:
+            return False
+    return True
+
+
+def _serves(unit: Unit) -> bool:
+    return bool(unit.members) and all(
+        member.state is MemberState.UP and member.percent >= FULL_PERCENT
+        for member in unit.members
+    )
+
+
+def _is_on(unit: Unit, workers: Collection[str]) -> bool:
+    return any(member.worker in workers for member in unit.members)
--- a/src/primrosestile/errors.py
+++ b/src/primrosestile/errors.py
@@ -50,6 +50,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_ANSWER_LOST = "store_answer_lost"
     ADVICE_UNAVAILABLE = "advice_unavailable"
+    LIST_UNAVAILABLE = "list_unavailable"
     WORKER_UNREACHABLE = "worker_unreachable"
     STALE_EPOCH = "stale_epoch"
     NOT_OWNER = "not_owner"
@@ -154,6 +155,9 @@
     ErrorKind.ADVICE_UNAVAILABLE: Answer(
         503, _NOT, 1.0, "The service that knows a queue's workers is busy; retry."
     ),
+    ErrorKind.LIST_UNAVAILABLE: Answer(
+        502, _MAY, 1.0, "Read the list of VMs again; an order may have been taken."
+    ),
     ErrorKind.WORKER_UNREACHABLE: Answer(
         502, _MAY, 2.0, "Ask for the state of the same id before sending it again."
     ),
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -21,6 +21,7 @@
     read_settings,
 )
 from primrosestile.platform.store import PlatformStore
+from primrosestile.platform.upkeep import PlatformUpkeep
 from primrosestile.platform.workers import PlatformWorkerList, PlatformWorkers
 from primrosestile.programs.logs import set_up_logs
 from primrosestile.programs.metrics import Metrics
@@ -125,6 +126,12 @@
             term,
             self.settings.bounds.status_kept,
             PlatformAdvice(self.settings.advice_address, self._connections),
+            PlatformUpkeep(
+                self.settings.list_address,
+                self.settings.name,
+                self._store,
+                self._connections,
+            ),
         )
         self._scheduler = scheduler
         try:
--- /dev/null
+++ b/src/primrosestile_standin/fleetvms.py
@@ -0,0 +1,98 @@
+"""The platform's list of VMs and its upkeep in memory.
+
+Attributes of a fault-free platform: an order ends everything on a VM at once; another
+life of its worker is there some seconds later, under a new name.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from primrosestile.clock import read_clock
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.upkeep import UpkeepAnswer
+from primrosestile.state.upkeep import VmState, Wave, WorkerVm
+
+UPKEEP_SECONDS = 2.0
+
+
+class FleetVms:
+    """Implements `protocol.upkeep.UpkeepCalls`, and keeps a ledger of waves.
+
+    Attributes:
+        waves: What operators have asked for.
+        completed: Waves that were said to be completed, and what was missing then.
+        most_away: The most VMs that were away at one time.
+        lose_answers: How many of the next orders are carried out unheard.
+    """
+
+    def __init__(
+        self, end: Callable[[str], None], begin: Callable[[str, str], None]
+    ) -> None:
+        self.waves: list[Wave] = []
+        self.completed: dict[int, list[str]] = {}
+        self.most_away = 0
+        self.lose_answers = 0
+        self.orders: list[tuple[float, str, int]] = []
+        self._end = end
+        self._begin = begin
+        self._vms: dict[str, WorkerVm] = {}
+        self._done: set[str] = set()
+        self._fences: dict[str, int] = {}
+
+    def add(self, name: str, worker: str) -> None:
+        """Add a VM with a worker on it."""
+        self._vms[name] = WorkerVm(name, "engine", VmState.UP, worker)
+
+    async def list_vms(self) -> tuple[WorkerVm, ...]:
+        """Return the VMs of all workers."""
+        await asyncio.sleep(0.004)
+        return tuple(self._vms.values())
+
+    async def list_waves(self) -> tuple[Wave, ...]:
+        """Return the waves that operators have asked for."""
+        await asyncio.sleep(0.004)
+        return tuple(self.waves)
+
+    async def begin(self, vm: str, wave: int, fence: int) -> UpkeepAnswer:
+        """Begin one VM's upkeep."""
+        await asyncio.sleep(0.004)
+        answer = self._take(vm, fence)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise Failure(ErrorKind.LIST_UNAVAILABLE, "lost")
+        return answer
+
+    def _take(self, name: str, fence: int) -> UpkeepAnswer:
+        vm = self._vms.get(name)
+        if vm is None:
+            return UpkeepAnswer.NOT_THERE
+        if fence < self._fences.get(name, 0):
+            return UpkeepAnswer.FENCE
+        self._fences[name] = fence
+        self.orders.append((read_clock(), name, fence))
+        if name in self._done:
+            return UpkeepAnswer.BEGUN
+        if vm.state is not VmState.UP:
+            return UpkeepAnswer.BUSY
+        self._done.add(name)
+        self._end(vm.worker)
+        self._vms[name] = WorkerVm(name, vm.pool, VmState.UPKEEP, "")
+        away = [each for each in self._vms.values() if each.state is not VmState.UP]
+        self.most_away = max(self.most_away, len(away))
+        loop = asyncio.get_running_loop()
+        loop.call_later(UPKEEP_SECONDS, self._return, name, f"{vm.worker}+")
+        return UpkeepAnswer.BEGUN
+
+    def _return(self, name: str, worker: str) -> None:
+        vm = self._vms[name]
+        self._begin(vm.name, worker)
+        self._vms[name] = WorkerVm(name, vm.pool, VmState.UP, worker)
+
+    async def report(self, wave: int, completed: bool, fence: int) -> bool:
+        """Take in how a wave stands."""
+        await asyncio.sleep(0.004)
+        if completed:
+            wanted = next(each for each in self.waves if each.number == wave)
+            missing = [name for name in wanted.vms if name not in self._done]
+            self.completed[wave] = missing
+        return True
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -162,6 +162,8 @@
     def _find_percent(self, run: _Run) -> float:
         if not run.working or self.faults.frozen_tasks:
             return 0.0
+        if run.script.serves:
+            return 100.0
         return min(99.0, 100 * (read_clock() - run.began) / run.script.seconds)
 
     async def wait_for_end(self, seconds: float) -> None:
