Find what may be stopped on a worker once a pass

Change: what may be stopped on a worker is found once for all units of one rank and pass; after a choice only the workers that it touched are looked at again.

--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -13,7 +13,7 @@
     place,
     take_rooms,
 )
-from primrosestile.decisions.work.preempting import Eviction, find_eviction, give_back
+from primrosestile.decisions.work.preempting import Eviction, Evictions, give_back
 from primrosestile.decisions.work.reserving import (
     RESERVED_UNITS,
     find_soonest,
@@ -89,6 +89,7 @@
         self.now = now
         self.slow = _find_slow(board, durations, speeds, now)
         self.entitled = find_entitled(board)
+        self.evictions = Evictions(board, self.entitled, now)
         self.idle_pools = find_idle_pools(board)
         self.rooms = make_rooms(board, now)
         self.waiting = board.list_waiting(now)
@@ -179,9 +180,7 @@
         """Keep the room that is being freed for a unit, or have more freed."""
         workers = self._place(unit, self.soon)
         if workers is None:
-            eviction = find_eviction(
-                unit, self.board, self.soon, self.entitled, self.now
-            )
+            eviction = self.evictions.find(unit, self.soon)
             if eviction is None or self._should_wait(unit, rank, eviction):
                 return False
             if (
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -10,7 +10,7 @@
 gang is lost whole with any of its members.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board
@@ -87,90 +87,160 @@
     return age < UNSAVED_SECONDS
 
 
-def find_eviction(
-    unit: Unit,
-    board: Board,
-    rooms: Rooms,
-    entitled: Collection[str],
-    now: float,
-) -> Eviction | None:
-    """Return the cheapest units whose end makes room for a unit, or None."""
-    eligible = find_eligible(unit, rooms, now)
-    best: Eviction | None = None
-    for group in list_racks(unit, eligible):
-        found = _evict_in(unit, group, entitled, now)
-        if found is not None and (best is None or found.cost < best.cost):
-            best = found
-    return best
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """A unit that may be stopped, as seen from one worker.
 
+    Attributes:
+        count: Members of it on that worker.
+    """
 
-def _evict_in(
-    unit: Unit,
-    group: Sequence[Room],
-    entitled: Collection[str],
-    now: float,
-) -> Eviction | None:
-    """Make room member by member, each time where that costs the least."""
-    rooms = {room.worker.name: room.copy() for room in group}
-    chosen: dict[int, Unit] = {}
-    cost = 0.0
-    for _ in range(unit.size):
-        option = _find_cheapest(unit, rooms, chosen, entitled, now)
-        if option is None:
+    unit: Unit
+    cost: float
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    """What makes room for one member on one worker."""
+
+    cost: float
+    victims: tuple[Unit, ...]
+
+
+class Evictions:
+    """Finds what to stop within one pass.
+
+    With 176 workers a pass looks at tens of waiting units, each of which could have
+    room made on any of the workers. What may be stopped on a worker, and at which
+    cost, depends on the gainer's rank only, so it is found once for all of them.
+    """
+
+    def __init__(self, board: Board, entitled: Collection[str], now: float) -> None:
+        self._board = board
+        self._entitled = entitled
+        self._now = now
+        self._candidates: dict[tuple[str, bool, int, bool], list[_Candidate]] = {}
+
+    def find(self, unit: Unit, rooms: Rooms) -> Eviction | None:
+        """Return the cheapest units whose end makes room for a unit, or None."""
+        best: Eviction | None = None
+        for group in list_racks(unit, find_eligible(unit, rooms, self._now)):
+            found = _Search(self, unit, group).run()
+            if found is not None and (best is None or found.cost < best.cost):
+                best = found
+        return best
+
+    def list_candidates(self, gainer: Unit, room: Room) -> list[_Candidate]:
+        """Return what may be stopped on a worker for a unit, the cheapest first."""
+        key = (
+            room.worker.name,
+            gainer.job.job_id in self._entitled,
+            gainer.job.queue.priority,
+            gainer.step.lasting,
+        )
+        known = self._candidates.get(key)
+        if known is None:
+            known = self._candidates[key] = self._make_candidates(gainer, room)
+        return known
+
+    def _make_candidates(self, gainer: Unit, room: Room) -> list[_Candidate]:
+        found: dict[int, _Candidate] = {}
+        for member in room.worker.members.values():
+            victim = member.unit
+            if id(victim) in found:
+                continue
+            if may_stop(victim, gainer, self._entitled, self._now):
+                count = len(_list_members_on(victim, room))
+                cost = find_cost(victim, self._now)
+                found[id(victim)] = _Candidate(victim, cost, count)
+        return sorted(found.values(), key=lambda each: each.cost)
+
+
+class _Search:
+    """Makes room for one unit among some workers, where that costs the least."""
+
+    def __init__(self, evictions: Evictions, unit: Unit, group: Sequence[Room]) -> None:
+        self._evictions = evictions
+        self._unit = unit
+        self._rooms = {room.worker.name: room for room in group}
+        self._changed: set[str] = set()
+        self._chosen: dict[int, Unit] = {}
+
+    def run(self) -> Eviction | None:
+        """Return what to stop for all members, or None."""
+        offers = {name: self._make_offer(room) for name, room in self._rooms.items()}
+        cost = 0.0
+        for _ in range(self._unit.size):
+            name, offer = _find_cheapest(offers)
+            if offer is None:
+                return None
+            cost += offer.cost
+            touched = {name}
+            for victim in offer.victims:
+                touched |= self._stop(victim)
+            take_room(self._unit, self._own(name))
+            for each in touched:
+                offers[each] = self._make_offer(self._rooms[each])
+        return Eviction(tuple(self._chosen.values()), cost)
+
+    def _own(self, name: str) -> Room:
+        """Return a room that may be changed; the caller's stays as it is."""
+        if name not in self._changed:
+            self._changed.add(name)
+            self._rooms[name] = self._rooms[name].copy()
+        return self._rooms[name]
+
+    def _stop(self, victim: Unit) -> set[str]:
+        """Count a unit as stopped; return the workers that it leaves."""
+        self._chosen[id(victim)] = victim
+        touched = {member.worker for member in victim.members} & self._rooms.keys()
+        give_back(victim, {name: self._own(name) for name in touched})
+        return touched
+
+    def _make_offer(self, room: Room) -> _Offer | None:
+        """Return the cheapest units whose end makes room for a member, or None."""
+        unit = self._unit
+        step = unit.step
+        if count_allowed(unit, room):
+            return _Offer(0.0, ())
+        there = room.steps.get(unit.step_key, 0)
+        if step.most_per_worker and there >= step.most_per_worker:
             return None
-        room, victims = option
-        for victim in victims:
-            chosen[id(victim)] = victim
-            cost += find_cost(victim, now)
-            give_back(victim, rooms)
-        take_room(unit, room)
-    return Eviction(tuple(chosen.values()), cost)
+        need = step.need
+        processor = room.processor
+        memory = room.memory
+        accelerators = room.accelerators
+        cost = 0.0
+        victims = []
+        for each in self._evictions.list_candidates(unit, room):
+            if each.unit.abandoned or id(each.unit) in self._chosen:
+                continue
+            freed = each.unit.step.need
+            if not each.unit.step.filling:
+                processor += freed.processor * each.count
+            memory += freed.memory * each.count
+            accelerators += freed.accelerators * each.count
+            cost += each.cost
+            victims.append(each.unit)
+            enough = memory >= need.memory and accelerators >= need.accelerators
+            if enough and (step.filling or processor >= need.processor):
+                return _Offer(cost, tuple(victims))
+        return None
 
 
 def _find_cheapest(
-    unit: Unit,
-    rooms: Rooms,
-    chosen: dict[int, Unit],
-    entitled: Collection[str],
-    now: float,
-) -> tuple[Room, list[Unit]] | None:
-    best: tuple[float, Room, list[Unit]] | None = None
-    for room in rooms.values():
-        if count_allowed(unit, room):
-            return room, []
-        victims = _pick_victims(unit, room, chosen, entitled, now)
-        if victims is None:
-            continue
-        cost = sum(find_cost(victim, now) for victim in victims)
-        if best is None or cost < best[0]:
-            best = (cost, room, victims)
-    return None if best is None else (best[1], best[2])
-
-
-def _pick_victims(
-    unit: Unit,
-    room: Room,
-    chosen: dict[int, Unit],
-    entitled: Collection[str],
-    now: float,
-) -> list[Unit] | None:
-    """Return the cheapest units on one worker whose end makes room for a member."""
-    trial = room.copy()
-    options: dict[int, Unit] = {}
-    for member in room.worker.members.values():
-        victim = member.unit
-        if id(victim) in chosen or id(victim) in options:
+    offers: Mapping[str, _Offer | None],
+) -> tuple[str, _Offer | None]:
+    best: tuple[str, _Offer | None] = ("", None)
+    for name, offer in offers.items():
+        if offer is None:
             continue
-        if may_stop(victim, unit, entitled, now):
-            options[id(victim)] = victim
-    victims = []
-    for victim in sorted(options.values(), key=lambda each: find_cost(each, now)):
-        victims.append(victim)
-        for member in _list_members_on(victim, room):
-            trial.take(member.unit.step.need, member.unit.step.filling, -1)
-        if count_allowed(unit, trial):
-            return victims
-    return None
+        if not offer.cost:
+            return name, offer
+        if best[1] is None or offer.cost < best[1].cost:
+            best = (name, offer)
+    return best
 
 
 def _list_members_on(victim: Unit, room: Room) -> list[Member]:
@@ -183,7 +253,8 @@
 
 def give_back(victim: Unit, rooms: Rooms) -> None:
     """Count what a unit holds as free, as it will be once it has stopped."""
-    for room in rooms.values():
-        count = len(_list_members_on(victim, room))
-        if count:
-            room.take(victim.step.need, victim.step.filling, -count)
+    step = victim.step
+    for member in victim.members:
+        room = rooms.get(member.worker)
+        if room is not None and member.state is not MemberState.GONE:
+            room.take(step.need, step.filling, -1)
