Let machines with ample processor schedule first

Change: a machine with less than one core of the usual speed stands for a vacancy half a second later than the others. A dead owner is replaced as before where a larger machine is left, half a second later where none is. Test: three processes, the larger one last; seen failing without the wait. The scenarios of services use the existing step for the owner's death.

--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -9,7 +9,11 @@
 import looptime
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import Election, Term
+from primrosestile.coordination.work.election import (
+    Election,
+    Term,
+    find_stand_back,
+)
 from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
@@ -131,8 +135,8 @@
         self.run(end())
         self.runner.close()
 
-    def add_process(self, name: str) -> Process:
-        """Start a process."""
+    def add_process(self, name: str, processor: float = 1.0) -> Process:
+        """Start a process on a machine of some processor, in cores."""
         store = self.store.connect(name)
         process: Process
 
@@ -159,7 +163,9 @@
             name=name,
             policies=policies,
             submitting=Submitting(store, policies, POLICY_KEY),
-            election=Election(store, name, run_term, read_steady),
+            election=Election(
+                store, name, run_term, read_steady, find_stand_back(processor)
+            ),
             calls=calls,
         )
         self.processes[name] = process
--- a/features/steps/work_services_steps.py
+++ b/features/steps/work_services_steps.py
@@ -8,15 +8,15 @@
 from work_steps import SETTLE_SECONDS, hand_in, make_id
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.platform.policy import POLICY_KEY
-from primrosestile.state.work import OwnerRecord
 from primrosestile_standin.fleetworker import Script
 
 SERVICE = make_id("service")
 BATCH = make_id("batch")
 LOOK_SECONDS = 0.05
 FOREVER = 10_000.0
+# The last 5 s, of 12 since the owner died.
+LATEST_LOOKS = 100
 SERVICE_STEP = {"count": 1, "cpu": 1000, "mem_mb": 100, "daemon": True}
 
 
@@ -64,22 +64,6 @@
                     context.paces.append(run.pace)
 
 
-@when("the owner is lost")
-def step_owner_lost(context: Any) -> None:
-    world = context.world
-
-    async def lose() -> None:
-        import msgspec
-
-        entry = await world.store.connect("test").get(OWNER_KEY)
-        owner = msgspec.msgpack.decode(entry.value, type=OwnerRecord).process
-        await world.kill(owner)
-        if "paces" in context:
-            context.paces.clear()
-
-    world.run(lose())
-
-
 @then("the service is never over its target for {seconds:g} s")
 def step_never_over(context: Any, seconds: float) -> None:
     assert context.longest_over < seconds, context.longest_over
@@ -93,7 +77,8 @@
 
 @then("the speed of the batch work is chosen anew")
 def step_chosen_anew(context: Any) -> None:
-    assert len(set(context.paces)) > 1, set(context.paces)
+    latest = set(context.paces[-LATEST_LOOKS:])
+    assert len(latest) > 1, latest
 
 
 def run_failing_service(context: Any, seconds: float, accelerators: int) -> None:
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -79,6 +79,29 @@
     context.world.run(build())
 
 
+@given(
+    "processes of ours on machines of {first:g}, {second:g} and {third:g} cores,"
+    " the larger one last"
+)
+def step_sizes(context: Any, first: float, second: float, third: float) -> None:
+    async def build() -> None:
+        for number, processor in enumerate((first, second, third), 1):
+            context.world.add_process(f"p{number}", processor)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    context.world.run(build())
+
+
+@then("{name} schedules")
+def step_schedules(context: Any, name: str) -> None:
+    owners = [
+        process.name
+        for process in context.world.processes.values()
+        if process.election.term is not None
+    ]
+    assert owners == [name], owners
+
+
 @given("{organisation} is guaranteed {count:d} accelerators")
 def step_guarantee(context: Any, organisation: str, count: int) -> None:
     async def change() -> None:
--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from behave import given, then, when
-from work_services_steps import FOREVER, SERVICE, SERVICE_STEP, step_owner_lost
-from work_steps import hand_in
+from work_services_steps import FOREVER, SERVICE, SERVICE_STEP
+from work_steps import hand_in, step_owner_dies
 
 from primrosestile.state.upkeep import Wave
 
@@ -46,7 +46,7 @@
         await world.wait_for(lambda: len(world.vms.orders) == 2, 30.0)
 
     world.run(wait())
-    step_owner_lost(context)
+    step_owner_dies(context)
 
 
 @then("no VM had orders of two owners within {seconds:g} s")
--- a/features/work/faults.feature
+++ b/features/work/faults.feature
@@ -153,3 +153,12 @@
       | count | accelerators |
       | 1     | 8            |
     Then the 6 jobs f are shown as completed within 30 s
+
+  Scenario: A small machine schedules only while no larger one does
+    The owner of a large fleet takes most of a small machine's processor: looks at
+    workers come late, leases lapse, and urgent work waits behind them.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And processes of ours on machines of 0.5, 0.5 and 2 cores, the larger one last
+    Then p3 schedules
+    When the scheduling process dies
+    Then another process schedules within 4 s
--- a/features/work/services.feature
+++ b/features/work/services.feature
@@ -18,7 +18,7 @@
     And 2 processes of ours
     When a service with a target of 100 ms and batch work that fills beside it run
     And 6 s pass
-    And the owner is lost
+    And the scheduling process dies
     And 12 s pass
     Then the service is never over its target for 4 s
     And the speed of the batch work is chosen anew
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -38,9 +38,21 @@
 WATCH_SECONDS = 2.0
 RETRY_SECONDS = 0.25
 
+# A machine with less processor than this lets others stand first: at 176 workers the
+# owner takes 0.37 cores on a calm day, and the smallest machines have 0.5.
+AMPLE_PROCESSOR_CORES = 1.0
+# Longer than machines that start together are apart (0.3 s) and than a vacancy takes to
+# be heard of; shorter than what a takeover may take.
+STAND_BACK_SECONDS = 0.5
+
 _log = structlog.get_logger()
 
 
+def find_stand_back(processor: float) -> float:
+    """Return how long a machine waits before it stands for a vacancy, in seconds."""
+    return 0.0 if processor >= AMPLE_PROCESSOR_CORES else STAND_BACK_SECONDS
+
+
 def read_suspending_clock() -> float:
     """Return seconds on a clock that goes on while the machine is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -81,7 +93,9 @@
         process: str,
         run_term: Callable[[Term], Awaitable[None]],
         read_clock: Callable[[], float] = read_suspending_clock,
+        stand_back: float = 0.0,
     ) -> None:
+        self._stand_back = stand_back
         self._store = store
         self._process = process
         self._run_term = run_term
@@ -124,6 +138,9 @@
         """Return once no owner stands."""
         while True:
             found = await self._store.get(OWNER_KEY)
+            if found is None and self._stand_back:
+                await asyncio.sleep(self._stand_back)
+                found = await self._store.get(OWNER_KEY)
             if found is None:
                 return 0
             heard = await self._store.watch_once(
--- a/src/primrosestile/platform/settings.py
+++ b/src/primrosestile/platform/settings.py
@@ -61,6 +61,7 @@
         inner_ports: First and last port that are free for our own use.
         advice_address: The service that knows a queue's workers; may be empty.
         list_address: The platform's list of machines; may be empty.
+        processor: Of the machine, in cores of the usual speed.
     """
 
     name: str
@@ -73,6 +74,7 @@
     advice_address: str
     list_address: str
     heartbeat: float
+    processor: float
     bounds: Bounds
 
 
@@ -129,6 +131,9 @@
         advice_address=values.get("advice", ""),
         list_address=values.get("cloud.address", ""),
         heartbeat=float(values.get("heartbeat_ms", "1500")) / 1000,
+        # The share is of a core that is `cores` times as fast as a usual one.
+        processor=float(values.get("limits.cpu_share", "1"))
+        * float(values.get("limits.cores", "1")),
         bounds=_make_bounds(values),
     )
 
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -9,7 +9,11 @@
 import uvloop
 from aiohttp import web
 
-from primrosestile.coordination.work.election import Election, Term
+from primrosestile.coordination.work.election import (
+    Election,
+    Term,
+    find_stand_back,
+)
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
@@ -71,7 +75,12 @@
             self._metrics,
         )
         self._scheduler: Scheduler | None = None
-        self._election = Election(self._store, settings.name, self._run_term)
+        self._election = Election(
+            self._store,
+            settings.name,
+            self._run_term,
+            stand_back=find_stand_back(settings.processor),
+        )
 
     @property
     def _metrics_address(self) -> str:
