Soak real processes under drawn faults; take only 400 and 409 for a worker's refusal

Cause: the soak's first seed: a worker carried out a start, its answer came back as a 500, the adapter took that for a definite refusal and the run was started elsewhere beside it. Ruled out: the stand-in's ledger (the worker had begun the run before the answer was lost). Change: of a worker's statuses only 200, 400, 409, 421, 429 and 503 are definite; with any other the order counts as perhaps carried out. The stand-in over HTTP breaks the connection of a lost answer, as the platform does. tools/soak.py starts three processes with a proxy before their store and before each worker, draws kills, ends, pauses, cuts (also one way and silent), resets, store outages, lost and late answers that overlap, heals, and checks that what was accepted completed, nothing ran twice, and what was refused as not run never started.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -45,6 +45,13 @@
     Then the caller is shown the job as completed
     And each start carried a good ticket
 
+  Scenario: A worker's answer that nobody can read says nothing about the run
+    A proxy, or a fault of the worker's own, answers an order with a status that no
+    page names. Taken for a refusal, the run would begin a second time elsewhere
+    while the first goes on.
+    Then an order that is answered with 500 may have been carried out
+    And one that is answered with 400 was not
+
   Scenario: The list of VMs is read page by page, and upkeep is ordered
     Then the VMs of two pages are read
     And an order for upkeep carries its holder and fence
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -14,11 +14,13 @@
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY, read_policy
 from primrosestile.platform.settings import BadSettings, parse_settings
-from primrosestile.platform.workers import read_worker
+from primrosestile.platform.workers import PlatformWorkers, read_worker
 from primrosestile.programs.node import Node
+from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Entry
 from primrosestile.state.policy import Queue
 from primrosestile.state.work import Need
+from primrosestile.transport.connections import Connections
 from primrosestile_standin.fleet_http import AdviceEnd, StoreEnd, WorkersEnd
 from primrosestile_standin.fleetstore import FleetStore
 from primrosestile_standin.fleetworker import Fleet, Script
@@ -250,6 +252,46 @@
         self.runner.close()
 
 
+def send_order(status: int) -> OrderAnswer:
+    """Send a start to a worker that answers each order with one status."""
+
+    async def send() -> OrderAnswer:
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(status=status, text="{}")
+
+        app = web.Application()
+        app.router.add_post("/v1/run-start", answer)
+        end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+        await end.setup()
+        port = find_free_port()
+        await web.TCPSite(end, "127.0.0.1", port).start()
+        connections = Connections()
+        shape = PlatformEntry("w1", f"127.0.0.1:{port}", "r1", 8, ())
+        order = StartOrder("00000000000000aa.0.0.0", 1, "x", 500.0)
+        try:
+            return await PlatformWorkers(connections).start(shape.make(), 7, order)
+        finally:
+            await connections.close()
+            await end.cleanup()
+
+    return asyncio.run(send())
+
+
+@then("an order that is answered with {status:d} may have been carried out")
+def step_may_have_run(context: Any, status: int) -> None:
+    try:
+        answer = send_order(status)
+    except Failure as failure:
+        assert failure.kind is ErrorKind.WORKER_UNREACHABLE, failure
+        return
+    raise AssertionError(f"taken for a definite answer: {answer}")
+
+
+@then("one that is answered with {status:d} was not")
+def step_was_not(context: Any, status: int) -> None:
+    assert send_order(status).refusal is Refusal.MALFORMED
+
+
 @given("the platform's stand-in over HTTP with {count:d} workers")
 def step_http(context: Any, count: int) -> None:
     context.platform = Platform(count)
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,19 @@
+"""Steps for the soak's regression seeds."""
+
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from behave import then, when
+from tools.soak import run_seed
+
+
+@when("soak seed {seed:d} runs for {seconds:g} s")
+def step_soak(context: Any, seed: int, seconds: float) -> None:
+    context.folder = Path(tempfile.mkdtemp()) / f"seed-{seed}"
+    context.soak, context.wrong = run_seed(seed, seconds, context.folder)
+
+
+@then("nothing was lost, nothing ran twice and what was refused did not run")
+def step_nothing_wrong(context: Any) -> None:
+    assert not context.wrong, (context.wrong, f"logs in {context.folder}")
--- a/src/primrosestile/platform/workers.py
+++ b/src/primrosestile/platform/workers.py
@@ -201,7 +201,11 @@
         if known is not None:
             return known
         _log.warning("worker_refusal_unknown", reason=reason)
-    return Refusal.MALFORMED
+    if reply.status in (400, 409):
+        return Refusal.MALFORMED
+    # Something between, or a fault of the worker's own: the order may have been
+    # carried out. Taken for a refusal, the run would be started elsewhere beside it.
+    raise Failure(ErrorKind.WORKER_UNREACHABLE, f"answered {reply.status}")
 
 
 def _decode(reply: Reply, kind: type) -> Any:
--- a/src/primrosestile_standin/fleet_http.py
+++ b/src/primrosestile_standin/fleet_http.py
@@ -174,12 +174,25 @@
     def make_app(self) -> web.Application:
         """Return the application that serves the workers."""
         app = web.Application()
-        app.router.add_post("/v1/hold", self._hold)
-        app.router.add_post("/v1/run-start", self._start)
-        app.router.add_post("/v1/run-stop", self._stop)
-        app.router.add_post("/v1/pace", self._pace)
+        app.router.add_post("/v1/hold", self._guard(self._hold))
+        app.router.add_post("/v1/run-start", self._guard(self._start))
+        app.router.add_post("/v1/run-stop", self._guard(self._stop))
+        app.router.add_post("/v1/pace", self._guard(self._pace))
         return app
 
+    def _guard(self, handler: Handler) -> Handler:
+        """Break the connection where an answer is lost."""
+
+        async def call(request: web.Request) -> web.StreamResponse:
+            try:
+                return await handler(request)
+            except Failure:
+                if request.transport is not None:
+                    request.transport.close()
+                return web.Response(status=503)
+
+        return call
+
     def _find(self, request: web.Request) -> Any:
         worker = self._fleet.workers.get(request.headers.get("Expect-Instance", ""))
         return None if worker is None else worker.entry
--- a/tools/check.py
+++ b/tools/check.py
@@ -20,7 +20,7 @@
 # Feature folders that start processes, the longest first. Their files run in lanes
 # of their own, beside the other folders: with more of them at once, there are more
 # processes than their bounds allow for.
-PROCESS_FOLDERS = ("failures", "path")
+PROCESS_FOLDERS = ("failures", "path", "soak")
 PROCESS_LANES = 2
 # Run after everything else, by itself: it replaces every VM under load and asks
 # that no request is refused. In the lanes, beside others, it failed twice in two
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,406 @@
+"""A randomized soak: real processes, and faults from outside them.
+
+    python -m tools.soak --seeds 1-50 --seconds 12
+
+Each seed starts the stand-in of the platform, three processes of ours with a proxy
+before their store, and callers; draws faults that overlap; heals everything; and then
+looks at what callers and workers saw. A seed that ever failed is kept in
+`features/soak/soak.feature` with its cause.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+from features.doubles.fleetworld import HOST, PlatformEntry, make_policy
+
+from primrosestile.platform.policy import POLICY_KEY
+from primrosestile_standin.fleet_http import AdviceEnd, StoreEnd, WorkersEnd
+from primrosestile_standin.fleetstore import FleetStore
+from primrosestile_standin.fleetworker import Fleet, Script
+from tools.soakproxy import Mode, Proxy
+
+ROOT = Path(__file__).resolve().parent.parent
+NODES = 3
+WORKERS = 6
+ACCELERATORS = 8
+READY_SECONDS = 20.0
+# After healing: a worker's lease, a change of owner, and the work itself.
+SETTLE_SECONDS = 45.0
+CALL_SECONDS = 3.0
+POLL_SECONDS = 0.1
+TRIES = 4
+JOBS_PER_SECOND = 4.0
+FAULT_GAP_SECONDS = (0.3, 1.2)
+FAULT_SECONDS = (0.3, 4.0)
+SETTINGS = """node=n{number}
+ip=127.0.0.{host}
+zone=leith-hall
+listen.front=127.0.0.{host}:{front}
+listen.ready=127.0.0.{host}:{ready}
+port_range=7000,7015
+platform.address=127.0.0.1:{store}
+advice=127.0.0.1:{advice}
+"""
+FRONT_PORT = 18_521
+READY_PORT = 18_523
+
+
+@dataclass(slots=True)
+class Job:
+    """One job and what its caller was told.
+
+    Attributes:
+        answers: The status of each try; 0 for no answer.
+    """
+
+    job_id: str
+    queue: str
+    answers: list[int] = field(default_factory=list)
+
+    @property
+    def accepted(self) -> bool:
+        """Whether a caller was told so."""
+        return 200 in self.answers
+
+    @property
+    def refused(self) -> bool:
+        """Whether each try was refused as not run."""
+        return bool(self.answers) and set(self.answers) <= {429, 503}
+
+
+async def poll(holds: Callable[[], Awaitable[bool]]) -> None:
+    """Return once something outside this process holds; nothing tells of it."""
+    while not await holds():  # noqa: ASYNC110
+        await asyncio.sleep(POLL_SECONDS)
+
+
+class Node:
+    """One process of ours."""
+
+    def __init__(self, number: int, folder: Path) -> None:
+        self.number = number
+        self.host = number + 1
+        self.log = folder / f"n{number}.log"
+        self._settings = folder / f"n{number}.conf"
+        self._process: asyncio.subprocess.Process | None = None
+
+    def write_settings(self, store: int, advice: int) -> None:
+        text = SETTINGS.format(
+            number=self.number,
+            host=self.host,
+            front=FRONT_PORT,
+            ready=READY_PORT,
+            store=store,
+            advice=advice,
+        )
+        self._settings.write_text(text)
+
+    async def start(self) -> None:
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "node.py"),
+                env={**os.environ, "PRIMROSESTILE_CONFIG": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def alive(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    def signal(self, number: int) -> None:
+        if self.alive and self._process is not None:
+            self._process.send_signal(number)
+
+    async def end(self) -> None:
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+
+    async def restart(self) -> None:
+        await self.end()
+        await self.start()
+
+
+class Soak:
+    """One seed's run."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self.chance = random.Random(seed)
+        self.seconds = seconds
+        self.store = FleetStore()
+        self.fleet = Fleet()
+        self.nodes = [Node(number, folder) for number in range(1, NODES + 1)]
+        self.proxies: list[Proxy] = []
+        self.jobs: list[Job] = []
+        self.faults: Counter[str] = Counter()
+        self.wrong: list[str] = []
+        self._ends: list[web.AppRunner] = []
+
+    async def run(self) -> list[str]:
+        """Return what broke a promise, as sentences."""
+        async with aiohttp.ClientSession() as self._session:
+            try:
+                await self._set_up()
+                async with asyncio.TaskGroup() as tasks:
+                    tasks.create_task(self._send_jobs(tasks))
+                    tasks.create_task(self._draw_faults(tasks))
+                await self._heal()
+                await self._check()
+            finally:
+                for node in self.nodes:
+                    await node.end()
+                for proxy in self.proxies:
+                    await proxy.close()
+                for end in self._ends:
+                    await end.cleanup()
+        return self.wrong
+
+    async def _set_up(self) -> None:
+        self.store.put(POLICY_KEY, make_policy(1))
+        store = await self._listen(StoreEnd(self.store).make_app())
+        advice = await self._listen(AdviceEnd(self.fleet).make_app())
+        for number in range(WORKERS):
+            port = await self._listen(WorkersEnd(self.fleet).make_app())
+            proxy = await self._add_proxy(port)
+            entry = PlatformEntry(
+                f"w{number}",
+                f"127.0.0.1:{proxy.port}",
+                f"r{number % 2}",
+                ACCELERATORS,
+                (),
+            )
+            self.store.put(f"servers/w{number}", entry.encode())
+            self.fleet.add(entry.make())
+        for node in self.nodes:
+            proxy = await self._add_proxy(store)
+            node.write_settings(proxy.port, advice)
+            await node.start()
+        await self._wait_ready()
+
+    async def _listen(self, app: web.Application) -> int:
+        end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+        await end.setup()
+        site = web.TCPSite(end, "127.0.0.1", 0)
+        await site.start()
+        self._ends.append(end)
+        return int(end.addresses[0][1])
+
+    async def _add_proxy(self, port: int) -> Proxy:
+        proxy = Proxy(port)
+        await proxy.start()
+        self.proxies.append(proxy)
+        return proxy
+
+    async def _wait_ready(self) -> None:
+        async with asyncio.timeout(READY_SECONDS):
+            for node in self.nodes:
+                await poll(lambda node=node: self._is_ready(node))
+
+    async def _is_ready(self, node: Node) -> bool:
+        return await self._call(node, "GET", "/v1/ready", READY_PORT) == 200
+
+    async def _call(
+        self, node: Node, method: str, path: str, port: int, body: bytes = b""
+    ) -> int:
+        """Return the status; 0 for no answer. The body goes to `self.answer`."""
+        headers = {"Host": HOST, "Authorization": "Token key-domes"}
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                url = f"http://127.0.0.{node.host}:{port}{path}"
+                async with self._session.request(
+                    method, url, data=body, headers=headers
+                ) as response:
+                    self.answer = await response.read()
+                    return response.status
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return 0
+
+    async def _send_jobs(self, tasks: asyncio.TaskGroup) -> None:
+        until = asyncio.get_running_loop().time() + self.seconds
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self.chance.expovariate(JOBS_PER_SECOND))
+            tasks.create_task(self._hand_in(self._draw_job()))
+
+    def _draw_job(self) -> tuple[Job, bytes]:
+        job_id = f"{self.chance.getrandbits(64):016x}"
+        queue = self.chance.choice(("urgent", "usual", "patient"))
+        count = self.chance.randint(1, 4)
+        gang = self.chance.random() < 0.5
+        step = {
+            "count": count,
+            "cpu": 1000,
+            "mem_mb": 1000,
+            "gpu": self.chance.choice((1, 2, 4)),
+            "estimate_ms": 800,
+        }
+        if gang:
+            step["gang"] = True
+        seconds = self.chance.uniform(0.2, 1.5)
+        need = type(Script().need)(1000, 1000, step["gpu"])
+        script = Script(seconds, need, gang=count if gang else 1)
+        self.fleet.scripts[job_id] = script
+        job = Job(job_id, queue)
+        self.jobs.append(job)
+        return job, json.dumps({"spec": "", "steps": [step]}).encode()
+
+    async def _hand_in(self, drawn: tuple[Job, bytes]) -> None:
+        job, body = drawn
+        for _ in range(TRIES):
+            node = self.chance.choice(self.nodes)
+            path = f"/{job.queue}/{job.job_id}"
+            job.answers.append(await self._call(node, "POST", path, FRONT_PORT, body))
+            if job.accepted:
+                return
+            await asyncio.sleep(0.3)
+
+    async def _draw_faults(self, tasks: asyncio.TaskGroup) -> None:
+        until = asyncio.get_running_loop().time() + self.seconds
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self.chance.uniform(*FAULT_GAP_SECONDS))
+            kind = self.chance.choice(list(FAULTS))
+            self.faults[kind] += 1
+            lasts = self.chance.uniform(*FAULT_SECONDS)
+            tasks.create_task(FAULTS[kind](self, lasts))
+
+    async def kill(self, lasts: float) -> None:
+        node = self.chance.choice(self.nodes)
+        node.signal(signal.SIGCONT)
+        node.signal(signal.SIGKILL)
+        await asyncio.sleep(min(lasts, 1.0))
+        await node.restart()
+
+    async def tell_to_end(self, lasts: float) -> None:
+        node = self.chance.choice(self.nodes)
+        node.signal(signal.SIGTERM)
+        await asyncio.sleep(6.0)
+        await node.restart()
+
+    async def pause(self, lasts: float) -> None:
+        node = self.chance.choice(self.nodes)
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(lasts)
+        node.signal(signal.SIGCONT)
+
+    async def break_link(self, lasts: float) -> None:
+        proxy = self.chance.choice(self.proxies)
+        modes = [mode for mode in Mode if mode is not Mode.GOOD]
+        proxy.set_mode(self.chance.choice(modes))
+        await asyncio.sleep(lasts)
+        proxy.set_mode(Mode.GOOD)
+
+    async def reset_links(self, lasts: float) -> None:
+        for proxy in self.proxies:
+            proxy.reset()
+
+    async def stop_store(self, lasts: float) -> None:
+        self.store.faults.down = True
+        await asyncio.sleep(lasts)
+        self.store.faults.down = False
+
+    async def lose_store_answers(self, lasts: float) -> None:
+        self.store.faults.lose_writes += 3
+        self.store.faults.late_writes += [self.chance.uniform(0.5, 3.0)]
+
+    async def lose_orders(self, lasts: float) -> None:
+        worker = self.chance.choice(list(self.fleet.workers.values()))
+        worker.faults.lose_answers += 2
+        worker.faults.late_orders += [self.chance.uniform(0.5, 6.0)]
+
+    async def _heal(self) -> None:
+        self.store.faults.lose_writes = 0
+        self.store.faults.late_writes.clear()
+        for worker in self.fleet.workers.values():
+            worker.faults.lose_answers = 0
+            worker.faults.late_orders.clear()
+        for node in self.nodes:
+            if not node.alive:
+                await node.start()
+        await self._wait_ready()
+
+    async def _check(self) -> None:
+        """Look at each job's end, and at what the workers have noted."""
+        accepted = [job for job in self.jobs if job.accepted]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_SECONDS):
+                for job in accepted:
+                    await poll(lambda job=job: self._is_completed(job))
+        for job in accepted:
+            if not await self._is_completed(job):
+                self.wrong.append(f"{job.job_id} was accepted and is not completed")
+        started = {task.partition(".")[0] for task, _, _ in self.fleet.starts}
+        for job in self.jobs:
+            if job.refused and job.job_id in started:
+                self.wrong.append(f"{job.job_id} was refused as not run, and ran")
+        self.wrong += self.fleet.faults_found
+        if not accepted:
+            self.wrong.append("no job was accepted")
+
+    async def _is_completed(self, job: Job) -> bool:
+        path = f"/{job.queue}/{job.job_id}"
+        status = await self._call(self.nodes[0], "GET", path, FRONT_PORT)
+        return status == 200 and json.loads(self.answer)["state"] == "completed"
+
+
+FAULTS: dict[str, Callable[[Soak, float], object]] = {
+    "kill": Soak.kill,
+    "tell to end": Soak.tell_to_end,
+    "pause": Soak.pause,
+    "break a link": Soak.break_link,
+    "reset links": Soak.reset_links,
+    "store down": Soak.stop_store,
+    "store answers lost": Soak.lose_store_answers,
+    "orders lost": Soak.lose_orders,
+}
+
+
+def run_seed(seed: int, seconds: float, folder: Path) -> tuple[Soak, list[str]]:
+    """Run one seed; the logs of its processes stand in the folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+
+    async def run() -> tuple[Soak, list[str]]:
+        soak = Soak(seed, seconds, folder)
+        return soak, await soak.run()
+
+    return asyncio.run(run())
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m tools.soak")
+    parser.add_argument("--seeds", default="1-5", help="a number or first-last")
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--logs", type=Path, default=None)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        folder = (options.logs or Path(tempfile.mkdtemp())) / f"seed-{seed}"
+        soak, wrong = run_seed(seed, options.seconds, folder)
+        accepted = sum(job.accepted for job in soak.jobs)
+        faults = sum(soak.faults.values())
+        print(f"seed {seed}: {len(soak.jobs)} jobs, {accepted} accepted,", end=" ")
+        print(f"{faults} faults, {len(wrong)} wrong", flush=True)
+        for each in wrong:
+            print(f"  {each} (logs in {folder})")
+        failed += bool(wrong)
+    print(f"{failed} seeds failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soakproxy.py
@@ -0,0 +1,89 @@
+"""A loopback proxy whose connections misbehave when told to."""
+
+import asyncio
+import contextlib
+from enum import Enum
+
+CHUNK_BYTES = 65_536
+DELAY_SECONDS = 0.25
+
+
+class Mode(Enum):
+    """What the proxy does to bytes, also on connections that are open.
+
+    `SILENT` keeps connections and passes nothing on; `ONE_WAY` passes what goes to
+    the server and none of its answers; `CLOSED` resets.
+    """
+
+    GOOD = "good"
+    SLOW = "slow"
+    SILENT = "silent"
+    ONE_WAY = "one way"
+    CLOSED = "closed"
+
+
+class Proxy:
+    """Passes connections on to one address of 127.0.0.1."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.port = 0
+        self.mode = Mode.GOOD
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    def set_mode(self, mode: Mode) -> None:
+        self.mode = mode
+        if mode is Mode.CLOSED:
+            self.reset()
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for writer in list(self._open):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is Mode.CLOSED:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._open |= {writer, far_writer}
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._pass_on(reader, far_writer, Mode.SILENT))
+                tasks.create_task(self._pass_on(far_reader, writer, Mode.ONE_WAY))
+        finally:
+            self._open -= {writer, far_writer}
+            writer.transport.abort()
+            far_writer.transport.abort()
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, stop: Mode
+    ) -> None:
+        """Pass bytes on until one end closes; what is swallowed is lost for good."""
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode is Mode.SLOW:
+                    await asyncio.sleep(DELAY_SECONDS)
+                if self.mode in (Mode.SILENT, stop):
+                    continue
+                writer.write(data)
+                await writer.drain()
+        writer.transport.abort()
