Split the choice of questions and of VMs into steps

Cause: reading the change as a newcomer: two functions of forty lines, a field that nobody read, a result that nobody used, a sort key that hid a flag in a factor. Change: none in behaviour. 30 scenarios of upkeep, services and platform pass.

--- a/src/primrosestile/decisions/work/advising.py
+++ b/src/primrosestile/decisions/work/advising.py
@@ -9,14 +9,20 @@
 a step do not change, only its tickets run out.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.ordering import find_entitled, rank_unit
-from primrosestile.decisions.work.placing import Rooms, count_allowed, make_rooms
-from primrosestile.decisions.work.units import Permit, Permits, Unit
+from primrosestile.decisions.work.placing import (
+    Room,
+    Rooms,
+    count_allowed,
+    make_rooms,
+)
+from primrosestile.decisions.work.units import Permit, Unit
 from primrosestile.state.policy import Advised
 
 # What a job's objective allows for: one question about this many workers a step.
@@ -41,19 +47,6 @@
     seconds: float
 
 
-@dataclass(slots=True)
-class _Wanted:
-    """What the waiting units of one step lack.
-
-    Attributes:
-        tasks: That wait and have no allowed worker with room.
-    """
-
-    unit: Unit
-    tasks: int = 0
-    units: list[Unit] = field(default_factory=list)
-
-
 def choose_question(board: Board, durations: Durations, now: float) -> Question | None:
     """Return the question that helps the most pressing step, or None."""
     waiting = [
@@ -68,50 +61,57 @@
         ).make_key()
     )
     rooms = make_rooms(board, now)
-    for wanted in _group(waiting):
-        question = _ask_about(wanted, rooms, now)
+    tasks: Counter[tuple[str, int, int]] = Counter()
+    steps: dict[tuple[str, int, int], Unit] = {}
+    for unit in waiting:
+        tasks[unit.step_key] += unit.size
+        steps.setdefault(unit.step_key, unit)
+    for key, unit in steps.items():
+        question = _ask_about(unit, tasks[key], rooms, now)
         if question is not None:
             return question
     return None
 
 
-def _group(waiting: Iterable[Unit]) -> list[_Wanted]:
-    """Return the steps that wait, each with how many of its tasks do."""
-    steps: dict[tuple[str, int, int], _Wanted] = {}
-    for unit in waiting:
-        wanted = steps.setdefault(unit.step_key, _Wanted(unit))
-        wanted.tasks += unit.size
-    return list(steps.values())
-
+def _ask_about(unit: Unit, tasks: int, rooms: Rooms, now: float) -> Question | None:
+    """Return a question about a step unless enough of its workers are known.
 
-def _ask_about(wanted: _Wanted, rooms: Rooms, now: float) -> Question | None:
-    unit = wanted.unit
+    Args:
+        unit: One of the step's waiting units.
+        tasks: How many tasks of the step wait.
+        rooms: What is free.
+        now: On the loop's clock.
+    """
     permits = unit.job.find_permits(unit.step_key)
-    pool = unit.job.queue.pool or unit.job.submission.pool
-    lacking = wanted.tasks
-    unknown: list[tuple[int, str]] = []
-    for name, room in rooms.items():
-        entry = room.worker.entry
-        step = unit.step
-        if entry.pool != pool or (step.label and step.label not in entry.labels):
-            continue
+    lacking = tasks
+    unknown: list[tuple[bool, int, str]] = []
+    for name, room in _list_candidates(unit, rooms):
         fitting = count_allowed(unit, room)
         if permits.is_valid(name, now):
             lacking -= fitting
         elif name not in permits.refused:
             # A worker that was allowed before needs but a new ticket.
-            known = name in permits.granted
-            unknown.append((-fitting - 1_000 * known, name))
+            unknown.append((name not in permits.granted, -fitting, name))
     if lacking <= 0 or not unknown:
         return None
     unknown.sort()
-    count = min(WORKERS_PER_QUESTION, WORKERS_PER_TASK * max(1, lacking))
-    workers = tuple(name for _, name in unknown[:count])
+    count = min(WORKERS_PER_QUESTION, WORKERS_PER_TASK * lacking)
+    workers = tuple(name for _, _, name in unknown[:count])
     advised = unit.job.queue.advised
     assert advised is not None, "only steps of advised queues are asked about"
     return Question(unit, _name_step(unit), workers, _expect(advised, len(workers)))
 
 
+def _list_candidates(unit: Unit, rooms: Rooms) -> Iterator[tuple[str, Room]]:
+    """Yield the workers of a step's pool that carry its label."""
+    pool = unit.job.queue.pool or unit.job.submission.pool
+    label = unit.step.label
+    for name, room in rooms.items():
+        entry = room.worker.entry
+        if entry.pool == pool and (not label or label in entry.labels):
+            yield name, room
+
+
 def _name_step(unit: Unit) -> str:
     return f"{unit.job.job_id}.{unit.key.occurrence}.{unit.key.step}"
 
@@ -120,10 +120,8 @@
     return advised.decide_seconds + count * advised.per_worker_seconds
 
 
-def note_answer(
-    question: Question, allowed: dict[str, str], asked_at: float
-) -> Permits:
-    """Take an answer in; return what is known of the step's workers now.
+def note_answer(question: Question, allowed: dict[str, str], asked_at: float) -> None:
+    """Take an answer in.
 
     Args:
         question: That was asked.
@@ -140,4 +138,3 @@
             permits.granted[worker] = Permit(allowed[worker], until)
         else:
             permits.refused.add(worker)
-    return permits
--- a/src/primrosestile/decisions/work/upkeep.py
+++ b/src/primrosestile/decisions/work/upkeep.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board
@@ -63,32 +63,40 @@
         for name in wave.vms
         if name not in begun and name in vms and vms[name].state is VmState.UP
     ]
-    places = wave.most - away
-    if places <= 0 or not waiting:
-        return UpkeepPlan()
     rounds = math.ceil(len(waiting) / wave.most)
     pressed = seconds_left - SPARE_SECONDS < rounds * ROUND_SECONDS
-    waiting.sort(key=lambda vm: _find_loss(board.workers.get(vm.worker), now))
+    chosen = _choose(board, waiting, wave.most - away, now)
     begin: list[WorkerVm] = []
-    empty: set[str] = set()
-    save: dict[int, Unit] = {}
-    taken: set[str] = set()
-    for vm in waiting:
-        if len(begin) + len(empty) >= places:
-            break
+    empty: list[Worker] = []
+    for vm in chosen:
         worker = board.workers.get(vm.worker)
-        if worker is not None and not _may_go(board, worker, taken):
-            continue
         if worker is None or pressed or not _is_worth_waiting(worker):
             begin.append(vm)
-            taken.add(vm.worker)
-            continue
-        empty.add(vm.worker)
-        taken.add(vm.worker)
-        for member in worker.members.values():
-            if _is_saved(member):
-                save[id(member.unit)] = member.unit
-    return UpkeepPlan(tuple(begin), frozenset(empty), tuple(save.values()))
+        else:
+            empty.append(worker)
+    return UpkeepPlan(
+        begin=tuple(begin),
+        empty=frozenset(worker.name for worker in empty),
+        save=_list_saved(empty),
+    )
+
+
+def _choose(
+    board: Board, waiting: list[WorkerVm], places: int, now: float
+) -> list[WorkerVm]:
+    """Return the VMs that go next: where the least is lost, and services bear it."""
+    chosen: list[WorkerVm] = []
+    ranked = sorted(
+        waiting, key=lambda vm: _find_loss(board.workers.get(vm.worker), now)
+    )
+    for vm in ranked:
+        if len(chosen) >= places:
+            break
+        worker = board.workers.get(vm.worker)
+        taken = {each.worker for each in chosen}
+        if worker is None or _may_go(worker, taken):
+            chosen.append(vm)
+    return chosen
 
 
 def _find_loss(worker: Worker | None, now: float) -> tuple[bool, float]:
@@ -108,7 +116,18 @@
     return unit.step.checkpoints and not unit.step.lasting and not unit.abandoned
 
 
-def _may_go(board: Board, worker: Worker, taken: Collection[str]) -> bool:
+def _list_saved(workers: Iterable[Worker]) -> tuple[Unit, ...]:
+    """Return the units that are stopped at once, as they go on elsewhere."""
+    found = {
+        id(member.unit): member.unit
+        for worker in workers
+        for member in worker.members.values()
+        if _is_saved(member)
+    }
+    return tuple(found.values())
+
+
+def _may_go(worker: Worker, taken: Collection[str]) -> bool:
     """Whether its services bear being away; others of theirs may be just now."""
     for member in worker.members.values():
         step = member.unit.step
