Make one piece of what stood twice: pool, permits, suitable workers, ranking, worker calls

Where a unit may run (its pool, else its submission's) was worked out in three places; the pool and label filter and the ranking of waiting units each stood in planning or placing and again in advising; each caller of find_permits passed a unit's own key back to it; the four worker calls of the stand-in over HTTP each read their body and looked for the life themselves; the rank of what lasts was found after an objective that it does not use. Change: Unit.pool, Unit.permits, list_suitable, rank_units, and the stand-in's guard serve all of them. No behaviour changes; no test or bound is touched.

--- a/src/primrosestile/coordination/jobbook.py
+++ b/src/primrosestile/coordination/jobbook.py
@@ -89,10 +89,10 @@
     def _put(self, booked: Booked) -> None:
         """Take a record in unless the copy is newer.
 
-        The watch can tell of a caller's cancellation before
-        the answer to the owner's own write arrives. With the older record put
-        over it the cancellation would be forgotten, and the job would run to its
-        end: 1 of 200 jobs that were cancelled as soon as they were submitted.
+        The watch can tell of a caller's cancellation before the answer to the
+        owner's own write arrives. With the older record put over it the
+        cancellation would be forgotten, and the job would run to its end: 1 of 200
+        jobs that were cancelled as soon as they were submitted.
         """
         record = booked.record
         job_id = record.spec.job_id
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -155,8 +155,7 @@
         if refusal is Refusal.FENCE:
             self._term.lost.set()
         elif refusal is Refusal.TICKET:
-            unit = member.unit
-            unit.job.find_permits(unit.step_key).expire(worker.name)
+            member.unit.permits.expire(worker.name)
         elif refusal is Refusal.UNHEALTHY:
             worker.distrusted_until = max(
                 worker.distrusted_until, now + UNHEALTHY_SECONDS
@@ -272,5 +271,5 @@
     unit = member.unit
     if unit.job.queue.advised is None:
         return ""
-    permit = unit.job.find_permits(unit.step_key).granted.get(member.worker)
+    permit = unit.permits.granted.get(member.worker)
     return "" if permit is None else permit.ticket
--- a/src/primrosestile/decisions/work/advising.py
+++ b/src/primrosestile/decisions/work/advising.py
@@ -10,16 +10,15 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
-from primrosestile.decisions.work.ordering import find_entitled, rank_unit
+from primrosestile.decisions.work.ordering import find_entitled, rank_units
 from primrosestile.decisions.work.placing import (
-    Room,
     Rooms,
     count_allowed,
+    list_suitable,
     make_rooms,
 )
 from primrosestile.decisions.work.units import Permit, Unit
@@ -54,16 +53,11 @@
     ]
     if not waiting:
         return None
-    entitled = find_entitled(board)
-    waiting.sort(
-        key=lambda unit: rank_unit(
-            unit, now, unit.job.job_id in entitled, durations
-        ).make_key()
-    )
+    ranked = rank_units(waiting, now, find_entitled(board), durations)
     rooms = make_rooms(board, now)
     tasks: Counter[tuple[str, int, int]] = Counter()
     steps: dict[tuple[str, int, int], Unit] = {}
-    for unit in waiting:
+    for _, unit in ranked:
         tasks[unit.step_key] += unit.size
         steps.setdefault(unit.step_key, unit)
     for key, unit in steps.items():
@@ -82,10 +76,11 @@
         rooms: What is free.
         now: On the loop's clock.
     """
-    permits = unit.job.find_permits(unit.step_key)
+    permits = unit.permits
     lacking = tasks
     unknown: list[tuple[bool, int, str]] = []
-    for name, room in _list_candidates(unit, rooms):
+    for room in list_suitable(unit, rooms):
+        name = room.worker.name
         fitting = count_allowed(unit, room)
         if permits.is_valid(name, now):
             lacking -= fitting
@@ -102,16 +97,6 @@
     return Question(unit, _name_step(unit), workers, _expect(advised, len(workers)))
 
 
-def _list_candidates(unit: Unit, rooms: Rooms) -> Iterator[tuple[str, Room]]:
-    """Yield the workers of a step's pool that carry its label."""
-    pool = unit.job.queue.pool or unit.job.submission.pool
-    label = unit.step.label
-    for name, room in rooms.items():
-        entry = room.worker.entry
-        if entry.pool == pool and (not label or label in entry.labels):
-            yield name, room
-
-
 def _name_step(unit: Unit) -> str:
     return f"{unit.job.job_id}.{unit.key.occurrence}.{unit.key.step}"
 
@@ -129,7 +114,7 @@
         asked_at: When the question was sent; tickets are taken to count from then.
     """
     unit = question.unit
-    permits = unit.job.find_permits(unit.step_key)
+    permits = unit.permits
     advised = unit.job.queue.advised
     valid = advised.valid_seconds if advised is not None else 0.0
     for worker in question.workers:
--- a/src/primrosestile/decisions/work/ordering.py
+++ b/src/primrosestile/decisions/work/ordering.py
@@ -12,6 +12,7 @@
 """
 
 from collections import Counter
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board
@@ -72,13 +73,13 @@
 def rank_unit(unit: Unit, now: float, entitled: bool, durations: Durations) -> Rank:
     """Return where a waiting unit stands."""
     job = unit.job
+    if unit.step.lasting:
+        return Rank(entitled, False, job.queue.priority, 0.0, lasting=True)
     objective = find_objective_seconds(job, durations)
     began = job.accepted
     if job.submission.repeats.count and unit.ready_at is not None:
         began = unit.ready_at
     left = durations.guess_unit(unit)
-    if unit.step.lasting:
-        return Rank(entitled, False, job.queue.priority, 0.0, lasting=True)
     return Rank(
         entitled=entitled,
         useless=now + left > began + USELESS_AFTER_OBJECTIVES * objective,
@@ -87,6 +88,28 @@
     )
 
 
+def rank_units(
+    units: Iterable[Unit],
+    now: float,
+    entitled: Collection[str],
+    durations: Durations,
+) -> list[tuple[Rank, Unit]]:
+    """Return waiting units with their ranks, the most pressing first.
+
+    Args:
+        units: All that wait.
+        now: On the loop's clock.
+        entitled: Jobs within their organisations' guarantees.
+        durations: How long runs take.
+    """
+    ranked = [
+        (rank_unit(unit, now, unit.job.job_id in entitled, durations), unit)
+        for unit in units
+    ]
+    ranked.sort(key=lambda pair: pair[0].make_key())
+    return ranked
+
+
 def find_entitled(board: Board) -> set[str]:
     """Return the urgent jobs that lie within their organisations' guarantees.
 
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -32,8 +32,6 @@
 # on a heavy day (16 drawn days of each workload, `scripts/bench site`).
 IDLE_SHARE = 0.5
 IDLE_PATIENCE_SECONDS = 2.0
-
-
 # Tasks that fit where they need nothing that is counted.
 MANY_TASKS = 1_000
 
@@ -150,22 +148,27 @@
     return {name: room.copy() for name, room in rooms.items()}
 
 
+def list_suitable(unit: Unit, rooms: Rooms) -> list[Room]:
+    """Return the rooms of its pool's workers that carry a unit's label."""
+    pool = unit.pool
+    label = unit.step.label
+    return [
+        room
+        for room in rooms.values()
+        if room.worker.entry.pool == pool
+        and (not label or label in room.worker.entry.labels)
+    ]
+
+
 def find_eligible(unit: Unit, rooms: Rooms, now: float) -> list[Room]:
     """Return the rooms of workers on which a unit's tasks are allowed.
 
     Workers on which a run of it failed are left out while the others could hold it:
     with one worker of its label, a task that failed once would never start again.
     """
-    step = unit.step
-    pool = unit.job.queue.pool or unit.job.submission.pool
-    allowed = [
-        room
-        for room in rooms.values()
-        if room.worker.entry.pool == pool
-        and (not step.label or step.label in room.worker.entry.labels)
-    ]
+    allowed = list_suitable(unit, rooms)
     if unit.job.queue.advised is not None:
-        permits = unit.job.find_permits(unit.step_key)
+        permits = unit.permits
         allowed = [room for room in allowed if permits.is_valid(room.worker.name, now)]
     if not unit.failed_on:
         return allowed
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -4,7 +4,7 @@
 
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
-from primrosestile.decisions.work.ordering import Rank, find_entitled, rank_unit
+from primrosestile.decisions.work.ordering import Rank, find_entitled, rank_units
 from primrosestile.decisions.work.placing import (
     Rooms,
     copy_rooms,
@@ -105,7 +105,9 @@
         # Units of one step are alike: if one can't go, none of the others can.
         waiting: set[tuple[object, ...]] = set()
         looked = 0
-        for rank, unit in self._rank():
+        for rank, unit in rank_units(
+            self.waiting, self.now, self.entitled, self.durations
+        ):
             likeness = (unit.step_key, *unit.failed_on)
             if likeness in waiting:
                 continue
@@ -120,15 +122,6 @@
                 waiting.add(likeness)
         return Plan(tuple(self.starts), tuple(self.stops))
 
-    def _rank(self) -> list[tuple[Rank, Unit]]:
-        ranked = []
-        for unit in self.waiting:
-            entitled = unit.job.job_id in self.entitled
-            rank = rank_unit(unit, self.now, entitled, self.durations)
-            ranked.append((rank, unit))
-        ranked.sort(key=lambda pair: pair[0].make_key())
-        return ranked
-
     def _start(self, rank: Rank, unit: Unit) -> bool:
         """Start a unit, or have room freed or kept for it."""
         workers = self._place(unit, self.rooms)
@@ -149,8 +142,7 @@
 
     def _place(self, unit: Unit, rooms: Rooms) -> list[Worker] | None:
         seconds = self.durations.guess_unit(unit)
-        pool = unit.job.queue.pool or unit.job.submission.pool
-        idle = pool in self.idle_pools
+        idle = unit.pool in self.idle_pools
         return place(unit, rooms, self.now, seconds, self.slow, idle)
 
     def _keep(self, unit: Unit) -> None:
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -75,6 +75,42 @@
     paced_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """The advice service's word that a step may run on a worker.
+
+    Attributes:
+        until: When its ticket is not to be used any more, on the loop's clock.
+    """
+
+    ticket: str
+    until: float
+
+
+@dataclass(slots=True)
+class Permits:
+    """What the advice service has said of one step.
+
+    Attributes:
+        granted: By worker; the tickets may have run out.
+        refused: Workers on which it may never run.
+    """
+
+    granted: dict[str, Permit] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+
+    def is_valid(self, worker: str, now: float) -> bool:
+        """Whether the step may be started on a worker now."""
+        permit = self.granted.get(worker)
+        return permit is not None and now < permit.until
+
+    def expire(self, worker: str) -> None:
+        """Note that a worker did not take a ticket: a new one is needed."""
+        permit = self.granted.get(worker)
+        if permit is not None:
+            self.granted[worker] = Permit(permit.ticket, 0.0)
+
+
 @dataclass(slots=True, eq=False)
 class Unit:
     """What starts as one.
@@ -113,6 +149,17 @@
         """Its step within its occurrence."""
         return self.job.job_id, self.key.occurrence, self.key.step
 
+    @property
+    def pool(self) -> str:
+        """The workers that it may run on; a queue may come to lead to others."""
+        return self.job.queue.pool or self.job.submission.pool
+
+    @property
+    def permits(self) -> Permits:
+        """What the advice service has said of its step."""
+        key = (self.key.occurrence, self.key.step)
+        return self.job.permits.setdefault(key, Permits())
+
     @property
     def idle(self) -> bool:
         """Whether it waits and nothing of an earlier run can still be there."""
@@ -138,42 +185,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Permit:
-    """The advice service's word that a step may run on a worker.
-
-    Attributes:
-        until: When its ticket is not to be used any more, on the loop's clock.
-    """
-
-    ticket: str
-    until: float
-
-
-@dataclass(slots=True)
-class Permits:
-    """What the advice service has said of one step.
-
-    Attributes:
-        granted: By worker; the tickets may have run out.
-        refused: Workers on which it may never run.
-    """
-
-    granted: dict[str, Permit] = field(default_factory=dict)
-    refused: set[str] = field(default_factory=set)
-
-    def is_valid(self, worker: str, now: float) -> bool:
-        """Whether the step may be started on a worker now."""
-        permit = self.granted.get(worker)
-        return permit is not None and now < permit.until
-
-    def expire(self, worker: str) -> None:
-        """Note that a worker did not take a ticket: a new one is needed."""
-        permit = self.granted.get(worker)
-        if permit is not None:
-            self.granted[worker] = Permit(permit.ticket, 0.0)
-
-
 @dataclass(slots=True, eq=False)
 class Job:
     """One accepted job and its units so far.
@@ -215,11 +226,6 @@
             unit.phase is Phase.DONE for unit in self.list_step(occurrence, step)
         )
 
-    def find_permits(self, step_key: tuple[str, int, int]) -> Permits:
-        """Return what the advice service has said of one of its steps."""
-        _, occurrence, step = step_key
-        return self.permits.setdefault((occurrence, step), Permits())
-
     def make_progress(self) -> Progress:
         """Return what the store keeps of it."""
         units = tuple(
--- a/src/primrosestile_standin/fleet_http.py
+++ b/src/primrosestile_standin/fleet_http.py
@@ -16,10 +16,12 @@
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Change, Entry
 from primrosestile.protocol.transactions import Condition, Write
+from primrosestile.state.workers import WorkerEntry
 from primrosestile_standin.fleetstore import FleetStore
 from primrosestile_standin.fleetworker import Fleet, FleetCalls
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+WorkerHandler = Callable[[WorkerEntry, Any], Awaitable[web.StreamResponse]]
 
 _STATUSES = {Refusal.OTHER_LIFE: 421, Refusal.UNHEALTHY: 503, Refusal.MALFORMED: 400}
 
@@ -180,12 +182,16 @@
         app.router.add_post("/v1/pace", self._guard(self._pace))
         return app
 
-    def _guard(self, handler: Handler) -> Handler:
-        """Break the connection where an answer is lost."""
+    def _guard(self, handler: WorkerHandler) -> Handler:
+        """Find the life that a call expects; break the connection of a lost answer."""
 
         async def call(request: web.Request) -> web.StreamResponse:
+            body = msgspec.json.decode(await request.read())
+            entry = self._find(request)
+            if entry is None:
+                return web.Response(status=421)
             try:
-                return await handler(request)
+                return await handler(entry, body)
             except Failure:
                 if request.transport is not None:
                     request.transport.close()
@@ -193,15 +199,11 @@
 
         return call
 
-    def _find(self, request: web.Request) -> Any:
+    def _find(self, request: web.Request) -> WorkerEntry | None:
         worker = self._fleet.workers.get(request.headers.get("Expect-Instance", ""))
         return None if worker is None else worker.entry
 
-    async def _hold(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
-        entry = self._find(request)
-        if entry is None:
-            return web.Response(status=421)
+    async def _hold(self, entry: WorkerEntry, body: Any) -> web.Response:
         until = body.get("until_ms")
         look = await self._calls.look(
             entry,
@@ -224,11 +226,7 @@
             {"clock_ms": look.clock * 1000, "running": running, "ended": ended}
         )
 
-    async def _start(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
-        entry = self._find(request)
-        if entry is None:
-            return web.Response(status=421)
+    async def _start(self, entry: WorkerEntry, body: Any) -> web.Response:
         order = StartOrder(
             body["task"],
             body["run"],
@@ -239,20 +237,12 @@
         )
         return self._show(await self._calls.start(entry, body["fence"], order))
 
-    async def _stop(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
-        entry = self._find(request)
-        if entry is None:
-            return web.Response(status=421)
+    async def _stop(self, entry: WorkerEntry, body: Any) -> web.Response:
         return self._show(
             await self._calls.stop(entry, body["fence"], body["task"], body["run"])
         )
 
-    async def _pace(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
-        entry = self._find(request)
-        if entry is None:
-            return web.Response(status=421)
+    async def _pace(self, entry: WorkerEntry, body: Any) -> web.Response:
         return self._show(
             await self._calls.pace(
                 entry, body["fence"], body["task"], body["run"], body["percent"]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -27,6 +27,7 @@
 from features.doubles.fleetworld import HOST, PlatformEntry, make_policy
 
 from primrosestile.platform.policy import POLICY_KEY
+from primrosestile.state.work import Need
 from primrosestile_standin.fleet_http import AdviceEnd, StoreEnd, WorkersEnd
 from primrosestile_standin.fleetstore import FleetStore
 from primrosestile_standin.fleetworker import Fleet, Script
@@ -252,7 +253,7 @@
         if gang:
             step["gang"] = True
         seconds = self.chance.uniform(0.2, 1.5)
-        need = type(Script().need)(1000, 1000, step["gpu"])
+        need = Need(1000, 1000, step["gpu"])
         script = Script(seconds, need, gang=count if gang else 1)
         self.fleet.scripts[job_id] = script
         job = Job(job_id, queue)
