Log why a run is taken as gone

A task ran twice, and the owner's log did not say why it took the first run as gone: the three hypotheses could only be told apart by lines about workers.

Each call that takes a member as gone now names its proof, one of a closed list, and the scheduler logs `run_gone` with it before the pass that decides by it. No decision changes.

--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -21,7 +21,7 @@
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.decisions.work.board import Board
-from primrosestile.decisions.work.units import Member, MemberState, Worker
+from primrosestile.decisions.work.units import Member, MemberState, Proof, Worker
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import (
     EndedTask,
@@ -197,7 +197,7 @@
             self._term.lost.set()
         elif refusal is Refusal.OTHER_LIFE:
             _log.info("worker_life_over", worker=self.worker.name)
-            self._board.drop_worker(self.worker.name)
+            self._board.drop_worker(self.worker.name, Proof.LIFE_OVER)
             self._wake()
         else:
             await asyncio.sleep(RETRY_SECONDS)
@@ -270,18 +270,18 @@
             self._stopped.pop(key)
             member = self.worker.members.get(key)
             if member is not None:
-                self._board.note_gone(member)
+                self._board.note_gone(member, Proof.BARRED)
         for key, member in list(self.worker.members.items()):
             if key in present:
                 continue
             if member.state is not MemberState.UP:
                 # Its order carried a lower fence than this look: it can't come.
                 if member.restored:
-                    self._board.note_gone(member)
+                    self._board.note_gone(member, Proof.FENCED_OFF)
                 continue
             if member.unit.phase is Phase.DONE:
                 # A gang that has ended well by another member's word.
-                self._board.note_gone(member)
+                self._board.note_gone(member, Proof.GANG_ENDED)
             elif member.up_at < sent_at and key not in self._stopped:
                 self._board.abandon(member.unit)
 
@@ -299,11 +299,11 @@
             )
         if not worker.members:
             if not worker.listed:
-                self._board.drop_worker(worker.name)
+                self._board.drop_worker(worker.name, Proof.LEASE_OVER)
             return
         if self.clock.known and self.clock.is_surely_past(self.clock.until, now):
             _log.warning(
                 "worker_lease_over", worker=worker.name, members=len(worker.members)
             )
-            self._board.clear_worker(worker)
+            self._board.clear_worker(worker, Proof.LEASE_OVER)
             self._wake()
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -20,7 +20,7 @@
 from primrosestile.decisions.work.pacing import Pace
 from primrosestile.decisions.work.planning import Assignment
 from primrosestile.decisions.work.trust import UNHEALTHY_SECONDS
-from primrosestile.decisions.work.units import Member, MemberState, Worker
+from primrosestile.decisions.work.units import Member, MemberState, Proof, Worker
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder, WorkerCalls
 
@@ -113,7 +113,7 @@
             self._take_answer(member, link, answer, unanswered)
             return
         if not unanswered:
-            self._board.note_gone(member)
+            self._board.note_gone(member, Proof.NEVER_SENT)
         self._board.abandon(member.unit)
         self._wake()
 
@@ -138,7 +138,7 @@
             return
         self._note_refusal(member, link.worker, answer.refusal)
         if not unanswered:
-            self._board.note_gone(member)
+            self._board.note_gone(member, Proof.REFUSED)
         self._board.abandon(member.unit)
         self._wake()
 
--- a/src/primrosestile/coordination/work/roster.py
+++ b/src/primrosestile/coordination/work/roster.py
@@ -7,6 +7,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.units import Proof
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import WorkerList
 from primrosestile.state.workers import WorkerEntry
@@ -95,7 +96,7 @@
         for worker in list(self._board.workers.values()):
             if worker.entry.address == entry.address:
                 _log.info("worker_replaced", worker=worker.name, by=entry.worker)
-                self._board.drop_worker(worker.name)
+                self._board.drop_worker(worker.name, Proof.ADDRESS_TAKEN)
 
     def _note_missing(self, present: set[str]) -> None:
         now = read_clock()
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -39,7 +39,7 @@
 from primrosestile.decisions.work.planning import Stop, make_plan
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.trust import AT_ONCE_SECONDS, Trust
-from primrosestile.decisions.work.units import Job, Member
+from primrosestile.decisions.work.units import Job, Member, Proof
 from primrosestile.errors import Failure
 from primrosestile.protocol.advice import AdviceCalls
 from primrosestile.protocol.fleet import WorkerCalls, WorkerList
@@ -231,6 +231,7 @@
                 self._board.take_policy(policy)
             self._open_due()
             self._give_up_blind()
+            self._log_gone()
             if self._term.may_act():
                 began = read_clock()
                 self._run_pass(orders)
@@ -289,11 +290,28 @@
             return
         for name in list(self._board.astray):
             _log.warning("runs_given_up", worker=name)
-            self._board.drop_worker(name)
+            self._board.drop_worker(name, Proof.UNHEARD)
         for name, link in self._links.items():
             if not link.clock.known and link.worker.members:
                 _log.warning("runs_given_up", worker=name)
-                self._board.clear_worker(link.worker)
+                self._board.clear_worker(link.worker, Proof.UNHEARD)
+
+    def _log_gone(self) -> None:
+        """Say why runs are taken as gone, before anything is decided by it.
+
+        A task that ran twice is traced back to the proof of its first run's end; an
+        end that a worker listed has its own line.
+        """
+        for member, proof in self._board.take_gone():
+            if proof is not Proof.ENDED:
+                _log.info(
+                    "run_gone",
+                    job_id=member.unit.job.job_id,
+                    task=member.task,
+                    run=member.run,
+                    worker=member.worker,
+                    proof=proof.value,
+                )
 
     async def _clean_up(self) -> None:
         """Remove the records of jobs that nobody can ask for any more."""
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -17,6 +17,7 @@
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.keys import OWNER_KEY, make_wave_key
 from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.units import Proof
 from primrosestile.decisions.work.upkeep import plan_upkeep
 from primrosestile.errors import Failure
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
@@ -196,7 +197,7 @@
         elif answer is UpkeepAnswer.BEGUN:
             self._ordered[vm.name] = _Ordered(vm.worker, read_clock())
             if first:
-                self._board.drop_worker(vm.worker)
+                self._board.drop_worker(vm.worker, Proof.VM_ORDERED)
             self._wake()
         elif answer is UpkeepAnswer.NOT_THERE:
             await self._write(wave, record.begun, (*record.over, vm.name))
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -10,6 +10,7 @@
     Job,
     Member,
     MemberState,
+    Proof,
     Unit,
     Worker,
 )
@@ -33,6 +34,7 @@
 
     Attributes:
         changed: Jobs whose records differ from what was last taken.
+        gone: Members taken as gone since these were last taken, and why.
     """
 
     def __init__(self, policy: Policy) -> None:
@@ -40,6 +42,7 @@
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.changed: set[Job] = set()
+        self.gone: list[tuple[Member, Proof]] = []
         # Seconds since 1970, as of the present event.
         self.wall = 0.0
         # Members on workers that no entry names, of which only time can tell.
@@ -130,20 +133,20 @@
                 worker.attach(member)
         return worker
 
-    def drop_worker(self, name: str) -> None:
+    def drop_worker(self, name: str, proof: Proof) -> None:
         """Note that a worker's life is certainly over, or its lease has run out."""
         for member in self.astray.pop(name, []):
-            self.note_gone(member)
+            self.note_gone(member, proof)
         worker = self.workers.pop(name, None)
         if worker is None:
             return
         for member in list(worker.members.values()):
-            self.note_gone(member)
+            self.note_gone(member, proof)
 
-    def clear_worker(self, worker: Worker) -> None:
+    def clear_worker(self, worker: Worker, proof: Proof) -> None:
         """Note that nothing can be running on a worker, which may come back."""
         for member in list(worker.members.values()):
-            self.note_gone(member)
+            self.note_gone(member, proof)
 
     def find_member(self, task: str, run: int) -> Member | None:
         """Return the member of a unit's latest run, if this is one."""
@@ -184,7 +187,7 @@
         elif unit.phase is Phase.ORDERED:
             unit.abandoned = True
         self.changed.add(unit.job)
-        self.note_gone(member)
+        self.note_gone(member, Proof.ENDED)
 
     def _note_done(self, unit: Unit) -> None:
         if unit.phase is not Phase.ORDERED:
@@ -233,11 +236,12 @@
         if unit.phase is Phase.ORDERED:
             unit.abandoned = True
 
-    def note_gone(self, member: Member) -> None:
+    def note_gone(self, member: Member, proof: Proof) -> None:
         """Note that a member certainly does not run, and never will."""
         if member.state is MemberState.GONE:
             return
         member.state = MemberState.GONE
+        self.gone.append((member, proof))
         worker = self.workers.get(member.worker)
         if worker is not None:
             worker.detach(member)
@@ -316,6 +320,12 @@
             "workers": len(self.workers),
         }
 
+    def take_gone(self) -> list[tuple[Member, Proof]]:
+        """Return the members taken as gone since the last call, and why."""
+        gone = self.gone
+        self.gone = []
+        return gone
+
     def take_changed(self) -> set[Job]:
         """Return the jobs whose records must be written, and forget them."""
         changed = self.changed
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, StrEnum
 
 from primrosestile.state.policy import Queue
 from primrosestile.state.work import (
@@ -44,6 +44,40 @@
     GONE = 3
 
 
+class Proof(StrEnum):
+    """Why a member certainly does not run, and never will.
+
+    The list is closed: whoever takes a member as gone must name one of these, and the
+    log shows it. When a task has run twice, the proof that was false is the cause.
+
+    Attributes:
+        ENDED: Its worker listed its end.
+        NEVER_SENT: Its order never left this process.
+        REFUSED: Its worker refused the start, and no earlier try went unanswered.
+        BARRED: A look sent after an answered stop does not show it.
+        FENCED_OFF: An earlier owner ordered it, and a look under our fence does not
+            show it.
+        GANG_ENDED: Another member ended well for the whole gang.
+        LIFE_OVER: Its worker's address answers that this life is over.
+        ADDRESS_TAKEN: Another entry names its worker's address.
+        LEASE_OVER: Its worker's lease has run out on the worker's clock.
+        VM_ORDERED: Its worker's VM has begun its upkeep.
+        UNHEARD: No owner can have extended its worker's lease for that long.
+    """
+
+    ENDED = "ended"
+    NEVER_SENT = "never sent"
+    REFUSED = "refused"
+    BARRED = "barred"
+    FENCED_OFF = "fenced off"
+    GANG_ENDED = "gang ended"
+    LIFE_OVER = "life over"
+    ADDRESS_TAKEN = "address taken"
+    LEASE_OVER = "lease over"
+    VM_ORDERED = "VM ordered"
+    UNHEARD = "unheard"
+
+
 @dataclass(slots=True, eq=False)
 class Member:
     """One task of a unit's latest run, on one worker.
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -23,7 +23,7 @@
 from primrosestile.decisions.work.planning import Assignment, Plan, make_plan
 from primrosestile.decisions.work.preempting import CORES_PER_ACCELERATOR
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.units import Unit
+from primrosestile.decisions.work.units import Proof, Unit
 from primrosestile.state.policy import Policy, Pool, Queue
 from primrosestile.state.work import JobState
 from primrosestile.state.workers import EndKind, WorkerEntry
@@ -251,7 +251,7 @@
         for member in members:
             self._board.note_end(member.task, member.run, kind, "")
         for member in members:
-            self._board.note_gone(member)
+            self._board.note_gone(member, Proof.ENDED)
         if job.state.final:
             outcome = self._outcomes[job.job_id]
             outcome.ended_at = self._now
@@ -280,7 +280,7 @@
             else:
                 self._throw_away(run)
         for member in list(unit.members):
-            self._board.note_gone(member)
+            self._board.note_gone(member, Proof.ENDED)
 
     def _throw_away(self, run: _Run) -> None:
         need = run.unit.step.need
