--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -404,6 +404,16 @@
     context.world.run(crash())
 
 
+@when("worker {name} crashes, and {other} serves at its address beside its entry")
+def step_crash_listed(context: Any, name: str, other: str) -> None:
+    async def crash() -> None:
+        worker = context.world.fleet.workers[name]
+        worker.crash()
+        context.world.add_worker(other, worker.entry.address, rack=worker.entry.rack)
+
+    context.world.run(crash())
+
+
 @when("{seconds:g} s pass")
 def step_pass(context: Any, seconds: float) -> None:
     context.world.run(asyncio.sleep(seconds))
@@ -485,6 +495,16 @@
     assert starts and set(starts.values()) == {1}, starts
 
 
+@then("no task of {name} was started twice")
+def step_never_twice(context: Any, name: str) -> None:
+    starts = Counter(
+        task
+        for task, _, _ in context.world.fleet.starts
+        if task.startswith(make_id(name))
+    )
+    assert starts and max(starts.values()) == 1, starts
+
+
 @then("{name} was started {count:d} times")
 def step_times(context: Any, name: str, count: int) -> None:
     starts = [
--- a/features/work/faults.feature
+++ b/features/work/faults.feature
@@ -95,6 +95,37 @@
     Then job d6 is shown as completed within 14 s
     And the fleet's ledger shows nothing wrong
 
+  Scenario Outline: A worker starts again while its former entry still stands
+    A worker crashed, and its next life came up at the same address within a second.
+    The store keeps the entry of the former life for three heartbeats, so for seconds
+    the list names two workers at one address. The owner took each for the other's
+    successor whenever it read the list, and counted the tasks of the live one as gone:
+    they were started elsewhere while they ran, and a client was billed twice. In the
+    owner's log the live worker was replaced by the entry of the dead one 9 ms before
+    the second run of a task started, and again at every reading of the list.
+    Given the tasks of d0 take 6 s
+    And the tasks of d6 take 4 s
+    When job d0 is handed in with steps
+      | count | accelerators |
+      | 4     | 1            |
+    And d0 runs on the fleet
+    And worker <former> crashes, and <next> serves at its address beside its entry
+    And 1 s pass
+    And job d6 is handed in with steps
+      | count | accelerators |
+      | 6     | 3            |
+    And 4.5 s pass
+    And the entry of <former> is gone
+    Then job d0 is shown as completed within 20 s
+    And job d6 is shown as completed within 20 s
+    And the fleet's ledger shows nothing wrong
+    And no task of d6 was started twice
+
+    Examples: the order in which the list names the two
+      | former | next |
+      | w1     | w9   |
+      | w4     | w0   |
+
   Scenario: The store is down while tasks run
     Nothing can be accepted or recorded, but what runs must not lapse, or four
     seconds of the store cost a night's renders.
