Never end a worker's life by the list of workers

Cause: for three heartbeats after a crash the list names two lives at one address. The owner ended each by the other at every reading, so every half second the tasks of the live one counted as gone and were started elsewhere while they ran.

Ruled out: a stop taken for an end, and a start that was refused but carried out; `run_gone` names the proof, and it was the address.

Change: the list adds workers and unlists them, nothing more. A life ends by the word of its own address or with its lease. Lives that have ended are remembered while the list names them, so that they are not asked again and again.

After: both orders of the two entries pass, and so do the 64 scenarios of features/work.

--- a/src/primrosestile/coordination/work/roster.py
+++ b/src/primrosestile/coordination/work/roster.py
@@ -1,4 +1,11 @@
-"""How the owner learns which workers there are."""
+"""How the owner learns which workers there are.
+
+The list says where workers may be asked, and what they offer. It never says that a
+life of a worker is over: the entry of a life that has ended stands for seconds beside
+that of the next one at its address, and either may come first. What runs on a worker
+goes on until the worker's own answers, or the end of its lease, say otherwise; those
+are the business of `links`.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -7,7 +14,6 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.decisions.work.board import Board
-from primrosestile.decisions.work.units import Proof
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import WorkerList
 from primrosestile.state.workers import WorkerEntry
@@ -67,14 +73,17 @@
         changed = False
         for entry in entries:
             changed |= self._take_entry(entry)
-        self._note_missing({entry.worker for entry in entries})
+        present = {entry.worker for entry in entries}
+        self._board.forget_ended(present)
+        self._note_missing(present)
         if changed:
             self._wake()
 
     def _take_entry(self, entry: WorkerEntry) -> bool:
+        if self._board.has_ended(entry):
+            return False
         worker = self._board.workers.get(entry.worker)
         if worker is None:
-            self._end_earlier_life(entry)
             self._take_new(entry)
             return True
         if entry.leaving and not worker.entry.leaving:
@@ -91,13 +100,6 @@
         worker.listed = True
         return changed
 
-    def _end_earlier_life(self, entry: WorkerEntry) -> None:
-        """End another life at the same address: one address serves one life."""
-        for worker in list(self._board.workers.values()):
-            if worker.entry.address == entry.address:
-                _log.info("worker_replaced", worker=worker.name, by=entry.worker)
-                self._board.drop_worker(worker.name, Proof.ADDRESS_TAKEN)
-
     def _note_missing(self, present: set[str]) -> None:
         now = read_clock()
         for name in list(self._missing_since):
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -3,9 +3,10 @@
 Events change it, and decisions read it. `units` tells what it is made of.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from primrosestile.decisions.work.units import (
+    LIFE_PROOFS,
     UNKNOWN_PACE,
     Job,
     Member,
@@ -45,6 +46,10 @@
         self.gone: list[tuple[Member, Proof]] = []
         # Seconds since 1970, as of the present event.
         self.wall = 0.0
+        # Lives of workers that are over, and their addresses. The list names them for
+        # some seconds more; taken for new each time, they would be asked again and
+        # again, 41 times in 6 s for seven workers that had crashed together.
+        self._ended: dict[str, str] = {}
         # Members on workers that no entry names, of which only time can tell.
         self.astray: dict[str, list[Member]] = {}
 
@@ -140,9 +145,20 @@
         worker = self.workers.pop(name, None)
         if worker is None:
             return
+        if proof in LIFE_PROOFS:
+            self._ended[name] = worker.entry.address
         for member in list(worker.members.values()):
             self.note_gone(member, proof)
 
+    def has_ended(self, entry: WorkerEntry) -> bool:
+        """Whether an entry is that of a life that is known to be over."""
+        return self._ended.get(entry.worker) == entry.address
+
+    def forget_ended(self, present: Collection[str]) -> None:
+        """Forget the lives that are over and that the list names no more."""
+        for name in [name for name in self._ended if name not in present]:
+            del self._ended[name]
+
     def clear_worker(self, worker: Worker, proof: Proof) -> None:
         """Note that nothing can be running on a worker, which may come back."""
         for member in list(worker.members.values()):
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -59,7 +59,6 @@
             show it.
         GANG_ENDED: Another member ended well for the whole gang.
         LIFE_OVER: Its worker's address answers that this life is over.
-        ADDRESS_TAKEN: Another entry names its worker's address.
         LEASE_OVER: Its worker's lease has run out on the worker's clock.
         VM_ORDERED: Its worker's VM has begun its upkeep.
         UNHEARD: No owner can have extended its worker's lease for that long.
@@ -72,12 +71,16 @@
     FENCED_OFF = "fenced off"
     GANG_ENDED = "gang ended"
     LIFE_OVER = "life over"
-    ADDRESS_TAKEN = "address taken"
     LEASE_OVER = "lease over"
     VM_ORDERED = "VM ordered"
     UNHEARD = "unheard"
 
 
+# What ends a life for good, so that its name never comes back; after the others the
+# same life may be heard of again.
+LIFE_PROOFS = frozenset({Proof.LIFE_OVER, Proof.VM_ORDERED})
+
+
 @dataclass(slots=True, eq=False)
 class Member:
     """One task of a unit's latest run, on one worker.
