Bring about a former owner's lease that counts as over, as a scenario that fails

The new owner has asked for no lease at a worker and takes that for a lease that has run out.

The stand-in's workers now answer by address, so that a call for a life that has ended meets the next one, or nobody.

--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -371,6 +371,27 @@
     context.world.fleet.workers[name].faults.fails_all = True
 
 
+@when("every worker that runs both {first} and {second} answers no look")
+def step_deaf(context: Any, first: str, second: str) -> None:
+    deaf = [
+        worker
+        for worker in context.world.fleet.workers.values()
+        if all(
+            any(task.startswith(make_id(name)) for task in worker.runs)
+            for name in (first, second)
+        )
+    ]
+    assert deaf, "no worker runs both"
+    for worker in deaf:
+        worker.faults.deaf_to_looks = True
+
+
+@when("every worker answers looks again")
+def step_hears(context: Any) -> None:
+    for worker in context.world.fleet.workers.values():
+        worker.faults.deaf_to_looks = False
+
+
 @when("worker {name} is cut off")
 def step_cut(context: Any, name: str) -> None:
     context.world.fleet.workers[name].faults.cut = True
--- a/features/work/faults.feature
+++ b/features/work/faults.feature
@@ -193,3 +193,28 @@
     Then p3 schedules
     When the scheduling process dies
     Then another process schedules within 4 s
+
+  Scenario: A new owner's first looks at a worker go unanswered
+    The owner died, and the next one's first looks at a worker were lost; its stop of a
+    cancelled task there was answered. The new owner had asked for no lease itself and
+    took that for a lease that was over, though the former owner had extended it for
+    seconds more: what ran on the worker was started elsewhere beside it. The log
+    showed the lease as over 0.6 s after the ownership had changed, with four members.
+    Given the tasks of c0 take 12 s
+    And the tasks of c1 take 12 s
+    When job c0 is handed in with steps
+      | count | accelerators |
+      | 3     | 4            |
+    And c0 runs on the fleet
+    And job c1 is handed in with steps
+      | count | accelerators |
+      | 3     | 4            |
+    And c1 runs on the fleet
+    And every worker that runs both c0 and c1 answers no look
+    And job c1 is cancelled
+    And the scheduling process dies
+    And 4 s pass
+    And every worker answers looks again
+    Then job c0 is shown as completed within 20 s
+    And the fleet's ledger shows nothing wrong
+    And no task of c0 was started twice
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -60,6 +60,7 @@
         cut: Nothing reaches it and nothing comes back; it runs on.
         fails_all: Every run on it fails at its end.
         frozen_tasks: Its tasks stand still.
+        deaf_to_looks: Looks are not answered; orders are.
         late_orders: Delays of the next orders, in seconds; none is answered.
         lose_answers: How many of the next orders are carried out unheard.
         unhealthy: It refuses every start.
@@ -68,6 +69,7 @@
     cut: bool = False
     fails_all: bool = False
     frozen_tasks: bool = False
+    deaf_to_looks: bool = False
     late_orders: list[float] = field(default_factory=list)
     lose_answers: int = 0
     unhealthy: bool = False
@@ -309,6 +311,13 @@
         self.workers[entry.worker] = worker
         return worker
 
+    def find_at(self, address: str) -> FleetWorker | None:
+        """Return the life that serves at an address now."""
+        for worker in self.workers.values():
+            if worker.alive and worker.entry.address == address:
+                return worker
+        return None
+
     def find_script(self, task: str) -> Script:
         """Return what becomes of a task: by its name, its job, or as usual."""
         job = task.partition(".")[0]
@@ -376,6 +385,9 @@
         worker = await self._reach(entry)
         if worker is None:
             return Refusal.OTHER_LIFE
+        if worker.faults.deaf_to_looks:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer to a look")
         worker.sweep()
         refusal = worker.take_look(fence, seen, until)
         if refusal is not None:
@@ -428,14 +440,15 @@
         return OrderAnswer(worker.read_clock(), refusal)
 
     async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
+        """Return the life that a call is meant for; None if another answers there."""
         await asyncio.sleep(ANSWER_SECONDS)
-        worker = self._fleet.workers.get(entry.worker)
-        if worker is not None and self._is_cut(worker):
+        worker = self._fleet.find_at(entry.address)
+        if worker is None:
+            raise Failure(ErrorKind.NO_TARGET, f"nothing listens at {entry.address}")
+        if self._is_cut(worker):
             await asyncio.sleep(TIMEOUT_SECONDS)
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
-        if worker is None or not worker.alive:
-            return None
-        return worker
+        return worker if worker.entry.worker == entry.worker else None
 
     def _is_cut(self, worker: FleetWorker) -> bool:
         return self.cut_off or worker.faults.cut
