Take a lease that is not known for the longest one, not for none

Cause: a new owner knew a worker's clock from the answer to a stop, had asked for no lease, and held the lease that it never asked for as run out at the next silence.

Ruled out: the end of the care for workers (`unheard`), which comes after 16 s.

Change: the first answer under our fence bounds what earlier owners can have asked for: the longest lease of the platform from that moment on the worker's clock. The bound is read from the settings, where it stood unused.

Before: the scenario fails ("run 2 starts while it runs elsewhere").

--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -27,7 +27,12 @@
 from primrosestile.state.workers import WorkerEntry
 from primrosestile_standin.fleetstore import FleetStore
 from primrosestile_standin.fleetvms import FleetVms
-from primrosestile_standin.fleetworker import Fleet, FleetCalls, FleetWorker
+from primrosestile_standin.fleetworker import (
+    LEASE_LONGEST_SECONDS,
+    Fleet,
+    FleetCalls,
+    FleetWorker,
+)
 
 POOL = "engine"
 HOST = "queue.example"
@@ -154,6 +159,7 @@
                 policies,
                 term,
                 status_kept=120.0,
+                lease_longest=LEASE_LONGEST_SECONDS,
                 advice=self.fleet.advice,
                 upkeep=self.vms,
             )
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -57,16 +57,18 @@
 
 @dataclass(slots=True)
 class WorkerClock:
-    """What is known of a worker's steady clock.
+    """What is known of a worker's steady clock, and of its lease by that clock.
 
     Attributes:
+        lease_longest: Seconds from its arrival that any extension lasts at the most.
         reading: Its time, and `at` ours when that came; the worker's was no less.
-        until: The latest end of its lease that we have asked for.
+        until: What its lease surely ends by; infinite while that is not known.
     """
 
+    lease_longest: float
     reading: float = 0.0
     at: float = -math.inf
-    until: float = 0.0
+    until: float = math.inf
 
     @property
     def known(self) -> bool:
@@ -74,7 +76,16 @@
         return self.at > -math.inf
 
     def note(self, reading: float, now: float) -> None:
-        """Take in a reading that came just now."""
+        """Take in a reading that came just now, with an answer to a call of ours.
+
+        Until it answered our fence, a worker obeyed earlier owners, whose extensions
+        we never saw: its lease may last the longest that there is from then on. Were
+        the lease taken as what we ourselves have asked for, which is nothing yet, the
+        next silence would count it as over, and its tasks would start elsewhere while
+        they run; `worker_lease_over` would come within a second of `ownership_gained`.
+        """
+        if not self.known:
+            self.until = reading + self.lease_longest
         if reading > self.reading:
             self.reading = reading
             self.at = now
@@ -101,9 +112,10 @@
         recorder: Recorder,
         wake: Callable[[], None],
         note_end: Callable[[Member, EndKind], None],
+        lease_longest: float,
     ) -> None:
         self.worker = worker
-        self.clock = WorkerClock()
+        self.clock = WorkerClock(lease_longest)
         self._calls = calls
         self._term = term
         self._board = board
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -80,6 +80,7 @@
         policies: PolicyWatch,
         term: Term,
         status_kept: float,
+        lease_longest: float,
         advice: AdviceCalls,
         upkeep: UpkeepCalls,
     ) -> None:
@@ -88,6 +89,7 @@
         self._policies = policies
         self._term = term
         self._status_kept = status_kept
+        self._lease_longest = lease_longest
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
         self._board = Board(policy)
@@ -174,6 +176,7 @@
             self._recorder,
             self._wake,
             self._note_end,
+            self._lease_longest,
         )
         self._links[name] = link
         tasks.create_task(self._run_link(name, link))
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -134,6 +134,7 @@
             self._policies,
             term,
             self.settings.bounds.status_kept,
+            self.settings.bounds.lease_longest,
             PlatformAdvice(self.settings.advice_address, self._connections),
             PlatformUpkeep(
                 self.settings.list_address,
