Don't let a wrong address in an entry end a live worker's life

An entry that another writer put over a live worker's, with the address of a second one, led the owner's looks there; the answer that another life serves at that address was taken as the end of the first.

Change: once an address has answered as a life, an entry with another address is left out and the worker counts as unlisted. A life that this owner has not heard is only over by such an answer once its entry is gone too; the end of what any owner can have extended still bounds the wait.

Before: both examples fail ("run 2 starts while it runs elsewhere", two tasks each).

--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -392,6 +392,24 @@
         worker.faults.deaf_to_looks = False
 
 
+@when("the entry of {name} names the address of {other}")
+def step_foreign_address(context: Any, name: str, other: str) -> None:
+    async def put() -> None:
+        rack = context.world.fleet.workers[name].entry.rack
+        context.world.list_worker(name, f"{other}:80", rack=rack)
+
+    context.world.run(put())
+
+
+@when("the entry of {name} is right again")
+def step_right_entry(context: Any, name: str) -> None:
+    async def put() -> None:
+        rack = context.world.fleet.workers[name].entry.rack
+        context.world.list_worker(name, rack=rack)
+
+    context.world.run(put())
+
+
 @when("worker {name} is cut off")
 def step_cut(context: Any, name: str) -> None:
     context.world.fleet.workers[name].faults.cut = True
--- a/features/work/faults.feature
+++ b/features/work/faults.feature
@@ -218,3 +218,26 @@
     Then job c0 is shown as completed within 20 s
     And the fleet's ledger shows nothing wrong
     And no task of c0 was started twice
+
+  Scenario Outline: An entry gives a live worker another one's address
+    Another writer overwrote a worker's entry, and the address in it was that of a
+    second worker. Asked for the first life, the second one answers that another life
+    serves here, which is true; taken as the end of the first, its tasks would be
+    started elsewhere while they run, and a render would be billed twice.
+    Given the tasks of c2 take 9 s
+    When job c2 is handed in with steps
+      | count | accelerators |
+      | 5     | 4            |
+    And c2 runs on the fleet
+    And the entry of <worker> names the address of w4
+    And <what happens>
+    And 3 s pass
+    And the entry of <worker> is right again
+    Then job c2 is shown as completed within 25 s
+    And the fleet's ledger shows nothing wrong
+    And no task of c2 was started twice
+
+    Examples: the owner has heard the worker before, or is new
+      | worker | what happens               |
+      | w1     | 1 s pass                   |
+      | w2     | the scheduling process dies |
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -40,6 +40,9 @@
 # A look that hears of no end returns after this, well within the lease.
 LOOK_SECONDS = 1.0
 RETRY_SECONDS = 0.15
+# Between looks at an address that answers for another life than the one expected, of
+# which this owner has heard nothing yet; its entry is right or gone within seconds.
+DOUBT_SECONDS = 0.5
 # A worker's clock may be 2% slow; a little more, and the way of one message.
 SLOW_CLOCK_FACTOR = 0.97
 CLOCK_MARGIN_SECONDS = 0.3
@@ -191,16 +194,19 @@
         by a look that arrives late, the lease could never be taken as run out.
         """
         sent_at = read_clock()
+        entry = self.entry
         until = self.find_lease_end() if self.worker.in_hand else None
         wait = LOOK_SECONDS if waiting and until is not None else 0.0
         answer = await self._calls.look(
-            self.entry, self._term.fence, self._seen, until, wait
+            entry, self._term.fence, self._seen, until, wait
         )
         if isinstance(answer, Refusal):
             await self._take_refusal(answer)
             return
         self._last_heard = read_clock()
         self.clock.note(answer.clock, self._last_heard)
+        if entry.address == self.entry.address:
+            self.worker.proven = True
         await self._take_look(answer, sent_at)
 
     async def _take_refusal(self, refusal: Refusal) -> None:
@@ -208,12 +214,31 @@
             _log.warning("fence_refused", worker=self.worker.name, by="look")
             self._term.lost.set()
         elif refusal is Refusal.OTHER_LIFE:
-            _log.info("worker_life_over", worker=self.worker.name)
-            self._board.drop_worker(self.worker.name, Proof.LIFE_OVER)
-            self._wake()
+            await self._take_other_life()
         else:
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def _take_other_life(self) -> None:
+        """Take the life as over, if the address is surely the one that it had.
+
+        An entry can be wrong: one that another writer has put over it may name the
+        address of a second worker, which then truly answers that another life serves
+        there. Taken as the end of the first, what runs on that would start elsewhere
+        beside it. So the word counts of an address that has answered us as this life,
+        or once the entry is gone as well; else the entry is waited for, and at last
+        the end of what any owner can have extended.
+        """
+        worker = self.worker
+        if worker.members and worker.listed and not worker.proven:
+            _log.info(
+                "worker_life_doubted", worker=worker.name, address=worker.entry.address
+            )
+            await asyncio.sleep(DOUBT_SECONDS)
+            return
+        _log.info("worker_life_over", worker=worker.name)
+        self._board.drop_worker(worker.name, Proof.LIFE_OVER)
+        self._wake()
+
     async def _take_look(self, look: WorkerLook, sent_at: float) -> None:
         self._take_running(look.running)
         fresh = [each for each in look.ended if each.number > self._seen]
--- a/src/primrosestile/coordination/work/roster.py
+++ b/src/primrosestile/coordination/work/roster.py
@@ -47,6 +47,8 @@
         self._read_at = -STALE_SECONDS
         self._failed_at = -ABSENCE_SECONDS
         self._missing_since: dict[str, float] = {}
+        # Addresses that entries of another writer give to workers, by worker.
+        self._foreign: dict[str, str] = {}
 
     @property
     def recent(self) -> bool:
@@ -70,15 +72,39 @@
         asked_at = read_clock()
         entries = await self._workers.list_workers()
         self._read_at = asked_at
+        own = [entry for entry in entries if self._is_own(entry)]
         changed = False
-        for entry in entries:
+        for entry in own:
             changed |= self._take_entry(entry)
-        present = {entry.worker for entry in entries}
-        self._board.forget_ended(present)
-        self._note_missing(present)
+        self._board.forget_ended({entry.worker for entry in entries})
+        self._note_missing({entry.worker for entry in own})
         if changed:
             self._wake()
 
+    def _is_own(self, entry: WorkerEntry) -> bool:
+        """Whether an entry can be its worker's own word.
+
+        A life keeps its address. Where it has answered us, an entry that names another
+        address comes from another writer: followed, our calls would reach a stranger,
+        and the life would lose its lease with all that runs on it. It is left out, so
+        the worker counts as unlisted until its entry is right again.
+        """
+        worker = self._board.workers.get(entry.worker)
+        if worker is None or not worker.proven:
+            return True
+        if entry.address == worker.entry.address:
+            self._foreign.pop(entry.worker, None)
+            return True
+        if self._foreign.get(entry.worker) != entry.address:
+            self._foreign[entry.worker] = entry.address
+            _log.warning(
+                "worker_entry_foreign",
+                worker=entry.worker,
+                address=entry.address,
+                known=worker.entry.address,
+            )
+        return False
+
     def _take_entry(self, entry: WorkerEntry) -> bool:
         if self._board.has_ended(entry):
             return False
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -280,6 +280,7 @@
     Attributes:
         in_hand: It has accepted our fence, and its clock is known.
         listed: It stands in the store's list.
+        proven: The address of its entry has answered this owner as this very life.
         closed: It is being emptied for its VM's upkeep.
         distrusted_until: It gets no work before, as work on it went badly.
         leaves_at: When it may be gone, once it has said that it leaves.
@@ -289,6 +290,7 @@
     entry: WorkerEntry
     in_hand: bool = False
     listed: bool = True
+    proven: bool = False
     closed: bool = False
     distrusted_until: float = 0.0
     leaves_at: float = math.inf
