Tell the whole story of one task, and the proofs that it rested on

`run_gone` now carries the fence, the worker's clock, the end of its lease and how long ago it was heard; a start that was answered has a line of its own. Given a task's name, `primrosestile explain` weaves in what was believed of its workers and who owned the fleet, from the logs of all processes.

A scenario builds such a story from a worker that crashes under a task and serves again beside its former entry. Seen failing while the links' knowledge was dropped before the line was written.

--- a/features/logs/explaining.feature
+++ b/features/logs/explaining.feature
@@ -9,6 +9,15 @@
     Then the story goes: job accepted, job admitted, run decided, run preempted
     And the story names the guaranteed job as the one that gained
 
+  Scenario: A task was started twice
+    A client asks why a task ran a second time. Its name leads to each run, to the proof
+    by which the first was taken as gone, and to what was believed of its worker then.
+    Given the logs of 3 processes on which a worker crashed under a task
+    When the engineer asks for that task
+    Then the task's story goes: job admitted, run decided, run started, worker life over, run gone, run decided, run started, run ended
+    And the story names the proof, the fence and the worker's clock
+    And the story leaves out what is of other tasks and workers
+
   Scenario: An id that no log knows
     Given the logs of 3 processes on which a guaranteed job stopped a patient one
     When the engineer asks for the id ffffffffffffffff
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -5,6 +5,7 @@
 import io
 import json
 import tempfile
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,7 @@
 from primrosestile_standin.fleetworker import Script
 
 PATIENT = "00000000000000b1"
+TWICE = f"{PATIENT}.0.0.1"
 URGENT = "00000000000000c1"
 TASK = {"cpu": 1000, "mem_mb": 1000, "estimate_ms": 60_000}
 
@@ -43,16 +45,44 @@
     await asyncio.sleep(3.0)
 
 
+async def play_crash(world: FleetWorld) -> None:
+    """Let a worker crash under a task, and serve again beside its former entry."""
+    world.store.put(POLICY_KEY, make_policy(1))
+    for number in range(3):
+        world.add_worker(f"w{number}")
+        world.add_process(f"p{number}")
+    await asyncio.sleep(2.0)
+    world.fleet.default = Script(4.0, Need(1000, 1000, 8))
+    steps = [{"count": 2, "gpu": 8, **TASK}]
+    await world.submit("p0", PATIENT, "usual", "post", steps=steps)
+    await asyncio.sleep(1.0)
+    worker = next(each for each in world.fleet.workers.values() if TWICE in each.runs)
+    worker.crash()
+    world.add_worker("w9", worker.entry.address)
+    await asyncio.sleep(6.0)
+
+
 @given(
     "the logs of {count:d} processes on which a guaranteed job stopped a patient one"
 )
 def step_logs(context: Any, count: int) -> None:
+    write_logs(context, count, play)
+
+
+@given("the logs of {count:d} processes on which a worker crashed under a task")
+def step_crash_logs(context: Any, count: int) -> None:
+    write_logs(context, count, play_crash)
+
+
+def write_logs(
+    context: Any, count: int, played: Callable[[FleetWorld], Coroutine[Any, Any, None]]
+) -> None:
     output = io.StringIO()
     with contextlib.redirect_stdout(output):
         try:
             set_up_logs("p")
             world = FleetWorld()
-            world.run(play(world))
+            world.run(played(world))
             world.close()
         finally:
             structlog.contextvars.clear_contextvars()
@@ -79,6 +109,11 @@
     context.result = CliRunner().invoke(cli.app, command)
 
 
+@when("the engineer asks for that task")
+def step_ask_task(context: Any) -> None:
+    step_ask_id(context, TWICE)
+
+
 @then("the story goes: {events}")
 def step_story(context: Any, events: str) -> None:
     story = context.result.output
@@ -88,6 +123,34 @@
     assert places == sorted(places), story
 
 
+@then("the task's story goes: {events}")
+def step_task_story(context: Any, events: str) -> None:
+    story = context.result.output
+    assert context.result.exit_code == 0, story
+    place = 0
+    for event in events.split(", "):
+        place = story.find(f": {event} ", place) + 1
+        assert place, (event, events, story)
+
+
+@then("the story names the proof, the fence and the worker's clock")
+def step_proof(context: Any) -> None:
+    gone = next(
+        line for line in context.result.output.splitlines() if "run gone" in line
+    )
+    for each in ("proof=life over", "fence=", "worker_clock=", "heard_ago="):
+        assert each in gone, gone
+
+
+@then("the story leaves out what is of other tasks and workers")
+def step_left_out(context: Any) -> None:
+    story = context.result.output
+    assert f"{PATIENT}.0.0.0" not in story, story
+    # One worker ran the other task only.
+    named = {each for each in ("w0", "w1", "w2", "w9") if f"worker={each} " in story}
+    assert len(named) == 2, (named, story)
+
+
 @then("the story names the guaranteed job as the one that gained")
 def step_gainer(context: Any) -> None:
     assert f"gainer={URGENT}" in context.result.output
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -136,6 +136,22 @@
         """What the worker says of itself in the store."""
         return self.worker.entry
 
+    def describe(self) -> dict[str, float]:
+        """Return what is relied on of the worker, for the log.
+
+        Its own clock and the end of its lease by that clock, in seconds, and how long
+        ago it was last heard; the first two only once it was.
+        """
+        now = read_clock()
+        heard = {"heard_ago": round(now - self._last_heard, 3)}
+        if not self.clock.known:
+            return heard
+        return {
+            "worker_clock": round(self.clock.estimate(now), 3),
+            "lease_until": round(self.clock.until, 3),
+            **heard,
+        }
+
     def find_lease_end(self) -> float:
         """Return the end of the lease to ask for, on the worker's clock."""
         until = self.clock.estimate(read_clock()) + LEASE_SECONDS
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -133,6 +133,15 @@
     ) -> None:
         link.note_answer(answer.clock)
         if answer.refusal is None:
+            _log.info(
+                "run_started",
+                job_id=member.unit.job.job_id,
+                task=member.task,
+                run=member.run,
+                worker=member.worker,
+                fence=self._term.fence,
+                worker_clock=round(answer.clock, 3),
+            )
             self._board.note_up(member, read_clock())
             self._recorder.ask()
             return
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -185,6 +185,8 @@
         try:
             await link.run()
         finally:
+            # What the link knew of its worker belongs into the lines.
+            self._log_gone()
             # A worker that was given up may be back under its name by now; to drop
             # its new link would leave what runs there without orders for good.
             if self._links.get(name) is link:
@@ -306,15 +308,19 @@
         end that a worker listed has its own line.
         """
         for member, proof in self._board.take_gone():
-            if proof is not Proof.ENDED:
-                _log.info(
-                    "run_gone",
-                    job_id=member.unit.job.job_id,
-                    task=member.task,
-                    run=member.run,
-                    worker=member.worker,
-                    proof=proof.value,
-                )
+            if proof is Proof.ENDED:
+                continue
+            link = self._links.get(member.worker)
+            _log.info(
+                "run_gone",
+                job_id=member.unit.job.job_id,
+                task=member.task,
+                run=member.run,
+                worker=member.worker,
+                proof=proof.value,
+                fence=self._term.fence,
+                **(link.describe() if link else {}),
+            )
 
     async def _clean_up(self) -> None:
         """Remove the records of jobs that nobody can ask for any more."""
--- a/src/primrosestile/programs/cliexplain.py
+++ b/src/primrosestile/programs/cliexplain.py
@@ -1,5 +1,8 @@
 """Gathers the lines of one id from the logs of several processes into one story.
 
+The id of a task tells its runs, with what was believed of the workers they were on.
+
+
 The process that took a call in and the one that scheduled its job are seldom the
 same, and a job may pass through several owners. Each line names its process and
 its time, so the files can be given in any order.
@@ -13,6 +16,7 @@
 import typer
 
 from primrosestile.programs.clioutput import Exit, print_note
+from primrosestile.programs.stories import find_time, parse_task, tell_task
 
 # Shown first, or not at all, since every line has them.
 _COMMON = frozenset(
@@ -22,10 +26,12 @@
 
 def explain(
     files: Annotated[list[Path], typer.Argument(help="Logs of processes.")],
-    id: Annotated[str, typer.Option("--id", help="A job's or a request's id.")],
+    id: Annotated[
+        str, typer.Option("--id", help="A job's, a request's or a task's id.")
+    ],
 ) -> None:
     """Print what the logs say of one id, in the order of their times."""
-    lines = sorted(gather_lines(files, id), key=_find_time)
+    lines = gather_story(files, id)
     if not lines:
         print_note(f"no line of {len(files)} files names {id}")
         print_note("Give the logs of all processes, from before it was handed in.")
@@ -34,8 +40,16 @@
         print(format_line(line))
 
 
+def gather_story(files: Iterable[Path], id: str) -> list[Any]:
+    """Return the lines that belong to an id, in the order of their times."""
+    task = parse_task(id)
+    if task is None:
+        return sorted(gather_lines(files, id), key=find_time)
+    return tell_task(gather_lines(files, ""), task)
+
+
 def gather_lines(files: Iterable[Path], id: str) -> Iterator[dict[str, Any]]:
-    """Yield the lines in which an id stands, in any field."""
+    """Yield the lines in which an id stands, in any field; all for an empty one."""
     for path in files:
         with path.open(encoding="utf-8", errors="replace") as file:
             for text in file:
@@ -62,8 +76,4 @@
         f"{name}={value}" for name, value in line.items() if name not in _COMMON
     )
     event = str(line["event"]).replace("_", " ")
-    return f"{_find_time(line)} {line.get('process', '')}: {event} {details}".rstrip()
-
-
-def _find_time(line: dict[str, Any]) -> str:
-    return str(line.get("timestamp", ""))
+    return f"{find_time(line)} {line.get('process', '')}: {event} {details}".rstrip()
