Bring about three false proofs and counts, as scenarios that fail

Upkeep: the answer to a first order is lost, the repeated order is refused (refused for the rate, or answered with any status but 200, 400 and 409, all of which count as busy), so the VM is struck off the wave's record and later ordered "first" again. The answer "begun" is that of the earlier upkeep, and the new life on the VM is dropped as VM_ORDERED while it works. A gang's member fails; the record with that failure stands, the other member's end is unheard, and the owner dies before the worker was told to forget the end. The next owner hears the same end and counts it again, since the record does not say that the present run's failure was counted. Records of an old job are removed while a list of jobs, read before, is on its way. The list is taken in after the job was forgotten; the job is admitted anew without its record and runs again. Fails with "k1: 1 starts, then 2".

Nothing is mended.

--- /dev/null
+++ b/features/steps/work_review_steps.py
@@ -0,0 +1,87 @@
+"""Steps for false proofs: orders of events after which something counts as gone."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+from work_steps import list_running, make_id
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.work.keys import WISHES_PREFIX, make_job_key
+from primrosestile.protocol.upkeep import UpkeepAnswer
+from primrosestile.state.upkeep import Wave
+
+ANSWER_SECONDS = 0.005
+
+
+@given("upkeep orders for {vm} are refused for {seconds:g} s once it is back")
+def step_refused(context: Any, vm: str, seconds: float) -> None:
+    vms = context.world.vms
+    begin = vms.begin
+    back_at: list[float] = []
+
+    async def begin_or_refuse(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        life = next(each.worker for each in await vms.list_vms() if each.name == name)
+        if name != vm or not life.endswith("+"):
+            return await begin(name, wave, fence)
+        if not back_at:
+            back_at.append(read_clock())
+        if read_clock() - back_at[0] < seconds:
+            return UpkeepAnswer.BUSY
+        return await begin(name, wave, fence)
+
+    vms.begin = begin_or_refuse
+
+
+@when("operators ask for the upkeep of {vm} within {seconds:d} s")
+def step_wave_of_one(context: Any, vm: str, seconds: int) -> None:
+    context.world.vms.waves.append(Wave(8, (vm,), float(seconds), 1))
+
+
+@when("worker {name} is new in the list")
+def step_new_worker(context: Any, name: str) -> None:
+    async def add() -> None:
+        context.world.add_worker(name)
+
+    context.world.run(add())
+
+
+@given("while records are removed the store drops its history and answers late")
+def step_slow_lists(context: Any) -> None:
+    """Let the list of jobs be read just before a removal, and come just after."""
+    world = context.world
+    owner = world.processes["p1"]
+    assert owner.scheduler is not None
+    client = owner.scheduler._store
+    read_list, commit = client.list, client.commit
+
+    async def list_late(prefix: str, after: str = "") -> Any:
+        page = await read_list(prefix, after)
+        if prefix == WISHES_PREFIX:
+            await asyncio.sleep(ANSWER_SECONDS)
+        return page
+
+    async def commit_late(*change: Any, **named: Any) -> Any:
+        if any(key.startswith(make_job_key("")) for key in named.get("removals", ())):
+            # What others write moves the revision past the one that was watched.
+            world.store.put("learned/elsewhere", b"")
+            world.store.compact()
+            await asyncio.sleep(ANSWER_SECONDS / 2)
+        return await commit(*change, **named)
+
+    client.list, client.commit = list_late, commit_late
+
+
+@then("nothing of {name} starts again within {seconds:d} s")
+def step_starts_no_more(context: Any, name: str, seconds: int) -> None:
+    world = context.world
+    job = make_id(name)
+
+    async def look() -> None:
+        before = len([1 for task, _, _ in world.fleet.starts if task.startswith(job)])
+        await asyncio.sleep(seconds)
+        now = len([1 for task, _, _ in world.fleet.starts if task.startswith(job)])
+        assert before and now == before, f"{name}: {before} starts, then {now}"
+        assert not list_running(world, job)
+
+    world.run(look())
