Bring about a wave that is said to be completed and has not begun, as a scenario that fails

What this owner ordered is kept by VM and not by wave. When a later wave's order for the same VM gets lost on its way, the life that came after the first wave's order is taken for the end of the second wave's upkeep, and the order is not given again.

Measured: behave features/work/review.feature -n "A second wave", 1 scenario failed ({8: [], 9: []}: wave 9 is reported as completed; no order of it reached the platform). Nothing is mended.

--- a/features/steps/work_review_steps.py
+++ b/features/steps/work_review_steps.py
@@ -8,6 +8,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import WISHES_PREFIX, make_job_key
+from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.upkeep import UpkeepAnswer
 from primrosestile.state.upkeep import Wave
 
@@ -35,7 +36,31 @@
 
 @when("operators ask for the upkeep of {vm} within {seconds:d} s")
 def step_wave_of_one(context: Any, vm: str, seconds: int) -> None:
-    context.world.vms.waves.append(Wave(8, (vm,), float(seconds), 1))
+    waves = context.world.vms.waves
+    waves.append(Wave(8 + len(waves), (vm,), float(seconds), 1))
+
+
+@given("upkeep orders of wave {number:d} are lost on their way")
+def step_lost_orders(context: Any, number: int) -> None:
+    vms = context.world.vms
+    begin = vms.begin
+
+    async def begin_or_lose(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if wave == number:
+            raise Failure(ErrorKind.LIST_UNAVAILABLE, "lost on its way")
+        return await begin(name, wave, fence)
+
+    vms.begin = begin_or_lose
+
+
+@then("wave {number:d} is said to be completed")
+def step_is_completed(context: Any, number: int) -> None:
+    assert number in context.world.vms.completed, context.world.vms.completed
+
+
+@then("wave {number:d} is not said to be completed")
+def step_not_completed(context: Any, number: int) -> None:
+    assert number not in context.world.vms.completed, context.world.vms.completed
 
 
 @when("worker {name} is new in the list")
--- a/features/work/review.feature
+++ b/features/work/review.feature
@@ -58,3 +58,19 @@
       | 1     | 1            |
     Then job k1 is shown as completed within 10 s
     And nothing of k1 starts again within 200 s
+
+  Scenario: A second wave is not taken for the first one on the same VM
+    A VM had its upkeep in one wave and is asked for in another. The order of the
+    second wave gets lost on its way. The life that the first wave brought is taken
+    for the sign that the second is over too, so operators are told that an upkeep
+    was done which has never begun.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And upkeep orders of wave 9 are lost on their way
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And 15 s pass
+    Then wave 8 is said to be completed
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And 15 s pass
+    Then wave 9 is not said to be completed
