Bring about a job judged by one attempt after its queue was taken away, as a scenario that fails

A new owner that finds no queue of a job's name judges it by the stand-in queue, which has one attempt; the owner before kept the last queue of that name. The first failed run then ends the job.

Nothing is mended.

--- a/features/steps/work_review_steps.py
+++ b/features/steps/work_review_steps.py
@@ -4,11 +4,13 @@
 from typing import Any
 
 from behave import given, then, when
+from features.doubles.fleetworld import QUEUES, make_policy
 from work_steps import list_running, make_id
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import WISHES_PREFIX, make_job_key
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.policy import POLICY_KEY
 from primrosestile.protocol.upkeep import UpkeepAnswer
 from primrosestile.state.upkeep import Wave
 
@@ -110,3 +112,15 @@
         assert not list_running(world, job)
 
     world.run(look())
+
+
+@when("version {version:d} of the configuration has {queues}")
+def step_queues(context: Any, version: int, queues: str) -> None:
+    names = QUEUES if queues == "all queues" else {"urgent": QUEUES["urgent"]}
+
+    async def put() -> None:
+        policy = make_policy(version, queues=dict(names))
+        context.world.store.put(POLICY_KEY, policy)
+        await asyncio.sleep(0.3)
+
+    context.world.run(put())
--- a/features/work/review.feature
+++ b/features/work/review.feature
@@ -74,3 +74,22 @@
     When operators ask for the upkeep of vm-w1 within 25 s
     And 15 s pass
     Then wave 9 is not said to be completed
+
+  Scenario: The owner changes while no queue of a job's name is configured
+    Operators take a queue away for some seconds while a job of it runs, and the owner
+    dies meanwhile. The next owner finds no queue of that name and judges the job by
+    one attempt, so the first failed run ends it. Its caller is shown a failed job that
+    had an attempt left.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    And job x1 fails wherever it runs
+    When job x1 is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    And x1 runs on the fleet
+    And version 2 of the configuration has the urgent queue only
+    And the scheduling process dies
+    And 5 s pass
+    And version 3 of the configuration has all queues
+    Then job x1 is shown as failed within 20 s
+    And x1 was started 2 times
