Bring about a live worker's end by a wrong entry that is gone for a moment, as a scenario that fails

A new owner has not heard a worker yet, whose entry names another worker's address. The answer that another life serves there is doubted while the entry stands, but taken as soon as one reading of the list lacks the entry: a worker counts as unlisted at once when no reading failed in the last 2.5 s. Between the removal of a wrong entry and the worker's next heartbeat there is such a reading.

Nothing is mended.

--- a/features/work/review.feature
+++ b/features/work/review.feature
@@ -93,3 +93,26 @@
     And version 3 of the configuration has all queues
     Then job x1 is shown as failed within 20 s
     And x1 was started 2 times
+
+  Scenario: A wrong entry is gone for a moment before the right one is back
+    Another writer put a second worker's address over a worker's entry, which a new
+    owner has read. Its writer removes the entry, and there is none until the worker
+    writes its next heartbeat. The second worker still answers that another life serves
+    there; with the entry gone for one reading, that is taken as the end of the first
+    life, whose tasks start elsewhere beside themselves.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And 3 processes of ours
+    And the tasks of y1 take 9 s
+    When job y1 is handed in with steps
+      | count | accelerators |
+      | 5     | 4            |
+    And y1 runs on the fleet
+    And the entry of w2 names the address of w4
+    And the scheduling process dies
+    And 3.5 s pass
+    And the entry of w2 is gone
+    And 1.2 s pass
+    And the entry of w2 is right again
+    Then job y1 is shown as completed within 25 s
+    And the fleet's ledger shows nothing wrong
+    And no task of y1 was started twice
