Record what the next owner must not guess: addresses, counted failures, attempts

- It took a worker's address from the list.
A wrong entry that vanished for one reading let the answer of a stranger end a live life ("two tasks run twice").
Records now name where the workers of their runs have answered; only that address can say that the life is over, and an answer that was on its way from another one no longer counts.
- It counted a gang's failure that the former owner had counted (shown as failed after 2 starts, not 4).
The record says whether the latest failure is in.
- It judged a job whose queue was taken away for seconds by one attempt (failed after 1 start, not 2).
The submission keeps the attempts it was accepted with.

--- a/features/work/faults.feature
+++ b/features/work/faults.feature
@@ -241,3 +241,33 @@
       | worker | what happens               |
       | w1     | 1 s pass                   |
       | w2     | the scheduling process dies |
+
+  Scenario: The owner dies while no entry names a worker that runs on
+    A worker can't reach the store, so its entry has lapsed, and the owner dies. The
+    next owner finds the worker in records only. Not asked there, the worker would lose
+    its lease, and hours of renders would be thrown away and done again.
+    Given the tasks of h0 take 20 s
+    When job h0 is handed in with steps
+      | count | accelerators |
+      | 4     | 8            |
+    And h0 runs on the fleet
+    And the entry of w1 is gone
+    And the scheduling process dies
+    Then job h0 is shown as completed within 24 s
+    And every task of h0 was started once
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: The owner dies after a worker whose entry has gone
+    A worker crashed, its next life serves at its address, and the owner dies once the
+    former entry has gone. The next owner can ask at the address in its records; were
+    it to wait for the lease of a worker that it can't find, the callers of what ran
+    there would wait 16 s more.
+    Given the tasks of h1 take 6 s
+    When job h1 is handed in with steps
+      | count | accelerators |
+      | 4     | 8            |
+    And h1 runs on the fleet
+    And the scheduling process dies
+    And worker w1 crashes and starts again as w9
+    Then job h1 is shown as completed within 13 s
+    And the fleet's ledger shows nothing wrong
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -217,7 +217,7 @@
             entry, self._term.fence, self._seen, until, wait
         )
         if isinstance(answer, Refusal):
-            await self._take_refusal(answer)
+            await self._take_refusal(answer, entry.address)
             return
         self._last_heard = read_clock()
         self.clock.note(answer.clock, self._last_heard)
@@ -225,30 +225,29 @@
             self.worker.proven = True
         await self._take_look(answer, sent_at)
 
-    async def _take_refusal(self, refusal: Refusal) -> None:
+    async def _take_refusal(self, refusal: Refusal, address: str) -> None:
         if refusal is Refusal.FENCE:
             _log.warning("fence_refused", worker=self.worker.name, by="look")
             self._term.lost.set()
         elif refusal is Refusal.OTHER_LIFE:
-            await self._take_other_life()
+            await self._take_other_life(address)
         else:
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def _take_other_life(self) -> None:
+    async def _take_other_life(self, address: str) -> None:
         """Take the life as over, if the address is surely the one that it had.
 
         An entry can be wrong: one that another writer has put over it may name the
         address of a second worker, which then truly answers that another life serves
         there. Taken as the end of the first, what runs on that would start elsewhere
-        beside it. So the word counts of an address that has answered us as this life,
-        or once the entry is gone as well; else the entry is waited for, and at last
-        the end of what any owner can have extended.
+        beside it. So the word counts of an address that has answered an owner as this
+        life; else a right entry is waited for, and at last the end of what any owner
+        can have extended.
         """
         worker = self.worker
-        if worker.members and worker.listed and not worker.proven:
-            _log.info(
-                "worker_life_doubted", worker=worker.name, address=worker.entry.address
-            )
+        asked_there = worker.proven and address == worker.entry.address
+        if worker.members and not asked_there:
+            _log.info("worker_life_doubted", worker=worker.name, address=address)
             await asyncio.sleep(DOUBT_SECONDS)
             return
         _log.info("worker_life_over", worker=worker.name)
--- a/src/primrosestile/coordination/work/roster.py
+++ b/src/primrosestile/coordination/work/roster.py
@@ -84,15 +84,15 @@
     def _is_own(self, entry: WorkerEntry) -> bool:
         """Whether an entry can be its worker's own word.
 
-        A life keeps its address. Where it has answered us, an entry that names another
-        address comes from another writer: followed, our calls would reach a stranger,
-        and the life would lose its lease with all that runs on it. It is left out, so
-        the worker counts as unlisted until its entry is right again.
+        A life keeps its address. Where it has answered us or an earlier owner, an entry
+        that names another address comes from another writer: followed, our calls would
+        reach a stranger, and the life would lose its lease with all that runs on it. It
+        is left out, so the worker counts as unlisted until its entry is right again.
         """
-        worker = self._board.workers.get(entry.worker)
-        if worker is None or not worker.proven:
+        known = self._board.find_proven(entry.worker)
+        if known is None:
             return True
-        if entry.address == worker.entry.address:
+        if entry.address == known:
             self._foreign.pop(entry.worker, None)
             return True
         if self._foreign.get(entry.worker) != entry.address:
@@ -101,7 +101,7 @@
                 "worker_entry_foreign",
                 worker=entry.worker,
                 address=entry.address,
-                known=worker.entry.address,
+                known=known,
             )
         return False
 
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -149,12 +149,19 @@
                 await self._memory.load()
                 await self._intake.load()
                 await self._roster.refresh()
+                self._add_astray()
             except Failure as failure:
                 _log.warning("recovery_delayed", reason=str(failure))
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             return
 
+    def _add_astray(self) -> None:
+        """Add the workers that only records name, to be asked but given nothing."""
+        for entry in self._board.list_astray():
+            self._add_worker(entry)
+            self._board.workers[entry.worker].listed = False
+
     def _add_worker(self, entry: WorkerEntry) -> None:
         self._board.add_worker(entry)
         _log.info(
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -24,10 +24,17 @@
     UnitKey,
     UnitRecord,
 )
-from primrosestile.state.workers import EndKind, WorkerEntry
+from primrosestile.state.workers import EndKind, WorkerEntry, make_bare_entry
 
-# What a job is judged by when no policy names its queue any more.
-_FORGOTTEN_QUEUE = Queue("", "", "", "", 2, 1, 3.0, 3.0, 3.0)
+
+def _make_forgotten_queue(attempts: int) -> Queue:
+    """Return what a job is judged by while no policy names its queue.
+
+    It keeps the attempts that it was accepted with. Judged by a single one, a job would
+    be shown as failed after its first failed run, when an owner begins while operators
+    have its queue taken away for some seconds.
+    """
+    return Queue("", "", "", "", 2, attempts, 3.0, 3.0, 3.0)
 
 
 class Board:
@@ -50,6 +57,9 @@
         # some seconds more; taken for new each time, they would be asked again and
         # again, 41 times in 6 s for seven workers that had crashed together.
         self._ended: dict[str, str] = {}
+        # Where workers have answered an earlier owner, by name, as records tell. An
+        # owner only starts runs on workers that have answered it.
+        self.proven: dict[str, str] = {}
         # Members on workers that no entry names, of which only time can tell.
         self.astray: dict[str, list[Member]] = {}
 
@@ -63,7 +73,8 @@
         self, submission: Submission, progress: Progress | None, now: float, age: float
     ) -> Job:
         """Add a job, as it was accepted or as far as an earlier owner brought it."""
-        queue = self.policy.find_named(submission.queue) or _FORGOTTEN_QUEUE
+        queue = self.policy.find_named(submission.queue)
+        queue = queue or _make_forgotten_queue(submission.attempts)
         job = Job(submission, queue, now - age)
         self.jobs[job.job_id] = job
         if progress is None:
@@ -73,6 +84,7 @@
         opened = max((each.occurrence + 1 for each in progress.units), default=0)
         for occurrence in range(opened):
             self.open_occurrence(job, occurrence)
+        self.proven.update(progress.addresses)
         for record in progress.units:
             self._restore(job, record, now)
         return job
@@ -92,7 +104,9 @@
         unit.run = record.run
         unit.failures = record.failures
         unit.checkpoint = record.checkpoint
+        unit.failed_here = record.failure_counted
         if unit.phase is Phase.ORDERED:
+            unit.abandoned = record.failure_counted
             self.place_members(unit, record.workers, now)
             for member in unit.members:
                 member.restored = True
@@ -119,6 +133,7 @@
                 since=now,
                 resumed=bool(unit.checkpoint and unit.step.checkpoints),
                 moved_at=now,
+                address=self.find_proven(name) or "",
             )
             for position, name in enumerate(workers)
         )
@@ -132,12 +147,33 @@
     def add_worker(self, entry: WorkerEntry) -> Worker:
         """Add a life of a worker, with the members that records name on it."""
         worker = Worker(entry)
+        worker.proven = self.proven.get(entry.worker) == entry.address
         self.workers[entry.worker] = worker
         for member in self.astray.pop(entry.worker, ()):
             if member.state is not MemberState.GONE:
                 worker.attach(member)
         return worker
 
+    def find_proven(self, name: str) -> str | None:
+        """Return the address at which a life has answered us or an earlier owner."""
+        worker = self.workers.get(name)
+        if worker is not None and worker.proven:
+            return worker.entry.address
+        return self.proven.get(name)
+
+    def list_astray(self) -> list[WorkerEntry]:
+        """Return what is known of the workers that records name and no entry does.
+
+        They take no new work; but they can be asked where they have answered before.
+        Left alone, what runs there would lose its lease with the former owner, and what
+        has ended there with its worker would be waited for until that lease is over.
+        """
+        return [
+            make_bare_entry(name, self.proven[name])
+            for name in self.astray
+            if name in self.proven
+        ]
+
     def drop_worker(self, name: str, proof: Proof) -> None:
         """Note that a worker's life is certainly over, or its lease has run out."""
         for member in self.astray.pop(name, []):
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -91,6 +91,7 @@
         resumed: It began from a checkpoint, not from the beginning.
         up_at: When its worker first said that it runs.
         moved_at: When its progress was last seen to rise.
+        address: Where its worker has answered as this life; empty if not known.
         pace: The share of its speed that its worker was told to give it, in percent;
             UNKNOWN_PACE while that is not known.
         paced_at: When that last changed.
@@ -108,6 +109,7 @@
     usage: float = 0.0
     up_at: float = 0.0
     moved_at: float = 0.0
+    address: str = ""
     pace: int = 100
     paced_at: float = 0.0
 
@@ -219,6 +221,7 @@
             failures=self.failures,
             workers=workers,
             checkpoint=self.checkpoint,
+            failure_counted=self.failed_here,
         )
 
 
@@ -270,7 +273,17 @@
             for unit in self.units.values()
             if unit.run or unit.phase is not Phase.WAITING
         )
-        return Progress(self.state, units, self.ended_at)
+        return Progress(self.state, units, self.ended_at, self._find_addresses())
+
+    def _find_addresses(self) -> dict[str, str]:
+        """Return where the workers of the present runs have answered."""
+        return {
+            member.worker: member.address
+            for unit in self.units.values()
+            if unit.phase is Phase.ORDERED
+            for member in unit.members
+            if member.address
+        }
 
 
 @dataclass(slots=True, eq=False)
--- a/src/primrosestile/platform/callers.py
+++ b/src/primrosestile/platform/callers.py
@@ -86,6 +86,7 @@
         steps=tuple(_make_step(step) for step in job.steps),
         repeats=repeats,
         accepted_at=accepted_at,
+        attempts=queue.attempts,
     )
 
 
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -104,6 +104,8 @@
         pool: The workers that the queue led to at that time.
         payload: Passed to the workers as it came.
         accepted_at: Seconds since 1970 by the accepting process's clock.
+        attempts: Runs of a task that may fail, as the queue had it at that time; used
+            while no queue of that name is configured.
     """
 
     job_id: str
@@ -114,6 +116,7 @@
     steps: tuple[Step, ...]
     repeats: Repeats = Repeats()
     accepted_at: float = 0.0
+    attempts: int = 1
 
 
 class UnitKey(NamedTuple):
@@ -145,6 +148,9 @@
         failures: Runs that ended as failed.
         workers: Where each member of the latest run was sent, by position.
         checkpoint: What a later run may begin from; empty for the beginning.
+        failure_counted: Whether `failures` has that of the latest run in it. An end is
+            repeated to the next owner until its worker is told that it may forget it;
+            counted twice, one failure of a gang would use up two attempts.
     """
 
     occurrence: int
@@ -155,6 +161,7 @@
     failures: int = 0
     workers: tuple[str, ...] = ()
     checkpoint: str = ""
+    failure_counted: bool = False
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -162,11 +169,15 @@
 
     Attributes:
         ended_at: Seconds since 1970 at which it reached a final state, else 0.
+        addresses: Where the workers of its present runs have answered, by name. The
+            list of workers may lack them, or give another writer's address, when the
+            next owner reads it.
     """
 
     state: JobState
     units: tuple[UnitRecord, ...] = ()
     ended_at: float = 0.0
+    addresses: dict[str, str] = {}
 
 
 class Cancellation(msgspec.Struct, frozen=True, array_like=True):
--- a/src/primrosestile/state/workers.py
+++ b/src/primrosestile/state/workers.py
@@ -27,6 +27,11 @@
     leaving_seconds: float = 0.0
 
 
+def make_bare_entry(worker: str, address: str) -> WorkerEntry:
+    """Return the entry of a worker of which only its address is known."""
+    return WorkerEntry(worker, address, "", "", Need(), (), "", leaving=False)
+
+
 class EndKind(StrEnum):
     """How a run ended, as its worker tells it.
 
