Know the time of day before the first end is heard

A new owner's board began at the time 0. An end that came with the answer to its first look was noted as of 1970, the records were removed ten seconds later as long past, and the caller was told that there is no such job. The time is now given to the board when it is made.

--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -43,7 +43,7 @@
         {POOL: Pool(POOL, True)},
         guarantees=dict.fromkeys(ORGANISATIONS, guarantee),
     )
-    return Board(policy)
+    return Board(policy, wall=0.0)
 
 
 def add_worker(board: Board, number: int, accelerators: int, **fields: Any) -> None:
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -92,7 +92,7 @@
         self._lease_longest = lease_longest
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
-        self._board = Board(policy)
+        self._board = Board(policy, read_wall_clock())
         self._trust = Trust()
         self._durations = Durations()
         self._speeds = Speeds()
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -45,14 +45,16 @@
         gone: Members taken as gone since these were last taken, and why.
     """
 
-    def __init__(self, policy: Policy) -> None:
+    def __init__(self, policy: Policy, wall: float) -> None:
         self.policy = policy
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.changed: set[Job] = set()
         self.gone: list[tuple[Member, Proof]] = []
-        # Seconds since 1970, as of the present event.
-        self.wall = 0.0
+        # Seconds since 1970, as of the present event; known from the start, since a
+        # new owner may hear of ends before its first pass. Noted as ended at 0, a job
+        # would be old enough for its records to be removed, and unknown to its caller.
+        self.wall = wall
         # Lives of workers that are over, and their addresses. The list names them for
         # some seconds more; taken for new each time, they would be asked again and
         # again, 41 times in 6 s for seven workers that had crashed together.
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -134,7 +134,7 @@
         self._arrivals = {each.submission.job_id: each for each in arrivals}
         self._durations = Durations()
         self._speeds = Speeds()
-        self._board = Board(_make_policy(workload))
+        self._board = Board(_make_policy(workload), wall=0.0)
         self._speed_of = {}
         for number in range(workload.workers):
             entry = _make_worker(workload, number)
