Drive the platform path into trouble with a state machine (in progress)

Processes that are suspended and killed, orders and looks that are late, lost, doubled and crossing, workers that restart beside their former entry, and the store's faults, over the real coordination code on a paused clock. The stand-in answers by address, breaks a gang whose member crashed, extends a lease also by a start that is refused as old or for room, and stops in up to 0.4 s.

--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -22,6 +22,8 @@
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
 from primrosestile.platform.workers import PlatformWorkerList
+from primrosestile.protocol.fleet import WorkerCalls
+from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import JobState, Submission
 from primrosestile.state.workers import WorkerEntry
@@ -91,7 +93,7 @@
     policies: PolicyWatch
     submitting: Submitting
     election: Election
-    calls: FleetCalls
+    calls: WorkerCalls
     task: asyncio.Task[Any] | None = None
     scheduler: Scheduler | None = None
     frozen_for: float = 0.0
@@ -137,14 +139,14 @@
 
     def add_process(self, name: str, processor: float = 1.0) -> Process:
         """Start a process on a machine of some processor, in cores."""
-        store = self.store.connect(name)
+        store = self.connect(name)
         process: Process
 
         def read_steady() -> float:
             return read_clock() + process.frozen_for
 
         policies = PolicyWatch(PlatformPolicies(store), POLICY_AGE_SECONDS, read_steady)
-        calls = FleetCalls(self.fleet)
+        calls = self.make_calls(name)
 
         async def run_term(term: Term) -> None:
             process.scheduler = Scheduler(
@@ -169,9 +171,21 @@
             calls=calls,
         )
         self.processes[name] = process
-        process.task = asyncio.get_running_loop().create_task(_run_process(process))
+        process.task = self.start_process(process)
         return process
 
+    def connect(self, name: str) -> TransactionalStore:
+        """Return a process's way to the store."""
+        return self.store.connect(name)
+
+    def make_calls(self, name: str) -> WorkerCalls:
+        """Return a process's way to the workers."""
+        return FleetCalls(self.fleet)
+
+    def start_process(self, process: Process) -> asyncio.Task[Any]:
+        """Let a process run."""
+        return asyncio.get_running_loop().create_task(run_process(process))
+
     async def kill(self, name: str) -> None:
         """End a process without a word."""
         process = self.processes[name]
@@ -309,7 +323,7 @@
         return entry
 
 
-async def _run_process(process: Process) -> None:
+async def run_process(process: Process) -> None:
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(process.policies.run())
         await process.policies.loaded.wait()
--- /dev/null
+++ b/features/doubles/worklinks.py
@@ -0,0 +1,224 @@
+"""What lies between one process and the platform: its workers and its store.
+
+Each process has its own links. A call runs outside of its caller: one that is
+suspended or killed undoes nothing that it has sent, and reads its answer late.
+"""
+
+import asyncio
+import contextvars
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, TypeVar
+
+from features.doubles.network import run_outside
+
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.fleet import (
+    OrderAnswer,
+    Refusal,
+    StartOrder,
+    WorkerCalls,
+    WorkerLook,
+)
+from primrosestile.protocol.store import Entry, Page
+from primrosestile.protocol.transactions import (
+    Committed,
+    Condition,
+    Heard,
+    TransactionalStore,
+    Write,
+)
+from primrosestile.state.workers import WorkerEntry
+
+ORDER_TIMEOUT_SECONDS = 0.45
+LOOK_SLACK_SECONDS = 0.6
+# A way that is slow, within the time that a caller waits.
+SLOW_SECONDS = 0.3
+# Before and after its own late_seconds a call may cross others, so it is spread.
+T = TypeVar("T")
+
+
+class Way(Enum):
+    """What becomes of one call to a worker."""
+
+    DONE = "done"
+    NEVER_SENT = "never sent"
+    LOST_BEFORE = "lost before its effect"
+    LOST_AFTER = "carried out unheard"
+    LATE = "carried out after its caller gave up"
+    TWICE = "carried out at once, then again late"
+    SLOW_THERE = "carried out a little later, answered in time"
+    SLOW_BACK = "carried out at once, answered a little later"
+
+
+@dataclass(slots=True)
+class WorkLink:
+    """One process's way to the workers.
+
+    Attributes:
+        order_ways: What becomes of its next starts and stops; done when empty.
+        look_ways: Likewise of its next looks.
+        late_seconds: How long after it was sent a late call is carried out.
+        cut: Addresses that its calls don't reach.
+        deaf: Addresses whose answers don't come back.
+    """
+
+    order_ways: deque[Way] = field(default_factory=deque)
+    look_ways: deque[Way] = field(default_factory=deque)
+    late_seconds: float = 2.0
+    cut: set[str] = field(default_factory=set)
+    deaf: set[str] = field(default_factory=set)
+
+    def heal(self) -> None:
+        """Let everything through."""
+        self.order_ways.clear()
+        self.look_ways.clear()
+        self.cut.clear()
+        self.deaf.clear()
+
+
+class LinkedCalls:
+    """Implements `protocol.fleet.WorkerCalls` over one process's link."""
+
+    def __init__(self, calls: WorkerCalls, link: WorkLink) -> None:
+        self._calls = calls
+        self._link = link
+
+    async def look(
+        self,
+        entry: WorkerEntry,
+        fence: int,
+        seen: int,
+        until: float | None,
+        wait: float,
+    ) -> WorkerLook | Refusal:
+        """Look at a worker."""
+        return await self._pass(
+            entry,
+            self._link.look_ways,
+            lambda: self._calls.look(entry, fence, seen, until, wait),
+            wait + LOOK_SLACK_SECONDS,
+        )
+
+    async def start(
+        self, entry: WorkerEntry, fence: int, order: StartOrder
+    ) -> OrderAnswer:
+        """Start one run."""
+        return await self._order(entry, lambda: self._calls.start(entry, fence, order))
+
+    async def stop(
+        self, entry: WorkerEntry, fence: int, task: str, run: int
+    ) -> OrderAnswer:
+        """Stop a run."""
+        return await self._order(
+            entry, lambda: self._calls.stop(entry, fence, task, run)
+        )
+
+    async def pace(
+        self, entry: WorkerEntry, fence: int, task: str, run: int, percent: int
+    ) -> OrderAnswer:
+        """Let a run work at a share of its speed."""
+        return await self._order(
+            entry, lambda: self._calls.pace(entry, fence, task, run, percent)
+        )
+
+    async def _order(
+        self, entry: WorkerEntry, call: Callable[[], Awaitable[OrderAnswer]]
+    ) -> OrderAnswer:
+        ways = self._link.order_ways
+        return await self._pass(entry, ways, call, ORDER_TIMEOUT_SECONDS)
+
+    async def _pass(
+        self,
+        entry: WorkerEntry,
+        ways: deque[Way],
+        call: Callable[[], Awaitable[T]],
+        timeout: float,
+    ) -> T:
+        way = ways.popleft() if ways else Way.DONE
+        if way is Way.NEVER_SENT:
+            raise Failure(ErrorKind.NO_TARGET, "the connection was refused")
+        if entry.address in self._link.cut:
+            way = Way.LOST_BEFORE
+        elif entry.address in self._link.deaf and way is not Way.LATE:
+            way = Way.LOST_AFTER
+        if way in (Way.LATE, Way.TWICE):
+            carry_out_later(call, self._link.late_seconds)
+        if way in (Way.LATE, Way.LOST_BEFORE):
+            await asyncio.sleep(timeout)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer came")
+        if way is Way.SLOW_THERE:
+            await asyncio.sleep(SLOW_SECONDS)
+        answer = await _wait_outside(call, timeout)
+        if way is Way.LOST_AFTER:
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer came")
+        if way is Way.SLOW_BACK:
+            await asyncio.sleep(SLOW_SECONDS)
+        return answer
+
+
+async def _wait_outside(call: Callable[[], Awaitable[T]], timeout: float) -> T:
+    try:
+        async with asyncio.timeout(timeout):
+            return await run_outside(call)
+    except TimeoutError:
+        raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer came") from None
+
+
+def carry_out_later(call: Callable[[], Awaitable[Any]], seconds: float) -> None:
+    """Make a call on the platform's side after a time; nobody hears its answer."""
+
+    async def come_late() -> None:
+        await asyncio.sleep(seconds)
+        try:
+            await call()
+        except Failure:
+            return
+
+    loop = asyncio.get_running_loop()
+    _late.add(task := loop.create_task(come_late(), context=contextvars.Context()))
+    task.add_done_callback(_late.discard)
+
+
+# The loop itself keeps no task alive.
+_late: set["asyncio.Task[None]"] = set()
+
+
+class LinkedStore:
+    """Implements `protocol.transactions.TransactionalStore` for one process."""
+
+    def __init__(self, store: TransactionalStore) -> None:
+        self._store = store
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the present value of a key, or None."""
+        return await run_outside(lambda: self._store.get(key))
+
+    async def list(self, prefix: str, after: str = "") -> Page:
+        """Return one page of the entries under a prefix."""
+        return await run_outside(lambda: self._store.list(prefix, after))
+
+    async def commit(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write] = (),
+        removals: Sequence[str] = (),
+    ) -> Committed:
+        """Make a change if all of its conditions hold."""
+        return await run_outside(
+            lambda: self._store.commit(conditions, writes, removals)
+        )
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return a new lease."""
+        return await run_outside(lambda: self._store.grant_lease(seconds))
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return False when it has ended."""
+        return await run_outside(lambda: self._store.keep_lease(lease))
+
+    async def watch_once(self, prefix: str, after: int, seconds: float) -> Heard:
+        """Return changes after a revision, as soon as there is one."""
+        return await run_outside(lambda: self._store.watch_once(prefix, after, seconds))
--- /dev/null
+++ b/features/doubles/workworld.py
@@ -0,0 +1,329 @@
+"""Processes, a store and a fleet on one paused clock, in trouble; what must hold."""
+
+import asyncio
+from collections import deque
+from collections.abc import Coroutine, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from features.doubles.fleetworld import (
+    FleetWorld,
+    PlatformEntry,
+    Process,
+    make_policy,
+    run_process,
+)
+from features.doubles.processes import PausedRunner, Running, SimulatedProcess
+from features.doubles.worklinks import LinkedCalls, LinkedStore, WorkLink
+
+from primrosestile.clock import read_wall_clock
+from primrosestile.coordination.work.keys import make_progress_key
+from primrosestile.errors import Failure
+from primrosestile.platform.callers import read_submission
+from primrosestile.platform.policy import POLICY_KEY
+from primrosestile.protocol.fleet import EndedTask, StartOrder, WorkerCalls
+from primrosestile.protocol.transactions import TransactionalStore
+from primrosestile.state.policy import Policy
+from primrosestile.state.work import JobState, decode_progress
+from primrosestile.state.workers import EndKind
+from primrosestile_standin.fleetworker import (
+    Fleet,
+    FleetCalls,
+    FleetWorker,
+    Script,
+)
+
+PROCESSES = ("p0", "p1")
+VMS = ("v0", "v1", "v2")
+ACCELERATORS = 4
+QUEUE = "usual"
+ORGANISATION = "domes"
+# How long the entry of a life that is over still stands: three heartbeats.
+FORMER_ENTRY_SECONDS = 4.5
+# After every fault has ended: a change of owner, the wait for what can't be asked
+# (16.2 s), then four jobs of up to 12 s one after another.
+SETTLE_SECONDS = 150.0
+SETTLE_STEP_SECONDS = 5.0
+
+
+class JudgedFleet(Fleet):
+    """A fleet whose ledger also counts a gang's end for each of its members."""
+
+    def note_start(self, worker: FleetWorker, order: StartOrder) -> None:
+        """Enter a start, and what it breaks."""
+        super().note_start(worker, order)
+        step = order.task.rpartition(".")[0]
+        if f"{step}.*" in self._taken_done:
+            self.faults_found.append(f"{order.task} starts after its gang ended well")
+
+    def note_taken(self, ended: EndedTask) -> None:
+        """Enter that an end was taken note of."""
+        super().note_taken(ended)
+        if ended.kind is EndKind.DONE and self.find_script(ended.task).gang > 1:
+            self._taken_done.add(f"{ended.task.rpartition('.')[0]}.*")
+
+
+@dataclass(slots=True)
+class Job:
+    """A job that a caller handed in.
+
+    Attributes:
+        accepted: Its caller was told so; None while the call lasts, or unknown.
+        cancelled: A cancellation was sent, whatever became of it.
+    """
+
+    job_id: str
+    accepted: bool = False
+    cancelled: bool = False
+
+
+@dataclass(slots=True)
+class Seat:
+    """Where a process runs, and its way to the workers."""
+
+    machine: SimulatedProcess
+    link: WorkLink
+
+
+@dataclass(slots=True)
+class WorkWorld(FleetWorld):
+    """The platform's stand-in, with processes that can be suspended and killed."""
+
+    fleet: Fleet = field(default_factory=JudgedFleet)
+    runner: Any = field(default_factory=PausedRunner)
+    seats: dict[str, Seat] = field(default_factory=dict)
+    jobs: list[Job] = field(default_factory=list)
+    lives: int = 0
+    serving: dict[str, FleetWorker] = field(default_factory=dict)
+    _calls: list["asyncio.Task[None]"] = field(default_factory=list)
+
+    def begin(self, vms: Iterable[str] = VMS) -> None:
+        """Start workers and processes, and let an owner gain the fleet."""
+
+        async def build() -> None:
+            self.store.put(POLICY_KEY, make_policy(1))
+            for vm in vms:
+                self.start_life(vm)
+            for name in PROCESSES:
+                self.start(name)
+
+        self.run(build())
+        self.advance(1.5)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.run(asyncio.sleep(seconds))
+
+    def do(self, action: Any, *args: Any) -> Any:
+        """Call something while the loop runs."""
+
+        async def call() -> Any:
+            return action(*args)
+
+        return self.run(call())
+
+    def close(self) -> None:
+        """End everything that still runs."""
+        self.runner.close()
+
+    # Processes.
+
+    def connect(self, name: str) -> TransactionalStore:
+        """Return a process's way to the store."""
+        return LinkedStore(self.store.connect(name))
+
+    def make_calls(self, name: str) -> WorkerCalls:
+        """Return a process's way to the workers."""
+        return LinkedCalls(FleetCalls(self.fleet), self.seats[name].link)
+
+    def start_process(self, process: Process) -> "asyncio.Task[Any]":
+        """Let a process run on its own machine."""
+        return self.seats[process.name].machine.start(run_process(process))
+
+    def start(self, name: str) -> None:
+        """Start a process, or the next life of one."""
+        self.seats[name] = Seat(SimulatedProcess(name), WorkLink())
+        self.add_process(name)
+
+    def kill_process(self, name: str) -> None:
+        """End a process without a word."""
+        self.seats[name].machine.kill()
+
+    def find_running(self) -> list[str]:
+        """Return the processes that run."""
+        return [
+            name
+            for name, seat in self.seats.items()
+            if seat.machine.state is Running.YES
+        ]
+
+    def find_owner_name(self) -> str:
+        """Return the process that schedules now, or the first one."""
+        for name in self.find_running():
+            if self.processes[name].election.term is not None:
+                return name
+        return PROCESSES[0]
+
+    # Workers.
+
+    def start_life(self, vm: str, clock_rate: float = 1.0, name: str = "") -> str:
+        """Start the next life of a worker on a VM; return its name."""
+        self.lives += 1
+        # Names of lives are in no order of time.
+        name = name or f"{(self.lives * 7919) % 997:03d}-{vm}"
+        worker = self.add_worker(
+            name, f"{vm}:80", accelerators=ACCELERATORS, clock_rate=clock_rate
+        )
+        self.serving[vm] = worker
+        return name
+
+    def crash(self, vm: str, listed_for: float = FORMER_ENTRY_SECONDS) -> None:
+        """End a worker's life; its entry stands for a time."""
+        worker = self.serving[vm]
+        worker.crash()
+        key = f"servers/{worker.entry.worker}"
+        asyncio.get_running_loop().call_later(listed_for, self.store.remove, key)
+
+    def restart_life(self, vm: str, clock_rate: float = 1.0) -> None:
+        """Start the next life on a VM whose worker is down."""
+        if not self.serving[vm].alive:
+            self.start_life(vm, clock_rate)
+
+    def replace_leaving(self, vm: str) -> None:
+        """Let a worker that has said that it leaves be gone."""
+        entry = self.store.read(f"servers/{self.serving[vm].entry.worker}")
+        if entry is not None and b"draining" in entry.value:
+            self.crash(vm, listed_for=0.0)
+
+    def list_foreign(self, name: str, vm: str) -> None:
+        """Write an entry of another writer that names a VM's address."""
+        self.list_worker(name, f"{vm}:80", accelerators=ACCELERATORS)
+
+    def list_state(self, vm: str, state: str) -> None:
+        """Write a worker's own entry anew."""
+        worker = self.serving[vm]
+        if worker.alive:
+            name = worker.entry.worker
+            entry = PlatformEntry(name, f"{vm}:80", "r1", ACCELERATORS, ())
+            self.store.put(f"servers/{name}", entry.encode(state))
+
+    # Callers.
+
+    def hand_in(
+        self, process: str, seconds: float, steps: list[dict[str, Any]]
+    ) -> None:
+        """Hand a job in at a process, and don't wait for the answer."""
+        job = Job(f"{len(self.jobs) + 1:016x}")
+        self.jobs.append(job)
+        for number, step in enumerate(steps):
+            gang = step["count"] if step.get("gang") else 1
+            for index in range(step["count"]):
+                task = f"{job.job_id}.0.{number}.{index}"
+                self.fleet.scripts[task] = Script(seconds, gang=gang)
+        body = _encode_job(steps)
+
+        def make(policy: Policy) -> Any:
+            queue = policy.find_named(QUEUE)
+            assert queue is not None
+            return read_submission(
+                body, job.job_id, queue, ORGANISATION, read_wall_clock()
+            )
+
+        async def submit() -> None:
+            await self.processes[process].submitting.submit(job.job_id, make)
+            job.accepted = True
+
+        self._call(process, submit())
+
+    def cancel(self, process: str, index: int) -> None:
+        """Ask for a job's end at a process."""
+        job = self.jobs[index]
+        job.cancelled = True
+
+        async def cancel() -> None:
+            running = self.processes[process]
+            queue = running.policies.require().find_named(QUEUE)
+            assert queue is not None
+            await running.submitting.cancel(job.job_id, queue, ORGANISATION)
+
+        self._call(process, cancel())
+
+    def _call(self, process: str, work: Coroutine[Any, Any, None]) -> None:
+        async def call() -> None:
+            try:
+                await work
+            except Failure:
+                return
+
+        async def start() -> None:
+            self._calls.append(self.seats[process].machine.start(call()))
+
+        self.run(start())
+
+    # The end of all trouble.
+
+    def heal(self) -> None:
+        """End every fault; what is down is started again."""
+
+        async def heal() -> None:
+            self.store.faults = type(self.store.faults)()
+            for vm in VMS:
+                self.replace_leaving(vm)
+                self.restart_life(vm)
+                self.serving[vm].faults = type(self.serving[vm].faults)()
+                if self.store.read(f"servers/{self.serving[vm].entry.worker}") is None:
+                    self.list_state(vm, "ready")
+            for name, seat in list(self.seats.items()):
+                if seat.machine.state is Running.KILLED:
+                    self.start(name)
+                seat.machine.resume()
+                seat.link.heal()
+
+        self.run(heal())
+
+    def settle(self) -> None:
+        """Wait until every accepted job has ended, but not for long."""
+        waited = 0.0
+        while waited < SETTLE_SECONDS and self.find_open():
+            self.advance(SETTLE_STEP_SECONDS)
+            check_ledger(self)
+            waited += SETTLE_STEP_SECONDS
+
+    def read_job(self, job: Job) -> JobState:
+        """Return how far the store says that a job is."""
+        entry = self.store.read(make_progress_key(job.job_id))
+        return JobState.QUEUED if entry is None else decode_progress(entry.value).state
+
+    def find_open(self) -> list[str]:
+        """Return the accepted jobs that have not ended."""
+        return [
+            job.job_id
+            for job in self.jobs
+            if job.accepted and not self.do(self.read_job, job).final
+        ]
+
+
+def _encode_job(steps: list[dict[str, Any]]) -> bytes:
+    import json
+
+    filled = [
+        {"cpu": 1000, "mem_mb": 1000, "gpu": 1, "estimate_ms": 2000, **step}
+        for step in steps
+    ]
+    return json.dumps({"spec": "", "steps": filled}).encode()
+
+
+def check_ledger(world: WorkWorld) -> None:
+    """No two runs of a task at once; none after an end that was taken note of."""
+    assert not world.fleet.faults_found, world.fleet.faults_found
+
+
+def check_ended(world: WorkWorld) -> None:
+    """Every accepted job that nobody cancelled has ended well, and nothing is left."""
+    world.settle()
+    open_jobs = world.find_open()
+    assert not open_jobs, f"not ended {SETTLE_SECONDS:.0f} s after all trouble"
+    for job in world.jobs:
+        if job.accepted and not job.cancelled:
+            state = world.do(world.read_job, job)
+            assert state is JobState.COMPLETED, f"{job.job_id} is {state.value}"
--- /dev/null
+++ b/features/fuzzing/work.py
@@ -0,0 +1,274 @@
+"""Hypothesis drives owners, store and workers into trouble; the oracle watches."""
+
+import sys
+from typing import Any
+
+from features.doubles.processes import Running
+from features.doubles.worklinks import Way
+from features.doubles.workworld import (
+    PROCESSES,
+    VMS,
+    WorkWorld,
+    check_ended,
+    check_ledger,
+)
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+JOB_LIMIT = 4
+FOREIGN_LIMIT = 2
+PAUSES = (0.05, 0.3, 1.0, 3.0, 8.0)
+OWNER = "owner"
+# Most of what goes wrong does so around the owner.
+processes = st.sampled_from((OWNER, OWNER, *PROCESSES))
+vms = st.sampled_from(VMS)
+waits = st.sampled_from(PAUSES)
+durations = st.sampled_from((0.5, 3.0, 12.0))
+late = st.sampled_from((2.0, 5.0, 8.0, 12.0))
+ways = st.lists(st.sampled_from(Way), min_size=1, max_size=4)
+rates = st.sampled_from((1.0, 0.98))
+SHAPES: dict[str, list[dict[str, Any]]] = {
+    "tasks": [{"count": 3}],
+    "large tasks": [{"count": 2, "gpu": 3}],
+    "gang": [{"count": 3, "gpu": 2, "gang": True}],
+    "steps": [{"count": 2}, {"count": 2, "after": [0]}],
+    "gang after tasks": [{"count": 2}, {"count": 2, "gang": True, "after": [0]}],
+}
+shapes = st.sampled_from(sorted(SHAPES))
+
+
+class WorkMachine(RuleBasedStateMachine):
+    """One run: each rule is an operation or a fault, then time passes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = WorkWorld()
+        self.foreign = 0
+        self.world.begin()
+
+    def pass_time(self, seconds: float) -> None:
+        self.world.advance(seconds)
+        check_ledger(self.world)
+
+    def find_process(self, name: str) -> str:
+        """Return a process's name; the owner is whoever schedules now."""
+        return self.world.find_owner_name() if name == OWNER else name
+
+    def hand_in(self, shape: str, seconds: float, process: str = "") -> None:
+        """Hand a job in where a caller gets through."""
+        running = self.world.find_running()
+        if running:
+            chosen = process if process in running else running[0]
+            self.world.hand_in(chosen, seconds, SHAPES[shape])
+
+    @rule(seconds=waits)
+    def wait(self, seconds: float) -> None:
+        self.pass_time(seconds)
+
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(shape=shapes, seconds=durations, process=processes, wait=waits)
+    def submit(self, shape: str, seconds: float, process: str, wait: float) -> None:
+        self.hand_in(shape, seconds, self.find_process(process))
+        self.pass_time(wait)
+
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(
+        shape=shapes,
+        seconds=durations,
+        before=st.integers(0, 3),
+        way=st.sampled_from(Way),
+        count=st.integers(1, 6),
+        late=late,
+        wait=waits,
+    )
+    def submit_into_trouble(
+        self,
+        shape: str,
+        seconds: float,
+        before: int,
+        way: Way,
+        count: int,
+        late: float,
+        wait: float,
+    ) -> None:
+        """Let some orders of a start go well, and the next ones not."""
+        link = self.world.seats[self.find_process(OWNER)].link
+        link.order_ways.clear()
+        link.order_ways.extend([Way.DONE] * before + [way] * count)
+        link.late_seconds = late
+        self.hand_in(shape, seconds)
+        self.pass_time(wait)
+
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(
+        shape=shapes,
+        seconds=durations,
+        moment=st.sampled_from((0.004, 0.01, 0.016, 0.022, 0.03, 0.05, 0.5)),
+        kill=st.booleans(),
+        wait=waits,
+    )
+    def submit_and_stop_owner(
+        self, shape: str, seconds: float, moment: float, kill: bool, wait: float
+    ) -> None:
+        """Stop the owner between the stages of a start."""
+        owner = self.find_process(OWNER)
+        others = [name for name in PROCESSES if name != owner]
+        self.hand_in(shape, seconds, others[0])
+        self.pass_time(moment)
+        self.stop_process(owner, kill)
+        self.pass_time(wait)
+
+    def stop_process(self, name: str, kill: bool) -> None:
+        if kill:
+            self.world.kill_process(name)
+        else:
+            self.world.seats[name].machine.pause()
+
+    @precondition(lambda self: self.world.jobs)
+    @rule(data=st.data(), wait=waits)
+    def cancel(self, data: st.DataObject, wait: float) -> None:
+        last = len(self.world.jobs) - 1
+        index = data.draw(st.integers(0, last))
+        running = self.world.find_running()
+        if running:
+            self.world.cancel(running[-1], index)
+        self.pass_time(wait)
+
+    @rule(vm=vms, gap=st.sampled_from((0.0, 0.3, 1.0)), rate=rates, wait=waits)
+    def crash_and_restart(self, vm: str, gap: float, rate: float, wait: float) -> None:
+        """Begin a worker's next life beside the entry of its former one."""
+        if self.world.serving[vm].alive:
+            self.world.do(self.world.crash, vm)
+            self.pass_time(gap)
+        self.world.do(self.world.restart_life, vm, rate)
+        self.pass_time(wait)
+
+    @rule(vm=vms, listed_for=st.sampled_from((0.0, 4.5)), wait=waits)
+    def crash(self, vm: str, listed_for: float, wait: float) -> None:
+        if self.world.serving[vm].alive:
+            self.world.do(self.world.crash, vm, listed_for)
+        self.pass_time(wait)
+
+    @rule(vm=vms, wait=waits)
+    def leave(self, vm: str, wait: float) -> None:
+        """Let a worker say that it leaves; it goes by a later rule."""
+        self.world.do(self.world.list_state, vm, "draining")
+        self.pass_time(wait)
+
+    @rule(vm=vms, wait=waits)
+    def unlist_or_list(self, vm: str, wait: float) -> None:
+        """Let a live worker's entry lapse, or come back."""
+        key = f"servers/{self.world.serving[vm].entry.worker}"
+        if self.world.do(self.world.store.read, key) is None:
+            self.world.do(self.world.list_state, vm, "ready")
+        else:
+            self.world.do(self.world.store.remove, key)
+        self.pass_time(wait)
+
+    @precondition(lambda self: self.foreign < FOREIGN_LIMIT)
+    @rule(vm=vms, name=st.sampled_from(("000-other", "zzz-other")), wait=waits)
+    def list_foreign(self, vm: str, name: str, wait: float) -> None:
+        self.foreign += 1
+        self.world.do(self.world.list_foreign, name, vm)
+        self.pass_time(wait)
+
+    @rule(vm=vms, wait=waits)
+    def cut_worker(self, vm: str, wait: float) -> None:
+        """Cut a worker off from everybody, or let it be reached again."""
+        faults = self.world.serving[vm].faults
+        faults.cut = not faults.cut
+        self.pass_time(wait)
+
+    @rule(name=processes, vm=vms, answers=st.booleans(), wait=waits)
+    def cut_from_worker(self, name: str, vm: str, answers: bool, wait: float) -> None:
+        """Cut one process off from a worker, both ways or its answers only."""
+        link = self.world.seats[self.find_process(name)].link
+        chosen = link.deaf if answers else link.cut
+        chosen ^= {f"{vm}:80"}
+        self.pass_time(wait)
+
+    @rule(name=processes, wait=waits)
+    def cut_from_workers(self, name: str, wait: float) -> None:
+        """Cut one process off from all workers, or let it reach them again."""
+        link = self.world.seats[self.find_process(name)].link
+        everywhere = {f"{vm}:80" for vm in VMS}
+        link.cut = set() if link.cut else everywhere
+        self.pass_time(wait)
+
+    @rule(name=processes, chosen=ways, late=late)
+    def trouble_orders(self, name: str, chosen: list[Way], late: float) -> None:
+        link = self.world.seats[self.find_process(name)].link
+        link.order_ways.extend(chosen)
+        link.late_seconds = late
+
+    @rule(name=processes, chosen=ways, late=late, wait=waits)
+    def trouble_looks(
+        self, name: str, chosen: list[Way], late: float, wait: float
+    ) -> None:
+        link = self.world.seats[self.find_process(name)].link
+        link.look_ways.extend(chosen)
+        link.late_seconds = late
+        self.pass_time(wait)
+
+    @rule(vm=vms, seconds=st.sampled_from((0.0, 0.2, 0.4)))
+    def slow_stops(self, vm: str, seconds: float) -> None:
+        self.world.serving[vm].faults.stop_seconds = seconds
+
+    @rule(name=processes, wait=waits)
+    def pause_or_resume(self, name: str, wait: float) -> None:
+        machine = self.world.seats[self.find_process(name)].machine
+        if machine.state is Running.PAUSED:
+            self.world.do(machine.resume)
+        else:
+            machine.pause()
+        self.pass_time(wait)
+
+    @rule(name=processes, wait=waits)
+    def kill_or_restart(self, name: str, wait: float) -> None:
+        name = self.find_process(name)
+        if self.world.seats[name].machine.state is Running.KILLED:
+            self.world.do(self.world.start, name)
+        else:
+            self.world.kill_process(name)
+        self.pass_time(wait)
+
+    @rule(name=processes, answers=st.booleans(), wait=waits)
+    def cut_store(self, name: str, answers: bool, wait: float) -> None:
+        """Turn a process away at the store, or leave it without an answer."""
+        faults = self.world.store.faults
+        chosen = faults.silent if answers else faults.refused
+        chosen ^= {self.find_process(name)}
+        self.pass_time(wait)
+
+    @rule(pause=st.booleans(), wait=waits)
+    def switch_store(self, pause: bool, wait: float) -> None:
+        faults = self.world.store.faults
+        faults.down = not faults.down
+        faults.leases_pause = pause
+        self.pass_time(wait)
+
+    @rule(seconds=st.sampled_from((0.0, 0.1, 0.4)))
+    def slow_store(self, seconds: float) -> None:
+        self.world.store.faults.slow_seconds = seconds
+
+    @rule(count=st.integers(1, 4), late=late, answers=st.booleans())
+    def trouble_writes(self, count: int, late: float, answers: bool) -> None:
+        """Carry writes out unheard, or seconds late."""
+        faults = self.world.store.faults
+        if answers:
+            faults.lose_writes = count
+        else:
+            faults.late_writes = [late] * count
+
+    @rule()
+    def drop_history(self) -> None:
+        self.world.do(self.world.store.compact)
+
+    def teardown(self) -> None:
+        try:
+            if sys.exc_info()[0] is None:
+                self.world.heal()
+                check_ended(self.world)
+                check_ledger(self.world)
+        finally:
+            self.world.close()
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -63,6 +63,7 @@
         late_orders: Delays of the next orders, in seconds; none is answered.
         lose_answers: How many of the next orders are carried out unheard.
         unhealthy: It refuses every start.
+        stop_seconds: How long a stop takes; the pages allow 0.4 s.
     """
 
     cut: bool = False
@@ -71,6 +72,7 @@
     late_orders: list[float] = field(default_factory=list)
     lose_answers: int = 0
     unhealthy: bool = False
+    stop_seconds: float = STOP_SECONDS
 
 
 @dataclass(slots=True)
@@ -187,6 +189,7 @@
         if present is not None and present.run == order.run:
             return None
         if order.run <= self._barred.get(order.task, 0) or present is not None:
+            self._extend(order.until)
             return Refusal.OLD
         if order.until <= self.read_clock():
             return Refusal.LATE
@@ -197,6 +200,7 @@
             self._fleet.tickets_refused += 1
             return Refusal.TICKET
         if not self._has_room(script):
+            self._extend(order.until)
             return Refusal.ROOM
         self._extend(order.until)
         self._begin(order, script)
@@ -257,7 +261,7 @@
         present = self.runs.get(task)
         if present is not None and present.run <= run and not present.stopping:
             present.stopping = True
-            self._set_timer(present, STOP_SECONDS, EndKind.STOPPED)
+            self._set_timer(present, self.faults.stop_seconds, EndKind.STOPPED)
         return None
 
     def end(self, run: _Run, kind: EndKind) -> None:
@@ -277,10 +281,12 @@
     def crash(self) -> None:
         """End this life: everything on it is gone without a word."""
         self.alive = False
-        for run in list(self.runs.values()):
+        gone = list(self.runs.values())
+        self.runs.clear()
+        for run in gone:
             if run.timer is not None:
                 run.timer.cancel()
-        self.runs.clear()
+            self._fleet.break_gang(run.task, run.run)
 
 
 class Fleet:
@@ -309,6 +315,13 @@
         self.workers[entry.worker] = worker
         return worker
 
+    def find_at(self, address: str) -> FleetWorker | None:
+        """Return the life that serves at an address now."""
+        for worker in self.workers.values():
+            if worker.alive and worker.entry.address == address:
+                return worker
+        return None
+
     def find_script(self, task: str) -> Script:
         """Return what becomes of a task: by its name, its job, or as usual."""
         job = task.partition(".")[0]
@@ -329,12 +342,18 @@
     def note_end(self, worker: FleetWorker, task: str, run: int, kind: EndKind) -> None:
         """Enter an end; the other members of a gang end with it."""
         self.ends.append((task, run, kind))
+        same = kind is EndKind.DONE
+        self._end_gang(task, run, EndKind.DONE if same else EndKind.BROKEN)
+
+    def break_gang(self, task: str, run: int) -> None:
+        """End the other members of a gang of which one is gone without a word."""
+        self._end_gang(task, run, EndKind.BROKEN)
+
+    def _end_gang(self, task: str, run: int, kind: EndKind) -> None:
         step = task.rpartition(".")[0]
-        members = self._gathered.pop((step, run), [])
-        for other, member in members:
+        for other, member in self._gathered.pop((step, run), []):
             if member.task != task:
-                same = kind is EndKind.DONE
-                other.end(member, EndKind.DONE if same else EndKind.BROKEN)
+                other.end(member, kind)
 
     def note_taken(self, ended: EndedTask) -> None:
         """Enter that an end was taken note of."""
@@ -428,14 +447,15 @@
         return OrderAnswer(worker.read_clock(), refusal)
 
     async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
+        """Return the life that a call is meant for; None if another answers there."""
         await asyncio.sleep(ANSWER_SECONDS)
-        worker = self._fleet.workers.get(entry.worker)
-        if worker is not None and self._is_cut(worker):
+        worker = self._fleet.find_at(entry.address)
+        if worker is None:
+            raise Failure(ErrorKind.NO_TARGET, f"nothing listens at {entry.address}")
+        if self._is_cut(worker):
             await asyncio.sleep(TIMEOUT_SECONDS)
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
-        if worker is None or not worker.alive:
-            return None
-        return worker
+        return worker if worker.entry.worker == entry.worker else None
 
     def _is_cut(self, worker: FleetWorker) -> bool:
         return self.cut_off or worker.faults.cut
