--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -60,6 +60,7 @@
         cut: Nothing reaches it and nothing comes back; it runs on.
         fails_all: Every run on it fails at its end.
         frozen_tasks: Its tasks stand still.
+        deaf_to_looks: Looks are not answered; orders are.
         late_orders: Delays of the next orders, in seconds; none is answered.
         lose_answers: How many of the next orders are carried out unheard.
         unhealthy: It refuses every start.
@@ -69,6 +70,7 @@
     cut: bool = False
     fails_all: bool = False
     frozen_tasks: bool = False
+    deaf_to_looks: bool = False
     late_orders: list[float] = field(default_factory=list)
     lose_answers: int = 0
     unhealthy: bool = False
@@ -395,6 +397,9 @@
         worker = await self._reach(entry)
         if worker is None:
             return Refusal.OTHER_LIFE
+        if worker.faults.deaf_to_looks:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer to a look")
         worker.sweep()
         refusal = worker.take_look(fence, seen, until)
         if refusal is not None:
