Bring about a finished job that is forgotten at a change of owner, as a scenario that fails

Cause: a new owner's board begins with the time 0 and learns it in its first pass. Its first looks come before that, so a job that ends while owners change is noted as ended in 1970; the clean-up ten seconds later removes its records, and its caller is told that there is no such job (shown as None, not completed).

Not mended here.

--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -1,7 +1,7 @@
 """Processes, a store and a fleet on one paused clock, in trouble; what must hold."""
 
 import asyncio
-from collections import deque
+import json
 from collections.abc import Coroutine, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,7 +17,7 @@
 from features.doubles.worklinks import LinkedCalls, LinkedStore, WorkLink
 
 from primrosestile.clock import read_wall_clock
-from primrosestile.coordination.work.keys import make_progress_key
+from primrosestile.coordination.work.keys import make_job_key, make_progress_key
 from primrosestile.errors import Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY
@@ -289,23 +289,28 @@
             check_ledger(self)
             waited += SETTLE_STEP_SECONDS
 
-    def read_job(self, job: Job) -> JobState:
-        """Return how far the store says that a job is."""
+    def read_job(self, job: Job) -> JobState | None:
+        """Return how far the store says that a job is; None if it knows none."""
         entry = self.store.read(make_progress_key(job.job_id))
-        return JobState.QUEUED if entry is None else decode_progress(entry.value).state
+        if entry is not None:
+            return decode_progress(entry.value).state
+        known = self.store.read(make_job_key(job.job_id))
+        return JobState.QUEUED if known is not None else None
 
     def find_open(self) -> list[str]:
         """Return the accepted jobs that have not ended."""
-        return [
-            job.job_id
-            for job in self.jobs
-            if job.accepted and not self.do(self.read_job, job).final
-        ]
+        found = []
+        for job in self.jobs:
+            if not job.accepted:
+                continue
+            state = self.do(self.read_job, job)
+            assert state is not None, f"{job.job_id} was accepted and is not known"
+            if not state.final:
+                found.append(job.job_id)
+        return found
 
 
 def _encode_job(steps: list[dict[str, Any]]) -> bytes:
-    import json
-
     filled = [
         {"cpu": 1000, "mem_mb": 1000, "gpu": 1, "estimate_ms": 2000, **step}
         for step in steps
