--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -21,13 +21,11 @@
 from primrosestile.errors import Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY
-from primrosestile.protocol.fleet import EndedTask, StartOrder, WorkerCalls
+from primrosestile.protocol.fleet import WorkerCalls
 from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import JobState, decode_progress
-from primrosestile.state.workers import EndKind
 from primrosestile_standin.fleetworker import (
-    Fleet,
     FleetCalls,
     FleetWorker,
     Script,
@@ -46,23 +44,6 @@
 SETTLE_STEP_SECONDS = 5.0
 
 
-class JudgedFleet(Fleet):
-    """A fleet whose ledger also counts a gang's end for each of its members."""
-
-    def note_start(self, worker: FleetWorker, order: StartOrder) -> None:
-        """Enter a start, and what it breaks."""
-        super().note_start(worker, order)
-        step = order.task.rpartition(".")[0]
-        if f"{step}.*" in self._taken_done:
-            self.faults_found.append(f"{order.task} starts after its gang ended well")
-
-    def note_taken(self, ended: EndedTask) -> None:
-        """Enter that an end was taken note of."""
-        super().note_taken(ended)
-        if ended.kind is EndKind.DONE and self.find_script(ended.task).gang > 1:
-            self._taken_done.add(f"{ended.task.rpartition('.')[0]}.*")
-
-
 @dataclass(slots=True)
 class Job:
     """A job that a caller handed in.
@@ -89,7 +70,6 @@
 class WorkWorld(FleetWorld):
     """The platform's stand-in, with processes that can be suspended and killed."""
 
-    fleet: Fleet = field(default_factory=JudgedFleet)
     runner: Any = field(default_factory=PausedRunner)
     seats: dict[str, Seat] = field(default_factory=dict)
     jobs: list[Job] = field(default_factory=list)
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -77,6 +77,16 @@
     stop_seconds: float = STOP_SECONDS
 
 
+@dataclass(frozen=True, slots=True)
+class _WellEnd:
+    """A run that ended as done: where, and what had happened there and elsewhere."""
+
+    worker: "FleetWorker"
+    run: int
+    lapses: int
+    starts: int
+
+
 @dataclass(slots=True)
 class _Run:
     task: str
@@ -90,7 +100,11 @@
 
 
 class FleetWorker:
-    """One life of one worker."""
+    """One life of one worker.
+
+    Attributes:
+        lapses: Grows whenever its lease is found to have run out.
+    """
 
     def __init__(
         self, fleet: "Fleet", entry: WorkerEntry, clock_rate: float = 1.0
@@ -100,6 +114,7 @@
         self.alive = True
         self.fence = 0
         self.until = 0.0
+        self.lapses = 0
         self.runs: dict[str, _Run] = {}
         self._fleet = fleet
         self._rate = clock_rate
@@ -126,11 +141,13 @@
         self._extend(until)
         for each in self._ended:
             if each.number <= seen:
-                self._fleet.note_taken(each)
+                self._fleet.note_taken(self, each)
         self._ended = [each for each in self._ended if each.number > seen]
         return None
 
     def _extend(self, until: float | None) -> None:
+        if self.read_clock() >= self.until:
+            self.lapses += 1
         if until is not None:
             longest = self.read_clock() + LEASE_LONGEST_SECONDS
             self.until = max(self.until, min(until, longest))
@@ -308,6 +325,7 @@
         self.faults_found: list[str] = []
         self.starts: list[tuple[str, int, str]] = []
         self.ends: list[tuple[str, int, EndKind]] = []
+        self._well_ends: dict[str, list[_WellEnd]] = {}
         self._taken_done: set[str] = set()
         self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, _Run]]] = {}
 
@@ -338,13 +356,16 @@
                 self.faults_found.append(
                     f"{order.task} run {order.run} starts while it runs elsewhere"
                 )
-        if order.task in self._taken_done:
+        if self._name_unit(order.task) in self._taken_done:
             self.faults_found.append(f"{order.task} starts after it has ended well")
 
     def note_end(self, worker: FleetWorker, task: str, run: int, kind: EndKind) -> None:
         """Enter an end; the other members of a gang end with it."""
         self.ends.append((task, run, kind))
         same = kind is EndKind.DONE
+        if same:
+            end = _WellEnd(worker, run, worker.lapses, len(self.starts))
+            self._well_ends.setdefault(task, []).append(end)
         self._end_gang(task, run, EndKind.DONE if same else EndKind.BROKEN)
 
     def break_gang(self, task: str, run: int) -> None:
@@ -357,10 +378,27 @@
             if member.task != task:
                 other.end(member, kind)
 
-    def note_taken(self, ended: EndedTask) -> None:
-        """Enter that an end was taken note of."""
-        if ended.kind is EndKind.DONE:
-            self._taken_done.add(ended.task)
+    def note_taken(self, worker: FleetWorker, ended: EndedTask) -> None:
+        """Enter that an end was taken note of, and what was started after it.
+
+        It does not count as taken note of where the worker's lease has run out since.
+        """
+        unit = self._name_unit(ended.task)
+        for end in self._well_ends.get(ended.task, ()):
+            if (end.worker, end.run, end.lapses) != (worker, ended.run, worker.lapses):
+                continue
+            self._taken_done.add(unit)
+            for task, run, _ in self.starts[end.starts :]:
+                if self._name_unit(task) == unit:
+                    self.faults_found.append(
+                        f"{task} run {run} was started after an end that counts"
+                    )
+
+    def _name_unit(self, task: str) -> str:
+        """Return what ends as one: a task, or a gang by its step."""
+        if self.find_script(task).gang > 1:
+            return task.rpartition(".")[0]
+        return task
 
     def gather(self, worker: FleetWorker, run: _Run) -> None:
         """Let a gang work once all of its members are there."""
