--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import zlib
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -36,6 +37,12 @@
 POLICY_AGE_SECONDS = 1.6
 
 
+def make_address(name: str) -> str:
+    """Return an address of its own for a name."""
+    number = zlib.crc32(name.encode())
+    return f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:80"
+
+
 def make_policy(
     version: int,
     keys: dict[str, list[str]] | None = None,
@@ -73,6 +80,12 @@
         "version": version,
         "routes": routes,
         "services": [{"name": POOL, "admission_check": True}],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 262_144,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
+        },
         "tenants": tenants,
     }
     return json.dumps(config).encode()
@@ -119,7 +132,7 @@
 
     def begin_worker(self, vm: str, name: str) -> None:
         """Begin the next life of a worker on a VM."""
-        self.add_worker(name, address=f"{vm}:80")
+        self.add_worker(name, address=make_address(vm))
 
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
         """Run a coroutine on the paused clock."""
@@ -150,7 +163,7 @@
             process.scheduler = Scheduler(
                 store,
                 calls,
-                PlatformWorkerList(store),
+                PlatformWorkerList(store, policies.find_pools),
                 policies,
                 term,
                 status_kept=120.0,
@@ -189,7 +202,7 @@
         clock_rate: float = 1.0,
     ) -> FleetWorker:
         """Add a worker that has written its entry."""
-        address = address or f"{name}:80"
+        address = address or make_address(name)
         self.list_worker(name, address, rack, accelerators, labels)
         entry = PlatformEntry(name, address, rack, accelerators, labels).make()
         return self.fleet.add(entry, clock_rate)
@@ -204,7 +217,7 @@
         state: str = "ready",
     ) -> None:
         """Write a worker's entry."""
-        address = address or f"{name}:80"
+        address = address or make_address(name)
         shape = PlatformEntry(name, address, rack, accelerators, labels)
         self.store.put(f"servers/{name}", shape.encode(state))
 
@@ -289,7 +302,11 @@
             "service": POOL,
             "address": self.address,
             "zone": "leith",
+            "version": "v1",
+            "slots": 8,
             "state": state,
+            "cold_left_ms": 0,
+            "seq": 4,
             "capacity": {
                 "cpu": 64_000,
                 "mem_mb": 131_072,
@@ -301,12 +318,10 @@
 
     def make(self) -> WorkerEntry:
         """Return it as our processes see it."""
-        from primrosestile.platform.workers import read_worker
+        from primrosestile.platform.entries import read_worker
         from primrosestile.protocol.store import Entry
 
-        entry = read_worker(Entry(f"servers/{self.name}", self.encode(), 1, 1))
-        assert entry is not None
-        return entry
+        return read_worker(Entry(f"servers/{self.name}", self.encode(), 1, 1))
 
 
 async def _run_process(process: Process) -> None:
--- /dev/null
+++ b/features/steps/foreign_entries_steps.py
@@ -0,0 +1,370 @@
+"""Steps for values, rows and answers that nobody here wrote."""
+
+import asyncio
+import json
+from collections.abc import Coroutine
+from typing import Any
+
+from behave import given, then, when
+from features.doubles.fleetworld import POOL, make_policy
+from features.doubles.foreign import (
+    GOOD_RUN,
+    GOOD_WAVE,
+    GOOD_WORKER,
+    ITEM_FAULTS,
+    CannedConnections,
+    OnePage,
+    encode_value,
+    make_look_fault,
+    make_policy_fault,
+    make_wave_fault,
+    make_worker_fault,
+    show_item,
+)
+from work_steps import make_id
+
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.advice import PlatformAdvice
+from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
+from primrosestile.platform.store import PlatformStore
+from primrosestile.platform.upkeep import PlatformUpkeep
+from primrosestile.platform.workers import PlatformWorkerList, PlatformWorkers
+from primrosestile.protocol.fleet import RunningTask, StartOrder, WorkerLook
+from primrosestile.protocol.store import Entry
+from primrosestile.protocol.transactions import Condition, Write, list_entries
+from primrosestile.state.upkeep import VmState
+from primrosestile.state.workers import EndKind
+
+
+def find_pools() -> frozenset[str]:
+    """Return the pools that the policy names."""
+    return frozenset({POOL})
+
+
+def make_store(body: Any, status: int = 200) -> PlatformStore:
+    """Return a store that answers every call with one body."""
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return PlatformStore("", CannedConnections(data, status))
+
+
+def fail(work: Coroutine[Any, Any, Any]) -> Failure:
+    """Return the failure of a call that has to fail."""
+    try:
+        answer = asyncio.run(work)
+    except Failure as failure:
+        return failure
+    raise AssertionError(f"taken for an answer: {answer}")
+
+
+def list_workers(store: Any) -> list[str]:
+    """Return the names of the workers on a store's list."""
+    found = asyncio.run(PlatformWorkerList(store, find_pools).list_workers())
+    return [entry.worker for entry in found.entries]
+
+
+@when("a worker's entry is written with {fault}")
+def write_worker(context: Any, fault: str) -> None:
+    context.store = OnePage(("servers/w1", GOOD_WORKER), make_worker_fault(fault))
+
+
+@then("only the good worker is listed")
+def check_listed(context: Any) -> None:
+    assert list_workers(context.store) == ["w1"], list_workers(context.store)
+
+
+@when("the store shows a page of workers with {fault} beside a good one")
+def show_page(context: Any, fault: str) -> None:
+    good = show_item("servers/w1", encode_value(GOOD_WORKER))
+    items = [ITEM_FAULTS[fault], good]
+    context.store = make_store({"store_revision": 9, "items": items})
+
+
+@then("the good worker of the page is listed")
+def check_page(context: Any) -> None:
+    assert list_workers(context.store) == ["w1"]
+
+
+@when("the store shows a page of records with an item without a key")
+def show_records(context: Any) -> None:
+    good = show_item("progress/a")
+    items = [good, ITEM_FAULTS["an item without a key"]]
+    context.store = make_store({"store_revision": 9, "items": items})
+
+
+@then("the records are not taken as read")
+def check_records(context: Any) -> None:
+    failure = fail(list_entries(context.store, "progress/"))
+    assert failure.kind is ErrorKind.STORE_UNAVAILABLE, failure
+
+
+@then("a record whose value is no base64 keeps its key and revision")
+def check_keyed(context: Any) -> None:
+    store = make_store({"store_revision": 9, "items": [show_item("progress/a", "?")]})
+    entries, _ = asyncio.run(list_entries(store, "progress/"))
+    assert entries == [Entry("progress/a", b"", 5, 5)], entries
+
+
+@when("the store answers a watch with an event that can't be read")
+def show_events(context: Any) -> None:
+    store = make_store({"store_revision": 9, "events": [show_item("work/a"), 7]})
+    context.heard = asyncio.run(store.watch_once("work/", 4, 1.0))
+
+
+@then("what was heard is not complete")
+def check_heard(context: Any) -> None:
+    assert not context.heard.complete
+
+
+@then("a change that is answered {body} has an unknown outcome")
+def check_change(context: Any, body: str) -> None:
+    store = make_store(body.encode())
+    failure = fail(store.commit([Condition("a", 0)], [Write("a", b"x")]))
+    assert failure.kind is ErrorKind.STORE_ANSWER_LOST
+
+
+@then("a lease that is answered {body} is not held")
+def check_lease(context: Any, body: str) -> None:
+    fail(make_store(body.encode()).grant_lease(2.0))
+
+
+async def look(body: bytes, status: int = 200) -> Any:
+    """Look at a worker that answers one body."""
+    calls = PlatformWorkers(CannedConnections(body, status))
+    entry = await PlatformWorkerList(
+        OnePage(("servers/w1", GOOD_WORKER))
+    ).list_workers()
+    return await calls.look(entry.entries[0], 7, 0, None, 0.0)
+
+
+@when("a worker answers a look with {row}")
+def answer_look(context: Any, row: str) -> None:
+    context.look = asyncio.run(look(make_look_fault(row)))
+    assert isinstance(context.look, WorkerLook)
+
+
+@then("the look reads the good run and the good end")
+def check_good_rows(context: Any) -> None:
+    task, run, checkpoint, percent, usage = GOOD_RUN
+    assert context.look.running == (
+        RunningTask(task, run, checkpoint, percent, usage),
+    ), context.look
+    assert [each.kind for each in context.look.ended] == [EndKind.DONE]
+
+
+@then("what the look does not show is not taken as absent")
+def check_partial(context: Any) -> None:
+    assert not context.look.complete
+
+
+@then("ends may be forgotten up to number {most}")
+def check_forgettable(context: Any, most: str) -> None:
+    expected = None if most == "all" else int(most)
+    assert context.look.forget_limit == expected, context.look
+
+
+@then("a run with an unreadable percent and usage is still listed")
+def check_lenient(context: Any) -> None:
+    rows = [["a.0.0.0", 1, 7, "41", 1e300], ["a.0.0.1", 2, None, 1e9]]
+    body = {"clock_ms": 5, "running": rows, "ended": []}
+    answer = asyncio.run(look(json.dumps(body).encode()))
+    assert answer.running == (
+        RunningTask("a.0.0.0", 1, "", 0.0, None),
+        RunningTask("a.0.0.1", 2, "", 0.0, None),
+    ), answer.running
+    assert answer.complete
+
+
+@then("a look that is answered {body} fails as unanswered")
+def check_unreadable(context: Any, body: str) -> None:
+    assert fail(look(body.encode())).kind is ErrorKind.WORKER_UNREACHABLE
+
+
+async def order(body: bytes) -> Any:
+    """Start a run on a worker that refuses with one body."""
+    calls = PlatformWorkers(CannedConnections(body, 409))
+    found = await PlatformWorkerList(
+        OnePage(("servers/w1", GOOD_WORKER))
+    ).list_workers()
+    start = StartOrder("a.0.0.0", 1, "", 5.0)
+    return await calls.start(found.entries[0], 7, start)
+
+
+@then("an order that is refused for an unknown reason is unanswered")
+def check_unknown_reason(context: Any) -> None:
+    failure = fail(order(b'{"clock_ms":5,"reason":"weather"}'))
+    assert failure.kind is ErrorKind.WORKER_UNREACHABLE
+
+
+@then("an order whose refusal can't be read is unanswered")
+def check_unreadable_refusal(context: Any) -> None:
+    for body in (b"", b"[", b'{"reason":7}', b"\xff"):
+        assert fail(order(body)).kind is ErrorKind.WORKER_UNREACHABLE
+
+
+@when("the advice service answers with rows that can't be read")
+def answer_advice(context: Any) -> None:
+    rows = [["w1", "t1"], ["w2"], [], 7, ["w3", None], ["w4", 5]]
+    calls = PlatformAdvice("", CannedConnections(json.dumps({"good": rows}).encode()))
+    workers = ("w1", "w2", "w3", "w4")
+    context.advice = asyncio.run(calls.ask("a.0.0", workers, 1.0))
+
+
+@then("the good row is taken")
+def check_good_advice(context: Any) -> None:
+    assert [each.worker for each in context.advice.allowed] == ["w1"]
+
+
+@then("the answer counts as not complete")
+def check_partial_advice(context: Any) -> None:
+    assert not context.advice.complete
+
+
+def make_upkeep(body: Any, status: int = 200) -> PlatformUpkeep:
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return PlatformUpkeep("", "p1", OnePage(), CannedConnections(data, status))
+
+
+@when("the list of VMs shows a row that can't be read but for its name")
+def show_vms(context: Any) -> None:
+    good = {"machine": "m1", "pool": "engine", "state": "up", "id": "w1"}
+    calls = make_upkeep({"machines": [good, {**good, "machine": "m2", "id": 7}]})
+    context.vms = asyncio.run(calls.list_vms())
+
+
+@then("that VM is listed as down")
+def check_down(context: Any) -> None:
+    states = [(each.name, each.state) for each in context.vms]
+    assert states == [("m1", VmState.UP), ("m2", VmState.DOWN)], states
+
+
+@then("a list with a row without a name is not taken as read")
+def check_nameless(context: Any) -> None:
+    for row in (7, {"state": "up"}, {"machine": 7}):
+        failure = fail(make_upkeep({"machines": [row]}).list_vms())
+        assert failure.kind is ErrorKind.LIST_UNAVAILABLE
+
+
+@then("an upkeep that is refused with a body that can't be read is unanswered")
+def check_upkeep_body(context: Any) -> None:
+    for body in (b"", b"[", b'{"reason":7}'):
+        failure = fail(make_upkeep(body, 409).begin("m1", 7, 42))
+        assert failure.kind is ErrorKind.LIST_UNAVAILABLE
+
+
+@then("an upkeep that is refused for an unknown reason is unanswered")
+def check_upkeep_reason(context: Any) -> None:
+    failure = fail(make_upkeep({"reason": "weather"}, 409).begin("m1", 7, 42))
+    assert failure.kind is ErrorKind.LIST_UNAVAILABLE
+
+
+@when("a wave is written with {fault}")
+def write_wave(context: Any, fault: str) -> None:
+    context.store = OnePage(
+        ("op/wave/1", GOOD_WAVE), ("op/wave/2", make_wave_fault(fault))
+    )
+
+
+@then("only the good wave is listed")
+def check_waves(context: Any) -> None:
+    calls = PlatformUpkeep("", "p1", context.store, CannedConnections(b""))
+    waves = asyncio.run(calls.list_waves())
+    assert [wave.number for wave in waves] == [1], waves
+
+
+@when("the configuration is written with {fault}")
+def write_policy(context: Any, fault: str) -> None:
+    context.entry = Entry(POLICY_KEY, make_policy_fault(fault), 3, 12)
+
+
+@then("reading the policy fails as malformed")
+def check_policy(context: Any) -> None:
+    try:
+        policy = PlatformPolicies(OnePage()).decode(context.entry)
+    except Failure as failure:
+        assert failure.kind is ErrorKind.MALFORMED
+        return
+    raise AssertionError(f"taken for a policy: {policy}")
+
+
+def put(context: Any, *entries: tuple[str, bytes]) -> None:
+    """Write values into the store of the world."""
+
+    async def write() -> None:
+        for key, value in entries:
+            context.world.store.put(key, value)
+
+    context.world.run(write())
+
+
+@when("the configuration is overwritten with bytes that can't be read")
+def overwrite_policy(context: Any) -> None:
+    put(context, (POLICY_KEY, b"\xff{"))
+
+
+@when("a readable configuration of version {version:d} is written")
+def rewrite_policy(context: Any, version: int) -> None:
+    put(context, (POLICY_KEY, make_policy(version)))
+
+
+@then("callers are judged by version {version:d}")
+def check_version(context: Any, version: int) -> None:
+    async def check() -> None:
+        for process in context.world.processes.values():
+            assert process.policies.require().version == version
+
+    context.world.run(check())
+
+
+@then("callers are told that the policy is not recent")
+def check_refused(context: Any) -> None:
+    async def check() -> None:
+        for process in context.world.processes.values():
+            assert not process.policies.recent
+            try:
+                process.policies.require()
+            except Failure as failure:
+                assert failure.kind is ErrorKind.STORE_UNAVAILABLE
+            else:
+                raise AssertionError("judged by an older version")
+
+    context.world.run(check())
+
+
+@when("foreign values come over the entries of w1 and w2, and beside them")
+def write_foreign(context: Any) -> None:
+    beside = ("only a service and an address", "-8 accelerators", "an unknown state")
+    entries = [
+        (f"servers/a{number}", make_worker_fault(fault)[1])
+        for number, fault in enumerate(beside)
+    ]
+    put(context, *entries, make_worker_fault("a line break in its key"))
+    put(context, ("servers/w1", b"\xff\xfe"))
+    put(context, ("servers/w2", make_worker_fault("an empty address")[1]))
+
+
+@given("the entries of w1 and w2 are right again")
+@when("the entries of w1 and w2 are right again")
+def write_right(context: Any) -> None:
+    async def write() -> None:
+        for name in ("w1", "w2"):
+            context.world.list_worker(name, rack=f"r{int(name[1:]) % 2}")
+
+    context.world.run(write())
+
+
+@then("no task of {name} was started on w1 or w2")
+def check_not_used(context: Any, name: str) -> None:
+    starts = [
+        each for each in context.world.fleet.starts if each[0].startswith(make_id(name))
+    ]
+    assert starts
+    assert not [each for each in starts if each[2] in ("w1", "w2")], starts
+
+
+@then("only the four workers have been looked at")
+def check_known(context: Any) -> None:
+    async def check() -> None:
+        owner = context.world.find_owner()
+        assert set(owner.scheduler.board.workers) == {"w1", "w2", "w3", "w4"}
+
+    context.world.run(check())
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,9 +12,11 @@
 
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.callers import read_submission
+from primrosestile.platform.entries import read_worker
 from primrosestile.platform.policy import POLICY_KEY, read_policy
+from primrosestile.platform.refusals import Fault, Unreadable
 from primrosestile.platform.settings import BadSettings, parse_settings
-from primrosestile.platform.workers import PlatformWorkers, read_worker
+from primrosestile.platform.workers import PlatformWorkers
 from primrosestile.programs.node import Node
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Entry
@@ -150,10 +152,14 @@
 def step_worker(context: Any) -> None:
     shape = PlatformEntry("w1", "10.0.0.1:80", "r1-3", 8, ())
     entry = read_worker(Entry("servers/w1", shape.encode("draining"), 1, 1))
-    assert entry is not None
     assert (entry.worker, entry.rack, entry.leaving) == ("w1", "r1-3", True)
     assert entry.capacity == Need(64_000, 131_072, 8)
-    assert read_worker(Entry("servers/w2", b"{", 1, 1)) is None
+    try:
+        read_worker(Entry("servers/w2", b"{", 1, 1))
+    except Unreadable as refusal:
+        assert refusal.fault is Fault.NOT_JSON
+    else:
+        raise AssertionError("half an object was read")
 
 
 @then("a stored configuration gives queues, keys, guarantees and limits")
--- a/src/primrosestile/coordination/work/advising.py
+++ b/src/primrosestile/coordination/work/advising.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 import structlog
 
@@ -68,7 +69,11 @@
         answer = await self._calls.ask(
             question.step, question.workers, question.seconds
         )
-        allowed = {each.worker: each.ticket for each in answer}
+        allowed = {each.worker: each.ticket for each in answer.allowed}
+        if not answer.complete:
+            # A worker that is not in an answer counts as not allowed for good. Here
+            # it may be in the part that can't be read, so it is asked about again.
+            question = replace(question, workers=tuple(allowed))
         note_answer(question, allowed, asked_at)
         _log.info(
             "advice_taken",
@@ -79,3 +84,5 @@
             seconds=round(read_clock() - asked_at, 3),
         )
         self._wake()
+        if not answer.complete:
+            await asyncio.sleep(RETRY_SECONDS)
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -207,23 +207,35 @@
         fresh = [each for each in look.ended if each.number > self._seen]
         for ended in fresh:
             self._take_end(ended)
-        if len(look.ended) < ENDS_PER_LOOK:
+        if look.complete and len(look.ended) < ENDS_PER_LOOK:
             self._take_absent(look, sent_at)
         if not self.worker.in_hand and self.clock.known:
             self.worker.in_hand = True
             _log.info("worker_in_hand", worker=self.worker.name)
         self._wake()
         if fresh:
-            await self._record_ends(fresh)
+            await self._record_ends(fresh, look.forget_limit)
+        if look.forget_limit is not None:
+            # Ends that are not forgotten make the worker answer at once, for good.
+            await asyncio.sleep(LOOK_SECONDS)
 
-    async def _record_ends(self, ended: list[EndedTask]) -> None:
-        """Let the worker forget ends once they are in the store."""
+    async def _record_ends(
+        self, ended: list[EndedTask], forget_limit: int | None
+    ) -> None:
+        """Let the worker forget ends once they are in the store.
+
+        Never one that could not be read: it may be that of a run that ended well,
+        which would be run again as one that is neither there nor ended.
+        """
         try:
             async with asyncio.timeout(RECORD_WAIT_SECONDS):
                 await self._recorder.save()
         except TimeoutError:
             return
-        self._seen = max(self._seen, *(each.number for each in ended))
+        last = max(each.number for each in ended)
+        if forget_limit is not None:
+            last = min(last, forget_limit)
+        self._seen = max(self._seen, last)
 
     def _take_running(self, running: tuple[RunningTask, ...]) -> None:
         now = read_clock()
@@ -236,7 +248,8 @@
             if row.percent > member.percent:
                 member.percent = row.percent
                 member.moved_at = now
-            member.usage = row.usage
+            if row.usage is not None:
+                member.usage = row.usage
             if row.checkpoint and row.checkpoint != member.unit.checkpoint:
                 member.unit.checkpoint = row.checkpoint
 
--- a/src/primrosestile/coordination/work/policywatch.py
+++ b/src/primrosestile/coordination/work/policywatch.py
@@ -2,15 +2,20 @@
 
 A process that is cut off from the store must not go on accepting a key that was
 taken away meanwhile. So it remembers when the policy was last proved: the moment
-before a read was sent that returned the newest version. A watch proves nothing,
-as it may be silent while versions pass. What is older than a bound is not served
-by; callers are told at once when to come back.
+before a read was sent that returned no newer version. A watch proves nothing, as it
+may be silent while versions pass. What is older than a bound is not served by;
+callers are told at once when to come back.
+
+A newest version that can't be read proves nothing either. Operators have set
+something by it, and it may be that a key is taken away: the last version that could
+be read stays in force for what is left of its bound, and then callers are refused
+until a version that can be read stands there. Nothing could be accepted meanwhile in
+any case, as jobs are stored on the condition that their policy is the newest.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_clock
@@ -48,6 +53,7 @@
         self._longest_unproved = longest_unproved
         self._proved_at = 0.0
         self._policy: Policy | None = None
+        self._unreadable_revision = 0
         self.doubtful = False
         self.loaded = asyncio.Event()
 
@@ -56,6 +62,10 @@
         """The newest version known, however old the proof."""
         return self._policy
 
+    def find_pools(self) -> Collection[str] | None:
+        """Return the pools of the newest version known; None when there is none."""
+        return None if self._policy is None else self._policy.pools.keys()
+
     @property
     def age(self) -> float:
         """Seconds since the policy was last known to be the newest."""
@@ -72,9 +82,12 @@
         Raises:
             Failure: STORE_UNAVAILABLE when it is unknown or not recent enough.
         """
-        if self._policy is None or not self.recent:
-            raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy is not recent")
-        return self._policy
+        if self._policy is not None and self.recent:
+            return self._policy
+        detail = "the policy is not recent"
+        if self._unreadable_revision:
+            detail += f"; revision {self._unreadable_revision} can't be read"
+        raise Failure(ErrorKind.STORE_UNAVAILABLE, detail)
 
     async def run(self) -> None:
         """Read the policy again and again until cancelled."""
@@ -97,9 +110,10 @@
             self.doubtful = True
             raise
         self.doubtful = False
-        if entry is not None:
-            self.note(entry)
-        if self._policy is not None:
+        if entry is None:
+            return
+        self.note(entry)
+        if self._policy is not None and entry.mod_revision <= self._policy.revision:
             self._proved_at = max(self._proved_at, asked_at)
 
     def note(self, entry: Entry) -> None:
@@ -110,13 +124,17 @@
         """
         if self._policy is not None and entry.mod_revision <= self._policy.revision:
             return
+        if entry.mod_revision == self._unreadable_revision:
+            return
         try:
             policy = self._source.decode(entry)
-        except msgspec.MsgspecError as error:
+        except Failure as failure:
+            self._unreadable_revision = entry.mod_revision
             _log.error(
-                "policy_unreadable", revision=entry.mod_revision, error=str(error)
+                "policy_not_applied", revision=entry.mod_revision, reason=str(failure)
             )
             return
+        self._unreadable_revision = 0
         self._policy = policy
         self.loaded.set()
         _log.info(
--- a/src/primrosestile/coordination/work/roster.py
+++ b/src/primrosestile/coordination/work/roster.py
@@ -68,13 +68,15 @@
     async def refresh(self) -> None:
         """Read the list once."""
         asked_at = read_clock()
-        entries = await self._workers.list_workers()
+        found = await self._workers.list_workers()
+        entries = found.entries
         self._read_at = asked_at
         changed = False
         for entry in entries:
             changed |= self._take_entry(entry)
         present = {entry.worker for entry in entries}
         self._board.forget_ended(present)
+        self._unlist_refused(found.refused)
         self._note_missing(present)
         if changed:
             self._wake()
@@ -100,6 +102,19 @@
         worker.listed = True
         return changed
 
+    def _unlist_refused(self, refused: frozenset[str]) -> None:
+        """Give no new work to workers whose entries can't be read.
+
+        Whoever wrote over such an entry may have hidden that the worker leaves. What
+        runs there goes on: its link asks the worker itself, as when the entry is
+        missing.
+        """
+        for name in refused:
+            worker = self._board.workers.get(name)
+            if worker is not None and worker.listed:
+                worker.listed = False
+                _log.info("worker_unlisted", worker=name)
+
     def _note_missing(self, present: set[str]) -> None:
         now = read_clock()
         for name in list(self._missing_since):
--- /dev/null
+++ b/src/primrosestile/platform/entries.py
@@ -0,0 +1,135 @@
+"""Workers' entries in the store, read strictly.
+
+Another program may have written one. It names a worker only when every field that
+workers write is there, of its type and within its range; what is passed on here is
+used for placing, for addresses and for headers without further checks.
+"""
+
+import ipaddress
+import re
+from collections.abc import Collection
+from typing import Annotated
+
+import msgspec
+
+from primrosestile.platform.refusals import Fault, Unreadable, decode_json
+from primrosestile.protocol.store import Entry
+from primrosestile.state.work import Need
+from primrosestile.state.workers import WorkerEntry
+
+# Workers' entries in the store, each under the worker's name.
+WORKERS_PREFIX = "servers/"
+# A worker writes about 300 bytes. Whatever is longer isn't decoded at all, so that it
+# costs less to refuse than a good one costs to read.
+ENTRY_LIMIT_BYTES = 16_384
+# The store's keys have 200 bytes at the most, and this is sent in a header: a line
+# break in it would fail each call to the worker by an error that nobody handles.
+_NAME = re.compile(r"[!-.0-~]{1,190}")
+# No VM has more, by far: thousandths of a core, megabytes, accelerators. One entry
+# with a larger figure would seem to have room for everything.
+PROCESSOR_LIMIT = 10_000_000
+MEMORY_LIMIT_MB = 100_000_000
+ACCELERATORS_LIMIT = 10_000
+# A worker that leaves stays for seconds to minutes.
+LEAVING_LIMIT_MS = 86_400_000.0
+PORT_LIMIT = 65_535
+READY = "ready"
+LEAVING = "draining"
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=LEAVING_LIMIT_MS)]
+
+
+class _Capacity(msgspec.Struct, frozen=True):
+    """`cpu` is in thousandths of a core."""
+
+    cpu: _Count
+    mem_mb: _Count
+    gpu: _Count
+
+
+class _Server(msgspec.Struct, frozen=True):
+    """A worker's entry; `remaining_ms` is there only while it is leaving.
+
+    Fields that nothing here uses are asked for all the same: without them it is not
+    a worker that wrote.
+    """
+
+    service: _Text
+    address: str
+    zone: _Text
+    version: str
+    slots: _Count
+    state: str
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
+    seq: _Count
+    capacity: _Capacity
+    labels: list[_Text]
+    remaining_ms: _Milliseconds = 0.0
+
+
+def read_worker(entry: Entry, pools: Collection[str] | None = None) -> WorkerEntry:
+    """Return what a worker says of itself.
+
+    Args:
+        entry: As stored.
+        pools: Those that the policy names; None when that is not to be checked.
+
+    Raises:
+        Unreadable: When it names no worker to use.
+    """
+    name = entry.key.removeprefix(WORKERS_PREFIX)
+    if not _NAME.fullmatch(name):
+        raise Unreadable(Fault.KEY, repr(name[:200]))
+    if len(entry.value) > ENTRY_LIMIT_BYTES:
+        raise Unreadable(Fault.SIZE, f"{len(entry.value)} bytes")
+    server = decode_json(entry.value, _Server)
+    _check_server(server, pools)
+    capacity = server.capacity
+    labels = tuple(server.labels)
+    return WorkerEntry(
+        worker=name,
+        address=server.address,
+        pool=server.service,
+        failure_domain=server.zone,
+        capacity=Need(capacity.cpu, capacity.mem_mb, capacity.gpu),
+        labels=labels,
+        # The kind of worker comes first, the rack second.
+        rack=labels[1] if len(labels) > 1 else server.zone,
+        leaving=server.state == LEAVING,
+        leaving_seconds=server.remaining_ms / 1000,
+    )
+
+
+def _check_server(server: _Server, pools: Collection[str] | None) -> None:
+    if server.state not in (READY, LEAVING):
+        raise Unreadable(Fault.STATE, server.state[:200])
+    if pools is not None and server.service not in pools:
+        raise Unreadable(Fault.POOL, server.service)
+    if not _is_address(server.address):
+        raise Unreadable(Fault.ADDRESS, server.address[:200])
+    capacity = server.capacity
+    if (
+        capacity.cpu > PROCESSOR_LIMIT
+        or capacity.mem_mb > MEMORY_LIMIT_MB
+        or capacity.gpu > ACCELERATORS_LIMIT
+    ):
+        raise Unreadable(Fault.RANGE, "capacity")
+
+
+def _is_address(text: str) -> bool:
+    """Whether a text is `ip:port`, an address of version 6 in brackets."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and 0 < len(port) <= 5):
+        return False
+    if not 0 < int(port) <= PORT_LIMIT:
+        return False
+    try:
+        if host.startswith("[") and host.endswith("]"):
+            ipaddress.IPv6Address(host[1:-1])
+        else:
+            ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/src/primrosestile/platform/policy.py
+++ b/src/primrosestile/platform/policy.py
@@ -1,34 +1,49 @@
 """The operators' configuration, as the platform's store holds it."""
 
-from typing import Any
+from typing import Annotated
 
 import msgspec
 
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.refusals import (
+    Fault,
+    Refusals,
+    Source,
+    Unreadable,
+    decode_json,
+)
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.state.policy import Advised, CallLimits, Policy, Pool, Queue
 
 POLICY_KEY = "op/config"
+# A day: no time-out or objective is longer. Past it a deadline can't be told from
+# one that never comes.
+LONGEST_MS = 86_400_000.0
+
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=LONGEST_MS)]
 
 
 class _Advice(msgspec.Struct, frozen=True):
-    decide_ms: float = 0.0
-    period_ms: float = 0.0
-    valid_ms: float = 0.0
+    decide_ms: _Milliseconds = 0.0
+    period_ms: _Milliseconds = 0.0
+    valid_ms: _Milliseconds = 0.0
 
 
 class _Route(msgspec.Struct, frozen=True):
     """A queue; `slo_ms` is what a job's objective has besides its stretch."""
 
-    name: str
-    host: str
-    prefix: str
-    service: str
-    timeout_ms: float = 3000.0
-    slo_ms: float = 1000.0
-    priority: int = 1
-    attempts: int = 1
-    stretch: float = 3.0
+    name: _Text
+    host: _Text
+    prefix: _Text
+    service: _Text
+    slo_ms: _Milliseconds
+    priority: _Count
+    attempts: Annotated[int, msgspec.Meta(ge=1, le=2**31)]
+    stretch: Annotated[float, msgspec.Meta(gt=0, le=1e6)]
+    timeout_ms: _Milliseconds = 3000.0
     public: bool = False
     advice: _Advice | None = None
 
@@ -36,41 +51,53 @@
 class _Service(msgspec.Struct, frozen=True):
     """A pool of workers; with `admission_check` they refuse what doesn't fit."""
 
-    name: str
-    admission_check: bool = True
+    name: _Text
+    admission_check: bool
     spare: bool = False
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 262_144
+    header_timeout_ms: _Milliseconds = 3000.0
+    idle_timeout_ms: _Milliseconds = 15_000.0
+
+
+class _Guaranteed(msgspec.Struct, frozen=True):
+    gpu: _Count = 0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
     """An organisation; `guaranteed` may be null."""
 
-    name: str
-    api_keys: list[str] = []
-    guaranteed: dict[str, Any] | None = None
+    name: _Text
+    api_keys: list[_Text]
+    guaranteed: _Guaranteed | None = None
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
-    routes: list[_Route] = []
-    services: list[_Service] = []
-    limits: _Limits = _Limits()
-    tenants: list[_Tenant] = []
+    """All of its parts are asked for.
+
+    Taken as empty where it is missing, a part would take away every queue or key.
+    """
+
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant]
 
 
 def read_policy(entry: Entry) -> Policy:
     """Return the policy of a stored configuration.
 
     Raises:
-        msgspec.MsgspecError: When it can't be read.
+        Unreadable: When it can't be read.
     """
-    config = msgspec.json.decode(entry.value, type=_Config)
+    config = decode_json(entry.value, _Config)
+    for route in config.routes:
+        if not route.prefix.startswith("/"):
+            raise Unreadable(Fault.FORM, f"prefix {route.prefix!r:.200}")
     limits = config.limits
     return Policy(
         version=config.version,
@@ -82,7 +109,7 @@
         },
         keys={key: tenant.name for tenant in config.tenants for key in tenant.api_keys},
         guarantees={
-            tenant.name: int((tenant.guaranteed or {}).get("gpu", 0))
+            tenant.name: tenant.guaranteed.gpu if tenant.guaranteed else 0
             for tenant in config.tenants
         },
         limits=CallLimits(
@@ -123,8 +150,11 @@
 
     key = POLICY_KEY
 
-    def __init__(self, store: TransactionalStore) -> None:
+    def __init__(
+        self, store: TransactionalStore, refusals: Refusals | None = None
+    ) -> None:
         self._store = store
+        self._refusals = refusals or Refusals()
 
     async def read(self) -> Entry | None:
         """Return the newest version, never an old one."""
@@ -132,4 +162,11 @@
 
     def decode(self, entry: Entry) -> Policy:
         """Return the policy of a stored version."""
-        return read_policy(entry)
+        refused: dict[str, Unreadable] = {}
+        try:
+            return read_policy(entry)
+        except Unreadable as refusal:
+            refused[f"revision {entry.mod_revision}"] = refusal
+            raise Failure(ErrorKind.MALFORMED, str(refusal)) from refusal
+        finally:
+            self._refusals.settle(Source.POLICY, POLICY_KEY, refused)
--- a/src/primrosestile/platform/store.py
+++ b/src/primrosestile/platform/store.py
@@ -1,13 +1,21 @@
 """The platform's store over HTTP."""
 
 import base64
-from collections.abc import Sequence
-from typing import Any
+import binascii
+from collections.abc import Iterable, Sequence
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import msgspec
 
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.refusals import (
+    Fault,
+    Refusals,
+    Source,
+    Unreadable,
+    decode_json,
+)
 from primrosestile.protocol.store import Change, Entry, Page
 from primrosestile.protocol.transactions import (
     Committed,
@@ -28,46 +36,63 @@
 _WRITE = FailureKinds(ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_ANSWER_LOST)
 
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
+
 class _Item(msgspec.Struct, frozen=True):
     """An item, or an event of a watch; `created` is a revision, not a time."""
 
     key: str
-    revision: int
-    value: str = ""
-    created: int = 0
-    lease: int = 0
+    revision: _Revision
+    value: Any = ""
+    created: _Revision = 0
+    lease: _Revision = 0
     deleted: bool = False
 
 
 class _Items(msgspec.Struct, frozen=True):
-    store_revision: int
-    items: list[_Item] = []
+    """Each item is read by itself: one of another form leaves the others good."""
+
+    store_revision: _Revision
+    items: list[msgspec.Raw]
     has_more: bool = False
 
 
 class _Events(msgspec.Struct, frozen=True):
-    store_revision: int
-    events: list[_Item] = []
+    store_revision: _Revision
+    events: list[msgspec.Raw]
+
 
+class _Done(msgspec.Struct, frozen=True):
+    """The answer to a change that was made."""
 
-class _Txn(msgspec.Struct, frozen=True):
-    """The answer to a change: `items` stand there where a condition failed."""
+    revision: Annotated[int, msgspec.Meta(gt=0, le=2**62)]
 
-    revision: int = 0
-    items: list[_Item] = []
+
+class _NotDone(msgspec.Struct, frozen=True):
+    """The answer to one whose condition failed: what stands there instead."""
+
+    items: list[_Item]
 
 
 class _Lease(msgspec.Struct, frozen=True):
-    lease: int = 0
-    ttl_ms: int = 0
+    """A lease of 0 would be none: what is written under it would stay for good."""
+
+    lease: Annotated[int, msgspec.Meta(gt=0, le=2**62)]
 
 
 class PlatformStore:
     """Implements `protocol.transactions.TransactionalStore`."""
 
-    def __init__(self, address: str, connections: Connections) -> None:
+    def __init__(
+        self,
+        address: str,
+        connections: Connections,
+        refusals: Refusals | None = None,
+    ) -> None:
         self._address = address
         self._connections = connections
+        self._refusals = refusals or Refusals()
 
     async def get(self, key: str) -> Entry | None:
         """Return the present value of a key, or None."""
@@ -75,7 +100,10 @@
         reply = await self._read(path, READ_TIMEOUT_SECONDS, (200, 404))
         if reply.status == 404:
             return None
-        return _make_entry(_decode(reply, _Item))
+        item = _decode(reply, _Item)
+        if item.key != key:
+            raise Failure(ErrorKind.STORE_ANSWER_LOST, "another key was answered")
+        return self._make_entries([item], key, {})[0]
 
     async def list(self, prefix: str, after: str = "") -> Page:
         """Return one page of the entries under a prefix."""
@@ -84,8 +112,14 @@
             path += f"&after={quote(after, safe='')}"
         reply = await self._read(path, READ_TIMEOUT_SECONDS, (200,))
         answer = _decode(reply, _Items)
-        entries = tuple(_make_entry(item) for item in answer.items)
-        return Page(entries, answer.store_revision, answer.has_more)
+        refused: dict[str, Unreadable] = {}
+        items = _read_items(answer.items, prefix, refused)
+        return Page(
+            self._make_entries(items, prefix, refused),
+            answer.store_revision,
+            answer.has_more,
+            left_out=len(answer.items) - len(items),
+        )
 
     async def commit(
         self,
@@ -104,15 +138,13 @@
         reply = await self._write("POST", "/v1/kv-txn", body, (200, 412, 404))
         if reply.status == 404:
             raise Failure(ErrorKind.NOT_FOUND, "the lease of a write has ended")
-        answer = _decode(reply, _Txn)
         if reply.status == 200:
-            return Committed(done=True, revision=answer.revision)
-        found = tuple(
-            _make_entry(item)
-            for item in answer.items
-            if item.revision and not item.deleted
-        )
-        return Committed(done=False, found=found)
+            return Committed(done=True, revision=_decode(reply, _Done).revision)
+        # An item that can't be read would be taken for a key that does not exist, and
+        # the owner's key for one that another process has; so all must be readable.
+        items = _decode(reply, _NotDone).items
+        standing = [item for item in items if item.revision and not item.deleted]
+        return Committed(False, found=self._make_entries(standing, "", {}))
 
     async def grant_lease(self, seconds: float) -> int:
         """Return a new lease."""
@@ -137,9 +169,40 @@
         if reply.status == 410:
             return Heard((), after, complete=False)
         answer = _decode(reply, _Events)
-        changes = tuple(_make_change(event) for event in answer.events)
+        refused: dict[str, Unreadable] = {}
+        events = _read_items(answer.events, prefix, refused)
+        entries = self._make_entries(events, prefix, refused)
+        if len(events) < len(answer.events):
+            # What the others told is read from the list instead.
+            return Heard((), after, complete=False)
+        changes = tuple(
+            Change(event.key, event.revision, None if event.deleted else entry)
+            for event, entry in zip(events, entries, strict=True)
+        )
         return Heard(changes, answer.store_revision)
 
+    def _make_entries(
+        self, items: Iterable[_Item], scope: str, refused: dict[str, Unreadable]
+    ) -> tuple[Entry, ...]:
+        """Return the entries of items.
+
+        A value that can't be read is taken as empty, which no record of ours and no
+        value of others is: whoever reads it refuses it under its key and revision.
+        Left out, it would be taken for one that does not exist.
+        """
+        entries = []
+        for item in items:
+            try:
+                value = _read_value(item.value)
+            except Unreadable as refusal:
+                refused[item.key] = refusal
+                value = b""
+            entries.append(
+                Entry(item.key, value, item.created, item.revision, item.lease)
+            )
+        self._refusals.settle(Source.STORE_ITEM, scope, refused)
+        return tuple(entries)
+
     async def _read(
         self, path: str, timeout: float, accepted: tuple[int, ...]
     ) -> Reply:
@@ -173,21 +236,40 @@
 
 def _decode(reply: Reply, kind: type) -> Any:
     try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(reply.body, kind)
+    except Unreadable as refusal:
         raise Failure(
-            ErrorKind.STORE_ANSWER_LOST, f"unreadable answer: {error}"
-        ) from error
+            ErrorKind.STORE_ANSWER_LOST, f"unreadable answer: {refusal}"
+        ) from refusal
+
 
+def _read_items(
+    raws: Iterable[msgspec.Raw], prefix: str, refused: dict[str, Unreadable]
+) -> list[_Item]:
+    """Return the items under a prefix that can be told from one another."""
+    items = []
+    for raw in raws:
+        try:
+            items.append(_read_item(raw, prefix))
+        except Unreadable as refusal:
+            refused[f"item {refusal.fault}"] = refusal
+    return items
 
-def _make_entry(item: _Item) -> Entry:
-    value = base64.b64decode(item.value)
-    return Entry(item.key, value, item.created, item.revision, item.lease)
 
+def _read_item(raw: msgspec.Raw, prefix: str) -> _Item:
+    item: _Item = decode_json(raw, _Item)
+    if not item.key.startswith(prefix):
+        raise Unreadable(Fault.KEY, f"{item.key!r:.200}")
+    return item
 
-def _make_change(event: _Item) -> Change:
-    entry = None if event.deleted else _make_entry(event)
-    return Change(event.key, event.revision, entry)
+
+def _read_value(value: Any) -> bytes:
+    if not isinstance(value, str):
+        raise Unreadable(Fault.FORM, f"a value of type {type(value).__name__}")
+    try:
+        return binascii.a2b_base64(value, strict_mode=True)
+    except ValueError as error:
+        raise Unreadable(Fault.ENCODING, str(error)) from error
 
 
 def _make_write(write: Write) -> dict[str, Any]:
--- a/src/primrosestile/platform/upkeep.py
+++ b/src/primrosestile/platform/upkeep.py
@@ -1,10 +1,19 @@
 """The platform's list of machines and its waves of upkeep."""
 
+from typing import Annotated
+from urllib.parse import quote
+
 import msgspec
-import structlog
 
 from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.refusals import (
+    Fault,
+    Refusals,
+    Source,
+    Unreadable,
+    decode_json,
+)
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import (
     Condition,
@@ -24,36 +33,51 @@
 PAGES_LIMIT = 200
 
 _KINDS = FailureKinds(ErrorKind.LIST_UNAVAILABLE, ErrorKind.LIST_UNAVAILABLE)
-_REASONS = {"fence": UpkeepAnswer.FENCE, "wave": UpkeepAnswer.NOT_THERE}
+_REASONS = {
+    "fence": UpkeepAnswer.FENCE,
+    "busy": UpkeepAnswer.BUSY,
+    "wave": UpkeepAnswer.NOT_THERE,
+}
+_STATES = {each.value: each for each in VmState}
+# A wave of a whole fleet takes minutes.
+LONGEST_SECONDS = 86_400.0
 
-_log = structlog.get_logger()
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
 class _Machine(msgspec.Struct, frozen=True):
     """`machine` names the VM, `id` the life of the worker on it."""
 
-    machine: str
-    pool: str = ""
-    state: str = "up"
+    machine: _Text
+    pool: str
+    state: str
     id: str | None = None
 
 
+class _Named(msgspec.Struct, frozen=True):
+    """What of a VM must be readable at the least."""
+
+    machine: _Text
+
+
 class _Machines(msgspec.Struct, frozen=True):
-    machines: list[_Machine] = []
+    """Each VM is read by itself."""
+
+    machines: list[msgspec.Raw]
     next_token: str | None = None
 
 
 class _Wave(msgspec.Struct, frozen=True):
     """`cap` bounds how many are away at one time."""
 
-    wave: int
-    machines: list[str] = []
-    deadline_s: float = 60.0
-    cap: int = 1
+    wave: Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+    machines: list[_Text]
+    deadline_s: Annotated[float, msgspec.Meta(gt=0, le=LONGEST_SECONDS)]
+    cap: Annotated[int, msgspec.Meta(ge=1)]
 
 
 class _Refused(msgspec.Struct, frozen=True):
-    reason: str = ""
+    reason: str
 
 
 class PlatformUpkeep:
@@ -65,33 +89,44 @@
         process: str,
         store: TransactionalStore,
         connections: Connections,
+        refusals: Refusals | None = None,
     ) -> None:
         self._address = address
         self._process = process
         self._store = store
         self._connections = connections
+        self._refusals = refusals or Refusals()
 
     async def list_vms(self) -> tuple[WorkerVm, ...]:
         """Return the VMs of all workers."""
         vms: list[WorkerVm] = []
+        refused: dict[str, Unreadable] = {}
         token = ""
         for _ in range(PAGES_LIMIT):
-            query = f"?page_token={token}" if token else ""
+            query = f"?page_token={quote(token, safe='')}" if token else ""
             reply = await self._call("GET", f"/v1/machines{query}", b"", {})
             if reply.status != 200:
                 raise Failure(ErrorKind.LIST_UNAVAILABLE, f"answered {reply.status}")
-            page = _decode(reply)
-            vms += [_make_vm(each) for each in page.machines]
+            page = self._read_page(reply)
+            vms += [self._read_vm(each, refused) for each in page.machines]
             token = page.next_token or ""
             if not token:
+                self._refusals.settle(Source.VM, "", refused)
                 return tuple(vms)
         raise Failure(ErrorKind.LIST_UNAVAILABLE, "the list does not end")
 
     async def list_waves(self) -> tuple[Wave, ...]:
         """Return the waves that operators have asked for."""
-        entries, _ = await list_entries(self._store, WAVES_PREFIX)
-        found = (_read_wave(entry) for entry in entries)
-        return tuple(each for each in found if each is not None)
+        entries, _ = await list_entries(self._store, WAVES_PREFIX, whole=False)
+        waves = []
+        refused: dict[str, Unreadable] = {}
+        for entry in entries:
+            try:
+                waves.append(_read_wave(entry))
+            except Unreadable as refusal:
+                refused[entry.key] = refusal
+        self._refusals.settle(Source.WAVE, "", refused)
+        return tuple(waves)
 
     async def begin(self, vm: str, wave: int, fence: int) -> UpkeepAnswer:
         """Begin one VM's upkeep; everything on it ends at once."""
@@ -107,8 +142,7 @@
         if reply.status == 400:
             return UpkeepAnswer.NOT_THERE
         if reply.status == 409:
-            reason = msgspec.json.decode(reply.body, type=_Refused).reason
-            return _REASONS.get(reason, UpkeepAnswer.BUSY)
+            return self._read_reason(reply)
         return UpkeepAnswer.BUSY
 
     async def report(self, wave: int, completed: bool, fence: int) -> bool:
@@ -120,6 +154,50 @@
         )
         return done.done
 
+    def _read_reason(self, reply: Reply) -> UpkeepAnswer:
+        """Return why an upkeep was refused.
+
+        Taken for "not now" by default, an upkeep that has begun would be struck from
+        the wave's record, and more VMs than allowed would be away at one time.
+        """
+        try:
+            reason = decode_json(reply.body, _Refused).reason
+            if reason not in _REASONS:
+                raise Unreadable(Fault.STATE, f"reason {reason:.200}")
+        except Unreadable as refusal:
+            raise self._refuse("refusal", refusal) from refusal
+        return _REASONS[reason]
+
+    def _read_page(self, reply: Reply) -> _Machines:
+        try:
+            page: _Machines = decode_json(reply.body, _Machines)
+        except Unreadable as refusal:
+            raise self._refuse("page", refusal) from refusal
+        return page
+
+    def _read_vm(self, raw: msgspec.Raw, refused: dict[str, Unreadable]) -> WorkerVm:
+        """Return a VM; one of which only the name can be read is taken as down.
+
+        A VM that is not listed counts as gone, with its upkeep behind it: a wave
+        would be told as completed while that VM waits, and more than allowed would be
+        away. So nothing is left out, and a row without a name fails the whole list.
+        """
+        try:
+            return _make_vm(decode_json(raw, _Machine))
+        except Unreadable as refusal:
+            found = refusal
+        try:
+            name = decode_json(raw, _Named).machine
+        except Unreadable as refusal:
+            raise self._refuse("row", refusal) from refusal
+        refused[name] = found
+        return WorkerVm(name, "", VmState.DOWN, "")
+
+    def _refuse(self, name: str, refusal: Unreadable) -> Failure:
+        self._refusals.settle(Source.VM, "", {name: refusal})
+        detail = f"unreadable answer: {refusal}"
+        return Failure(ErrorKind.LIST_UNAVAILABLE, detail)
+
     async def _call(
         self, method: str, path: str, body: bytes, headers: dict[str, str]
     ) -> Reply:
@@ -128,27 +206,15 @@
         )
 
 
-def _decode(reply: Reply) -> _Machines:
-    try:
-        return msgspec.json.decode(reply.body, type=_Machines)
-    except msgspec.MsgspecError as error:
-        detail = f"unreadable answer: {error}"
-        raise Failure(ErrorKind.LIST_UNAVAILABLE, detail) from error
-
-
 def _make_vm(machine: _Machine) -> WorkerVm:
-    try:
-        state = VmState(machine.state)
-    except ValueError:
-        _log.warning("vm_state_unknown", vm=machine.machine, state=machine.state)
-        state = VmState.DOWN
+    state = _STATES.get(machine.state)
+    if state is None:
+        raise Unreadable(Fault.STATE, machine.state[:200])
     return WorkerVm(machine.machine, machine.pool, state, machine.id or "")
 
 
-def _read_wave(entry: Entry) -> Wave | None:
-    try:
-        wave = msgspec.json.decode(entry.value, type=_Wave)
-    except msgspec.MsgspecError as error:
-        _log.warning("wave_unreadable", key=entry.key, error=str(error))
-        return None
-    return Wave(wave.wave, tuple(wave.machines), wave.deadline_s, max(1, wave.cap))
+def _read_wave(entry: Entry) -> Wave:
+    wave: _Wave = decode_json(entry.value, _Wave)
+    if entry.key != f"{WAVES_PREFIX}{wave.wave}":
+        raise Unreadable(Fault.KEY, f"wave {wave.wave}")
+    return Wave(wave.wave, tuple(wave.machines), wave.deadline_s, wave.cap)
--- a/src/primrosestile/platform/workers.py
+++ b/src/primrosestile/platform/workers.py
@@ -1,27 +1,31 @@
-"""Orders to the platform's workers over HTTP, and their entries in the store."""
+"""Orders to the platform's workers over HTTP, and the list of them in the store."""
 
+from collections.abc import Callable, Collection
 from typing import Any
 
 import msgspec
-import structlog
 
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.entries import WORKERS_PREFIX, read_worker
+from primrosestile.platform.looks import Clock, read_look
+from primrosestile.platform.refusals import (
+    Fault,
+    Refusals,
+    Source,
+    Unreadable,
+    decode_json,
+)
 from primrosestile.protocol.fleet import (
-    EndedTask,
     OrderAnswer,
     Refusal,
-    RunningTask,
     StartOrder,
     WorkerLook,
+    WorkersFound,
 )
-from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
-from primrosestile.state.work import Need
-from primrosestile.state.workers import EndKind, WorkerEntry
+from primrosestile.state.workers import WorkerEntry
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 
-# Workers' entries in the store, each under the worker's name.
-WORKERS_PREFIX = "servers/"
 # An order takes a few milliseconds; a worker that carries one out late answers
 # none at all, and the same order can be sent again without harm.
 ORDER_TIMEOUT_SECONDS = 0.45
@@ -38,49 +42,23 @@
     "ticket": Refusal.TICKET,
 }
 
-_log = structlog.get_logger()
-
-
-class _Capacity(msgspec.Struct, frozen=True):
-    """`cpu` is in thousandths of a core."""
-
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-
-class _Server(msgspec.Struct, frozen=True):
-    """A worker's entry; `remaining_ms` is there only while it is leaving."""
 
-    service: str
-    address: str
-    zone: str = ""
-    state: str = "ready"
-    capacity: _Capacity = _Capacity()
-    labels: list[str] = []
-    remaining_ms: float = 0.0
+class _Done(msgspec.Struct, frozen=True):
+    clock_ms: Clock
 
 
-class _Look(msgspec.Struct, frozen=True):
-    """`running`: task, run, saved, percent, usage. `ended`: number, task, run, how,
-    saved. Rows may come to have more fields.
-    """  # noqa: D205
-
-    clock_ms: float
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
-
-
-class _Answer(msgspec.Struct, frozen=True):
-    clock_ms: float = 0.0
-    reason: str = ""
+class _Refused(msgspec.Struct, frozen=True):
+    reason: str
 
 
 class PlatformWorkers:
     """Implements `protocol.fleet.WorkerCalls`."""
 
-    def __init__(self, connections: Connections) -> None:
+    def __init__(
+        self, connections: Connections, refusals: Refusals | None = None
+    ) -> None:
         self._connections = connections
+        self._refusals = refusals or Refusals()
 
     async def look(
         self,
@@ -98,9 +76,14 @@
             body["wait_ms"] = int(wait * 1000)
         timeout = wait + LOOK_SLACK_SECONDS
         reply = await self._call(entry, "/v1/hold", body, timeout)
-        if reply.status == 200:
-            return _read_look(_decode(reply, _Look))
-        return _read_refusal(reply)
+        if reply.status != 200:
+            return self._read_refusal(entry, reply)
+        try:
+            look, refused = read_look(reply.body)
+        except Unreadable as refusal:
+            raise self._refuse(entry, refusal) from refusal
+        self._refusals.settle(Source.WORKER_ANSWER, entry.worker, refused)
+        return look
 
     async def start(
         self, entry: WorkerEntry, fence: int, order: StartOrder
@@ -137,9 +120,12 @@
         self, entry: WorkerEntry, path: str, body: dict[str, Any]
     ) -> OrderAnswer:
         reply = await self._call(entry, path, body, ORDER_TIMEOUT_SECONDS)
-        if reply.status == 200:
-            return OrderAnswer(_decode(reply, _Answer).clock_ms / 1000)
-        return OrderAnswer(refusal=_read_refusal(reply))
+        if reply.status != 200:
+            return OrderAnswer(refusal=self._read_refusal(entry, reply))
+        try:
+            return OrderAnswer(decode_json(reply.body, _Done).clock_ms / 1000)
+        except Unreadable as refusal:
+            raise self._refuse(entry, refusal) from refusal
 
     async def _call(
         self, entry: WorkerEntry, path: str, body: dict[str, Any], timeout: float
@@ -152,79 +138,73 @@
             entry.address, path, msgspec.json.encode(body), timeout, _KINDS, headers
         )
 
-
-def read_worker(entry: Entry) -> WorkerEntry | None:
-    """Return what a worker says of itself, or None where it can't be read."""
-    try:
-        server = msgspec.json.decode(entry.value, type=_Server)
-    except msgspec.MsgspecError as error:
-        _log.warning("worker_entry_unreadable", key=entry.key, error=str(error))
-        return None
-    capacity = server.capacity
-    labels = tuple(server.labels)
-    return WorkerEntry(
-        worker=entry.key.removeprefix(WORKERS_PREFIX),
-        address=server.address,
-        pool=server.service,
-        failure_domain=server.zone,
-        capacity=Need(capacity.cpu, capacity.mem_mb, capacity.gpu),
-        labels=labels,
-        # The kind of worker comes first, the rack second.
-        rack=labels[1] if len(labels) > 1 else server.zone,
-        leaving=server.state != "ready",
-        leaving_seconds=server.remaining_ms / 1000,
-    )
-
-
-def _read_look(answer: _Look) -> WorkerLook:
-    running = tuple(
-        RunningTask(
-            row[0], row[1], row[2] or "", row[3], row[4] if len(row) > 4 else 0.0
-        )
-        for row in answer.running
-    )
-    ended = tuple(
-        EndedTask(row[0], row[1], row[2], EndKind(row[3]), row[4] or "")
-        for row in answer.ended
-    )
-    return WorkerLook(answer.clock_ms / 1000, running, ended)
-
-
-def _read_refusal(reply: Reply) -> Refusal:
-    if reply.status == 421:
-        return Refusal.OTHER_LIFE
-    if reply.status in (429, 503):
-        return Refusal.UNHEALTHY
-    if reply.status == 409:
-        reason = _decode(reply, _Answer).reason
-        known = _REASONS.get(reason)
-        if known is not None:
-            return known
-        _log.warning("worker_refusal_unknown", reason=reason)
-    if reply.status in (400, 409):
-        return Refusal.MALFORMED
-    # Something between, or a fault of the worker's own: the order may have been
-    # carried out. Taken for a refusal, the run would be started elsewhere beside it.
-    raise Failure(ErrorKind.WORKER_UNREACHABLE, f"answered {reply.status}")
-
-
-def _decode(reply: Reply, kind: type) -> Any:
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise Failure(
-            ErrorKind.WORKER_UNREACHABLE, f"unreadable answer: {error}"
-        ) from error
+    def _read_refusal(self, entry: WorkerEntry, reply: Reply) -> Refusal:
+        """Return why nothing was done.
+
+        What can't be read may come from something between, or from a fault of the
+        worker's own: the order may have been carried out. Taken for a refusal, the
+        run would be started elsewhere beside it.
+        """
+        if reply.status == 421:
+            return Refusal.OTHER_LIFE
+        if reply.status in (429, 503):
+            return Refusal.UNHEALTHY
+        if reply.status == 400:
+            return Refusal.MALFORMED
+        if reply.status != 409:
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, f"answered {reply.status}")
+        try:
+            return _read_reason(reply.body)
+        except Unreadable as refusal:
+            raise self._refuse(entry, refusal) from refusal
+
+    def _refuse(self, entry: WorkerEntry, refusal: Unreadable) -> Failure:
+        """Return what an answer that can't be read is to its caller."""
+        found = {"answer": refusal}
+        self._refusals.settle(Source.WORKER_ANSWER, entry.worker, found)
+        return Failure(ErrorKind.WORKER_UNREACHABLE, f"unreadable answer: {refusal}")
+
+
+def _read_reason(body: bytes) -> Refusal:
+    reason = decode_json(body, _Refused).reason
+    known = _REASONS.get(reason)
+    if known is None:
+        raise Unreadable(Fault.STATE, f"reason {reason:.200}")
+    return known
 
 
 class PlatformWorkerList:
     """Implements `protocol.fleet.WorkerList`."""
 
-    def __init__(self, store: TransactionalStore) -> None:
+    def __init__(
+        self,
+        store: TransactionalStore,
+        find_pools: Callable[[], Collection[str] | None] | None = None,
+        refusals: Refusals | None = None,
+    ) -> None:
+        """Read workers' entries from a store.
+
+        Args:
+            store: Holds them.
+            find_pools: Returns the pools that the policy names, as far as known; an
+                entry of another one names no worker.
+            refusals: Told what can't be read.
+        """
         self._store = store
+        self._find_pools = find_pools
+        self._refusals = refusals or Refusals()
 
-    async def list_workers(self) -> tuple[WorkerEntry, ...]:
+    async def list_workers(self) -> WorkersFound:
         """Return the workers' entries, never old ones."""
-        entries, _ = await list_entries(self._store, WORKERS_PREFIX)
-        found = (read_worker(entry) for entry in entries)
-        return tuple(each for each in found if each is not None)
+        entries, _ = await list_entries(self._store, WORKERS_PREFIX, whole=False)
+        pools = self._find_pools() if self._find_pools is not None else None
+        found: list[WorkerEntry] = []
+        refused: dict[str, Unreadable] = {}
+        for entry in entries:
+            try:
+                found.append(read_worker(entry, pools))
+            except Unreadable as refusal:
+                refused[entry.key] = refusal
+        self._refusals.settle(Source.WORKER_ENTRY, "", refused)
+        names = frozenset(key.removeprefix(WORKERS_PREFIX) for key in refused)
+        return WorkersFound(tuple(found), names)
--- a/src/primrosestile/programs/metrics.py
+++ b/src/primrosestile/programs/metrics.py
@@ -21,6 +21,12 @@
         self.jobs = Counter(
             "jobs_total", "Jobs accepted or refused, by kind", labels, registry
         )
+        self.unreadable = Counter(
+            "unreadable_total",
+            "Values of others that were refused, by source and fault",
+            labels,
+            registry,
+        )
         self.seconds = Histogram(
             "request_seconds",
             "Seconds from arrival to answer",
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -19,6 +19,7 @@
 from primrosestile.coordination.work.submitting import Submitting
 from primrosestile.platform.advice import PlatformAdvice
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
+from primrosestile.platform.refusals import Fault, Refusals, Source
 from primrosestile.platform.settings import (
     BadSettings,
     PlatformSettings,
@@ -59,16 +60,19 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.settings = settings
         bounds = settings.bounds
+        self._metrics = Metrics("node")
+        self._refusals = Refusals(self._count_unreadable)
         self._connections = Connections()
-        self._store = PlatformStore(settings.store_address, self._connections)
+        self._store = PlatformStore(
+            settings.store_address, self._connections, self._refusals
+        )
         self._policies = PolicyWatch(
-            PlatformPolicies(self._store),
+            PlatformPolicies(self._store, self._refusals),
             min(
                 bounds.policy_applies * POLICY_AGE_SHARE_OF_APPLIES,
                 bounds.key_revoked * POLICY_AGE_SHARE_OF_REVOKED,
             ),
         )
-        self._metrics = Metrics("node")
         self._calls = CallerCalls(
             Submitting(self._store, self._policies, POLICY_KEY),
             self._policies,
@@ -129,17 +133,20 @@
     async def _run_term(self, term: Term) -> None:
         scheduler = Scheduler(
             self._store,
-            PlatformWorkers(self._connections),
-            PlatformWorkerList(self._store),
+            PlatformWorkers(self._connections, self._refusals),
+            PlatformWorkerList(self._store, self._policies.find_pools, self._refusals),
             self._policies,
             term,
             self.settings.bounds.status_kept,
-            PlatformAdvice(self.settings.advice_address, self._connections),
+            PlatformAdvice(
+                self.settings.advice_address, self._connections, self._refusals
+            ),
             PlatformUpkeep(
                 self.settings.list_address,
                 self.settings.name,
                 self._store,
                 self._connections,
+                self._refusals,
             ),
         )
         self._scheduler = scheduler
@@ -148,6 +155,10 @@
         finally:
             self._scheduler = None
 
+    def _count_unreadable(self, source: Source, fault: Fault) -> None:
+        labels = {"source": source.value, "fault": fault.value}
+        self._metrics.unreadable.inc(labels)
+
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         """Show the counters, and the figures of this moment."""
         state = self._metrics.state
--- a/src/primrosestile/protocol/advice.py
+++ b/src/primrosestile/protocol/advice.py
@@ -16,12 +16,23 @@
     ticket: str
 
 
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """An answer of the service.
+
+    Attributes:
+        complete: All of it could be read; else a worker that is not in it may be
+            allowed all the same.
+    """
+
+    allowed: tuple[Allowed, ...]
+    complete: bool = True
+
+
 class AdviceCalls(Protocol):
     """Questions to the service; it answers one at a time for each process."""
 
-    async def ask(
-        self, step: str, workers: tuple[str, ...], seconds: float
-    ) -> tuple[Allowed, ...]:
+    async def ask(self, step: str, workers: tuple[str, ...], seconds: float) -> Advice:
         """Return those of some workers on which a step may run.
 
         Args:
--- a/src/primrosestile/protocol/fleet.py
+++ b/src/primrosestile/protocol/fleet.py
@@ -18,14 +18,14 @@
     Attributes:
         percent: Of its work; of a lasting task, 100 when it serves.
         usage: A lasting task's slow answers in milliseconds; else thousandths of
-            a core in use.
+            a core in use. None when that can't be read.
     """
 
     task: str
     run: int
     checkpoint: str
     percent: float
-    usage: float = 0.0
+    usage: float | None = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,11 +45,17 @@
 
     Attributes:
         clock: Its steady clock, in seconds, not after the answer was sent.
+        complete: Everything in it could be read; else what it does not show may be
+            there all the same.
+        forget_limit: Number of the last end before any that could not be read; None
+            when all could. The worker must not be told to forget later ones.
     """
 
     clock: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    complete: bool = True
+    forget_limit: int | None = None
 
 
 class Refusal(StrEnum):
@@ -127,10 +133,23 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class WorkersFound:
+    """What stands on the list of workers.
+
+    Attributes:
+        refused: Names under which something stands that can't be read; they name no
+            worker to use.
+    """
+
+    entries: tuple[WorkerEntry, ...]
+    refused: frozenset[str] = frozenset()
+
+
 class WorkerList(Protocol):
     """Which workers say that they are there."""
 
-    async def list_workers(self) -> tuple[WorkerEntry, ...]:
+    async def list_workers(self) -> WorkersFound:
         """Return the workers' entries, never old ones.
 
         Raises:
--- a/src/primrosestile/protocol/policies.py
+++ b/src/primrosestile/protocol/policies.py
@@ -21,5 +21,9 @@
         ...
 
     def decode(self, entry: Entry) -> Policy:
-        """Return the policy of a stored version."""
+        """Return the policy of a stored version.
+
+        Raises:
+            Failure: MALFORMED when it can't be read.
+        """
         ...
--- a/src/primrosestile/protocol/store.py
+++ b/src/primrosestile/protocol/store.py
@@ -37,11 +37,13 @@
 
     Attributes:
         more: Whether entries after the last one were left out.
+        left_out: Items that could not be told from one another, and are not shown.
     """
 
     entries: tuple[Entry, ...]
     revision: int
     more: bool = False
+    left_out: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosestile/protocol/transactions.py
+++ b/src/primrosestile/protocol/transactions.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Change, Entry, Page
 
 # Conditions, writes and removals of one change together.
@@ -103,17 +104,35 @@
 
 
 async def list_entries(
-    store: TransactionalStore, prefix: str
+    store: TransactionalStore, prefix: str, whole: bool = True
 ) -> tuple[list[Entry], int]:
     """Return all entries under a prefix and a revision to watch from.
 
     Pages are not a snapshot, so the watch must begin at the first page's revision:
     what changed while later pages were read is then heard of again.
+
+    Args:
+        store: To be read.
+        prefix: Of the keys.
+        whole: Fail when the key of an item can't be read. A record of ours that is
+            left out would be taken for one that never was, and its job's tasks would
+            run a second time. Where others write, the rest is good without it.
+
+    Raises:
+        Failure: STORE_UNAVAILABLE as above, and from any call.
     """
     page = await store.list(prefix)
     entries = list(page.entries)
     revision = page.revision
-    while page.more and page.entries:
-        page = await store.list(prefix, page.entries[-1].key)
+    left_out = page.left_out
+    last = ""
+    # Pages whose keys don't rise would be asked for without end.
+    while page.more and page.entries and page.entries[-1].key > last:
+        last = page.entries[-1].key
+        page = await store.list(prefix, last)
         entries += page.entries
+        left_out += page.left_out
+    if whole and left_out:
+        detail = f"{left_out} items under {prefix} have no readable key"
+        raise Failure(ErrorKind.STORE_UNAVAILABLE, detail)
     return entries, revision
--- a/src/primrosestile_standin/fleet_http.py
+++ b/src/primrosestile_standin/fleet_http.py
@@ -160,10 +160,10 @@
     async def _advise(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read())
         try:
-            good = await self._advice.ask(body["step"], tuple(body["workers"]), 0.0)
+            advice = await self._advice.ask(body["step"], tuple(body["workers"]), 0.0)
         except Failure:
             return web.Response(status=429)
-        return answer({"good": [[each.worker, each.ticket] for each in good]})
+        return answer({"good": [[each.worker, each.ticket] for each in advice.allowed]})
 
 
 class WorkersEnd:
--- a/src/primrosestile_standin/fleetadvice.py
+++ b/src/primrosestile_standin/fleetadvice.py
@@ -4,7 +4,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.protocol.advice import Allowed
+from primrosestile.protocol.advice import Advice, Allowed
 
 
 class FleetAdvice:
@@ -27,9 +27,7 @@
         self._busy = asyncio.Lock()
         self._issued: dict[tuple[str, str], float] = {}
 
-    async def ask(
-        self, step: str, workers: tuple[str, ...], seconds: float
-    ) -> tuple[Allowed, ...]:
+    async def ask(self, step: str, workers: tuple[str, ...], seconds: float) -> Advice:
         """Return those of some workers on which a step may run."""
         async with self._busy:
             await asyncio.sleep(
@@ -45,7 +43,7 @@
         ]
         for worker in good:
             self._issued[step, worker] = read_clock()
-        return tuple(Allowed(worker, f"{step}@{worker}") for worker in good)
+        return Advice(tuple(Allowed(worker, f"{step}@{worker}") for worker in good))
 
     def is_good(self, task: str, worker: str, ticket: str) -> bool:
         """Whether a worker takes a start with a ticket."""
