Bring about rows that can't be read while tasks run, and document the lines

Scenarios over the real links: rows of runs cut short for 3 s, one end in a kind that is not known between others, and foreign entries beside a store that was away.

Found on the way: an end whose number is lower than the one before it told that one of the two is wrong, and ends up to the higher one would have been forgotten. Ends past a thousand million are refused: a worker told to forget up to such a number would forget each later end at once.

--- a/features/doubles/foreign.py
+++ b/features/doubles/foreign.py
@@ -7,8 +7,11 @@
 
 from features.doubles.fleetworld import PlatformEntry, make_address, make_policy
 
+from primrosestile.platform.looks import read_look
+from primrosestile.protocol.fleet import Refusal, WorkerLook
 from primrosestile.protocol.store import Entry, Page
 from primrosestile.transport.connections import Reply
+from primrosestile_standin.fleetworker import FleetCalls
 
 GOOD_WORKER = PlatformEntry("w1", make_address("w1"), "r1", 8, ()).encode()
 GOOD_WAVE = json.dumps(
@@ -192,6 +195,58 @@
         return self._reply
 
 
+class GarbledLooks:
+    """Passes a process's looks on as JSON, with rows that another edit has changed.
+
+    Attributes:
+        edit: Changes the answer's body; None for no change.
+        looks: How many were made.
+    """
+
+    def __init__(self, calls: FleetCalls) -> None:
+        self._look = calls.look
+        self.edit: Change | None = None
+        self.looks = 0
+        calls.look = self.look  # type: ignore[method-assign]
+
+    async def look(self, *args: Any) -> WorkerLook | Refusal:
+        answer = await self._look(*args)
+        self.looks += 1
+        if isinstance(answer, Refusal):
+            return answer
+        body = show_look(answer)
+        if self.edit is not None:
+            self.edit(body)
+        return read_look(json.dumps(body).encode())[0]
+
+
+def show_look(look: WorkerLook) -> dict[str, Any]:
+    """Return a look as a worker's answer shows it."""
+    return {
+        "clock_ms": look.clock * 1000,
+        "running": [
+            [row.task, row.run, row.checkpoint, row.percent, row.usage]
+            for row in look.running
+        ],
+        "ended": [
+            [row.number, row.task, row.run, row.kind, row.checkpoint]
+            for row in look.ended
+        ],
+    }
+
+
+def cut_running(body: dict[str, Any]) -> None:
+    """Cut the rows of what runs to one field."""
+    body["running"] = [row[:1] for row in body["running"]]
+
+
+def change_kinds(body: dict[str, Any]) -> None:
+    """Give the ends of tasks of odd index a kind that nobody knows."""
+    for row in body["ended"]:
+        if int(row[1].rpartition(".")[2]) % 2:
+            row[3] = "vanished"
+
+
 class OnePage:
     """A store that holds one page of entries, whatever the prefix."""
 
--- a/features/platform/foreign_entries.feature
+++ b/features/platform/foreign_entries.feature
@@ -87,9 +87,45 @@
       | an ended row of two fields           | 6    |
       | an ended row of an unknown kind      | 6    |
       | an ended row without a number        | 6    |
-      | an ended row with a lower number     | 6    |
+      | an ended row with a lower number     | 1    |
       | an ended row that is no list         | 6    |
 
+  Scenario: Runs go on while their worker's rows can't be read
+    For some seconds every worker lists its runs in rows that are cut short. They are
+    neither gone nor new: started again, each would run twice and be billed twice.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And 2 processes of ours
+    And the tasks of k1 take 6 s
+    When job k1 is handed in with steps
+      | count | accelerators |
+      | 6     | 4            |
+    And k1 runs on the fleet
+    And workers cut short the rows of what runs
+    And 3 s pass
+    And workers' rows are right again
+    Then job k1 is shown as completed within 8 s
+    And every task of k1 was started once
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: An end that can't be read is not forgotten
+    A worker lists one end in a kind that is not known, between ends that are. Were it
+    told to forget up to the last of them, the task would be neither there nor ended, so
+    that what had ended well would start again.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    And the tasks of k2 take 2 s
+    When job k2 is handed in with steps
+      | count | accelerators |
+      | 6     | 2            |
+    And k2 runs on the fleet
+    And workers list the end of each second task in a kind that is not known
+    And 6 s pass
+    Then the workers were asked at most 12 times in 3 s
+    When workers' rows are right again
+    Then job k2 is shown as completed within 5 s
+    And every task of k2 was started once
+    And the fleet's ledger shows nothing wrong
+
   Scenario: Fields that say only how far a run is may be unreadable
     A percent or a figure of usage is out of its range. The run is there all the same.
     Then a run with an unreadable percent and usage is still listed
@@ -180,7 +216,8 @@
 
   Scenario: Foreign entries come over live workers and beside them
     Another writer puts what can't be read over the entries of two workers that run
-    tasks, and leaves entries of its own beside. What runs must go on: started again
+    tasks, and leaves entries of its own beside; then the store is away for a second,
+    after which a missing entry alone would not count yet. What runs must go on: started again
     elsewhere, clients would be billed twice; and the two must get work again once
     their entries are right.
     Given a fleet of 4 workers with 8 accelerators in 2 racks
@@ -192,6 +229,7 @@
       | 4     | 1            | 1               |
     And j1 runs on the fleet
     And foreign values come over the entries of w1 and w2, and beside them
+    And the store is down for 1 s
     And 0.7 s pass
     And job j2 is handed in with steps
       | count | accelerators |
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -13,7 +13,11 @@
     GOOD_WORKER,
     ITEM_FAULTS,
     CannedConnections,
+    Change,
+    GarbledLooks,
     OnePage,
+    change_kinds,
+    cut_running,
     encode_value,
     make_look_fault,
     make_policy_fault,
@@ -368,3 +372,36 @@
         assert set(owner.scheduler.board.workers) == {"w1", "w2", "w3", "w4"}
 
     context.world.run(check())
+
+
+def garble(context: Any, edit: Change | None) -> None:
+    """Change what every process reads of workers' answers."""
+    if "garbled" not in context:
+        context.garbled = [
+            GarbledLooks(process.calls) for process in context.world.processes.values()
+        ]
+    for each in context.garbled:
+        each.edit = edit
+
+
+@when("workers cut short the rows of what runs")
+def garble_running(context: Any) -> None:
+    garble(context, cut_running)
+
+
+@when("workers list the end of each second task in a kind that is not known")
+def garble_ends(context: Any) -> None:
+    garble(context, change_kinds)
+
+
+@when("workers' rows are right again")
+def garble_nothing(context: Any) -> None:
+    garble(context, None)
+
+
+@then("the workers were asked at most {most:d} times in {seconds:d} s")
+def check_looks(context: Any, most: int, seconds: int) -> None:
+    before = sum(each.looks for each in context.garbled)
+    context.world.run(asyncio.sleep(seconds))
+    looks = sum(each.looks for each in context.garbled) - before
+    assert 0 < looks <= most, looks
--- a/src/primrosestile/platform/looks.py
+++ b/src/primrosestile/platform/looks.py
@@ -19,6 +19,9 @@
 PERCENT_LIMIT = 100.0
 # A figure of usage is milliseconds or thousandths of a core.
 USAGE_LIMIT = 1e9
+# A worker numbers its ends from 1; a year of thirty a second. Told to forget ends up to
+# a number far past its own, a worker would forget each later one at once.
+NUMBER_LIMIT = 1_000_000_000
 
 Clock = Annotated[float, msgspec.Meta(ge=0, le=CLOCK_LIMIT_MS)]
 _ENDS = {each.value: each for each in EndKind}
@@ -83,18 +86,27 @@
 ) -> tuple[list[EndedTask], int | None]:
     """Return the ends, and the last one before any that can't be read."""
     ended: list[EndedTask] = []
+    limits: list[int] = []
     last = 0
-    forget_limit = None
     for row in rows:
         try:
             end = _read_end(row, last)
         except Unreadable as refusal:
             refused[f"ended {refusal.fault}"] = refusal
-            forget_limit = last if forget_limit is None else forget_limit
+            limits.append(min(last, _find_number(row) - 1))
             continue
         ended.append(end)
         last = end.number
-    return ended, forget_limit
+    return ended, min(limits, default=None)
+
+
+def _find_number(row: Any) -> int:
+    """Return the number of an end that is refused; one past any where it has none.
+
+    One that is lower than the end before it tells that either may be wrong.
+    """
+    number = row[0] if isinstance(row, list) and row else None
+    return number if type(number) is int and number > 0 else NUMBER_LIMIT + 1
 
 
 def _read_end(row: Any, last: int) -> EndedTask:
@@ -106,7 +118,7 @@
     if not isinstance(row, list) or len(row) < 4:
         raise Unreadable(Fault.FORM, f"ended {row!r:.200}")
     number = row[0]
-    if type(number) is not int or number <= last:
+    if type(number) is not int or not last < number <= NUMBER_LIMIT:
         raise Unreadable(Fault.RANGE, f"ended {row!r:.200}")
     task, run = _check_run(row[1], row[2])
     kind = _ENDS.get(row[3]) if isinstance(row[3], str) else None
