Leave one wave alone when its record can't be read

Cause: what stands under upkeep/<wave> was decoded without a handler, so a value of another form ended the owner's term, and that of each owner after it. Before: the new scenario failed, the other wave never completed and term after term ended with msgspec.ValidationError. Ruled out: beginning the wave anew (its VMs that are away would not be counted), taking all its VMs as ordered (they would be ordered again, past what may be away). After: that wave is left alone and told once; the other one completes in one term.

--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -67,3 +67,32 @@
     context.scripts[SERVICE] = {"seconds": FOREVER, "serves": True}
     step = {**SERVICE_STEP, "count": count, "gpu": each, "may_miss": away}
     hand_in(context, "service", "usual", "domes", steps=[step])
+
+
+@given("the record of wave {number:d} can't be read")
+def step_unreadable_record(context: Any, number: int) -> None:
+    async def put() -> None:
+        context.world.store.put(f"upkeep/{number}", b"\xff\xfe")
+        context.term = context.world.find_owner().election.term
+
+    context.world.run(put())
+
+
+@when("operators ask for wave {number:d} of the same VMs")
+def step_second_wave(context: Any, number: int) -> None:
+    names = tuple(f"vm-{name}" for name in context.world.fleet.workers)
+    context.world.vms.waves.append(Wave(number, names, 60.0, 2))
+
+
+@then("no VM was ordered for wave {number:d}")
+def step_left_alone(context: Any, number: int) -> None:
+    assert number not in context.world.vms.completed
+    assert len(context.world.vms.orders) == len(context.world.vms.waves[1].vms)
+
+
+@then("the owner's term went on")
+def step_same_term(context: Any) -> None:
+    async def check() -> None:
+        assert context.world.find_owner().election.term is context.term
+
+    context.world.run(check())
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -52,3 +52,18 @@
     And 50 s pass
     Then at most 1 VMs were away at once
     And the wave is said to be completed, and was
+
+  Scenario: The record of another wave can't be read
+    What stands for one wave was overwritten by something else. Which of its VMs were
+    ordered can't be known, so it is left alone; the other wave goes on, as does
+    everything else that its owner does.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the record of wave 6 can't be read
+    When operators ask for wave 6 of the same VMs
+    And operators ask for the upkeep of all VMs within 60 s, 2 at once
+    And 40 s pass
+    Then the wave is said to be completed, and was
+    And no VM was ordered for wave 6
+    And the owner's term went on
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -20,6 +20,7 @@
 from primrosestile.decisions.work.units import Proof
 from primrosestile.decisions.work.upkeep import plan_upkeep
 from primrosestile.errors import Failure
+from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
 from primrosestile.protocol.upkeep import UpkeepAnswer, UpkeepCalls
 from primrosestile.state.upkeep import VmState, Wave, WaveRecord, WorkerVm
@@ -38,6 +39,25 @@
 _log = structlog.get_logger()
 
 
+class _RecordUnreadable(Exception):
+    """What stands for a wave can't be read.
+
+    Attributes:
+        revision: At which it stands.
+    """
+
+    def __init__(self, revision: int) -> None:
+        super().__init__(f"at revision {revision}")
+        self.revision = revision
+
+
+def _decode_record(entry: Entry) -> WaveRecord:
+    try:
+        return msgspec.msgpack.decode(entry.value, type=WaveRecord)
+    except msgspec.MsgspecError as error:
+        raise _RecordUnreadable(entry.mod_revision) from error
+
+
 @dataclass(frozen=True, slots=True)
 class _Ordered:
     """The life on a VM when its upkeep was ordered, and when that was answered."""
@@ -66,6 +86,7 @@
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         self._completed: set[int] = set()
         self._ordered: dict[str, _Ordered] = {}
+        self._unreadable: dict[int, int] = {}
 
     async def run(self) -> None:
         """Follow operators' wishes until the term is lost."""
@@ -90,8 +111,11 @@
         vms = {vm.name: vm for vm in await self._calls.list_vms()}
         closed: set[str] = set()
         for wave in waves:
-            await self._load(wave)
-            closed |= await self._advance(wave, vms)
+            try:
+                await self._load(wave)
+                closed |= await self._advance(wave, vms)
+            except _RecordUnreadable as unreadable:
+                self._note_unreadable(wave, unreadable.revision)
         self._set_closed(frozenset(closed))
         return len(waves)
 
@@ -105,13 +129,24 @@
             return
         entry = await self._store.get(make_wave_key(wave.number))
         if entry is not None:
-            record = msgspec.msgpack.decode(entry.value, type=WaveRecord)
+            record = _decode_record(entry)
             self._records[wave.number] = (record, entry.mod_revision)
             return
         self._records[wave.number] = (WaveRecord(read_wall_clock()), 0)
         await self._calls.report(wave.number, False, self._term.fence)
         _log.info("wave_taken", wave=wave.number, vms=len(wave.vms), most=wave.most)
 
+    def _note_unreadable(self, wave: Wave, revision: int) -> None:
+        """Leave a wave alone whose record can't be read.
+
+        Which of its VMs are away can't be known, so any order might take one too many.
+        Other waves go on: raised further, the fault would end the owner's term, and
+        that of each owner after it.
+        """
+        if self._unreadable.get(wave.number) != revision:
+            self._unreadable[wave.number] = revision
+            _log.error("wave_record_unreadable", wave=wave.number, revision=revision)
+
     async def _advance(self, wave: Wave, vms: dict[str, WorkerVm]) -> frozenset[str]:
         """Order what may begin; return the workers that are to be emptied."""
         await self._note_over(wave, vms)
