--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from behave import given, step, then, when
-from features.doubles.fleetworld import FleetWorld, make_policy
+from features.doubles.fleetworld import FleetWorld, make_address, make_policy
 
 from primrosestile.clock import read_wall_clock
 from primrosestile.errors import ErrorKind, Failure
@@ -396,7 +396,7 @@
 def step_foreign_address(context: Any, name: str, other: str) -> None:
     async def put() -> None:
         rack = context.world.fleet.workers[name].entry.rack
-        context.world.list_worker(name, f"{other}:80", rack=rack)
+        context.world.list_worker(name, make_address(other), rack=rack)
 
     context.world.run(put())
 
