--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -9,15 +9,12 @@
 import looptime
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import (
-    Election,
-    Term,
-    find_stand_back,
-)
+from primrosestile.coordination.work.election import Election, Term
 from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.errors import Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
@@ -138,8 +135,10 @@
         self.run(end())
         self.runner.close()
 
-    def add_process(self, name: str, processor: float = 1.0) -> Process:
-        """Start a process on a machine of some processor, in cores."""
+    def add_process(
+        self, name: str, processor: float = 1.0, mbps: float = 1000.0
+    ) -> Process:
+        """Start a process on a VM of some processor, in cores, and some link."""
         link = Link()
         store = self.store.connect(name, link)
         process: Process
@@ -168,7 +167,7 @@
             policies=policies,
             submitting=Submitting(store, policies, POLICY_KEY),
             election=Election(
-                store, name, run_term, read_steady, find_stand_back(processor)
+                store, name, run_term, read_steady, find_stand_back(processor, mbps)
             ),
             calls=calls,
             link=link,
--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -8,8 +8,8 @@
 from work_steps import list_running, make_id, read_steps, write_script
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import find_stand_back
 from primrosestile.coordination.work.keys import WISHES_PREFIX
+from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.state.work import JobState
 
 # What sixty times the store's usual time for a call adds.
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -15,14 +15,15 @@
 
 import structlog
 
-from primrosestile.coordination.work.keys import OWNER_KEY
+from primrosestile.coordination.work.keys import GIVEN_UP_KEY, OWNER_KEY
+from primrosestile.decisions.work.fitness import SOUND_SECONDS, find_pause
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.transactions import (
     Condition,
     TransactionalStore,
     Write,
 )
-from primrosestile.state.work import OwnerRecord, encode_record
+from primrosestile.state.work import GivenUpRecord, OwnerRecord, encode_record
 
 # A dead owner is replaced this long after its last renewal, and urgent work that
 # comes meanwhile is late by that. Shorter leases lapse whenever the store is slow:
@@ -37,22 +38,19 @@
 # it looks again; a watch may be silent for good.
 WATCH_SECONDS = 2.0
 RETRY_SECONDS = 0.25
-
-# A machine with less processor than this lets others stand first: at 176 workers the
-# owner takes 0.37 cores on a calm day, and the smallest machines have 0.5.
-AMPLE_PROCESSOR_CORES = 1.0
-# Longer than machines that start together are apart (0.3 s) and than a vacancy takes to
-# be heard of; shorter than what a takeover may take.
-STAND_BACK_SECONDS = 0.5
+# How long renewals may go without an answer, though each may have been carried out:
+# longer than most outages of the store, in which nobody could do better. This process
+# gives no orders meanwhile, and its lease may be renewed without end.
+UNANSWERED_SECONDS = 5.0
+# How long a vacancy lasts before a process stands that gave the ownership up just now.
+# A candidate whose watch is silent looks again after 2 s, and the weakest stands 0.5 s
+# later: whoever could take it has, or nobody can, and then a poor owner is better
+# than none, since workers' leases last for 7 s.
+LAST_SECONDS = 2.5
 
 _log = structlog.get_logger()
 
 
-def find_stand_back(processor: float) -> float:
-    """Return how long a machine waits before it stands for a vacancy, in seconds."""
-    return 0.0 if processor >= AMPLE_PROCESSOR_CORES else STAND_BACK_SECONDS
-
-
 def read_suspending_clock() -> float:
     """Return seconds on a clock that goes on while the machine is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -67,6 +65,8 @@
         lease: What the owner's key hangs on.
         valid_until: On the clock that counts suspension.
         lost: Set when another owner is known to stand, or the key is gone.
+        given_up_before: How many owners in a row gave up; None while not known.
+        given_up: Set when this one gave up as well.
     """
 
     fence: int
@@ -74,11 +74,23 @@
     valid_until: float
     lost: asyncio.Event
     read_clock: Callable[[], float] = read_suspending_clock
+    given_up_before: int | None = None
+    given_up: bool = False
 
     def may_act(self) -> bool:
         """Whether the store can't have given the fleet to another process yet."""
         return not self.lost.is_set() and self.read_clock() < self.valid_until
 
+    def find_renewal_age(self) -> float:
+        """Return the seconds since the newest renewal that was answered was sent."""
+        renewed_at = self.valid_until - LEASE_SECONDS + MARGIN_SECONDS
+        return self.read_clock() - renewed_at
+
+    def give_up(self) -> None:
+        """End the term for one that another process may serve better."""
+        self.given_up = True
+        self.lost.set()
+
     def extend(self, asked_at: float) -> None:
         """Note a renewal that was sent at a time."""
         self.valid_until = asked_at + LEASE_SECONDS - MARGIN_SECONDS
@@ -103,7 +115,11 @@
         self._leaving = False
         self._lease = 0
         self._lease_until = 0.0
+        self._paused_until = 0.0
         self.term: Term | None = None
+        # How many times this process gave the ownership up.
+        self.given_up = 0
+        self._given_up_in_row = 0
 
     async def run(self) -> None:
         """Stand for election until cancelled."""
@@ -138,8 +154,9 @@
         """Return once no owner stands."""
         while True:
             found = await self._store.get(OWNER_KEY)
-            if found is None and self._stand_back:
-                await asyncio.sleep(self._stand_back)
+            wait = self._find_wait()
+            if found is None and wait:
+                await asyncio.sleep(wait)
                 found = await self._store.get(OWNER_KEY)
             if found is None:
                 return 0
@@ -149,6 +166,23 @@
             if not heard.complete:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def _find_wait(self) -> float:
+        """Return how long to leave a vacancy to others, in seconds."""
+        if self._read_clock() < self._paused_until:
+            return LAST_SECONDS
+        return self._stand_back
+
+    def _note_end(self, term: Term, began: float) -> None:
+        """Let this process stand last for a while once it has given up."""
+        now = self._read_clock()
+        if not term.given_up:
+            if now - began > SOUND_SECONDS:
+                self._given_up_in_row = 0
+            return
+        self.given_up += 1
+        self._given_up_in_row += 1
+        self._paused_until = now + find_pause(self._given_up_in_row)
+
     async def _create(self, revision: int) -> Term | None:
         lease = await self._hold_lease()
         asked_at = self._lease_until
@@ -181,6 +215,7 @@
 
     async def _serve(self, term: Term) -> None:
         self.term = term
+        began = self._read_clock()
         work = asyncio.create_task(self._guard_work(term), name="term")
         try:
             await self._renew(term)
@@ -189,6 +224,7 @@
             work.cancel()
             await asyncio.wait({work})
             self.term = None
+            self._note_end(term, began)
             _log.info("ownership_ended", fence=term.fence)
 
     async def _guard_work(self, term: Term) -> None:
@@ -204,6 +240,7 @@
 
     async def _renew(self, term: Term) -> None:
         """Renew until the term is lost."""
+        unanswered_since: float | None = None
         while not term.lost.is_set():
             asked_at = self._read_clock()
             try:
@@ -212,23 +249,45 @@
                 # The store may be back before it has counted the lease out; only
                 # its own word ends the term.
                 _log.warning("ownership_not_renewed", reason=str(failure))
+                if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
+                    unanswered_since = None
+                elif unanswered_since is None:
+                    unanswered_since = asked_at
+                elif asked_at - unanswered_since > UNANSWERED_SECONDS:
+                    self._give_up_unanswered(term)
                 await _wait_or_lost(term, RETRY_SECONDS)
                 continue
             if not alive:
                 _log.warning("ownership_lapsed", fence=term.fence)
                 self._lease = 0
                 return
+            unanswered_since = None
             term.extend(asked_at)
             await _wait_or_lost(term, RENEW_SECONDS)
         if not self._leaving:
             await self._resign(term)
 
+    def _give_up_unanswered(self, term: Term) -> None:
+        """End a term whose renewals are carried out, but never answered in time.
+
+        The store would go on counting this process as the owner, while it may give
+        no order itself: nothing would start until its link or processor is well.
+        """
+        _log.warning(
+            "ownership_given_up", fence=term.fence, trouble="renewals not answered"
+        )
+        term.give_up()
+
     async def _resign(self, term: Term) -> None:
         """Remove the key after a fault, so that another process may try."""
         self._lease = 0
+        writes = []
+        if term.given_up:
+            record = encode_record(GivenUpRecord((term.given_up_before or 0) + 1))
+            writes.append(Write(GIVEN_UP_KEY, record))
         try:
             await self._store.commit(
-                [Condition(OWNER_KEY, term.fence)], removals=[OWNER_KEY]
+                [Condition(OWNER_KEY, term.fence)], writes, [OWNER_KEY]
             )
         except Failure as failure:
             _log.warning("ownership_not_resigned", reason=str(failure))
--- a/src/primrosestile/coordination/work/intake.py
+++ b/src/primrosestile/coordination/work/intake.py
@@ -30,6 +30,10 @@
 # been told nothing while changes were made.
 RELIST_SECONDS = 5.0
 RETRY_SECONDS = 0.2
+# What was cancelled may start nothing more 3 s after that was acknowledged; a start's
+# record and its order, sent again once, take up to 1 s of that. A watch that hears
+# nothing returns within 1 s, and 0.3 s more at a slow store.
+HEARD_SECONDS = 2.0
 
 _log = structlog.get_logger()
 
@@ -50,12 +54,26 @@
         self._wake = wake
         self._revision = 0
         self._listed_at = 0.0
+        # Nothing was heard before the term began; for how long doesn't matter.
+        self._heard_at = read_clock() - HEARD_SECONDS
+
+    @property
+    def heard_age(self) -> float:
+        """Seconds since all wishes of that moment were known, at the least."""
+        return read_clock() - self._heard_at
+
+    @property
+    def recent(self) -> bool:
+        """Whether wishes are heard, so that what was cancelled isn't started."""
+        return self.heard_age < HEARD_SECONDS
 
     async def load(self) -> None:
         """Read every job, how far it got, and every cancellation."""
         progresses, _ = await list_entries(self._store, PROGRESS_PREFIX)
+        asked_at = read_clock()
         wishes, self._revision = await list_entries(self._store, WISHES_PREFIX)
         self._listed_at = read_clock()
+        self._heard_at = asked_at
         known = {}
         for entry in progresses:
             job_id = entry.key.removeprefix(PROGRESS_PREFIX)
@@ -114,6 +132,7 @@
     async def _follow(self) -> None:
         if read_clock() - self._listed_at > RELIST_SECONDS:
             await self._list_again()
+        asked_at = read_clock()
         heard = await self._store.watch_once(
             WISHES_PREFIX, self._revision, WATCH_SECONDS
         )
@@ -123,10 +142,16 @@
         self._revision = max(self._revision, heard.revision)
         if heard.changes:
             self._take_changes(heard.changes)
+            self._heard_at = asked_at
+        else:
+            # The store waited for a change before it answered that there is none.
+            self._heard_at = min(read_clock(), asked_at + WATCH_SECONDS)
 
     async def _list_again(self) -> None:
+        asked_at = read_clock()
         entries, self._revision = await list_entries(self._store, WISHES_PREFIX)
         self._listed_at = read_clock()
+        self._heard_at = asked_at
         self._take_wishes(entries)
         self._wake()
 
--- a/src/primrosestile/coordination/work/keys.py
+++ b/src/primrosestile/coordination/work/keys.py
@@ -17,6 +17,9 @@
 # Created by whoever becomes owner, under its lease; the revision of the creation
 # is the fence that workers are shown.
 OWNER_KEY = "owner"
+# How many owners gave the ownership up, one after another; the watch over the owner's
+# key has that as its prefix and must not hear this.
+GIVEN_UP_KEY = "given-up"
 
 
 def make_job_key(job_id: str) -> str:
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -121,6 +121,11 @@
         """What the worker says of itself in the store."""
         return self.worker.entry
 
+    @property
+    def heard_at(self) -> float:
+        """When the worker last answered a look, or this link began."""
+        return self._last_heard
+
     def find_lease_end(self) -> float:
         """Return the end of the lease to ask for, on the worker's clock."""
         until = self.clock.estimate(read_clock()) + LEASE_SECONDS
--- /dev/null
+++ b/src/primrosestile/coordination/work/metering.py
@@ -0,0 +1,113 @@
+"""Counts which of the owner's calls to workers are answered."""
+
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from primrosestile.clock import read_clock
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.fleet import (
+    OrderAnswer,
+    Refusal,
+    StartOrder,
+    WorkerCalls,
+    WorkerLook,
+)
+from primrosestile.state.workers import WorkerEntry
+
+# Calls are counted over the last one to two of these: a look waits up to 1 s.
+SPAN_SECONDS = 2.0
+
+T = TypeVar("T")
+
+
+class _Span:
+    """The calls of one span of time, by worker: answered and not."""
+
+    def __init__(self) -> None:
+        self.answered: dict[str, int] = {}
+        self.unanswered: dict[str, int] = {}
+
+
+class MeteredCalls:
+    """Implements `protocol.fleet.WorkerCalls` by another one, and counts."""
+
+    def __init__(self, calls: WorkerCalls) -> None:
+        self._calls = calls
+        self._now = _Span()
+        self._before = _Span()
+        self._turned_at = 0.0
+
+    def count(self) -> tuple[int, int]:
+        """Return calls of the last seconds, and how many of them went unanswered.
+
+        Only workers that answered at least one count. A worker that is gone answers
+        none, and is asked several times as often as one that answers: a few of them
+        would hide that all others answer.
+        """
+        self._turn()
+        spans = (self._now, self._before)
+        alive = self._now.answered.keys() | self._before.answered.keys()
+        answered = sum(sum(span.answered.values()) for span in spans)
+        unanswered = sum(
+            count
+            for span in spans
+            for name, count in span.unanswered.items()
+            if name in alive
+        )
+        return answered + unanswered, unanswered
+
+    async def look(
+        self,
+        entry: WorkerEntry,
+        fence: int,
+        seen: int,
+        until: float | None,
+        wait: float,
+    ) -> WorkerLook | Refusal:
+        """Extend the lease, forget ends up to `seen`, wait for another end."""
+        call = self._calls.look(entry, fence, seen, until, wait)
+        return await self._note(entry, call)
+
+    async def start(
+        self, entry: WorkerEntry, fence: int, order: StartOrder
+    ) -> OrderAnswer:
+        """Start one run."""
+        return await self._note(entry, self._calls.start(entry, fence, order))
+
+    async def stop(
+        self, entry: WorkerEntry, fence: int, task: str, run: int
+    ) -> OrderAnswer:
+        """Stop a run, and refuse it should its start come later."""
+        return await self._note(entry, self._calls.stop(entry, fence, task, run))
+
+    async def pace(
+        self, entry: WorkerEntry, fence: int, task: str, run: int, percent: int
+    ) -> OrderAnswer:
+        """Let a run work at a share of its speed."""
+        call = self._calls.pace(entry, fence, task, run, percent)
+        return await self._note(entry, call)
+
+    async def _note(self, entry: WorkerEntry, call: Awaitable[T]) -> T:
+        try:
+            answer = await call
+        except Failure as failure:
+            # A refused connection was answered: there is no worker.
+            if failure.kind is not ErrorKind.NO_TARGET:
+                self._turn()
+                _add(self._now.unanswered, entry.worker)
+            raise
+        self._turn()
+        _add(self._now.answered, entry.worker)
+        return answer
+
+    def _turn(self) -> None:
+        now = read_clock()
+        if now - self._turned_at > SPAN_SECONDS:
+            stale = now - self._turned_at > 2 * SPAN_SECONDS
+            self._before = _Span() if stale else self._now
+            self._now = _Span()
+            self._turned_at = now
+
+
+def _add(counts: dict[str, int], name: str) -> None:
+    counts[name] = counts.get(name, 0) + 1
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -27,7 +27,9 @@
     SLOW_CLOCK_FACTOR,
     WorkerLink,
 )
+from primrosestile.coordination.work.metering import MeteredCalls
 from primrosestile.coordination.work.orders import Orders
+from primrosestile.coordination.work.ownwatch import OwnWatch
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
@@ -84,7 +86,7 @@
         upkeep: UpkeepCalls,
     ) -> None:
         self._store = store
-        self._calls = calls
+        self._calls = MeteredCalls(calls)
         self._policies = policies
         self._term = term
         self._status_kept = status_kept
@@ -104,6 +106,15 @@
         self._roster = Roster(workers, self._board, self._add_worker, self._wake)
         self._upkeep = UpkeepDuty(upkeep, store, term, self._board, self._wake)
         self._advisor = Advisor(advice, self._board, self._durations, term, self._wake)
+        self._watch = OwnWatch(
+            store,
+            term,
+            self._board,
+            self._intake,
+            self._recorder,
+            self._links,
+            self._calls,
+        )
         self._began = read_clock()
         self._pass_seconds = 0.0
 
@@ -112,13 +123,22 @@
         """What this owner knows."""
         return self._board
 
+    def count(self) -> dict[str, float]:
+        """Return figures of the moment, for those who watch over the fleet."""
+        return {**self._board.count(), **self._watch.count()}
+
     def _wake(self) -> None:
         self._wanted.set()
 
     async def run(self) -> None:
         """Recover, then schedule until the term is lost or this is cancelled."""
-        await self._load()
         async with asyncio.TaskGroup() as tasks:
+            # From the beginning: a VM that can't even read what there is must not
+            # keep the ownership by that.
+            tasks.create_task(self._watch.run())
+            tasks.create_task(self._watch.follow_record())
+            await self._load()
+            self._watch.loaded = True
             self._tasks = tasks
             orders = Orders(
                 self._calls,
@@ -261,7 +281,10 @@
                 position=unit.key.position,
                 run=unit.run,
             )
-        if self._roster.recent and self._policies.recent:
+        recent = self._roster.recent and self._policies.recent
+        # A job may have been cancelled unheard: a caller was told so, and what starts
+        # all the same is seen as work that nobody asked for.
+        if recent and self._intake.recent:
             plan = make_plan(self._board, self._durations, self._speeds, read_clock())
             for stop in plan.stops:
                 _log_stop(stop)
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -9,14 +9,11 @@
 import uvloop
 from aiohttp import web
 
-from primrosestile.coordination.work.election import (
-    Election,
-    Term,
-    find_stand_back,
-)
+from primrosestile.coordination.work.election import Election, Term
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.platform.advice import PlatformAdvice
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
 from primrosestile.platform.settings import (
@@ -79,7 +76,7 @@
             self._store,
             settings.name,
             self._run_term,
-            stand_back=find_stand_back(settings.processor),
+            stand_back=find_stand_back(settings.processor, settings.link),
         )
 
     @property
@@ -153,8 +150,9 @@
         state = self._metrics.state
         state.set({"name": "policy_age_seconds"}, self._policies.age)
         state.set({"name": "owner"}, float(self._scheduler is not None))
+        state.set({"name": "ownerships_given_up"}, float(self._election.given_up))
         if self._scheduler is not None:
-            for name, value in self._scheduler.board.count().items():
+            for name, value in self._scheduler.count().items():
                 state.set({"name": name}, value)
         body, headers = self._metrics.render(request.headers.getall("Accept", []))
         return web.Response(body=body, headers=dict(headers))
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -182,9 +182,16 @@
     address: str = ""
 
 
+class GivenUpRecord(msgspec.Struct, frozen=True, array_like=True):
+    """How many owners gave up one after another, with none sound for long since."""
+
+    times: int
+
+
 _encoder = msgspec.msgpack.Encoder()
 _submissions = msgspec.msgpack.Decoder(Submission)
 _progresses = msgspec.msgpack.Decoder(Progress)
+_given_ups = msgspec.msgpack.Decoder(GivenUpRecord)
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
@@ -200,3 +207,8 @@
 def decode_progress(value: bytes) -> Progress:
     """Return how far a job got."""
     return _progresses.decode(value)
+
+
+def decode_given_up(value: bytes) -> int:
+    """Return how many owners gave up one after another."""
+    return _given_ups.decode(value).times
--- a/src/primrosestile_standin/fleetstore.py
+++ b/src/primrosestile_standin/fleetstore.py
@@ -238,14 +238,14 @@
         """Return a new lease."""
         await self._enter()
         lease = self._store.grant(seconds)
-        await self._carry(ANSWER_BYTES)
+        await self._carry(ANSWER_BYTES, ErrorKind.STORE_ANSWER_LOST)
         return lease
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; return False when it has ended."""
         await self._enter()
         alive = self._store.keep(lease)
-        await self._carry(ANSWER_BYTES)
+        await self._carry(ANSWER_BYTES, ErrorKind.STORE_ANSWER_LOST)
         return alive
 
     async def watch_once(self, prefix: str, after: int, seconds: float) -> Heard:
