--- a/src/primrosestile/coordination/work/caring.py
+++ b/src/primrosestile/coordination/work/caring.py
@@ -58,9 +58,7 @@
 
     async def _care(self, entry: WorkerEntry) -> None:
         """Read the worker's clock first; its lease is given in it."""
-        clock = self._clocks.setdefault(
-            entry.worker, WorkerClock(self._lease_longest)
-        )
+        clock = self._clocks.setdefault(entry.worker, WorkerClock(self._lease_longest))
         if not clock.known:
             await self._look(entry, clock, None)
         if clock.known:
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -12,6 +12,7 @@
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.advising import Advisor
+from primrosestile.coordination.work.caring import Caretaker
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.intake import Intake
 from primrosestile.coordination.work.keys import (
@@ -30,6 +31,7 @@
 from primrosestile.coordination.work.metering import MeteredCalls
 from primrosestile.coordination.work.orders import Orders
 from primrosestile.coordination.work.ownwatch import OwnWatch
+from primrosestile.coordination.work.passlog import log_gone, log_stop
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
@@ -38,7 +40,7 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuating import find_evacuations
 from primrosestile.decisions.work.pacing import find_paces
-from primrosestile.decisions.work.planning import Stop, make_plan
+from primrosestile.decisions.work.planning import make_plan
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.trust import AT_ONCE_SECONDS, Trust
 from primrosestile.decisions.work.units import Job, Member, Proof
@@ -82,6 +84,7 @@
         policies: PolicyWatch,
         term: Term,
         status_kept: float,
+        lease_longest: float,
         advice: AdviceCalls,
         upkeep: UpkeepCalls,
     ) -> None:
@@ -90,6 +93,7 @@
         self._policies = policies
         self._term = term
         self._status_kept = status_kept
+        self._lease_longest = lease_longest
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
         self._board = Board(policy)
@@ -106,6 +110,7 @@
         self._roster = Roster(workers, self._board, self._add_worker, self._wake)
         self._upkeep = UpkeepDuty(upkeep, store, term, self._board, self._wake)
         self._advisor = Advisor(advice, self._board, self._durations, term, self._wake)
+        self._caretaker = Caretaker(self._calls, workers, term, lease_longest)
         self._watch = OwnWatch(
             store,
             term,
@@ -137,7 +142,9 @@
             # keep the ownership by that.
             tasks.create_task(self._watch.run())
             tasks.create_task(self._watch.follow_record())
+            caring = tasks.create_task(self._caretaker.run())
             await self._load()
+            caring.cancel()
             self._watch.loaded = True
             self._tasks = tasks
             orders = Orders(
@@ -194,6 +201,7 @@
             self._recorder,
             self._wake,
             self._note_end,
+            self._lease_longest,
         )
         self._links[name] = link
         tasks.create_task(self._run_link(name, link))
@@ -251,7 +259,7 @@
                 self._board.take_policy(policy)
             self._open_due()
             self._give_up_blind()
-            self._log_gone()
+            log_gone(self._board.take_gone())
             if self._term.may_act():
                 began = read_clock()
                 self._run_pass(orders)
@@ -287,7 +295,7 @@
         if recent and self._intake.recent:
             plan = make_plan(self._board, self._durations, self._speeds, read_clock())
             for stop in plan.stops:
-                _log_stop(stop)
+                log_stop(stop)
             orders.start(plan.starts)
         orders.pace(find_paces(self._board, now))
         orders.stop_abandoned()
@@ -319,23 +327,6 @@
                 _log.warning("runs_given_up", worker=name)
                 self._board.clear_worker(link.worker, Proof.UNHEARD)
 
-    def _log_gone(self) -> None:
-        """Say why runs are taken as gone, before anything is decided by it.
-
-        A task that ran twice is traced back to the proof of its first run's end; an
-        end that a worker listed has its own line.
-        """
-        for member, proof in self._board.take_gone():
-            if proof is not Proof.ENDED:
-                _log.info(
-                    "run_gone",
-                    job_id=member.unit.job.job_id,
-                    task=member.task,
-                    run=member.run,
-                    worker=member.worker,
-                    proof=proof.value,
-                )
-
     async def _clean_up(self) -> None:
         """Remove the records of jobs that nobody can ask for any more."""
         while True:
@@ -370,21 +361,6 @@
                 self._recorder.forget(job_id)
 
 
-def _log_stop(stop: Stop) -> None:
-    unit = stop.unit
-    _log.info(
-        "run_preempted",
-        job_id=unit.job.job_id,
-        step=unit.key.step,
-        position=unit.key.position,
-        run=unit.run,
-        size=unit.size,
-        checkpoints=unit.step.checkpoints,
-        gainer=stop.gainer.job.job_id,
-        cost=round(stop.cost, 1),
-    )
-
-
 class _TermOver(Exception):
     """Ends the tasks of a term; not a fault."""
 
