Judge the store by two renewals unanswered, and test each measure

Renewals that take 1 s on a full link made the store look away for as long as that lasted, so that no trouble counted. Each threshold, the store's own trouble, one bad moment and the growing service and pause have scenarios now.

--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -1,14 +1,16 @@
 """Steps for owners that can't do their work."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
-from behave import step, then, when
+from behave import given, step, then, when
 from features.doubles.fleetworld import FleetWorld, Process
 from work_steps import list_running, make_id, read_steps, write_script
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import WISHES_PREFIX
+from primrosestile.decisions.work.fitness import Fitness, Work, find_pause, find_serving
 from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.state.work import JobState
 
@@ -248,3 +250,62 @@
         seconds = find_stand_back(float(row["processor"]), float(row["link"]))
         low, high = float(row["from"]), float(row["to"])
         assert low <= seconds <= high, (row.cells, seconds)
+
+
+SOUND = Work(
+    wishes_age=0.5,
+    records_age=0.1,
+    workers=100,
+    heard=100,
+    loop_delay=0.01,
+    calls=200,
+    unanswered=0,
+    store_answers=1000.0,
+    served=1000.0,
+)
+
+
+@given("an owner whose work is sound")
+def step_sound(context: Any) -> None:
+    context.work = SOUND
+    context.fitness = Fitness()
+    context.fitness.given_up = 0
+
+
+@given("its {measure} is {value:g}")
+def step_measure(context: Any, measure: str, value: float) -> None:
+    context.work = replace(context.work, **{measure: value})
+
+
+@when("it is judged for {seconds:g} s")
+def step_judge(context: Any, seconds: float) -> None:
+    times = [number * 0.1 for number in range(int(seconds * 10) + 1)]
+    judged = [context.fitness.judge(context.work, at) for at in times]
+    context.trouble = next((each for each in judged if each is not None), None)
+
+
+@then("it stays")
+def step_stays(context: Any) -> None:
+    assert context.trouble is None, context.trouble
+
+
+@then("it gives up: {trouble}")
+def step_gives_up(context: Any, trouble: str) -> None:
+    assert context.trouble is not None and context.trouble.value == trouble
+
+
+@given("{before} owners gave up before it")
+def step_before(context: Any, before: str) -> None:
+    context.fitness.given_up = int(before) if before.isdigit() else None
+
+
+@then("it may give up after {seconds:g} s, and stands last for {pause:g} s afterwards")
+def step_serving(context: Any, seconds: float, pause: float) -> None:
+    fitness = context.fitness
+    assert find_serving(fitness.given_up) == seconds
+    for served, expected in ((seconds - 0.1, False), (seconds + 0.1, True)):
+        work = replace(context.work, served=served)
+        judged = [fitness.judge(work, number * 0.5) for number in range(4)]
+        assert any(judged) is expected, (served, judged)
+    times = 1000 if fitness.given_up is None else fitness.given_up + 1
+    assert find_pause(times) == pause
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -118,3 +118,59 @@
       | 2.1       | 10     | 0.5   | 0.5   |
       | 2.1       | 50     | 0.3   | 0.45  |
       | 0.01      | 0.01   | 0.5   | 0.5   |
+
+  Scenario Outline: What the owner's measures show
+    Given an owner whose work is sound
+    And its <measure> is <value>
+    When it is judged for 2 s
+    Then it <does>
+
+    Examples:
+      | measure       | value | does                                |
+      | wishes_age    | 3.9   | stays                               |
+      | wishes_age    | 4.1   | gives up: wishes not heard          |
+      | records_age   | 3.4   | stays                               |
+      | records_age   | 3.6   | gives up: records not written       |
+      | heard         | 50    | stays                               |
+      | heard         | 49    | gives up: workers not heard         |
+      | loop_delay    | 0.39  | stays                               |
+      | loop_delay    | 0.41  | gives up: processor behind          |
+      | unanswered    | 100   | stays                               |
+      | unanswered    | 101   | gives up: calls not answered        |
+
+  Scenario Outline: The store has not answered for long enough to judge by
+    Right after an outage every owner's work is behind. Another would have to read all
+    anew, and be no further.
+    Given an owner whose work is sound
+    And its <measure> is <value>
+    And its store_answers is 3
+    When it is judged for 2 s
+    Then it stays
+
+    Examples:
+      | measure     | value |
+      | wishes_age  | 9     |
+      | records_age | 9     |
+      | heard       | 0     |
+      | loop_delay  | 2     |
+      | unanswered  | 200   |
+
+  Scenario: One bad moment changes nothing
+    Given an owner whose work is sound
+    And its wishes_age is 9
+    When it is judged for 0.9 s
+    Then it stays
+
+  Scenario Outline: Each owner serves longer the more have given up before it
+    Given an owner whose work is sound
+    And its wishes_age is 90
+    And <before> owners gave up before it
+    Then it may give up after <seconds> s, and stands last for <pause> s afterwards
+
+    Examples:
+      | before     | seconds | pause |
+      | 0          | 4       | 5     |
+      | 1          | 8       | 10    |
+      | 3          | 32      | 40    |
+      | 9          | 64      | 80    |
+      | an unknown number of | 64 | 80 |
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -181,7 +181,9 @@
             return
         self.given_up += 1
         self._given_up_in_row += 1
-        self._paused_until = now + find_pause(self._given_up_in_row)
+        pause = find_pause(self._given_up_in_row)
+        self._paused_until = now + pause
+        _log.info("ownership_pause", seconds=pause, given_up=self.given_up)
 
     async def _create(self, revision: int) -> Term | None:
         lease = await self._hold_lease()
--- a/src/primrosestile/coordination/work/ownwatch.py
+++ b/src/primrosestile/coordination/work/ownwatch.py
@@ -7,7 +7,7 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import RENEW_SECONDS, Term
+from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.intake import Intake
 from primrosestile.coordination.work.keys import GIVEN_UP_KEY, OWNER_KEY
 from primrosestile.coordination.work.links import WorkerLink
@@ -29,9 +29,10 @@
 # The delay of the loop is the mean of this many measures, 4 s: one suspension of the
 # VM is behind it by then.
 DELAYS_KEPT = 16
-# A renewal is sent every 0.4 s and given up after 1.5 s; a newest answered one that was
-# sent longer ago than this shows that one went unanswered.
-UNRENEWED_SECONDS = RENEW_SECONDS + 0.8
+# Past this age of the newest renewal that was answered, the store counts as away. Two
+# in a row were given up after 1.5 s each by then; a renewal that takes 1 s on a full
+# link is an answer all the same.
+UNRENEWED_SECONDS = 3.0
 
 _log = structlog.get_logger()
 
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -76,9 +76,14 @@
             self._store,
             settings.name,
             self._run_term,
-            stand_back=find_stand_back(settings.processor, settings.link),
+            stand_back=find_stand_back(*self._share),
         )
 
+    @property
+    def _share(self) -> tuple[float, float]:
+        """What the VM has, by which it stands for the ownership earlier or later."""
+        return self.settings.processor, self.settings.link
+
     @property
     def _metrics_address(self) -> str:
         return f"{self.settings.ip}:{METRICS_PORT}"
@@ -93,7 +98,13 @@
         callers = await _listen(self._calls.answer, self.settings.callers_address)
         ready = await _listen(self._calls.answer_ready, self.settings.ready_address)
         metrics = await _listen(self._answer_metrics, self._metrics_address)
-        _log.info("started", address=self.settings.callers_address)
+        _log.info(
+            "started",
+            address=self.settings.callers_address,
+            processor=round(self.settings.processor, 2),
+            link=self.settings.link,
+            stands_after=round(find_stand_back(*self._share), 2),
+        )
         try:
             await self._serve(told, callers, ready)
         finally:
