--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -10,15 +10,12 @@
 import looptime
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import (
-    Election,
-    Term,
-    find_stand_back,
-)
+from primrosestile.coordination.work.election import Election, Term
 from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.errors import Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
@@ -36,6 +33,7 @@
     FleetCalls,
     FleetWorker,
 )
+from primrosestile_standin.link import Link
 
 POOL = "engine"
 HOST = "queue.example"
@@ -105,6 +103,7 @@
     Attributes:
         frozen_for: Added to the clock by which it judges its lease: it was
             suspended for that long.
+        link: What its VM can carry.
     """
 
     name: str
@@ -115,6 +114,7 @@
     task: asyncio.Task[Any] | None = None
     scheduler: Scheduler | None = None
     frozen_for: float = 0.0
+    link: Link = field(default_factory=Link)
 
 
 @dataclass(slots=True)
@@ -155,16 +155,19 @@
         self.run(end())
         self.runner.close()
 
-    def add_process(self, name: str, processor: float = 1.0) -> Process:
-        """Start a process on a machine of some processor, in cores."""
-        store = self.connect(name)
+    def add_process(
+        self, name: str, processor: float = 1.0, mbps: float = 1000.0
+    ) -> Process:
+        """Start a process on a VM of some processor, in cores, and some link."""
+        link = Link()
+        store = self.connect(name, link)
         process: Process
 
         def read_steady() -> float:
             return read_clock() + process.frozen_for
 
         policies = PolicyWatch(PlatformPolicies(store), POLICY_AGE_SECONDS, read_steady)
-        calls = self.make_calls(name)
+        calls = self.make_calls(name, link)
 
         async def run_term(term: Term) -> None:
             process.scheduler = Scheduler(
@@ -185,21 +188,22 @@
             policies=policies,
             submitting=Submitting(store, policies, POLICY_KEY),
             election=Election(
-                store, name, run_term, read_steady, find_stand_back(processor)
+                store, name, run_term, read_steady, find_stand_back(processor, mbps)
             ),
             calls=calls,
+            link=link,
         )
         self.processes[name] = process
         process.task = self.start_process(process)
         return process
 
-    def connect(self, name: str) -> TransactionalStore:
+    def connect(self, name: str, link: Link) -> TransactionalStore:
         """Return a process's way to the store."""
-        return self.store.connect(name)
+        return self.store.connect(name, link)
 
-    def make_calls(self, name: str) -> WorkerCalls:
+    def make_calls(self, name: str, link: Link) -> WorkerCalls:
         """Return a process's way to the workers."""
-        return FleetCalls(self.fleet)
+        return FleetCalls(self.fleet, link)
 
     def start_process(self, process: Process) -> asyncio.Task[Any]:
         """Let a process run."""
--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -30,6 +30,7 @@
     FleetWorker,
     Script,
 )
+from primrosestile_standin.link import Link
 
 PROCESSES = ("p0", "p1")
 VMS = ("v0", "v1", "v2")
@@ -108,13 +109,13 @@
 
     # Processes.
 
-    def connect(self, name: str) -> TransactionalStore:
+    def connect(self, name: str, link: Link) -> TransactionalStore:
         """Return a process's way to the store."""
-        return LinkedStore(self.store.connect(name))
+        return LinkedStore(self.store.connect(name, link))
 
-    def make_calls(self, name: str) -> WorkerCalls:
+    def make_calls(self, name: str, link: Link) -> WorkerCalls:
         """Return a process's way to the workers."""
-        return LinkedCalls(FleetCalls(self.fleet), self.seats[name].link)
+        return LinkedCalls(FleetCalls(self.fleet, link), self.seats[name].link)
 
     def start_process(self, process: Process) -> "asyncio.Task[Any]":
         """Let a process run on its own machine."""
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -88,7 +88,9 @@
         they run; `worker_lease_over` would come within a second of `ownership_gained`.
         """
         if not self.known:
-            self.until = reading + self.lease_longest
+            # No owner asks for more than our own length; one call of this very term
+            # may still be on its way, and on some platforms the longest is shorter.
+            self.until = reading + max(self.lease_longest, LEASE_SECONDS)
         if reading > self.reading:
             self.reading = reading
             self.at = now
@@ -152,6 +154,11 @@
             **heard,
         }
 
+    @property
+    def heard_at(self) -> float:
+        """When the worker last answered a look, or this link began."""
+        return self._last_heard
+
     def find_lease_end(self) -> float:
         """Return the end of the lease to ask for, on the worker's clock."""
         until = self.clock.estimate(read_clock()) + LEASE_SECONDS
@@ -194,7 +201,7 @@
         return self._board.workers.get(self.worker.name) is self.worker
 
     def _may_care(self) -> bool:
-        return self._term.read_clock() < self._term.valid_until + CARE_SECONDS
+        return self._term.may_care(CARE_SECONDS)
 
     async def look_now(self) -> None:
         """Look once without waiting, beside the look that may be waiting."""
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -12,6 +12,7 @@
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.advising import Advisor
+from primrosestile.coordination.work.caring import Caretaker
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.intake import Intake
 from primrosestile.coordination.work.keys import (
@@ -27,7 +28,10 @@
     SLOW_CLOCK_FACTOR,
     WorkerLink,
 )
+from primrosestile.coordination.work.metering import MeteredCalls
 from primrosestile.coordination.work.orders import Orders
+from primrosestile.coordination.work.ownwatch import OwnWatch
+from primrosestile.coordination.work.passlog import log_gone, log_stop
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
@@ -36,7 +40,7 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuating import find_evacuations
 from primrosestile.decisions.work.pacing import find_paces
-from primrosestile.decisions.work.planning import Stop, make_plan
+from primrosestile.decisions.work.planning import make_plan
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.trust import AT_ONCE_SECONDS, Trust
 from primrosestile.decisions.work.units import Job, Member, Proof
@@ -85,7 +89,7 @@
         upkeep: UpkeepCalls,
     ) -> None:
         self._store = store
-        self._calls = calls
+        self._calls = MeteredCalls(calls)
         self._policies = policies
         self._term = term
         self._status_kept = status_kept
@@ -106,6 +110,16 @@
         self._roster = Roster(workers, self._board, self._add_worker, self._wake)
         self._upkeep = UpkeepDuty(upkeep, store, term, self._board, self._wake)
         self._advisor = Advisor(advice, self._board, self._durations, term, self._wake)
+        self._caretaker = Caretaker(self._calls, workers, term, lease_longest)
+        self._watch = OwnWatch(
+            store,
+            term,
+            self._board,
+            self._intake,
+            self._recorder,
+            self._links,
+            self._calls,
+        )
         self._began = read_clock()
         self._pass_seconds = 0.0
 
@@ -114,13 +128,24 @@
         """What this owner knows."""
         return self._board
 
+    def count(self) -> dict[str, float]:
+        """Return figures of the moment, for those who watch over the fleet."""
+        return {**self._board.count(), **self._watch.count()}
+
     def _wake(self) -> None:
         self._wanted.set()
 
     async def run(self) -> None:
         """Recover, then schedule until the term is lost or this is cancelled."""
-        await self._load()
         async with asyncio.TaskGroup() as tasks:
+            # From the beginning: a VM that can't even read what there is must not
+            # keep the ownership by that.
+            tasks.create_task(self._watch.run())
+            tasks.create_task(self._watch.follow_record())
+            caring = tasks.create_task(self._caretaker.run())
+            await self._load()
+            caring.cancel()
+            self._watch.loaded = True
             self._tasks = tasks
             orders = Orders(
                 self._calls,
@@ -273,10 +298,13 @@
                 position=unit.key.position,
                 run=unit.run,
             )
-        if self._roster.recent and self._policies.recent:
+        recent = self._roster.recent and self._policies.recent
+        # A job may have been cancelled unheard: a caller was told so, and what starts
+        # all the same is seen as work that nobody asked for.
+        if recent and self._intake.recent:
             plan = make_plan(self._board, self._durations, self._speeds, read_clock())
             for stop in plan.stops:
-                _log_stop(stop)
+                log_stop(stop)
             orders.start(plan.starts)
         orders.pace(find_paces(self._board, now))
         orders.stop_abandoned()
@@ -309,25 +337,7 @@
                 self._board.clear_worker(link.worker, Proof.UNHEARD)
 
     def _log_gone(self) -> None:
-        """Say why runs are taken as gone, before anything is decided by it.
-
-        A task that ran twice is traced back to the proof of its first run's end; an
-        end that a worker listed has its own line.
-        """
-        for member, proof in self._board.take_gone():
-            if proof is Proof.ENDED:
-                continue
-            link = self._links.get(member.worker)
-            _log.info(
-                "run_gone",
-                job_id=member.unit.job.job_id,
-                task=member.task,
-                run=member.run,
-                worker=member.worker,
-                proof=proof.value,
-                fence=self._term.fence,
-                **(link.describe() if link else {}),
-            )
+        log_gone(self._board.take_gone(), self._links, self._term.fence)
 
     async def _clean_up(self) -> None:
         """Remove the records of jobs that nobody can ask for any more."""
@@ -363,21 +373,6 @@
                 self._recorder.forget(job_id)
 
 
-def _log_stop(stop: Stop) -> None:
-    unit = stop.unit
-    _log.info(
-        "run_preempted",
-        job_id=unit.job.job_id,
-        step=unit.key.step,
-        position=unit.key.position,
-        run=unit.run,
-        size=unit.size,
-        checkpoints=unit.step.checkpoints,
-        gainer=stop.gainer.job.job_id,
-        cost=round(stop.cost, 1),
-    )
-
-
 class _TermOver(Exception):
     """Ends the tasks of a term; not a fault."""
 
