Add two models of one task on the fleet, with ten guards

One task, two workers, two owners and a store: `fleet task` without time (orders, stops, ends, records), `fleet lease` in ticks (leases, clocks, waits).

What the lease model shows: the fence alone does not stop a former owner's start, since the worker may not have been shown the newer one when the run was waited out.

--- a/features/model/guards.feature
+++ b/features/model/guards.feature
@@ -54,3 +54,13 @@
       | LEAVING_EXCLUDED                  | leaving    | a leaving target gets nothing new after the bound  |
       | LEAVING_FROM_EITHER_SOURCE        | leaving    | a leaving target gets nothing new after the bound  |
       | LEAVING_CHECKED_AT_SEND           | leaving    | a leaving target gets nothing new after the bound  |
+      | RUN_RECORDED_BEFORE_ORDER         | fleet task | a task never runs twice at once                    |
+      | RECORD_COMPARED                   | fleet task | a task never runs again after its end counts       |
+      | RUN_BARRED_BEFORE_NEXT            | fleet task | a task never runs twice at once                    |
+      | STOP_END_AWAITED                  | fleet task | a task never runs twice at once                    |
+      | END_STORED_BEFORE_FORGOTTEN       | fleet task | a task never runs again after its end counts       |
+      | LIFE_ENDS_BY_OWN_WORD             | fleet task | a task never runs twice at once                    |
+      | SILENCE_WAITED_OUT                | fleet lease | a task never runs twice at once                    |
+      | SLOW_CLOCK_ALLOWED_FOR            | fleet lease | a task never runs twice at once                    |
+      | NO_ORDER_PAST_LEASE               | fleet lease | a task never runs twice at once                    |
+      | CARE_IS_BOUNDED                   | fleet lease | a task never runs twice at once                    |
--- a/features/model/promises.feature
+++ b/features/model/promises.feature
@@ -10,17 +10,19 @@
     And everything that the model should be able to show was seen
 
     Examples:
-      | model      |
-      | gang start |
-      | gang lease |
-      | moving     |
-      | claims     |
-      | submission |
-      | answers    |
-      | settings   |
-      | restart    |
-      | drain      |
-      | leaving    |
+      | model       |
+      | gang start  |
+      | gang lease  |
+      | moving      |
+      | claims      |
+      | submission  |
+      | answers     |
+      | settings    |
+      | restart     |
+      | drain       |
+      | leaving     |
+      | fleet task  |
+      | fleet lease |
 
   Scenario: Every model is swept, and every guard belongs to a model
     Then the models and guards listed in this folder are all there are
--- a/specification/guards.py
+++ b/specification/guards.py
@@ -169,3 +169,37 @@
         "Whether the target is leaving is checked again when the work is sent, not "
         "only when the target is chosen."
     )
+
+    # Tasks on the fleet.
+    RUN_RECORDED_BEFORE_ORDER = (
+        "A run stands in the store before its start is sent to a worker."
+    )
+    RECORD_COMPARED = (
+        "A task's record is written only over the revision that its owner knows."
+    )
+    RUN_BARRED_BEFORE_NEXT = (
+        "A run whose start may still come is barred by a stop that its worker has "
+        "answered before another run of the task is decided."
+    )
+    STOP_END_AWAITED = (
+        "A stopped run counts as gone only once a later look does not show it."
+    )
+    SILENCE_WAITED_OUT = (
+        "A run on a worker that can't be asked counts as gone only once the worker's "
+        "lease must have run out, whoever extended it last."
+    )
+    SLOW_CLOCK_ALLOWED_FOR = "That wait allows for a worker's clock that is slow."
+    END_STORED_BEFORE_FORGOTTEN = (
+        "A worker is told to forget an end only once the end stands in the store."
+    )
+    NO_ORDER_PAST_LEASE = (
+        "An owner sends a start or stop only while its own store lease still runs."
+    )
+    CARE_IS_BOUNDED = (
+        "An owner whose store lease has lapsed extends workers' leases for a bounded "
+        "time only, which the next owner's wait counts in."
+    )
+    LIFE_ENDS_BY_OWN_WORD = (
+        "A worker's life is over only by the answer of its own address or with its "
+        "lease, never by the list of workers."
+    )
--- a/specification/models.py
+++ b/specification/models.py
@@ -4,6 +4,8 @@
     answers,
     claims,
     drain,
+    fleet_lease,
+    fleet_task,
     gang_lease,
     gang_start,
     leaving,
@@ -27,5 +29,7 @@
         restart,
         drain,
         leaving,
+        fleet_task,
+        fleet_lease,
     )
 }
