Give the troubled fleet's workers addresses that can be read

The strict reading of entries refuses an address like v0:80, with which the fuzzing machine and one scenario about a foreign address would have tested nothing.

--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -10,6 +10,7 @@
     FleetWorld,
     PlatformEntry,
     Process,
+    make_address,
     make_policy,
     run_process,
 )
@@ -153,7 +154,7 @@
         # Names of lives are in no order of time.
         name = name or f"{(self.lives * 7919) % 997:03d}-{vm}"
         worker = self.add_worker(
-            name, f"{vm}:80", accelerators=ACCELERATORS, clock_rate=clock_rate
+            name, make_address(vm), accelerators=ACCELERATORS, clock_rate=clock_rate
         )
         self.serving[vm] = worker
         return name
@@ -178,14 +179,14 @@
 
     def list_foreign(self, name: str, vm: str) -> None:
         """Write an entry of another writer that names a VM's address."""
-        self.list_worker(name, f"{vm}:80", accelerators=ACCELERATORS)
+        self.list_worker(name, make_address(vm), accelerators=ACCELERATORS)
 
     def list_state(self, vm: str, state: str) -> None:
         """Write a worker's own entry anew."""
         worker = self.serving[vm]
         if worker.alive:
             name = worker.entry.worker
-            entry = PlatformEntry(name, f"{vm}:80", "r1", ACCELERATORS, ())
+            entry = PlatformEntry(name, make_address(vm), "r1", ACCELERATORS, ())
             self.store.put(f"servers/{name}", entry.encode(state))
 
     # Callers.
--- a/features/fuzzing/work.py
+++ b/features/fuzzing/work.py
@@ -3,6 +3,7 @@
 import sys
 from typing import Any
 
+from features.doubles.fleetworld import make_address
 from features.doubles.processes import Running
 from features.doubles.worklinks import Way
 from features.doubles.workworld import (
@@ -184,14 +185,14 @@
         """Cut one process off from a worker, both ways or its answers only."""
         link = self.world.seats[self.find_process(name)].link
         chosen = link.deaf if answers else link.cut
-        chosen ^= {f"{vm}:80"}
+        chosen ^= {make_address(vm)}
         self.pass_time(wait)
 
     @rule(name=processes, wait=waits)
     def cut_from_workers(self, name: str, wait: float) -> None:
         """Cut one process off from all workers, or let it reach them again."""
         link = self.world.seats[self.find_process(name)].link
-        everywhere = {f"{vm}:80" for vm in VMS}
+        everywhere = {make_address(vm) for vm in VMS}
         link.cut = set() if link.cut else everywhere
         self.pass_time(wait)
 
