--- a/features/fuzzing/running.py
+++ b/features/fuzzing/running.py
@@ -1,10 +1,12 @@
-"""Run a state machine with fixed seeds, or with fresh ones for some time."""
+"""Run a state machine or a property with fixed seeds, or with fresh ones for a time."""
 
 import os
 import random
 import time
+from collections.abc import Callable
+from typing import Any
 
-from hypothesis import HealthCheck, Phase, Verbosity, seed, settings
+from hypothesis import HealthCheck, Phase, Verbosity, given, seed, settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 EXPLORE_VARIABLE = "PRIMROSESTILE_EXPLORE_SECONDS"
@@ -32,6 +34,26 @@
         )
 
 
+def run_property(
+    check: Callable[[Any], None], values: strategies.SearchStrategy[Any], examples: int
+) -> None:
+    """Raise a property's complaint, with the simplest value that it fails for."""
+
+    def test(value: Any) -> None:
+        check(value)
+
+    explore_seconds = float(os.environ.get(EXPLORE_VARIABLE, "0"))
+    if not explore_seconds:
+        _make_settings(examples, 1)(given(values)(test))()
+        return
+    end = time.monotonic() + explore_seconds
+    while time.monotonic() < end:
+        number = random.SystemRandom().getrandbits(32)
+        print(f"{check.__name__}: seed {number}", flush=True)
+        fresh = _make_settings(examples, 1, derandomize=False)
+        seed(number)(fresh(given(values)(test)))()
+
+
 def _make_settings(examples: int, steps: int, derandomize: bool = True) -> settings:
     return settings(
         max_examples=examples,
