Tell a refusal once a change, as scenarios, and on the page of metrics

Five readings of one foreign entry tell one refusal, another reason one more, and the same fault after a good reading one more; a process's page of metrics counts it. The stand-in's process has an address of its own, so that the fixed port of its metrics meets no other process of tests that runs beside it (the hazard was there before).

--- a/features/platform/foreign_entries.feature
+++ b/features/platform/foreign_entries.feature
@@ -34,6 +34,23 @@
       | a line break in its key        |
       | a second slash in its key      |
 
+  Scenario: A refusal is told once, and again when its reason changes
+    The list of workers is read twice a second. A line at each reading would bury
+    everything else in the log, and make the metric rise without end.
+    When a list with an entry without labels is read 5 times
+    Then 1 refusal is told, as worker_entry form
+    When the entry is written with an empty address, and the list is read 3 times
+    Then 2 refusals are told, the last as worker_entry address
+    When the entry is right, and the list is read 2 times
+    And the entry is written with an empty address, and the list is read 3 times
+    Then 3 refusals are told, the last as worker_entry address
+
+  Scenario: What a process has refused stands on its page of metrics
+    Given the platform's stand-in over HTTP with 2 workers
+    And an entry of another writer beside them
+    And a process of ours on it
+    Then the page of metrics counts 1 worker_entry refused for its form
+
   Scenario Outline: One item that can't be read does not spoil a page of the store
     An item of the list of workers is broken. Were the page refused with it, or its
     fault raised in the task that reads the list, the owner would lose every worker
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import aiohttp
 from behave import given, then, when
 from features.doubles.fleetworld import POOL, make_policy
 from features.doubles.foreign import (
@@ -30,9 +31,11 @@
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.advice import PlatformAdvice
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
+from primrosestile.platform.refusals import Refusals
 from primrosestile.platform.store import PlatformStore
 from primrosestile.platform.upkeep import PlatformUpkeep
 from primrosestile.platform.workers import PlatformWorkerList, PlatformWorkers
+from primrosestile.programs.node import METRICS_PORT
 from primrosestile.protocol.fleet import RunningTask, StartOrder, WorkerLook
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import Condition, Write, list_entries
@@ -405,3 +408,72 @@
     context.world.run(asyncio.sleep(seconds))
     looks = sum(each.looks for each in context.garbled) - before
     assert 0 < looks <= most, looks
+
+
+def read_list(context: Any, value: bytes, times: int) -> None:
+    """Read a list of one entry some times, noting what is told."""
+    if "told" not in context:
+        context.told = []
+        context.refusals = Refusals(
+            lambda source, fault: context.told.append((source.value, fault.value))
+        )
+    page = OnePage(("servers/x", value))
+    workers = PlatformWorkerList(page, find_pools, context.refusals)
+    for _ in range(times):
+        asyncio.run(workers.list_workers())
+
+
+@when("a list with an entry without labels is read {times:d} times")
+def read_without_labels(context: Any, times: int) -> None:
+    read_list(context, make_worker_fault("no labels")[1], times)
+
+
+@when("the entry is written with {fault}, and the list is read {times:d} times")
+def read_with_fault(context: Any, fault: str, times: int) -> None:
+    read_list(context, make_worker_fault(fault)[1], times)
+
+
+@when("the entry is right, and the list is read {times:d} times")
+def read_right(context: Any, times: int) -> None:
+    read_list(context, GOOD_WORKER, times)
+
+
+@then("{count:d} refusal is told, as {source} {fault}")
+@then("{count:d} refusals are told, the last as {source} {fault}")
+def check_told(context: Any, count: int, source: str, fault: str) -> None:
+    assert len(context.told) == count, context.told
+    assert context.told[-1] == (source, fault), context.told
+
+
+@given("an entry of another writer beside them")
+def put_beside(context: Any) -> None:
+    platform = context.platform
+    value = make_worker_fault("only a service and an address")[1]
+
+    async def put() -> None:
+        platform.store.put("servers/x", value)
+
+    platform.runner.run(put())
+
+
+@then("the page of metrics counts {count:d} {source} refused for its {fault}")
+def check_metrics(context: Any, count: int, source: str, fault: str) -> None:
+    wanted = (
+        f'unreadable_total{{fault="{fault}",program="node",source="{source}"}} {count}'
+    )
+
+    async def wait() -> None:
+        text = ""
+        url = f"http://{context.platform.ip}:{METRICS_PORT}/metrics"
+        for _ in range(100):
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url) as response,
+            ):
+                text = await response.text()
+            if wanted in text:
+                break
+            await asyncio.sleep(0.1)
+        assert wanted in text, text
+
+    context.platform.runner.run(wait())
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import socket
 from typing import Any
 
@@ -29,7 +30,7 @@
 
 SETTINGS = """
 node=front-1
-ip=127.0.0.1
+ip={ip}
 zone=leith-hall
 listen.front=127.0.0.1:{front}
 listen.ready=127.0.0.1:{ready}
@@ -57,12 +58,12 @@
 
 @given("the platform's settings file with a line that nobody knows")
 def step_settings(context: Any) -> None:
-    context.lines = SETTINGS.format(**EXAMPLE_PORTS)
+    context.lines = SETTINGS.format(ip="127.0.0.1", **EXAMPLE_PORTS)
 
 
 @given("the platform's settings file without platform.address")
 def step_settings_short(context: Any) -> None:
-    lines = SETTINGS.format(**EXAMPLE_PORTS).splitlines()
+    lines = SETTINGS.format(ip="127.0.0.1", **EXAMPLE_PORTS).splitlines()
     context.lines = "\n".join(line for line in lines if "platform" not in line)
 
 
@@ -192,6 +193,10 @@
         self.ends: list[web.AppRunner] = []
         names = ("front", "ready", "store", "advice")
         self.ports = {name: find_free_port() for name in names}
+        # Metrics have one port of their own; an address of its own for each process
+        # of tests keeps those that run side by side apart.
+        pid = os.getpid()
+        self.ip = f"127.{1 + (pid >> 16 & 63)}.{pid >> 8 & 255}.{pid & 255}"
         self.runner.run(self._serve(workers))
 
     async def _serve(self, workers: int) -> None:
@@ -212,7 +217,7 @@
         self.ends.append(end)
 
     def start_node(self) -> None:
-        node = Node(parse_settings(SETTINGS.format(**self.ports)))
+        node = Node(parse_settings(SETTINGS.format(ip=self.ip, **self.ports)))
 
         async def start() -> None:
             self.node = asyncio.get_running_loop().create_task(node.run())
