Pause between looks in the link's own loop, not in one that confirms a stop

The pause for ends that are not forgotten stood in what a stop's look does too, and held each stop up by a second.

--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -126,6 +126,7 @@
         self._wake = wake
         self._note_end = note_end
         self._seen = 0
+        self._holds_ends = False
         # Stops that the worker has answered, by when.
         self._stopped: dict[tuple[str, int], float] = {}
         self._strays: dict[tuple[str, int], float] = {}
@@ -186,6 +187,10 @@
                 continue
             try:
                 await self._look()
+                if self._holds_ends:
+                    # Ends that are not forgotten make the worker answer at once: it
+                    # would be asked a thousand times a second.
+                    await asyncio.sleep(LOOK_SECONDS)
             except Failure as failure:
                 self._note_silence(failure)
                 await asyncio.sleep(RETRY_SECONDS)
@@ -256,6 +261,7 @@
         self._wake()
 
     async def _take_look(self, look: WorkerLook, sent_at: float) -> None:
+        self._holds_ends = look.forget_limit is not None
         self._take_running(look.running)
         fresh = [each for each in look.ended if each.number > self._seen]
         for ended in fresh:
@@ -268,9 +274,6 @@
         self._wake()
         if fresh:
             await self._record_ends(fresh, look.forget_limit)
-        if look.forget_limit is not None:
-            # Ends that are not forgotten make the worker answer at once, for good.
-            await asyncio.sleep(LOOK_SECONDS)
 
     async def _record_ends(
         self, ended: list[EndedTask], forget_limit: int | None
