--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -10,19 +10,18 @@
 import looptime
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import (
-    Election,
-    Term,
-    find_stand_back,
-)
+from primrosestile.coordination.work.election import Election, Term
 from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.errors import Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
 from primrosestile.platform.workers import PlatformWorkerList
+from primrosestile.protocol.fleet import WorkerCalls
+from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import JobState, Submission
 from primrosestile.state.workers import WorkerEntry
@@ -34,6 +33,7 @@
     FleetCalls,
     FleetWorker,
 )
+from primrosestile_standin.link import Link
 
 POOL = "engine"
 HOST = "queue.example"
@@ -103,16 +103,18 @@
     Attributes:
         frozen_for: Added to the clock by which it judges its lease: it was
             suspended for that long.
+        link: What its VM can carry.
     """
 
     name: str
     policies: PolicyWatch
     submitting: Submitting
     election: Election
-    calls: FleetCalls
+    calls: WorkerCalls
     task: asyncio.Task[Any] | None = None
     scheduler: Scheduler | None = None
     frozen_for: float = 0.0
+    link: Link = field(default_factory=Link)
 
 
 @dataclass(slots=True)
@@ -153,16 +155,19 @@
         self.run(end())
         self.runner.close()
 
-    def add_process(self, name: str, processor: float = 1.0) -> Process:
-        """Start a process on a machine of some processor, in cores."""
-        store = self.store.connect(name)
+    def add_process(
+        self, name: str, processor: float = 1.0, mbps: float = 1000.0
+    ) -> Process:
+        """Start a process on a VM of some processor, in cores, and some link."""
+        link = Link()
+        store = self.connect(name, link)
         process: Process
 
         def read_steady() -> float:
             return read_clock() + process.frozen_for
 
         policies = PolicyWatch(PlatformPolicies(store), POLICY_AGE_SECONDS, read_steady)
-        calls = FleetCalls(self.fleet)
+        calls = self.make_calls(name, link)
 
         async def run_term(term: Term) -> None:
             process.scheduler = Scheduler(
@@ -183,14 +188,27 @@
             policies=policies,
             submitting=Submitting(store, policies, POLICY_KEY),
             election=Election(
-                store, name, run_term, read_steady, find_stand_back(processor)
+                store, name, run_term, read_steady, find_stand_back(processor, mbps)
             ),
             calls=calls,
+            link=link,
         )
         self.processes[name] = process
-        process.task = asyncio.get_running_loop().create_task(_run_process(process))
+        process.task = self.start_process(process)
         return process
 
+    def connect(self, name: str, link: Link) -> TransactionalStore:
+        """Return a process's way to the store."""
+        return self.store.connect(name, link)
+
+    def make_calls(self, name: str, link: Link) -> WorkerCalls:
+        """Return a process's way to the workers."""
+        return FleetCalls(self.fleet, link)
+
+    def start_process(self, process: Process) -> asyncio.Task[Any]:
+        """Let a process run."""
+        return asyncio.get_running_loop().create_task(run_process(process))
+
     async def kill(self, name: str) -> None:
         """End a process without a word."""
         process = self.processes[name]
@@ -330,7 +348,7 @@
         return read_worker(Entry(f"servers/{self.name}", self.encode(), 1, 1))
 
 
-async def _run_process(process: Process) -> None:
+async def run_process(process: Process) -> None:
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(process.policies.run())
         await process.policies.loaded.wait()
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -88,7 +88,9 @@
         they run; `worker_lease_over` would come within a second of `ownership_gained`.
         """
         if not self.known:
-            self.until = reading + self.lease_longest
+            # No owner asks for more than our own length; one call of this very term
+            # may still be on its way, and on some platforms the longest is shorter.
+            self.until = reading + max(self.lease_longest, LEASE_SECONDS)
         if reading > self.reading:
             self.reading = reading
             self.at = now
@@ -153,6 +155,11 @@
             **heard,
         }
 
+    @property
+    def heard_at(self) -> float:
+        """When the worker last answered a look, or this link began."""
+        return self._last_heard
+
     def find_lease_end(self) -> float:
         """Return the end of the lease to ask for, on the worker's clock."""
         until = self.clock.estimate(read_clock()) + LEASE_SECONDS
@@ -199,7 +206,7 @@
         return self._board.workers.get(self.worker.name) is self.worker
 
     def _may_care(self) -> bool:
-        return self._term.read_clock() < self._term.valid_until + CARE_SECONDS
+        return self._term.may_care(CARE_SECONDS)
 
     async def look_now(self) -> None:
         """Look once without waiting, beside the look that may be waiting."""
@@ -222,7 +229,7 @@
             entry, self._term.fence, self._seen, until, wait
         )
         if isinstance(answer, Refusal):
-            await self._take_refusal(answer)
+            await self._take_refusal(answer, entry.address)
             return
         self._last_heard = read_clock()
         self.clock.note(answer.clock, self._last_heard)
@@ -230,30 +237,29 @@
             self.worker.proven = True
         await self._take_look(answer, sent_at)
 
-    async def _take_refusal(self, refusal: Refusal) -> None:
+    async def _take_refusal(self, refusal: Refusal, address: str) -> None:
         if refusal is Refusal.FENCE:
             _log.warning("fence_refused", worker=self.worker.name, by="look")
             self._term.lost.set()
         elif refusal is Refusal.OTHER_LIFE:
-            await self._take_other_life()
+            await self._take_other_life(address)
         else:
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def _take_other_life(self) -> None:
+    async def _take_other_life(self, address: str) -> None:
         """Take the life as over, if the address is surely the one that it had.
 
         An entry can be wrong: one that another writer has put over it may name the
         address of a second worker, which then truly answers that another life serves
         there. Taken as the end of the first, what runs on that would start elsewhere
-        beside it. So the word counts of an address that has answered us as this life,
-        or once the entry is gone as well; else the entry is waited for, and at last
-        the end of what any owner can have extended.
+        beside it. So the word counts of an address that has answered an owner as this
+        life; else a right entry is waited for, and at last the end of what any owner
+        can have extended.
         """
         worker = self.worker
-        if worker.members and worker.listed and not worker.proven:
-            _log.info(
-                "worker_life_doubted", worker=worker.name, address=worker.entry.address
-            )
+        asked_there = worker.proven and address == worker.entry.address
+        if worker.members and not asked_there:
+            _log.info("worker_life_doubted", worker=worker.name, address=address)
             await asyncio.sleep(DOUBT_SECONDS)
             return
         _log.info("worker_life_over", worker=worker.name)
--- /dev/null
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -0,0 +1,51 @@
+"""What a pass says in the log of runs that it ends or takes as gone."""
+
+from collections.abc import Mapping, Sequence
+
+import structlog
+
+from primrosestile.coordination.work.links import WorkerLink
+from primrosestile.decisions.work.planning import Stop
+from primrosestile.decisions.work.units import Member, Proof
+
+_log = structlog.get_logger()
+
+
+def log_gone(
+    gone: Sequence[tuple[Member, Proof]], links: Mapping[str, WorkerLink], fence: int
+) -> None:
+    """Say why runs are taken as gone, before anything is decided by it.
+
+    A task that ran twice is traced back to the proof of its first run's end; an
+    end that a worker listed has its own line.
+    """
+    for member, proof in gone:
+        if proof is Proof.ENDED:
+            continue
+        link = links.get(member.worker)
+        _log.info(
+            "run_gone",
+            job_id=member.unit.job.job_id,
+            task=member.task,
+            run=member.run,
+            worker=member.worker,
+            proof=proof.value,
+            fence=fence,
+            **(link.describe() if link else {}),
+        )
+
+
+def log_stop(stop: Stop) -> None:
+    """Say which run makes way for which job."""
+    unit = stop.unit
+    _log.info(
+        "run_preempted",
+        job_id=unit.job.job_id,
+        step=unit.key.step,
+        position=unit.key.position,
+        run=unit.run,
+        size=unit.size,
+        checkpoints=unit.step.checkpoints,
+        gainer=stop.gainer.job.job_id,
+        cost=round(stop.cost, 1),
+    )
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -9,14 +9,11 @@
 import uvloop
 from aiohttp import web
 
-from primrosestile.coordination.work.election import (
-    Election,
-    Term,
-    find_stand_back,
-)
+from primrosestile.coordination.work.election import Election, Term
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.platform.advice import PlatformAdvice
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
 from primrosestile.platform.refusals import Fault, Refusals, Source
@@ -83,9 +80,14 @@
             self._store,
             settings.name,
             self._run_term,
-            stand_back=find_stand_back(settings.processor),
+            stand_back=find_stand_back(*self._share),
         )
 
+    @property
+    def _share(self) -> tuple[float, float]:
+        """What the VM has, by which it stands for the ownership earlier or later."""
+        return self.settings.processor, self.settings.link
+
     @property
     def _metrics_address(self) -> str:
         return f"{self.settings.ip}:{METRICS_PORT}"
@@ -100,7 +102,13 @@
         callers = await _listen(self._calls.answer, self.settings.callers_address)
         ready = await _listen(self._calls.answer_ready, self.settings.ready_address)
         metrics = await _listen(self._answer_metrics, self._metrics_address)
-        _log.info("started", address=self.settings.callers_address)
+        _log.info(
+            "started",
+            address=self.settings.callers_address,
+            processor=round(self.settings.processor, 2),
+            link=self.settings.link,
+            stands_after=round(find_stand_back(*self._share), 2),
+        )
         try:
             await self._serve(told, callers, ready)
         finally:
@@ -165,8 +173,9 @@
         state = self._metrics.state
         state.set({"name": "policy_age_seconds"}, self._policies.age)
         state.set({"name": "owner"}, float(self._scheduler is not None))
+        state.set({"name": "ownerships_given_up"}, float(self._election.given_up))
         if self._scheduler is not None:
-            for name, value in self._scheduler.board.count().items():
+            for name, value in self._scheduler.count().items():
                 state.set({"name": name}, value)
         body, headers = self._metrics.render(request.headers.getall("Accept", []))
         return web.Response(body=body, headers=dict(headers))
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -21,6 +21,7 @@
 from primrosestile.state.work import Need
 from primrosestile.state.workers import EndKind, WorkerEntry
 from primrosestile_standin.fleetadvice import FleetAdvice
+from primrosestile_standin.link import ANSWER_BYTES, ROW_BYTES, Link
 
 ANSWER_SECONDS = 0.002
 TIMEOUT_SECONDS = 0.45
@@ -64,6 +65,7 @@
         late_orders: Delays of the next orders, in seconds; none is answered.
         lose_answers: How many of the next orders are carried out unheard.
         unhealthy: It refuses every start.
+        stop_seconds: How long a stop takes; the pages allow 0.4 s.
     """
 
     cut: bool = False
@@ -73,6 +75,17 @@
     late_orders: list[float] = field(default_factory=list)
     lose_answers: int = 0
     unhealthy: bool = False
+    stop_seconds: float = STOP_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class _WellEnd:
+    """A run that ended as done: where, and what had happened there and elsewhere."""
+
+    worker: "FleetWorker"
+    run: int
+    lapses: int
+    starts: int
 
 
 @dataclass(slots=True)
@@ -88,7 +101,11 @@
 
 
 class FleetWorker:
-    """One life of one worker."""
+    """One life of one worker.
+
+    Attributes:
+        lapses: Grows whenever its lease is found to have run out.
+    """
 
     def __init__(
         self, fleet: "Fleet", entry: WorkerEntry, clock_rate: float = 1.0
@@ -98,6 +115,7 @@
         self.alive = True
         self.fence = 0
         self.until = 0.0
+        self.lapses = 0
         self.runs: dict[str, _Run] = {}
         self._fleet = fleet
         self._rate = clock_rate
@@ -124,11 +142,13 @@
         self._extend(until)
         for each in self._ended:
             if each.number <= seen:
-                self._fleet.note_taken(each)
+                self._fleet.note_taken(self, each)
         self._ended = [each for each in self._ended if each.number > seen]
         return None
 
     def _extend(self, until: float | None) -> None:
+        if self.read_clock() >= self.until:
+            self.lapses += 1
         if until is not None:
             longest = self.read_clock() + LEASE_LONGEST_SECONDS
             self.until = max(self.until, min(until, longest))
@@ -189,6 +209,7 @@
         if present is not None and present.run == order.run:
             return None
         if order.run <= self._barred.get(order.task, 0) or present is not None:
+            self._extend(order.until)
             return Refusal.OLD
         if order.until <= self.read_clock():
             return Refusal.LATE
@@ -199,6 +220,7 @@
             self._fleet.tickets_refused += 1
             return Refusal.TICKET
         if not self._has_room(script):
+            self._extend(order.until)
             return Refusal.ROOM
         self._extend(order.until)
         self._begin(order, script)
@@ -259,7 +281,7 @@
         present = self.runs.get(task)
         if present is not None and present.run <= run and not present.stopping:
             present.stopping = True
-            self._set_timer(present, STOP_SECONDS, EndKind.STOPPED)
+            self._set_timer(present, self.faults.stop_seconds, EndKind.STOPPED)
         return None
 
     def end(self, run: _Run, kind: EndKind) -> None:
@@ -279,10 +301,12 @@
     def crash(self) -> None:
         """End this life: everything on it is gone without a word."""
         self.alive = False
-        for run in list(self.runs.values()):
+        gone = list(self.runs.values())
+        self.runs.clear()
+        for run in gone:
             if run.timer is not None:
                 run.timer.cancel()
-        self.runs.clear()
+            self._fleet.break_gang(run.task, run.run)
 
 
 class Fleet:
@@ -302,6 +326,7 @@
         self.faults_found: list[str] = []
         self.starts: list[tuple[str, int, str]] = []
         self.ends: list[tuple[str, int, EndKind]] = []
+        self._well_ends: dict[str, list[_WellEnd]] = {}
         self._taken_done: set[str] = set()
         self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, _Run]]] = {}
 
@@ -332,23 +357,49 @@
                 self.faults_found.append(
                     f"{order.task} run {order.run} starts while it runs elsewhere"
                 )
-        if order.task in self._taken_done:
+        if self._name_unit(order.task) in self._taken_done:
             self.faults_found.append(f"{order.task} starts after it has ended well")
 
     def note_end(self, worker: FleetWorker, task: str, run: int, kind: EndKind) -> None:
         """Enter an end; the other members of a gang end with it."""
         self.ends.append((task, run, kind))
+        same = kind is EndKind.DONE
+        if same:
+            end = _WellEnd(worker, run, worker.lapses, len(self.starts))
+            self._well_ends.setdefault(task, []).append(end)
+        self._end_gang(task, run, EndKind.DONE if same else EndKind.BROKEN)
+
+    def break_gang(self, task: str, run: int) -> None:
+        """End the other members of a gang of which one is gone without a word."""
+        self._end_gang(task, run, EndKind.BROKEN)
+
+    def _end_gang(self, task: str, run: int, kind: EndKind) -> None:
         step = task.rpartition(".")[0]
-        members = self._gathered.pop((step, run), [])
-        for other, member in members:
+        for other, member in self._gathered.pop((step, run), []):
             if member.task != task:
-                same = kind is EndKind.DONE
-                other.end(member, EndKind.DONE if same else EndKind.BROKEN)
-
-    def note_taken(self, ended: EndedTask) -> None:
-        """Enter that an end was taken note of."""
-        if ended.kind is EndKind.DONE:
-            self._taken_done.add(ended.task)
+                other.end(member, kind)
+
+    def note_taken(self, worker: FleetWorker, ended: EndedTask) -> None:
+        """Enter that an end was taken note of, and what was started after it.
+
+        It does not count as taken note of where the worker's lease has run out since.
+        """
+        unit = self._name_unit(ended.task)
+        for end in self._well_ends.get(ended.task, ()):
+            if (end.worker, end.run, end.lapses) != (worker, ended.run, worker.lapses):
+                continue
+            self._taken_done.add(unit)
+            for task, run, _ in self.starts[end.starts :]:
+                if self._name_unit(task) == unit:
+                    self.faults_found.append(
+                        f"{task} run {run} was started after an end that counts"
+                    )
+
+    def _name_unit(self, task: str) -> str:
+        """Return what ends as one: a task, or a gang by its step."""
+        if self.find_script(task).gang > 1:
+            return task.rpartition(".")[0]
+        return task
 
     def gather(self, worker: FleetWorker, run: _Run) -> None:
         """Let a gang work once all of its members are there."""
@@ -369,8 +420,9 @@
         cut_off: This process reaches no worker.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, link: Link | None = None) -> None:
         self._fleet = fleet
+        self._link = link or Link()
         self.cut_off = False
 
     async def look(
@@ -397,7 +449,9 @@
         worker.sweep()
         if self._is_cut(worker):
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
-        return worker.make_look()
+        look = worker.make_look()
+        await self._carry(len(look.running) + len(look.ended))
+        return look
 
     async def start(
         self, entry: WorkerEntry, fence: int, order: StartOrder
@@ -437,6 +491,7 @@
         if worker.faults.lose_answers:
             worker.faults.lose_answers -= 1
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "lost")
+        await self._carry(1)
         return OrderAnswer(worker.read_clock(), refusal)
 
     async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
@@ -450,5 +505,11 @@
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
         return worker if worker.entry.worker == entry.worker else None
 
+    async def _carry(self, rows: int) -> None:
+        try:
+            await self._link.carry(ANSWER_BYTES + rows * ROW_BYTES, TIMEOUT_SECONDS)
+        except TimeoutError as error:
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time") from error
+
     def _is_cut(self, worker: FleetWorker) -> bool:
         return self.cut_off or worker.faults.cut
