Name the guards of a task's runs where the code keeps them; more trouble for the machine

Longer runs of one fate, so that all tries of one start are late; an owner that sleeps within a start while its successor reaches two workers of three not; records that come late before a change of owner; workers that refuse starts; clocks 2% slow from the beginning.

--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -33,6 +33,8 @@
 
 PROCESSES = ("p0", "p1")
 VMS = ("v0", "v1", "v2")
+# A worker's clock may be 2% slow.
+CLOCK_RATES = (1.0, 0.98, 0.98)
 ACCELERATORS = 4
 QUEUE = "usual"
 ORGANISATION = "domes"
@@ -77,13 +79,13 @@
     serving: dict[str, FleetWorker] = field(default_factory=dict)
     _calls: list["asyncio.Task[None]"] = field(default_factory=list)
 
-    def begin(self, vms: Iterable[str] = VMS) -> None:
+    def begin(self) -> None:
         """Start workers and processes, and let an owner gain the fleet."""
 
         async def build() -> None:
             self.store.put(POLICY_KEY, make_policy(1))
-            for vm in vms:
-                self.start_life(vm)
+            for vm, rate in zip(VMS, CLOCK_RATES, strict=True):
+                self.start_life(vm, rate)
             for name in PROCESSES:
                 self.start(name)
 
--- a/features/fuzzing/work.py
+++ b/features/fuzzing/work.py
@@ -18,11 +18,16 @@
 JOB_LIMIT = 4
 FOREIGN_LIMIT = 2
 PAUSES = (0.05, 0.3, 1.0, 3.0, 8.0)
+# Longer than a new owner waits for a worker that never answered it.
+LONG_PAUSES = (3.0, 8.0, 20.0)
 OWNER = "owner"
 # Most of what goes wrong does so around the owner.
 processes = st.sampled_from((OWNER, OWNER, *PROCESSES))
 vms = st.sampled_from(VMS)
 waits = st.sampled_from(PAUSES)
+long_waits = st.sampled_from(LONG_PAUSES)
+# Around the record of a run and the sending of its start, then while it runs.
+moments = st.sampled_from((0.004, 0.008, 0.012, 0.016, 0.02, 0.03, 0.05, 0.5))
 durations = st.sampled_from((0.5, 3.0, 12.0))
 late = st.sampled_from((2.0, 5.0, 8.0, 12.0))
 ways = st.lists(st.sampled_from(Way), min_size=1, max_size=4)
@@ -77,7 +82,7 @@
         seconds=durations,
         before=st.integers(0, 3),
         way=st.sampled_from(Way),
-        count=st.integers(1, 6),
+        count=st.integers(1, 12),
         late=late,
         wait=waits,
     )
@@ -103,7 +108,7 @@
     @rule(
         shape=shapes,
         seconds=durations,
-        moment=st.sampled_from((0.004, 0.01, 0.016, 0.022, 0.03, 0.05, 0.5)),
+        moment=moments,
         kill=st.booleans(),
         wait=waits,
     )
@@ -118,6 +123,49 @@
         self.stop_process(owner, kill)
         self.pass_time(wait)
 
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(shape=shapes, seconds=durations, moment=moments, wait=long_waits)
+    def submit_and_hide_owner(
+        self, shape: str, seconds: float, moment: float, wait: float
+    ) -> None:
+        """Suspend the owner within a start, hide the workers from its successor."""
+        owner = self.find_process(OWNER)
+        others = [name for name in PROCESSES if name != owner]
+        self.hand_in(shape, seconds, others[0])
+        self.pass_time(moment)
+        self.world.seats[owner].machine.pause()
+        for name in others:
+            self.world.seats[name].link.cut = {f"{vm}:80" for vm in VMS[:2]}
+        self.pass_time(wait)
+        self.world.do(self.world.seats[owner].machine.resume)
+        self.pass_time(0.3)
+
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(
+        shape=shapes,
+        seconds=durations,
+        moment=moments,
+        count=st.integers(1, 4),
+        late=late,
+        wait=long_waits,
+    )
+    def submit_and_write_late(
+        self,
+        shape: str,
+        seconds: float,
+        moment: float,
+        count: int,
+        late: float,
+        wait: float,
+    ) -> None:
+        """Let records come late, then change the owner."""
+        self.hand_in(shape, seconds)
+        self.pass_time(moment)
+        self.world.store.faults.late_writes = [late] * count
+        self.pass_time(wait)
+        self.world.kill_process(self.find_process(OWNER))
+        self.pass_time(3.0)
+
     def stop_process(self, name: str, kill: bool) -> None:
         if kill:
             self.world.kill_process(name)
@@ -210,6 +258,13 @@
         link.late_seconds = late
         self.pass_time(wait)
 
+    @rule(vm=vms, wait=waits)
+    def refuse_starts(self, vm: str, wait: float) -> None:
+        """Let a worker refuse all starts, or take them again."""
+        faults = self.world.serving[vm].faults
+        faults.unhealthy = not faults.unhealthy
+        self.pass_time(wait)
+
     @rule(vm=vms, seconds=st.sampled_from((0.0, 0.2, 0.4)))
     def slow_stops(self, vm: str, seconds: float) -> None:
         self.world.serving[vm].faults.stop_seconds = seconds
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -76,7 +76,10 @@
     read_clock: Callable[[], float] = read_suspending_clock
 
     def may_act(self) -> bool:
-        """Whether the store can't have given the fleet to another process yet."""
+        """Whether the store can't have given the fleet to another process yet.
+
+        NO_ORDER_PAST_LEASE: every order asks this first.
+        """
         return not self.lost.is_set() and self.read_clock() < self.valid_until
 
     def extend(self, asked_at: float) -> None:
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -43,11 +43,13 @@
 # Between looks at an address that answers for another life than the one expected, of
 # which this owner has heard nothing yet; its entry is right or gone within seconds.
 DOUBT_SECONDS = 0.5
-# A worker's clock may be 2% slow; a little more, and the way of one message.
+# A worker's clock may be 2% slow; a little more, and the way of one message
+# (SLOW_CLOCK_ALLOWED_FOR).
 SLOW_CLOCK_FACTOR = 0.97
 CLOCK_MARGIN_SECONDS = 0.3
 # How long after its lease has lapsed at the store an owner may go on extending
-# the leases of workers, giving no other order: the store may be down for all.
+# the leases of workers, giving no other order: the store may be down for all
+# (CARE_IS_BOUNDED).
 CARE_SECONDS = 8.0
 # At most this many ends come with one look; with so many, absence says nothing.
 ENDS_PER_LOOK = 500
@@ -270,7 +272,10 @@
             await self._record_ends(fresh)
 
     async def _record_ends(self, ended: list[EndedTask]) -> None:
-        """Let the worker forget ends once they are in the store."""
+        """Let the worker forget ends once they are in the store.
+
+        END_STORED_BEFORE_FORGOTTEN.
+        """
         try:
             async with asyncio.timeout(RECORD_WAIT_SECONDS):
                 await self._recorder.save()
@@ -339,7 +344,10 @@
                 self._board.abandon(member.unit)
 
     def _note_silence(self, failure: Failure) -> None:
-        """Give up what ran on a worker once its lease has surely run out."""
+        """Give up what ran on a worker once its lease has surely run out.
+
+        SILENCE_WAITED_OUT.
+        """
         now = read_clock()
         worker = self.worker
         if worker.in_hand and now - self._last_heard > LOOK_SECONDS:
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -82,6 +82,7 @@
         self._tasks.create_task(self._record_and_send(members))
 
     async def _record_and_send(self, members: Sequence[Member]) -> None:
+        # RUN_RECORDED_BEFORE_ORDER.
         await self._recorder.save()
         for member in members:
             self._tasks.create_task(self._send_start(member))
@@ -234,6 +235,7 @@
                 if link is None or not self._term.may_act():
                     await asyncio.sleep(STOP_RETRY_SECONDS)
                     continue
+                # RUN_BARRED_BEFORE_NEXT, STOP_END_AWAITED.
                 if await self._send_stop(link, member.task, member.run):
                     link.note_stopped(member)
                     await link.look_now()
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -98,6 +98,7 @@
             writes = []
             for job, value in group:
                 key = make_progress_key(job.job_id)
+                # RECORD_COMPARED.
                 conditions.append(Condition(key, self._revisions.get(job.job_id, 0)))
                 writes.append(Write(key, value))
             try:
--- a/src/primrosestile/coordination/work/roster.py
+++ b/src/primrosestile/coordination/work/roster.py
@@ -4,7 +4,7 @@
 life of a worker is over: the entry of a life that has ended stands for seconds beside
 that of the next one at its address, and either may come first. What runs on a worker
 goes on until the worker's own answers, or the end of its lease, say otherwise; those
-are the business of `links`.
+are the business of `links` (LIFE_ENDS_BY_OWN_WORD).
 """
 
 import asyncio
