--- a/features/fuzzing/work.py
+++ b/features/fuzzing/work.py
@@ -27,7 +27,7 @@
 waits = st.sampled_from(PAUSES)
 long_waits = st.sampled_from(LONG_PAUSES)
 # Around the record of a run and the sending of its start, then while it runs.
-moments = st.sampled_from((0.004, 0.008, 0.012, 0.016, 0.02, 0.03, 0.05, 0.5))
+moments = st.sampled_from((0.004, 0.008, 0.01, 0.012, 0.016, 0.03, 0.05, 0.5))
 durations = st.sampled_from((0.5, 3.0, 12.0))
 late = st.sampled_from((2.0, 5.0, 8.0, 12.0))
 ways = st.lists(st.sampled_from(Way), min_size=1, max_size=4)
@@ -124,18 +124,20 @@
         self.pass_time(wait)
 
     @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
-    @rule(shape=shapes, seconds=durations, moment=moments, wait=long_waits)
+    @rule(shape=shapes, seconds=durations, moment=moments, vm=vms, wait=long_waits)
     def submit_and_hide_owner(
-        self, shape: str, seconds: float, moment: float, wait: float
+        self, shape: str, seconds: float, moment: float, vm: str, wait: float
     ) -> None:
-        """Suspend the owner within a start, hide the workers from its successor."""
+        """Suspend the owner within a start; its successor reaches one worker."""
         owner = self.find_process(OWNER)
         others = [name for name in PROCESSES if name != owner]
         self.hand_in(shape, seconds, others[0])
         self.pass_time(moment)
         self.world.seats[owner].machine.pause()
         for name in others:
-            self.world.seats[name].link.cut = {f"{vm}:80" for vm in VMS[:2]}
+            self.world.seats[name].link.cut = {
+                f"{each}:80" for each in VMS if each != vm
+            }
         self.pass_time(wait)
         self.world.do(self.world.seats[owner].machine.resume)
         self.pass_time(0.3)
@@ -166,6 +168,34 @@
         self.world.kill_process(self.find_process(OWNER))
         self.pass_time(3.0)
 
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(shape=shapes, vm=vms, moment=st.sampled_from((0.3, 1.0)), wait=long_waits)
+    def submit_and_cut_worker(
+        self, shape: str, vm: str, moment: float, wait: float
+    ) -> None:
+        """Cut a worker off while long work runs on it."""
+        self.hand_in(shape, 12.0)
+        self.pass_time(moment)
+        self.world.serving[vm].faults.cut = True
+        self.pass_time(wait)
+
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(shape=shapes, seconds=durations, count=st.integers(1, 4), late=late)
+    def submit_and_refuse(
+        self, shape: str, seconds: float, count: int, late: float
+    ) -> None:
+        """Let starts come late, and workers refuse when these are tried again."""
+        link = self.world.seats[self.find_process(OWNER)].link
+        link.order_ways.clear()
+        link.order_ways.extend([Way.LATE] * count)
+        link.late_seconds = late
+        self.hand_in(shape, seconds)
+        for refuses in (True, False):
+            self.pass_time(0.3)
+            for worker in self.world.serving.values():
+                worker.faults.unhealthy = refuses
+        self.pass_time(late)
+
     def stop_process(self, name: str, kill: bool) -> None:
         if kill:
             self.world.kill_process(name)
