--- a/features/fuzzing/work.py
+++ b/features/fuzzing/work.py
@@ -34,6 +34,7 @@
 rates = st.sampled_from((1.0, 0.98))
 SHAPES: dict[str, list[dict[str, Any]]] = {
     "tasks": [{"count": 3}],
+    "wide tasks": [{"count": 6, "gpu": 2}],
     "large tasks": [{"count": 2, "gpu": 3}],
     "gang": [{"count": 3, "gpu": 2, "gang": True}],
     "steps": [{"count": 2}, {"count": 2, "after": [0]}],
@@ -221,6 +222,19 @@
         self.world.do(self.world.restart_life, vm, rate)
         self.pass_time(wait)
 
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(vm=vms, shape=shapes, seconds=durations, wait=waits)
+    def submit_after_crash(
+        self, vm: str, shape: str, seconds: float, wait: float
+    ) -> None:
+        """Begin a worker's next life beside its former entry, then hand a job in."""
+        if self.world.serving[vm].alive:
+            self.world.do(self.world.crash, vm)
+        self.world.do(self.world.restart_life, vm)
+        self.pass_time(1.0)
+        self.hand_in(shape, seconds)
+        self.pass_time(wait)
+
     @rule(vm=vms, listed_for=st.sampled_from((0.0, 4.5)), wait=waits)
     def crash(self, vm: str, listed_for: float, wait: float) -> None:
         if self.world.serving[vm].alive:
