--- a/features/fuzzing/work.py
+++ b/features/fuzzing/work.py
@@ -125,22 +125,39 @@
         self.pass_time(wait)
 
     @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
-    @rule(shape=shapes, seconds=durations, moment=moments, vm=vms, wait=long_waits)
+    @rule(
+        shape=shapes,
+        seconds=durations,
+        moment=moments,
+        vm=vms,
+        sleeps=st.booleans(),
+        wait=long_waits,
+    )
     def submit_and_hide_owner(
-        self, shape: str, seconds: float, moment: float, vm: str, wait: float
+        self,
+        shape: str,
+        seconds: float,
+        moment: float,
+        vm: str,
+        sleeps: bool,
+        wait: float,
     ) -> None:
-        """Suspend the owner within a start; its successor reaches one worker."""
+        """Suspend the owner, or cut it from the store; its successor reaches one VM."""
         owner = self.find_process(OWNER)
         others = [name for name in PROCESSES if name != owner]
         self.hand_in(shape, seconds, others[0])
         self.pass_time(moment)
-        self.world.seats[owner].machine.pause()
+        if sleeps:
+            self.world.seats[owner].machine.pause()
+        else:
+            self.world.store.faults.refused.add(owner)
         for name in others:
             self.world.seats[name].link.cut = {
                 f"{each}:80" for each in VMS if each != vm
             }
         self.pass_time(wait)
         self.world.do(self.world.seats[owner].machine.resume)
+        self.world.store.faults.refused.discard(owner)
         self.pass_time(0.3)
 
     @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
