--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -155,8 +155,8 @@
     def start_life(self, vm: str, clock_rate: float = 1.0, name: str = "") -> str:
         """Start the next life of a worker on a VM; return its name."""
         self.lives += 1
-        # Names of lives are in no order of time.
-        name = name or f"{(self.lives * 7919) % 997:03d}-{vm}"
+        # The name of a next life may come before or after that of the former one.
+        name = name or f"{(self.lives * 617) % 997:03d}-{vm}"
         worker = self.add_worker(
             name, f"{vm}:80", accelerators=ACCELERATORS, clock_rate=clock_rate
         )
