Carry out late only what was not answered

Found: an order that was doubled came again 5 s after the worker had refused it, and ran beside the next run. A doubled order is now one whose answer was lost.

--- a/features/doubles/worklinks.py
+++ b/features/doubles/worklinks.py
@@ -36,19 +36,22 @@
 LOOK_SLACK_SECONDS = 0.6
 # A way that is slow, within the time that a caller waits.
 SLOW_SECONDS = 0.3
-# Before and after its own late_seconds a call may cross others, so it is spread.
 T = TypeVar("T")
 
 
 class Way(Enum):
-    """What becomes of one call to a worker."""
+    """What becomes of one call to a worker.
+
+    Only a call without an answer may be carried out later: one that was refused stays
+    refused.
+    """
 
     DONE = "done"
     NEVER_SENT = "never sent"
     LOST_BEFORE = "lost before its effect"
     LOST_AFTER = "carried out unheard"
     LATE = "carried out after its caller gave up"
-    TWICE = "carried out at once, then again late"
+    TWICE = "carried out unheard, then again late"
     SLOW_THERE = "carried out a little later, answered in time"
     SLOW_BACK = "carried out at once, answered a little later"
 
@@ -152,7 +155,7 @@
         if way is Way.SLOW_THERE:
             await asyncio.sleep(SLOW_SECONDS)
         answer = await _wait_outside(call, timeout)
-        if way is Way.LOST_AFTER:
+        if way in (Way.LOST_AFTER, Way.TWICE):
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer came")
         if way is Way.SLOW_BACK:
             await asyncio.sleep(SLOW_SECONDS)
