--- a/features/fuzzing/work_found.feature
+++ b/features/fuzzing/work_found.feature
@@ -14,3 +14,14 @@
     And the owner of the fleet in trouble is killed
     And 30 s pass in the fleet in trouble
     Then the job on the fleet in trouble is known as completed
+
+  Scenario: Another writer's entry names the address of a worker at work
+    An entry that no worker wrote names the address of a live one, or that of its
+    former life still does. Taken for the worker's successor, it ended the worker's life
+    in the owner's eyes, and what ran there was started a second time beside it.
+    Given a fleet in trouble with 2 processes of ours
+    When a job of gang after tasks of 0.5 s is handed in to the fleet in trouble
+    And 0.05 s pass in the fleet in trouble
+    And an entry 000-other names the address of v1 in the fleet in trouble
+    And 10 s pass in the fleet in trouble
+    Then the job on the fleet in trouble is known as completed
--- a/features/steps/fuzzing_work_steps.py
+++ b/features/steps/fuzzing_work_steps.py
@@ -54,3 +54,9 @@
     state = world.do(world.read_job, job)
     assert state is JobState.COMPLETED, f"shown as {state and state.value}"
     check_ledger(world)
+
+
+@when("an entry {name} names the address of {vm} in the fleet in trouble")
+def list_foreign(context: Any, name: str, vm: str) -> None:
+    world = context.troubled
+    world.do(world.list_foreign, name, vm)
