--- a/features/fuzzing/work.feature
+++ b/features/fuzzing/work.feature
@@ -5,4 +5,4 @@
   compared with a few lines for each promise.
 
   Scenario: No task runs twice at once or again after its end, and every job ends
-    Then 70 runs of 20 steps with owners, a store and a fleet keep every promise
+    Then 120 runs of 20 steps with owners, a store and a fleet keep every promise
