End a life by an upkeep order only where no earlier order went unheard

Cause: an order that was carried out unheard is repeated. A refusal of the repeated one struck the VM off the wave's record, so the order was later given as a first one. Its 200 says that this upkeep has begun, which was the one before; it was taken for the end of the life at work there by then. While the VM was struck off and away it also counted as there, so another one was ordered.

Change: an owner remembers per wave and VM that each order so far was its own and was refused. Only then does a beginning end the listed life, and only then does a refusal take the record of the order back. Every other VM stays recorded, and so counts as away, and is ordered again whenever it is shown as up. What the record names is in doubt for the next owner, which needs no new field: it repeats the order, and a 200 to that ends no life. 429 is an answer of its own (nothing was done, the order stays recorded and is given again, still as the first if it was); any status but 200, 400, 409 and 429 counts as no answer, since the order may have been carried out.

Ruled out: a second sending inside the client; it sends a POST once.

A check changed: the adapter's table had 429 as "busy", which is the fault; it now wants NOT_TAKEN, and five other statuses must raise a failure.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -56,6 +56,7 @@
     Then the VMs of two pages are read
     And an order for upkeep carries its holder and fence
     And a refused order is told by its reason
+    And an order with any other answer counts as not answered
 
   Scenario: A process serves callers on the platform's stand-in over HTTP
     Given the platform's stand-in over HTTP with 2 workers
--- a/features/steps/platform_upkeep_steps.py
+++ b/features/steps/platform_upkeep_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from platform_steps import find_free_port
 
+from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.upkeep import PlatformUpkeep
 from primrosestile.protocol.upkeep import UpkeepAnswer
 from primrosestile.state.upkeep import VmState, WorkerVm
@@ -29,8 +30,9 @@
     "m4": (409, "busy", UpkeepAnswer.BUSY),
     "m5": (409, "wave", UpkeepAnswer.NOT_THERE),
     "m6": (400, "", UpkeepAnswer.NOT_THERE),
-    "m7": (429, "", UpkeepAnswer.BUSY),
+    "m7": (429, "", UpkeepAnswer.NOT_TAKEN),
 }
+UNCLEAR = {"m8": 500, "m9": 502, "m10": 503, "m11": 504, "m12": 404}
 
 
 def meet_list(use: Callable[[PlatformUpkeep, list[Any]], Coroutine[Any, Any, None]]):
@@ -45,7 +47,9 @@
         async def order(request: web.Request) -> web.Response:
             body = await request.json()
             orders.append((dict(request.headers), body))
-            status, reason, _ = REFUSED.get(body["machine"], (200, "", None))
+            name = body["machine"]
+            unclear = (UNCLEAR.get(name, 200), "", None)
+            status, reason, _ = REFUSED.get(name, unclear)
             return web.Response(status=status, text=json.dumps({"reason": reason}))
 
         app = web.Application()
@@ -97,3 +101,17 @@
             assert await calls.begin(machine, 7, 42) is answer, machine
 
     meet_list(use)
+
+
+@then("an order with any other answer counts as not answered")
+def step_unclear(context: Any) -> None:
+    async def use(calls: PlatformUpkeep, orders: list[Any]) -> None:
+        for machine in UNCLEAR:
+            try:
+                answer = await calls.begin(machine, 7, 42)
+            except Failure as failure:
+                assert failure.kind is ErrorKind.LIST_UNAVAILABLE, failure
+            else:
+                raise AssertionError(f"{machine}: {answer}")
+
+    meet_list(use)
--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -1,5 +1,6 @@
 """Steps for waves of upkeep on the stand-in."""
 
+import asyncio
 from collections import defaultdict
 from itertools import pairwise
 from typing import Any
@@ -8,7 +9,11 @@
 from work_services_steps import FOREVER, SERVICE, SERVICE_STEP
 from work_steps import hand_in, step_owner_dies
 
-from primrosestile.state.upkeep import Wave
+from primrosestile.clock import read_clock
+from primrosestile.protocol.upkeep import UpkeepAnswer
+from primrosestile.state.upkeep import VmState, Wave, WorkerVm
+
+LIST_SECONDS = 0.1
 
 
 @given("a VM under each worker")
@@ -22,6 +27,48 @@
     context.world.vms.lose_answers = count
 
 
+@given("upkeep orders are refused for a VM that is away")
+def step_refused_away(context: Any) -> None:
+    vms = context.world.vms
+    begin, read = vms.begin, vms.list_vms
+
+    async def begin_or_refuse(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if name in [each.name for each in await read() if each.state is VmState.UP]:
+            return await begin(name, wave, fence)
+        return UpkeepAnswer.BUSY
+
+    vms.begin = begin_or_refuse
+
+
+@given("an upkeep takes {seconds:g} s")
+def step_upkeep_seconds(context: Any, seconds: float) -> None:
+    context.world.vms.seconds = seconds
+
+
+@given("the list of VMs is {seconds:g} s old")
+def step_old_list(context: Any, seconds: float) -> None:
+    vms = context.world.vms
+    read = vms.list_vms
+    seen: list[tuple[float, tuple[WorkerVm, ...]]] = []
+
+    async def keep() -> None:
+        while True:
+            seen.append((read_clock(), await read()))
+            await asyncio.sleep(LIST_SECONDS)
+
+    async def list_old() -> tuple[WorkerVm, ...]:
+        await asyncio.sleep(0.004)
+        until = read_clock() - seconds
+        return [vms for at, vms in seen if at <= until or at == seen[0][0]][-1]
+
+    async def begin() -> None:
+        context.listing = asyncio.create_task(keep())
+        await asyncio.sleep(0.1)
+
+    context.world.run(begin())
+    vms.list_vms = list_old
+
+
 @when("operators ask for the upkeep of all VMs within {seconds:d} s, {most:d} at once")
 def step_wave(context: Any, seconds: int, most: int) -> None:
     names = tuple(f"vm-{name}" for name in context.world.fleet.workers)
@@ -38,12 +85,13 @@
     assert context.world.vms.most_away <= most, context.world.vms.most_away
 
 
-@when("the owner is lost right after its second order")
-def step_lost_after_order(context: Any) -> None:
+@when("the owner is lost right after its {which} order")
+def step_lost_after_order(context: Any, which: str) -> None:
     world = context.world
+    count = ("first", "second").index(which) + 1
 
     async def wait() -> None:
-        await world.wait_for(lambda: len(world.vms.orders) == 2, 30.0)
+        await world.wait_for(lambda: len(world.vms.orders) == count, 30.0)
 
     world.run(wait())
     step_owner_dies(context)
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -41,6 +41,46 @@
     Then the wave is said to be completed, and was
     And at most 1 VMs were away at once
 
+  Scenario: An unheard order of the owner before is refused to the next one
+    The owner dies with its order carried out and unheard. The next one repeats the
+    order when the VM is back, and is refused at first. Were that taken as the end of
+    the matter, the order would later be given as a first one, and what runs on the VM
+    by then would be started a second time beside itself.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the answers to the next 1 upkeep orders are lost
+    And upkeep orders for vm-w1 are refused for 7 s once it is back
+    And the tasks of u1 take 30 s
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And the owner is lost right after its first order
+    And 5 s pass
+    And job u1 is handed in with steps
+      | count | accelerators |
+      | 3     | 8            |
+    And u1 runs on the fleet
+    And worker w4 is new in the list
+    And 20 s pass
+    Then the fleet's ledger shows nothing wrong
+    And every task of u1 was started once
+    And wave 8 is said to be completed
+
+  Scenario: A repeated order is refused because the VM is away
+    An order was carried out unheard, and the list still shows the VM as up. The order
+    is given again and refused, since the VM is away. Taken as "not ordered", another VM
+    is taken away beside it, and operators see more away than they allowed.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And upkeep orders are refused for a VM that is away
+    And an upkeep takes 4 s
+    And the list of VMs is 2.5 s old
+    And the answers to the next 1 upkeep orders are lost
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 60 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
   Scenario: A service bears one task away
     Three tasks of a service run on three VMs, and its users bear that one is away.
     Two at once would leave them one third.
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -4,6 +4,11 @@
 which VMs were ordered, and counts them as away until the platform shows them back. An
 order that was not answered may have been carried out; it is given again, which is
 harmless, since the platform says of what is over that it has begun.
+
+Only an answer changes what is believed of a VM, and only as far as it goes. A refusal
+speaks of one order. Where an earlier one went unanswered, or was an earlier owner's,
+the VM stays recorded as ordered, and so counts as away, until an order is answered
+with its beginning; what runs there by then may be a life that came after the upkeep.
 """
 
 import asyncio
@@ -66,6 +71,8 @@
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         self._completed: set[int] = set()
         self._ordered: dict[str, _Ordered] = {}
+        # By wave and VM: each order so far was ours and was refused.
+        self._not_begun: set[tuple[int, str]] = set()
 
     async def run(self) -> None:
         """Follow operators' wishes until the term is lost."""
@@ -171,40 +178,62 @@
             vm = vms.get(name)
             if name in self._ordered or vm is None or vm.state is not VmState.UP:
                 continue
-            await self._send(wave, vm, first=False)
+            await self._send(wave, vm)
 
     async def _begin(self, wave: Wave, vm: WorkerVm) -> None:
         record, _ = self._records[wave.number]
         begun = (*record.begun, vm.name)
         if await self._write(wave, begun, record.over):
-            await self._send(wave, vm, first=True)
+            self._not_begun.add((wave.number, vm.name))
+            await self._send(wave, vm)
 
-    async def _send(self, wave: Wave, vm: WorkerVm, first: bool) -> None:
+    async def _send(self, wave: Wave, vm: WorkerVm) -> None:
         """Order one VM's upkeep.
 
-        Only after a first order's answer is everything on the VM known to be gone:
-        the answer to a repeated one may mean that it is back and at work again.
+        An order that goes unanswered may have been carried out, and the VM may be back
+        and at work by the time that another is answered. Were that one taken as the
+        first, a life at work would count as ended and its tasks would run twice;
+        `run_gone` would give "VM ordered" of a worker that came after the upkeep. So a
+        beginning ends a life, and a refusal takes the record of an order back, only
+        where the answers to all orders before it were refusals that we heard.
         """
         if not self._term.may_act():
             return
+        key = (wave.number, vm.name)
+        surely_first = key in self._not_begun
+        self._not_begun.discard(key)
         answer = await self._calls.begin(vm.name, wave.number, self._term.fence)
         _log.info(
-            "upkeep_ordered", wave=wave.number, vm=vm.name, answer=answer.name.lower()
+            "upkeep_ordered",
+            wave=wave.number,
+            vm=vm.name,
+            answer=answer.name.lower(),
+            first=surely_first,
         )
-        record, _ = self._records[wave.number]
         if answer is UpkeepAnswer.FENCE:
             self._term.lost.set()
         elif answer is UpkeepAnswer.BEGUN:
             self._ordered[vm.name] = _Ordered(vm.worker, read_clock())
-            if first:
+            if surely_first:
                 self._board.drop_worker(vm.worker, Proof.VM_ORDERED)
             self._wake()
         elif answer is UpkeepAnswer.NOT_THERE:
+            record, _ = self._records[wave.number]
             await self._write(wave, record.begun, (*record.over, vm.name))
-        else:
-            # It is up but leaves, or is just coming back: chosen again later.
-            begun = tuple(name for name in record.begun if name != vm.name)
-            await self._write(wave, begun, record.over)
+        elif surely_first:
+            self._not_begun.add(key)
+            if answer is UpkeepAnswer.BUSY:
+                await self._strike_off(wave, vm)
+
+    async def _strike_off(self, wave: Wave, vm: WorkerVm) -> None:
+        """Take back the record of an order: the VM leaves, and is chosen again later.
+
+        Only for one that surely has not begun. Another one that were struck off would
+        no longer count as away, and one more than allowed would be ordered.
+        """
+        record, _ = self._records[wave.number]
+        begun = tuple(name for name in record.begun if name != vm.name)
+        await self._write(wave, begun, record.over)
 
     async def _write(
         self, wave: Wave, begun: tuple[str, ...], over: tuple[str, ...]
--- a/src/primrosestile/platform/upkeep.py
+++ b/src/primrosestile/platform/upkeep.py
@@ -109,7 +109,10 @@
         if reply.status == 409:
             reason = msgspec.json.decode(reply.body, type=_Refused).reason
             return _REASONS.get(reason, UpkeepAnswer.BUSY)
-        return UpkeepAnswer.BUSY
+        if reply.status == 429:
+            return UpkeepAnswer.NOT_TAKEN
+        # Such an order may have been carried out.
+        raise Failure(ErrorKind.LIST_UNAVAILABLE, f"answered {reply.status}")
 
     async def report(self, wave: int, completed: bool, fence: int) -> bool:
         """Tell operators how a wave stands; False when we are not the owner."""
--- a/src/primrosestile/protocol/upkeep.py
+++ b/src/primrosestile/protocol/upkeep.py
@@ -10,13 +10,16 @@
     """The platform's answer to an order for one VM's upkeep.
 
     `BEGUN` also when it is over already. `FENCE`: another owner has ordered since.
-    `BUSY`: not now. `NOT_THERE`: no such VM, or not one of the wave.
+    `BUSY`: the VM can't be ordered now. `NOT_THERE`: no such VM, or not one of the
+    wave. `NOT_TAKEN`: too many calls just now. Each but `BEGUN` says that this order
+    has done nothing; none says so of an earlier one.
     """
 
     BEGUN = 1
     FENCE = 2
     BUSY = 3
     NOT_THERE = 4
+    NOT_TAKEN = 5
 
 
 class UpkeepCalls(Protocol):
--- a/src/primrosestile_standin/fleetvms.py
+++ b/src/primrosestile_standin/fleetvms.py
@@ -23,6 +23,7 @@
         completed: Waves that were said to be completed, and what was missing then.
         most_away: The most VMs that were away at one time.
         lose_answers: How many of the next orders are carried out unheard.
+        seconds: How long an upkeep takes.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         self.completed: dict[int, list[str]] = {}
         self.most_away = 0
         self.lose_answers = 0
+        self.seconds = UPKEEP_SECONDS
         self.orders: list[tuple[float, str, int]] = []
         self._end = end
         self._begin = begin
@@ -80,7 +82,7 @@
         away = [each for each in self._vms.values() if each.state is not VmState.UP]
         self.most_away = max(self.most_away, len(away))
         loop = asyncio.get_running_loop()
-        loop.call_later(UPKEEP_SECONDS, self._return, name, f"{vm.worker}+")
+        loop.call_later(self.seconds, self._return, name, f"{vm.worker}+")
         return UpkeepAnswer.BEGUN
 
     def _return(self, name: str, worker: str) -> None:
