Take no wave's upkeep for another wave's on the same VM

Cause: what an owner knew of an answered order was kept by VM. With a VM named by a second wave, the answer and the new life of the first wave stood for the second one's: its order went unheard, the VM counted as back at once and the wave as completed.

Change: that knowledge is kept by wave and VM. The stand-in kept what is done by VM alone, so it could not tell this fault; it keeps it by wave and VM now.

Ruled out: a wave's record in the store; it has the wave's number in its key.

--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -10,6 +10,7 @@
 from work_steps import hand_in, step_owner_dies
 
 from primrosestile.clock import read_clock
+from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.upkeep import UpkeepAnswer
 from primrosestile.state.upkeep import VmState, Wave, WorkerVm
 
@@ -80,6 +81,29 @@
     assert context.world.vms.completed == {7: []}, context.world.vms.completed
 
 
+@then("wave {number:d} is said to be completed, and was")
+def step_completed_truly(context: Any, number: int) -> None:
+    completed = context.world.vms.completed
+    assert completed.get(number) == [], completed
+
+
+@given("upkeep orders of wave {number:d} are lost on their way for {seconds:g} s")
+def step_lost_for(context: Any, number: int, seconds: float) -> None:
+    vms = context.world.vms
+    begin = vms.begin
+    first_at: list[float] = []
+
+    async def begin_or_lose(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if wave != number:
+            return await begin(name, wave, fence)
+        first_at.append(read_clock())
+        if read_clock() - first_at[0] < seconds:
+            raise Failure(ErrorKind.LIST_UNAVAILABLE, "lost on its way")
+        return await begin(name, wave, fence)
+
+    vms.begin = begin_or_lose
+
+
 @then("at most {most:d} VMs were away at once")
 def step_most_away(context: Any, most: int) -> None:
     assert context.world.vms.most_away <= most, context.world.vms.most_away
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -92,3 +92,17 @@
     And 50 s pass
     Then at most 1 VMs were away at once
     And the wave is said to be completed, and was
+
+  Scenario: A VM is named by two waves, one after the other
+    Its upkeep in the first wave is over. Were that taken for the second one's as well,
+    operators would be told of an upkeep that their VM has not had.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And upkeep orders of wave 9 are lost on their way for 3 s
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And 15 s pass
+    And operators ask for the upkeep of vm-w1 within 25 s
+    And 25 s pass
+    Then wave 8 is said to be completed, and was
+    And wave 9 is said to be completed, and was
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -70,8 +70,10 @@
         self._began = read_clock()
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         self._completed: set[int] = set()
-        self._ordered: dict[str, _Ordered] = {}
-        # By wave and VM: each order so far was ours and was refused.
+        # Both by wave and VM, since one wave's upkeep says nothing of another's: the
+        # orders that were answered with a beginning, and where each order so far was
+        # ours and was refused.
+        self._ordered: dict[tuple[int, str], _Ordered] = {}
         self._not_begun: set[tuple[int, str]] = set()
 
     async def run(self) -> None:
@@ -153,18 +155,18 @@
         over = set(record.over)
         for name in record.begun:
             vm = vms.get(name)
-            if vm is None or self._is_back(vm):
+            if vm is None or self._is_back(wave, vm):
                 over.add(name)
         if over != set(record.over):
             await self._write(wave, record.begun, tuple(sorted(over)))
 
-    def _is_back(self, vm: WorkerVm) -> bool:
-        """Whether a VM has its upkeep behind it.
+    def _is_back(self, wave: Wave, vm: WorkerVm) -> bool:
+        """Whether a VM has a wave's upkeep behind it.
 
         It has another life of its worker, or was still shown as up long after the
         answer: then its upkeep was over before this owner gave the order again.
         """
-        ordered = self._ordered.get(vm.name)
+        ordered = self._ordered.get((wave.number, vm.name))
         if ordered is None or vm.state is not VmState.UP or not vm.worker:
             return False
         waited = read_clock() - ordered.answered_at
@@ -176,9 +178,9 @@
         """Give an earlier owner's orders again: they may not have been carried out."""
         for name in set(record.begun) - set(record.over):
             vm = vms.get(name)
-            if name in self._ordered or vm is None or vm.state is not VmState.UP:
-                continue
-            await self._send(wave, vm)
+            begun = (wave.number, name) in self._ordered
+            if not begun and vm is not None and vm.state is VmState.UP:
+                await self._send(wave, vm)
 
     async def _begin(self, wave: Wave, vm: WorkerVm) -> None:
         record, _ = self._records[wave.number]
@@ -213,7 +215,7 @@
         if answer is UpkeepAnswer.FENCE:
             self._term.lost.set()
         elif answer is UpkeepAnswer.BEGUN:
-            self._ordered[vm.name] = _Ordered(vm.worker, read_clock())
+            self._ordered[key] = _Ordered(vm.worker, read_clock())
             if surely_first:
                 self._board.drop_worker(vm.worker, Proof.VM_ORDERED)
             self._wake()
--- a/src/primrosestile_standin/fleetvms.py
+++ b/src/primrosestile_standin/fleetvms.py
@@ -38,7 +38,7 @@
         self._end = end
         self._begin = begin
         self._vms: dict[str, WorkerVm] = {}
-        self._done: set[str] = set()
+        self._done: set[tuple[int, str]] = set()
         self._fences: dict[str, int] = {}
 
     def add(self, name: str, worker: str) -> None:
@@ -58,13 +58,13 @@
     async def begin(self, vm: str, wave: int, fence: int) -> UpkeepAnswer:
         """Begin one VM's upkeep."""
         await asyncio.sleep(0.004)
-        answer = self._take(vm, fence)
+        answer = self._take(vm, wave, fence)
         if self.lose_answers:
             self.lose_answers -= 1
             raise Failure(ErrorKind.LIST_UNAVAILABLE, "lost")
         return answer
 
-    def _take(self, name: str, fence: int) -> UpkeepAnswer:
+    def _take(self, name: str, wave: int, fence: int) -> UpkeepAnswer:
         vm = self._vms.get(name)
         if vm is None:
             return UpkeepAnswer.NOT_THERE
@@ -72,11 +72,11 @@
             return UpkeepAnswer.FENCE
         self._fences[name] = fence
         self.orders.append((read_clock(), name, fence))
-        if name in self._done:
+        if (wave, name) in self._done:
             return UpkeepAnswer.BEGUN
         if vm.state is not VmState.UP:
             return UpkeepAnswer.BUSY
-        self._done.add(name)
+        self._done.add((wave, name))
         self._end(vm.worker)
         self._vms[name] = WorkerVm(name, vm.pool, VmState.UPKEEP, "")
         away = [each for each in self._vms.values() if each.state is not VmState.UP]
@@ -95,6 +95,6 @@
         await asyncio.sleep(0.004)
         if completed:
             wanted = next(each for each in self.waves if each.number == wave)
-            missing = [name for name in wanted.vms if name not in self._done]
+            missing = [name for name in wanted.vms if (wave, name) not in self._done]
             self.completed[wave] = missing
         return True
