Take a VM as back, or as gone, only by a list that can say so

Cause 1: a list may be a second old. A life that followed the listed one just before the order was shown after the answer, and taken for the life that follows the upkeep: the VM counted as back while it was away. Cause 2: a VM that one list lacked was taken as gone for good, and that was written down: the wave was told as completed without it, or another VM was ordered beside it.

Change: another life counts only in a list asked for a second after the answer, and the longer wait is counted to when the list was asked for. A VM is gone once each list of 5 s lacked it; it counts as away until then if it was ordered, and nothing of it is written down, so that one that is listed again is waited for. A wave with a VM that was removed completes up to 5 s later than before.

Before, with the source before this commit: - "A worker is replaced just before its VM is ordered": 2 VMs away of 1. - "A VM is left out of the list for a moment before its upkeep": the wave is said to be completed and vm-w2 is missing. - "A VM is left out of the list during its upkeep": 3 VMs away of 1. - "A VM is removed for good before its upkeep" passed, and must go on to.

--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -15,6 +15,7 @@
 from primrosestile.state.upkeep import VmState, Wave, WorkerVm
 
 LIST_SECONDS = 0.1
+SLOW_ORDER_SECONDS = 0.5
 
 
 @given("a VM under each worker")
@@ -46,6 +47,46 @@
     context.world.vms.seconds = seconds
 
 
+@given("the worker on {vm} is replaced just before its upkeep is ordered")
+def step_replaced(context: Any, vm: str) -> None:
+    vms = context.world.vms
+    begin = vms.begin
+
+    async def replace_and_begin(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if name == vm and not vms.orders:
+            vms.replace(name)
+            await asyncio.sleep(SLOW_ORDER_SECONDS)
+        return await begin(name, wave, fence)
+
+    vms.begin = replace_and_begin
+
+
+@given("{vm} is left out of the list for {seconds:g} s")
+def step_left_out(context: Any, vm: str, seconds: float) -> None:
+    vms = context.world.vms
+    read = vms.list_vms
+    first_at: list[float] = []
+
+    async def list_others() -> tuple[WorkerVm, ...]:
+        first_at.append(read_clock())
+        if read_clock() - first_at[0] > seconds:
+            return await read()
+        return tuple(each for each in await read() if each.name != vm)
+
+    vms.list_vms = list_others
+
+
+@given("VMs that are away are left out of the list")
+def step_away_left_out(context: Any) -> None:
+    vms = context.world.vms
+    read = vms.list_vms
+
+    async def list_up() -> tuple[WorkerVm, ...]:
+        return tuple(each for each in await read() if each.state is VmState.UP)
+
+    vms.list_vms = list_up
+
+
 @given("the list of VMs is {seconds:g} s old")
 def step_old_list(context: Any, seconds: float) -> None:
     vms = context.world.vms
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -106,3 +106,51 @@
     And 25 s pass
     Then wave 8 is said to be completed, and was
     And wave 9 is said to be completed, and was
+
+  Scenario: A worker is replaced just before its VM is ordered
+    A worker dies and is back as another life, and the list, which is a second old,
+    shows that only after the order was answered. Taken for the life that comes after
+    the upkeep, the VM would count as back, and another one be taken away beside it.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And the list of VMs is 0.9 s old
+    And the worker on vm-w1 is replaced just before its upkeep is ordered
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: A VM is left out of the list for a moment before its upkeep
+    Taken as gone for good, the VM would be skipped, and operators told that the wave
+    is completed while their VM has not begun.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And vm-w2 is left out of the list for 4 s
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: A VM is left out of the list during its upkeep
+    Taken as gone for good, the VM would no longer count as away, and another one be
+    taken away beside it.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And VMs that are away are left out of the list
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: A VM is removed for good before its upkeep
+    The wave must not wait for it.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And vm-w2 is left out of the list for 1000 s
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 20 s pass
+    Then wave 7 is said to be completed
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -39,6 +39,9 @@
 
 # An upkeep takes 2 s and the worker 1.5 s more; a list may be a second old.
 RETURN_SECONDS = 5.0
+LIST_AGE_SECONDS = 1.0
+# Longer than an upkeep, should a list leave out what is away.
+GONE_SECONDS = 5.0
 
 _log = structlog.get_logger()
 
@@ -75,6 +78,9 @@
         # ours and was refused.
         self._ordered: dict[tuple[int, str], _Ordered] = {}
         self._not_begun: set[tuple[int, str]] = set()
+        # When the latest list was asked for, and since which one it lacks a VM.
+        self._listed_at = 0.0
+        self._missing_since: dict[str, float] = {}
 
     async def run(self) -> None:
         """Follow operators' wishes until the term is lost."""
@@ -94,9 +100,10 @@
             if wave.number not in self._completed
         ]
         if not waves:
+            self._missing_since.clear()
             self._set_closed(frozenset())
             return 0
-        vms = {vm.name: vm for vm in await self._calls.list_vms()}
+        vms = await self._list_vms(waves)
         closed: set[str] = set()
         for wave in waves:
             await self._load(wave)
@@ -104,6 +111,28 @@
         self._set_closed(frozenset(closed))
         return len(waves)
 
+    async def _list_vms(self, waves: list[Wave]) -> dict[str, WorkerVm]:
+        """Read the VMs, and note which of the waves' are missing."""
+        asked_at = read_clock()
+        vms = {vm.name: vm for vm in await self._calls.list_vms()}
+        self._listed_at = asked_at
+        wanted = {name for wave in waves for name in wave.vms}
+        self._missing_since = {
+            name: self._missing_since.get(name, asked_at) for name in wanted - set(vms)
+        }
+        return vms
+
+    def _is_gone(self, name: str) -> bool:
+        """Whether a VM has been missing for long enough to be gone for good.
+
+        A list may lack a VM that stays, between two of its pages or while it is away.
+        Were one such list believed, the wave would be told as completed without that
+        VM's upkeep, or one more than allowed be ordered beside it. So nothing of it is
+        written down either: a VM that is back in the list is waited for again.
+        """
+        since = self._missing_since.get(name)
+        return since is not None and self._listed_at - since > GONE_SECONDS
+
     def _set_closed(self, closed: frozenset[str]) -> None:
         for worker in self._board.workers.values():
             worker.closed = worker.name in closed
@@ -125,19 +154,20 @@
         """Order what may begin; return the workers that are to be emptied."""
         await self._note_over(wave, vms)
         record, _ = self._records[wave.number]
-        stays = [name for name in wave.vms if name in vms]
+        stays = [name for name in wave.vms if not self._is_gone(name)]
         if all(name in record.over for name in stays):
             await self._complete(wave)
             return frozenset()
         if read_clock() - self._began < TURN_SECONDS:
             return frozenset()
         await self._order_again(wave, record, vms)
+        away = set(record.begun) - set(record.over)
         plan = plan_upkeep(
             self._board,
             wave,
             vms,
             record.begun,
-            len(set(record.begun) - set(record.over)),
+            sum(not self._is_gone(name) for name in away),
             record.first_seen + wave.deadline_seconds - read_wall_clock(),
             read_clock(),
         )
@@ -150,12 +180,12 @@
         return plan.empty
 
     async def _note_over(self, wave: Wave, vms: dict[str, WorkerVm]) -> None:
-        """Note the VMs that are back, by another life on them, or gone."""
+        """Note the VMs that are back."""
         record, _ = self._records[wave.number]
         over = set(record.over)
         for name in record.begun:
             vm = vms.get(name)
-            if vm is None or self._is_back(wave, vm):
+            if vm is not None and self._is_back(wave, vm):
                 over.add(name)
         if over != set(record.over):
             await self._write(wave, record.begun, tuple(sorted(over)))
@@ -163,14 +193,19 @@
     def _is_back(self, wave: Wave, vm: WorkerVm) -> bool:
         """Whether a VM has a wave's upkeep behind it.
 
-        It has another life of its worker, or was still shown as up long after the
-        answer: then its upkeep was over before this owner gave the order again.
+        Its list is newer than the answer that the upkeep has begun. An older one may
+        show a life that followed the listed one just before; taken for the one that
+        follows the upkeep, the VM would not count as away, and one more than allowed
+        would be ordered. A VM that shows the same life all along was back before this
+        owner gave the order again.
         """
         ordered = self._ordered.get((wave.number, vm.name))
         if ordered is None or vm.state is not VmState.UP or not vm.worker:
             return False
-        waited = read_clock() - ordered.answered_at
-        return vm.worker != ordered.worker or waited > RETURN_SECONDS
+        waited = self._listed_at - ordered.answered_at
+        if vm.worker != ordered.worker:
+            return waited > LIST_AGE_SECONDS
+        return waited > RETURN_SECONDS
 
     async def _order_again(
         self, wave: Wave, record: WaveRecord, vms: dict[str, WorkerVm]
--- a/src/primrosestile_standin/fleetvms.py
+++ b/src/primrosestile_standin/fleetvms.py
@@ -85,6 +85,12 @@
         loop.call_later(self.seconds, self._return, name, f"{vm.worker}+")
         return UpkeepAnswer.BEGUN
 
+    def replace(self, name: str) -> None:
+        """Let a VM's worker die and come back as another life."""
+        worker = self._vms[name].worker
+        self._end(worker)
+        self._return(name, f"{worker}-")
+
     def _return(self, name: str, worker: str) -> None:
         vm = self._vms[name]
         self._begin(vm.name, worker)
