Give no upkeep order again before a lost write of its record is settled

Found while looking for the same class: what an owner remembers taken for what the store holds.

Cause: an order was refused and its record taken back by a write whose answer was lost. The owner still remembered the order and gave it again; it was carried out unheard, and the owner died. The next owner found no order in the record, gave one as the first, and took the 200 for the end of the life at work there.

Change: after a write of a wave's record that went unanswered, the record is written once more, on the same revision, before anything else is done for that wave. Whichever way that is answered, the earlier write has landed and is read, or its condition never holds again.

--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -5,14 +5,16 @@
 from itertools import pairwise
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 from work_services_steps import FOREVER, SERVICE, SERVICE_STEP
 from work_steps import hand_in, step_owner_dies
 
 from primrosestile.clock import read_clock
+from primrosestile.coordination.work.keys import UPKEEP_PREFIX
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.upkeep import UpkeepAnswer
-from primrosestile.state.upkeep import VmState, Wave, WorkerVm
+from primrosestile.state.upkeep import VmState, Wave, WaveRecord, WorkerVm
 
 LIST_SECONDS = 0.1
 SLOW_ORDER_SECONDS = 0.5
@@ -87,6 +89,35 @@
     vms.list_vms = list_up
 
 
+@given("the next upkeep order is refused, and taking it back is answered unheard")
+def step_taken_back(context: Any) -> None:
+    world = context.world
+    owner = next(each for each in world.processes.values() if each.election.term)
+    assert owner.scheduler is not None
+    client = owner.scheduler._store
+    begin, commit = world.vms.begin, client.commit
+    refused: list[str] = []
+    recorded: list[int] = []
+
+    async def refuse_once(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if refused:
+            return await begin(name, wave, fence)
+        refused.append(name)
+        return UpkeepAnswer.BUSY
+
+    async def commit_unheard(conditions: Any, writes: Any = (), **named: Any) -> Any:
+        done = await commit(conditions, writes, **named)
+        for write in writes:
+            if write.key.startswith(UPKEEP_PREFIX):
+                record = msgspec.msgpack.decode(write.value, type=WaveRecord)
+                recorded.append(len(record.begun))
+                if recorded == [1, 0]:
+                    raise Failure(ErrorKind.STORE_UNAVAILABLE, "lost")
+        return done
+
+    world.vms.begin, client.commit = refuse_once, commit_unheard
+
+
 @given("the list of VMs is {seconds:g} s old")
 def step_old_list(context: Any, seconds: float) -> None:
     vms = context.world.vms
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -154,3 +154,27 @@
     When operators ask for the upkeep of all VMs within 60 s, 1 at once
     And 20 s pass
     Then wave 7 is said to be completed
+
+  Scenario: A refused order is taken back unheard, and given again
+    An order is refused, and the store's answer to taking its record back is lost. The
+    order is given again and carried out, and the owner dies. The next owner finds no
+    order in the record, so it takes its own for the first one, and what runs on the VM
+    by then is started a second time beside itself.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the next upkeep order is refused, and taking it back is answered unheard
+    And the answers to the next 1 upkeep orders are lost
+    And the tasks of u2 take 30 s
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And the owner is lost right after its first order
+    And 3 s pass
+    And job u2 is handed in with steps
+      | count | accelerators |
+      | 3     | 8            |
+    And u2 runs on the fleet
+    And worker w4 is new in the list
+    And 20 s pass
+    Then the fleet's ledger shows nothing wrong
+    And every task of u2 was started once
+    And wave 8 is said to be completed, and was
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -72,6 +72,8 @@
         self._wake = wake
         self._began = read_clock()
         self._records: dict[int, tuple[WaveRecord, int]] = {}
+        # Waves of which a write went unanswered: the store may hold another record.
+        self._unsettled: set[int] = set()
         self._completed: set[int] = set()
         # Both by wave and VM, since one wave's upkeep says nothing of another's: the
         # orders that were answered with a beginning, and where each order so far was
@@ -152,6 +154,7 @@
 
     async def _advance(self, wave: Wave, vms: dict[str, WorkerVm]) -> frozenset[str]:
         """Order what may begin; return the workers that are to be emptied."""
+        await self._settle(wave)
         await self._note_over(wave, vms)
         record, _ = self._records[wave.number]
         stays = [name for name in wave.vms if not self._is_gone(name)]
@@ -272,16 +275,31 @@
         begun = tuple(name for name in record.begun if name != vm.name)
         await self._write(wave, begun, record.over)
 
+    async def _settle(self, wave: Wave) -> None:
+        """Find out which record stands after a write that went unanswered.
+
+        One that takes an order back may stand, or land later. Were the order given
+        again by what this owner remembers, the next owner would find none, count the VM
+        as there and give a first order: one VM too many is away, and what runs there
+        counts as ended. Once a write is answered, whichever way, the earlier one has
+        landed or its condition never holds again.
+        """
+        if wave.number in self._unsettled:
+            record, _ = self._records[wave.number]
+            await self._write(wave, record.begun, record.over)
+
     async def _write(
         self, wave: Wave, begun: tuple[str, ...], over: tuple[str, ...]
     ) -> bool:
         record, revision = self._records[wave.number]
         changed = WaveRecord(record.first_seen, begun, over)
         key = make_wave_key(wave.number)
+        self._unsettled.add(wave.number)
         done = await self._store.commit(
             [Condition(OWNER_KEY, self._term.fence), Condition(key, revision)],
             [Write(key, encode_record(changed))],
         )
+        self._unsettled.discard(wave.number)
         if not done.done:
             # Ours after a lost answer, or another owner's: read anew either way.
             self._records.pop(wave.number, None)
