Follow a completed wave again once operators change it

Found while looking for the same class: the completion of one wish taken for that of another.

Cause: a completed wave was known by its number. VMs that operators added to it later had no upkeep under this owner, and the wave went on being told as completed.

Change: the wave is kept as it was when it was completed. One that differs is told as running and followed on; its record still says which VMs have theirs behind them. The stand-in's ledger forgets a completion that is taken back.

Before, with the source before this commit (and this stand-in): "Operators add a VM to a wave that is completed" failed at "is said to be running".

--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from dataclasses import replace
 from itertools import pairwise
 from typing import Any
 
@@ -153,6 +154,25 @@
     assert context.world.vms.completed == {7: []}, context.world.vms.completed
 
 
+@when("operators add {vm} to wave {number:d}")
+def step_add_vm(context: Any, vm: str, number: int) -> None:
+    vms = context.world.vms
+    vms.waves = [
+        replace(each, vms=(*each.vms, vm)) if each.number == number else each
+        for each in vms.waves
+    ]
+
+
+@then("wave {number:d} is said to be running")
+def step_running(context: Any, number: int) -> None:
+    assert number not in context.world.vms.completed, context.world.vms.completed
+
+
+@then("{vm} has had its upkeep in wave {number:d}")
+def step_had_upkeep(context: Any, vm: str, number: int) -> None:
+    assert context.world.vms.has_begun(vm, number)
+
+
 @then("wave {number:d} is said to be completed, and was")
 def step_completed_truly(context: Any, number: int) -> None:
     completed = context.world.vms.completed
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -178,3 +178,19 @@
     Then the fleet's ledger shows nothing wrong
     And every task of u2 was started once
     And wave 8 is said to be completed, and was
+
+  Scenario: Operators add a VM to a wave that is completed
+    What was completed is the wave as it was. Were the wave left alone from then on,
+    operators would go on being told that it is completed, and the VM never have its
+    upkeep.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And 15 s pass
+    And operators add vm-w2 to wave 8
+    And 3 s pass
+    Then wave 8 is said to be running
+    When 15 s pass
+    Then wave 8 is said to be completed, and was
+    And vm-w2 has had its upkeep in wave 8
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -74,7 +74,7 @@
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         # Waves of which a write went unanswered: the store may hold another record.
         self._unsettled: set[int] = set()
-        self._completed: set[int] = set()
+        self._completed: dict[int, Wave] = {}
         # Both by wave and VM, since one wave's upkeep says nothing of another's: the
         # orders that were answered with a beginning, and where each order so far was
         # ours and was refused.
@@ -99,7 +99,7 @@
         waves = [
             wave
             for wave in await self._calls.list_waves()
-            if wave.number not in self._completed
+            if self._completed.get(wave.number) != wave
         ]
         if not waves:
             self._missing_since.clear()
@@ -109,6 +109,7 @@
         closed: set[str] = set()
         for wave in waves:
             await self._load(wave)
+            await self._reopen(wave)
             closed |= await self._advance(wave, vms)
         self._set_closed(frozenset(closed))
         return len(waves)
@@ -152,6 +153,18 @@
         await self._calls.report(wave.number, False, self._term.fence)
         _log.info("wave_taken", wave=wave.number, vms=len(wave.vms), most=wave.most)
 
+    async def _reopen(self, wave: Wave) -> None:
+        """Tell operators that a wave goes on which they changed once it was completed.
+
+        What was completed is the wave as it was. One that is known by its number only
+        would go on being told as completed, and a VM added to it never be ordered.
+        """
+        if wave.number not in self._completed:
+            return
+        if await self._calls.report(wave.number, False, self._term.fence):
+            del self._completed[wave.number]
+            _log.info("wave_changed", wave=wave.number, vms=len(wave.vms))
+
     async def _advance(self, wave: Wave, vms: dict[str, WorkerVm]) -> frozenset[str]:
         """Order what may begin; return the workers that are to be emptied."""
         await self._settle(wave)
@@ -310,5 +323,5 @@
 
     async def _complete(self, wave: Wave) -> None:
         if await self._calls.report(wave.number, True, self._term.fence):
-            self._completed.add(wave.number)
+            self._completed[wave.number] = wave
             _log.info("wave_completed", wave=wave.number)
--- a/src/primrosestile_standin/fleetvms.py
+++ b/src/primrosestile_standin/fleetvms.py
@@ -85,6 +85,10 @@
         loop.call_later(self.seconds, self._return, name, f"{vm.worker}+")
         return UpkeepAnswer.BEGUN
 
+    def has_begun(self, name: str, wave: int) -> bool:
+        """Whether a VM's upkeep has begun in a wave."""
+        return (wave, name) in self._done
+
     def replace(self, name: str) -> None:
         """Let a VM's worker die and come back as another life."""
         worker = self._vms[name].worker
@@ -103,4 +107,6 @@
             wanted = next(each for each in self.waves if each.number == wave)
             missing = [name for name in wanted.vms if (wave, name) not in self._done]
             self.completed[wave] = missing
+        else:
+            self.completed.pop(wave, None)
         return True
