--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -1,14 +1,24 @@
 """Steps for waves of upkeep on the stand-in."""
 
+import asyncio
 from collections import defaultdict
+from dataclasses import replace
 from itertools import pairwise
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 from work_services_steps import FOREVER, SERVICE, SERVICE_STEP
 from work_steps import hand_in, step_owner_dies
 
-from primrosestile.state.upkeep import Wave
+from primrosestile.clock import read_clock
+from primrosestile.coordination.work.keys import UPKEEP_PREFIX
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.upkeep import UpkeepAnswer
+from primrosestile.state.upkeep import VmState, Wave, WaveRecord, WorkerVm
+
+LIST_SECONDS = 0.1
+SLOW_ORDER_SECONDS = 0.5
 
 
 @given("a VM under each worker")
@@ -22,6 +32,117 @@
     context.world.vms.lose_answers = count
 
 
+@given("upkeep orders are refused for a VM that is away")
+def step_refused_away(context: Any) -> None:
+    vms = context.world.vms
+    begin, read = vms.begin, vms.list_vms
+
+    async def begin_or_refuse(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if name in [each.name for each in await read() if each.state is VmState.UP]:
+            return await begin(name, wave, fence)
+        return UpkeepAnswer.BUSY
+
+    vms.begin = begin_or_refuse
+
+
+@given("an upkeep takes {seconds:g} s")
+def step_upkeep_seconds(context: Any, seconds: float) -> None:
+    context.world.vms.seconds = seconds
+
+
+@given("the worker on {vm} is replaced just before its upkeep is ordered")
+def step_replaced(context: Any, vm: str) -> None:
+    vms = context.world.vms
+    begin = vms.begin
+
+    async def replace_and_begin(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if name == vm and not vms.orders:
+            vms.replace(name)
+            await asyncio.sleep(SLOW_ORDER_SECONDS)
+        return await begin(name, wave, fence)
+
+    vms.begin = replace_and_begin
+
+
+@given("{vm} is left out of the list for {seconds:g} s")
+def step_left_out(context: Any, vm: str, seconds: float) -> None:
+    vms = context.world.vms
+    read = vms.list_vms
+    first_at: list[float] = []
+
+    async def list_others() -> tuple[WorkerVm, ...]:
+        first_at.append(read_clock())
+        if read_clock() - first_at[0] > seconds:
+            return await read()
+        return tuple(each for each in await read() if each.name != vm)
+
+    vms.list_vms = list_others
+
+
+@given("VMs that are away are left out of the list")
+def step_away_left_out(context: Any) -> None:
+    vms = context.world.vms
+    read = vms.list_vms
+
+    async def list_up() -> tuple[WorkerVm, ...]:
+        return tuple(each for each in await read() if each.state is VmState.UP)
+
+    vms.list_vms = list_up
+
+
+@given("the next upkeep order is refused, and taking it back is answered unheard")
+def step_taken_back(context: Any) -> None:
+    world = context.world
+    owner = next(each for each in world.processes.values() if each.election.term)
+    assert owner.scheduler is not None
+    client = owner.scheduler._store
+    begin, commit = world.vms.begin, client.commit
+    refused: list[str] = []
+    recorded: list[int] = []
+
+    async def refuse_once(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if refused:
+            return await begin(name, wave, fence)
+        refused.append(name)
+        return UpkeepAnswer.BUSY
+
+    async def commit_unheard(conditions: Any, writes: Any = (), **named: Any) -> Any:
+        done = await commit(conditions, writes, **named)
+        for write in writes:
+            if write.key.startswith(UPKEEP_PREFIX):
+                record = msgspec.msgpack.decode(write.value, type=WaveRecord)
+                recorded.append(len(record.begun))
+                if recorded == [1, 0]:
+                    raise Failure(ErrorKind.STORE_UNAVAILABLE, "lost")
+        return done
+
+    world.vms.begin, client.commit = refuse_once, commit_unheard
+
+
+@given("the list of VMs is {seconds:g} s old")
+def step_old_list(context: Any, seconds: float) -> None:
+    vms = context.world.vms
+    read = vms.list_vms
+    seen: list[tuple[float, tuple[WorkerVm, ...]]] = []
+
+    async def keep() -> None:
+        while True:
+            seen.append((read_clock(), await read()))
+            await asyncio.sleep(LIST_SECONDS)
+
+    async def list_old() -> tuple[WorkerVm, ...]:
+        await asyncio.sleep(0.004)
+        until = read_clock() - seconds
+        return [vms for at, vms in seen if at <= until or at == seen[0][0]][-1]
+
+    async def begin() -> None:
+        context.listing = asyncio.create_task(keep())
+        await asyncio.sleep(0.1)
+
+    context.world.run(begin())
+    vms.list_vms = list_old
+
+
 @when("operators ask for the upkeep of all VMs within {seconds:d} s, {most:d} at once")
 def step_wave(context: Any, seconds: int, most: int) -> None:
     names = tuple(f"vm-{name}" for name in context.world.fleet.workers)
@@ -33,17 +154,60 @@
     assert context.world.vms.completed == {7: []}, context.world.vms.completed
 
 
+@when("operators add {vm} to wave {number:d}")
+def step_add_vm(context: Any, vm: str, number: int) -> None:
+    vms = context.world.vms
+    vms.waves = [
+        replace(each, vms=(*each.vms, vm)) if each.number == number else each
+        for each in vms.waves
+    ]
+
+
+@then("wave {number:d} is said to be running")
+def step_running(context: Any, number: int) -> None:
+    assert number not in context.world.vms.completed, context.world.vms.completed
+
+
+@then("{vm} has had its upkeep in wave {number:d}")
+def step_had_upkeep(context: Any, vm: str, number: int) -> None:
+    assert context.world.vms.has_begun(vm, number)
+
+
+@then("wave {number:d} is said to be completed, and was")
+def step_completed_truly(context: Any, number: int) -> None:
+    completed = context.world.vms.completed
+    assert completed.get(number) == [], completed
+
+
+@given("upkeep orders of wave {number:d} are lost on their way for {seconds:g} s")
+def step_lost_for(context: Any, number: int, seconds: float) -> None:
+    vms = context.world.vms
+    begin = vms.begin
+    first_at: list[float] = []
+
+    async def begin_or_lose(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        if wave != number:
+            return await begin(name, wave, fence)
+        first_at.append(read_clock())
+        if read_clock() - first_at[0] < seconds:
+            raise Failure(ErrorKind.LIST_UNAVAILABLE, "lost on its way")
+        return await begin(name, wave, fence)
+
+    vms.begin = begin_or_lose
+
+
 @then("at most {most:d} VMs were away at once")
 def step_most_away(context: Any, most: int) -> None:
     assert context.world.vms.most_away <= most, context.world.vms.most_away
 
 
-@when("the owner is lost right after its second order")
-def step_lost_after_order(context: Any) -> None:
+@when("the owner is lost right after its {which} order")
+def step_lost_after_order(context: Any, which: str) -> None:
     world = context.world
+    count = ("first", "second").index(which) + 1
 
     async def wait() -> None:
-        await world.wait_for(lambda: len(world.vms.orders) == 2, 30.0)
+        await world.wait_for(lambda: len(world.vms.orders) == count, 30.0)
 
     world.run(wait())
     step_owner_dies(context)
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -41,6 +41,46 @@
     Then the wave is said to be completed, and was
     And at most 1 VMs were away at once
 
+  Scenario: An unheard order of the owner before is refused to the next one
+    The owner dies with its order carried out and unheard. The next one repeats the
+    order when the VM is back, and is refused at first. Were that taken as the end of
+    the matter, the order would later be given as a first one, and what runs on the VM
+    by then would be started a second time beside itself.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the answers to the next 1 upkeep orders are lost
+    And upkeep orders for vm-w1 are refused for 7 s once it is back
+    And the tasks of u1 take 30 s
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And the owner is lost right after its first order
+    And 5 s pass
+    And job u1 is handed in with steps
+      | count | accelerators |
+      | 3     | 8            |
+    And u1 runs on the fleet
+    And worker w4 is new in the list
+    And 20 s pass
+    Then the fleet's ledger shows nothing wrong
+    And every task of u1 was started once
+    And wave 8 is said to be completed
+
+  Scenario: A repeated order is refused because the VM is away
+    An order was carried out unheard, and the list still shows the VM as up. The order
+    is given again and refused, since the VM is away. Taken as "not ordered", another VM
+    is taken away beside it, and operators see more away than they allowed.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And upkeep orders are refused for a VM that is away
+    And an upkeep takes 4 s
+    And the list of VMs is 2.5 s old
+    And the answers to the next 1 upkeep orders are lost
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 60 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
   Scenario: A service bears one task away
     Three tasks of a service run on three VMs, and its users bear that one is away.
     Two at once would leave them one third.
@@ -67,3 +107,105 @@
     Then the wave is said to be completed, and was
     And no VM was ordered for wave 6
     And the owner's term went on
+
+  Scenario: A VM is named by two waves, one after the other
+    Its upkeep in the first wave is over. Were that taken for the second one's as well,
+    operators would be told of an upkeep that their VM has not had.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And upkeep orders of wave 9 are lost on their way for 3 s
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And 15 s pass
+    And operators ask for the upkeep of vm-w1 within 25 s
+    And 25 s pass
+    Then wave 8 is said to be completed, and was
+    And wave 9 is said to be completed, and was
+
+  Scenario: A worker is replaced just before its VM is ordered
+    A worker dies and is back as another life, and the list, which is a second old,
+    shows that only after the order was answered. Taken for the life that comes after
+    the upkeep, the VM would count as back, and another one be taken away beside it.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And the list of VMs is 0.9 s old
+    And the worker on vm-w1 is replaced just before its upkeep is ordered
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: A VM is left out of the list for a moment before its upkeep
+    Taken as gone for good, the VM would be skipped, and operators told that the wave
+    is completed while their VM has not begun.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And vm-w2 is left out of the list for 4 s
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: A VM is left out of the list during its upkeep
+    Taken as gone for good, the VM would no longer count as away, and another one be
+    taken away beside it.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And VMs that are away are left out of the list
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: A VM is removed for good before its upkeep
+    The wave must not wait for it.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And vm-w2 is left out of the list for 1000 s
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 20 s pass
+    Then wave 7 is said to be completed
+
+  Scenario: A refused order is taken back unheard, and given again
+    An order is refused, and the store's answer to taking its record back is lost. The
+    order is given again and carried out, and the owner dies. The next owner finds no
+    order in the record, so it takes its own for the first one, and what runs on the VM
+    by then is started a second time beside itself.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the next upkeep order is refused, and taking it back is answered unheard
+    And the answers to the next 1 upkeep orders are lost
+    And the tasks of u2 take 30 s
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And the owner is lost right after its first order
+    And 3 s pass
+    And job u2 is handed in with steps
+      | count | accelerators |
+      | 3     | 8            |
+    And u2 runs on the fleet
+    And worker w4 is new in the list
+    And 20 s pass
+    Then the fleet's ledger shows nothing wrong
+    And every task of u2 was started once
+    And wave 8 is said to be completed, and was
+
+  Scenario: Operators add a VM to a wave that is completed
+    What was completed is the wave as it was. Were the wave left alone from then on,
+    operators would go on being told that it is completed, and the VM never have its
+    upkeep.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And 15 s pass
+    And operators add vm-w2 to wave 8
+    And 3 s pass
+    Then wave 8 is said to be running
+    When 15 s pass
+    Then wave 8 is said to be completed, and was
+    And vm-w2 has had its upkeep in wave 8
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -286,10 +286,11 @@
     async def _record_ends(
         self, ended: list[EndedTask], forget_limit: int | None
     ) -> None:
-        """Let the worker forget ends once they are in the store: END_STORED_BEFORE_FORGOTTEN.
+        """Let the worker forget ends once they are in the store.
 
-        Never one that could not be read: it may be that of a run that ended well,
-        which would be run again as one that is neither there nor ended.
+        END_STORED_BEFORE_FORGOTTEN. Never one that could not be read: it may be that of
+        a run that ended well, which would be run again as one that is neither there nor
+        ended.
         """
         try:
             async with asyncio.timeout(RECORD_WAIT_SECONDS):
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -4,6 +4,11 @@
 which VMs were ordered, and counts them as away until the platform shows them back. An
 order that was not answered may have been carried out; it is given again, which is
 harmless, since the platform says of what is over that it has begun.
+
+Only an answer changes what is believed of a VM, and only as far as it goes. A refusal
+speaks of one order. Where an earlier one went unanswered, or was an earlier owner's,
+the VM stays recorded as ordered, and so counts as away, until an order is answered
+with its beginning; what runs there by then may be a life that came after the upkeep.
 """
 
 import asyncio
@@ -35,6 +40,9 @@
 
 # An upkeep takes 2 s and the worker 1.5 s more; a list may be a second old.
 RETURN_SECONDS = 5.0
+LIST_AGE_SECONDS = 1.0
+# Longer than an upkeep, should a list leave out what is away.
+GONE_SECONDS = 5.0
 
 _log = structlog.get_logger()
 
@@ -84,9 +92,18 @@
         self._wake = wake
         self._began = read_clock()
         self._records: dict[int, tuple[WaveRecord, int]] = {}
-        self._completed: set[int] = set()
-        self._ordered: dict[str, _Ordered] = {}
         self._unreadable: dict[int, int] = {}
+        # Waves of which a write went unanswered: the store may hold another record.
+        self._unsettled: set[int] = set()
+        self._completed: dict[int, Wave] = {}
+        # Both by wave and VM, since one wave's upkeep says nothing of another's: the
+        # orders that were answered with a beginning, and where each order so far was
+        # ours and was refused.
+        self._ordered: dict[tuple[int, str], _Ordered] = {}
+        self._not_begun: set[tuple[int, str]] = set()
+        # When the latest list was asked for, and since which one it lacks a VM.
+        self._listed_at = 0.0
+        self._missing_since: dict[str, float] = {}
 
     async def run(self) -> None:
         """Follow operators' wishes until the term is lost."""
@@ -103,22 +120,46 @@
         waves = [
             wave
             for wave in await self._calls.list_waves()
-            if wave.number not in self._completed
+            if self._completed.get(wave.number) != wave
         ]
         if not waves:
+            self._missing_since.clear()
             self._set_closed(frozenset())
             return 0
-        vms = {vm.name: vm for vm in await self._calls.list_vms()}
+        vms = await self._list_vms(waves)
         closed: set[str] = set()
         for wave in waves:
             try:
                 await self._load(wave)
+                await self._reopen(wave)
                 closed |= await self._advance(wave, vms)
             except _RecordUnreadable as unreadable:
                 self._note_unreadable(wave, unreadable.revision)
         self._set_closed(frozenset(closed))
         return len(waves)
 
+    async def _list_vms(self, waves: list[Wave]) -> dict[str, WorkerVm]:
+        """Read the VMs, and note which of the waves' are missing."""
+        asked_at = read_clock()
+        vms = {vm.name: vm for vm in await self._calls.list_vms()}
+        self._listed_at = asked_at
+        wanted = {name for wave in waves for name in wave.vms}
+        self._missing_since = {
+            name: self._missing_since.get(name, asked_at) for name in wanted - set(vms)
+        }
+        return vms
+
+    def _is_gone(self, name: str) -> bool:
+        """Whether a VM has been missing for long enough to be gone for good.
+
+        A list may lack a VM that stays, between two of its pages or while it is away.
+        Were one such list believed, the wave would be told as completed without that
+        VM's upkeep, or one more than allowed be ordered beside it. So nothing of it is
+        written down either: a VM that is back in the list is waited for again.
+        """
+        since = self._missing_since.get(name)
+        return since is not None and self._listed_at - since > GONE_SECONDS
+
     def _set_closed(self, closed: frozenset[str]) -> None:
         for worker in self._board.workers.values():
             worker.closed = worker.name in closed
@@ -147,23 +188,37 @@
             self._unreadable[wave.number] = revision
             _log.error("wave_record_unreadable", wave=wave.number, revision=revision)
 
+    async def _reopen(self, wave: Wave) -> None:
+        """Tell operators that a wave goes on which they changed once it was completed.
+
+        What was completed is the wave as it was. One that is known by its number only
+        would go on being told as completed, and a VM added to it never be ordered.
+        """
+        if wave.number not in self._completed:
+            return
+        if await self._calls.report(wave.number, False, self._term.fence):
+            del self._completed[wave.number]
+            _log.info("wave_changed", wave=wave.number, vms=len(wave.vms))
+
     async def _advance(self, wave: Wave, vms: dict[str, WorkerVm]) -> frozenset[str]:
         """Order what may begin; return the workers that are to be emptied."""
+        await self._settle(wave)
         await self._note_over(wave, vms)
         record, _ = self._records[wave.number]
-        stays = [name for name in wave.vms if name in vms]
+        stays = [name for name in wave.vms if not self._is_gone(name)]
         if all(name in record.over for name in stays):
             await self._complete(wave)
             return frozenset()
         if read_clock() - self._began < TURN_SECONDS:
             return frozenset()
         await self._order_again(wave, record, vms)
+        away = set(record.begun) - set(record.over)
         plan = plan_upkeep(
             self._board,
             wave,
             vms,
             record.begun,
-            len(set(record.begun) - set(record.over)),
+            sum(not self._is_gone(name) for name in away),
             record.first_seen + wave.deadline_seconds - read_wall_clock(),
             read_clock(),
         )
@@ -176,27 +231,32 @@
         return plan.empty
 
     async def _note_over(self, wave: Wave, vms: dict[str, WorkerVm]) -> None:
-        """Note the VMs that are back, by another life on them, or gone."""
+        """Note the VMs that are back."""
         record, _ = self._records[wave.number]
         over = set(record.over)
         for name in record.begun:
             vm = vms.get(name)
-            if vm is None or self._is_back(vm):
+            if vm is not None and self._is_back(wave, vm):
                 over.add(name)
         if over != set(record.over):
             await self._write(wave, record.begun, tuple(sorted(over)))
 
-    def _is_back(self, vm: WorkerVm) -> bool:
-        """Whether a VM has its upkeep behind it.
+    def _is_back(self, wave: Wave, vm: WorkerVm) -> bool:
+        """Whether a VM has a wave's upkeep behind it.
 
-        It has another life of its worker, or was still shown as up long after the
-        answer: then its upkeep was over before this owner gave the order again.
+        Its list is newer than the answer that the upkeep has begun. An older one may
+        show a life that followed the listed one just before; taken for the one that
+        follows the upkeep, the VM would not count as away, and one more than allowed
+        would be ordered. A VM that shows the same life all along was back before this
+        owner gave the order again.
         """
-        ordered = self._ordered.get(vm.name)
+        ordered = self._ordered.get((wave.number, vm.name))
         if ordered is None or vm.state is not VmState.UP or not vm.worker:
             return False
-        waited = read_clock() - ordered.answered_at
-        return vm.worker != ordered.worker or waited > RETURN_SECONDS
+        waited = self._listed_at - ordered.answered_at
+        if vm.worker != ordered.worker:
+            return waited > LIST_AGE_SECONDS
+        return waited > RETURN_SECONDS
 
     async def _order_again(
         self, wave: Wave, record: WaveRecord, vms: dict[str, WorkerVm]
@@ -204,42 +264,77 @@
         """Give an earlier owner's orders again: they may not have been carried out."""
         for name in set(record.begun) - set(record.over):
             vm = vms.get(name)
-            if name in self._ordered or vm is None or vm.state is not VmState.UP:
-                continue
-            await self._send(wave, vm, first=False)
+            begun = (wave.number, name) in self._ordered
+            if not begun and vm is not None and vm.state is VmState.UP:
+                await self._send(wave, vm)
 
     async def _begin(self, wave: Wave, vm: WorkerVm) -> None:
         record, _ = self._records[wave.number]
         begun = (*record.begun, vm.name)
         if await self._write(wave, begun, record.over):
-            await self._send(wave, vm, first=True)
+            self._not_begun.add((wave.number, vm.name))
+            await self._send(wave, vm)
 
-    async def _send(self, wave: Wave, vm: WorkerVm, first: bool) -> None:
+    async def _send(self, wave: Wave, vm: WorkerVm) -> None:
         """Order one VM's upkeep.
 
-        Only after a first order's answer is everything on the VM known to be gone:
-        the answer to a repeated one may mean that it is back and at work again.
+        An order that goes unanswered may have been carried out, and the VM may be back
+        and at work by the time that another is answered. Were that one taken as the
+        first, a life at work would count as ended and its tasks would run twice;
+        `run_gone` would give "VM ordered" of a worker that came after the upkeep. So a
+        beginning ends a life, and a refusal takes the record of an order back, only
+        where the answers to all orders before it were refusals that we heard.
         """
         if not self._term.may_act():
             return
+        key = (wave.number, vm.name)
+        surely_first = key in self._not_begun
+        self._not_begun.discard(key)
         answer = await self._calls.begin(vm.name, wave.number, self._term.fence)
         _log.info(
-            "upkeep_ordered", wave=wave.number, vm=vm.name, answer=answer.name.lower()
+            "upkeep_ordered",
+            wave=wave.number,
+            vm=vm.name,
+            answer=answer.name.lower(),
+            first=surely_first,
         )
-        record, _ = self._records[wave.number]
         if answer is UpkeepAnswer.FENCE:
             self._term.lost.set()
         elif answer is UpkeepAnswer.BEGUN:
-            self._ordered[vm.name] = _Ordered(vm.worker, read_clock())
-            if first:
+            self._ordered[key] = _Ordered(vm.worker, read_clock())
+            if surely_first:
                 self._board.drop_worker(vm.worker, Proof.VM_ORDERED)
             self._wake()
         elif answer is UpkeepAnswer.NOT_THERE:
+            record, _ = self._records[wave.number]
             await self._write(wave, record.begun, (*record.over, vm.name))
-        else:
-            # It is up but leaves, or is just coming back: chosen again later.
-            begun = tuple(name for name in record.begun if name != vm.name)
-            await self._write(wave, begun, record.over)
+        elif surely_first:
+            self._not_begun.add(key)
+            if answer is UpkeepAnswer.BUSY:
+                await self._strike_off(wave, vm)
+
+    async def _strike_off(self, wave: Wave, vm: WorkerVm) -> None:
+        """Take back the record of an order: the VM leaves, and is chosen again later.
+
+        Only for one that surely has not begun. Another one that were struck off would
+        no longer count as away, and one more than allowed would be ordered.
+        """
+        record, _ = self._records[wave.number]
+        begun = tuple(name for name in record.begun if name != vm.name)
+        await self._write(wave, begun, record.over)
+
+    async def _settle(self, wave: Wave) -> None:
+        """Find out which record stands after a write that went unanswered.
+
+        One that takes an order back may stand, or land later. Were the order given
+        again by what this owner remembers, the next owner would find none, count the VM
+        as there and give a first order: one VM too many is away, and what runs there
+        counts as ended. Once a write is answered, whichever way, the earlier one has
+        landed or its condition never holds again.
+        """
+        if wave.number in self._unsettled:
+            record, _ = self._records[wave.number]
+            await self._write(wave, record.begun, record.over)
 
     async def _write(
         self, wave: Wave, begun: tuple[str, ...], over: tuple[str, ...]
@@ -247,10 +342,12 @@
         record, revision = self._records[wave.number]
         changed = WaveRecord(record.first_seen, begun, over)
         key = make_wave_key(wave.number)
+        self._unsettled.add(wave.number)
         done = await self._store.commit(
             [Condition(OWNER_KEY, self._term.fence), Condition(key, revision)],
             [Write(key, encode_record(changed))],
         )
+        self._unsettled.discard(wave.number)
         if not done.done:
             # Ours after a lost answer, or another owner's: read anew either way.
             self._records.pop(wave.number, None)
@@ -261,5 +358,5 @@
 
     async def _complete(self, wave: Wave) -> None:
         if await self._calls.report(wave.number, True, self._term.fence):
-            self._completed.add(wave.number)
+            self._completed[wave.number] = wave
             _log.info("wave_completed", wave=wave.number)
--- a/src/primrosestile/platform/upkeep.py
+++ b/src/primrosestile/platform/upkeep.py
@@ -143,7 +143,10 @@
             return UpkeepAnswer.NOT_THERE
         if reply.status == 409:
             return self._read_reason(reply)
-        return UpkeepAnswer.BUSY
+        if reply.status == 429:
+            return UpkeepAnswer.NOT_TAKEN
+        # Such an order may have been carried out.
+        raise Failure(ErrorKind.LIST_UNAVAILABLE, f"answered {reply.status}")
 
     async def report(self, wave: int, completed: bool, fence: int) -> bool:
         """Tell operators how a wave stands; False when we are not the owner."""
--- a/src/primrosestile_standin/fleetvms.py
+++ b/src/primrosestile_standin/fleetvms.py
@@ -23,6 +23,7 @@
         completed: Waves that were said to be completed, and what was missing then.
         most_away: The most VMs that were away at one time.
         lose_answers: How many of the next orders are carried out unheard.
+        seconds: How long an upkeep takes.
     """
 
     def __init__(
@@ -32,11 +33,12 @@
         self.completed: dict[int, list[str]] = {}
         self.most_away = 0
         self.lose_answers = 0
+        self.seconds = UPKEEP_SECONDS
         self.orders: list[tuple[float, str, int]] = []
         self._end = end
         self._begin = begin
         self._vms: dict[str, WorkerVm] = {}
-        self._done: set[str] = set()
+        self._done: set[tuple[int, str]] = set()
         self._fences: dict[str, int] = {}
 
     def add(self, name: str, worker: str) -> None:
@@ -56,13 +58,13 @@
     async def begin(self, vm: str, wave: int, fence: int) -> UpkeepAnswer:
         """Begin one VM's upkeep."""
         await asyncio.sleep(0.004)
-        answer = self._take(vm, fence)
+        answer = self._take(vm, wave, fence)
         if self.lose_answers:
             self.lose_answers -= 1
             raise Failure(ErrorKind.LIST_UNAVAILABLE, "lost")
         return answer
 
-    def _take(self, name: str, fence: int) -> UpkeepAnswer:
+    def _take(self, name: str, wave: int, fence: int) -> UpkeepAnswer:
         vm = self._vms.get(name)
         if vm is None:
             return UpkeepAnswer.NOT_THERE
@@ -70,19 +72,29 @@
             return UpkeepAnswer.FENCE
         self._fences[name] = fence
         self.orders.append((read_clock(), name, fence))
-        if name in self._done:
+        if (wave, name) in self._done:
             return UpkeepAnswer.BEGUN
         if vm.state is not VmState.UP:
             return UpkeepAnswer.BUSY
-        self._done.add(name)
+        self._done.add((wave, name))
         self._end(vm.worker)
         self._vms[name] = WorkerVm(name, vm.pool, VmState.UPKEEP, "")
         away = [each for each in self._vms.values() if each.state is not VmState.UP]
         self.most_away = max(self.most_away, len(away))
         loop = asyncio.get_running_loop()
-        loop.call_later(UPKEEP_SECONDS, self._return, name, f"{vm.worker}+")
+        loop.call_later(self.seconds, self._return, name, f"{vm.worker}+")
         return UpkeepAnswer.BEGUN
 
+    def has_begun(self, name: str, wave: int) -> bool:
+        """Whether a VM's upkeep has begun in a wave."""
+        return (wave, name) in self._done
+
+    def replace(self, name: str) -> None:
+        """Let a VM's worker die and come back as another life."""
+        worker = self._vms[name].worker
+        self._end(worker)
+        self._return(name, f"{worker}-")
+
     def _return(self, name: str, worker: str) -> None:
         vm = self._vms[name]
         self._begin(vm.name, worker)
@@ -93,6 +105,8 @@
         await asyncio.sleep(0.004)
         if completed:
             wanted = next(each for each in self.waves if each.number == wave)
-            missing = [name for name in wanted.vms if name not in self._done]
+            missing = [name for name in wanted.vms if (wave, name) not in self._done]
             self.completed[wave] = missing
+        else:
+            self.completed.pop(wave, None)
         return True
