--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -170,8 +170,8 @@
 
     Examples:
       | before               | seconds | pause |
-      | 0                    | 4       | 5     |
-      | 1                    | 6       | 10    |
-      | 3                    | 13.5    | 40    |
+      | 0                    | 4       | 20    |
+      | 1                    | 6       | 40    |
+      | 3                    | 13.5    | 80    |
       | 9                    | 45.5625 | 80    |
       | an unknown number of | 45.5625 | 80    |
--- a/src/primrosestile/decisions/work/fitness.py
+++ b/src/primrosestile/decisions/work/fitness.py
@@ -46,11 +46,12 @@
 SERVE_FACTOR = 1.5
 # To 45 s of serving, past which such trouble is no longer one of some VMs.
 MOST_SERVE_STEPS = 6
-# How long a process that gave up stands last, the first time. A neighbour's load or a
-# full link lasts for seconds.
-PAUSE_SECONDS = 5.0
-# The pause doubles up to 80 s: whatever others do meanwhile, this VM stands last.
-MOST_PAUSE_DOUBLINGS = 4
+# How long a process that gave up stands last, the first time. It takes an owner 6 s to
+# find out that it can't do the work; were the pause not several times that, two poor
+# VMs would take turns. Standing last costs no more than 2 s if no other stands.
+PAUSE_SECONDS = 20.0
+# The pause doubles up to 80 s, past which a neighbour's load or a full link is over.
+MOST_PAUSE_DOUBLINGS = 2
 # An owner that was sound for this long shows that the fleet can be scheduled: longer
 # than it must serve, and the silence of a worker's lease and its end besides.
 SOUND_SECONDS = 20.0
