--- a/src/primrosestile/coordination/work/passlog.py
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -1,31 +1,38 @@
 """What a pass says in the log of runs that it ends or takes as gone."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import structlog
 
+from primrosestile.coordination.work.links import WorkerLink
 from primrosestile.decisions.work.planning import Stop
 from primrosestile.decisions.work.units import Member, Proof
 
 _log = structlog.get_logger()
 
 
-def log_gone(gone: Sequence[tuple[Member, Proof]]) -> None:
+def log_gone(
+    gone: Sequence[tuple[Member, Proof]], links: Mapping[str, WorkerLink], fence: int
+) -> None:
     """Say why runs are taken as gone, before anything is decided by it.
 
     A task that ran twice is traced back to the proof of its first run's end; an
     end that a worker listed has its own line.
     """
     for member, proof in gone:
-        if proof is not Proof.ENDED:
-            _log.info(
-                "run_gone",
-                job_id=member.unit.job.job_id,
-                task=member.task,
-                run=member.run,
-                worker=member.worker,
-                proof=proof.value,
-            )
+        if proof is Proof.ENDED:
+            continue
+        link = links.get(member.worker)
+        _log.info(
+            "run_gone",
+            job_id=member.unit.job.job_id,
+            task=member.task,
+            run=member.run,
+            worker=member.worker,
+            proof=proof.value,
+            fence=fence,
+            **(link.describe() if link else {}),
+        )
 
 
 def log_stop(stop: Stop) -> None:
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -210,6 +210,8 @@
         try:
             await link.run()
         finally:
+            # What the link knew of its worker belongs into the lines.
+            log_gone(self._board.take_gone(), self._links, self._term.fence)
             # A worker that was given up may be back under its name by now; to drop
             # its new link would leave what runs there without orders for good.
             if self._links.get(name) is link:
@@ -259,7 +261,7 @@
                 self._board.take_policy(policy)
             self._open_due()
             self._give_up_blind()
-            log_gone(self._board.take_gone())
+            log_gone(self._board.take_gone(), self._links, self._term.fence)
             if self._term.may_act():
                 began = read_clock()
                 self._run_pass(orders)
