End a term after three unanswered renewals, and test calls to workers

The time counts until now instead of until the last sending, and is 4.5 s: 4.75 s in the scenario, 5.0 s with the store's time-out of 1.5 s.

--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -53,6 +53,14 @@
     context.world.run(slow())
 
 
+@when("of ten calls of the scheduling process to workers {lost:d} are lost")
+def step_lost_calls(context: Any, lost: int) -> None:
+    async def lose() -> None:
+        take_owner(context).calls.lost_of_ten = lost
+
+    context.world.run(lose())
+
+
 @when("the scheduling process can't read wishes")
 def step_unread(context: Any) -> None:
     async def fail() -> None:
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -40,6 +40,31 @@
     And job e2 is shown at another process as completed within 10 s
     And the fleet's ledger shows nothing wrong
 
+  Scenario Outline: The owner's calls to workers go unanswered
+    The way from the owner's VM to the workers is broken, and that of no other VM. Its
+    renewals and records get through. What it starts is started and given up, again and
+    again, for workers that are well.
+    Given the tasks of e6 take 20 s
+    And the tasks of e7 take 2 s
+    When job e6 is handed in with steps
+      | count | accelerators |
+      | 2     | 1            |
+    And e6 runs on the fleet
+    And of ten calls of the scheduling process to workers <lost> are lost
+    And job e7 is handed in at another process with steps
+      | count | accelerators |
+      | 20    | 1            |
+    Then another process schedules within 8 s
+    And job e7 is shown at another process as completed within 12 s
+    And job e6 is shown at another process as completed within 25 s
+    And every task of e6 was started once
+    And the fleet's ledger shows nothing wrong
+
+    Examples:
+      | lost |
+      | 10   |
+      | 8    |
+
   Scenario: The owner hears no wish while all else goes on
     Its connections for long answers hang, those for short ones don't. Cancellations
     that were accepted elsewhere never reach it, and callers pay for what runs on.
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -39,9 +39,10 @@
 WATCH_SECONDS = 2.0
 RETRY_SECONDS = 0.25
 # How long renewals may go without an answer, though each may have been carried out:
-# longer than most outages of the store, in which nobody could do better. This process
-# gives no orders meanwhile, and its lease may be renewed without end.
-UNANSWERED_SECONDS = 5.0
+# three in a row, of 1.5 s each, of a store that loses a third one time in 27. This
+# process gives no orders meanwhile and may not extend the leases of workers in time,
+# which last for 7 s; another must have looked after them by then.
+UNANSWERED_SECONDS = 4.5
 # How long a vacancy lasts before a process stands that gave the ownership up just now.
 # The weakest of the others stands after 0.5 s and takes two calls, of 0.3 s each at a
 # slow store, and one whose watch is silent looks again after 2 s: whoever could take
@@ -255,7 +256,7 @@
                     unanswered_since = None
                 elif unanswered_since is None:
                     unanswered_since = asked_at
-                elif asked_at - unanswered_since > UNANSWERED_SECONDS:
+                elif self._read_clock() - unanswered_since > UNANSWERED_SECONDS:
                     self._give_up_unanswered(term)
                 await _wait_or_lost(term, RETRY_SECONDS)
                 continue
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -368,12 +368,15 @@
 
     Attributes:
         cut_off: This process reaches no worker.
+        lost_of_ten: So many of ten calls are carried out, and not answered in time.
     """
 
     def __init__(self, fleet: Fleet, link: Link | None = None) -> None:
         self._fleet = fleet
         self._link = link or Link()
         self.cut_off = False
+        self.lost_of_ten = 0
+        self._carried = 0
 
     async def look(
         self,
@@ -456,6 +459,10 @@
         return worker if worker.entry.worker == entry.worker else None
 
     async def _carry(self, rows: int) -> None:
+        self._carried += 1
+        if self._carried % 10 < self.lost_of_ten:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time")
         try:
             await self._link.carry(ANSWER_BYTES + rows * ROW_BYTES, TIMEOUT_SECONDS)
         except TimeoutError as error:
