--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -215,6 +215,11 @@
     assert len(context.fences) - 1 <= most, context.fences
 
 
+@given("VMs with {cores:g} cores and {mbps:g} Mbit/s from now on")
+def step_vms(context: Any, cores: float, mbps: float) -> None:
+    context.vm = (cores, mbps)
+
+
 @when(
     "all processes die while the store is down, are back,"
     " and the store after {seconds:g} s"
@@ -229,7 +234,7 @@
             await world.kill(name)
         await asyncio.sleep(seconds / 2)
         for name in names:
-            world.add_process(name)
+            world.add_process(name, *context.vm)
         await asyncio.sleep(seconds / 2)
         world.store.faults.down = False
 
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -118,12 +118,18 @@
       | sixty times slower               | 20      | 0    |
       | unable to read wishes for anyone | 30      | 3    |
 
-  Scenario: All processes come back after an outage
+  Scenario Outline: All processes come back after an outage
     All VMs lose power at once, and the store is away until after they are back. Work
     that was accepted waits for an owner.
+    Given VMs with <cores> cores and <mbps> Mbit/s from now on
     When all processes die while the store is down, are back, and the store after 5 s
     Then a process schedules within 3 s
 
+    Examples: ample VMs, and a site that has only the weakest
+      | cores | mbps |
+      | 1     | 1000 |
+      | 0.5   | 5    |
+
   Scenario: An owner that gave up stands again last
     A VM that has shown that it can't do the work would take the ownership back at
     the next vacancy, and the fleet would wait for another to take it again.
