Read the count of owners that gave up strictly

A value under its key that nobody can read ended each term in its first second: the scenario failed before with a ValidationError in the term, and the job did not come about within 6 s. It counts as many now, and is removed after sound work.

--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -9,7 +9,7 @@
 from work_steps import list_running, make_id, read_steps, write_script
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.keys import WISHES_PREFIX
+from primrosestile.coordination.work.keys import GIVEN_UP_KEY, WISHES_PREFIX
 from primrosestile.decisions.work.fitness import Fitness, Work, find_pause, find_serving
 from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.state.work import JobState
@@ -257,6 +257,23 @@
     context.world.run(watch())
 
 
+@given("nobody can read the count of owners that gave up")
+def step_unreadable(context: Any) -> None:
+    async def put() -> None:
+        context.world.store.put(GIVEN_UP_KEY, b"\xff")
+
+    context.world.run(put())
+
+
+@then("the count of owners that gave up is gone after {seconds:g} s")
+def step_gone(context: Any, seconds: float) -> None:
+    async def look() -> None:
+        await asyncio.sleep(seconds)
+        assert context.world.store.read(GIVEN_UP_KEY) is None
+
+    context.world.run(look())
+
+
 @then("VMs stand for the ownership after these seconds")
 def step_stand(context: Any) -> None:
     for row in context.table:
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -130,6 +130,19 @@
       | 1     | 1000 |
       | 0.5   | 5    |
 
+  Scenario: The count of owners that gave up can't be read
+    Another version, or an operator, wrote under its key what nobody can read. Each
+    owner failed at that in its first second, and no job ever ran.
+    Given nobody can read the count of owners that gave up
+    And the tasks of e8 take 2 s
+    When the scheduling process dies
+    Then another process schedules within 2.5 s
+    When job e8 is handed in at another process with steps
+      | count | accelerators |
+      | 2     | 1            |
+    Then job e8 is shown at another process as completed within 6 s
+    And the count of owners that gave up is gone after 25 s
+
   Scenario: An owner that gave up stands again last
     A VM that has shown that it can't do the work would take the ownership back at
     the next vacancy, and the fleet would wait for another to take it again.
--- a/src/primrosestile/coordination/work/ownwatch.py
+++ b/src/primrosestile/coordination/work/ownwatch.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Mapping
 
+import msgspec
 import structlog
 
 from primrosestile.clock import read_clock
@@ -15,6 +16,7 @@
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.fitness import (
+    MOST_SERVE_STEPS,
     WORKER_SECONDS,
     Fitness,
     Trouble,
@@ -154,7 +156,16 @@
 
     async def _read_record(self) -> None:
         entry = await self._store.get(GIVEN_UP_KEY)
-        self._note_record(0 if entry is None else decode_given_up(entry.value))
+        if entry is None:
+            self._note_record(0)
+            return
+        try:
+            self._note_record(decode_given_up(entry.value))
+        except msgspec.MsgspecError as error:
+            # One bad value must not end each term at its beginning. It counts as
+            # many, and is removed like a good one once the work is sound.
+            _log.warning("given_up_record_unreadable", error=str(error))
+            self._note_record(MOST_SERVE_STEPS)
 
     async def _clear_record(self) -> None:
         condition = Condition(OWNER_KEY, self._term.fence)
