--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -9,7 +9,7 @@
 from work_steps import list_running, make_id, read_steps, write_script
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.keys import WISHES_PREFIX
+from primrosestile.coordination.work.keys import GIVEN_UP_KEY, WISHES_PREFIX
 from primrosestile.decisions.work.fitness import Fitness, Work, find_pause, find_serving
 from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.state.work import JobState
@@ -53,6 +53,14 @@
     context.world.run(slow())
 
 
+@when("of ten calls of the scheduling process to workers {lost:d} are lost")
+def step_lost_calls(context: Any, lost: int) -> None:
+    async def lose() -> None:
+        take_owner(context).calls.lost_of_ten = lost
+
+    context.world.run(lose())
+
+
 @when("the scheduling process can't read wishes")
 def step_unread(context: Any) -> None:
     async def fail() -> None:
@@ -176,7 +184,7 @@
         context.fences = {fence}
         for _ in range(int(seconds * 10)):
             await note_fence(context)
-        faults.down = False
+        faults.down = faults.hangs = False
         faults.slow_seconds = 0.0
         faults.unread.clear()
         for _ in range(100):
@@ -195,6 +203,10 @@
     faults = world.store.faults
     if trouble == "down with its leases paused":
         faults.down = faults.leases_pause = True
+    elif trouble == "hanging with its leases paused":
+        faults.hangs = faults.leases_pause = True
+    elif trouble == "hanging":
+        faults.hangs = True
     elif trouble == "sixty times slower":
         faults.slow_seconds = SLOW_STORE_SECONDS
     else:
@@ -207,6 +219,11 @@
     assert len(context.fences) - 1 <= most, context.fences
 
 
+@given("VMs with {cores:g} cores and {mbps:g} Mbit/s from now on")
+def step_vms(context: Any, cores: float, mbps: float) -> None:
+    context.vm = (cores, mbps)
+
+
 @when(
     "all processes die while the store is down, are back,"
     " and the store after {seconds:g} s"
@@ -221,7 +238,7 @@
             await world.kill(name)
         await asyncio.sleep(seconds / 2)
         for name in names:
-            world.add_process(name)
+            world.add_process(name, *context.vm)
         await asyncio.sleep(seconds / 2)
         world.store.faults.down = False
 
@@ -244,6 +261,23 @@
     context.world.run(watch())
 
 
+@given("nobody can read the count of owners that gave up")
+def step_unreadable(context: Any) -> None:
+    async def put() -> None:
+        context.world.store.put(GIVEN_UP_KEY, b"\xff")
+
+    context.world.run(put())
+
+
+@then("the count of owners that gave up is gone after {seconds:g} s")
+def step_gone(context: Any, seconds: float) -> None:
+    async def look() -> None:
+        await asyncio.sleep(seconds)
+        assert context.world.store.read(GIVEN_UP_KEY) is None
+
+    context.world.run(look())
+
+
 @then("VMs stand for the ownership after these seconds")
 def step_stand(context: Any) -> None:
     for row in context.table:
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -40,6 +40,31 @@
     And job e2 is shown at another process as completed within 10 s
     And the fleet's ledger shows nothing wrong
 
+  Scenario Outline: The owner's calls to workers go unanswered
+    The way from the owner's VM to the workers is broken, and that of no other VM. Its
+    renewals and records get through. What it starts is started and given up, again and
+    again, for workers that are well.
+    Given the tasks of e6 take 20 s
+    And the tasks of e7 take 2 s
+    When job e6 is handed in with steps
+      | count | accelerators |
+      | 2     | 1            |
+    And e6 runs on the fleet
+    And of ten calls of the scheduling process to workers <lost> are lost
+    And job e7 is handed in at another process with steps
+      | count | accelerators |
+      | 20    | 1            |
+    Then another process schedules within 8 s
+    And job e7 is shown at another process as completed within 12 s
+    And job e6 is shown at another process as completed within 25 s
+    And every task of e6 was started once
+    And the fleet's ledger shows nothing wrong
+
+    Examples:
+      | lost |
+      | 10   |
+      | 8    |
+
   Scenario: The owner hears no wish while all else goes on
     Its connections for long answers hang, those for short ones don't. Cancellations
     that were accepted elsewhere never reach it, and callers pay for what runs on.
@@ -89,16 +114,37 @@
 
     Examples:
       | trouble                          | seconds | most |
-      | down with its leases paused      | 8       | 1    |
+      | down with its leases paused      | 8       | 0    |
+      | hanging with its leases paused   | 8       | 0    |
+      | hanging                          | 8       | 1    |
       | sixty times slower               | 20      | 0    |
       | unable to read wishes for anyone | 30      | 3    |
 
-  Scenario: All processes come back after an outage
+  Scenario Outline: All processes come back after an outage
     All VMs lose power at once, and the store is away until after they are back. Work
     that was accepted waits for an owner.
+    Given VMs with <cores> cores and <mbps> Mbit/s from now on
     When all processes die while the store is down, are back, and the store after 5 s
     Then a process schedules within 3 s
 
+    Examples: ample VMs, and a site that has only the weakest
+      | cores | mbps |
+      | 1     | 1000 |
+      | 0.5   | 5    |
+
+  Scenario: The count of owners that gave up can't be read
+    Another version, or an operator, wrote under its key what nobody can read. Each
+    owner failed at that in its first second, and no job ever ran.
+    Given nobody can read the count of owners that gave up
+    And the tasks of e8 take 2 s
+    When the scheduling process dies
+    Then another process schedules within 2.5 s
+    When job e8 is handed in at another process with steps
+      | count | accelerators |
+      | 2     | 1            |
+    Then job e8 is shown at another process as completed within 6 s
+    And the count of owners that gave up is gone after 25 s
+
   Scenario: An owner that gave up stands again last
     A VM that has shown that it can't do the work would take the ownership back at
     the next vacancy, and the fleet would wait for another to take it again.
@@ -170,8 +216,8 @@
 
     Examples:
       | before               | seconds | pause |
-      | 0                    | 4       | 5     |
-      | 1                    | 6       | 10    |
-      | 3                    | 13.5    | 40    |
+      | 0                    | 4       | 20    |
+      | 1                    | 6       | 40    |
+      | 3                    | 13.5    | 80    |
       | 9                    | 45.5625 | 80    |
       | an unknown number of | 45.5625 | 80    |
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -218,7 +218,7 @@
             await link.run()
         finally:
             # What the link knew of its worker belongs into the lines.
-            self._log_gone()
+            log_gone(self._board.take_gone(), self._links, self._term.fence)
             # A worker that was given up may be back under its name by now; to drop
             # its new link would leave what runs there without orders for good.
             if self._links.get(name) is link:
