Split a read only where the store answers, and measure a takeover

Change: after a page that came too late one small key is asked for; only when that comes is the page taken as too large. A prefix that has become small is read whole again.

--- /dev/null
+++ b/features/doubles/longday.py
@@ -0,0 +1,93 @@
+"""What stands in the store after a long day: many open jobs, many more ended ones."""
+
+import asyncio
+import math
+from collections.abc import Iterable
+
+from features.doubles.fleetworld import POOL, FleetWorld, make_policy
+
+from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.coordination.work.election import Term
+from primrosestile.coordination.work.ended import EndedJobs
+from primrosestile.coordination.work.keys import JOBS_PREFIX, OWNER_KEY, make_job_key
+from primrosestile.coordination.work.recording import Recorder
+from primrosestile.decisions.work.board import Board
+from primrosestile.platform.policy import read_policy
+from primrosestile.protocol.store import Entry
+from primrosestile.state.work import (
+    JobState,
+    Need,
+    Phase,
+    Step,
+    Submission,
+    encode_record,
+)
+from primrosestile_standin.fleetworker import Script
+
+# Callers may pass 4,000 bytes to their tasks.
+PAYLOAD = "x" * 3000
+NEED = Need(100, 100, 0)
+TASK_SECONDS = 60.0
+STATUS_KEPT_SECONDS = 120.0
+BITS_PER_MEGABIT = 1_000_000
+FIRST_ENDED = 1_000_000
+
+
+def spread_id(number: int) -> str:
+    """Return an id; those of successive numbers are spread over all ids."""
+    return f"{number * 0x9E3779B97F4A7C15 % 2**64:016x}"
+
+
+def make_submission(job_id: str, tasks: int) -> Submission:
+    """Return a job of one step."""
+    step = Step(tasks, NEED, estimate_seconds=TASK_SECONDS)
+    return Submission(
+        job_id, "usual", "domes", POOL, PAYLOAD, (step,), accepted_at=read_wall_clock()
+    )
+
+
+def store_jobs(world: FleetWorld, numbers: Iterable[int], tasks: int) -> list[Entry]:
+    """Write jobs as if they had been accepted."""
+    entries = []
+    for number in numbers:
+        job_id = spread_id(number)
+        key = make_job_key(job_id)
+        world.store.put(key, encode_record(make_submission(job_id, tasks)))
+        entry = world.store.read(key)
+        assert entry is not None
+        entries.append(entry)
+        for index in range(tasks):
+            script = Script(seconds=TASK_SECONDS, need=NEED)
+            world.fleet.scripts[f"{job_id}.0.0.{index}"] = script
+    return entries
+
+
+async def end_jobs(world: FleetWorld, count: int, tasks: int) -> None:
+    """Have an owner write the records of jobs that have run, as it does."""
+    entries = store_jobs(world, range(FIRST_ENDED, FIRST_ENDED + count), tasks)
+    store = world.store.connect("earlier")
+    fence = world.store.put(OWNER_KEY, b"")
+    term = Term(fence, 0, math.inf, asyncio.Event(), read_clock)
+    board = Board(read_policy(Entry("", make_policy(1), 1, 1)))
+    board.wall = read_wall_clock()
+    ended = EndedJobs(store, term, STATUS_KEPT_SECONDS)
+    recorder = Recorder(store, term, board, ended)
+    writing = asyncio.create_task(recorder.run())
+    for entry in entries:
+        job_id = entry.key.removeprefix(JOBS_PREFIX)
+        job = board.admit(make_submission(job_id, tasks), None, read_clock(), 0.0)
+        board.open_occurrence(job, 0)
+        recorder.note_job(job_id, entry.mod_revision)
+        for unit in job.units.values():
+            unit.run = 1
+            unit.phase = Phase.DONE
+        board.finish(job, JobState.COMPLETED)
+    await recorder.save()
+    writing.cancel()
+    world.store.remove(OWNER_KEY)
+
+
+def set_link(world: FleetWorld, process: str, megabits: float) -> None:
+    """Give a process's VM a link of some megabits a second."""
+    per_byte = 8 / (megabits * BITS_PER_MEGABIT)
+    world.store.faults.seconds_per_byte[process] = per_byte
--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -1,77 +1,30 @@
 """Steps for what an owner reads: at its start, after a lost watch, of ended jobs."""
 
 import asyncio
-import math
-from collections.abc import Sequence
 from typing import Any
 
 from behave import given, then, when
-from features.doubles.fleetworld import POOL, FleetWorld, make_policy
+from features.doubles.fleetworld import FleetWorld
+from features.doubles.longday import end_jobs, set_link, spread_id, store_jobs
 from features.steps.work_steps import list_running, make_id
 
-from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import Term
-from primrosestile.coordination.work.ended import EndedJobs
+from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import (
     CANCELS_PREFIX,
     ENDED_PREFIX,
     JOBS_PREFIX,
-    OWNER_KEY,
     PROGRESS_PREFIX,
     WISHES_PREFIX,
     make_job_key,
     make_progress_key,
 )
-from primrosestile.coordination.work.recording import Recorder
-from primrosestile.decisions.work.board import Board
+from primrosestile.coordination.work.reading import Reader
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.platform.policy import read_policy
 from primrosestile.protocol.store import Entry, Page
-from primrosestile.state.work import (
-    JobState,
-    Need,
-    Phase,
-    Step,
-    Submission,
-    encode_record,
-)
-from primrosestile_standin.fleetworker import Script
 
-PAYLOAD = "x" * 3000
-NEED = Need(100, 100, 0)
-TASK_SECONDS = 60.0
-BITS_PER_MEGABIT = 1_000_000
 FOREIGN = b"\xc1\x00not ours"
 
 
-def spread_id(number: int) -> str:
-    """Return an id; those of successive numbers are spread over all ids."""
-    return f"{number * 0x9E3779B97F4A7C15 % 2**64:016x}"
-
-
-def make_submission(job_id: str, tasks: int) -> Submission:
-    step = Step(tasks, NEED, estimate_seconds=TASK_SECONDS)
-    return Submission(
-        job_id, "usual", "domes", POOL, PAYLOAD, (step,), accepted_at=read_wall_clock()
-    )
-
-
-def store_jobs(world: FleetWorld, numbers: Sequence[int], tasks: int) -> list[Entry]:
-    """Write jobs as if they had been accepted."""
-    entries = []
-    for number in numbers:
-        job_id = spread_id(number)
-        key = make_job_key(job_id)
-        world.store.put(key, encode_record(make_submission(job_id, tasks)))
-        entry = world.store.read(key)
-        assert entry is not None
-        entries.append(entry)
-        for index in range(tasks):
-            script = Script(seconds=TASK_SECONDS, need=NEED)
-            world.fleet.scripts[f"{job_id}.0.0.{index}"] = script
-    return entries
-
-
 @given("{count:d} jobs of {tasks:d} tasks each are open")
 def step_open(context: Any, count: int, tasks: int) -> None:
     async def put() -> None:
@@ -87,36 +40,6 @@
     context.world.run(end_jobs(context.world, count, tasks))
 
 
-async def end_jobs(world: FleetWorld, count: int, tasks: int) -> None:
-    """Have an owner write the records of jobs that have run, as it does."""
-    entries = store_jobs(world, range(10_000, 10_000 + count), tasks)
-    store = world.store.connect("earlier")
-    fence = world.store.put(OWNER_KEY, b"")
-    term = Term(fence, 0, math.inf, asyncio.Event(), read_clock)
-    board = Board(read_policy(Entry("", make_policy(1), 1, 1)))
-    board.wall = read_wall_clock()
-    ended = EndedJobs(store, term, 120.0)
-    recorder = Recorder(store, term, board, ended)
-    writing = asyncio.create_task(recorder.run())
-    for entry in entries:
-        job_id = entry.key.removeprefix(JOBS_PREFIX)
-        job = board.admit(make_submission(job_id, tasks), None, read_clock(), 0.0)
-        board.open_occurrence(job, 0)
-        recorder.note_job(job_id, entry.mod_revision)
-        for unit in job.units.values():
-            unit.run = 1
-            unit.phase = Phase.DONE
-        board.finish(job, JobState.COMPLETED)
-    await recorder.save()
-    writing.cancel()
-    world.store.remove(OWNER_KEY)
-
-
-def set_link(world: FleetWorld, process: str, megabits: float) -> None:
-    per_byte = 8 / (megabits * BITS_PER_MEGABIT)
-    world.store.faults.seconds_per_byte[process] = per_byte
-
-
 @when("{process} starts on a VM with a link of {megabits:g} Mbit/s")
 def step_start(context: Any, process: str, megabits: float) -> None:
     set_link(context.world, process, megabits)
@@ -152,6 +75,73 @@
     assert read < megabytes, f"{read:.2f} MB"
 
 
+async def read_jobs(context: Any) -> list[Entry]:
+    """Read the open jobs; count the calls of it."""
+    before = context.world.store.calls
+    try:
+        entries, _ = await context.reader.read(JOBS_PREFIX)
+        return list(entries)
+    finally:
+        context.calls = context.world.store.calls - before
+
+
+@when("the open jobs are read while the store is silent to the reader")
+def step_read_silent(context: Any) -> None:
+    world: FleetWorld = context.world
+    context.reader = Reader(world.store.connect("reader"))
+    world.store.faults.silent.add("reader")
+    context.read_failed = False
+
+    async def read() -> None:
+        try:
+            await read_jobs(context)
+        except Failure:
+            context.read_failed = True
+
+    world.run(read())
+
+
+@then("the read fails after at most {count:d} calls")
+def step_read_fails(context: Any, count: int) -> None:
+    assert context.read_failed and context.calls <= count, context.calls
+
+
+@then("the next read, once the store answers, is one call")
+def step_next_read(context: Any) -> None:
+    context.world.store.faults.silent.clear()
+    context.world.run(read_jobs(context))
+    assert context.calls == 1, context.calls
+
+
+@when("the open jobs are read over a link of {megabits:g} Mbit/s")
+def step_read_slowly(context: Any, megabits: float) -> None:
+    context.reader = Reader(context.world.store.connect("reader"))
+    set_link(context.world, "reader", megabits)
+    context.read = context.world.run(read_jobs(context))
+
+
+@then("the read brings {count:d} jobs")
+def step_brings(context: Any, count: int) -> None:
+    keys = {entry.key for entry in context.read}
+    assert len(keys) == len(context.read) == count, len(context.read)
+
+
+@when("all but {count:d} of these jobs are gone and two more reads are made")
+def step_fewer(context: Any, count: int) -> None:
+    async def read() -> None:
+        for entry in context.read[count:]:
+            context.world.store.remove(entry.key)
+        await read_jobs(context)
+        await read_jobs(context)
+
+    context.world.run(read())
+
+
+@then("the last read is one call")
+def step_one_call(context: Any) -> None:
+    assert context.calls == 1, context.calls
+
+
 @when("an open job that runs is cancelled as the store drops its history")
 def step_cancel_unheard(context: Any) -> None:
     world: FleetWorld = context.world
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -21,6 +21,23 @@
     When p1 starts on a VM with a link of 1 Mbit/s
     Then p1 gives its first order within 60 s of being the owner
 
+  Scenario: A silent store is not asked for hundreds of parts
+    The store answers nobody for some seconds. Were that taken for pages that are too
+    large, each later read would cost hundreds of calls, and callers would get fewer.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 20 jobs of 1 tasks each are open
+    When the open jobs are read while the store is silent to the reader
+    Then the read fails after at most 2 calls
+    And the next read, once the store answers, is one call
+
+  Scenario: A prefix that has become small is read whole again
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 600 jobs of 1 tasks each are open
+    When the open jobs are read over a link of 1 Mbit/s
+    Then the read brings 600 jobs
+    When all but 20 of these jobs are gone and two more reads are made
+    Then the last read is one call
+
   Scenario: A cancellation comes while the watch has lost its history
     Many jobs are open when the store drops its history. The owner, whose link is
     slow, has to read again what it may have missed, and the caller's cancelled job
--- a/src/primrosestile/coordination/work/reading.py
+++ b/src/primrosestile/coordination/work/reading.py
@@ -3,7 +3,11 @@
 A page of the store has up to 500 items or a megabyte, and its size can't be asked
 for. Where a page does not come in time, asking for it again only spends the link
 once more; so the keys are then asked for by their next digit, in smaller parts, and
-later reads of the prefix begin with these.
+later reads of the prefix begin with these for as long as much stands there.
+
+A store that is silent looks the same, and to ask it for hundreds of parts would make
+things worse. So one small key is asked for first: only when that comes in time was the
+page too large.
 """
 
 import asyncio
@@ -11,6 +15,7 @@
 import structlog
 
 from primrosestile.clock import read_clock
+from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Entry, Page
 from primrosestile.protocol.transactions import TransactionalStore
@@ -19,6 +24,8 @@
 DIGITS = "0123456789abcdefABCDEF"
 # Of 2,000 jobs of 4 kB whose ids are evenly spread, 31 kB a part.
 DEEPEST = 2
+# So much comes over a link of 5 Mbit/s in half a second, in base 64.
+SMALL_BYTES = 200_000
 # A call that failed sooner was refused; a smaller one would be, too.
 UNANSWERED_SECONDS = 0.9
 # A part that is refused is asked for again: what was read before it isn't lost.
@@ -33,7 +40,7 @@
 
     def __init__(self, store: TransactionalStore) -> None:
         self._store = store
-        self._depths: dict[str, int] = {}
+        self._large: set[str] = set()
 
     async def read(self, prefix: str) -> tuple[list[Entry], int]:
         """Return all entries, and a revision to watch from.
@@ -46,19 +53,21 @@
         """
         entries: list[Entry] = []
         revision = 0
-        parts = _split(prefix, self._depths.get(prefix, 0))
+        parts = _split(prefix) if prefix in self._large else [prefix]
         while parts:
             part = parts.pop(0)
             depth = len(part) - len(prefix)
             try:
                 found, read_at = await self._read_part(part, depth < DEEPEST)
             except _TooLargeError:
-                self._depths[prefix] = depth + 1
+                self._large.add(prefix)
                 _log.info("read_in_parts", prefix=prefix, digits=depth + 1)
-                parts = _split(part, 1) + parts
+                parts = _split(part) + parts
                 continue
             entries += found
             revision = revision or read_at
+        if sum(len(entry.value) for entry in entries) < SMALL_BYTES:
+            self._large.discard(prefix)
         return entries, revision
 
     async def _read_part(self, part: str, can_split: bool) -> tuple[list[Entry], int]:
@@ -77,7 +86,9 @@
             try:
                 return await self._store.list(part, after)
             except Failure as failure:
-                if can_split and read_clock() - asked_at >= UNANSWERED_SECONDS:
+                unanswered = read_clock() - asked_at >= UNANSWERED_SECONDS
+                if can_split and unanswered:
+                    await self._store.get(OWNER_KEY)
                     raise _TooLargeError from failure
                 tries += 1
                 if tries == TRIES:
@@ -89,8 +100,5 @@
     """A part was not answered in time, and can be split."""
 
 
-def _split(prefix: str, digits: int) -> list[str]:
-    parts = [prefix]
-    for _ in range(digits):
-        parts = [part + digit for part in parts for digit in DIGITS]
-    return parts
+def _split(part: str) -> list[str]:
+    return [part + digit for digit in DIGITS]
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -13,6 +13,7 @@
     "recovery",
     "slopes",
     "site",
+    "takeover",
 )
 
 
