Tell how old what was heard of callers' wishes is, and name the link in megabits

The names are those that the owner's watch over its own work uses: heard_age and recent of the intake, link of the settings in megabits a second. The store's client and its stand-in take the link in megabits, too. features/work/reading, submitting and features/platform pass.

--- a/features/doubles/longday.py
+++ b/features/doubles/longday.py
@@ -29,7 +29,6 @@
 NEED = Need(100, 100, 0)
 TASK_SECONDS = 60.0
 STATUS_KEPT_SECONDS = 120.0
-BITS_PER_MEGABIT = 1_000_000
 FIRST_ENDED = 1_000_000
 
 
@@ -89,5 +88,4 @@
 
 def set_link(world: FleetWorld, process: str, megabits: float) -> None:
     """Give a process's VM a link of some megabits a second."""
-    per_byte = 8 / (megabits * BITS_PER_MEGABIT)
-    world.store.faults.seconds_per_byte[process] = per_byte
+    world.store.faults.megabits[process] = megabits
--- a/src/primrosestile/coordination/work/intake.py
+++ b/src/primrosestile/coordination/work/intake.py
@@ -45,6 +45,10 @@
 QUICK_SECONDS = 0.25
 RELIST_FACTOR = 10.0
 RETRY_SECONDS = 0.2
+# What was cancelled may start nothing more 3 s after that was acknowledged; a start's
+# record and its order, sent again once, take up to 1 s of that. A watch that hears
+# nothing returns within 1 s, and 0.3 s more at a slow store.
+HEARD_SECONDS = 2.0
 # What happened since the last answer may be more than a watch can bring in its time;
 # after so many failures on end all is read again.
 WATCH_FAILURES = 2
@@ -81,13 +85,19 @@
         # Cancellations of jobs that haven't been read yet.
         self._early: set[str] = set()
         self._unreadable: set[str] = set()
-        self._heard_at = read_clock()
+        # Nothing was heard before the term began; for how long doesn't matter.
+        self._heard_at = read_clock() - HEARD_SECONDS
 
     @property
-    def age(self) -> float:
-        """How long ago the store last told of changes, or that there were none."""
+    def heard_age(self) -> float:
+        """Seconds since all cancellations of that moment were known, at the least."""
         return read_clock() - self._heard_at
 
+    @property
+    def recent(self) -> bool:
+        """Whether wishes are heard, so that what was cancelled isn't started."""
+        return self.heard_age < HEARD_SECONDS
+
     @property
     def unreadable(self) -> int:
         """How many records could not be read; their jobs are left alone."""
@@ -97,13 +107,14 @@
         """Read every open job, how far it got, and every cancellation."""
         asked_at = read_clock()
         progresses, _ = await self._reader.read(PROGRESS_PREFIX)
+        cancels_asked_at = read_clock()
         cancels, self._revision = await self._reader.read(CANCELS_PREFIX)
         jobs_asked_at = read_clock()
         jobs, _ = await self._reader.read(JOBS_PREFIX)
         self._listed_at = self._jobs_listed_at = jobs_asked_at
         self._jobs_took = read_clock() - jobs_asked_at
         self._take_wishes([*jobs, *cancels], self._decode_progresses(progresses))
-        self._heard_at = asked_at
+        self._heard_at = cancels_asked_at
         _log.info(
             "jobs_loaded",
             jobs=len(self._board.jobs),
@@ -209,16 +220,20 @@
         overdue = read_clock() - self._listed_at > RELIST_SECONDS
         if overdue or self._failures >= WATCH_FAILURES:
             await self._read_again(tasks, self._failures > 0)
+        asked_at = read_clock()
         heard = await self._store.watch_once(
             WISHES_PREFIX, self._revision, WATCH_SECONDS
         )
         if not heard.complete:
             await self._read_again(tasks, lost=True)
             return
-        self._heard_at = read_clock()
         self._revision = max(self._revision, heard.revision)
         if heard.changes:
             self._take_changes(heard.changes)
+            self._heard_at = asked_at
+        else:
+            # The store waited for a change before it answered that there is none.
+            self._heard_at = min(read_clock(), asked_at + WATCH_SECONDS)
 
     async def _read_again(self, tasks: asyncio.TaskGroup, lost: bool) -> None:
         """Read what the watch may not have told.
--- a/src/primrosestile/platform/settings.py
+++ b/src/primrosestile/platform/settings.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 
 PATH_VARIABLE = "PRIMROSESTILE_CONFIG"
-BYTES_PER_MEGABIT = 125_000
 
 
 class BadSettings(Exception):
@@ -63,7 +62,7 @@
         advice_address: The service that knows a queue's workers; may be empty.
         list_address: The platform's list of machines; may be empty.
         processor: Of the machine, in cores of the usual speed.
-        link: Of the machine, in bytes a second.
+        link: Of the machine, in megabits a second.
     """
 
     name: str
@@ -137,7 +136,7 @@
         # The share is of a core that is `cores` times as fast as a usual one.
         processor=float(values.get("limits.cpu_share", "1"))
         * float(values.get("limits.cores", "1")),
-        link=float(values.get("limits.link_mbps", "1000")) * BYTES_PER_MEGABIT,
+        link=float(values.get("limits.link_mbps", "1000")),
         bounds=_make_bounds(values),
     )
 
--- a/src/primrosestile/platform/store.py
+++ b/src/primrosestile/platform/store.py
@@ -25,6 +25,7 @@
 WATCH_SLACK_SECONDS = 1.0
 # The largest page: a megabyte of values in base 64, their keys and numbers.
 PAGE_BYTES = 1_500_000
+BYTES_PER_MEGABIT = 125_000
 # A page is one call among many, which may take half of the link meanwhile.
 LINK_SHARE = 0.5
 # Past this the page comes faster in parts, whatever the link.
@@ -35,13 +36,13 @@
 
 
 def find_list_timeout(link: float) -> float:
-    """Return how long a page may take over a link of some bytes a second.
+    """Return how long a page may take over a link of some megabits a second.
 
     Were each page given a second, a VM with a link of 10 Mbit/s could never read a
     full one: it would ask for the same page again and again, and as the owner it
     would hear of no job and no cancellation.
     """
-    carried = PAGE_BYTES / (link * LINK_SHARE)
+    carried = PAGE_BYTES / (link * BYTES_PER_MEGABIT * LINK_SHARE)
     return min(LONGEST_LIST_SECONDS, READ_TIMEOUT_SECONDS + carried)
 
 
--- a/src/primrosestile_standin/fleetstore.py
+++ b/src/primrosestile_standin/fleetstore.py
@@ -14,7 +14,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.platform.store import find_list_timeout
+from primrosestile.platform.store import BYTES_PER_MEGABIT, find_list_timeout
 from primrosestile.protocol.store import Change, Entry, Page
 from primrosestile.protocol.transactions import Committed, Condition, Heard, Write
 
@@ -38,7 +38,7 @@
         late_writes: Delays, in seconds, of the next writes; none is answered.
         deaf_watches: Watches hear nothing.
         slow_seconds: Added to each call.
-        seconds_per_byte: How long a byte of a list takes to a process.
+        megabits: What the link carries a second on which a process gets lists.
         stale_reads: Reads that may be old show nothing.
     """
 
@@ -50,7 +50,7 @@
     late_writes: list[float] = field(default_factory=list)
     deaf_watches: bool = False
     slow_seconds: float = 0.0
-    seconds_per_byte: dict[str, float] = field(default_factory=dict)
+    megabits: dict[str, float] = field(default_factory=dict)
     stale_reads: bool = False
 
 
@@ -220,12 +220,13 @@
             for entry in page.entries
         )
         self._store.bytes_listed[self._process] += int(size)
-        per_byte = self._store.faults.seconds_per_byte.get(self._process, 0.0)
-        if not per_byte:
+        megabits = self._store.faults.megabits.get(self._process)
+        if megabits is None:
             return
         now = read_clock()
-        self._link_free_at = max(now, self._link_free_at) + size * per_byte
-        limit = find_list_timeout(1 / per_byte)
+        seconds = size / (megabits * BYTES_PER_MEGABIT)
+        self._link_free_at = max(now, self._link_free_at) + seconds
+        limit = find_list_timeout(megabits)
         await asyncio.sleep(min(limit, self._link_free_at - now))
         if self._link_free_at - now > limit:
             self._link_free_at = read_clock()
