Share one read among callers who ask for the number of waiting jobs

Each answer read all open jobs and their progress; on a link of 10 Mbit/s ten callers at once read a megabyte ten times. Ruled out: a number that the owner writes (it is old just when there is no owner).

Change: those who ask within a second share one read; the promised age is 2 s. The new scenario failed before with ten reads instead of one.

--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -311,3 +311,36 @@
         assert not gone, gone
 
     context.world.run(look())
+
+
+@when("{count:d} callers ask {process} for the number of waiting jobs at once")
+def step_ask_pending(context: Any, count: int, process: str) -> None:
+    world: FleetWorld = context.world
+    read_page = world.store.read_page
+    context.reads = []
+
+    def note_page(prefix: str, after: str) -> Page:
+        if prefix == JOBS_PREFIX and not after:
+            context.reads.append(prefix)
+        return read_page(prefix, after)
+
+    async def ask() -> list[int]:
+        running = world.processes[process]
+        queue = running.policies.require().find_named("usual")
+        assert queue is not None
+        asked = [running.submitting.count_pending(queue) for _ in range(count)]
+        return await asyncio.gather(*asked)
+
+    world.store.read_page = note_page  # type: ignore[method-assign]
+    context.counts = world.run(ask())
+    world.store.read_page = read_page  # type: ignore[method-assign]
+
+
+@then("each is told {count:d}")
+def step_told_count(context: Any, count: int) -> None:
+    assert set(context.counts) == {count}, context.counts
+
+
+@then("the open jobs were read once")
+def step_read_once(context: Any) -> None:
+    assert len(context.reads) == 1, context.reads
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -149,6 +149,19 @@
     And the records that nobody can read still stand there
     And p1 counts 0 waiting job
 
+  Scenario: Callers who ask for the number of waiting jobs together share a read
+    Each answer takes a read of all open jobs. On a slow link ten callers would wait
+    for ten times the same bytes, and so would everybody else on that VM.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 1 processes of ours
+    And 300 jobs of 1 tasks each are open
+    When 10 callers ask p1 for the number of waiting jobs at once
+    Then each is told 300
+    And the open jobs were read once
+    When 2 s pass
+    And 1 callers ask p1 for the number of waiting jobs at once
+    Then each is told 0
+
   Scenario: What is left of an ended job is removed in time
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
--- a/src/primrosestile/coordination/work/submitting.py
+++ b/src/primrosestile/coordination/work/submitting.py
@@ -10,18 +10,16 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_wall_clock
 from primrosestile.coordination.work.keys import (
-    JOBS_PREFIX,
-    PROGRESS_PREFIX,
     make_cancel_key,
     make_ended_key,
     make_job_key,
     make_progress_key,
 )
+from primrosestile.coordination.work.pending import PendingCounts
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
@@ -30,7 +28,6 @@
     Condition,
     TransactionalStore,
     Write,
-    list_entries,
 )
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import (
@@ -64,6 +61,7 @@
         self._store = store
         self._policies = policies
         self._policy_key = policy_key
+        self._pending = PendingCounts(store)
 
     async def submit(
         self, job_id: str, make: Callable[[Policy], Submission]
@@ -183,36 +181,7 @@
 
     async def count_pending(self, queue: Queue) -> int:
         """Return how many jobs of a queue have no task started."""
-        entries, _ = await list_entries(self._store, JOBS_PREFIX)
-        jobs = {
-            entry.key.removeprefix(JOBS_PREFIX)
-            for entry in entries
-            if _is_job_of(entry, queue)
-        }
-        if not jobs:
-            return 0
-        started, _ = await list_entries(self._store, PROGRESS_PREFIX)
-        begun = {
-            entry.key.removeprefix(PROGRESS_PREFIX)
-            for entry in started
-            if _has_begun(entry)
-        }
-        return len(jobs - begun)
-
-
-def _has_begun(entry: Entry) -> bool:
-    """Whether a record tells of a start; one that can't be read is not counted on."""
-    try:
-        return decode_progress(entry.value).state is not JobState.QUEUED
-    except msgspec.MsgspecError:
-        return True
-
-
-def _is_job_of(entry: Entry, queue: Queue) -> bool:
-    try:
-        return decode_submission(entry.value).queue == queue.name
-    except msgspec.MsgspecError:
-        return False
+        return await self._pending.count(queue.name)
 
 
 def _check_same(stored: Submission, sent: Submission) -> Submission:
