--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -71,6 +71,7 @@
         policies: PolicyWatch,
         term: Term,
         status_kept: float,
+        lease_longest: float,
         advice: AdviceCalls,
         upkeep: UpkeepCalls,
     ) -> None:
@@ -78,6 +79,7 @@
         self._calls = calls
         self._policies = policies
         self._term = term
+        self._lease_longest = lease_longest
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
         self._board = Board(policy)
@@ -167,6 +169,7 @@
             self._recorder,
             self._wake,
             self._note_end,
+            self._lease_longest,
         )
         self._links[name] = link
         tasks.create_task(self._run_link(name, link))
@@ -175,6 +178,8 @@
         try:
             await link.run()
         finally:
+            # What the link knew of its worker belongs into the lines.
+            self._log_gone()
             # A worker that was given up may be back under its name by now; to drop
             # its new link would leave what runs there without orders for good.
             if self._links.get(name) is link:
@@ -296,15 +301,19 @@
         end that a worker listed has its own line.
         """
         for member, proof in self._board.take_gone():
-            if proof is not Proof.ENDED:
-                _log.info(
-                    "run_gone",
-                    job_id=member.unit.job.job_id,
-                    task=member.task,
-                    run=member.run,
-                    worker=member.worker,
-                    proof=proof.value,
-                )
+            if proof is Proof.ENDED:
+                continue
+            link = self._links.get(member.worker)
+            _log.info(
+                "run_gone",
+                job_id=member.unit.job.job_id,
+                task=member.task,
+                run=member.run,
+                worker=member.worker,
+                proof=proof.value,
+                fence=self._term.fence,
+                **(link.describe() if link else {}),
+            )
 
     async def _clean_up(self) -> None:
         """Keep what stands in the store to what is open or may be asked for."""
