Know the time of day before the first end is heard

Cause: the owner's picture begins with the time of day 0, and gets the real one with the first pass. A new owner hears of ends before that: a job that ended between two owners got an end in 1970, and its record was removed at the next clean-up, within 10 s. Its caller was then told that no such job exists, and a repeated call would have run it again.

Change: the time is set when the picture is made and again once all is read; a record without its time counts as ended when it is found.

--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -8,7 +8,7 @@
 from features.doubles.longday import end_jobs, set_link, spread_id, store_jobs
 from features.steps.work_steps import list_running, make_id
 
-from primrosestile.clock import read_clock
+from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.keys import (
     CANCELS_PREFIX,
     ENDED_PREFIX,
@@ -21,6 +21,7 @@
 from primrosestile.coordination.work.reading import Reader
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry, Page
+from primrosestile.state.work import decode_ended
 
 FOREIGN = b"\xc1\x00not ours"
 
@@ -194,6 +195,17 @@
     context.world.run(look())
 
 
+@then("the end of {name} has its time")
+def step_end_time(context: Any, name: str) -> None:
+    async def look() -> None:
+        entry = context.world.store.read(ENDED_PREFIX + make_id(name))
+        assert entry is not None
+        age = read_wall_clock() - decode_ended(entry.value).ended_at
+        assert 0 <= age < 60, age
+
+    context.world.run(look())
+
+
 @then("nothing of {name} stands in the store")
 def step_nothing_left(context: Any, name: str) -> None:
     async def look() -> None:
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -171,6 +171,23 @@
     When 50 s pass
     Then nothing of e1 stands in the store
 
+  Scenario: A job ends while nobody schedules
+    The scheduling process dies and the job's task ends before the next one has begun.
+    That one hears of the end before its first pass. Were the time of the end not known
+    by then, the job would count as ended in 1970, its record would be removed within
+    seconds, and its caller would be told that no such job exists.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    And the tasks of e3 take 1 s
+    When job e3 is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    And e3 runs on the fleet
+    And the scheduling process dies
+    And 20 s pass
+    Then job e3 is shown as completed within 1 s
+    And the end of e3 has its time
+
   Scenario: What an earlier owner has left is removed by the next
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
--- a/src/primrosestile/coordination/work/ended.py
+++ b/src/primrosestile/coordination/work/ended.py
@@ -92,7 +92,9 @@
         except msgspec.MsgspecError as error:
             _log.warning("record_unreadable", key=entry.key, reason=str(error))
             return
-        self._ended_at[entry.key.removeprefix(ENDED_PREFIX)] = record.ended_at
+        # Without its time it has ended just now, at the latest.
+        ended_at = record.ended_at or read_wall_clock()
+        self._ended_at[entry.key.removeprefix(ENDED_PREFIX)] = ended_at
 
     async def _remove_old(self) -> None:
         before = read_wall_clock() - self._kept
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -83,6 +83,9 @@
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
         self._board = Board(policy)
+        # Ends come before the first pass; at time 0 they would count as ended in 1970,
+        # and callers would soon be told that there was no such job.
+        self._board.wall = read_wall_clock()
         self._trust = Trust()
         self._durations = Durations()
         self._speeds = Speeds()
@@ -146,6 +149,7 @@
                 _log.warning("recovery_delayed", reason=str(failure))
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            self._board.wall = read_wall_clock()
             return
 
     def _add_worker(self, entry: WorkerEntry) -> None:
