--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -1,9 +1,11 @@
 """Steps for what an owner reads: at its start, after a lost watch, of ended jobs."""
 
 import asyncio
+import random
 from typing import Any
 
 from behave import given, then, when
+from features.doubles.drawnday import JOBS, DrawnDay
 from features.doubles.fleetworld import FleetWorld
 from features.doubles.longday import end_jobs, set_link, spread_id, store_jobs
 from features.steps.work_steps import list_running, make_id
@@ -356,3 +358,15 @@
 @then("the open jobs were read once")
 def step_read_once(context: Any) -> None:
     assert len(context.reads) == 1, context.reads
+
+
+@when("the day of faults of seed {seed:d} is played")
+def step_drawn_day(context: Any, seed: int) -> None:
+    context.day = DrawnDay(context.world, random.Random(seed))
+    context.world.run(context.day.play())
+
+
+@then("every job was shown truly, ran once and left one record")
+def step_judge_day(context: Any) -> None:
+    assert len(context.day.accepted) > JOBS / 2, "hardly any job was accepted"
+    assert not context.day.wrong, "\n".join(context.day.wrong)
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -198,3 +198,16 @@
     Then job e2 is shown as completed within 1 s
     When 60 s pass
     Then nothing of e2 stands in the store
+
+  Scenario Outline: On a drawn day of faults what was accepted ends once
+    Owners die or fall silent, the store goes down, drops its history, loses answers,
+    carries writes out late. Meanwhile jobs are handed in twice, and some cancelled.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And 3 processes of ours
+    When the day of faults of seed <seed> is played
+    Then every job was shown truly, ran once and left one record
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
