--- a/features/doubles/worklinks.py
+++ b/features/doubles/worklinks.py
@@ -195,9 +195,9 @@
     def __init__(self, store: TransactionalStore) -> None:
         self._store = store
 
-    async def get(self, key: str) -> Entry | None:
+    async def get(self, key: str, recent: bool = True) -> Entry | None:
         """Return the present value of a key, or None."""
-        return await run_outside(lambda: self._store.get(key))
+        return await run_outside(lambda: self._store.get(key, recent))
 
     async def list(self, prefix: str, after: str = "") -> Page:
         """Return one page of the entries under a prefix."""
--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -18,14 +18,18 @@
 from features.doubles.worklinks import LinkedCalls, LinkedStore, WorkLink
 
 from primrosestile.clock import read_wall_clock
-from primrosestile.coordination.work.keys import make_job_key, make_progress_key
+from primrosestile.coordination.work.keys import (
+    make_ended_key,
+    make_job_key,
+    make_progress_key,
+)
 from primrosestile.errors import Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY
 from primrosestile.protocol.fleet import WorkerCalls
 from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.state.policy import Policy
-from primrosestile.state.work import JobState, decode_progress
+from primrosestile.state.work import JobState, decode_ended, decode_progress
 from primrosestile_standin.fleetworker import (
     FleetCalls,
     FleetWorker,
@@ -282,6 +286,9 @@
         entry = self.store.read(make_progress_key(job.job_id))
         if entry is not None:
             return decode_progress(entry.value).state
+        ended = self.store.read(make_ended_key(job.job_id))
+        if ended is not None:
+            return decode_ended(ended.value).state
         known = self.store.read(make_job_key(job.job_id))
         return JobState.QUEUED if known is not None else None
 
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -51,7 +51,7 @@
 def make_store(body: Any, status: int = 200) -> PlatformStore:
     """Return a store that answers every call with one body."""
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
-    return PlatformStore("", CannedConnections(data, status))
+    return PlatformStore("", CannedConnections(data, status), link=1000.0)
 
 
 def fail(work: Coroutine[Any, Any, Any]) -> Failure:
--- /dev/null
+++ b/features/steps/work_reading_steps.py
@@ -0,0 +1,372 @@
+"""Steps for what an owner reads: at its start, after a lost watch, of ended jobs."""
+
+import asyncio
+import random
+from typing import Any
+
+from behave import given, then, when
+from features.doubles.drawnday import JOBS, DrawnDay
+from features.doubles.fleetworld import FleetWorld
+from features.doubles.longday import end_jobs, set_link, spread_id, store_jobs
+from features.steps.work_steps import list_running, make_id
+
+from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.coordination.work.keys import (
+    CANCELS_PREFIX,
+    ENDED_PREFIX,
+    JOBS_PREFIX,
+    PROGRESS_PREFIX,
+    WISHES_PREFIX,
+    make_job_key,
+    make_progress_key,
+)
+from primrosestile.coordination.work.reading import Reader
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.store import Entry, Page
+from primrosestile.state.work import decode_ended
+
+FOREIGN = b"\xc1\x00not ours"
+
+
+@given("{count:d} jobs of {tasks:d} tasks each are open")
+def step_open(context: Any, count: int, tasks: int) -> None:
+    async def put() -> None:
+        store_jobs(context.world, range(1, count + 1), tasks)
+
+    context.world.run(put())
+
+
+@given(
+    "{count:d} jobs of {tasks:d} tasks each ran under an earlier owner and have ended"
+)
+def step_ended(context: Any, count: int, tasks: int) -> None:
+    context.world.run(end_jobs(context.world, count, tasks))
+
+
+@when("{process} starts on a VM with a link of {megabits:g} Mbit/s")
+def step_start(context: Any, process: str, megabits: float) -> None:
+    set_link(context.world, process, megabits)
+
+    async def start() -> None:
+        context.world.add_process(process)
+
+    context.world.run(start())
+
+
+@when("the link of {process} falls to {megabits:g} Mbit/s")
+def step_link(context: Any, process: str, megabits: float) -> None:
+    set_link(context.world, process, megabits)
+
+
+@then("{process} gives its first order within {seconds:g} s of being the owner")
+def step_first_order(context: Any, process: str, seconds: float) -> None:
+    world: FleetWorld = context.world
+
+    async def measure() -> float:
+        await world.wait_for(lambda: world.find_owner() is not None, 5.0)
+        gained_at = read_clock()
+        await world.wait_for(lambda: bool(world.fleet.starts), seconds + 30)
+        return read_clock() - gained_at
+
+    took = world.run(measure())
+    assert took <= seconds, f"{took:.2f} s"
+
+
+@then("it has read less than {megabytes:g} MB")
+def step_read(context: Any, megabytes: float) -> None:
+    read = context.world.store.bytes_listed["p1"] / 1_000_000
+    assert read < megabytes, f"{read:.2f} MB"
+
+
+async def read_jobs(context: Any) -> list[Entry]:
+    """Read the open jobs; count the calls of it."""
+    before = context.world.store.calls
+    try:
+        entries, _ = await context.reader.read(JOBS_PREFIX)
+        return list(entries)
+    finally:
+        context.calls = context.world.store.calls - before
+
+
+@when("the open jobs are read while the store is silent to the reader")
+def step_read_silent(context: Any) -> None:
+    world: FleetWorld = context.world
+    context.reader = Reader(world.store.connect("reader"))
+    world.store.faults.silent.add("reader")
+    context.read_failed = False
+
+    async def read() -> None:
+        try:
+            await read_jobs(context)
+        except Failure:
+            context.read_failed = True
+
+    world.run(read())
+
+
+@then("the read fails after at most {count:d} calls")
+def step_read_fails(context: Any, count: int) -> None:
+    assert context.read_failed and context.calls <= count, context.calls
+
+
+@then("the next read, once the store answers, is one call")
+def step_next_read(context: Any) -> None:
+    context.world.store.faults.silent.clear()
+    context.world.run(read_jobs(context))
+    assert context.calls == 1, context.calls
+
+
+@when("the open jobs are read over a link of {megabits:g} Mbit/s")
+def step_read_slowly(context: Any, megabits: float) -> None:
+    context.reader = Reader(context.world.store.connect("reader"))
+    set_link(context.world, "reader", megabits)
+    context.read = context.world.run(read_jobs(context))
+
+
+@then("the read brings {count:d} jobs")
+def step_brings(context: Any, count: int) -> None:
+    keys = {entry.key for entry in context.read}
+    assert len(keys) == len(context.read) == count, len(context.read)
+
+
+@when("all but {count:d} of these jobs are gone and two more reads are made")
+def step_fewer(context: Any, count: int) -> None:
+    async def read() -> None:
+        for entry in context.read[count:]:
+            context.world.store.remove(entry.key)
+        await read_jobs(context)
+        await read_jobs(context)
+
+    context.world.run(read())
+
+
+@then("the last read is one call")
+def step_one_call(context: Any) -> None:
+    assert context.calls == 1, context.calls
+
+
+@when("an open job that runs is cancelled as the store drops its history")
+def step_cancel_unheard(context: Any) -> None:
+    world: FleetWorld = context.world
+
+    async def cancel() -> None:
+        runs = [task for each in world.fleet.workers.values() for task in each.runs]
+        assert runs, "nothing runs"
+        context.job_id = runs[0][:16]
+        process = world.processes["p1"]
+        queue = process.policies.require().find_named("usual")
+        assert queue is not None
+        assert await process.submitting.cancel(context.job_id, queue, "domes")
+        world.store.compact()
+
+    world.run(cancel())
+
+
+@when("the store drops its history")
+def step_compact(context: Any) -> None:
+    async def compact() -> None:
+        context.world.store.compact()
+
+    context.world.run(compact())
+
+
+@then("the job that was cancelled has stopped within {seconds:g} s")
+def step_stopped(context: Any, seconds: float) -> None:
+    async def look() -> None:
+        await asyncio.sleep(seconds)
+        running = list_running(context.world, context.job_id)
+        assert not running, running
+
+    context.world.run(look())
+
+
+def list_keys(world: FleetWorld, job_id: str) -> list[str]:
+    page = world.store.read_page("", "")
+    return [entry.key for entry in page.entries if job_id in entry.key]
+
+
+@then("nothing but the end of {name} stands in the store")
+def step_only_end(context: Any, name: str) -> None:
+    job_id = make_id(name)
+
+    async def look() -> None:
+        await asyncio.sleep(0.5)
+        keys = list_keys(context.world, job_id)
+        assert keys == [ENDED_PREFIX + job_id], keys
+
+    context.world.run(look())
+
+
+@then("the end of {name} has its time")
+def step_end_time(context: Any, name: str) -> None:
+    async def look() -> None:
+        entry = context.world.store.read(ENDED_PREFIX + make_id(name))
+        assert entry is not None
+        age = read_wall_clock() - decode_ended(entry.value).ended_at
+        assert 0 <= age < 60, age
+
+    context.world.run(look())
+
+
+@then("nothing of {name} stands in the store")
+def step_nothing_left(context: Any, name: str) -> None:
+    async def look() -> None:
+        keys = list_keys(context.world, make_id(name))
+        assert not keys, keys
+
+    context.world.run(look())
+
+
+@given("reads that may be old show nothing")
+def step_stale(context: Any) -> None:
+    context.world.store.faults.stale_reads = True
+
+
+@when("the answer to the last record of {name} is lost")
+def step_lost_last(context: Any, name: str) -> None:
+    world: FleetWorld = context.world
+    apply = world.store.apply
+    key = ENDED_PREFIX + make_id(name)
+    left = [1]
+
+    def apply_unheard(conditions: Any, writes: Any, removals: Any) -> Any:
+        outcome = apply(conditions, writes, removals)
+        if left[0] and any(write.key == key for write in writes):
+            left[0] = 0
+            raise Failure(ErrorKind.STORE_ANSWER_LOST, "lost")
+        return outcome
+
+    world.store.apply = apply_unheard  # type: ignore[method-assign]
+
+
+@given("from now on lists show every job that was ever there")
+def step_old_lists(context: Any) -> None:
+    world: FleetWorld = context.world
+    read_page = world.store.read_page
+    seen: dict[str, Entry] = {}
+
+    def read_all(prefix: str, after: str) -> Page:
+        page = read_page(prefix, after)
+        if not prefix.startswith(WISHES_PREFIX):
+            return page
+        for change in world.store.find_changes(JOBS_PREFIX, 0).changes:
+            if change.entry is not None:
+                seen[change.key] = change.entry
+        return Page(tuple(seen.values()), page.revision)
+
+    world.store.read_page = read_all  # type: ignore[method-assign]
+
+
+@then("the owner knows of no open job")
+def step_no_job(context: Any) -> None:
+    async def look() -> None:
+        owner = context.world.find_owner()
+        assert owner is not None and owner.scheduler is not None
+        assert not owner.scheduler.board.jobs, owner.scheduler.board.jobs
+
+    context.world.run(look())
+
+
+@when("worker {name} is cut off for {seconds:g} s while job {job} is cancelled")
+def step_cut_cancel(context: Any, name: str, seconds: float, job: str) -> None:
+    world: FleetWorld = context.world
+    job_id = make_id(job)
+
+    async def cancel() -> None:
+        faults = world.fleet.workers[name].faults
+        faults.cut = True
+        process = world.processes["p1"]
+        queue = process.policies.require().find_named("usual")
+        assert queue is not None
+        assert await process.submitting.cancel(job_id, queue, "domes")
+        await asyncio.sleep(seconds)
+        assert list_running(world, job_id), "the worker has stopped it by itself"
+        keys = list_keys(world, job_id)
+        assert PROGRESS_PREFIX + job_id in keys, keys
+        faults.cut = False
+
+    world.run(cancel())
+
+
+@given("records that nobody can read stand in the store")
+def step_foreign(context: Any) -> None:
+    prefixes = (JOBS_PREFIX, CANCELS_PREFIX, PROGRESS_PREFIX, ENDED_PREFIX)
+    foreign = spread_id(77)
+    context.foreign = [prefix + foreign for prefix in prefixes]
+    context.foreign += [prefix + "not-an-id" for prefix in prefixes]
+
+    async def put() -> None:
+        for key in context.foreign:
+            context.world.store.put(key, FOREIGN)
+
+    context.world.run(put())
+
+
+@given("a job whose progress nobody can read")
+def step_foreign_progress(context: Any) -> None:
+    async def put() -> None:
+        store_jobs(context.world, [78], 1)
+        key = make_progress_key(spread_id(78))
+        context.world.store.put(key, FOREIGN)
+        context.foreign += [key, make_job_key(spread_id(78))]
+
+    context.world.run(put())
+
+
+@then("nothing else was started")
+def step_nothing_else(context: Any) -> None:
+    assert len(context.world.fleet.starts) == 1, context.world.fleet.starts
+
+
+@then("the records that nobody can read still stand there")
+def step_still_there(context: Any) -> None:
+    async def look() -> None:
+        gone = [key for key in context.foreign if context.world.store.read(key) is None]
+        assert not gone, gone
+
+    context.world.run(look())
+
+
+@when("{count:d} callers ask {process} for the number of waiting jobs at once")
+def step_ask_pending(context: Any, count: int, process: str) -> None:
+    world: FleetWorld = context.world
+    read_page = world.store.read_page
+    context.reads = []
+
+    def note_page(prefix: str, after: str) -> Page:
+        if prefix == JOBS_PREFIX and not after:
+            context.reads.append(prefix)
+        return read_page(prefix, after)
+
+    async def ask() -> list[int]:
+        running = world.processes[process]
+        queue = running.policies.require().find_named("usual")
+        assert queue is not None
+        asked = [running.submitting.count_pending(queue) for _ in range(count)]
+        return await asyncio.gather(*asked)
+
+    world.store.read_page = note_page  # type: ignore[method-assign]
+    context.counts = world.run(ask())
+    world.store.read_page = read_page  # type: ignore[method-assign]
+
+
+@then("each is told {count:d}")
+def step_told_count(context: Any, count: int) -> None:
+    assert set(context.counts) == {count}, context.counts
+
+
+@then("the open jobs were read once")
+def step_read_once(context: Any) -> None:
+    assert len(context.reads) == 1, context.reads
+
+
+@when("the day of faults of seed {seed:d} is played")
+def step_drawn_day(context: Any, seed: int) -> None:
+    context.day = DrawnDay(context.world, random.Random(seed))
+    context.world.run(context.day.play())
+
+
+@then("every job was shown truly, ran once and left one record")
+def step_judge_day(context: Any) -> None:
+    assert len(context.day.accepted) > JOBS / 2, "hardly any job was accepted"
+    assert not context.day.wrong, "\n".join(context.day.wrong)
--- a/src/primrosestile/coordination/work/ownwatch.py
+++ b/src/primrosestile/coordination/work/ownwatch.py
@@ -31,6 +31,9 @@
 # The delay of the loop is the mean of this many measures, 4 s: one suspension of the
 # VM is behind it by then.
 DELAYS_KEPT = 16
+# How long reading what there is may take on the slowest link, in seconds: 4 MB of open
+# jobs take 32 s over 1 Mbit/s.
+READING_SECONDS = 45.0
 # Past this age of the newest renewal that was answered, the store counts as away. Two
 # in a row were given up after 1.5 s each by then; a renewal that takes 1 s on a full
 # link is an answer all the same.
@@ -108,7 +111,7 @@
         listed = [each for each in self._board.workers.values() if each.listed]
         calls, unanswered = self._calls.count()
         return Work(
-            wishes_age=min(self._intake.heard_age, now - self._began),
+            wishes_age=self._find_wishes_age(now),
             records_age=self._find_records_age(now),
             workers=len(listed),
             heard=sum(self._is_heard(each.name, now) for each in listed),
@@ -119,6 +122,19 @@
             served=now - self._began,
         )
 
+    def _find_wishes_age(self, now: float) -> float:
+        """Return how old what is known of callers' wishes is.
+
+        An owner that still reads what there is knows none. As long as that goes on, a
+        change of owner would only begin it anew: alone on a link of 1 Mbit/s, a process
+        gave up five times, and gave no order within 90 s. Workers' leases are looked
+        after meanwhile.
+        """
+        age = min(self._intake.heard_age, now - self._began)
+        if self.loaded or now - self._began > READING_SECONDS:
+            return age
+        return min(age, self._intake.reading_stall)
+
     def _is_heard(self, name: str, now: float) -> bool:
         link = self._links.get(name)
         # A worker that was found just now is asked for the first time.
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -61,7 +61,7 @@
         self._refusals = Refusals(self._count_unreadable)
         self._connections = Connections()
         self._store = PlatformStore(
-            settings.store_address, self._connections, self._refusals
+            settings.store_address, self._connections, settings.link, self._refusals
         )
         self._policies = PolicyWatch(
             PlatformPolicies(self._store, self._refusals),
--- a/src/primrosestile_standin/fleetstore.py
+++ b/src/primrosestile_standin/fleetstore.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -13,12 +14,16 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.store import BYTES_PER_MEGABIT, find_list_timeout
 from primrosestile.protocol.store import Change, Entry, Page
 from primrosestile.protocol.transactions import Committed, Condition, Heard, Write
 from primrosestile_standin.link import ANSWER_BYTES, ROW_BYTES, VALUE_FACTOR, Link
 
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 ANSWER_SECONDS = 0.004
+# What an item of an answer holds besides its key and value.
+ITEM_BYTES = 75
 
 
 @dataclass(slots=True)
@@ -36,6 +41,8 @@
         deaf_watches: Watches hear nothing.
         unread: For a process, prefixes of which its reads and watches fail.
         slow_seconds: Added to each call.
+        megabits: What the link carries a second on which a process gets lists.
+        stale_reads: Reads that may be old show nothing.
     """
 
     down: bool = False
@@ -48,6 +55,8 @@
     deaf_watches: bool = False
     unread: dict[str, str] = field(default_factory=dict)
     slow_seconds: float = 0.0
+    megabits: dict[str, float] = field(default_factory=dict)
+    stale_reads: bool = False
 
 
 @dataclass(slots=True)
@@ -62,6 +71,8 @@
     def __init__(self) -> None:
         self.faults = FleetStoreFaults()
         self.calls = 0
+        # Of lists, by process.
+        self.bytes_listed: Counter[str] = Counter()
         self.revision = 1
         self._entries: SortedDict = SortedDict()
         self._history: list[Change] = []
@@ -156,13 +167,18 @@
 
     def read_page(self, prefix: str, after: str) -> Page:
         """Return one page of the entries under a prefix."""
-        keys = [
-            key
-            for key in self._entries.irange(max(prefix, after))
-            if key.startswith(prefix) and key > after
-        ]
-        entries = tuple(self._entries[key] for key in keys[:PAGE_ITEMS])
-        return Page(entries, self.revision, more=len(keys) > PAGE_ITEMS)
+        entries: list[Entry] = []
+        size = 0
+        for key in self._entries.irange(max(prefix, after)):
+            if not key.startswith(prefix):
+                break
+            if key <= after:
+                continue
+            if len(entries) == PAGE_ITEMS or size > PAGE_BYTES:
+                return Page(tuple(entries), self.revision, more=True)
+            entries.append(self._entries[key])
+            size += len(entries[-1].value)
+        return Page(tuple(entries), self.revision)
 
     def find_changes(self, prefix: str, after: int) -> Heard:
         """Return what changed after a revision."""
@@ -194,10 +210,13 @@
         self._store = store
         self._process = process
         self._link = link
+        self._link_free_at = 0.0
 
-    async def get(self, key: str) -> Entry | None:
-        """Return the present value of a key, or None."""
+    async def get(self, key: str, recent: bool = True) -> Entry | None:
+        """Return the value of a key, or None."""
         await self._enter()
+        if not recent and self._store.faults.stale_reads:
+            return None
         found = self._store.read(key)
         await self._carry(_weigh([found]))
         return found
@@ -207,9 +226,30 @@
         await self._enter()
         self._check_read(prefix)
         page = self._store.read_page(prefix, after)
-        await self._carry(_weigh(page.entries))
+        seconds = find_list_timeout(self._link.rate / BYTES_PER_MEGABIT)
+        await self._carry(_weigh(page.entries), seconds=seconds)
+        await self._carry_page(page)
         return page
 
+    async def _carry_page(self, page: Page) -> None:
+        """Wait until a page has come over the link, or fail as a client does."""
+        size = sum(
+            len(entry.key) + ITEM_BYTES + len(entry.value) * 4 / 3
+            for entry in page.entries
+        )
+        self._store.bytes_listed[self._process] += int(size)
+        megabits = self._store.faults.megabits.get(self._process)
+        if megabits is None:
+            return
+        now = read_clock()
+        seconds = size / (megabits * BYTES_PER_MEGABIT)
+        self._link_free_at = max(now, self._link_free_at) + seconds
+        limit = find_list_timeout(megabits)
+        await asyncio.sleep(min(limit, self._link_free_at - now))
+        if self._link_free_at - now > limit:
+            self._link_free_at = read_clock()
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, "no answer in time")
+
     async def commit(
         self,
         conditions: Sequence[Condition],
@@ -300,10 +340,13 @@
         self._store.expire()
 
     async def _carry(
-        self, size: float, kind: ErrorKind = ErrorKind.STORE_UNAVAILABLE
+        self,
+        size: float,
+        kind: ErrorKind = ErrorKind.STORE_UNAVAILABLE,
+        seconds: float = TIMEOUT_SECONDS,
     ) -> None:
         try:
-            await self._link.carry(size, self.TIMEOUT_SECONDS)
+            await self._link.carry(size, seconds)
         except TimeoutError as error:
             raise Failure(kind, "no answer in time") from error
 
