Take a cell's completion time from records, not from its owner's memory

The job finished at 58.34 s; at 59.72 s the cell was given up and acquired by the other VM, as cells are shared out; that owner had seen no job finish and said so for 60 s.

Change: the median comes from the records of the jobs that finished last, which every owner reads.

--- a/features/steps/jobbook_steps.py
+++ b/features/steps/jobbook_steps.py
@@ -8,13 +8,15 @@
 from behave import given, then, when
 from features.settings.doubles import run_paused
 
+from primrosestile.coordination.cellpage import find_completion
 from primrosestile.coordination.jobbook import JobBook, make_job_key
 from primrosestile.protocol.store import Entry, Swap
 from primrosestile.state.jobs import JobRecord, JobSpec, JobState, Member
 from primrosestile.state.tenancy import Shape, Urgency
 from primrosestile_standin.store import MemoryStore
 
-JOB = "malaga-cell-1.0011223344556677"
+CELL = "malaga-cell-1"
+JOB = f"{CELL}.0011223344556677"
 ANSWER_SECONDS = 0.2
 WATCH_SECONDS = 0.1
 
@@ -113,3 +115,33 @@
 def check_made(context: Any) -> None:
     assert context.outcome is True
     assert context.book.find(JOB).state is JobState.STARTED
+
+
+@given("finished jobs of a cell that took 4, 6 and 11 s")
+def give_finished(context: Any) -> None:
+    async def fill() -> None:
+        for number, seconds in enumerate((4.0, 6.0, 11.0)):
+            job_id = f"{CELL}.{number:016x}"
+            record = replace(
+                make_record(),
+                spec=replace(make_record().spec, job_id=job_id),
+                state=JobState.FINISHED,
+                finished_at=1.0 + seconds,
+            )
+            await context.store.put(
+                make_job_key(job_id), msgspec.json.encode(record), 0
+            )
+
+    context.store = MemoryStore()
+    run_paused(fill())
+
+
+@when("another process becomes the owner of the cell")
+def become_owner(context: Any) -> None:
+    context.book = JobBook(context.store, CELL)
+    run_paused(context.book.load())
+
+
+@then("operators are shown a completion time of {seconds:g} s")
+def check_completion(context: Any, seconds: float) -> None:
+    assert find_completion(context.book) == seconds
--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -293,7 +293,6 @@
         """End a job whose every member has finished, and learn its run time."""
         seconds = read_wall_clock() - record.started_at + record.checkpoint
         self._data.run_times.record(make_class_key(record), seconds)
-        self._data.completions.append(read_wall_clock() - record.accepted_at)
         for member in record.members:
             self._data.failures.record(
                 member.worker, record.spec.job_id, False, read_wall_clock()
--- a/src/primrosestile/coordination/celldata.py
+++ b/src/primrosestile/coordination/celldata.py
@@ -5,7 +5,7 @@
 change it between two awaits without a lock.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -20,8 +20,6 @@
 from primrosestile.state.jobs import JobRecord, Member, Reason
 from primrosestile.state.tenancy import Policy
 
-# Jobs over which the completion time of a cell is taken: a night's, for operators.
-COMPLETIONS = 200
 # The share of its kind that has ended by the time at which a job is expected to.
 END_QUANTILE = 0.5
 
@@ -79,7 +77,6 @@
         book: Its job records.
         view: Who holds which accelerators.
         contacts: Its workers by name.
-        completions: Seconds from acceptance to end of the jobs finished lately.
         count_used_elsewhere: Says what each team holds in other cells.
         count_followed: Says how many workers this process follows in all cells.
         busy: Jobs that an action is under way for; no other one touches them.
@@ -108,7 +105,6 @@
     waiting_reasons: dict[str, Reason] = field(default_factory=dict)
     retry_at: dict[str, float] = field(default_factory=dict)
     started_at: dict[str, float] = field(default_factory=dict)
-    completions: deque[float] = field(default_factory=lambda: deque(maxlen=COMPLETIONS))
 
     def refresh_usable(self, evictable: bool = True) -> None:
         """Tell the view which workers may get new work.
--- a/src/primrosestile/coordination/cellpage.py
+++ b/src/primrosestile/coordination/cellpage.py
@@ -1,12 +1,17 @@
 """One cell as operators see it: what is free, held, borrowed, and why work waits."""
 
+import heapq
 from dataclasses import dataclass
 from statistics import median
 
 from primrosestile.coordination.celldata import CellData
+from primrosestile.coordination.jobbook import JobBook
 from primrosestile.decisions.fragmentation import measure_fragmentation
 from primrosestile.state.jobs import JobState, Member, Reason
 
+# Jobs over which the completion time of a cell is taken: a night's, for operators.
+COMPLETIONS = 200
+
 
 @dataclass(frozen=True, slots=True)
 class HeldPage:
@@ -30,8 +35,8 @@
         free: Free accelerators by usable worker.
         fragmentation: Share of free accelerators that can't host the largest
             guaranteed shape.
-        completion_seconds: Median from acceptance to end of the jobs that this owner
-            saw finish lately; None before the first.
+        completion_seconds: Median from acceptance to end of the jobs that finished
+            lately; None before the first.
         waiting: Why each waiting job waits.
     """
 
@@ -59,7 +64,7 @@
         accelerators=sum(each.worker.accelerators for each in contacts.values()),
         free=data.view.free,
         fragmentation=measure_fragmentation(data.view),
-        completion_seconds=median(data.completions) if data.completions else None,
+        completion_seconds=find_completion(data.book),
         held=tuple(
             HeldPage(each.job_id, each.organisation, each.members, each.evictable)
             for each in data.view.holdings.values()
@@ -77,6 +82,20 @@
     )
 
 
+def find_completion(book: JobBook) -> float | None:
+    """Return the median from acceptance to end of the jobs that finished last.
+
+    Taken from the records, which outlive an owner. When each owner kept its own list,
+    a cell that went to another VM a second after a job's end showed no completion
+    time to operators until the next job's end.
+    """
+    finished = book.list_in(JobState.FINISHED)
+    last = heapq.nlargest(COMPLETIONS, finished, key=lambda each: each.finished_at)
+    if not last:
+        return None
+    return median(each.finished_at - each.accepted_at for each in last)
+
+
 def _waits(data: CellData, job_id: str) -> bool:
     record = data.book.find(job_id)
     return record is not None and record.state is JobState.ACCEPTED
