--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -25,12 +25,12 @@
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import JobState, Submission
 from primrosestile.state.workers import WorkerEntry
+from primrosestile_standin.fleetcalls import FleetCalls
 from primrosestile_standin.fleetstore import FleetStore
 from primrosestile_standin.fleetvms import FleetVms
 from primrosestile_standin.fleetworker import (
     LEASE_LONGEST_SECONDS,
     Fleet,
-    FleetCalls,
     FleetWorker,
 )
 from primrosestile_standin.link import Link
--- a/features/doubles/foreign.py
+++ b/features/doubles/foreign.py
@@ -11,7 +11,7 @@
 from primrosestile.protocol.fleet import Refusal, WorkerLook
 from primrosestile.protocol.store import Entry, Page
 from primrosestile.transport.connections import Reply
-from primrosestile_standin.fleetworker import FleetCalls
+from primrosestile_standin.fleetcalls import FleetCalls
 
 GOOD_WORKER = PlatformEntry("w1", make_address("w1"), "r1", 8, ()).encode()
 GOOD_WAVE = json.dumps(
--- a/features/doubles/workworld.py
+++ b/features/doubles/workworld.py
@@ -30,8 +30,8 @@
 from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import JobState, decode_ended, decode_progress
+from primrosestile_standin.fleetcalls import FleetCalls
 from primrosestile_standin.fleetworker import (
-    FleetCalls,
     FleetWorker,
     Script,
 )
--- /dev/null
+++ b/src/primrosestile_standin/fleetcalls.py
@@ -0,0 +1,133 @@
+"""One process's calls to the platform's workers in memory, and their faults.
+
+They go by address, as on a network: a call for a life that has ended meets the next
+one at its address, or nobody. A process's calls share its link.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.protocol.fleet import (
+    OrderAnswer,
+    Refusal,
+    StartOrder,
+    WorkerLook,
+)
+from primrosestile.state.workers import WorkerEntry
+from primrosestile_standin.fleetworker import (
+    ANSWER_SECONDS,
+    TIMEOUT_SECONDS,
+    Fleet,
+    FleetWorker,
+)
+from primrosestile_standin.link import ANSWER_BYTES, ROW_BYTES, Link
+
+
+class FleetCalls:
+    """Implements `protocol.fleet.WorkerCalls` for one process.
+
+    Attributes:
+        cut_off: This process reaches no worker.
+        lost_of_ten: So many of ten calls are carried out, and not answered in time.
+    """
+
+    def __init__(self, fleet: Fleet, link: Link | None = None) -> None:
+        self._fleet = fleet
+        self._link = link or Link()
+        self.cut_off = False
+        self.lost_of_ten = 0
+        self._carried = 0
+
+    async def look(
+        self,
+        entry: WorkerEntry,
+        fence: int,
+        seen: int,
+        until: float | None,
+        wait: float,
+    ) -> WorkerLook | Refusal:
+        """Extend the lease, forget ends up to `seen`, wait for another end."""
+        worker = await self._reach(entry)
+        if worker is None:
+            return Refusal.OTHER_LIFE
+        if worker.faults.deaf_to_looks:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer to a look")
+        worker.sweep()
+        refusal = worker.take_look(fence, seen, until)
+        if refusal is not None:
+            return refusal
+        if wait:
+            await worker.wait_for_end(wait)
+        worker.sweep()
+        if self._is_cut(worker):
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
+        look = worker.make_look()
+        await self._carry(len(look.running) + len(look.ended))
+        return look
+
+    async def start(
+        self, entry: WorkerEntry, fence: int, order: StartOrder
+    ) -> OrderAnswer:
+        """Start one run."""
+        return await self._order(entry, lambda worker: worker.take_start(fence, order))
+
+    async def stop(
+        self, entry: WorkerEntry, fence: int, task: str, run: int
+    ) -> OrderAnswer:
+        """Stop a run, and refuse it should its start come later."""
+        return await self._order(
+            entry, lambda worker: worker.take_stop(fence, task, run)
+        )
+
+    async def pace(
+        self, entry: WorkerEntry, fence: int, task: str, run: int, percent: int
+    ) -> OrderAnswer:
+        """Let a run work at a share of its speed."""
+        return await self._order(
+            entry, lambda worker: worker.take_pace(fence, task, percent)
+        )
+
+    async def _order(
+        self, entry: WorkerEntry, carry_out: Callable[[FleetWorker], Refusal | None]
+    ) -> OrderAnswer:
+        worker = await self._reach(entry)
+        if worker is None:
+            return OrderAnswer(refusal=Refusal.OTHER_LIFE)
+        if worker.faults.late_orders:
+            delay = worker.faults.late_orders.pop(0)
+            asyncio.get_running_loop().call_later(delay, carry_out, worker)
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "late")
+        worker.sweep()
+        refusal = carry_out(worker)
+        if worker.faults.lose_answers:
+            worker.faults.lose_answers -= 1
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "lost")
+        await self._carry(1)
+        return OrderAnswer(worker.read_clock(), refusal)
+
+    async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
+        """Return the life that a call is meant for; None if another answers there."""
+        await asyncio.sleep(ANSWER_SECONDS)
+        worker = self._fleet.find_at(entry.address)
+        if worker is None:
+            raise Failure(ErrorKind.NO_TARGET, f"nothing listens at {entry.address}")
+        if self._is_cut(worker):
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
+        return worker if worker.entry.worker == entry.worker else None
+
+    async def _carry(self, rows: int) -> None:
+        self._carried += 1
+        if self._carried % 10 < self.lost_of_ten:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time")
+        try:
+            await self._link.carry(ANSWER_BYTES + rows * ROW_BYTES, TIMEOUT_SECONDS)
+        except TimeoutError as error:
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time") from error
+
+    def _is_cut(self, worker: FleetWorker) -> bool:
+        return self.cut_off or worker.faults.cut
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -5,14 +5,11 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from primrosestile.clock import read_clock
-from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import (
     EndedTask,
-    OrderAnswer,
     Refusal,
     RunningTask,
     StartOrder,
@@ -21,11 +18,10 @@
 from primrosestile.state.work import Need
 from primrosestile.state.workers import EndKind, WorkerEntry
 from primrosestile_standin.fleetadvice import FleetAdvice
-from primrosestile_standin.link import ANSWER_BYTES, ROW_BYTES, Link
+from primrosestile_standin.fleetfaults import FleetWorkerFaults
 
 ANSWER_SECONDS = 0.002
 TIMEOUT_SECONDS = 0.45
-STOP_SECONDS = 0.2
 LEASE_LONGEST_SECONDS = 10.0
 GANG_WAIT_SECONDS = 3.0
 DEFAULT_NEED = Need(1000, 1000, 1)
@@ -53,31 +49,6 @@
     serves: bool = False
 
 
-@dataclass(slots=True)
-class FleetWorkerFaults:
-    """What is wrong with one worker now.
-
-    Attributes:
-        cut: Nothing reaches it and nothing comes back; it runs on.
-        fails_all: Every run on it fails at its end.
-        frozen_tasks: Its tasks stand still.
-        deaf_to_looks: Looks are not answered; orders are.
-        late_orders: Delays of the next orders, in seconds; none is answered.
-        lose_answers: How many of the next orders are carried out unheard.
-        unhealthy: It refuses every start.
-        stop_seconds: How long a stop takes; the pages allow 0.4 s.
-    """
-
-    cut: bool = False
-    fails_all: bool = False
-    frozen_tasks: bool = False
-    deaf_to_looks: bool = False
-    late_orders: list[float] = field(default_factory=list)
-    lose_answers: int = 0
-    unhealthy: bool = False
-    stop_seconds: float = STOP_SECONDS
-
-
 @dataclass(frozen=True, slots=True)
 class _WellEnd:
     """A run that ended as done: where, and what had happened there and elsewhere."""
@@ -411,112 +382,3 @@
             return
         for each, member in members:
             each.work(member)
-
-
-class FleetCalls:
-    """Implements `protocol.fleet.WorkerCalls` for one process.
-
-    Attributes:
-        cut_off: This process reaches no worker.
-        lost_of_ten: So many of ten calls are carried out, and not answered in time.
-    """
-
-    def __init__(self, fleet: Fleet, link: Link | None = None) -> None:
-        self._fleet = fleet
-        self._link = link or Link()
-        self.cut_off = False
-        self.lost_of_ten = 0
-        self._carried = 0
-
-    async def look(
-        self,
-        entry: WorkerEntry,
-        fence: int,
-        seen: int,
-        until: float | None,
-        wait: float,
-    ) -> WorkerLook | Refusal:
-        """Extend the lease, forget ends up to `seen`, wait for another end."""
-        worker = await self._reach(entry)
-        if worker is None:
-            return Refusal.OTHER_LIFE
-        if worker.faults.deaf_to_looks:
-            await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer to a look")
-        worker.sweep()
-        refusal = worker.take_look(fence, seen, until)
-        if refusal is not None:
-            return refusal
-        if wait:
-            await worker.wait_for_end(wait)
-        worker.sweep()
-        if self._is_cut(worker):
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
-        look = worker.make_look()
-        await self._carry(len(look.running) + len(look.ended))
-        return look
-
-    async def start(
-        self, entry: WorkerEntry, fence: int, order: StartOrder
-    ) -> OrderAnswer:
-        """Start one run."""
-        return await self._order(entry, lambda worker: worker.take_start(fence, order))
-
-    async def stop(
-        self, entry: WorkerEntry, fence: int, task: str, run: int
-    ) -> OrderAnswer:
-        """Stop a run, and refuse it should its start come later."""
-        return await self._order(
-            entry, lambda worker: worker.take_stop(fence, task, run)
-        )
-
-    async def pace(
-        self, entry: WorkerEntry, fence: int, task: str, run: int, percent: int
-    ) -> OrderAnswer:
-        """Let a run work at a share of its speed."""
-        return await self._order(
-            entry, lambda worker: worker.take_pace(fence, task, percent)
-        )
-
-    async def _order(
-        self, entry: WorkerEntry, carry_out: Callable[[FleetWorker], Refusal | None]
-    ) -> OrderAnswer:
-        worker = await self._reach(entry)
-        if worker is None:
-            return OrderAnswer(refusal=Refusal.OTHER_LIFE)
-        if worker.faults.late_orders:
-            delay = worker.faults.late_orders.pop(0)
-            asyncio.get_running_loop().call_later(delay, carry_out, worker)
-            await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "late")
-        worker.sweep()
-        refusal = carry_out(worker)
-        if worker.faults.lose_answers:
-            worker.faults.lose_answers -= 1
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "lost")
-        await self._carry(1)
-        return OrderAnswer(worker.read_clock(), refusal)
-
-    async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
-        """Return the life that a call is meant for; None if another answers there."""
-        await asyncio.sleep(ANSWER_SECONDS)
-        worker = self._fleet.find_at(entry.address)
-        if worker is None:
-            raise Failure(ErrorKind.NO_TARGET, f"nothing listens at {entry.address}")
-        if self._is_cut(worker):
-            await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
-        return worker if worker.entry.worker == entry.worker else None
-
-    async def _carry(self, rows: int) -> None:
-        self._carried += 1
-        if self._carried % 10 < self.lost_of_ten:
-            await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time")
-        try:
-            await self._link.carry(ANSWER_BYTES + rows * ROW_BYTES, TIMEOUT_SECONDS)
-        except TimeoutError as error:
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time") from error
-
-    def _is_cut(self, worker: FleetWorker) -> bool:
-        return self.cut_off or worker.faults.cut
