--- a/tools/days.py
+++ b/tools/days.py
@@ -68,7 +68,8 @@
     """Return what broke, the day's figure, and why it was left out."""
     worth = re.search(r"^worth ([-0-9.]+) =", output, re.MULTILINE)
     if worth is None:
-        return "", float("nan"), f"left out ({output.strip().splitlines()[-1]})"
+        said = output.strip().splitlines() or ["the player printed nothing"]
+        return "", float("nan"), f"left out ({said[-1]})"
     broken = re.search(r"^rules broken: .*$", output, re.MULTILINE)
     return broken.group() if broken else "", float(worth.group(1)), ""
 
