--- a/src/primrosestile/platform/settings.py
+++ b/src/primrosestile/platform/settings.py
@@ -62,7 +62,7 @@
         advice_address: The service that knows a queue's workers; may be empty.
         list_address: The platform's list of machines; may be empty.
         processor: Of the machine, in cores of the usual speed.
-        link: Of the machine, in megabits a second.
+        link: Of the VM, in megabits a second.
     """
 
     name: str
