Close a program's connections only once its services have ended

Ruled out: load as such (the store, the workers and the callers answered all the while). Change: closing is a step of its own, after the services have been cancelled. Test: a service that asks a peer all the time; with the closing done while draining, as it was, it fails with the same group of errors; now it passes.

--- a/src/primrosestile/programs/common.py
+++ b/src/primrosestile/programs/common.py
@@ -145,10 +145,21 @@
 
 
 async def run_until_told(
-    services: list[Awaitable[None]], drain: Callable[[], Awaitable[None]]
+    services: list[Awaitable[None]],
+    drain: Callable[[], Awaitable[None]],
+    close: Callable[[], Awaitable[None]],
 ) -> None:
     """Run services until the process is told to end, then drain and stop them.
 
+    Connections are closed only once no service runs any more. Closed before, a
+    service that happened to use one raised, and the process ended with 1 though it
+    had drained well: one roll of nine programs in eight, beside load.
+
+    Args:
+        services: Each runs until it is cancelled.
+        drain: Finishes what is in progress; the services go on meanwhile.
+        close: Closes what the services use.
+
     Raises:
         BaseExceptionGroup: What ended a service that should have gone on.
     """
@@ -159,6 +170,7 @@
         await drain()
         for task in tasks:
             task.cancel()
+    await close()
     _log.info("ended")
 
 
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -120,7 +120,7 @@
         _measure(parts, entry.dispatcher),
         _wait_for_cells(parts, entry.cells),
     ]
-    await run_until_told(services, lambda: _drain(entry, runner))
+    await run_until_told(services, lambda: _drain(entry, runner), lambda: _close(entry))
 
 
 async def _drain(entry: Entry, runner: web.AppRunner) -> None:
@@ -137,8 +137,11 @@
     await asyncio.sleep(parts.settings.drain_seconds)
     await runner.cleanup()
     await entry.dispatcher.finish_settling()
+
+
+async def _close(entry: Entry) -> None:
     await entry.targets.close()
-    await parts.close()
+    await entry.parts.close()
 
 
 async def _wait_for_cells(parts: Parts, cells: CellWatch) -> None:
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -115,7 +115,9 @@
         _tell_lost_domains(placer.exchange, placer.ownership),
         placer.vms.run(),
     ]
-    await run_until_told(services, lambda: _drain(placer, runner))
+    await run_until_told(
+        services, lambda: _drain(placer, runner), lambda: _close(placer)
+    )
 
 
 async def _drain(placer: Placer, runner: web.AppRunner) -> None:
@@ -129,8 +131,11 @@
     await parts.registration.announce_leaving()
     await placer.ownership.leave()
     await runner.cleanup()
+
+
+async def _close(placer: Placer) -> None:
     await placer.workers.close()
-    await parts.close()
+    await placer.parts.close()
 
 
 async def _run_when_ready(placer: Placer) -> None:
--- a/src/primrosestile/programs/steward.py
+++ b/src/primrosestile/programs/steward.py
@@ -38,10 +38,12 @@
         await parts.registration.announce_leaving()
         await asyncio.sleep(settings.drain_seconds)
         await runner.cleanup()
+
+    async def close() -> None:
         await connections.close()
         await parts.close()
 
-    await run_until_told(parts.list_services(), drain)
+    await run_until_told(parts.list_services(), drain, close)
 
 
 def main() -> None:
