Tell the owner of accepted jobs by one small key while its watch is silent

Cause: a watch that waits while the store drops its history hears nothing more; only its timeout shows it, up to 2 s later. Ruled out: a slow owner (its passes went on), a lost record (all were in the store). Change: each job and cancellation writes the same small key in its own change; the owner reads it four times a second and reads again when it is newer than what the watch told. Test: watches that hear nothing; failed before (no task within 0.5 s), passes now.

--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -170,6 +170,11 @@
     context.world.run(compact())
 
 
+@when("the watches of the store hear nothing")
+def step_deaf(context: Any) -> None:
+    context.world.store.faults.deaf_watches = True
+
+
 @then("the job that was cancelled has stopped within {seconds:g} s")
 def step_stopped(context: Any, seconds: float) -> None:
     async def look() -> None:
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -60,6 +60,16 @@
     And the store drops its history
     Then 1 task of l1 was started in 10 s
 
+  Scenario: The watch hears nothing while jobs and cancellations are accepted
+    The store has dropped its history, and the watches that wait there stay silent. A
+    student's booking that the owner hears of two seconds late is late itself, though
+    workers are free all the while.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    When the watches of the store hear nothing
+    And job w1 is handed in at p1
+    Then 1 task of w1 was started in 0.5 s
+
   Scenario: A job is handed in again after its end
     The caller's first call was answered late, and its retry arrives when the job has
     ended and its keys are gone. Taken as new, the job would run and be billed twice.
--- a/src/primrosestile/coordination/work/intake.py
+++ b/src/primrosestile/coordination/work/intake.py
@@ -5,6 +5,12 @@
 first, which are small and must be heard within a time, and the jobs beside the
 watch, which goes on meanwhile. Were the jobs read first, a VM with a slow link would
 hear of no cancellation until the last of them has come.
+
+A watch that waits when the store drops its history hears nothing more, and only its
+timeout shows it, up to two seconds later; urgent work has a quarter of a second and
+half its run time to spare. So the owner also asks, a few times a second, for the one
+small key that each wish writes, and reads again when that is newer than what the
+watch has told.
 """
 
 import asyncio
@@ -18,6 +24,7 @@
 from primrosestile.coordination.work.keys import (
     CANCELS_PREFIX,
     JOBS_PREFIX,
+    LATEST_WISH_KEY,
     PROGRESS_PREFIX,
     WISHES_PREFIX,
 )
@@ -52,6 +59,12 @@
 # What happened since the last answer may be more than a watch can bring in its time;
 # after so many failures on end all is read again.
 WATCH_FAILURES = 2
+# How often the newest wish is asked for: 184 reads in a day of 46 s, beside some 4,700
+# calls of all processes. A job is then heard of within 0.3 s of its acceptance, where
+# twenty in one compaction of a store were heard of 0.4 to 2.1 s late.
+LATEST_SECONDS = 0.25
+# A watch that works has told of a change by then; reading everything would be wasted.
+LATEST_GRACE_SECONDS = 0.05
 
 _log = structlog.get_logger()
 
@@ -82,6 +95,8 @@
         # Whether they must be read, or read once more after the present reading.
         self._jobs_wanted = False
         self._jobs_reading: asyncio.Task[None] | None = None
+        # Whether wishes are being read; a slow link would carry them twice.
+        self._reading = False
         # Cancellations of jobs that haven't been read yet.
         self._early: set[str] = set()
         self._unreadable: set[str] = set()
@@ -212,6 +227,7 @@
     async def run(self) -> None:
         """Follow the store until cancelled."""
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._follow_latest(tasks))
             while True:
                 try:
                     await self._follow(tasks)
@@ -240,6 +256,22 @@
             # The store waited for a change before it answered that there is none.
             self._heard_at = min(read_clock(), asked_at + WATCH_SECONDS)
 
+    async def _follow_latest(self, tasks: asyncio.TaskGroup) -> None:
+        """Read again whenever a wish is newer than all that the watch has told."""
+        while True:
+            await asyncio.sleep(LATEST_SECONDS)
+            try:
+                latest = await self._store.get(LATEST_WISH_KEY)
+                if latest is None or latest.mod_revision <= self._revision:
+                    continue
+                await asyncio.sleep(LATEST_GRACE_SECONDS)
+                if latest.mod_revision > self._revision and not self._reading:
+                    _log.info("watch_is_silent", revision=latest.mod_revision)
+                    await self._read_again(tasks, lost=True)
+            except Failure as failure:
+                # The watch's own failures are logged and counted; this is in addition.
+                _log.info("latest_wish_not_read", reason=str(failure))
+
     async def _read_again(self, tasks: asyncio.TaskGroup, lost: bool) -> None:
         """Read what the watch may not have told.
 
@@ -247,6 +279,13 @@
             tasks: Where jobs are read while the watch goes on.
             lost: The watch has told nothing of some changes for certain.
         """
+        self._reading = True
+        try:
+            await self._read_wishes(tasks, lost)
+        finally:
+            self._reading = False
+
+    async def _read_wishes(self, tasks: asyncio.TaskGroup, lost: bool) -> None:
         asked_at = read_clock()
         quick = self._jobs_took <= QUICK_SECONDS and not self._failures
         if quick:
@@ -259,7 +298,7 @@
             if lost or asked_at - self._jobs_listed_at > pause:
                 self._start_reading_jobs(tasks)
         if lost:
-            self._revision = revision
+            self._revision = max(self._revision, revision)
         self._listed_at = self._heard_at = asked_at
         self._take_wishes(entries)
         self._wake()
--- a/src/primrosestile/coordination/work/keys.py
+++ b/src/primrosestile/coordination/work/keys.py
@@ -4,10 +4,15 @@
 hear the owner's own writes.
 """
 
+from primrosestile.protocol.transactions import Write
+
 # Written by the process that accepts a job, or a cancellation; never changed.
 WISHES_PREFIX = "work/"
 JOBS_PREFIX = "work/jobs/"
 CANCELS_PREFIX = "work/cancels/"
+# The id of the newest job or cancellation, written in the same change: its revision
+# tells the owner at the price of one small read what a silent watch keeps from it.
+LATEST_WISH_KEY = "latest-wish"
 # Written by the owner only, under its fence.
 PROGRESS_PREFIX = "progress/"
 # What is left of an ended job, in place of its other keys; by the owner. Nobody
@@ -25,6 +30,11 @@
 GIVEN_UP_KEY = "given-up"
 
 
+def make_latest_wish(job_id: str) -> Write:
+    """Return the write that goes with each job and each cancellation."""
+    return Write(LATEST_WISH_KEY, job_id.encode())
+
+
 def make_job_key(job_id: str) -> str:
     """Return the key of a job as accepted."""
     return JOBS_PREFIX + job_id
--- a/src/primrosestile/coordination/work/submitting.py
+++ b/src/primrosestile/coordination/work/submitting.py
@@ -17,6 +17,7 @@
     make_cancel_key,
     make_ended_key,
     make_job_key,
+    make_latest_wish,
     make_progress_key,
 )
 from primrosestile.coordination.work.pending import PendingCounts
@@ -90,9 +91,12 @@
                 Condition(ended_key, 0),
                 Condition(self._policy_key, policy.revision),
             ]
-            write = Write(key, encode_record(submission))
+            writes = [
+                Write(key, encode_record(submission)),
+                make_latest_wish(job_id),
+            ]
             try:
-                outcome = await self._store.commit(conditions, [write])
+                outcome = await self._store.commit(conditions, writes)
             except Failure as failure:
                 self._policies.doubtful = True
                 if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
@@ -175,7 +179,8 @@
             make_cancel_key(job_id), encode_record(Cancellation(read_wall_clock()))
         )
         outcome = await self._store.commit(
-            [Condition(job_key, entry.mod_revision)], [write]
+            [Condition(job_key, entry.mod_revision)],
+            [write, make_latest_wish(job_id)],
         )
         return outcome.done
 
