--- a/features/steps/work_heavy_steps.py
+++ b/features/steps/work_heavy_steps.py
@@ -5,13 +5,14 @@
 from typing import Any
 
 from behave import given, then, when
-from tools.bench.site import measure
 from tools.bench.site_driver import PLANNERS, SiteRun
+from tools.bench.site_measures import measure
 from tools.bench.site_workloads import draw_day, read_workload
 from work_decisions_steps import add_job, add_worker, make_board
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.planning import make_plan
+from primrosestile.decisions.work.preempting import CORES_PER_ACCELERATOR
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.state.work import Need, Step
 
@@ -115,7 +116,7 @@
     context.figures = {}
     for name, planner in PLANNERS.items():
         runs = [SiteRun(drawn, draw_day(drawn, seed), planner) for seed in range(days)]
-        context.figures[name] = [measure(each.run()) for each in runs]
+        context.figures[name] = [measure(each.run(), drawn.weights) for each in runs]
     context.queues = [kind.queue for kind in drawn.kinds]
 
 
@@ -138,3 +139,19 @@
         queue: find_mean(context, "primrosestile", queue) for queue in context.queues
     }
     assert min(got.values()) >= least, got
+
+
+@when("an urgent gang of {count:d} tasks of {each:d} accelerators waits")
+def step_gang_waits(context: Any, count: int, each: int) -> None:
+    step = Step(count, Need(100, 100, each), estimate_seconds=4.0, gang=True)
+    add_job(context.board, 2, 0, (step,), now=NOW)
+    plan(context)
+
+
+@then("patient tasks are stopped that come to at most {times:g} times its own work")
+def step_in_proportion(context: Any, times: float) -> None:
+    assert context.plan.stops, "nothing is stopped"
+    first = context.plan.stops[0]
+    need = first.gainer.step.need
+    cores = need.processor / 1000 + CORES_PER_ACCELERATOR * need.accelerators
+    assert first.cost <= times * first.gainer.size * cores * 4.0
--- a/tools/bench/site.py
+++ b/tools/bench/site.py
@@ -7,15 +7,14 @@
 
 import json
 import os
-from collections import defaultdict
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from statistics import mean
-from typing import Any
 
 import matplotlib
 
-from tools.bench.site_driver import PLANNERS, Day, SiteRun
+from tools.bench.site_driver import PLANNERS, SiteRun
+from tools.bench.site_measures import measure
 from tools.bench.site_workloads import draw_day, read_workload
 
 matplotlib.use("Agg")
@@ -25,45 +24,17 @@
 WORKLOADS = Path("examples/workloads")
 SEEDS = int(os.environ.get("PRIMROSESTILE_BENCH_SEEDS", "16"))
 PROCESSES = 4
-WINDOW_SECONDS = 2.0
-# The worst two windows of a day of 34 s are what its callers remember.
-WORST_WINDOWS = 2
-
-
-def measure(day: Day) -> dict[str, float]:
-    """Return a day's figures; credits are shares of what was owed."""
-    figures: dict[str, float] = {}
-    by_queue: dict[str, list[Any]] = defaultdict(list)
-    windows: dict[int, list[Any]] = defaultdict(list)
-    for outcome in day.outcomes:
-        by_queue[outcome.arrival.kind.queue].append(outcome)
-        windows[int(outcome.arrival.at // WINDOW_SECONDS)].append(outcome)
-    figures["all"] = share(day.outcomes)
-    for queue, outcomes in sorted(by_queue.items()):
-        figures[queue] = share(outcomes)
-    worst = sorted(share(outcomes) for outcomes in windows.values())
-    figures["worst windows"] = mean(worst[:WORST_WINDOWS])
-    largest = sorted(day.outcomes, key=lambda each: -each.arrival.worth)
-    figures["largest tenth"] = share(largest[: max(1, len(largest) // 10)])
-    figures["thrown away, core-seconds"] = day.thrown_away
-    figures["far runs"] = day.far
-    figures["stops"] = day.stops
-    return figures
-
-
-def share(outcomes: list[Any]) -> float:
-    owed = sum(each.arrival.worth for each in outcomes)
-    return sum(each.credit for each in outcomes) / owed if owed else 1.0
 
 
 def play(path: Path, planner: str, seed: int) -> dict[str, float]:
     """Play one day."""
     workload = read_workload(path)
-    return measure(SiteRun(workload, draw_day(workload, seed), PLANNERS[planner]).run())
+    run = SiteRun(workload, draw_day(workload, seed), PLANNERS[planner], seed)
+    return measure(run.run(), workload.weights)
 
 
 def compare(path: Path, planners: list[str]) -> dict[str, dict[str, float]]:
-    """Return each planner's mean figures over the seeds."""
+    """Return each planner's mean figures over the seeds, and the spread of worth."""
     table = {}
     with ProcessPoolExecutor(PROCESSES) as pool:
         for planner in planners:
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -2,13 +2,17 @@
 
 Only what decides is real: the picture, one pass after another, and what is learned
 from ends. Workers here start at once, stop in a fixed time and take as long as they
-take. There is no network, no store and no process.
+take; some stand still, turn slow, fail what they start or leave, as the workload
+says. There is no network, no store and no process.
 """
 
 import heapq
 import itertools
+import math
+import random
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from primrosestile.decisions.work.board import Board
@@ -23,13 +27,18 @@
 from primrosestile.decisions.work.planning import Assignment, Plan, make_plan
 from primrosestile.decisions.work.preempting import CORES_PER_ACCELERATOR
 from primrosestile.decisions.work.speeds import Speeds
+from primrosestile.decisions.work.trust import Trust
 from primrosestile.decisions.work.units import Proof, Unit
 from primrosestile.state.policy import Policy, Pool, Queue
 from primrosestile.state.work import JobState
 from primrosestile.state.workers import EndKind, WorkerEntry
-from tools.bench.site_workloads import Arrival, Workload
+from tools.bench.site_workloads import Arrival, Fault, Trouble, Workload
 
 TICK_SECONDS = 0.25
+# How often a worker's progress is heard of while nothing ends on it.
+LOOK_SECONDS = 1.0
+# A worker that fails everything does so this soon after a start.
+FAIL_SECONDS = 0.04
 # From an order to the worker's word, and from a stop to its end.
 START_SECONDS = 0.01
 STOP_SECONDS = 0.2
@@ -81,6 +90,7 @@
     arrival: Arrival
     ended_at: float | None = None
     failed: bool = False
+    cancelled: bool = False
 
     @property
     def credit(self) -> float:
@@ -100,58 +110,110 @@
     """Everything that is counted of a day.
 
     Attributes:
-        thrown_away: Core-seconds of runs that were stopped and not saved.
+        thrown_away: Core-seconds of runs that were stopped or failed, not saved.
         far: Runs away from their data or over several racks.
+        stops: Runs that were stopped, for others or since they were cancelled.
+        restarts: Starts of units after their first.
+        most_starts: Of one unit.
         passes: Passes made.
+        rescues: Runs that were stopped since a member stood still.
     """
 
     outcomes: list[Outcome] = field(default_factory=list)
     thrown_away: float = 0.0
     far: int = 0
     stops: int = 0
+    restarts: int = 0
+    most_starts: int = 0
     passes: int = 0
+    rescues: int = 0
 
 
 @dataclass(slots=True, eq=False)
 class _Run:
-    """One run of a unit, and the share of its work that was done before it."""
+    """One run of a unit.
+
+    Attributes:
+        seconds: By member, on a usual worker, from nothing to all of its work.
+        shares: How much of it each member has done, as of `at`.
+        plans: Counts changes of its end; what was planned before them is void.
+    """
 
     unit: Unit
     number: int
     began: float
-    done_before: float
-    rates: dict[str, float]
+    at: float
+    seconds: list[float]
+    shares: list[float]
+    resumed: bool
+    fails: bool = False
+    plans: int = 0
+
+    def advance(self, now: float, paces: dict[str, float]) -> None:
+        """Count the work done since the last call, at each worker's present pace."""
+        for index, member in enumerate(self.unit.members):
+            taken = self.seconds[index] * paces[member.worker]
+            self.shares[index] += (now - self.at) / taken
+        self.at = now
+
+    def find_left(self, paces: dict[str, float]) -> float:
+        """Return when the slowest member has done all of its work, at this pace."""
+        return max(
+            max(0.0, 1 - share) * seconds * paces[member.worker]
+            for share, seconds, member in zip(
+                self.shares, self.seconds, self.unit.members, strict=True
+            )
+        )
 
 
 class SiteRun:
     """One day under one planner."""
 
     def __init__(
-        self, workload: Workload, arrivals: list[Arrival], planner: Planner
+        self,
+        workload: Workload,
+        arrivals: list[Arrival],
+        planner: Planner,
+        seed: int = 0,
     ) -> None:
         self._workload = workload
         self._planner = planner
         self._arrivals = {each.submission.job_id: each for each in arrivals}
         self._durations = Durations()
         self._speeds = Speeds()
+        self._trust = Trust()
         self._board = Board(_make_policy(workload), wall=0.0)
-        self._speed_of = {}
+        # How many times as long as usual each worker takes at present.
+        self._paces: dict[str, float] = {}
+        self._looked_at: dict[str, float] = {}
+        self._failing: Counter[str] = Counter()
+        self._away = 0
         for number in range(workload.workers):
             entry = _make_worker(workload, number)
             self._board.add_worker(entry).in_hand = True
             turn = number % len(workload.speeds)
-            self._speed_of[entry.worker] = workload.speeds[turn]
+            self._paces[entry.worker] = workload.speeds[turn]
+            self._looked_at[entry.worker] = LOOK_SECONDS * number / workload.workers
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
         self._now = 0.0
         self._runs: dict[int, _Run] = {}
         self._saved: dict[int, float] = {}
+        self._starts: Counter[int] = Counter()
         self._failed_once: set[str] = set()
         self._stopping: set[int] = set()
         self._outcomes: dict[str, Outcome] = {}
+        self._unheard: list[Arrival] = []
         self.day = Day()
         for arrival in arrivals:
             self._call_at(arrival.at, lambda each=arrival: self._admit(each))
+            if arrival.cancelled_at is not None:
+                self._call_at(
+                    arrival.cancelled_at, lambda each=arrival: self._cancel(each)
+                )
+        chance = random.Random(seed)
+        for trouble in workload.troubles:
+            self._plan_trouble(trouble, chance)
 
     def run(self) -> Day:
         """Play the day to its end."""
@@ -166,25 +228,96 @@
                     heapq.heappop(self._events)[2]()
             else:
                 self._now = tick
-            self._pass()
+            if not self._away:
+                self._pass()
         self.day.outcomes = list(self._outcomes.values())
+        self.day.restarts = sum(count - 1 for count in self._starts.values())
+        self.day.most_starts = max(self._starts.values(), default=0)
         return self.day
 
     def _call_at(self, at: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at, next(self._count), act))
 
+    def _plan_trouble(self, trouble: Trouble, chance: random.Random) -> None:
+        names = sorted(self._paces)
+        struck = chance.sample(names, round(trouble.share * len(names)))
+        ends_at = trouble.at + trouble.seconds
+        self._call_at(trouble.at, lambda: self._strike(trouble, struck, 1))
+        self._call_at(ends_at, lambda: self._strike(trouble, struck, -1))
+
+    def _strike(self, trouble: Trouble, struck: list[str], sign: int) -> None:
+        """Begin a fault, or end it."""
+        if trouble.fault is Fault.AWAY:
+            self._away += sign
+            for arrival in self._unheard if not self._away else ():
+                self._hear(arrival)
+            self._unheard = self._unheard if self._away else []
+        elif trouble.fault is Fault.FAIL:
+            for name in struck:
+                self._failing[name] += sign
+        elif trouble.fault is Fault.LEAVE:
+            for name in struck:
+                self._leave(name, sign)
+        else:
+            factor = math.inf if trouble.fault is Fault.STILL else trouble.factor
+            self._change_paces(struck, factor, sign)
+
+    def _change_paces(self, struck: list[str], factor: float, sign: int) -> None:
+        for run in self._runs.values():
+            run.advance(self._now, self._paces)
+        for name in struck:
+            turn = int(name[1:]) % len(self._workload.speeds)
+            usual = self._workload.speeds[turn]
+            self._paces[name] = usual * factor if sign > 0 else usual
+        for run in self._runs.values():
+            if any(member.worker in struck for member in run.unit.members):
+                self._plan_end(run)
+
+    def _leave(self, name: str, sign: int) -> None:
+        worker = self._board.workers.get(name)
+        if worker is None:
+            return
+        if sign > 0:
+            worker.entry = replace(worker.entry, leaving=True)
+            return
+        for member in list(worker.members.values()):
+            run = self._runs.pop(id(member.unit), None)
+            if run is not None:
+                self._throw_away(run)
+        self._board.drop_worker(name, Proof.LIFE_OVER)
+
     def _admit(self, arrival: Arrival) -> None:
-        job = self._board.admit(arrival.submission, None, self._now, 0.0)
+        self._outcomes[arrival.submission.job_id] = Outcome(arrival)
+        if self._away:
+            self._unheard.append(arrival)
+        else:
+            self._hear(arrival)
+
+    def _hear(self, arrival: Arrival) -> None:
+        age = self._now - arrival.at
+        job = self._board.admit(arrival.submission, None, self._now, age)
         self._board.open_occurrence(job, 0)
-        self._outcomes[job.job_id] = Outcome(arrival)
+
+    def _cancel(self, arrival: Arrival) -> None:
+        job = self._board.jobs.get(arrival.submission.job_id)
+        if job is not None and not job.state.final:
+            self._outcomes[job.job_id].cancelled = True
+            self._board.finish(job, JobState.CANCELLED)
 
     def _pass(self) -> None:
         self.day.passes += 1
         self._note_progress()
         plan = self._planner(self._board, self._durations, self._speeds, self._now)
+        for rescue in plan.rescues:
+            until = self._trust.note_still(
+                rescue.worker.name, self._now, len(self._board.workers)
+            )
+            rescue.worker.distrusted_until = max(rescue.worker.distrusted_until, until)
+            self.day.rescues += 1
         for start in plan.starts:
             names = [worker.name for worker in start.workers]
             self._board.order(start.unit, names, self._now)
+            self._starts[id(start.unit)] += 1
             self._call_at(
                 self._now + START_SECONDS, lambda unit=start.unit: self._begin(unit)
             )
@@ -197,11 +330,25 @@
                 )
 
     def _note_progress(self) -> None:
+        due = {
+            name
+            for name, at in self._looked_at.items()
+            if self._now - at >= LOOK_SECONDS
+        }
+        for name in due:
+            self._looked_at[name] = self._now
         for run in self._runs.values():
-            for member in run.unit.members:
-                rate = run.rates[member.worker]
-                share = run.done_before + (self._now - run.began) / rate
-                member.percent = min(100.0, 100 * share)
+            if not any(member.worker in due for member in run.unit.members):
+                continue
+            run.advance(self._now, self._paces)
+            for member, share in zip(run.unit.members, run.shares, strict=True):
+                if member.worker not in due:
+                    continue
+                member.heard_at = self._now
+                percent = math.floor(min(100.0, 100 * share))
+                if percent > member.percent:
+                    member.percent = percent
+                    member.moved_at = self._now
 
     def _begin(self, unit: Unit) -> None:
         if unit.abandoned or not unit.members:
@@ -209,24 +356,37 @@
         arrival = self._arrivals[unit.job.job_id]
         far = self._is_far(unit)
         self.day.far += far
-        rates = {}
+        seconds = []
         for index, member in enumerate(unit.members):
             position = index if unit.step.gang else unit.key.position
-            seconds = arrival.seconds[position] * self._speed_of[member.worker]
-            rates[member.worker] = seconds * (FAR_FACTOR if far else 1.0)
+            seconds.append(arrival.seconds[position] * (FAR_FACTOR if far else 1.0))
             self._board.note_up(member, self._now)
         done = self._saved.get(id(unit), 0.0)
-        run = _Run(unit, unit.run, self._now, done, rates)
+        shares = [done] * unit.size
+        run = _Run(unit, unit.run, self._now, self._now, seconds, shares, done > 0)
         self._runs[id(unit)] = run
-        left = (1 - done) * max(rates.values())
-        if arrival.fails_at and unit.job.job_id not in self._failed_once:
-            self._failed_once.add(unit.job.job_id)
+        job = unit.job.job_id
+        if any(self._failing[member.worker] > 0 for member in unit.members):
+            at = self._now + FAIL_SECONDS
+            self._call_at(at, lambda: self._end(run, EndKind.FAILED))
+        elif arrival.fails_at and job not in self._failed_once:
+            self._failed_once.add(job)
+            run.fails = True
+        self._plan_end(run)
+
+    def _plan_end(self, run: _Run) -> None:
+        run.plans += 1
+        plan = run.plans
+        left = run.find_left(self._paces)
+        kind = EndKind.DONE
+        if run.fails:
+            kind = EndKind.FAILED
+            left *= self._arrivals[run.unit.job.job_id].fails_at
+        if left < math.inf:
             self._call_at(
-                self._now + left * arrival.fails_at,
-                lambda: self._end(run, EndKind.FAILED),
+                self._now + left,
+                lambda: self._end(run, kind) if run.plans == plan else None,
             )
-            return
-        self._call_at(self._now + left, lambda: self._end(run, EndKind.DONE))
 
     def _is_far(self, unit: Unit) -> bool:
         racks = {
@@ -247,12 +407,13 @@
             self._learn(unit, run)
         else:
             self._throw_away(run)
+            self._note_failed(unit, run)
         members = list(unit.members)
         for member in members:
             self._board.note_end(member.task, member.run, kind, "")
         for member in members:
             self._board.note_gone(member, Proof.ENDED)
-        if job.state.final:
+        if job.state.final and job.state is not JobState.CANCELLED:
             outcome = self._outcomes[job.job_id]
             outcome.ended_at = self._now
             outcome.failed = job.state is not JobState.COMPLETED
@@ -261,21 +422,34 @@
         first = unit.members[0]
         for member in unit.members:
             member.moved_at = self._now
+            self._trust.note_done(member.worker)
         self._speeds.note_done(first, self._now)
-        if not run.done_before:
+        if not run.resumed:
             seconds = self._now - run.began
             estimate = unit.step.estimate_seconds
             self._durations.learn(unit.job.submission.queue, estimate, seconds)
 
+    def _note_failed(self, unit: Unit, run: _Run) -> None:
+        seconds = self._now - run.began
+        for member in unit.members:
+            worker = self._board.workers[member.worker]
+            if run.fails or self._failing[member.worker] > 0:
+                worker.distrusted_until = self._trust.note_failed(
+                    worker.name,
+                    unit.job.job_id,
+                    seconds,
+                    self._now,
+                    len(self._board.workers),
+                )
+
     def _stop(self, unit: Unit) -> None:
         self._stopping.discard(id(unit))
         run = self._runs.pop(id(unit), None)
         if run is not None:
             self.day.stops += 1
-            if unit.step.checkpoints:
-                slowest = max(run.rates.values())
-                done = run.done_before + (self._now - run.began) / slowest
-                self._saved[id(unit)] = min(1.0, done)
+            run.advance(self._now, self._paces)
+            if unit.step.checkpoints and not unit.job.state.final:
+                self._saved[id(unit)] = min(1.0, *run.shares, 1.0)
                 unit.checkpoint = "saved"
             else:
                 self._throw_away(run)
--- a/tools/bench/site_workloads.py
+++ b/tools/bench/site_workloads.py
@@ -7,6 +7,7 @@
 
 import random
 from dataclasses import dataclass
+from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -27,6 +28,7 @@
         accelerators: Drawn from these for each job.
         estimate_off: Decimal exponent by which estimates are off at most.
         gang, one_rack, checkpoints, data_rack: Share of jobs that are so.
+        cancelled: Share of jobs that their callers cancel within their run time.
     """
 
     queue: str
@@ -51,6 +53,7 @@
     checkpoints: float = 0.0
     data_rack: float = 0.0
     fails: float = 0.0
+    cancelled: float = 0.0
 
 
 class Burst(msgspec.Struct, frozen=True):
@@ -62,12 +65,60 @@
     factor: float
 
 
+class Fault(StrEnum):
+    """What goes wrong with workers, or with the owner.
+
+    `SLOW`: tasks take several times as long. `STILL`: they make no progress. `FAIL`:
+    whatever starts fails at once. `LEAVE`: the worker says that it leaves, and goes.
+    `AWAY`: no owner decides anything; what is handed in is heard of afterwards.
+    """
+
+    SLOW = "slow"
+    STILL = "still"
+    FAIL = "fail"
+    LEAVE = "leave"
+    AWAY = "away"
+
+
+class Trouble(msgspec.Struct, frozen=True):
+    """A fault, and when and how widely it strikes.
+
+    Attributes:
+        share: Of the workers; they are drawn anew for each day.
+        factor: How many times as long tasks take on slow ones.
+    """
+
+    fault: Fault
+    at: float
+    seconds: float
+    share: float = 0.0
+    factor: float = 1.0
+
+
+class Weights(msgspec.Struct, frozen=True):
+    """What operators weigh a day by; a part that they don't weigh is 0.
+
+    Attributes:
+        thrown_away: The price of a core-second of work that was not saved, in the
+            unit of the jobs' worth.
+    """
+
+    whole: float = 0.75
+    served: float = 0.0
+    organisation: float = 0.2
+    windows: float = 0.15
+    kind: float = 0.1
+    thrown_away: float = 0.0015
+
+
 class Workload(msgspec.Struct, frozen=True):
     """A fleet and what is asked of it.
 
     Attributes:
         speeds: How many times as long each worker takes, in turn.
         guarantee: Accelerators of each organisation for its urgent work.
+        gang_workers: Whole workers that the widest gang takes; 0 for a whole rack's
+            accelerators, whatever else its tasks need.
     """
 
     name: str
@@ -79,7 +130,10 @@
     organisations: int
     guarantee: int
     kinds: list[Kind]
+    gang_workers: int = 0
     bursts: list[Burst] = []
+    troubles: list[Trouble] = []
+    weights: Weights = Weights()
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +144,7 @@
         seconds: True time of a run on a usual worker, for each task.
         fails_at: Share of its first run after which that fails; 0 for never.
         worth: In time, by its size; `late_worth` later.
+        cancelled_at: When its caller cancels it; None for never.
     """
 
     at: float
@@ -99,6 +154,7 @@
     fails_at: float
     worth: float
     late_worth: float
+    cancelled_at: float | None = None
 
     @property
     def objective(self) -> float:
@@ -148,9 +204,7 @@
     racks = workload.workers // workload.rack_size
     gang = chance.random() < kind.gang
     if gang:
-        # What is wider than half a rack is rare and waits for a whole one.
-        per_worker = workload.capacity.accelerators // accelerators
-        width = min(width, workload.rack_size * per_worker)
+        width = min(width, _find_widest(workload, kind, accelerators))
         seconds = seconds[:width]
     step = Step(
         count=width,
@@ -172,6 +226,9 @@
     fails_at = chance.random() if chance.random() < kind.fails else 0.0
     size = 0.3 + 0.7 * _measure(kind, step, usual)
     size = min(4.0, size)
+    cancelled_at = None
+    if kind.cancelled and chance.random() < kind.cancelled:
+        cancelled_at = at + chance.uniform(0.2, 1.0) * usual
     return Arrival(
         at,
         kind,
@@ -180,9 +237,22 @@
         fails_at,
         kind.worth * size,
         kind.late_worth * size,
+        cancelled_at,
     )
 
 
+def _find_widest(workload: Workload, kind: Kind, accelerators: int) -> int:
+    """Return the most tasks of a gang."""
+    capacity = workload.capacity
+    by_accelerators = capacity.accelerators // accelerators
+    if not workload.gang_workers:
+        # What is wider than half a rack is rare and waits for a whole one.
+        return workload.rack_size * by_accelerators
+    by_processor = capacity.processor // kind.processor
+    by_memory = capacity.memory // kind.memory
+    return workload.gang_workers * min(by_accelerators, by_processor, by_memory)
+
+
 def _draw_rack(racks: int, chance: random.Random) -> str:
     return f"r{chance.randrange(racks)}"
 
