Compose a pass of mechanisms, and switch each off in a bench

Cause: whether a mechanism is worth its code and its time in each pass could not be measured; they were called by name from within the pass. Change: a pass takes its order, patience, kept room, permissions, rescues and slow workers from one frozen record of Protocol types; scripts/bench ablation replaces each in turn, and what is learned.

--- a/src/primrosestile/decisions/work/ordering.py
+++ b/src/primrosestile/decisions/work/ordering.py
@@ -12,7 +12,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board
@@ -23,6 +23,10 @@
 USELESS_AFTER_OBJECTIVES = 3.0
 
 
+# What units are sorted by.
+RankKey = tuple[bool | int | float, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Rank:
     """Where a unit stands in the queue; lower goes first.
@@ -50,7 +54,7 @@
         """Whether it can't meet its objective any more."""
         return self.slack < 0
 
-    def make_key(self) -> tuple[bool, bool, bool, bool, bool, int, float]:
+    def make_key(self) -> RankKey:
         """Return what units are sorted by."""
         return (
             not self.entitled,
@@ -93,6 +97,7 @@
     now: float,
     entitled: Collection[str],
     durations: Durations,
+    make_key: Callable[[Rank], RankKey] = Rank.make_key,
 ) -> list[tuple[Rank, Unit]]:
     """Return waiting units with their ranks, the most pressing first.
 
@@ -101,12 +106,13 @@
         now: On the loop's clock.
         entitled: Jobs within their organisations' guarantees.
         durations: How long runs take.
+        make_key: What they are sorted by.
     """
     ranked = [
         (rank_unit(unit, now, unit.job.job_id in entitled, durations), unit)
         for unit in units
     ]
-    ranked.sort(key=lambda pair: pair[0].make_key())
+    ranked.sort(key=lambda pair: make_key(pair[0]))
     return ranked
 
 
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -219,7 +219,7 @@
     now: float,
     seconds: float,
     slow: Collection[str] = (),
-    idle: bool = False,
+    patience: float = 0.0,
 ) -> list[Worker] | None:
     """Return a worker for each member, or None when it must wait.
 
@@ -233,11 +233,11 @@
             others until later may be used meanwhile.
         slow: Workers on which urgent work is late; it goes there last, but sooner
             than it waits.
-        idle: Whether much of its pool is.
+        patience: For how many seconds it waits for the rack where it is fastest.
     """
     eligible = [room.lend(now + seconds) for room in find_eligible(unit, rooms, now)]
     waited = now - (unit.ready_at or now)
-    patient = waited < find_patience(unit, seconds, idle)
+    patient = waited < patience
     if unit.job.queue.priority == 0:
         fast = [room for room in eligible if room.worker.name not in slow]
         for group in ([room for room in fast if not room.wanted], fast):
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -4,6 +4,7 @@
 
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
 from primrosestile.decisions.work.ordering import Rank, find_entitled, rank_units
 from primrosestile.decisions.work.placing import (
     Rooms,
@@ -19,14 +20,13 @@
     give_back,
     is_affordable,
 )
-from primrosestile.decisions.work.rescuing import Rescue, find_rescues
+from primrosestile.decisions.work.rescuing import Rescue
 from primrosestile.decisions.work.reserving import (
     RESERVED_UNITS,
     find_soonest,
     hold_claim,
-    keep_room,
 )
-from primrosestile.decisions.work.speeds import Speeds, is_behind
+from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Unit, Worker
 
 # An eviction that throws away less than this is made at once: what a small urgent
@@ -38,6 +38,7 @@
 # Units looked at in one pass: at 24 workers a unit that does not fit takes 0.05 ms,
 # so a full queue costs a pass a few milliseconds.
 LOOK_LIMIT = 200
+MECHANISMS = make_mechanisms()
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,9 +72,15 @@
     rescues: tuple[Rescue, ...] = ()
 
 
-def make_plan(board: Board, durations: Durations, speeds: Speeds, now: float) -> Plan:
+def make_plan(
+    board: Board,
+    durations: Durations,
+    speeds: Speeds,
+    now: float,
+    mechanisms: Mechanisms = MECHANISMS,
+) -> Plan:
     """Decide on every waiting unit, the most pressing first."""
-    return _Pass(board, durations, speeds, now).run()
+    return _Pass(board, durations, speeds, now, mechanisms).run()
 
 
 class _Pass:
@@ -85,14 +92,20 @@
     """
 
     def __init__(
-        self, board: Board, durations: Durations, speeds: Speeds, now: float
+        self,
+        board: Board,
+        durations: Durations,
+        speeds: Speeds,
+        now: float,
+        mechanisms: Mechanisms,
     ) -> None:
         self.board = board
         self.durations = durations
         self.now = now
-        self.slow = _find_slow(board, durations, speeds, now)
+        self.mechanisms = mechanisms
+        self.slow = mechanisms.slow_finding(board, durations, speeds, now)
         self.entitled = find_entitled(board)
-        self.evictions = Evictions(board, self.entitled, now)
+        self.evictions = Evictions(self.entitled, now, mechanisms.permission)
         self.idle_pools = find_idle_pools(board)
         self.rooms = make_rooms(board, now)
         self.waiting = board.list_waiting(now)
@@ -110,9 +123,14 @@
         # Units of one step are alike: if one can't go, none of the others can.
         waiting: set[tuple[object, ...]] = set()
         looked = 0
-        for rank, unit in rank_units(
-            self.waiting, self.now, self.entitled, self.durations
-        ):
+        ranked = rank_units(
+            self.waiting,
+            self.now,
+            self.entitled,
+            self.durations,
+            self.mechanisms.order,
+        )
+        for rank, unit in ranked:
             likeness = (unit.step_key, *unit.failed_on)
             if likeness in waiting:
                 continue
@@ -133,7 +151,7 @@
         Their patience for a rack begins anew: a gang of 1.3 s that went to two racks
         since it had waited long enough took 4.2 s there.
         """
-        for rescue in find_rescues(self.board, self.durations, self.now):
+        for rescue in self.mechanisms.rescuing(self.board, self.durations, self.now):
             unit = rescue.unit
             elsewhere = copy_rooms(self.soon)
             give_back(unit, elsewhere)
@@ -173,7 +191,8 @@
     def _place(self, unit: Unit, rooms: Rooms) -> list[Worker] | None:
         seconds = self.durations.guess_unit(unit)
         idle = unit.pool in self.idle_pools
-        return place(unit, rooms, self.now, seconds, self.slow, idle)
+        patience = self.mechanisms.patience(unit, seconds, idle)
+        return place(unit, rooms, self.now, seconds, self.slow, patience)
 
     def _keep(self, unit: Unit) -> None:
         """Keep room for a unit, now and in what is being freed.
@@ -181,7 +200,7 @@
         Kept only in what is free now, work would be stopped for a unit further
         back, which then could not have the room.
         """
-        if keep_room(unit, self.rooms, self.durations, self.now):
+        if self.mechanisms.keeping(unit, self.rooms, self.durations, self.now):
             hold_claim(unit, self.soon, self.now)
 
     def _may_evict(self, rank: Rank) -> bool:
@@ -236,21 +255,6 @@
                 rooms[name].wanted = True
 
 
-def _find_slow(
-    board: Board, durations: Durations, speeds: Speeds, now: float
-) -> set[str]:
-    """Return the workers that are slow, always or at present."""
-    slow = set()
-    for worker in board.workers.values():
-        if speeds.is_slow(worker.name) or any(
-            is_behind(member, durations.guess_unit(member.unit), now)
-            for member in worker.members.values()
-            if not member.unit.step.lasting
-        ):
-            slow.add(worker.name)
-    return slow
-
-
 def _add_stopping(board: Board, rooms: Rooms) -> Rooms:
     """Return the rooms as they will be once everything that stops is gone."""
     soon = copy_rooms(rooms)
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -11,10 +11,9 @@
 gang is lost whole with any of its members.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 
-from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.placing import (
     Room,
     Rooms,
@@ -183,8 +182,13 @@
     cost, depends on the gainer's rank only, so it is found once for all of them.
     """
 
-    def __init__(self, board: Board, entitled: Collection[str], now: float) -> None:
-        self._board = board
+    def __init__(
+        self,
+        entitled: Collection[str],
+        now: float,
+        permission: Callable[[Unit, Unit, Collection[str], float], bool],
+    ) -> None:
+        self._permission = permission
         self._entitled = entitled
         self.now = now
         self._candidates: dict[tuple[str, bool, int, bool], list[_Candidate]] = {}
@@ -217,7 +221,7 @@
             victim = member.unit
             if id(victim) in found:
                 continue
-            if may_stop(victim, gainer, self._entitled, self.now):
+            if self._permission(victim, gainer, self._entitled, self.now):
                 count = len(_list_members_on(victim, room))
                 cost = find_cost(victim, self.now)
                 found[id(victim)] = _Candidate(victim, cost, count)
--- a/src/primrosestile/decisions/work/speeds.py
+++ b/src/primrosestile/decisions/work/speeds.py
@@ -12,6 +12,8 @@
 from collections.abc import Mapping
 from statistics import median
 
+from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.units import Member, Unit
 
 # The weight of a new comparison: tasks of one step differ by 15% among themselves,
@@ -104,3 +106,18 @@
         return False
     due = min(100.0, 100.0 * elapsed / expected)
     return member.percent * BEHIND_FACTOR < due
+
+
+def find_slow(
+    board: Board, durations: Durations, speeds: Speeds, now: float
+) -> set[str]:
+    """Return the workers that are slow, always or at present."""
+    slow = set()
+    for worker in board.workers.values():
+        if speeds.is_slow(worker.name) or any(
+            is_behind(member, durations.guess_unit(member.unit), now)
+            for member in worker.members.values()
+            if not member.unit.step.lasting
+        ):
+            slow.add(worker.name)
+    return slow
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -14,6 +14,7 @@
     "slopes",
     "site",
     "takeover",
+    "ablation",
 )
 
 
--- /dev/null
+++ b/tools/bench/ablation.py
@@ -0,0 +1,200 @@
+"""What each mechanism of a pass is worth: without it, on the same days as with it.
+
+`scripts/bench ablation` plays every workload with all mechanisms and then without each
+one in turn, and prints the difference in worth, in callers who got nothing and in work
+thrown away, with the standard error of each over the days. A figure within twice that
+is no evidence. `ablation.json` has the same.
+"""
+
+import json
+import os
+from collections.abc import Callable, Collection
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from functools import partial
+from pathlib import Path
+from statistics import mean, stdev
+
+from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
+from primrosestile.decisions.work.ordering import Rank, RankKey
+from primrosestile.decisions.work.placing import Rooms
+from primrosestile.decisions.work.planning import make_plan
+from primrosestile.decisions.work.preempting import is_aged, may_stop
+from primrosestile.decisions.work.speeds import Speeds
+from primrosestile.decisions.work.trust import Trust
+from primrosestile.decisions.work.units import Member, Unit
+from tools.bench.site_driver import Learning, SiteRun
+from tools.bench.site_measures import measure
+from tools.bench.site_workloads import draw_day, read_workload
+
+WORKLOADS = Path("examples/workloads")
+SEEDS = int(os.environ.get("PRIMROSESTILE_BENCH_SEEDS", "16"))
+PROCESSES = 4
+FIGURES = ("worth", "unserved", "thrown away, core-seconds")
+
+
+class NoDurations(Durations):
+    """Goes by callers' estimates only."""
+
+    def learn(self, queue: str, estimate: float, seconds: float) -> None:
+        """Learn nothing."""
+
+
+class NoSpeeds(Speeds):
+    """Takes all workers as equally fast."""
+
+    def note_done(self, member: Member, now: float) -> None:
+        """Learn nothing."""
+
+
+class NoTrust(Trust):
+    """Leaves no worker out, whatever fails there."""
+
+    def note_failed(
+        self, worker: str, job: str, seconds: float, now: float, workers: int
+    ) -> float:
+        """Return that it gets work at once."""
+        return 0.0
+
+
+def order_without_guarantees(rank: Rank) -> RankKey:
+    return rank.make_key()[1:]
+
+
+def order_without_lateness(rank: Rank) -> RankKey:
+    key = rank.make_key()
+    return (*key[:4], *key[5:])
+
+
+def order_without_slack(rank: Rank) -> RankKey:
+    return rank.make_key()[:-1]
+
+
+def have_no_patience(unit: Unit, seconds: float, idle: bool) -> float:
+    return 0.0
+
+
+def keep_nothing(unit: Unit, rooms: Rooms, durations: Durations, now: float) -> bool:
+    return False
+
+
+def stop_for_guaranteed(
+    victim: Unit, gainer: Unit, entitled: Collection[str], now: float
+) -> bool:
+    allowed = may_stop(victim, gainer, entitled, now)
+    return allowed and gainer.job.job_id in entitled
+
+
+def stop_for_urgent(
+    victim: Unit, gainer: Unit, entitled: Collection[str], now: float
+) -> bool:
+    allowed = may_stop(victim, gainer, entitled, now)
+    return allowed and gainer.job.queue.priority == 0
+
+
+def stop_what_saves(
+    victim: Unit, gainer: Unit, entitled: Collection[str], now: float
+) -> bool:
+    allowed = may_stop(victim, gainer, entitled, now)
+    return allowed and (victim.step.checkpoints or gainer.job.job_id in entitled)
+
+
+def stop_nothing_aged(
+    victim: Unit, gainer: Unit, entitled: Collection[str], now: float
+) -> bool:
+    allowed = may_stop(victim, gainer, entitled, now)
+    return allowed and (gainer.job.job_id in entitled or not is_aged(victim, now))
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """What is left of the mechanisms."""
+
+    mechanisms: Mechanisms
+    make_learning: Callable[[], Learning] = Learning
+
+
+def make_variants() -> dict[str, Variant]:
+    """Return all mechanisms together, and without each one, by what is missing."""
+    whole = make_mechanisms()
+
+    def lack(**replaced: object) -> Variant:
+        return Variant(replace(whole, **replaced))  # type: ignore[arg-type]
+
+    return {
+        "nothing": Variant(whole),
+        "order by guarantee": lack(order=order_without_guarantees),
+        "order by lateness": lack(order=order_without_lateness),
+        "order by slack": lack(order=order_without_slack),
+        "patience for racks": lack(patience=have_no_patience),
+        "kept room": lack(keeping=keep_nothing),
+        "stops beyond guarantees": lack(permission=stop_for_guaranteed),
+        "stops for usual work": lack(permission=stop_for_urgent),
+        "stops of unsaved work": lack(permission=stop_what_saves),
+        "stops of aged unsaved work": lack(permission=stop_nothing_aged),
+        "rescues": lack(rescuing=lambda board, durations, now: []),
+        "slow workers": lack(slow_finding=lambda *_: set()),
+        "learned run times": Variant(whole, partial(Learning, NoDurations())),
+        "learned speeds": Variant(whole, lambda: Learning(speeds=NoSpeeds())),
+        "distrust": Variant(whole, lambda: Learning(trust=NoTrust())),
+    }
+
+
+def play(path: Path, lacking: str, seed: int) -> dict[str, float]:
+    """Play one day without a mechanism."""
+    workload = read_workload(path)
+    variant = make_variants()[lacking]
+    planner = partial(make_plan, mechanisms=variant.mechanisms)
+    learning = variant.make_learning()
+    run = SiteRun(workload, draw_day(workload, seed), planner, seed, learning)
+    return measure(run.run(), workload.weights)
+
+
+def compare(path: Path) -> dict[str, dict[str, tuple[float, float]]]:
+    """Return, by what is missing, each figure's mean and standard error.
+
+    Those of what lacks nothing are the figures; the others are differences to it.
+    """
+    days = {}
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        for lacking in make_variants():
+            jobs = [pool.submit(play, path, lacking, seed) for seed in range(SEEDS)]
+            days[lacking] = [job.result() for job in jobs]
+    whole = days["nothing"]
+    table = {}
+    for lacking, played in days.items():
+        table[lacking] = {
+            figure: summarise(
+                [
+                    day[figure] - (0.0 if played is whole else usual[figure])
+                    for day, usual in zip(played, whole, strict=True)
+                ]
+            )
+            for figure in FIGURES
+        }
+    return table
+
+
+def summarise(values: list[float]) -> tuple[float, float]:
+    """Return the mean and its standard error."""
+    error = stdev(values) / len(values) ** 0.5 if len(values) > 1 else 0.0
+    return round(mean(values), 4), round(error, 4)
+
+
+def run(output: Path) -> None:
+    """Play every workload and write the table."""
+    results = {}
+    for path in sorted(WORKLOADS.glob("*.json")):
+        results[path.stem] = compare(path)
+        print_table(path.stem, results[path.stem])
+    (output / "ablation.json").write_text(json.dumps(results, indent=2) + "\n")
+
+
+def print_table(name: str, table: dict[str, dict[str, tuple[float, float]]]) -> None:
+    """Print one workload's table."""
+    print(f"{name}, {SEEDS} days")
+    print(f"{'without':28}" + "".join(f"{figure:>30}" for figure in FIGURES))
+    for lacking, figures in table.items():
+        cells = (f"{value:+.3f} +- {error:.3f}" for value, error in figures.values())
+        print(f"{lacking:28}" + "".join(f"{cell:>30}" for cell in cells))
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -166,6 +166,15 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Learning:
+    """What a day begins to learn with."""
+
+    durations: Durations = field(default_factory=Durations)
+    speeds: Speeds = field(default_factory=Speeds)
+    trust: Trust = field(default_factory=Trust)
+
+
 class SiteRun:
     """One day under one planner."""
 
@@ -175,13 +184,15 @@
         arrivals: list[Arrival],
         planner: Planner,
         seed: int = 0,
+        learning: Learning | None = None,
     ) -> None:
         self._workload = workload
         self._planner = planner
         self._arrivals = {each.submission.job_id: each for each in arrivals}
-        self._durations = Durations()
-        self._speeds = Speeds()
-        self._trust = Trust()
+        learning = learning or Learning()
+        self._durations = learning.durations
+        self._speeds = learning.speeds
+        self._trust = learning.trust
         self._board = Board(_make_policy(workload), wall=0.0)
         # How many times as long as usual each worker takes at present.
         self._paces: dict[str, float] = {}
