--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -19,6 +19,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
+from primrosestile.coordination.work.logfields import name_member
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Member, MemberState, Proof, Worker
@@ -325,10 +326,7 @@
             return
         _log.info(
             "run_ended",
-            job_id=member.unit.job.job_id,
-            task=ended.task,
-            run=ended.run,
-            worker=self.worker.name,
+            **name_member(member),
             how=ended.kind.value,
             percent=member.percent,
             seconds=round(read_clock() - (member.up_at or member.since), 2),
--- /dev/null
+++ b/src/primrosestile/coordination/work/logfields.py
@@ -0,0 +1,25 @@
+"""How log lines name a run, so that one search by its fields finds all of its lines."""
+
+from typing import Any
+
+from primrosestile.decisions.work.units import Member, Unit
+
+
+def name_member(member: Member) -> dict[str, Any]:
+    """Return the fields that name one task's run on its worker."""
+    return {
+        "job_id": member.unit.job.job_id,
+        "task": member.task,
+        "run": member.run,
+        "worker": member.worker,
+    }
+
+
+def name_unit(unit: Unit) -> dict[str, Any]:
+    """Return the fields that name a unit's present run."""
+    return {
+        "job_id": unit.job.job_id,
+        "step": unit.key.step,
+        "position": unit.key.position,
+        "run": unit.run,
+    }
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -15,6 +15,7 @@
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.links import WorkerLink
+from primrosestile.coordination.work.logfields import name_member, name_unit
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.pacing import Pace
@@ -70,10 +71,7 @@
             self._board.order(each.unit, workers, now)
             _log.info(
                 "run_decided",
-                job_id=each.unit.job.job_id,
-                step=each.unit.key.step,
-                position=each.unit.key.position,
-                run=each.unit.run,
+                **name_unit(each.unit),
                 workers=workers,
                 entitled=each.rank.entitled,
                 slack=round(each.rank.slack, 2),
@@ -104,10 +102,7 @@
                 unanswered |= failure.kind is not ErrorKind.NO_TARGET
                 _log.info(
                     "start_unanswered",
-                    job_id=member.unit.job.job_id,
-                    task=member.task,
-                    run=member.run,
-                    worker=member.worker,
+                    **name_member(member),
                     reason=str(failure),
                 )
                 continue
@@ -136,10 +131,7 @@
         if answer.refusal is None:
             _log.info(
                 "run_started",
-                job_id=member.unit.job.job_id,
-                task=member.task,
-                run=member.run,
-                worker=member.worker,
+                **name_member(member),
                 fence=self._term.fence,
                 worker_clock=round(answer.clock, 3),
             )
@@ -155,10 +147,7 @@
     def _note_refusal(self, member: Member, worker: Worker, refusal: Refusal) -> None:
         _log.info(
             "start_refused",
-            job_id=member.unit.job.job_id,
-            task=member.task,
-            run=member.run,
-            worker=worker.name,
+            **name_member(member),
             refusal=refusal.value,
         )
         now = read_clock()
@@ -205,10 +194,7 @@
         link.note_answer(answer.clock)
         _log.info(
             "run_paced",
-            job_id=member.unit.job.job_id,
-            task=member.task,
-            run=member.run,
-            worker=member.worker,
+            **name_member(member),
             percent=pace.percent,
             refusal=answer.refusal.value if answer.refusal else "",
         )
--- a/src/primrosestile/coordination/work/passlog.py
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -5,6 +5,7 @@
 import structlog
 
 from primrosestile.coordination.work.links import WorkerLink
+from primrosestile.coordination.work.logfields import name_member, name_unit
 from primrosestile.decisions.work.planning import Stop
 from primrosestile.decisions.work.rescuing import Rescue
 from primrosestile.decisions.work.units import Member, Proof
@@ -26,10 +27,7 @@
         link = links.get(member.worker)
         _log.info(
             "run_gone",
-            job_id=member.unit.job.job_id,
-            task=member.task,
-            run=member.run,
-            worker=member.worker,
+            **name_member(member),
             proof=proof.value,
             fence=fence,
             **(link.describe() if link else {}),
@@ -41,10 +39,7 @@
     unit = stop.unit
     _log.info(
         "run_preempted",
-        job_id=unit.job.job_id,
-        step=unit.key.step,
-        position=unit.key.position,
-        run=unit.run,
+        **name_unit(unit),
         size=unit.size,
         checkpoints=unit.step.checkpoints,
         gainer=stop.gainer.job.job_id,
@@ -57,10 +52,7 @@
     unit = rescue.unit
     _log.info(
         "run_rescued",
-        job_id=unit.job.job_id,
-        step=unit.key.step,
-        position=unit.key.position,
-        run=unit.run,
+        **name_unit(unit),
         size=unit.size,
         worker=rescue.worker.name,
         lost=round(rescue.lost, 2),
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -23,6 +23,7 @@
     SLOW_CLOCK_FACTOR,
     WorkerLink,
 )
+from primrosestile.coordination.work.logfields import name_unit
 from primrosestile.coordination.work.metering import MeteredCalls
 from primrosestile.coordination.work.orders import Orders
 from primrosestile.coordination.work.ownwatch import OwnWatch
@@ -285,13 +286,7 @@
         now = read_clock()
         for unit in find_evacuations(self._board, self._durations, now):
             self._board.abandon(unit)
-            _log.info(
-                "run_evacuated",
-                job_id=unit.job.job_id,
-                step=unit.key.step,
-                position=unit.key.position,
-                run=unit.run,
-            )
+            _log.info("run_evacuated", **name_unit(unit))
         recent = self._roster.recent and self._policies.recent
         # A job may have been cancelled unheard: a caller was told so, and what starts
         # all the same is seen as work that nobody asked for.
--- a/src/primrosestile/decisions/work/__init__.py
+++ b/src/primrosestile/decisions/work/__init__.py
@@ -1,13 +1,23 @@
 """Decisions about jobs of steps, on one picture of the fleet.
 
+What they are made on:
+
 - `units`: jobs, units, members and workers.
 - `board`: the picture that is made of them, and what events change in it.
-- `ordering`: which waiting unit goes first.
-- `placing`: where a unit goes.
-- `preempting`: what is stopped for whom.
-- `evacuating`: what is taken off a worker that leaves.
-- `reserving`: room that is kept for gangs.
 - `durations`, `speeds`: what is learned of run times and workers.
+
+One pass, `planning`, asks in this order; each module says which load it answers:
+
+1. `rescuing`: what stands still and goes elsewhere.
+2. `ordering`: which waiting unit goes first.
+3. `placing`: where it goes, if it fits.
+4. `preempting`: what is stopped for it, if it does not fit.
+5. `reserving`: room that is kept for it until then.
+
+`mechanisms` composes these, so that each can be taken away by itself. Beside the pass:
+
+- `evacuating`: what is taken off a worker that leaves.
 - `trust`: which workers are left out for a while.
-- `planning`: one pass over all that waits.
+- `pacing`, `advising`, `upkeep`: filling work, the advice service, waves of upkeep.
+- `fitness`, `standing`: who may own the fleet.
 """
