--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -33,9 +33,10 @@
 # ago: work that is stopped again and again for others never ends. Seen without it:
 # 14 starts of one rebuild within a minute.
 SPARED_SECONDS = 2.0
-# Nor what was begun more often than this: patient work would pay for all others. With
-# it callers of the worst kind of job got 0.458 of what was owed, without it 0.409, and
-# all callers 0.717 and 0.646 (the two worst days of one heavy workload).
+# Nothing that was begun more often than this is stopped, but for guaranteed work: the
+# same patient tasks would pay for all others. With it callers of the worst kind of
+# job got 0.458 of what was owed, without it 0.392, and all callers 0.717 and 0.646
+# (means of two days of one heavy workload, `scripts/bench site`).
 SPARED_STARTS = 3
 # Work without checkpoints loses all that it did, so usual work stops only what has just
 # begun. Rebuilds found too little room before a table of ten seconds had ended: callers
@@ -106,7 +107,7 @@
 
 
 def is_affordable(
-    eviction: "Eviction", gainer: Unit, entitled: bool, seconds: float
+    eviction: Eviction, gainer: Unit, entitled: bool, seconds: float
 ) -> bool:
     """Whether a unit is worth what would be thrown away for it.
 
--- a/src/primrosestile/decisions/work/trust.py
+++ b/src/primrosestile/decisions/work/trust.py
@@ -20,8 +20,8 @@
 # comes may have but one more attempt.
 AT_ONCE_SECONDS = 0.25
 DOUBT_SECONDS = 3.0
-# Tasks stood still on a worker for 5 to 7 s where that was seen, and it is noticed
-# after one; what is placed there meanwhile stands still as well.
+# Tasks stood still on a worker for 5 to 7 s where that was seen, and it is noticed one
+# to two seconds after; what is placed there meanwhile stands still as well.
 STILL_SECONDS = 5.0
 # A worker that refused a start for its health is asked again after this.
 UNHEALTHY_SECONDS = 1.0
