--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -38,6 +38,7 @@
 # Units looked at in one pass: at 24 workers a unit that does not fit takes 0.05 ms,
 # so a full queue costs a pass a few milliseconds.
 LOOK_LIMIT = 200
+# They hold nothing, so all passes share them.
 MECHANISMS = make_mechanisms()
 
 
--- a/src/primrosestile/decisions/work/rescuing.py
+++ b/src/primrosestile/decisions/work/rescuing.py
@@ -8,7 +8,8 @@
 Nobody knows how long a task will go on standing still. The longer it has, the longer
 it probably will: it is taken to be half way through. So to begin anew elsewhere pays
 as soon as the time lost is more than the time that its work took so far, which is then
-done again, and the stop. This rests on what was seen only, and not on estimates.
+done again, and the stop. That rests on what was seen only; whether the unit would be
+late at all goes by run times as learned.
 """
 
 from collections.abc import Iterator
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import importlib.util
 import json
 import os
@@ -23,7 +24,7 @@
 from functools import partial
 from pathlib import Path
 from types import TracebackType
-from typing import Any, Self
+from typing import IO, Any, Self
 
 import msgspec
 
@@ -45,6 +46,8 @@
 STEP_SECONDS = 0.05
 CALL_TIMEOUT_SECONDS = 10.0
 LOG_TAIL_LINES = 20
+# Files whose locks hold the ports that this process has taken.
+_claims: list[IO[str]] = []
 
 
 @dataclass(slots=True)
@@ -302,18 +305,40 @@
 
 
 def iterate_ports() -> Iterator[int]:
-    """Yield ports that nothing listens on, in an order of this process's own."""
+    """Yield ports that nothing listens on, in an order of this process's own.
+
+    A port stays claimed until this process ends. Between the moment in which a port was
+    found free and that in which a program listens on it, another deployment beside this
+    one could find it free too: its store could not listen, and callers met the other's
+    program, whose page for an unknown path, "404: Not Found", reads as a number.
+    """
     ports = list(PORTS)
     random.Random(os.getpid() * 1_000_003 + time.monotonic_ns()).shuffle(ports)
     for port in ports:
+        claim = claim_port(port)
+        if claim is None:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
+                claim.close()
                 continue
+        _claims.append(claim)
         yield port
 
 
+def claim_port(port: int) -> IO[str] | None:
+    """Return an open file that holds a port for this process, or None if one does."""
+    claim = (Path(tempfile.gettempdir()) / f"primrosestile-port-{port}").open("w")
+    try:
+        fcntl.flock(claim, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        claim.close()
+        return None
+    return claim
+
+
 def is_ready(program: Program) -> bool:
     """Return whether a program answers that it is ready.
 
