Log what the answer that a job is not known rests on

Cause: a caller was told that a job which had been accepted is not known. No log line told which of the two cases of that answer it was, when the job's last record was written and with which time of its end, nor which owner removed it when. Three hypotheses out of four could not be told apart.

Change: job_not_known at the answer, last_record_stands where a job's keys give way to its last record, last_record_removed with the age on which that rests. Each is one line a job, or an answer. A scenario holds the order of the lines. Nothing of the logic is changed.

--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -4,12 +4,14 @@
 import random
 from typing import Any
 
+import structlog.testing
 from behave import given, then, when
 from features.doubles.drawnday import JOBS, DrawnDay
 from features.doubles.fleetworld import FleetWorld
 from features.doubles.longday import end_jobs, set_link, spread_id, store_jobs
 from features.steps.work_steps import list_running, make_id
 
+from primrosestile import clock
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.keys import (
     CANCELS_PREFIX,
@@ -213,6 +215,35 @@
     context.world.run(look())
 
 
+@when("the time of day of the others is {seconds:g} s ahead")
+def step_time_ahead(context: Any, seconds: float) -> None:
+    before = clock._WALL_OFFSET
+    context.cleanups.append(lambda: setattr(clock, "_WALL_OFFSET", before))
+    clock._WALL_OFFSET = before + seconds
+
+
+@given("what the processes log is kept")
+def step_keep_log(context: Any) -> None:
+    keeping = structlog.testing.capture_logs()
+    context.log = keeping.__enter__()
+    context.cleanups.append(lambda: keeping.__exit__(None, None, None))
+
+
+@when("{process} is asked for job {name}, which it doesn't know")
+def step_ask_unknown(context: Any, process: str, name: str) -> None:
+    ask = context.world.read_state(process, make_id(name), "usual")
+    assert context.world.run(ask) is None
+
+
+@then("the log tells of {name} in this order")
+def step_log_order(context: Any, name: str) -> None:
+    expected = [row["event"] for row in context.table]
+    told = [
+        line["event"] for line in context.log if line.get("job_id") == make_id(name)
+    ]
+    assert [event for event in told if event in expected] == expected, told
+
+
 @then("nothing of {name} stands in the store")
 def step_nothing_left(context: Any, name: str) -> None:
     async def look() -> None:
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -198,6 +198,24 @@
     Then job e3 is shown as completed within 1 s
     And the end of e3 has its time
 
+  Scenario: The log tells why a job is not known any more
+    A caller asks for a job minutes after its end and is told that there is none. Were
+    the removal not logged, nobody could tell it from a job that was lost.
+    Given what the processes log is kept
+    And a fleet of 1 workers with 8 accelerators in 1 racks
+    And 1 processes of ours
+    When job e6 is handed in at p1
+    Then job e6 is shown as completed within 8 s
+    When 250 s pass
+    And p1 is asked for job e6, which it doesn't know
+    Then the log tells of e6 in this order
+      | event               |
+      | job_admitted        |
+      | run_ended           |
+      | last_record_stands  |
+      | last_record_removed |
+      | job_not_known       |
+
   Scenario: What an earlier owner has left is removed by the next
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
--- a/src/primrosestile/coordination/work/ended.py
+++ b/src/primrosestile/coordination/work/ended.py
@@ -107,4 +107,15 @@
             if not done.done:
                 return
             for job_id in job_ids:
-                del self._ended_at[job_id]
+                self._note_removed(job_id)
+
+    def _note_removed(self, job_id: str) -> None:
+        """Log that a job is unknown from now on, and what that rests on."""
+        ended_at = self._ended_at.pop(job_id)
+        _log.info(
+            "last_record_removed",
+            job_id=job_id,
+            ended_at=round(ended_at, 3),
+            ended_ago=round(read_wall_clock() - ended_at, 3),
+            fence=self._term.fence,
+        )
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -197,12 +197,20 @@
     def _note_written(self, records: Sequence[_Record], revision: int) -> None:
         for record in records:
             if record.over:
-                self._forget(record.job)
+                self._forget(record.job, "written")
             else:
                 self._revisions[record.job_id] = revision
 
-    def _forget(self, job: Job) -> None:
-        """Drop a job whose keys have been removed."""
+    def _forget(self, job: Job, how: str) -> None:
+        """Drop a job whose keys have been removed; `how` we know that is logged."""
+        _log.info(
+            "last_record_stands",
+            job_id=job.job_id,
+            state=job.state.value,
+            ended_at=round(job.ended_at, 3),
+            fence=self._term.fence,
+            how=how,
+        )
         self._ended.note(job.job_id, job.ended_at)
         self._board.jobs.pop(job.job_id, None)
         self._jobs.pop(job.job_id, None)
@@ -230,7 +238,7 @@
         if record.over or first:
             job = found.get(make_job_key(job_id))
             if job is None:
-                self._forget(record.job)
+                self._forget(record.job, "keys found gone")
                 return False
             self._jobs[job_id] = job.mod_revision
         if not record.over:
--- a/src/primrosestile/coordination/work/submitting.py
+++ b/src/primrosestile/coordination/work/submitting.py
@@ -159,10 +159,18 @@
         if entry is not None:
             return decode_progress(entry.value).state
         submission = await self.find(job_id)
-        if submission is not None:
-            return JobState.QUEUED if submission.queue == queue.name else None
-        ended = await self._find_ended(job_id)
-        return None if ended is None else ended.state
+        if submission is not None and submission.queue == queue.name:
+            return JobState.QUEUED
+        ended = None if submission else await self._find_ended(job_id)
+        if ended is not None:
+            return ended.state
+        _log.info(
+            "job_not_known",
+            job_id=job_id,
+            queue=queue.name,
+            waits_in=submission.queue if submission else "",
+        )
+        return None
 
     async def cancel(self, job_id: str, queue: Queue, organisation: str) -> bool:
         """Store the wish that a job end; return False when there is none."""
