Show that a VM with another time of day makes an ended job unknown

A job ends under one owner; the VM of the next has a time of day that is five minutes ahead. It removes the job's last record, and the caller is told within two minutes of the end that no such job exists, where its state is promised for two minutes and kept for three.

--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -216,6 +216,19 @@
       | last_record_removed |
       | job_not_known       |
 
+  Scenario: The next owner's VM has another time of day
+    A VM's clock is five minutes ahead, as it may be just after a start. The process on
+    it takes the ownership over and cleans up after its predecessor. A caller who asks
+    for a job that ended two minutes ago is told that no such job exists.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    When job e5 is handed in at p1
+    Then job e5 is shown as completed within 8 s
+    When the scheduling process dies
+    And the time of day of the others is 300 s ahead
+    And 110 s pass
+    Then job e5 is shown as completed within 1 s
+
   Scenario: What an earlier owner has left is removed by the next
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
