Judge the age of what is left of a job by the owner's steady clock

Callers were told that a job which had been accepted and had ended is not known, within the time for which its state is promised.

Whatever makes one of them wrong removes the record early: an owner that does not know the time yet (an end noted as one of 1970), or a VM whose clock is off (the scenario).

Change: each owner counts by its own steady clock how long it has known a record, and removes it after that. The time of the end stays in the record for people. What an earlier owner left is kept for the whole time again, so the scenario about that waits 90 s where it waited 60, and asks 35 s later than before whether the job is still known.

--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -219,7 +219,10 @@
   Scenario: The next owner's VM has another time of day
     A VM's clock is five minutes ahead, as it may be just after a start. The process on
     it takes the ownership over and cleans up after its predecessor. A caller who asks
-    for a job that ended two minutes ago is told that no such job exists.
+    for a job that ended two minutes ago is told that no such job exists. The age of
+    what is left of a job was judged by two times of day: that of the process which
+    wrote the end, and that of the one which cleans up. The log showed it: the record
+    was removed 62 s after its end as one of 362 s.
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
     When job e5 is handed in at p1
@@ -235,9 +238,9 @@
     When job e2 is handed in at p1
     And 10 s pass
     And the scheduling process dies
-    And 140 s pass
+    And 175 s pass
     Then job e2 is shown as completed within 1 s
-    When 60 s pass
+    When 90 s pass
     Then nothing of e2 stands in the store
 
   Scenario Outline: On a drawn day of faults what was accepted ends once
--- a/src/primrosestile/coordination/work/ended.py
+++ b/src/primrosestile/coordination/work/ended.py
@@ -3,6 +3,14 @@
 A caller may ask for the state of a job for some time after its end, and may hand
 the job in again under its id seconds after it has ended. So a small record stays,
 and is removed once neither can be.
+
+How long a record has stood is counted by its owner's own steady clock, from when the
+owner wrote or read it. The time of day in a record is for people: another process wrote
+it, on a VM whose clock may be minutes off, or before it knew the time. A record that
+was judged by that would be removed while its job is still asked for, and the caller
+would be told that there is no such job; one would see `last_record_removed` with
+`kept_for` short of the promise. A new owner therefore keeps what it finds for the whole
+time again.
 """
 
 import asyncio
@@ -10,7 +18,7 @@
 import msgspec
 import structlog
 
-from primrosestile.clock import read_clock, read_wall_clock
+from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.keys import (
     ENDED_PREFIX,
@@ -47,7 +55,8 @@
         self._store = store
         self._term = term
         self._kept = status_kept + KEEP_MARGIN_SECONDS
-        self._ended_at: dict[str, float] = {}
+        # Since when we know of each, on the loop's clock.
+        self._known_since: dict[str, float] = {}
         self._began = read_clock()
         self._left_read = False
 
@@ -57,11 +66,11 @@
         A list that was asked for before the job's keys were removed may come after
         that. Were the job taken from it as new, its tasks would be started again.
         """
-        return job_id in self._ended_at
+        return job_id in self._known_since
 
-    def note(self, job_id: str, ended_at: float) -> None:
+    def note(self, job_id: str) -> None:
         """Take in that a job's last record stands."""
-        self._ended_at[job_id] = ended_at
+        self._known_since.setdefault(job_id, read_clock())
 
     async def clean(self) -> None:
         """Remove the records that nobody can ask for any more."""
@@ -87,18 +96,17 @@
         self._left_read = True
 
     def _take_left(self, entry: Entry) -> None:
+        """Take in a record; one that can't be read is another writer's, and stays."""
         try:
-            record = decode_ended(entry.value)
+            decode_ended(entry.value)
         except msgspec.MsgspecError as error:
             _log.warning("record_unreadable", key=entry.key, reason=str(error))
             return
-        # Without its time it has ended just now, at the latest.
-        ended_at = record.ended_at or read_wall_clock()
-        self._ended_at[entry.key.removeprefix(ENDED_PREFIX)] = ended_at
+        self.note(entry.key.removeprefix(ENDED_PREFIX))
 
     async def _remove_old(self) -> None:
-        before = read_wall_clock() - self._kept
-        old = [each for each, ended_at in self._ended_at.items() if ended_at < before]
+        before = read_clock() - self._kept
+        old = [each for each, since in self._known_since.items() if since < before]
         for begin in range(0, len(old), REMOVALS_PER_CHANGE):
             job_ids = old[begin : begin + REMOVALS_PER_CHANGE]
             keys = [make_ended_key(job_id) for job_id in job_ids]
@@ -111,11 +119,10 @@
 
     def _note_removed(self, job_id: str) -> None:
         """Log that a job is unknown from now on, and what that rests on."""
-        ended_at = self._ended_at.pop(job_id)
+        known_since = self._known_since.pop(job_id)
         _log.info(
             "last_record_removed",
             job_id=job_id,
-            ended_at=round(ended_at, 3),
-            ended_ago=round(read_wall_clock() - ended_at, 3),
+            kept_for=round(read_clock() - known_since, 3),
             fence=self._term.fence,
         )
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -211,7 +211,7 @@
             fence=self._term.fence,
             how=how,
         )
-        self._ended.note(job.job_id, job.ended_at)
+        self._ended.note(job.job_id)
         self._board.jobs.pop(job.job_id, None)
         self._jobs.pop(job.job_id, None)
         self._revisions.pop(job.job_id, None)
