Give no new work to a failure domain that operators are emptying

Change: the wishes are read with the list of workers, where the settings say that the platform has them, so that both are equally recent and no start is planned while they are not; workers there take nothing new, and what runs goes on. One more read each half second by the owner, on such platforms only.

--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -173,7 +173,7 @@
             process.scheduler = Scheduler(
                 store,
                 calls,
-                PlatformWorkerList(store, policies.find_pools),
+                PlatformWorkerList(store, policies.find_pools, cordons=True),
                 policies,
                 term,
                 status_kept=120.0,
@@ -239,10 +239,11 @@
         accelerators: int = 8,
         labels: tuple[str, ...] = (),
         state: str = "ready",
+        failure_domain: str = "leith",
     ) -> None:
         """Write a worker's entry."""
         address = address or make_address(name)
-        shape = PlatformEntry(name, address, rack, accelerators, labels)
+        shape = PlatformEntry(name, address, rack, accelerators, labels, failure_domain)
         self.store.put(f"servers/{name}", shape.encode(state))
 
     async def submit(
@@ -319,13 +320,14 @@
     rack: str
     accelerators: int
     labels: tuple[str, ...]
+    failure_domain: str = "leith"
 
     def encode(self, state: str = "ready") -> bytes:
         """Return the stored value."""
         value = {
             "service": POOL,
             "address": self.address,
-            "zone": "leith",
+            "zone": self.failure_domain,
             "version": "v1",
             "slots": 8,
             "state": state,
--- a/src/primrosestile/coordination/work/roster.py
+++ b/src/primrosestile/coordination/work/roster.py
@@ -47,6 +47,7 @@
         self._read_at = -STALE_SECONDS
         self._failed_at = -ABSENCE_SECONDS
         self._missing_since: dict[str, float] = {}
+        self._cordoned: frozenset[str] = frozenset()
         # Addresses that entries of another writer give to workers, by worker.
         self._foreign: dict[str, str] = {}
 
@@ -80,9 +81,24 @@
         self._board.forget_ended({entry.worker for entry in entries} | found.refused)
         self._unlist_refused(found.refused)
         self._note_missing({entry.worker for entry in own})
+        changed |= self._take_cordons(found.cordoned)
         if changed:
             self._wake()
 
+    def _take_cordons(self, cordoned: frozenset[str]) -> bool:
+        """Give no new work to failure domains that operators are emptying.
+
+        What runs there goes on. Started later than that is in force, work would be on
+        workers that operators are about to take away or to change.
+        """
+        for worker in self._board.workers.values():
+            worker.cordoned = worker.entry.failure_domain in cordoned
+        if cordoned == self._cordoned:
+            return False
+        _log.info("failure_domains_cordoned", domains=sorted(cordoned))
+        self._cordoned = cordoned
+        return True
+
     def _is_own(self, entry: WorkerEntry) -> bool:
         """Whether an entry can be its worker's own word.
 
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -299,6 +299,7 @@
         listed: It stands in the store's list.
         proven: The address of its entry has answered this owner as this very life.
         closed: It is being emptied for its VM's upkeep.
+        cordoned: Operators have its failure domain get no new work.
         distrusted_until: It gets no work before, as work on it went badly.
         leaves_at: When it may be gone, once it has said that it leaves.
         used: What its members take, gone ones left out.
@@ -309,6 +310,7 @@
     listed: bool = True
     proven: bool = False
     closed: bool = False
+    cordoned: bool = False
     distrusted_until: float = 0.0
     leaves_at: float = math.inf
     members: dict[tuple[str, int], Member] = field(default_factory=dict)
@@ -327,6 +329,7 @@
             self.in_hand
             and self.listed
             and not self.closed
+            and not self.cordoned
             and not self.entry.leaving
             and now >= self.distrusted_until
         )
--- a/src/primrosestile/platform/settings.py
+++ b/src/primrosestile/platform/settings.py
@@ -35,6 +35,8 @@
         reclaim: From the acceptance of a guaranteed job until all of its first
             step must have begun.
         start_early: How much before its time an occurrence may begin.
+        cordoned: From an operator's wish that a failure domain get no new work until
+            it gets none; 0 where operators have no such wish.
     """
 
     policy_applies: float
@@ -49,6 +51,7 @@
     duty_turn: float
     reclaim: float
     start_early: float
+    cordoned: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,4 +164,5 @@
         duty_turn=read_ms("lease_ms", 3000),
         reclaim=read_ms("reclaim_ms", 2900),
         start_early=read_ms("early_ms", 250),
+        cordoned=read_ms("evacuate_ms", 0),
     )
--- a/src/primrosestile/platform/workers.py
+++ b/src/primrosestile/platform/workers.py
@@ -29,6 +29,8 @@
 # An order takes a few milliseconds; a worker that carries one out late answers
 # none at all, and the same order can be sent again without harm.
 ORDER_TIMEOUT_SECONDS = 0.45
+# One key for each failure domain that operators have emptied, until it is removed.
+CORDONS_PREFIX = "op/evacuate/"
 # What a look may take over the time that it was asked to wait.
 LOOK_SLACK_SECONDS = 0.6
 
@@ -181,6 +183,7 @@
         store: TransactionalStore,
         find_pools: Callable[[], Collection[str] | None] | None = None,
         refusals: Refusals | None = None,
+        cordons: bool = False,
     ) -> None:
         """Read workers' entries from a store.
 
@@ -189,8 +192,11 @@
             find_pools: Returns the pools that the policy names, as far as known; an
                 entry of another one names no worker.
             refusals: Told what can't be read.
+            cordons: Whether operators of this platform empty failure domains; asked
+                for where they don't, a call in each reading would be paid for nothing.
         """
         self._store = store
+        self._cordons = cordons
         self._find_pools = find_pools
         self._refusals = refusals or Refusals()
 
@@ -207,4 +213,11 @@
                 refused[entry.key] = refusal
         self._refusals.settle(Source.WORKER_ENTRY, "", refused)
         names = frozenset(key.removeprefix(WORKERS_PREFIX) for key in refused)
-        return WorkersFound(tuple(found), names)
+        return WorkersFound(tuple(found), names, await self._list_cordoned())
+
+    async def _list_cordoned(self) -> frozenset[str]:
+        """Return the failure domains that are to get no new work."""
+        if not self._cordons:
+            return frozenset()
+        entries, _ = await list_entries(self._store, CORDONS_PREFIX, whole=False)
+        return frozenset(entry.key.removeprefix(CORDONS_PREFIX) for entry in entries)
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -143,7 +143,12 @@
         scheduler = Scheduler(
             self._store,
             PlatformWorkers(self._connections, self._refusals),
-            PlatformWorkerList(self._store, self._policies.find_pools, self._refusals),
+            PlatformWorkerList(
+                self._store,
+                self._policies.find_pools,
+                self._refusals,
+                cordons=self.settings.bounds.cordoned > 0,
+            ),
             self._policies,
             term,
             self.settings.bounds.status_kept,
--- a/src/primrosestile/protocol/fleet.py
+++ b/src/primrosestile/protocol/fleet.py
@@ -140,10 +140,12 @@
     Attributes:
         refused: Names under which something stands that can't be read; they name no
             worker to use.
+        cordoned: Failure domains whose workers operators have get no new work.
     """
 
     entries: tuple[WorkerEntry, ...]
     refused: frozenset[str] = frozenset()
+    cordoned: frozenset[str] = frozenset()
 
 
 class WorkerList(Protocol):
