Follow the VM's time of day once it has settled elsewhere

Cause: a process took the offset to its VM's time of day once, at import, and never again. One that began before the VM knew the time kept that error for as long as it lived: scheduled jobs would start by as much too early or too late, and the times of its records would mislead whoever reads them. Found by reading, as one of the class of the unknown job; no run of real processes has shown it.

Ruled out: to believe each reading; a clock that jumps and is put back within a minute would then start jobs early, which it does not today.

The step that sets the time of day in features/work/reading reaches the same offset at its new place.

--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -217,9 +217,9 @@
 
 @when("the time of day of the others is {seconds:g} s ahead")
 def step_time_ahead(context: Any, seconds: float) -> None:
-    before = clock._WALL_OFFSET
-    context.cleanups.append(lambda: setattr(clock, "_WALL_OFFSET", before))
-    clock._WALL_OFFSET = before + seconds
+    before = clock._time_of_day.offset
+    context.cleanups.append(lambda: setattr(clock._time_of_day, "offset", before))
+    clock._time_of_day.offset = before + seconds
 
 
 @given("what the processes log is kept")
--- a/src/primrosestile/programs/common.py
+++ b/src/primrosestile/programs/common.py
@@ -23,6 +23,7 @@
 
 from primrosestile.errors import Failure
 from primrosestile.programs.metrics import Metrics
+from primrosestile.programs.timekeeping import keep_time
 from primrosestile.state.process import ProcessSettings
 from primrosestile.transport.wire import encode_json
 
@@ -164,7 +165,7 @@
         BaseExceptionGroup: What ended a service that should have gone on.
     """
     async with asyncio.TaskGroup() as group:
-        tasks = [group.create_task(_keep(each)) for each in services]
+        tasks = [group.create_task(_keep(each)) for each in [*services, keep_time()]]
         await wait_for_end_signal()
         _log.info("draining")
         await drain()
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -28,6 +28,7 @@
 from primrosestile.programs.logs import set_up_logs
 from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.nodecalls import CallerCalls
+from primrosestile.programs.timekeeping import keep_time
 from primrosestile.transport.connections import Connections
 
 EXIT_BAD_SETTINGS = 2
@@ -124,6 +125,7 @@
             running = [
                 tasks.create_task(self._policies.run()),
                 tasks.create_task(self._stand_for_election()),
+                tasks.create_task(keep_time()),
             ]
             await told.wait()
             await self._end(callers, ready)
