Show that an entry refuses everything until it sees its own record

A second order of events that ends in 'it would start in 5.0 s', found while the first was traced: an entry becomes ready by its settings and the placers' answers, not by its own record; when the list of processes shows others and not yet itself, its safe share is nothing at all.

--- a/features/coordination/joining.feature
+++ b/features/coordination/joining.feature
@@ -18,3 +18,11 @@
     And 40 callers ask each of them one after another
     When a third entry joins, and 40 callers ask it one after another for 8 seconds
     Then no request of any entry is refused or fails
+
+  Scenario: An entry is ready before its own registration has come to it
+    Beside load, the store is slow to show a new entry its own record, and the
+    others stand in the list already. An entry that left itself out of the sharing
+    would have no slot, and refuse everything until its record comes.
+    Given the list of processes shows 2 entries and not the one that is asked
+    When 6 callers ask it one after another for 2 seconds
+    Then none of its requests is refused or fails
--- a/features/steps/joining_steps.py
+++ b/features/steps/joining_steps.py
@@ -46,6 +46,7 @@
 DEADLINE_SECONDS = 5.8
 LEASE_SECONDS = 6.0
 ANSWER_SECONDS = 0.005
+STAND_SECONDS = 1.0
 
 
 class WellWorkers:
@@ -287,6 +288,26 @@
     run_fleet(context, join)
 
 
+@given("the list of processes shows {count:d} entries and not the one that is asked")
+def plan_unlisted(context: Any, count: int) -> None:
+    context.old = [f"entry-{number}" for number in range(1, count + 1)]
+
+
+@when("{callers:d} callers ask it one after another for {seconds:d} seconds")
+def ask_unlisted(context: Any, callers: int, seconds: int) -> None:
+    context.asked = "entry-3"
+
+    async def ask(fleet: Fleet) -> None:
+        for name in context.old:
+            await fleet.register(name, "entry")
+        await fleet.start_entry(context.asked)
+        await asyncio.sleep(STAND_SECONDS)
+        fleet.start_callers(context.asked, callers)
+        await asyncio.sleep(seconds)
+
+    run_fleet(context, ask)
+
+
 @then("none of its requests is refused or fails")
 def check_asked(context: Any) -> None:
     fleet: Fleet = context.fleet
