Count an entry among those that share before its own record comes

The safe share is worked out over the listed entries, and an entry that was not among them gave itself no slot. Change: as soon as any entry is listed, this one counts too. Until its record comes to the others, the sum may exceed the slots by its own safe share, as with any entry that joins; the worker refuses the rest as not run.

--- a/src/primrosestile/decisions/allowances.py
+++ b/src/primrosestile/decisions/allowances.py
@@ -60,8 +60,13 @@
         return changed | gone
 
     def set_entries(self, names: Sequence[str]) -> None:
-        """Take in the live entries."""
-        entries = tuple(sorted(set(names)))
+        """Take in the live entries; this one counts, whether listed yet or not.
+
+        A store that is slow shows a new entry the others first. Without itself it
+        would have no share, and refuse every request until its record comes.
+        """
+        listed = set(names)
+        entries = tuple(sorted(listed | {self._self_name})) if listed else ()
         if entries != self._entries:
             self._entries = entries
             self._work_out(self._slots)
