--- a/src/primrosestile/programs/entryapp.py
+++ b/src/primrosestile/programs/entryapp.py
@@ -20,14 +20,14 @@
 from primrosestile.programs.entryrequests import (
     BODY_LIMIT_BYTES,
     Caller,
+    JobBody,
     RequestBody,
     check_deadline,
     check_job,
     check_request_id,
+    decode_body,
     find_caller,
     make_spec,
-    read_job,
-    read_request,
 )
 from primrosestile.programs.metrics import Metrics
 from primrosestile.protocol.workers import RequestOrder
@@ -132,7 +132,7 @@
         """Answer one short request."""
         rights = self._check_rights(request)
         attempt = _read_attempt(request)
-        body = read_request(await _read_body(request))
+        body = decode_body(await _read_body(request), RequestBody)
         settings = self._parts.read_settings()
         caller = find_caller(settings, rights, body.team, body.job_class, Kind.REQUEST)
         request_id = _read_request_id(request)
@@ -162,7 +162,7 @@
         """Accept one gang job; it is durable before the answer."""
         rights = self._check_rights(request)
         data = await _read_body(request)
-        body = read_job(data)
+        body = decode_body(data, JobBody)
         settings = self._parts.read_settings()
         caller = find_caller(settings, rights, body.team, body.job_class, Kind.GANG)
         request_id = _read_request_id(request)
--- a/src/primrosestile/programs/entryrequests.py
+++ b/src/primrosestile/programs/entryrequests.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -24,6 +25,8 @@
 DEADLINE_LIMIT_SECONDS = 600.0
 DECLARED_LIMIT_SECONDS = 30 * 86400.0
 
+T = TypeVar("T")
+
 
 class RequestBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A short request as a caller sends it."""
@@ -59,26 +62,14 @@
     job_class: JobClass
 
 
-def read_request(data: bytes) -> RequestBody:
-    """Return the request in a body.
-
-    Raises:
-        Failure: MALFORMED, with the place of the fault.
-    """
-    try:
-        return msgspec.json.decode(data, type=RequestBody)
-    except msgspec.MsgspecError as error:
-        raise Failure(ErrorKind.MALFORMED, str(error)) from error
-
-
-def read_job(data: bytes) -> JobBody:
-    """Return the job in a body.
+def decode_body(data: bytes, form: type[T]) -> T:
+    """Return the request or the job in a body.
 
     Raises:
         Failure: MALFORMED, with the place of the fault.
     """
     try:
-        return msgspec.json.decode(data, type=JobBody)
+        return msgspec.json.decode(data, type=form)
     except msgspec.MsgspecError as error:
         raise Failure(ErrorKind.MALFORMED, str(error)) from error
 
