Make one call, and print what it came to, in one place each for all commands

Eight commands wrote out the same single call, and six the same choice between JSON and lines. Left alone: fields of data classes and decorators of commands that look alike and mean different things; what changes settings differs in each command. No change of behaviour; tests unchanged.

--- a/src/primrosestile/programs/cliclient.py
+++ b/src/primrosestile/programs/cliclient.py
@@ -127,3 +127,10 @@
             await client.close()
 
     return asyncio.run(run())
+
+
+def call_once(
+    address: str, token_file: Path | None, path: str, method: str = "GET"
+) -> Any:
+    """Run a command that is one call without a body; return its answer."""
+    return run_client(address, token_file, lambda client: client.call(method, path))
--- a/src/primrosestile/programs/clijobs.py
+++ b/src/primrosestile/programs/clijobs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Iterator
 from typing import Annotated, Any
 
 import msgspec
@@ -9,7 +10,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.programs.cliclient import Client, run_client
+from primrosestile.programs.cliclient import Client, call_once, run_client
 from primrosestile.programs.clioptions import (
     ENTRY_DEFAULT,
     STEWARD_DEFAULT,
@@ -22,9 +23,8 @@
 from primrosestile.programs.clioutput import (
     Exit,
     Progress,
-    print_lines,
     print_note,
-    print_value,
+    print_result,
     run_command,
 )
 from primrosestile.programs.reasons import describe_reason
@@ -87,7 +87,7 @@
         if not request_id:
             print_note(f"request id {own_id}")
         found = run_client(entry, token_file, send)
-        _print_job(found, as_json)
+        print_result(found, as_json, _describe_job)
         if found.get("state") in ENDED_BADLY:
             raise typer.Exit(Exit.ENDED_BADLY)
 
@@ -104,9 +104,8 @@
     """Show where a job stands."""
 
     def work() -> None:
-        url = f"/v1/jobs/{job_id}"
-        found = run_client(entry, token_file, lambda client: client.call("GET", url))
-        _print_job(found, as_json)
+        found = call_once(entry, token_file, f"/v1/jobs/{job_id}")
+        print_result(found, as_json, _describe_job)
 
     run_command(work, as_json)
 
@@ -120,15 +119,13 @@
 ) -> None:
     """Ask for a job to be cancelled."""
 
+    def describe(found: dict[str, Any]) -> Iterator[str]:
+        ended = found["state"] in ENDED
+        yield f"{job_id} is {found['state'] if ended else 'to be cancelled'}"
+
     def work() -> None:
-        url = f"/v1/jobs/{job_id}"
-        found = run_client(entry, token_file, lambda client: client.call("DELETE", url))
-        if as_json:
-            print_value(found)
-        elif found["state"] in ENDED:
-            print_lines([f"{job_id} is {found['state']}"])
-        else:
-            print_lines([f"{job_id} is to be cancelled"])
+        found = call_once(entry, token_file, f"/v1/jobs/{job_id}", "DELETE")
+        print_result(found, as_json, describe)
 
     run_command(work, as_json)
 
@@ -142,26 +139,23 @@
 ) -> None:
     """Show each decision about a job, and why it was taken."""
 
+    def describe(found: dict[str, Any]) -> Iterator[str]:
+        yield f"{job_id}: {found['state']}. {found['summary']}"
+        yield from (f"  {reason['sentence']}" for reason in found["reasons"])
+
     def work() -> None:
-        url = f"/v1/jobs/{job_id}/explain"
-        found = run_client(steward, token_file, lambda client: client.call("GET", url))
-        if as_json:
-            print_value(found)
-            return
-        print_lines([f"{job_id}: {found['state']}. {found['summary']}"])
-        print_lines(f"  {reason['sentence']}" for reason in found["reasons"])
+        found = call_once(steward, token_file, f"/v1/jobs/{job_id}/explain")
+        print_result(found, as_json, describe)
 
     run_command(work, as_json)
 
 
-def _print_job(found: dict[str, Any], as_json: bool) -> None:
-    if as_json:
-        print_value(found)
-    elif "spec" in found:
-        print_lines([f"{found['spec']['job_id']} {found['state']}"])
-        print_lines(f"  {describe_reason(each)}" for each in _read_history(found))
-    else:
-        print_lines([found["job_id"]])
+def _describe_job(found: dict[str, Any]) -> Iterator[str]:
+    if "spec" not in found:
+        yield found["job_id"]
+        return
+    yield f"{found['spec']['job_id']} {found['state']}"
+    yield from (f"  {describe_reason(each)}" for each in _read_history(found))
 
 
 def _read_history(found: dict[str, Any]) -> tuple[Reason, ...]:
--- a/src/primrosestile/programs/clioutput.py
+++ b/src/primrosestile/programs/clioutput.py
@@ -122,6 +122,16 @@
     typer.echo(json.dumps(plain, indent=1, ensure_ascii=False))
 
 
+def print_result(
+    found: Any, as_json: bool, describe: Callable[[Any], Iterable[str]]
+) -> None:
+    """Print what a command came to, for programs or for people."""
+    if as_json:
+        print_value(found)
+    else:
+        print_lines(describe(found))
+
+
 def print_lines(lines: Iterable[str]) -> None:
     """Print lines for people."""
     for line in lines:
--- a/src/primrosestile/programs/clisettings.py
+++ b/src/primrosestile/programs/clisettings.py
@@ -9,7 +9,7 @@
 
 from primrosestile.decisions.settingscheck import check_document
 from primrosestile.decisions.settingsparts import split_document
-from primrosestile.programs.cliclient import Client, read_file, run_client
+from primrosestile.programs.cliclient import Client, call_once, read_file, run_client
 from primrosestile.programs.clidocuments import (
     compare_values,
     read_json,
@@ -29,6 +29,7 @@
     print_faults,
     print_lines,
     print_note,
+    print_result,
     print_value,
     run_command,
 )
@@ -82,7 +83,7 @@
 
     def work() -> None:
         url = f"/v1/settings/{path}" if path else "/v1/settings"
-        shown = run_client(steward, token_file, lambda client: client.call("GET", url))
+        shown = call_once(steward, token_file, url)
         if as_json:
             print_value(shown)
         elif path:
@@ -112,9 +113,7 @@
 
     def work() -> None:
         document = require_valid(file, as_json)
-        listed = run_client(
-            steward, token_file, lambda client: client.call("GET", "/v1/settings")
-        )
+        listed = call_once(steward, token_file, "/v1/settings")
         stands = {each["path"]: each["value"] for each in listed["settings"]}
         wanted = dict(split_document(document))
         changed = {
@@ -146,7 +145,7 @@
     def work() -> None:
         url = f"/v1/history/{path}?limit={limit}"
         url += f"&before={before}" if before is not None else ""
-        page = run_client(steward, token_file, lambda client: client.call("GET", url))
+        page = call_once(steward, token_file, url)
         if as_json:
             print_value(page)
             return
@@ -187,10 +186,7 @@
 
     def work() -> None:
         found = run_client(steward, token_file, read)
-        if as_json:
-            print_value(found)
-        else:
-            print_lines(_describe_status(found))
+        print_result(found, as_json, _describe_status)
         if not found["in_force_everywhere"]:
             raise typer.Exit(Exit.NOT_IN_FORCE)
 
--- a/src/primrosestile/programs/cliviews.py
+++ b/src/primrosestile/programs/cliviews.py
@@ -1,15 +1,16 @@
 """Commands that show the fleet and the guarantees."""
 
+from collections.abc import Iterator
 from typing import Any
 
-from primrosestile.programs.cliclient import run_client
+from primrosestile.programs.cliclient import call_once
 from primrosestile.programs.clioptions import (
     STEWARD_DEFAULT,
     AsJson,
     Steward,
     TokenFile,
 )
-from primrosestile.programs.clioutput import print_lines, print_value, run_command
+from primrosestile.programs.clioutput import print_result, run_command
 
 
 def fleet(
@@ -20,21 +21,18 @@
     """Show each cell: free accelerators, waiting jobs, workers out of use."""
 
     def work() -> None:
-        found = run_client(
-            steward, token_file, lambda client: client.call("GET", "/v1/fleet")
-        )
-        if as_json:
-            print_value(found)
-            return
-        print_lines(
-            [f"{found['workers']} workers, {found['accelerators']} accelerators"]
-        )
-        print_lines(_describe_cell(cell) for cell in found["cells"])
-        print_lines(f"{name} has no owner" for name in found["without_owner"])
+        found = call_once(steward, token_file, "/v1/fleet")
+        print_result(found, as_json, _describe_fleet)
 
     run_command(work, as_json)
 
 
+def _describe_fleet(found: dict[str, Any]) -> Iterator[str]:
+    yield f"{found['workers']} workers, {found['accelerators']} accelerators"
+    yield from (_describe_cell(cell) for cell in found["cells"])
+    yield from (f"{name} has no owner" for name in found["without_owner"])
+
+
 def _describe_cell(cell: dict[str, Any]) -> str:
     free = sum(cell["free"].values())
     parts = [
@@ -66,18 +64,17 @@
     """Show each organisation's guarantees, and whether all can be held."""
 
     def work() -> None:
-        found = run_client(
-            steward, token_file, lambda client: client.call("GET", "/v1/guarantees")
-        )
-        if as_json:
-            print_value(found)
-            return
-        print_lines(_describe_guarantee(each) for each in found["guarantees"])
-        print_lines(f"can't be held: {reason}" for reason in found["infeasible"])
+        found = call_once(steward, token_file, "/v1/guarantees")
+        print_result(found, as_json, _describe_guarantees)
 
     run_command(work, as_json)
 
 
+def _describe_guarantees(found: dict[str, Any]) -> Iterator[str]:
+    yield from (_describe_guarantee(each) for each in found["guarantees"])
+    yield from (f"can't be held: {reason}" for reason in found["infeasible"])
+
+
 def _describe_guarantee(each: dict[str, Any]) -> str:
     shape = each["shape"]
     return (
