Show that a queue's new name makes a waiting job unknown

Operators remove a queue and add it again under another name with the same path. A job that waits in it is answered 410 (the log line job_not_known has waits_in=usual, queue=common), though it stands in the store and is started later. A second scenario, which passes, holds what the comparison is for: a job is not shown in another queue that stands beside its own.

--- a/features/steps/work_submitting_steps.py
+++ b/features/steps/work_submitting_steps.py
@@ -12,8 +12,8 @@
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY
-from primrosestile.state.policy import Policy
-from primrosestile.state.work import Submission
+from primrosestile.state.policy import Policy, Queue
+from primrosestile.state.work import JobState, Submission
 
 ONE_TASK = [{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1}]
 KEYS = {"domes": "key-domes", "post": "key-post"}
@@ -225,3 +225,62 @@
         return int(found)
 
     assert context.world.run(look()) == count
+
+
+@when("the queue {name} gets the name {other}")
+def step_rename(context: Any, name: str, other: str) -> None:
+    """Let operators name a queue otherwise; its host and prefix stay."""
+
+    async def rename() -> None:
+        config = json.loads(make_policy(2))
+        for route in config["routes"]:
+            if route["name"] == name:
+                route["name"] = other
+        context.world.store.put(POLICY_KEY, json.dumps(config).encode())
+        await asyncio.sleep(1.0)
+
+    context.world.run(rename())
+
+
+def find_queue(context: Any, name: str) -> Queue:
+    """Return a queue as p1 knows it."""
+    queue = context.world.processes["p1"].policies.require().find_named(name)
+    assert queue is not None, f"no queue {name}"
+    return queue
+
+
+def read_shown(context: Any, name: str, queue: str) -> JobState | None:
+    """Return what p1 shows of a job at a queue's path."""
+
+    async def read() -> JobState | None:
+        submitting = context.world.processes["p1"].submitting
+        found: JobState | None = await submitting.read_state(
+            make_id(name), find_queue(context, queue)
+        )
+        return found
+
+    shown: JobState | None = context.world.run(read())
+    return shown
+
+
+@then("at the path of {queue} job {name} is shown as {state}")
+def step_shown_at(context: Any, queue: str, name: str, state: str) -> None:
+    shown = read_shown(context, name, queue)
+    assert shown is JobState(state), shown
+
+
+@then("at the path of {queue} job {name} is not known")
+def step_unknown_at(context: Any, queue: str, name: str) -> None:
+    shown = read_shown(context, name, queue)
+    assert shown is None, shown
+
+
+@when("job {name} is cancelled at the path of {queue}")
+def step_cancel_at(context: Any, name: str, queue: str) -> None:
+    async def cancel() -> None:
+        submitting = context.world.processes["p1"].submitting
+        found = find_queue(context, queue)
+        assert await submitting.cancel(make_id(name), found, "domes")
+        await asyncio.sleep(1.0)
+
+    context.world.run(cancel())
--- a/features/work/submitting.feature
+++ b/features/work/submitting.feature
@@ -77,3 +77,33 @@
       | 1     | 8            |
     And 1 s pass
     Then p1 counts 1 waiting job
+
+  Scenario: A queue gets another name while a job waits in it
+    Operators remove a queue and add it again under another name; callers go on using
+    the same path. Compared by the names, the job that waits is in no queue any more:
+    its caller is told that there is no such job, a call that is repeated since it was
+    never answered is told that another job has the id, and one who cancels the job is
+    told that there is none, while it starts all the same.
+    Given the tasks of h3 take 30 s
+    When job h3 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And h3 runs on the fleet
+    And job r1 is handed in at p1
+    And the queue usual gets the name common
+    Then at the path of common job r1 is shown as queued
+    When job r1 is handed in at p1
+    Then the caller is told that it was accepted
+    When job r1 is cancelled at the path of common
+    Then at the path of common job r1 is shown as cancelled
+    And 0 tasks of r1 were started in 40 s
+
+  Scenario: A job is not shown in another queue that stands beside its own
+    Given the tasks of h4 take 30 s
+    When job h4 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And h4 runs on the fleet
+    And job r2 is handed in at p1
+    Then at the path of urgent job r2 is not known
+    And at the path of usual job r2 is shown as queued
