Find a job under its id when its queue has another name by now

Callers saw a 410 for a job that waits and is started later, a conflict for a repeated call, and a 410 for a cancellation that was then not heard.

Cause: a queue is known by its name, and callers know its path. When operators remove a queue and add it again under another name, the path leads to the new name, which is compared with the one in the job. Jobs with progress, or that have ended, were never compared, so only those that wait, and all cancellations and repeated calls, were hit.

Ruled out: dropping the comparison, since a job would then be shown, and could be cancelled, in any queue that stands beside its own; keeping the path in the job, since the jobs that are open have none.

Change: a job whose queue no policy names is found in any, under its organisation. A cancellation at another queue needs the organisation's key also where that queue is public. Not covered: a name that goes from one queue to another that stays, and the count of waiting jobs, which goes by names.

--- a/features/steps/work_submitting_steps.py
+++ b/features/steps/work_submitting_steps.py
@@ -284,3 +284,17 @@
         await asyncio.sleep(1.0)
 
     context.world.run(cancel())
+
+
+@then("job {name} can't be cancelled without a key at the path of {queue}")
+def step_no_cancel(context: Any, name: str, queue: str) -> None:
+    async def cancel() -> None:
+        submitting = context.world.processes["p1"].submitting
+        try:
+            await submitting.cancel(make_id(name), find_queue(context, queue), "")
+        except Failure as failure:
+            assert failure.kind is ErrorKind.FORBIDDEN, failure
+        else:
+            raise AssertionError("it was cancelled")
+
+    context.world.run(cancel())
--- a/src/primrosestile/coordination/work/submitting.py
+++ b/src/primrosestile/coordination/work/submitting.py
@@ -106,9 +106,12 @@
                 return submission
             found = self._take_found(outcome)
             if key in found:
-                return _check_same(decode_submission(found[key].value), submission)
+                stored = decode_submission(found[key].value)
+                self._check_same(stored, submission)
+                return stored
             if ended_key in found:
-                return _check_ended(decode_ended(found[ended_key].value), submission)
+                self._check_same(decode_ended(found[ended_key].value), submission)
+                return submission
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy keeps changing")
 
     def _take_found(self, outcome: Committed) -> dict[str, Entry]:
@@ -129,9 +132,11 @@
                 _log.warning("read_back_failed", job_id=job_id, reason=str(failure))
                 continue
             if stored is not None:
-                return _check_same(stored, submission)
+                self._check_same(stored, submission)
+                return stored
             if ended is not None:
-                return _check_ended(ended, submission)
+                self._check_same(ended, submission)
+                return submission
         raise Failure(ErrorKind.STORE_ANSWER_LOST, "the store did not answer the write")
 
     async def find(self, job_id: str) -> Submission | None:
@@ -159,7 +164,7 @@
         if entry is not None:
             return decode_progress(entry.value).state
         submission = await self.find(job_id)
-        if submission is not None and submission.queue == queue.name:
+        if submission is not None and self._is_in(submission, queue.name):
             return JobState.QUEUED
         ended = None if submission else await self._find_ended(job_id)
         if ended is not None:
@@ -179,9 +184,11 @@
         if entry is None:
             return False
         submission = decode_submission(entry.value)
-        if submission.queue != queue.name:
+        if not self._is_in(submission, queue.name):
             return False
-        if organisation and submission.organisation != organisation:
+        # At the path of another queue, which may be public, no key is no leave.
+        judged = organisation or submission.queue != queue.name
+        if judged and submission.organisation != organisation:
             raise Failure(ErrorKind.FORBIDDEN, "the job is another organisation's")
         write = Write(
             make_cancel_key(job_id), encode_record(Cancellation(read_wall_clock()))
@@ -196,19 +203,24 @@
         """Return how many jobs of a queue have no task started."""
         return await self._pending.count(queue.name)
 
+    def _is_in(self, job: Submission | EndedRecord, queue: str) -> bool:
+        """Whether a job may be asked for in a queue.
 
-def _check_same(stored: Submission, sent: Submission) -> Submission:
-    """Return the stored job if it is the one that was sent.
-
-    An id that two callers chose would otherwise give one of them the other's job.
-    """
-    if (stored.queue, stored.organisation) != (sent.queue, sent.organisation):
-        raise Failure(ErrorKind.CONFLICT, "another job has this id")
-    return stored
+        Operators remove a queue and add it again under another name, while callers go
+        on using its path. Compared by name alone, a job that waits would be unknown to
+        its caller; `job_not_known` would name in `waits_in` a queue that no policy has.
+        So a job whose queue is gone is found in any: its id tells it from others.
+        """
+        if job.queue == queue:
+            return True
+        policy = self._policies.policy
+        return policy is not None and policy.find_named(job.queue) is None
 
+    def _check_same(self, stored: Submission | EndedRecord, sent: Submission) -> None:
+        """Refuse a job that another one stands for.
 
-def _check_ended(ended: EndedRecord, sent: Submission) -> Submission:
-    """Return the job that was sent if it is the one that has ended."""
-    if (ended.queue, ended.organisation) != (sent.queue, sent.organisation):
-        raise Failure(ErrorKind.CONFLICT, "another job has this id")
-    return sent
+        An id that two callers chose would otherwise give one of them the other's job.
+        """
+        same_queue = self._is_in(stored, sent.queue)
+        if not same_queue or stored.organisation != sent.organisation:
+            raise Failure(ErrorKind.CONFLICT, "another job has this id")
