Show that a new owner gives a wave its whole time again

A wave is noted in the store with its first order only. Where an owner waits for work that can't be saved and is lost before that, the next one has no time of the wave but its own: at 25 s of a wave that is to be done within 25 s, nothing has been ordered. No clock is off.

--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -209,3 +209,21 @@
     When 15 s pass
     Then wave 8 is said to be completed, and was
     And vm-w2 has had its upkeep in wave 8
+
+  Scenario: The owner changes before a wave's first order
+    Work that can't be saved is waited for as long as the deadline allows. The owner is
+    lost meanwhile, and the next one counts the deadline from when it has seen the wave
+    itself: it waits on past the deadline, and operators see a wave that is late.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the tasks of u4 take 60 s
+    When job u4 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And u4 runs on the fleet
+    And operators ask for the upkeep of vm-w1 within 25 s
+    And 9 s pass
+    And the scheduling process dies
+    And 16 s pass
+    Then wave 8 is said to be completed, and was
