Write a wave down before anything is waited for

Operators saw a wave that was late by as long as the owner before had waited.

Cause: the record of a wave, with the time at which it was first seen, was written with the first order. Until then it was in the owner's memory only, so the next owner counted the deadline from its own first sight.

Ruled out: that the next owner read the record wrongly, as there was none; a clock, as none is off in the scenario.

Change: a wave that has no record counts as unsettled, so its record is written before the first look at what may begin. A write that finds another owner's record reads that, as after any lost answer.

--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -93,7 +93,8 @@
         self._began = read_clock()
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         self._unreadable: dict[int, int] = {}
-        # Waves of which a write went unanswered: the store may hold another record.
+        # Waves of which the latest write, or any, was not answered yet: the store may
+        # hold another record, or none.
         self._unsettled: set[int] = set()
         self._completed: dict[int, Wave] = {}
         # Both by wave and VM, since one wave's upkeep says nothing of another's: the
@@ -174,6 +175,10 @@
             self._records[wave.number] = (record, entry.mod_revision)
             return
         self._records[wave.number] = (WaveRecord(read_wall_clock()), 0)
+        # It is written before anything is waited for. Else an owner that is lost before
+        # its first order leaves no time of the wave, and the next one waits for work
+        # past the deadline: one would see `wave_taken` twice.
+        self._unsettled.add(wave.number)
         await self._calls.report(wave.number, False, self._term.fence)
         _log.info("wave_taken", wave=wave.number, vms=len(wave.vms), most=wave.most)
 
