Show that a VM's time of day moves the deadline of a wave

With the next owner's VM five minutes behind the wave is not done at 25 s of 25 s; with it five minutes ahead a task of 20 s is stopped and started again, with a deadline of 35 s.

--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -227,3 +227,41 @@
     And the scheduling process dies
     And 16 s pass
     Then wave 8 is said to be completed, and was
+
+  Scenario: The next owner's time of day is behind during a wave
+    The owner is lost while it waits for work that can't be saved. The VM of the next
+    one has a time of day five minutes behind, so the wave seems to have all its time
+    left: operators see a wave that is never done in time.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the tasks of u5 take 60 s
+    When job u5 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And u5 runs on the fleet
+    And operators ask for the upkeep of vm-w1 within 25 s
+    And 9 s pass
+    And the scheduling process dies
+    And the time of day of the others is -300 s ahead
+    And 16 s pass
+    Then wave 8 is said to be completed, and was
+
+  Scenario: The next owner's time of day is ahead during a wave
+    The VM of the next owner has a time of day five minutes ahead, so the deadline of
+    the wave seems to be past. Work that would have ended in time is thrown away.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And the tasks of u6 take 20 s
+    When job u6 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And u6 runs on the fleet
+    And operators ask for the upkeep of vm-w1 within 35 s
+    And 6 s pass
+    And the scheduling process dies
+    And the time of day of the others is 300 s ahead
+    And 29 s pass
+    Then every task of u6 was started once
+    And wave 8 is said to be completed, and was
