Count a wave's deadline by owners' steady clocks

Cause: the time left was first_seen + deadline - now, where one owner wrote first_seen by its time of day and the next has another one.

Ruled out: bounding the difference from below by the owner's own time, which mends a VM that is behind and not one that is ahead.

Change: the record holds for how long owners have known the wave. Each owner counts on by its steady clock, from what it finds and the lease that has run out since, and notes it every 2 s of an open wave besides each order. The time of day stays for people. A record of the version before has no such time, so a wave that is open during the change of versions is given its time once more.

Half a write a second while a wave is open.

--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -231,7 +231,9 @@
   Scenario: The next owner's time of day is behind during a wave
     The owner is lost while it waits for work that can't be saved. The VM of the next
     one has a time of day five minutes behind, so the wave seems to have all its time
-    left: operators see a wave that is never done in time.
+    left: operators see a wave that is never done in time. The time left was the
+    difference of two times of day, the first of them the former owner's; the log had
+    `upkeep_ordered` missing long after `wave_taken`.
     Given a fleet of 2 workers with 8 accelerators in 1 racks
     And a VM under each worker
     And 2 processes of ours
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -9,6 +9,10 @@
 speaks of one order. Where an earlier one went unanswered, or was an earlier owner's,
 the VM stays recorded as ordered, and so counts as away, until an order is answered
 with its beginning; what runs there by then may be a life that came after the upkeep.
+
+A wave's deadline is counted by owners' steady clocks, one after another; each notes in
+the record how much has passed. Two owners' times of day may be minutes apart: work
+would be thrown away as if the deadline were past, or be waited for long after it.
 """
 
 import asyncio
@@ -19,7 +23,7 @@
 import structlog
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import Term
+from primrosestile.coordination.work.election import LEASE_SECONDS, Term
 from primrosestile.coordination.work.keys import OWNER_KEY, make_wave_key
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Proof
@@ -38,6 +42,10 @@
 # until our term began.
 TURN_SECONDS = 3.3
 
+# How often the record is written while nothing happens but time; the next owner counts
+# on from there, and the spare part of the deadline covers what it misses.
+NOTE_SECONDS = 2.0
+
 # An upkeep takes 2 s and the worker 1.5 s more; a list may be a second old.
 RETURN_SECONDS = 5.0
 LIST_AGE_SECONDS = 1.0
@@ -96,6 +104,8 @@
         # Waves of which the latest write, or any, was not answered yet: the store may
         # hold another record, or none.
         self._unsettled: set[int] = set()
+        # Since when waves are known, on the loop's clock, former owners' time included.
+        self._known_since: dict[int, float] = {}
         self._completed: dict[int, Wave] = {}
         # Both by wave and VM, since one wave's upkeep says nothing of another's: the
         # orders that were answered with a beginning, and where each order so far was
@@ -173,7 +183,11 @@
         if entry is not None:
             record = _decode_record(entry)
             self._records[wave.number] = (record, entry.mod_revision)
+            # The former owner's lease has run out since it wrote.
+            before = record.waited + LEASE_SECONDS
+            self._known_since.setdefault(wave.number, read_clock() - before)
             return
+        self._known_since.setdefault(wave.number, read_clock())
         self._records[wave.number] = (WaveRecord(read_wall_clock()), 0)
         # It is written before anything is waited for. Else an owner that is lost before
         # its first order leaves no time of the wave, and the next one waits for work
@@ -182,6 +196,10 @@
         await self._calls.report(wave.number, False, self._term.fence)
         _log.info("wave_taken", wave=wave.number, vms=len(wave.vms), most=wave.most)
 
+    def _find_waited(self, wave: Wave) -> float:
+        """Return for how long owners have known a wave, in seconds."""
+        return read_clock() - self._known_since[wave.number]
+
     def _note_unreadable(self, wave: Wave, revision: int) -> None:
         """Leave a wave alone whose record can't be read.
 
@@ -224,7 +242,7 @@
             vms,
             record.begun,
             sum(not self._is_gone(name) for name in away),
-            record.first_seen + wave.deadline_seconds - read_wall_clock(),
+            wave.deadline_seconds - self._find_waited(wave),
             read_clock(),
         )
         for unit in plan.save:
@@ -337,15 +355,17 @@
         counts as ended. Once a write is answered, whichever way, the earlier one has
         landed or its condition never holds again.
         """
-        if wave.number in self._unsettled:
-            record, _ = self._records[wave.number]
+        record, _ = self._records[wave.number]
+        unnoted = self._find_waited(wave) - record.waited
+        if wave.number in self._unsettled or unnoted > NOTE_SECONDS:
             await self._write(wave, record.begun, record.over)
 
     async def _write(
         self, wave: Wave, begun: tuple[str, ...], over: tuple[str, ...]
     ) -> bool:
         record, revision = self._records[wave.number]
-        changed = WaveRecord(record.first_seen, begun, over)
+        waited = self._find_waited(wave)
+        changed = WaveRecord(record.first_seen, begun, over, waited)
         key = make_wave_key(wave.number)
         self._unsettled.add(wave.number)
         done = await self._store.commit(
--- a/src/primrosestile/state/upkeep.py
+++ b/src/primrosestile/state/upkeep.py
@@ -48,11 +48,14 @@
     """How far a wave got; written by the owner before each order.
 
     Attributes:
-        first_seen: Seconds since 1970.
+        first_seen: Seconds since 1970, for people.
         begun: VMs whose upkeep was ordered.
         over: Those that have it behind them, or are not there any more.
+        waited: For how many seconds owners had known the wave when this was written,
+            by their steady clocks.
     """
 
     first_seen: float
     begun: tuple[str, ...] = ()
     over: tuple[str, ...] = ()
+    waited: float = 0.0
