--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -1,6 +1,7 @@
 """Steps for what an owner reads: at its start, after a lost watch, of ended jobs."""
 
 import asyncio
+import json
 import random
 from typing import Any
 
@@ -9,7 +10,7 @@
 from features.doubles.drawnday import JOBS, DrawnDay
 from features.doubles.fleetworld import FleetWorld
 from features.doubles.longday import end_jobs, set_link, spread_id, store_jobs
-from features.steps.work_steps import list_running, make_id
+from features.steps.work_steps import list_running, make_id, write_script
 
 from primrosestile import clock
 from primrosestile.clock import read_clock, read_wall_clock
@@ -24,8 +25,10 @@
 )
 from primrosestile.coordination.work.reading import Reader
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.callers import read_submission
 from primrosestile.protocol.store import Entry, Page
-from primrosestile.state.work import decode_ended
+from primrosestile.state.policy import Policy
+from primrosestile.state.work import Submission, decode_ended
 
 FOREIGN = b"\xc1\x00not ours"
 
@@ -222,6 +225,29 @@
     clock._WALL_OFFSET = before + seconds
 
 
+@when("job {name} is handed in on a VM whose time of day is {seconds:g} s behind")
+def step_hand_in_behind(context: Any, name: str, seconds: float) -> None:
+    job_id = make_id(name)
+    steps = [{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 8, "estimate_ms": 2000}]
+    write_script(context, job_id, steps)
+    body = json.dumps({"spec": "", "steps": steps}).encode()
+
+    def make(policy: Policy) -> Submission:
+        queue = policy.find_named("usual")
+        assert queue is not None
+        accepted_at = read_wall_clock() - seconds
+        return read_submission(body, job_id, queue, "domes", accepted_at)
+
+    context.world.run(context.world.processes["p1"].submitting.submit(job_id, make))
+
+
+@then("job {first} was started before job {second}")
+def step_started_before(context: Any, first: str, second: str) -> None:
+    started = [task[:16] for task, _, _ in context.world.fleet.starts]
+    wanted = [make_id(first), make_id(second)]
+    assert [job for job in started if job in wanted] == wanted, started
+
+
 @given("what the processes log is kept")
 def step_keep_log(context: Any) -> None:
     keeping = structlog.testing.capture_logs()
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -232,6 +232,24 @@
     And 110 s pass
     Then job e5 is shown as completed within 1 s
 
+  Scenario: A job is taken in on a VM whose time of day is behind
+    The clock of the VM that takes a job in is ten seconds behind the owner's, so the
+    job seems to be late when it comes. What is late already goes behind all that can
+    still be in time, so its caller waits longest, though the job came first.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    And the tasks of a1 take 3 s
+    When job a1 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    And a1 runs on the fleet
+    And job a2 is handed in on a VM whose time of day is 10 s behind
+    And job a3 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    Then job a3 is shown as completed within 15 s
+    And job a2 was started before job a3
+
   Scenario: What an earlier owner has left is removed by the next
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
