Judge a new job's age by what its owner has heard

Callers whose job was taken in on a VM with a clock behind the owner's waited longest: the job counted as late when it came, and past three objectives as of no use to anybody.

Ruled out: leaving the age away, since an owner that begins, or whose watch was cut off, hears of jobs that have waited for long.

Change: a job that the watch tells of, or that a reading finds, is no older than what was told or read before. A job from a VM that is ahead counts as new, as before.

--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -235,7 +235,8 @@
   Scenario: A job is taken in on a VM whose time of day is behind
     The clock of the VM that takes a job in is ten seconds behind the owner's, so the
     job seems to be late when it comes. What is late already goes behind all that can
-    still be in time, so its caller waits longest, though the job came first.
+    still be in time, so its caller waits longest, though the job came first. The log
+    showed it: `job_admitted` had an age of 10 s for a job of that moment.
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
     And the tasks of a1 take 3 s
--- a/src/primrosestile/coordination/work/intake.py
+++ b/src/primrosestile/coordination/work/intake.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -86,7 +87,9 @@
         self._recorder = recorder
         self._ended = ended
         self._wake = wake
+        # Up to which revision the watch has told, and since when at the latest.
         self._revision = 0
+        self._revision_at = 0.0
         self._failures = 0
         # When all was last asked for, and when the jobs were, and how long that took.
         self._listed_at = 0.0
@@ -129,6 +132,7 @@
         progresses, _ = await self._reader.read(PROGRESS_PREFIX)
         cancels_asked_at = read_clock()
         cancels, self._revision = await self._reader.read(CANCELS_PREFIX)
+        self._revision_at = cancels_asked_at
         jobs_asked_at = read_clock()
         jobs, _ = await self._reader.read(JOBS_PREFIX)
         self._listed_at = self._jobs_listed_at = jobs_asked_at
@@ -167,18 +171,30 @@
         _log.warning("record_unreadable", key=key, reason=reason)
 
     def _take_wishes(
-        self, entries: list[Entry], known: dict[str, Progress] | None = None
+        self,
+        entries: list[Entry],
+        known: dict[str, Progress] | None = None,
+        since: float = -math.inf,
     ) -> None:
+        """Take in what was read or told.
+
+        Args:
+            entries: Jobs and cancellations.
+            known: How far the jobs got, as an earlier owner left it.
+            since: When none of the jobs stood that we don't know, on the loop's clock.
+        """
         known = known or {}
         for entry in entries:
             if entry.key.startswith(JOBS_PREFIX):
                 job_id = entry.key.removeprefix(JOBS_PREFIX)
-                self._admit(entry, job_id, known.get(job_id))
+                self._admit(entry, job_id, known.get(job_id), since)
         for entry in entries:
             if entry.key.startswith(CANCELS_PREFIX):
                 self._cancel(entry.key.removeprefix(CANCELS_PREFIX))
 
-    def _admit(self, entry: Entry, job_id: str, progress: Progress | None) -> None:
+    def _admit(
+        self, entry: Entry, job_id: str, progress: Progress | None, since: float
+    ) -> None:
         if job_id in self._board.jobs or job_id in self._ended:
             return
         if PROGRESS_PREFIX + job_id in self._unreadable:
@@ -195,7 +211,7 @@
         if progress is not None and not is_of_job(progress, submission):
             self._note_unreadable(PROGRESS_PREFIX + job_id, "it is another job's")
             return
-        age = max(0.0, read_wall_clock() - submission.accepted_at)
+        age = _find_age(submission.accepted_at, since)
         job = self._board.admit(submission, progress, read_clock(), age)
         self._recorder.note_job(job_id, entry.mod_revision)
         if progress is None:
@@ -241,6 +257,7 @@
         overdue = read_clock() - self._listed_at > RELIST_SECONDS
         if overdue or self._failures >= WATCH_FAILURES:
             await self._read_again(tasks, self._failures > 0)
+        told_before = self._revision_at
         asked_at = read_clock()
         heard = await self._store.watch_once(
             WISHES_PREFIX, self._revision, WATCH_SECONDS
@@ -249,8 +266,9 @@
             await self._read_again(tasks, lost=True)
             return
         self._revision = max(self._revision, heard.revision)
+        self._revision_at = asked_at
         if heard.changes:
-            self._take_changes(heard.changes)
+            self._take_changes(heard.changes, told_before)
             self._heard_at = asked_at
         else:
             # The store waited for a change before it answered that there is none.
@@ -287,6 +305,8 @@
 
     async def _read_wishes(self, tasks: asyncio.TaskGroup, lost: bool) -> None:
         asked_at = read_clock()
+        # What wasn't read by then came later.
+        since = self._jobs_listed_at
         quick = self._jobs_took <= QUICK_SECONDS and not self._failures
         if quick:
             entries, revision = await list_entries(self._store, WISHES_PREFIX)
@@ -299,8 +319,9 @@
                 self._start_reading_jobs(tasks)
         if lost:
             self._revision = max(self._revision, revision)
+            self._revision_at = asked_at
         self._listed_at = self._heard_at = asked_at
-        self._take_wishes(entries)
+        self._take_wishes(entries, since=since)
         self._wake()
 
     def _start_reading_jobs(self, tasks: asyncio.TaskGroup) -> None:
@@ -322,13 +343,25 @@
                 self._jobs_wanted = True
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            self._jobs_listed_at = asked_at
+            since, self._jobs_listed_at = self._jobs_listed_at, asked_at
             self._jobs_took = read_clock() - asked_at
-            self._take_wishes(jobs)
+            self._take_wishes(jobs, since=since)
             self._wake()
 
-    def _take_changes(self, changes: tuple[Change, ...]) -> None:
+    def _take_changes(self, changes: tuple[Change, ...], since: float) -> None:
         entries = [each.entry for each in changes if each.entry is not None]
         if entries:
-            self._take_wishes(entries)
+            self._take_wishes(entries, since=since)
             self._wake()
+
+
+def _find_age(accepted_at: float, since: float) -> float:
+    """Return how long ago a job was accepted, in seconds, as far as can be told.
+
+    The time of day in it is that of the VM that took it in, which may be seconds or
+    minutes behind ours. Believed, a job that has just come would count as late and go
+    behind all others: one would see `job_admitted` with an `age` that no silence of the
+    store explains. So it is no older than what was told or read before allows.
+    """
+    age = read_wall_clock() - accepted_at
+    return max(0.0, min(age, read_clock() - since))
