Show that a record left out of a list makes a job run again

A new owner reads how far jobs got by its reader in parts. An item whose key can't be read is left out of a page, and told as a number; the reader passes over that number. A job whose record is left out is taken as never begun: both of its tasks start again, the first time under the number of the run that is there.

--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -3,12 +3,13 @@
 import asyncio
 import json
 import random
+from dataclasses import replace
 from typing import Any
 
 import structlog.testing
 from behave import given, then, when
 from features.doubles.drawnday import JOBS, DrawnDay
-from features.doubles.fleetworld import FleetWorld
+from features.doubles.fleetworld import FleetWorld, Process
 from features.doubles.longday import end_jobs, set_link, spread_id, store_jobs
 from features.steps.work_steps import list_running, make_id, write_script
 
@@ -248,6 +249,31 @@
     assert [job for job in started if job in wanted] == wanted, started
 
 
+@when(
+    "the next list of records at {first} and {second} has an item without a"
+    " readable key"
+)
+def step_keyless(context: Any, first: str, second: str) -> None:
+    for name in (first, second):
+        leave_one_out(context.world.processes[name])
+
+
+def leave_one_out(process: Process) -> None:
+    """Let the first item of the next list of records not be told from others."""
+    client: Any = process.election._store
+    read_list = client.list
+    left = [1]
+
+    async def list_in_part(prefix: str, after: str = "") -> Page:
+        page: Page = await read_list(prefix, after)
+        if not prefix.startswith(PROGRESS_PREFIX) or not left[0] or not page.entries:
+            return page
+        left[0] -= 1
+        return replace(page, entries=page.entries[1:], left_out=1)
+
+    client.list = list_in_part
+
+
 @given("what the processes log is kept")
 def step_keep_log(context: Any) -> None:
     keeping = structlog.testing.capture_logs()
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -251,6 +251,23 @@
     Then job a3 is shown as completed within 15 s
     And job a2 was started before job a3
 
+  Scenario: A new owner's first list of records has an item without a readable key
+    The answer that lists how far jobs got has one item whose key can't be read: that of
+    a job that runs. Left out, the job would be taken as never begun, its tasks started
+    beside themselves on other workers.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    And the tasks of a4 take 12 s
+    When job a4 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And a4 runs on the fleet
+    And the next list of records at p1 and p2 has an item without a readable key
+    And the scheduling process dies
+    Then job a4 is shown as completed within 30 s
+    And every task of a4 was started once
+    And the fleet's ledger shows nothing wrong
+
   Scenario: What an earlier owner has left is removed by the next
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
