Refuse a list of records that lacks one

A caller's job ran a second time after a change of owner.

Cause: where others read all that stands under a prefix, an item without a readable key fails the read; the reader in parts, by which a new owner reads how far jobs got, was written beside that and passed over the number of items left out.

Ruled out: a fault of the stand-in, which only gives the number that the store's client gives; the watch, which reads all again after such an item.

Were the item there for good, nobody would schedule, as with the other readings; a store that gives items without keys is not one to start tasks by.

--- a/src/primrosestile/coordination/work/reading.py
+++ b/src/primrosestile/coordination/work/reading.py
@@ -16,7 +16,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import OWNER_KEY
-from primrosestile.errors import Failure
+from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry, Page
 from primrosestile.protocol.transactions import TransactionalStore
 
@@ -102,6 +102,7 @@
             try:
                 page = await self._store.list(part, after)
                 self._answered_at = read_clock()
+                _check_whole(page, part)
                 return page
             except Failure as failure:
                 unanswered = read_clock() - asked_at >= UNANSWERED_SECONDS
@@ -123,3 +124,14 @@
 
 def _split(part: str) -> list[str]:
     return [part + digit for digit in DIGITS]
+
+
+def _check_whole(page: Page, part: str) -> None:
+    """Refuse a page that lacks an item whose key can't be read.
+
+    The record of a job that runs, left out, would be taken for one that never was, and
+    its tasks be started a second time; one would see `run_decided` with `run=1` again.
+    """
+    if page.left_out:
+        detail = f"{page.left_out} items under {part} have no readable key"
+        raise Failure(ErrorKind.STORE_UNAVAILABLE, detail)
