--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -232,6 +232,42 @@
     And 110 s pass
     Then job e5 is shown as completed within 1 s
 
+  Scenario: A job is taken in on a VM whose time of day is behind
+    The clock of the VM that takes a job in is ten seconds behind the owner's, so the
+    job seems to be late when it comes. What is late already goes behind all that can
+    still be in time, so its caller waits longest, though the job came first. The log
+    showed it: `job_admitted` had an age of 10 s for a job of that moment.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    And the tasks of a1 take 3 s
+    When job a1 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    And a1 runs on the fleet
+    And job a2 is handed in on a VM whose time of day is 10 s behind
+    And job a3 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    Then job a3 is shown as completed within 15 s
+    And job a2 was started before job a3
+
+  Scenario: A new owner's first list of records has an item without a readable key
+    The answer that lists how far jobs got has one item whose key can't be read: that of
+    a job that runs. Left out, the job would be taken as never begun, its tasks started
+    beside themselves on other workers.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And 2 processes of ours
+    And the tasks of a4 take 12 s
+    When job a4 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And a4 runs on the fleet
+    And the next list of records at p1 and p2 has an item without a readable key
+    And the scheduling process dies
+    Then job a4 is shown as completed within 30 s
+    And every task of a4 was started once
+    And the fleet's ledger shows nothing wrong
+
   Scenario: What an earlier owner has left is removed by the next
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And 2 processes of ours
