Show wrong figures of a worker, empty lists of VMs and repeated orders, failing

Each of these was suspected and never shown. A worker that tells a wrong time once and falls silent has its tasks started elsewhere while they run; a number of an end that is too high has what ended well started again, or never ended; an empty list of VMs completes a wave; a wave whose orders are never answered keeps all waves after it waiting; a repeated order takes a service's second task away.

Ruled out: that an upkeep's refusal which can't be read raises more than a Failure; it is read as unanswered, as a scenario of features/platform says already. The stand-in's workers learn to tell a wrong time and a wrong number.

--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import msgspec
-from behave import given, then, when
+from behave import given, step, then, when
 from work_services_steps import FOREVER, SERVICE, SERVICE_STEP
 from work_steps import hand_in, step_owner_dies
 
@@ -260,3 +260,22 @@
         assert context.world.find_owner().election.term is context.term
 
     context.world.run(check())
+
+
+@step("the list of VMs is empty for {seconds:g} s")
+def step_empty_list(context: Any, seconds: float) -> None:
+    """Let the readings of a time find nothing, from the first of them on."""
+    vms = context.world.vms
+    read = vms.list_vms
+    first_at: list[float] = []
+
+    async def list_none() -> tuple[WorkerVm, ...]:
+        first_at.append(read_clock())
+        return await read() if read_clock() - first_at[0] > seconds else ()
+
+    vms.list_vms = list_none
+
+
+@given("{vm} is removed for good")
+def step_removed(context: Any, vm: str) -> None:
+    del context.world.vms._vms[vm]
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -209,3 +209,82 @@
     When 15 s pass
     Then wave 8 is said to be completed, and was
     And vm-w2 has had its upkeep in wave 8
+
+  Scenario: The list of VMs is empty for a while
+    Taken as the list of a platform that has no VMs any more, operators are told that
+    their wave is completed, while none of its VMs has begun.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And the list of VMs is empty for 8 s
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: The list of VMs becomes empty in the middle of a wave
+    Taken as gone, a VM that was ordered just before no longer counts as away.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And an upkeep takes 4 s
+    When operators ask for the upkeep of all VMs within 90 s, 1 at once
+    And 2 s pass
+    And the list of VMs is empty for 20 s
+    And 80 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: A VM is left out of the list for longer than an upkeep takes
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And vm-w2 is left out of the list for 8 s
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 50 s pass
+    Then the wave is said to be completed, and was
+    And at most 1 VMs were away at once
+
+  Scenario: The platform knows a VM of the wave no more
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And vm-w2 is removed for good
+    When operators ask for the upkeep of all VMs within 60 s, 1 at once
+    And 20 s pass
+    Then wave 7 is said to be completed
+
+  Scenario: The orders of one wave are never answered readably
+    An order is refused in a form that can't be read, each time. It may have been
+    carried out, so it is given again; meanwhile the waves after it must not wait, and
+    the owner must not end for it.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 2 processes of ours
+    And upkeep orders of wave 8 are lost on their way for 1000 s
+    When operators ask for the upkeep of vm-w1 within 25 s
+    And operators ask for the upkeep of vm-w2 within 25 s
+    And 20 s pass
+    Then wave 9 is said to be completed, and was
+    And wave 8 is not said to be completed
+
+  Scenario Outline: A repeated order meets a service that has a task away
+    The order of one wave was lost on its way. The next wave's was given meanwhile, as
+    the service's users bear one task away. Repeated without another look at the
+    service, the first order takes a second task away beside it.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And upkeep orders of wave 8 are lost on their way for <seconds> s
+    When a service of 3 tasks of 8 accelerators of which 1 may be away runs
+    And operators ask for the upkeep of vm-w1 within 60 s
+    And operators ask for the upkeep of vm-w2 within 60 s
+    And 40 s pass
+    Then at most 1 VMs were away at once
+    And wave 8 is said to be completed, and was
+    And wave 9 is said to be completed, and was
+
+    Examples:
+      | seconds |
+      | 0.4     |
+      | 1.2     |
--- a/src/primrosestile_standin/fleetcalls.py
+++ b/src/primrosestile_standin/fleetcalls.py
@@ -106,7 +106,7 @@
             worker.faults.lose_answers -= 1
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "lost")
         await self._carry(1)
-        return OrderAnswer(worker.read_clock(), refusal)
+        return OrderAnswer(worker.tell_clock(), refusal)
 
     async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
         """Return the life that a call is meant for; None if another answers there."""
--- a/src/primrosestile_standin/fleetfaults.py
+++ b/src/primrosestile_standin/fleetfaults.py
@@ -18,6 +18,9 @@
         lose_answers: How many of the next orders are carried out unheard.
         unhealthy: It refuses every start.
         stop_seconds: How long a stop takes; the pages allow 0.4 s.
+        clock_jumps: Seconds by which the times in its next answers are wrong.
+        number_jumps: By how much the number of the last end is too high in its next
+            looks that list one.
     """
 
     cut: bool = False
@@ -28,3 +31,5 @@
     lose_answers: int = 0
     unhealthy: bool = False
     stop_seconds: float = STOP_SECONDS
+    clock_jumps: list[float] = field(default_factory=list)
+    number_jumps: list[int] = field(default_factory=list)
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from primrosestile.clock import read_clock
 from primrosestile.protocol.fleet import (
@@ -99,6 +99,11 @@
         """Return its own steady clock."""
         return 400.0 + read_clock() * self._rate
 
+    def tell_clock(self) -> float:
+        """Return the time that an answer tells; not always its own."""
+        jumps = self.faults.clock_jumps
+        return self.read_clock() + (jumps.pop(0) if jumps else 0.0)
+
     def sweep(self) -> None:
         """Kill everything once its lease has run out."""
         if self.runs and self.read_clock() >= self.until:
@@ -132,7 +137,14 @@
             )
             for run in self.runs.values()
         )
-        return WorkerLook(self.read_clock(), running, tuple(self._ended))
+        return WorkerLook(self.tell_clock(), running, self._tell_ends())
+
+    def _tell_ends(self) -> tuple[EndedTask, ...]:
+        ended = list(self._ended)
+        if ended and self.faults.number_jumps:
+            number = ended[-1].number + self.faults.number_jumps.pop(0)
+            ended[-1] = replace(ended[-1], number=number)
+        return tuple(ended)
 
     def find_usage(self, run: _Run) -> float:
         """Return a service's slow answers in milliseconds; 0 for other tasks."""
