Believe a worker's time only as far as our own steady clock bears it out

Cause: each time that a worker told was taken as its clock's, so one that was far ahead made its lease seem over at the next silence, and had leases asked for up to the longest while 7 s were waited out. The first time told to a new owner had nothing beside it. Change: all times told so far leave room for the next one; one outside of it is logged and not believed, the first counts once a second agrees, and of the lowest that the clock can be at the second highest is used, so one time that is wrong within the room does no harm either. Times that agree with one another for 3 s against all before are taken as a clock that was set; from then on the longest lease is waited out. Ruled out: judging by our clock alone; calls that come late extend to a time of the worker's clock, so that has to be known. Cost: one more look without waiting as a worker is found.

--- a/src/primrosestile/coordination/work/caring.py
+++ b/src/primrosestile/coordination/work/caring.py
@@ -12,11 +12,8 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
-from primrosestile.coordination.work.links import (
-    CARE_SECONDS,
-    LEASE_SECONDS,
-    WorkerClock,
-)
+from primrosestile.coordination.work.links import CARE_SECONDS
+from primrosestile.coordination.work.workerclock import Reading, WorkerClock
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import Refusal, WorkerCalls, WorkerList
 from primrosestile.state.workers import WorkerEntry
@@ -26,6 +23,8 @@
 BEGIN_SECONDS = 1.5
 # Twice within what is left of a lease.
 AGAIN_SECONDS = 1.5
+# As many times as it takes to believe one.
+CLOCK_LOOKS = 2
 
 _log = structlog.get_logger()
 
@@ -62,16 +61,18 @@
 
     async def _care(self, entry: WorkerEntry) -> None:
         """Read the worker's clock first; its lease is given in it."""
-        clock = self._clocks.setdefault(entry.worker, WorkerClock(self._lease_longest))
-        if not clock.known:
-            await self._look(entry, clock, None)
+        name = entry.worker
+        clock = self._clocks.setdefault(name, WorkerClock(name, self._lease_longest))
+        for _ in range(CLOCK_LOOKS):
+            if not clock.known:
+                await self._look(entry, clock, None)
         if clock.known:
-            until = clock.estimate(read_clock()) + LEASE_SECONDS
-            await self._look(entry, clock, until)
+            await self._look(entry, clock, clock.extend(read_clock()))
 
     async def _look(
         self, entry: WorkerEntry, clock: WorkerClock, until: float | None
     ) -> None:
+        sent_at = read_clock()
         try:
             answer = await self._calls.look(entry, self._term.fence, 0, until, 0.0)
         except Failure:
@@ -79,4 +80,4 @@
         if answer is Refusal.FENCE:
             self._term.lost.set()
         elif not isinstance(answer, Refusal):
-            clock.note(answer.clock, read_clock())
+            clock.note(Reading(answer.clock, sent_at, read_clock()))
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -11,9 +11,7 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import structlog
 
@@ -21,6 +19,7 @@
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.logfields import name_member
 from primrosestile.coordination.work.recording import Recorder
+from primrosestile.coordination.work.workerclock import Reading, WorkerClock
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Member, MemberState, Proof, Worker
 from primrosestile.errors import Failure
@@ -34,20 +33,12 @@
 from primrosestile.state.work import Phase
 from primrosestile.state.workers import EndKind, WorkerEntry
 
-# Long enough that a change of owner (2.5 s of its lease and a second to read and
-# ask) lets nothing lapse, and a cut of five seconds heals in time; short enough
-# that the work of a worker that is gone is started again while it is still wanted.
-LEASE_SECONDS = 7.0
 # A look that hears of no end returns after this, well within the lease.
 LOOK_SECONDS = 1.0
 RETRY_SECONDS = 0.15
 # Between looks at an address that answers for another life than the one expected, of
 # which this owner has heard nothing yet; its entry is right or gone within seconds.
 DOUBT_SECONDS = 0.5
-# A worker's clock may be 2% slow; a little more, and the way of one message
-# (SLOW_CLOCK_ALLOWED_FOR).
-SLOW_CLOCK_FACTOR = 0.97
-CLOCK_MARGIN_SECONDS = 0.3
 # How long after its lease has lapsed at the store an owner may go on extending
 # the leases of workers, giving no other order: the store may be down for all
 # (CARE_IS_BOUNDED).
@@ -61,53 +52,6 @@
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class WorkerClock:
-    """What is known of a worker's steady clock, and of its lease by that clock.
-
-    Attributes:
-        lease_longest: Seconds from its arrival that any extension lasts at the most.
-        reading: Its time, and `at` ours when that came; the worker's was no less.
-        until: What its lease surely ends by; infinite while that is not known.
-    """
-
-    lease_longest: float
-    reading: float = 0.0
-    at: float = -math.inf
-    until: float = math.inf
-
-    @property
-    def known(self) -> bool:
-        """Whether it was ever read."""
-        return self.at > -math.inf
-
-    def note(self, reading: float, now: float) -> None:
-        """Take in a reading that came just now, with an answer to a call of ours.
-
-        Until it answered our fence, a worker obeyed earlier owners, whose extensions
-        we never saw: its lease may last the longest that there is from then on. Were
-        the lease taken as what we ourselves have asked for, which is nothing yet, the
-        next silence would count it as over, and its tasks would start elsewhere while
-        they run; `worker_lease_over` would come within a second of `ownership_gained`.
-        """
-        if not self.known:
-            # No owner asks for more than our own length; one call of this very term
-            # may still be on its way, and on some platforms the longest is shorter.
-            self.until = reading + max(self.lease_longest, LEASE_SECONDS)
-        if reading > self.reading:
-            self.reading = reading
-            self.at = now
-
-    def estimate(self, now: float) -> float:
-        """Return its time now, as if both ran at one speed."""
-        return self.reading + (now - self.at)
-
-    def is_surely_past(self, moment: float, now: float) -> bool:
-        """Whether its time is past a moment, however slow it runs."""
-        least = self.reading + (now - self.at) * SLOW_CLOCK_FACTOR
-        return least > moment + CLOCK_MARGIN_SECONDS
-
-
 class WorkerLink:
     """Keeps one worker's lease and takes in what it tells."""
 
@@ -123,7 +67,7 @@
         lease_longest: float,
     ) -> None:
         self.worker = worker
-        self.clock = WorkerClock(lease_longest)
+        self.clock = WorkerClock(worker.name, lease_longest)
         self._calls = calls
         self._term = term
         self._board = board
@@ -165,14 +109,12 @@
 
     def find_lease_end(self) -> float:
         """Return the end of the lease to ask for, on the worker's clock."""
-        until = self.clock.estimate(read_clock()) + LEASE_SECONDS
-        self.clock.until = max(self.clock.until, until)
-        return until
+        return self.clock.extend(read_clock())
 
-    def note_answer(self, clock: float) -> None:
+    def note_answer(self, clock: float, sent_at: float) -> None:
         """Take in the clock of an answer to an order."""
         if clock:
-            self.clock.note(clock, read_clock())
+            self.clock.note(Reading(clock, sent_at, read_clock()))
 
     def note_stopped(self, member: Member) -> None:
         """Note that the worker has answered a stop.
@@ -235,7 +177,7 @@
             await self._take_refusal(answer, entry.address)
             return
         self._last_heard = read_clock()
-        self.clock.note(answer.clock, self._last_heard)
+        self.clock.note(Reading(answer.clock, sent_at, self._last_heard))
         if entry.address == self.entry.address:
             self.worker.proven = True
         await self._take_look(answer, sent_at)
@@ -270,9 +212,9 @@
         self._wake()
 
     async def _take_look(self, look: WorkerLook, sent_at: float) -> None:
-        self._holds_ends = look.forget_limit is not None
         self._take_running(look.running)
         fresh = [each for each in look.ended if each.number > self._seen]
+        self._holds_ends = look.forget_limit is not None
         for ended in fresh:
             self._take_end(ended)
         if look.complete and len(look.ended) < ENDS_PER_LOOK:
@@ -381,7 +323,7 @@
             if not worker.listed:
                 self._board.drop_worker(worker.name, Proof.LEASE_OVER)
             return
-        if self.clock.known and self.clock.is_surely_past(self.clock.until, now):
+        if self.clock.is_lease_over(now):
             _log.warning(
                 "worker_lease_over", worker=worker.name, members=len(worker.members)
             )
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -94,6 +94,7 @@
             link = self._links.get(member.worker)
             if link is None or not self._term.may_act():
                 break
+            sent_at = read_clock()
             try:
                 answer = await self._calls.start(
                     link.entry, self._term.fence, self._make_order(member, link)
@@ -106,6 +107,7 @@
                     reason=str(failure),
                 )
                 continue
+            link.note_answer(answer.clock, sent_at)
             self._take_answer(member, link, answer, unanswered)
             return
         if not unanswered:
@@ -127,7 +129,6 @@
     def _take_answer(
         self, member: Member, link: WorkerLink, answer: OrderAnswer, unanswered: bool
     ) -> None:
-        link.note_answer(answer.clock)
         if answer.refusal is None:
             _log.info(
                 "run_started",
@@ -183,6 +184,7 @@
         if link is None or not self._term.may_act():
             member.pace = was
             return
+        sent_at = read_clock()
         try:
             answer = await self._calls.pace(
                 link.entry, self._term.fence, member.task, member.run, pace.percent
@@ -191,7 +193,7 @@
             _log.info("pace_unanswered", task=member.task, reason=str(failure))
             member.pace = was
             return
-        link.note_answer(answer.clock)
+        link.note_answer(answer.clock, sent_at)
         _log.info(
             "run_paced",
             **name_member(member),
@@ -239,12 +241,13 @@
 
     async def _send_stop(self, link: WorkerLink, task: str, run: int) -> bool:
         """Return whether the worker has answered."""
+        sent_at = read_clock()
         try:
             answer = await self._calls.stop(link.entry, self._term.fence, task, run)
         except Failure as failure:
             _log.info("stop_unanswered", task=task, run=run, reason=str(failure))
             return False
-        link.note_answer(answer.clock)
+        link.note_answer(answer.clock, sent_at)
         if answer.refusal is Refusal.FENCE:
             self._term.lost.set()
             return False
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -17,12 +17,7 @@
 from primrosestile.coordination.work.ended import EndedJobs
 from primrosestile.coordination.work.intake import Intake
 from primrosestile.coordination.work.learned import Memory
-from primrosestile.coordination.work.links import (
-    CARE_SECONDS,
-    LEASE_SECONDS,
-    SLOW_CLOCK_FACTOR,
-    WorkerLink,
-)
+from primrosestile.coordination.work.links import CARE_SECONDS, WorkerLink
 from primrosestile.coordination.work.logfields import name_unit
 from primrosestile.coordination.work.metering import MeteredCalls
 from primrosestile.coordination.work.orders import Orders
@@ -32,6 +27,10 @@
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
 from primrosestile.coordination.work.upkeep import UpkeepDuty
+from primrosestile.coordination.work.workerclock import (
+    LEASE_SECONDS,
+    SLOW_CLOCK_FACTOR,
+)
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuating import find_evacuations
