Let a worker forget an end only by a number that is borne out

Cause: the highest number that a look showed was told back, so one that was too high let the worker forget each later end before it was heard; what had ended well was started again, and where the number was far ahead the job did not end. Change: a number counts if it follows on the last one, or if two looks showed it for the same end.

--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -17,6 +17,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
+from primrosestile.coordination.work.endnumbers import EndNumbers
 from primrosestile.coordination.work.logfields import name_member
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.coordination.work.workerclock import Reading, WorkerClock
@@ -74,7 +75,7 @@
         self._recorder = recorder
         self._wake = wake
         self._note_end = note_end
-        self._seen = 0
+        self._numbers = EndNumbers()
         self._holds_ends = False
         # Stops that the worker has answered, by when.
         self._stopped: dict[tuple[str, int], float] = {}
@@ -171,7 +172,7 @@
         until = self.find_lease_end() if self.worker.in_hand else None
         wait = LOOK_SECONDS if waiting and until is not None else 0.0
         answer = await self._calls.look(
-            entry, self._term.fence, self._seen, until, wait
+            entry, self._term.fence, self._numbers.seen, until, wait
         )
         if isinstance(answer, Refusal):
             await self._take_refusal(answer, entry.address)
@@ -213,8 +214,12 @@
 
     async def _take_look(self, look: WorkerLook, sent_at: float) -> None:
         self._take_running(look.running)
-        fresh = [each for each in look.ended if each.number > self._seen]
-        self._holds_ends = look.forget_limit is not None
+        fresh = [each for each in look.ended if each.number > self._numbers.seen]
+        last = self._numbers.take(look.ended)
+        if look.forget_limit is not None:
+            last = min(last, look.forget_limit)
+        doubted_again = self._numbers.doubtful > 1
+        self._holds_ends = look.forget_limit is not None or doubted_again
         for ended in fresh:
             self._take_end(ended)
         if look.complete and len(look.ended) < ENDS_PER_LOOK:
@@ -224,12 +229,10 @@
             _log.info("worker_in_hand", worker=self.worker.name)
         self._wake()
         if fresh:
-            await self._record_ends(fresh, look.forget_limit)
+            await self._record_ends(last)
 
-    async def _record_ends(
-        self, ended: list[EndedTask], forget_limit: int | None
-    ) -> None:
-        """Let the worker forget ends once they are in the store.
+    async def _record_ends(self, last: int) -> None:
+        """Let the worker forget ends up to a number, once they are in the store.
 
         END_STORED_BEFORE_FORGOTTEN. Never one that could not be read: it may be that of
         a run that ended well, which would be run again as one that is neither there nor
@@ -240,10 +243,7 @@
                 await self._recorder.save()
         except TimeoutError:
             return
-        last = max(each.number for each in ended)
-        if forget_limit is not None:
-            last = min(last, forget_limit)
-        self._seen = max(self._seen, last)
+        self._numbers.forget(last)
 
     def _take_running(self, running: tuple[RunningTask, ...]) -> None:
         now = read_clock()
