Take a VM as gone only when the platform says so

Cause: a VM that lists lacked for 5 s counted as gone for good, so one list that was empty for some seconds completed a wave whose VMs had not begun. Change: absence proves nothing. A VM that is missing for 5 s is taken as up: its upkeep is ordered in its turn, and either begins or is refused as of a VM that is not there. One that was ordered and is missing for 5 s after the answer no longer counts as away, as before.

--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -104,6 +104,8 @@
         # When the latest list was asked for, and since which one it lacks a VM.
         self._listed_at = 0.0
         self._missing_since: dict[str, float] = {}
+        # VMs as a list last named them.
+        self._last_listed: dict[str, WorkerVm] = {}
 
     async def run(self) -> None:
         """Follow operators' wishes until the term is lost."""
@@ -139,26 +141,41 @@
         return len(waves)
 
     async def _list_vms(self, waves: list[Wave]) -> dict[str, WorkerVm]:
-        """Read the VMs, and note which of the waves' are missing."""
+        """Read the VMs, and note which of the waves' are missing.
+
+        One that is missing for long is taken as up, so that its upkeep is ordered in
+        its turn: it may be there, and if it is not, the platform says so. The absence
+        alone proves nothing. Were a list that is empty for some seconds believed, the
+        wave would be told as completed while none of its VMs had begun.
+        """
         asked_at = read_clock()
         vms = {vm.name: vm for vm in await self._calls.list_vms()}
+        self._last_listed.update(vms)
         self._listed_at = asked_at
         wanted = {name for wave in waves for name in wave.vms}
         self._missing_since = {
             name: self._missing_since.get(name, asked_at) for name in wanted - set(vms)
         }
+        for name, since in self._missing_since.items():
+            if asked_at - since > GONE_SECONDS:
+                last = self._last_listed.get(name)
+                worker = "" if last is None else last.worker
+                vms[name] = WorkerVm(name, "", VmState.UP, worker)
         return vms
 
-    def _is_gone(self, name: str) -> bool:
-        """Whether a VM has been missing for long enough to be gone for good.
+    def _is_gone(self, wave: Wave, name: str) -> bool:
+        """Whether a VM whose upkeep has begun does not come back.
 
         A list may lack a VM that stays, between two of its pages or while it is away.
-        Were one such list believed, the wave would be told as completed without that
-        VM's upkeep, or one more than allowed be ordered beside it. So nothing of it is
-        written down either: a VM that is back in the list is waited for again.
+        Were one such list believed, one more than allowed would be ordered beside it.
+        So nothing of it is written down either: a VM that is back in the list is waited
+        for again.
         """
         since = self._missing_since.get(name)
-        return since is not None and self._listed_at - since > GONE_SECONDS
+        ordered = self._ordered.get((wave.number, name))
+        if since is None or ordered is None:
+            return False
+        return self._listed_at - max(since, ordered.answered_at) > GONE_SECONDS
 
     def _set_closed(self, closed: frozenset[str]) -> None:
         for worker in self._board.workers.values():
@@ -205,7 +222,7 @@
         await self._settle(wave)
         await self._note_over(wave, vms)
         record, _ = self._records[wave.number]
-        stays = [name for name in wave.vms if not self._is_gone(name)]
+        stays = [name for name in wave.vms if not self._is_gone(wave, name)]
         if all(name in record.over for name in stays):
             await self._complete(wave)
             return frozenset()
@@ -218,7 +235,7 @@
             wave,
             vms,
             record.begun,
-            sum(not self._is_gone(name) for name in away),
+            sum(not self._is_gone(wave, name) for name in away),
             record.first_seen + wave.deadline_seconds - read_wall_clock(),
             read_clock(),
         )
@@ -235,7 +252,7 @@
         record, _ = self._records[wave.number]
         over = set(record.over)
         for name in record.begun:
-            vm = vms.get(name)
+            vm = None if name in self._missing_since else vms.get(name)
             if vm is not None and self._is_back(wave, vm):
                 over.add(name)
         if over != set(record.over):
