Show that a repeated order asks for no service that has lost a task, failing

The scenario before it needs a second wave; here a worker dies between the order that was lost and the one that repeats it. Both are told by the number of tasks at each begin.

--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -9,7 +9,7 @@
 import msgspec
 from behave import given, step, then, when
 from work_services_steps import FOREVER, SERVICE, SERVICE_STEP
-from work_steps import hand_in, step_owner_dies
+from work_steps import hand_in, list_running, step_owner_dies
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import UPKEEP_PREFIX
@@ -279,3 +279,33 @@
 @given("{vm} is removed for good")
 def step_removed(context: Any, vm: str) -> None:
     del context.world.vms._vms[vm]
+
+
+@given("each upkeep is told how many tasks of the service are there as it begins")
+def step_count_there(context: Any) -> None:
+    world = context.world
+    begin = world.vms.begin
+    context.there = []
+
+    async def count_and_begin(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        there = len(list_running(world, SERVICE))
+        known = len(world.vms.orders)
+        answer = await begin(name, wave, fence)
+        if len(world.vms.orders) > known:
+            context.there.append(there)
+        return answer
+
+    world.vms.begin = count_and_begin
+
+
+@when("worker {name} crashes for good")
+def step_crash_for_good(context: Any, name: str) -> None:
+    async def crash() -> None:
+        context.world.end_worker(name)
+
+    context.world.run(crash())
+
+
+@then("at each begin {count:d} tasks of the service were there")
+def step_were_there(context: Any, count: int) -> None:
+    assert context.there and set(context.there) == {count}, context.there
--- a/features/work/upkeep.feature
+++ b/features/work/upkeep.feature
@@ -288,3 +288,22 @@
       | seconds |
       | 0.4     |
       | 1.2     |
+
+  Scenario: A repeated order meets a service that has lost a task meanwhile
+    The first try of an order was lost, and a worker died before the next one, which
+    took away the service's one task that its users bear. The order that is repeated
+    takes a second one.
+    Given a fleet of 3 workers with 8 accelerators in 1 racks
+    And a VM under each worker
+    And 1 processes of ours
+    And upkeep orders of wave 8 are lost on their way for 6 s
+    And each upkeep is told how many tasks of the service are there as it begins
+    When a service of 3 tasks of 8 accelerators of which 1 may be away runs
+    And operators ask for the upkeep of vm-w1 within 60 s
+    And 4 s pass
+    And worker w2 crashes for good
+    And 8 s pass
+    And worker w4 is new in the list
+    And 30 s pass
+    Then wave 8 is said to be completed, and was
+    And at each begin 3 tasks of the service were there
