Let one upkeep order that goes unanswered stop no other VM and no other wave

Cause: the Failure of an order left the whole round, so waves after it, and VMs beside it, waited for as long as it went unanswered; the round after it came 2 s later, not 0.5 s. Change: such an order is logged as upkeep_unanswered and given again in the next round.

--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -307,7 +307,18 @@
         key = (wave.number, vm.name)
         surely_first = key in self._not_begun
         self._not_begun.discard(key)
-        answer = await self._calls.begin(vm.name, wave.number, self._term.fence)
+        try:
+            answer = await self._calls.begin(vm.name, wave.number, self._term.fence)
+        except Failure as failure:
+            # Given again in the next round. Raised further, an order that is never
+            # answered would keep all other VMs and waves waiting.
+            _log.warning(
+                "upkeep_unanswered",
+                wave=wave.number,
+                vm=vm.name,
+                reason=str(failure),
+            )
+            return
         _log.info(
             "upkeep_ordered",
             wave=wave.number,
