Ask the services again before an upkeep order is repeated

Cause: only the choice of VMs looked at services. An order that went unanswered, or was an earlier owner's, was repeated without, when what runs there might no longer go; a wave did not see the VMs of another one either, and what ran on a silent worker counted as there. Change: a repeated order goes only if the services on its VM bear it, beside the VMs of all waves that are away; a first one counts those too whose orders are unanswered. Repeated orders leave these out, as two would wait for each other. Silent workers count as away.

--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -21,9 +21,10 @@
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.keys import OWNER_KEY, make_wave_key
+from primrosestile.coordination.work.vmlist import VmList
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Proof
-from primrosestile.decisions.work.upkeep import plan_upkeep
+from primrosestile.decisions.work.upkeep import may_go, plan_upkeep
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
@@ -41,8 +42,6 @@
 # An upkeep takes 2 s and the worker 1.5 s more; a list may be a second old.
 RETURN_SECONDS = 5.0
 LIST_AGE_SECONDS = 1.0
-# Longer than an upkeep, should a list leave out what is away.
-GONE_SECONDS = 5.0
 
 _log = structlog.get_logger()
 
@@ -101,11 +100,7 @@
         # ours and was refused.
         self._ordered: dict[tuple[int, str], _Ordered] = {}
         self._not_begun: set[tuple[int, str]] = set()
-        # When the latest list was asked for, and since which one it lacks a VM.
-        self._listed_at = 0.0
-        self._missing_since: dict[str, float] = {}
-        # VMs as a list last named them.
-        self._last_listed: dict[str, WorkerVm] = {}
+        self._vms = VmList(calls)
 
     async def run(self) -> None:
         """Follow operators' wishes until the term is lost."""
@@ -125,10 +120,10 @@
             if self._completed.get(wave.number) != wave
         ]
         if not waves:
-            self._missing_since.clear()
+            self._vms.forget_missing()
             self._set_closed(frozenset())
             return 0
-        vms = await self._list_vms(waves)
+        vms = await self._vms.read({name for wave in waves for name in wave.vms})
         closed: set[str] = set()
         for wave in waves:
             try:
@@ -140,42 +135,17 @@
         self._set_closed(frozenset(closed))
         return len(waves)
 
-    async def _list_vms(self, waves: list[Wave]) -> dict[str, WorkerVm]:
-        """Read the VMs, and note which of the waves' are missing.
-
-        One that is missing for long is taken as up, so that its upkeep is ordered in
-        its turn: it may be there, and if it is not, the platform says so. The absence
-        alone proves nothing. Were a list that is empty for some seconds believed, the
-        wave would be told as completed while none of its VMs had begun.
-        """
-        asked_at = read_clock()
-        vms = {vm.name: vm for vm in await self._calls.list_vms()}
-        self._last_listed.update(vms)
-        self._listed_at = asked_at
-        wanted = {name for wave in waves for name in wave.vms}
-        self._missing_since = {
-            name: self._missing_since.get(name, asked_at) for name in wanted - set(vms)
-        }
-        for name, since in self._missing_since.items():
-            if asked_at - since > GONE_SECONDS:
-                last = self._last_listed.get(name)
-                worker = "" if last is None else last.worker
-                vms[name] = WorkerVm(name, "", VmState.UP, worker)
-        return vms
-
     def _is_gone(self, wave: Wave, name: str) -> bool:
         """Whether a VM whose upkeep has begun does not come back.
 
-        A list may lack a VM that stays, between two of its pages or while it is away.
-        Were one such list believed, one more than allowed would be ordered beside it.
-        So nothing of it is written down either: a VM that is back in the list is waited
-        for again.
+        Were one list that lacks it believed, one more than allowed would be ordered
+        beside it. So nothing of it is written down either: a VM that is back in the
+        list is waited for again.
         """
-        since = self._missing_since.get(name)
         ordered = self._ordered.get((wave.number, name))
-        if since is None or ordered is None:
+        if ordered is None:
             return False
-        return self._listed_at - max(since, ordered.answered_at) > GONE_SECONDS
+        return self._vms.is_missing_since(name, ordered.answered_at)
 
     def _set_closed(self, closed: frozenset[str]) -> None:
         for worker in self._board.workers.values():
@@ -238,6 +208,7 @@
             sum(not self._is_gone(wave, name) for name in away),
             record.first_seen + wave.deadline_seconds - read_wall_clock(),
             read_clock(),
+            self._list_leaving(answered=False),
         )
         for unit in plan.save:
             self._board.abandon(unit)
@@ -252,7 +223,7 @@
         record, _ = self._records[wave.number]
         over = set(record.over)
         for name in record.begun:
-            vm = None if name in self._missing_since else vms.get(name)
+            vm = None if self._vms.is_missing(name) else vms.get(name)
             if vm is not None and self._is_back(wave, vm):
                 over.add(name)
         if over != set(record.over):
@@ -270,7 +241,7 @@
         ordered = self._ordered.get((wave.number, vm.name))
         if ordered is None or vm.state is not VmState.UP or not vm.worker:
             return False
-        waited = self._listed_at - ordered.answered_at
+        waited = self._vms.asked_at - ordered.answered_at
         if vm.worker != ordered.worker:
             return waited > LIST_AGE_SECONDS
         return waited > RETURN_SECONDS
@@ -278,13 +249,35 @@
     async def _order_again(
         self, wave: Wave, record: WaveRecord, vms: dict[str, WorkerVm]
     ) -> None:
-        """Give an earlier owner's orders again: they may not have been carried out."""
+        """Give unanswered orders again: they may not have been carried out.
+
+        Then what runs there goes only now, so its services are asked once more. Those
+        of others that are unanswered don't count: two would wait for each other.
+        """
         for name in set(record.begun) - set(record.over):
             vm = vms.get(name)
             begun = (wave.number, name) in self._ordered
-            if not begun and vm is not None and vm.state is VmState.UP:
+            if begun or vm is None or vm.state is not VmState.UP:
+                continue
+            if may_go(self._board, vm, self._list_leaving(answered=True)):
                 await self._send(wave, vm)
 
+    def _list_leaving(self, answered: bool) -> frozenset[str]:
+        """Return the workers on VMs that are away, or may be by an order of ours.
+
+        Args:
+            answered: Only those whose upkeep has begun for certain.
+        """
+        found = set()
+        for number, (record, _) in self._records.items():
+            for name in set(record.begun) - set(record.over):
+                ordered = self._ordered.get((number, name))
+                if ordered is not None:
+                    found.add(ordered.worker)
+                elif not answered:
+                    found.add(self._vms.find_worker(name))
+        return frozenset(found)
+
     async def _begin(self, wave: Wave, vm: WorkerVm) -> None:
         record, _ = self._records[wave.number]
         begun = (*record.begun, vm.name)
--- a/src/primrosestile/decisions/work/upkeep.py
+++ b/src/primrosestile/decisions/work/upkeep.py
@@ -46,6 +46,7 @@
     away: int,
     seconds_left: float,
     now: float,
+    leaving: Collection[str] = (),
 ) -> UpkeepPlan:
     """Decide on a wave.
 
@@ -57,6 +58,7 @@
         away: How many of these are not back yet.
         seconds_left: Until the wave's deadline.
         now: On the loop's clock.
+        leaving: Workers whose VMs are away for any wave, or may soon be.
     """
     waiting = [
         vms[name]
@@ -65,7 +67,7 @@
     ]
     rounds = math.ceil(len(waiting) / wave.most)
     pressed = seconds_left - SPARE_SECONDS < rounds * ROUND_SECONDS
-    chosen = _choose(board, waiting, wave.most - away, now)
+    chosen = _choose(board, waiting, wave.most - away, leaving, now)
     begin: list[WorkerVm] = []
     empty: list[Worker] = []
     for vm in chosen:
@@ -82,7 +84,11 @@
 
 
 def _choose(
-    board: Board, waiting: list[WorkerVm], places: int, now: float
+    board: Board,
+    waiting: list[WorkerVm],
+    places: int,
+    leaving: Collection[str],
+    now: float,
 ) -> list[WorkerVm]:
     """Return the VMs that go next: where the least is lost, and services bear it."""
     chosen: list[WorkerVm] = []
@@ -92,13 +98,28 @@
     for vm in ranked:
         if len(chosen) >= places:
             break
-        worker = board.workers.get(vm.worker)
         taken = {each.worker for each in chosen}
-        if worker is None or _may_go(worker, taken):
+        if may_go(board, vm, taken.union(leaving)):
             chosen.append(vm)
     return chosen
 
 
+def may_go(board: Board, vm: WorkerVm, taken: Collection[str]) -> bool:
+    """Whether the services on a VM bear its upkeep beside that of others.
+
+    What runs on a worker that is silent may be gone, and counts as away. Taken as there
+    until its lease is over, a service would lose one more task than its users bear.
+
+    Args:
+        board: What runs where.
+        vm: The VM.
+        taken: Workers that are away, or go with it.
+    """
+    worker = board.workers.get(vm.worker)
+    silent = {each.name for each in board.workers.values() if not each.in_hand}
+    return worker is None or _bears(worker, silent.union(taken))
+
+
 def _find_loss(worker: Worker | None, now: float) -> tuple[bool, float]:
     if worker is None:
         return (False, 0.0)
@@ -127,7 +148,7 @@
     return tuple(found.values())
 
 
-def _may_go(worker: Worker, taken: Collection[str]) -> bool:
+def _bears(worker: Worker, taken: Collection[str]) -> bool:
     """Whether its services bear being away; others of theirs may be just now."""
     for member in worker.members.values():
         step = member.unit.step
