--- a/features/fuzzing/work.py
+++ b/features/fuzzing/work.py
@@ -38,6 +38,7 @@
     "wide tasks": [{"count": 6, "gpu": 2}],
     "large tasks": [{"count": 2, "gpu": 3}],
     "gang": [{"count": 3, "gpu": 2, "gang": True}],
+    "a gang of two": [{"count": 2, "gpu": 3, "gang": True}],
     "steps": [{"count": 2}, {"count": 2, "after": [0]}],
     "gang after tasks": [{"count": 2}, {"count": 2, "gang": True, "after": [0]}],
 }
