--- a/features/doubles/drawnday.py
+++ b/features/doubles/drawnday.py
@@ -14,7 +14,7 @@
 
 from primrosestile.errors import Failure
 from primrosestile.state.work import JobState, Need
-from primrosestile_standin.fleetworker import Script
+from primrosestile_standin.fleetscript import Script
 
 QUEUE = "usual"
 JOBS = 25
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -18,7 +18,7 @@
 from primrosestile.programs import cli
 from primrosestile.programs.logs import LINES_PER_SECOND, _Bound, set_up_logs
 from primrosestile.state.work import Need
-from primrosestile_standin.fleetworker import Script
+from primrosestile_standin.fleetscript import Script
 
 PATIENT = "00000000000000b1"
 TWICE = f"{PATIENT}.0.0.1"
