Show that a number of an end that is wrong twice in a row is believed, failing

Two looks that follow at once can show one fault; the two examples tell the same wrong number twice.

--- a/features/work/wrong_words.feature
+++ b/features/work/wrong_words.feature
@@ -94,6 +94,8 @@
       | 1      | 1     |
       | 1000   | 1     |
       | 900000 | 1     |
+      | 1      | 2     |
+      | 1000   | 2     |
 
   Scenario: A new owner is told a number that is too high
     It can't know up to which end the worker has forgotten for the owner before.
