Believe a number of an end that does not follow once looks show it for a second

Cause: two looks that follow at once were enough, and can show one and the same fault. Change: a number that does not follow on the last one counts once three looks, half a second apart, showed it for the same end. Ruled out: three seconds as for clocks; a new owner has each worker to ask at its start, and would hear later ends late.

--- a/src/primrosestile/coordination/work/endnumbers.py
+++ b/src/primrosestile/coordination/work/endnumbers.py
@@ -3,43 +3,50 @@
 A worker repeats an end until it is told a number not below that end's. Told one that is
 past its own, it forgets each later end before anybody has heard of it: what has ended
 well is then neither running nor ended, and is run again. So a number counts if it
-follows on the last one, or if two looks showed it for the same end. A worker whose
-numbers have gaps is asked once more for each, and so is each worker by a new owner, who
-can't know how far it has forgotten.
+follows on the last one, or if looks went on showing it for the same end for a time: two
+that follow at once may show one and the same fault. A worker whose numbers have gaps is
+asked again for each, and so is each worker by a new owner, who can't know how far it
+has forgotten.
 """
 
 from collections.abc import Sequence
 
 from primrosestile.protocol.fleet import EndedTask
 
+# How long looks must show a number that does not follow, and how often it is asked for:
+# three looks, as more would slow a new owner down, who has each worker to ask.
+BORNE_OUT_SECONDS = 0.9
+ASK_AGAIN_SECONDS = 0.5
+
 
 class EndNumbers:
     """The numbers of one worker's ends.
 
     Attributes:
         seen: Up to which it may forget.
-        doubtful: How many looks on end showed a number that does not count yet.
+        doubtful: Whether the latest look showed a number that does not count yet.
     """
 
     def __init__(self) -> None:
         """Have seen none."""
         self.seen = 0
-        self.doubtful = 0
-        self._shown: frozenset[tuple[int, str, int]] = frozenset()
+        self.doubtful = False
+        # Since when looks on end show each.
+        self._shown: dict[tuple[int, str, int], float] = {}
 
-    def take(self, ended: Sequence[EndedTask]) -> int:
+    def take(self, ended: Sequence[EndedTask], now: float) -> int:
         """Take in the ends that a look shows; return the last number that counts."""
         last = self.seen
-        doubts = False
+        self.doubtful = False
+        self._shown = {_name(each): self._shown.get(_name(each), now) for each in ended}
         for each in ended:
             if each.number <= self.seen:
                 continue
-            if each.number != last + 1 and _name(each) not in self._shown:
-                doubts = True
+            shown_for = now - self._shown[_name(each)]
+            if each.number != last + 1 and shown_for < BORNE_OUT_SECONDS:
+                self.doubtful = True
                 break
             last = each.number
-        self._shown = frozenset(_name(each) for each in ended)
-        self.doubtful = self.doubtful + 1 if doubts else 0
         return last
 
     def forget(self, number: int) -> None:
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -17,7 +17,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
-from primrosestile.coordination.work.endnumbers import EndNumbers
+from primrosestile.coordination.work.endnumbers import ASK_AGAIN_SECONDS, EndNumbers
 from primrosestile.coordination.work.logfields import name_member
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.coordination.work.workerclock import Reading, WorkerClock
@@ -76,7 +76,7 @@
         self._wake = wake
         self._note_end = note_end
         self._numbers = EndNumbers()
-        self._holds_ends = False
+        self._pause = 0.0
         # Stops that the worker has answered, by when.
         self._stopped: dict[tuple[str, int], float] = {}
         self._strays: dict[tuple[str, int], float] = {}
@@ -140,10 +140,10 @@
                 continue
             try:
                 await self._look()
-                if self._holds_ends:
+                if self._pause:
                     # Ends that are not forgotten make the worker answer at once: it
                     # would be asked a thousand times a second.
-                    await asyncio.sleep(LOOK_SECONDS)
+                    await asyncio.sleep(self._pause)
             except Failure as failure:
                 self._note_silence(failure)
                 await asyncio.sleep(RETRY_SECONDS)
@@ -215,11 +215,12 @@
     async def _take_look(self, look: WorkerLook, sent_at: float) -> None:
         self._take_running(look.running)
         fresh = [each for each in look.ended if each.number > self._numbers.seen]
-        last = self._numbers.take(look.ended)
+        last = self._numbers.take(look.ended, read_clock())
         if look.forget_limit is not None:
             last = min(last, look.forget_limit)
-        doubted_again = self._numbers.doubtful > 1
-        self._holds_ends = look.forget_limit is not None or doubted_again
+        self._pause = ASK_AGAIN_SECONDS if self._numbers.doubtful else 0.0
+        if look.forget_limit is not None:
+            self._pause = LOOK_SECONDS
         for ended in fresh:
             self._take_end(ended)
         if look.complete and len(look.ended) < ENDS_PER_LOOK:
