--- a/features/fuzzing/work_guards.feature
+++ b/features/fuzzing/work_guards.feature
@@ -95,3 +95,26 @@
       | 0.9    |
       | 1.1    |
       | 1.3    |
+
+  Scenario Outline: An owner dies while the record of a run is written
+    The store gets the record too late to take it. A start that had been sent meanwhile
+    would run unknown to the successor, which can't ask that worker and starts the task
+    elsewhere beside it.
+    Given no process but the owner reaches <vm> in the fleet in trouble
+    When a job of large tasks of 12 s is handed in to the fleet in trouble
+    And <moment> s pass in the fleet in trouble
+    And the next 2 writes come 9 s late in the fleet in trouble
+    And 0.1 s pass in the fleet in trouble
+    And the owner of the fleet in trouble is killed
+    And 12 s pass in the fleet in trouble
+    Then nothing ran twice in the fleet in trouble
+    And the job on the fleet in trouble is completed within 60 s
+
+    Examples:
+      | vm | moment |
+      | v0 | 0.006  |
+      | v0 | 0.008  |
+      | v0 | 0.01   |
+      | v1 | 0.006  |
+      | v1 | 0.008  |
+      | v1 | 0.01   |
--- a/features/steps/fuzzing_work_steps.py
+++ b/features/steps/fuzzing_work_steps.py
@@ -162,3 +162,13 @@
 def check_once(context: Any) -> None:
     starts = Counter(task for task, _, _ in context.troubled.fleet.starts)
     assert starts and set(starts.values()) == {1}, starts
+
+
+@when("the next {count:d} writes come {seconds:g} s late in the fleet in trouble")
+def late_writes(context: Any, count: int, seconds: float) -> None:
+    context.troubled.store.faults.late_writes = [seconds] * count
+
+
+@given("no process but the owner reaches {vm} in the fleet in trouble")
+def hide_vm(context: Any, vm: str) -> None:
+    hide_owner(context.troubled, vm)
