--- a/src/primrosestile/coordination/work/workerclock.py
+++ b/src/primrosestile/coordination/work/workerclock.py
@@ -166,11 +166,14 @@
     def extend(self, now: float) -> float:
         """Return the end of the lease to ask for.
 
-        Where the worker told two clocks, either may be the one that it judges by, and
-        what is asked for by the wrong one lasts the longest that there is.
+        Where the worker told two clocks, or one for a moment only, it may judge by
+        another, and what is asked for by the wrong one lasts the longest that there is.
         """
+        assert self._room is not None, "it was never read"
         time = self.estimate(now)
-        lasts = self._longest if self._set else LEASE_SECONDS
+        told_for = self._room.latest.came_at - self._room.first.came_at
+        sure = told_for > ANEW_SECONDS and self._doubted is None and not self._set
+        lasts = LEASE_SECONDS if sure else self._longest
         self.until = max(self.until, time + lasts)
         return time + LEASE_SECONDS
 
