--- a/features/steps/work_upkeep_steps.py
+++ b/features/steps/work_upkeep_steps.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 import msgspec
-from behave import given, then, when
+from behave import given, step, then, when
 from work_services_steps import FOREVER, SERVICE, SERVICE_STEP
-from work_steps import hand_in, step_owner_dies
+from work_steps import hand_in, list_running, step_owner_dies
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import UPKEEP_PREFIX
@@ -260,3 +260,52 @@
         assert context.world.find_owner().election.term is context.term
 
     context.world.run(check())
+
+
+@step("the list of VMs is empty for {seconds:g} s")
+def step_empty_list(context: Any, seconds: float) -> None:
+    """Let the readings of a time find nothing, from the first of them on."""
+    vms = context.world.vms
+    read = vms.list_vms
+    first_at: list[float] = []
+
+    async def list_none() -> tuple[WorkerVm, ...]:
+        first_at.append(read_clock())
+        return await read() if read_clock() - first_at[0] > seconds else ()
+
+    vms.list_vms = list_none
+
+
+@given("{vm} is removed for good")
+def step_removed(context: Any, vm: str) -> None:
+    del context.world.vms._vms[vm]
+
+
+@given("each upkeep is told how many tasks of the service are there as it begins")
+def step_count_there(context: Any) -> None:
+    world = context.world
+    begin = world.vms.begin
+    context.there = []
+
+    async def count_and_begin(name: str, wave: int, fence: int) -> UpkeepAnswer:
+        there = len(list_running(world, SERVICE))
+        known = len(world.vms.orders)
+        answer = await begin(name, wave, fence)
+        if len(world.vms.orders) > known:
+            context.there.append(there)
+        return answer
+
+    world.vms.begin = count_and_begin
+
+
+@when("worker {name} crashes for good")
+def step_crash_for_good(context: Any, name: str) -> None:
+    async def crash() -> None:
+        context.world.end_worker(name)
+
+    context.world.run(crash())
+
+
+@then("at each begin {count:d} tasks of the service were there")
+def step_were_there(context: Any, count: int) -> None:
+    assert context.there and set(context.there) == {count}, context.there
