Show that a write with a foreign answer is taken as not done

A proxy, or a fault, answers a write to the store with 500, 502 or 504. The adapter takes each status that it doesn't expect as a definite no, so a caller is told that a job was not accepted which may stand and run.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -52,6 +52,16 @@
     Then an order that is answered with 500 may have been carried out
     And one that is answered with 400 was not
 
+  Scenario: A write is answered by something that is not the store
+    What stands between us and the store answers a write with a status that the store
+    never gives. The write may stand all the same; were it taken as not done, a caller
+    would be told that a job was not accepted, and it would run and be billed.
+    Then a write that is answered with 500 may have been done
+    And a write that is answered with 502 may have been done
+    And a write that is answered with 504 may have been done
+    And a write that is answered with 503 was not done
+    And a write that is answered with 429 was not done
+
   Scenario: The list of VMs is read page by page, and upkeep is ordered
     Then the VMs of two pages are read
     And an order for upkeep carries its holder and fence
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,9 +1,11 @@
 """Steps for the adapter to the users' platform."""
 
 import asyncio
+import contextlib
 import json
 import os
 import socket
+from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
@@ -17,10 +19,12 @@
 from primrosestile.platform.policy import POLICY_KEY, read_policy
 from primrosestile.platform.refusals import Fault, Unreadable
 from primrosestile.platform.settings import BadSettings, parse_settings
+from primrosestile.platform.store import PlatformStore
 from primrosestile.platform.workers import PlatformWorkers
 from primrosestile.programs.node import Node
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Entry
+from primrosestile.protocol.transactions import Write
 from primrosestile.state.policy import Queue
 from primrosestile.state.work import Need
 from primrosestile.transport.connections import Connections
@@ -264,31 +268,69 @@
         self.runner.close()
 
 
+@contextlib.asynccontextmanager
+async def answer_always(path: str, status: int) -> AsyncIterator[str]:
+    """Answer each call to a path with one status; yields the address."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=status, text="{}")
+
+    app = web.Application()
+    app.router.add_post(path, answer)
+    end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+    await end.setup()
+    port = find_free_port()
+    await web.TCPSite(end, "127.0.0.1", port).start()
+    try:
+        yield f"127.0.0.1:{port}"
+    finally:
+        await end.cleanup()
+
+
 def send_order(status: int) -> OrderAnswer:
     """Send a start to a worker that answers each order with one status."""
 
     async def send() -> OrderAnswer:
-        async def answer(request: web.Request) -> web.Response:
-            return web.Response(status=status, text="{}")
+        async with answer_always("/v1/run-start", status) as address:
+            connections = Connections()
+            shape = PlatformEntry("w1", address, "r1", 8, ())
+            order = StartOrder("00000000000000aa.0.0.0", 1, "x", 500.0)
+            try:
+                return await PlatformWorkers(connections).start(shape.make(), 7, order)
+            finally:
+                await connections.close()
 
-        app = web.Application()
-        app.router.add_post("/v1/run-start", answer)
-        end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
-        await end.setup()
-        port = find_free_port()
-        await web.TCPSite(end, "127.0.0.1", port).start()
-        connections = Connections()
-        shape = PlatformEntry("w1", f"127.0.0.1:{port}", "r1", 8, ())
-        order = StartOrder("00000000000000aa.0.0.0", 1, "x", 500.0)
-        try:
-            return await PlatformWorkers(connections).start(shape.make(), 7, order)
-        finally:
-            await connections.close()
-            await end.cleanup()
+    return asyncio.run(send())
+
+
+def send_write(status: int) -> ErrorKind:
+    """Write to a store that answers each call with one status; return the failure."""
+
+    async def send() -> ErrorKind:
+        async with answer_always("/v1/kv-txn", status) as address:
+            connections = Connections()
+            store = PlatformStore(address, connections, link=1000.0)
+            try:
+                await store.commit([], [Write("k", b"v")])
+            except Failure as failure:
+                return failure.kind
+            finally:
+                await connections.close()
+        raise AssertionError(f"a write that is answered with {status} succeeded")
 
     return asyncio.run(send())
 
 
+@then("a write that is answered with {status:d} may have been done")
+def step_may_be_done(context: Any, status: int) -> None:
+    assert send_write(status) is ErrorKind.STORE_ANSWER_LOST
+
+
+@then("a write that is answered with {status:d} was not done")
+def step_not_done(context: Any, status: int) -> None:
+    assert send_write(status) is ErrorKind.STORE_UNAVAILABLE
+
+
 @then("an order that is answered with {status:d} may have been carried out")
 def step_may_have_run(context: Any, status: int) -> None:
     try:
