Take a foreign answer to a write as one that tells nothing

Cause: the adapter took each status that it doesn't expect from the store as a definite no. A 500, 502 or 504 can come after the change was made, or from something between.

Change: only the store's own refusals (400, 403, 429, 503) say that nothing was done; any other answer to a write leaves its outcome unknown, so that it is read back. Reads are as before.

--- a/src/primrosestile/platform/store.py
+++ b/src/primrosestile/platform/store.py
@@ -39,6 +39,10 @@
 # Past this the page comes faster in parts, whatever the link.
 LONGEST_LIST_SECONDS = 6.0
 
+# By these the store says that it did nothing: a call that it can't take, one that it
+# does not allow, too many of them, and none at the moment.
+REFUSED = (400, 403, 429, 503)
+
 _READ = FailureKinds(ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_UNAVAILABLE)
 _WRITE = FailureKinds(ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_ANSWER_LOST)
 
@@ -231,7 +235,7 @@
         reply = await self._connections.call(
             self._address, path, b"", timeout, _READ, method="GET"
         )
-        return _check(reply, path, accepted)
+        return _check(reply, path, accepted, _READ)
 
     async def _write(
         self, method: str, path: str, body: dict[str, Any], accepted: tuple[int, ...]
@@ -245,15 +249,23 @@
             headers={"Content-Type": "application/json"},
             method=method,
         )
-        return _check(reply, path, accepted)
+        return _check(reply, path, accepted, _WRITE)
+
 
+def _check(
+    reply: Reply, path: str, accepted: tuple[int, ...], kinds: FailureKinds
+) -> Reply:
+    """Return the reply, or raise whether anything may have been done.
 
-def _check(reply: Reply, path: str, accepted: tuple[int, ...]) -> Reply:
-    """Return the reply, or raise that nothing was done."""
+    Only the store's own refusals say that nothing was. Any other answer may come from
+    something between, or from a fault after the change was made: taken for a no, a
+    caller would be told that a job was not accepted, and it would run all the same.
+    """
     if reply.status in accepted:
         return reply
     detail = f"{path.partition('?')[0]} answered {reply.status}"
-    raise Failure(ErrorKind.STORE_UNAVAILABLE, detail)
+    refused = reply.status in REFUSED
+    raise Failure(kinds.unsent if refused else kinds.lost, detail)
 
 
 def _decode(reply: Reply, kind: type) -> Any:
