--- a/tools/check.py
+++ b/tools/check.py
@@ -23,11 +23,13 @@
 PROCESS_FOLDERS = ("failures", "path", "soak")
 PROCESS_LANES = 2
 # Run after everything else, by itself: it replaces every VM under load and asks
-# that no request is refused. In the lanes, beside others, it failed twice in two
-# ways; what a VM needs to serve again after its start takes longer there.
+# that no request is refused. What a VM needs to serve again after its start takes
+# longer in the lanes, beside others.
 ALONE = FEATURES / "failures" / "operations.feature"
 # Begun first, so that the whole run is not much longer than the longest of them.
-LONG_FOLDERS = ("fuzzing", "requests", "model", "placement")
+LONG_FOLDERS = ("work", "fuzzing", "requests", "model", "placement")
+# Their files run in lanes of their own: as one, each would take longer than the rest.
+SPLIT_FOLDERS = ("work", "fuzzing")
 # Other folders side by side.
 LANES = 4
 STATIC_CHECKS = (
@@ -123,9 +125,10 @@
             if path != ALONE
         ]
         jobs += [
-            lanes.submit(run_features, name, FEATURES / name)
+            lanes.submit(run_features, name, path)
             for name in sorted(folders, key=rank_folder)
             if name not in PROCESS_FOLDERS
+            for path in list_parts(name)
         ]
         if not only:
             jobs += [lanes.submit(run_static, check) for check in STATIC_CHECKS]
@@ -136,6 +139,14 @@
     return results
 
 
+def list_parts(folder: str) -> list[Path]:
+    """Return what of a folder is run at once, the largest file first."""
+    if folder not in SPLIT_FOLDERS:
+        return [FEATURES / folder]
+    files = (FEATURES / folder).glob("*.feature")
+    return sorted(files, key=lambda path: path.stat().st_size, reverse=True)
+
+
 def rank_folder(name: str) -> tuple[bool, str]:
     """Return what folders are ordered by: the longest ones begin first."""
     return name not in LONG_FOLDERS, name
