Find a gang's best speed once, and keep one piece of each of the player's twins

Each member that was looked at went through all members of its gang for the fastest of them, so a pass took time by the square of a gang's size. Its speed is found once a unit now. Within one pass no progress is heard of, so nothing else can come out.

--- a/src/primrosestile/decisions/work/rescuing.py
+++ b/src/primrosestile/decisions/work/rescuing.py
@@ -49,6 +49,7 @@
 def find_rescues(board: Board, durations: Durations, now: float) -> list[Rescue]:
     """Return the units that stand still and would be late by it, each once."""
     found: dict[int, Rescue] = {}
+    best: dict[int, float] = {}
     for worker in board.workers.values():
         if not worker.in_hand:
             continue
@@ -56,7 +57,9 @@
             unit = member.unit
             if id(unit) in found or not may_rescue(member):
                 continue
-            lost, worked = find_lost(member)
+            if id(unit) not in best:
+                best[id(unit)] = find_best_speed(unit)
+            lost, worked = find_lost(member, best[id(unit)])
             if unit.step.checkpoints:
                 worked = 0.0
             if lost < max(STILL_SECONDS, MOVE_SECONDS + worked):
@@ -88,24 +91,32 @@
     return member.state is MemberState.UP and member.percent < 100
 
 
-def find_lost(member: Member) -> tuple[float, float]:
+def find_lost(member: Member, best: float) -> tuple[float, float]:
     """Return for how long a member has stood still, and how long it has worked.
 
     A gang's members are alike, so one that is far slower than the fastest of them has
     lost the difference, though it moves. Speeds are compared, not progress, since
     workers are heard of at different moments.
+
+    Args:
+        member: Of a unit that runs.
+        best: The speed of the fastest member of its gang; 0 if it has no gang.
     """
     lost = max(0.0, member.heard_at - member.moved_at)
     worked = max(0.0, member.moved_at - member.up_at)
     elapsed = max(0.0, member.heard_at - member.up_at)
     speed = find_speed(member)
-    best = max(map(find_speed, list_moving(member.unit)), default=0.0)
     if best <= BEHIND_FACTOR * speed:
         return lost, worked
     share = speed / best
     return max((lost, worked), (elapsed * (1 - share), elapsed * share))
 
 
+def find_best_speed(unit: Unit) -> float:
+    """Return the progress of a gang's fastest member, in percent a second."""
+    return max(map(find_speed, list_moving(unit)), default=0.0)
+
+
 def find_speed(member: Member) -> float:
     """Return a member's progress, in percent a second."""
     elapsed = member.heard_at - member.up_at
--- a/tools/bench/ablation.py
+++ b/tools/bench/ablation.py
@@ -24,11 +24,9 @@
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.trust import Trust
 from primrosestile.decisions.work.units import Member, Unit
-from tools.bench.site_driver import Learning, SiteRun
-from tools.bench.site_measures import measure
-from tools.bench.site_workloads import draw_day, read_workload
+from tools.bench.site_days import WORKLOADS, play_day
+from tools.bench.site_driver import Learning
 
-WORKLOADS = Path("examples/workloads")
 SEEDS = int(os.environ.get("PRIMROSESTILE_BENCH_SEEDS", "16"))
 PROCESSES = 4
 FIGURES = ("worth", "unserved", "thrown away, core-seconds")
@@ -143,12 +141,9 @@
 
 def play(path: Path, lacking: str, seed: int) -> dict[str, float]:
     """Play one day without a mechanism."""
-    workload = read_workload(path)
     variant = make_variants()[lacking]
     planner = partial(make_plan, mechanisms=variant.mechanisms)
-    learning = variant.make_learning()
-    run = SiteRun(workload, draw_day(workload, seed), planner, seed, learning)
-    return measure(run.run(), workload.weights)
+    return play_day(path, planner, seed, variant.make_learning())
 
 
 def compare(path: Path) -> dict[str, dict[str, tuple[float, float]]]:
--- a/tools/bench/site.py
+++ b/tools/bench/site.py
@@ -13,24 +13,20 @@
 
 import matplotlib
 
-from tools.bench.site_driver import PLANNERS, SiteRun
-from tools.bench.site_measures import measure
-from tools.bench.site_workloads import draw_day, read_workload
+from tools.bench.site_days import WORKLOADS, play_day
+from tools.bench.site_driver import PLANNERS
 
 matplotlib.use("Agg")
 
 from matplotlib import pyplot
 
-WORKLOADS = Path("examples/workloads")
 SEEDS = int(os.environ.get("PRIMROSESTILE_BENCH_SEEDS", "16"))
 PROCESSES = 4
 
 
 def play(path: Path, planner: str, seed: int) -> dict[str, float]:
     """Play one day."""
-    workload = read_workload(path)
-    run = SiteRun(workload, draw_day(workload, seed), PLANNERS[planner], seed)
-    return measure(run.run(), workload.weights)
+    return play_day(path, PLANNERS[planner], seed)
 
 
 def compare(path: Path, planners: list[str]) -> dict[str, dict[str, float]]:
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -25,7 +25,7 @@
     take_rooms,
 )
 from primrosestile.decisions.work.planning import Assignment, Plan, make_plan
-from primrosestile.decisions.work.preempting import CORES_PER_ACCELERATOR
+from primrosestile.decisions.work.preempting import count_cores
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.trust import Trust
 from primrosestile.decisions.work.units import Proof, Unit
@@ -468,9 +468,8 @@
             self._board.note_gone(member, Proof.ENDED)
 
     def _throw_away(self, run: _Run) -> None:
-        need = run.unit.step.need
-        cores = need.processor / 1000 + need.accelerators * CORES_PER_ACCELERATOR
-        self.day.thrown_away += cores * run.unit.size * (self._now - run.began)
+        cores = count_cores(run.unit) * run.unit.size
+        self.day.thrown_away += cores * (self._now - run.began)
 
 
 def _make_policy(workload: Workload) -> Policy:
