Put a bound that no scheduler can pass beside first fit in the player's tables

Shares of what callers are owed were compared with first fit only, so nobody could tell what of the rest was still to be gained.

A row *servable* leaves out callers that nobody could have served, since no owner decided anything until it was too late for them.

The player also learns workers that answer no order for a while, and that its numbers of core threads for matrices are one.

--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import importlib
+import os
 import sys
 from pathlib import Path
 
@@ -24,6 +25,8 @@
     parser.add_argument("--output", type=Path, default=None)
     options = parser.parse_args()
     output = options.output or Path("run/bench") / options.name
+    # Benches use as many processes as they mean to; matrices take no more cores.
+    os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
     output.mkdir(parents=True, exist_ok=True)
     module = importlib.import_module(f"tools.bench.{options.name}")
     module.run(output)
--- a/tools/bench/site.py
+++ b/tools/bench/site.py
@@ -1,8 +1,9 @@
-"""What callers get on heavy days: ours beside first fit, over drawn days.
+"""What callers get on heavy days: ours, first fit and a bound, over drawn days.
 
-`scripts/bench site [--workload FILE]` plays each workload file on equal arrivals
-under each planner and prints what callers got by kind of job, in the worst seconds,
-and what was thrown away; `site.json` has the same and `site.png` a plot.
+`scripts/bench site` plays each workload file on equal arrivals under each planner and
+prints what callers got by kind of job, in the worst seconds, and what was thrown away,
+beside what no scheduler could pass; `site.json` has the same and `site.png` a plot.
+The rows *servable* leave out the callers whom nobody could have served.
 """
 
 import json
@@ -13,8 +14,10 @@
 
 import matplotlib
 
+from tools.bench.site_bound import bound_day
 from tools.bench.site_days import WORKLOADS, play_day
 from tools.bench.site_driver import PLANNERS
+from tools.bench.site_workloads import draw_day, read_workload
 
 matplotlib.use("Agg")
 
@@ -22,6 +25,15 @@
 
 SEEDS = int(os.environ.get("PRIMROSESTILE_BENCH_SEEDS", "16"))
 PROCESSES = 4
+BOUND = "upper bound"
+
+
+def play_or_bound(path: Path, planner: str, seed: int) -> dict[str, float]:
+    """Play one day, or say what nobody could pass on it."""
+    if planner != BOUND:
+        return play(path, planner, seed)
+    workload = read_workload(path)
+    return bound_day(workload, draw_day(workload, seed), seed)
 
 
 def play(path: Path, planner: str, seed: int) -> dict[str, float]:
@@ -34,7 +46,9 @@
     table = {}
     with ProcessPoolExecutor(PROCESSES) as pool:
         for planner in planners:
-            jobs = [pool.submit(play, path, planner, seed) for seed in range(SEEDS)]
+            jobs = [
+                pool.submit(play_or_bound, path, planner, seed) for seed in range(SEEDS)
+            ]
             days = [job.result() for job in jobs]
             keys = sorted({key for day in days for key in day})
             table[planner] = {
@@ -46,7 +60,7 @@
 def run(output: Path) -> None:
     results = {}
     for path in sorted(WORKLOADS.glob("*.json")):
-        results[path.stem] = compare(path, list(PLANNERS))
+        results[path.stem] = compare(path, [*PLANNERS, BOUND])
         print_table(path.stem, results[path.stem])
     (output / "site.json").write_text(json.dumps(results, indent=2) + "\n")
     plot(results, output / "site.png")
@@ -56,7 +70,10 @@
     print(f"{name}, means of {SEEDS} days")
     print(f"{'':28}" + "".join(f"{planner:>16}" for planner in table))
     for key in next(iter(table.values())):
-        row = "".join(f"{figures[key]:16.3f}" for figures in table.values())
+        row = "".join(
+            f"{figures[key]:16.3f}" if key in figures else f"{'-':>16}"
+            for figures in table.values()
+        )
         print(f"{key:28}{row}")
 
 
@@ -66,8 +83,9 @@
     for axis, (name, table) in pairs:
         keys = [key for key, value in table["primrosestile"].items() if value <= 1]
         for number, (planner, figures) in enumerate(table.items()):
-            positions = [index + 0.4 * number for index in range(len(keys))]
-            axis.bar(positions, [figures[key] for key in keys], 0.4, label=planner)
+            positions = [index + 0.3 * number for index in range(len(keys))]
+            heights = [figures.get(key, 0.0) for key in keys]
+            axis.bar(positions, heights, 0.3, label=planner)
         axis.set_xticks(range(len(keys)), keys, rotation=45, ha="right")
         axis.set_ylabel("share of the worth that was owed")
         axis.set_title(name)
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -9,7 +9,6 @@
 import heapq
 import itertools
 import math
-import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -32,7 +31,16 @@
 from primrosestile.state.policy import Policy, Pool, Queue
 from primrosestile.state.work import JobState
 from primrosestile.state.workers import EndKind, WorkerEntry
-from tools.bench.site_workloads import Arrival, Fault, Trouble, Workload
+from tools.bench.site_workloads import (
+    LATE_OBJECTIVES,
+    Arrival,
+    Fault,
+    Trouble,
+    Workload,
+    draw_struck,
+    is_servable,
+    name_rack,
+)
 
 TICK_SECONDS = 0.25
 # How often a worker's progress is heard of while nothing ends on it.
@@ -42,6 +50,8 @@
 # From an order to the worker's word, and from a stop to its end.
 START_SECONDS = 0.01
 STOP_SECONDS = 0.2
+# A start is sent three times, and given up when nothing of it was answered.
+START_GIVEN_UP_SECONDS = 1.35
 FAR_FACTOR = 3.0
 # Jobs may end this much after the last has come.
 CLOSING_SECONDS = 40.0
@@ -85,9 +95,11 @@
 
     Attributes:
         ended_at: None when it did not end in the day.
+        servable: Whether somebody could have served its caller at all.
     """
 
     arrival: Arrival
+    servable: bool = True
     ended_at: float | None = None
     failed: bool = False
     cancelled: bool = False
@@ -100,7 +112,7 @@
         taken = self.ended_at - self.arrival.at
         if taken <= self.arrival.objective:
             return self.arrival.worth
-        if taken <= 3 * self.arrival.objective:
+        if taken <= LATE_OBJECTIVES * self.arrival.objective:
             return self.arrival.late_worth
         return 0.0
 
@@ -198,6 +210,7 @@
         self._paces: dict[str, float] = {}
         self._looked_at: dict[str, float] = {}
         self._failing: Counter[str] = Counter()
+        self._silent: Counter[str] = Counter()
         self._away = 0
         for number in range(workload.workers):
             entry = _make_worker(workload, number)
@@ -222,9 +235,9 @@
                 self._call_at(
                     arrival.cancelled_at, lambda each=arrival: self._cancel(each)
                 )
-        chance = random.Random(seed)
-        for trouble in workload.troubles:
-            self._plan_trouble(trouble, chance)
+        struck = draw_struck(workload, seed)
+        for trouble, numbers in zip(workload.troubles, struck, strict=True):
+            self._plan_trouble(trouble, [f"w{number}" for number in numbers])
 
     def run(self) -> Day:
         """Play the day to its end."""
@@ -249,9 +262,7 @@
     def _call_at(self, at: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at, next(self._count), act))
 
-    def _plan_trouble(self, trouble: Trouble, chance: random.Random) -> None:
-        names = sorted(self._paces)
-        struck = chance.sample(names, round(trouble.share * len(names)))
+    def _plan_trouble(self, trouble: Trouble, struck: list[str]) -> None:
         ends_at = trouble.at + trouble.seconds
         self._call_at(trouble.at, lambda: self._strike(trouble, struck, 1))
         self._call_at(ends_at, lambda: self._strike(trouble, struck, -1))
@@ -266,6 +277,9 @@
         elif trouble.fault is Fault.FAIL:
             for name in struck:
                 self._failing[name] += sign
+        elif trouble.fault is Fault.SILENT:
+            for name in struck:
+                self._silent[name] += sign
         elif trouble.fault is Fault.LEAVE:
             for name in struck:
                 self._leave(name, sign)
@@ -298,7 +312,8 @@
         self._board.drop_worker(name, Proof.LIFE_OVER)
 
     def _admit(self, arrival: Arrival) -> None:
-        self._outcomes[arrival.submission.job_id] = Outcome(arrival)
+        servable = is_servable(self._workload, arrival)
+        self._outcomes[arrival.submission.job_id] = Outcome(arrival, servable)
         if self._away:
             self._unheard.append(arrival)
         else:
@@ -364,6 +379,12 @@
     def _begin(self, unit: Unit) -> None:
         if unit.abandoned or not unit.members:
             return
+        if any(self._silent[member.worker] for member in unit.members):
+            run = unit.run
+            self._call_at(
+                self._now + START_GIVEN_UP_SECONDS, lambda: self._give_up(unit, run)
+            )
+            return
         arrival = self._arrivals[unit.job.job_id]
         far = self._is_far(unit)
         self.day.far += far
@@ -385,6 +406,11 @@
             run.fails = True
         self._plan_end(run)
 
+    def _give_up(self, unit: Unit, run: int) -> None:
+        """End a start that was not answered; something may run all the same."""
+        if unit.run == run:
+            self._board.abandon(unit)
+
     def _plan_end(self, run: _Run) -> None:
         run.plans += 1
         plan = run.plans
@@ -454,7 +480,16 @@
                 )
 
     def _stop(self, unit: Unit) -> None:
-        self._stopping.discard(id(unit))
+        """End a run where the workers answer; the others are told again."""
+        silent = [each for each in unit.members if self._silent[each.worker]]
+        if not silent:
+            self._stopping.discard(id(unit))
+        else:
+            number = unit.run
+            again = self._now + STOP_SECONDS
+            self._call_at(again, lambda: self._stop_again(unit, number))
+            if len(silent) == unit.size:
+                return
         run = self._runs.pop(id(unit), None)
         if run is not None:
             self.day.stops += 1
@@ -465,7 +500,14 @@
             else:
                 self._throw_away(run)
         for member in list(unit.members):
-            self._board.note_gone(member, Proof.ENDED)
+            if not self._silent[member.worker]:
+                self._board.note_gone(member, Proof.ENDED)
+
+    def _stop_again(self, unit: Unit, run: int) -> None:
+        if unit.members and unit.run == run:
+            self._stop(unit)
+        else:
+            self._stopping.discard(id(unit))
 
     def _throw_away(self, run: _Run) -> None:
         cores = count_cores(run.unit) * run.unit.size
@@ -498,7 +540,7 @@
 
 
 def _make_worker(workload: Workload, number: int) -> WorkerEntry:
-    rack = f"r{number // workload.rack_size}"
+    rack = name_rack(workload, number)
     return WorkerEntry(
         worker=f"w{number}",
         address=f"a{number}",
--- a/tools/bench/site_workloads.py
+++ b/tools/bench/site_workloads.py
@@ -16,6 +16,8 @@
 
 # Run times of one step's tasks differ by this share.
 TASK_SPREAD = 0.15
+# Past this many times its objective a job brings its caller nothing.
+LATE_OBJECTIVES = 3
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -70,13 +72,16 @@
 
     `SLOW`: tasks take several times as long. `STILL`: they make no progress. `FAIL`:
     whatever starts fails at once. `LEAVE`: the worker says that it leaves, and goes.
-    `AWAY`: no owner decides anything; what is handed in is heard of afterwards.
+    `SILENT`: the worker answers nothing; what runs there runs on, and what it should
+    start or stop waits. `AWAY`: no owner decides anything; what is handed in is heard
+    of afterwards.
     """
 
     SLOW = "slow"
     STILL = "still"
     FAIL = "fail"
     LEAVE = "leave"
+    SILENT = "silent"
     AWAY = "away"
 
 
@@ -181,6 +186,43 @@
     return sorted(arrivals, key=lambda each: each.at)
 
 
+def draw_struck(workload: Workload, seed: int) -> list[list[int]]:
+    """Return the numbers of the workers that each of a day's faults strikes."""
+    chance = random.Random(seed)
+    # By name, as the days that were drawn so far.
+    numbers = sorted(range(workload.workers), key=str)
+    return [
+        chance.sample(numbers, round(trouble.share * len(numbers)))
+        for trouble in workload.troubles
+    ]
+
+
+def find_heard_at(workload: Workload, at: float) -> float:
+    """Return when the owner hears of a job that came at a time."""
+    for trouble in workload.troubles:
+        ends = trouble.at + trouble.seconds
+        if trouble.fault is Fault.AWAY and trouble.at <= at < ends:
+            return find_heard_at(workload, ends)
+    return at
+
+
+def is_servable(workload: Workload, arrival: Arrival) -> bool:
+    """Whether somebody could have served a caller, were the fleet empty.
+
+    Else nobody decided anything for as long as the caller would have had to be heard.
+    """
+    heard_at = find_heard_at(workload, arrival.at)
+    if heard_at == arrival.at:
+        return True
+    seconds = min(workload.speeds) * max(arrival.seconds)
+    return heard_at + seconds <= arrival.at + LATE_OBJECTIVES * arrival.objective
+
+
+def name_rack(workload: Workload, number: int) -> str:
+    """Return the rack of a worker."""
+    return f"r{number // workload.rack_size}"
+
+
 def _find_factor(workload: Workload, kind: Kind, at: float) -> float:
     factor = 1.0
     for burst in workload.bursts:
