Hold what was freed for a unit for it, and don't wait for stops that stay unanswered

Now it is held for the unit until it starts, is given up, or 3 s have gone by; what is guaranteed goes before what is held for others. A stop that is unanswered for 1 s counts as room no more, and for 6 s more work is rather stopped elsewhere (four times as dear there). A second round for the same start is possible then, and the log says so (`again`).

Ruled out: that second rounds come of too small an eviction.

Not measured on the users' deployments.

--- a/src/primrosestile/coordination/work/passlog.py
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -44,6 +44,7 @@
         checkpoints=unit.step.checkpoints,
         gainer=stop.gainer.job.job_id,
         cost=round(stop.cost, 1),
+        again=stop.again,
     )
 
 
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -121,6 +121,8 @@
         unit.abandoned = False
         unit.failed_here = False
         unit.claim = ()
+        unit.freed = ()
+        unit.freed_rounds = 0
         self.place_members(unit, workers, now)
         self.changed.add(unit.job)
 
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -4,6 +4,14 @@
 
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.freeing import (
+    Holds,
+    add_stopping,
+    begin_stopping,
+    find_freed,
+    hold_freed,
+    note_stopping,
+)
 from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
 from primrosestile.decisions.work.ordering import Rank, find_entitled, rank_units
 from primrosestile.decisions.work.placing import (
@@ -57,11 +65,13 @@
 
     Attributes:
         cost: Core-seconds, of all that is stopped for the same unit.
+        again: Work was stopped for the same unit before, and it did not start.
     """
 
     unit: Unit
     gainer: Unit
     cost: float
+    again: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +121,9 @@
         self.rooms = make_rooms(board, now)
         self.waiting = board.list_waiting(now)
         _mark_wanted(self.waiting, self.rooms)
-        self.soon = _add_stopping(board, self.rooms)
+        note_stopping(board, now)
+        self.soon = add_stopping(board, self.rooms, now)
+        self.holds = Holds((self.rooms, self.soon), now)
         self.starts: list[Assignment] = []
         self.stops: list[Stop] = []
         self.rescues: list[Rescue] = []
@@ -120,7 +132,11 @@
 
     def run(self) -> Plan:
         """Return what to do."""
+        self.holds.hold(self.waiting)
         self._rescue()
+        # What is guaranteed goes before what is held for others.
+        others = [each for each in self.waiting if not self._is_entitled(each)]
+        self.holds.release(others)
         # Units of one step are alike: if one can't go, none of the others can.
         waiting: set[tuple[object, ...]] = set()
         looked = 0
@@ -135,6 +151,9 @@
             likeness = (unit.step_key, *unit.failed_on)
             if likeness in waiting:
                 continue
+            if not rank.entitled and others:
+                self.holds.hold(others)
+                others = []
             if not rank.entitled and self.blocked:
                 for blocked in self.blocked:
                     self._keep(blocked)
@@ -171,8 +190,12 @@
             self.rooms.pop(rescue.worker.name, None)
             self.soon.pop(rescue.worker.name, None)
 
+    def _is_entitled(self, unit: Unit) -> bool:
+        return unit.job.job_id in self.entitled
+
     def _start(self, rank: Rank, unit: Unit) -> bool:
         """Start a unit, or have room freed or kept for it."""
+        self.holds.release([unit])
         workers = self._place(unit, self.rooms)
         if workers is not None:
             self.starts.append(Assignment(unit, tuple(workers), rank))
@@ -220,7 +243,10 @@
 
     def _free_room(self, unit: Unit, rank: Rank) -> bool:
         """Keep the room that is being freed for a unit, or have more freed."""
-        workers = self._place(unit, self.soon)
+        workers = find_freed(unit, self.soon, self.now)
+        if workers is None:
+            unit.freed = ()
+            workers = self._place(unit, self.soon)
         if workers is None:
             eviction = self.evictions.find(unit, self.soon)
             if eviction is None or self._should_wait(unit, rank, eviction):
@@ -228,11 +254,16 @@
             seconds = self.durations.guess_unit(unit)
             if not is_affordable(eviction, unit, rank.entitled, seconds):
                 return False
+            again = unit.freed_rounds > 0
+            unit.freed_rounds += 1
             for victim in eviction.units:
-                self.stops.append(Stop(victim, unit, eviction.cost))
+                self.stops.append(Stop(victim, unit, eviction.cost, again))
                 self.board.abandon(victim)
+                begin_stopping(victim, self.now)
                 give_back(victim, self.soon)
             workers = self._place(unit, self.soon)
+            if workers is not None:
+                hold_freed(unit, (worker.name for worker in workers), self.now)
         if workers is None:
             return False
         take_rooms(unit, workers, self.soon)
@@ -254,13 +285,3 @@
         for name in unit.claim:
             if name in rooms:
                 rooms[name].wanted = True
-
-
-def _add_stopping(board: Board, rooms: Rooms) -> Rooms:
-    """Return the rooms as they will be once everything that stops is gone."""
-    soon = copy_rooms(rooms)
-    for member in board.list_stopping():
-        room = soon.get(member.worker)
-        if room is not None:
-            room.take(member.unit.step.need, member.unit.step.filling, -1)
-    return soon
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 
+from primrosestile.decisions.work.freeing import find_reluctance
 from primrosestile.decisions.work.placing import (
     Room,
     Rooms,
@@ -225,6 +226,7 @@
             if self._permission(victim, gainer, self._entitled, self.now):
                 count = len(_list_members_on(victim, room))
                 cost = find_cost(victim, self.now)
+                cost *= find_reluctance(room.worker, self.now)
                 found[id(victim)] = _Candidate(victim, cost, count)
         return sorted(found.values(), key=lambda each: each.cost)
 
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -96,6 +96,7 @@
         pace: The share of its speed that its worker was told to give it, in percent;
             UNKNOWN_PACE while that is not known.
         paced_at: When that last changed.
+        stopping_at: When a pass first saw that it is to end.
     """
 
     unit: "Unit"
@@ -114,6 +115,7 @@
     address: str = ""
     pace: int = 100
     paced_at: float = 0.0
+    stopping_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +166,9 @@
         rescues: Runs of it that were stopped since a member stood still.
         claim: Workers that are being freed for it, or waited for.
         claimed_until: When they are expected to be free.
+        freed: Workers on which others were stopped for it, one for each member.
+        freed_until: How long what is freed there is held for it.
+        freed_rounds: How often others were stopped for it since its last run.
     """
 
     job: "Job"
@@ -181,6 +186,9 @@
     rescues: int = 0
     claim: tuple[str, ...] = ()
     claimed_until: float = 0.0
+    freed: tuple[str, ...] = ()
+    freed_until: float = 0.0
+    freed_rounds: int = 0
 
     @property
     def size(self) -> int:
@@ -301,6 +309,7 @@
         closed: It is being emptied for its VM's upkeep.
         distrusted_until: It gets no work before, as work on it went badly.
         leaves_at: When it may be gone, once it has said that it leaves.
+        stop_late_at: When a run there was last seen that should have ended.
         used: What its members take, gone ones left out.
     """
 
@@ -311,6 +320,7 @@
     closed: bool = False
     distrusted_until: float = 0.0
     leaves_at: float = math.inf
+    stop_late_at: float = -math.inf
     members: dict[tuple[str, int], Member] = field(default_factory=dict)
     processor: int = 0
     memory: int = 0
