--- a/tools/check.py
+++ b/tools/check.py
@@ -27,7 +27,7 @@
 # ways; what a VM needs to serve again after its start takes longer there.
 ALONE = FEATURES / "failures" / "operations.feature"
 # Begun first, so that the whole run is not much longer than the longest of them.
-LONG_FOLDERS = ("fuzzing", "requests", "model", "placement")
+LONG_FOLDERS = ("work", "fuzzing", "requests", "model", "placement")
 # Other folders side by side.
 LANES = 4
 STATIC_CHECKS = (
