Show that two wrong numbers a second apart are believed while the store is slow, failing

A look waits until the store has taken its ends, so two looks alike were a second apart, which counted as three.

--- a/features/steps/work_wrong_words_steps.py
+++ b/features/steps/work_wrong_words_steps.py
@@ -32,3 +32,8 @@
 def step_wrong_number(context: Any, much: int, count: int) -> None:
     for worker in context.world.fleet.workers.values():
         worker.faults.number_jumps = [much] * count
+
+
+@when("the store takes {seconds:g} s for each call")
+def step_slow_store(context: Any, seconds: float) -> None:
+    context.world.store.faults.slow_seconds = seconds
--- a/features/work/wrong_words.feature
+++ b/features/work/wrong_words.feature
@@ -114,3 +114,29 @@
     And job n4 is shown as completed within 14 s
     And the fleet's ledger shows nothing wrong
     And every task of n4 was started once
+
+  Scenario Outline: Two looks with a wrong number are far apart, as the store is slow
+    Each look waits until the ends that it showed are stored. Two alike that are a second
+    apart are no more than two.
+    Given the tasks of n5 take 1 s
+    And the tasks of n6 take 8 s
+    When job n5 is handed in with steps
+      | count | accelerators | most per worker |
+      | 4     | 4            | 1               |
+    And job n6 is handed in with steps
+      | count | accelerators | most per worker |
+      | 4     | 4            | 1               |
+    And n6 runs on the fleet
+    And the store takes <seconds> s for each call
+    And each worker numbers the last end too high by 1 in its next 2 looks
+    And 5 s pass
+    And the store takes 0 s for each call
+    Then job n5 is shown as completed within 10 s
+    And job n6 is shown as completed within 12 s
+    And the fleet's ledger shows nothing wrong
+
+    Examples:
+      | seconds |
+      | 0.3     |
+      | 0.4     |
+      | 0.5     |
