--- a/src/primrosestile/coordination/work/endnumbers.py
+++ b/src/primrosestile/coordination/work/endnumbers.py
@@ -13,8 +13,10 @@
 
 from primrosestile.protocol.fleet import EndedTask
 
-# How long looks must show a number that does not follow, and how often it is asked for:
-# three looks, as more would slow a new owner down, who has each worker to ask.
+# How many looks must show a number that does not follow, and for how long. A look waits
+# for the store to take its ends, so two may be a second apart; more than three would
+# slow a new owner down, who has each worker to ask.
+BORNE_OUT_LOOKS = 3
 BORNE_OUT_SECONDS = 0.9
 ASK_AGAIN_SECONDS = 0.5
 
@@ -31,24 +33,31 @@
         """Have seen none."""
         self.seen = 0
         self.doubtful = False
-        # Since when looks on end show each.
-        self._shown: dict[tuple[int, str, int], float] = {}
+        # Since when looks on end show each, and how many.
+        self._shown: dict[tuple[int, str, int], tuple[float, int]] = {}
 
     def take(self, ended: Sequence[EndedTask], now: float) -> int:
         """Take in the ends that a look shows; return the last number that counts."""
         last = self.seen
         self.doubtful = False
-        self._shown = {_name(each): self._shown.get(_name(each), now) for each in ended}
+        shown = {}
+        for each in ended:
+            since, looks = self._shown.get(_name(each), (now, 0))
+            shown[_name(each)] = (since, looks + 1)
+        self._shown = shown
         for each in ended:
             if each.number <= self.seen:
                 continue
-            shown_for = now - self._shown[_name(each)]
-            if each.number != last + 1 and shown_for < BORNE_OUT_SECONDS:
+            if each.number != last + 1 and not self._is_borne_out(each, now):
                 self.doubtful = True
                 break
             last = each.number
         return last
 
+    def _is_borne_out(self, ended: EndedTask, now: float) -> bool:
+        since, looks = self._shown[_name(ended)]
+        return looks >= BORNE_OUT_LOOKS and now - since >= BORNE_OUT_SECONDS
+
     def forget(self, number: int) -> None:
         """Note that ends up to a number stand in the store."""
         self.seen = max(self.seen, number)
