Take figures and stories of tuning out of the comments

Comments told what trials had come to, how often something was seen and what other values did. No code is changed.

--- a/src/primrosestile/coordination/jobbook.py
+++ b/src/primrosestile/coordination/jobbook.py
@@ -91,8 +91,7 @@
 
         The watch can tell of a caller's cancellation before the answer to the
         owner's own write arrives. With the older record put over it the
-        cancellation would be forgotten, and the job would run to its end: 1 of 200
-        jobs that were cancelled as soon as they were submitted.
+        cancellation would be forgotten, and the job would run to its end.
         """
         record = booked.record
         job_id = record.spec.job_id
--- a/src/primrosestile/coordination/work/intake.py
+++ b/src/primrosestile/coordination/work/intake.py
@@ -60,9 +60,8 @@
 # What happened since the last answer may be more than a watch can bring in its time;
 # after so many failures on end all is read again.
 WATCH_FAILURES = 2
-# How often the newest wish is asked for: 184 reads in a day of 46 s, beside some 4,700
-# calls of all processes. A job is then heard of within 0.3 s of its acceptance, where
-# twenty in one compaction of a store were heard of 0.4 to 2.1 s late.
+# How often the newest wish is asked for: while a watch is silent, a job is heard of at
+# most so long and a read after its acceptance.
 LATEST_SECONDS = 0.25
 # A watch that works has told of a change by then; reading everything would be wasted.
 LATEST_GRACE_SECONDS = 0.05
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -51,8 +51,8 @@
 # Events of one moment, such as the ends of a gang, make one pass.
 GATHER_SECONDS = 0.004
 # Between passes, as a multiple of what the last one took, so that passes leave most of
-# a small machine's processor to workers' leases and to callers: at 176 workers and a
-# pass of 20 ms, fifty passes a second would take all of it.
+# a small VM's processor to workers' leases and to callers: with a hundred workers and
+# more, a pass at each event would take all of it.
 PASS_PAUSE_FACTOR = 3.0
 LONGEST_PAUSE_SECONDS = 0.2
 # How long a worker that never answered this owner may still run what an earlier
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -51,13 +51,12 @@
         self.workers: dict[str, Worker] = {}
         self.changed: set[Job] = set()
         self.gone: list[tuple[Member, Proof]] = []
-        # Seconds since 1970, as of the present event; known from the start, since a
-        # new owner may hear of ends before its first pass. Noted as ended at 0, a job
-        # would be old enough for its records to be removed, and unknown to its caller.
+        # Seconds since 1970, as of the present event, for what is due at a time of day
+        # and for the records; a new owner may hear of ends before its first pass.
         self.wall = wall
         # Lives of workers that are over, and their addresses. The list names them for
-        # some seconds more; taken for new each time, they would be asked again and
-        # again, 41 times in 6 s for seven workers that had crashed together.
+        # some seconds more; taken for new each time, they would be asked again at each
+        # reading of it.
         self._ended: dict[str, str] = {}
         # Where workers have answered an earlier owner, by name, as records tell. An
         # owner only starts runs on workers that have answered it.
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -18,19 +18,15 @@
 from primrosestile.state.work import Need
 
 # Away from its rack a task takes three times as long, so waiting pays for up to
-# twice its run time, and then it is late either way. By run times as learned:
-# callers' estimates, off by up to eight times, sent rebuilds of ten seconds away
-# after one. Against half of that and estimates: worth of callers 0.754 for 0.727
-# and 0.764 for 0.741, rebuilds 0.674 for 0.617 and renders 0.715 for 0.633 (means
-# of 20 drawn days of each heavy workload, `scripts/bench site`).
+# twice its run time, and then it is late either way. By run times as learned, since
+# callers' estimates may be off by a factor of eight.
 FAR_PATIENCE_FACTOR = 2.0
 FAR_PATIENCE_SECONDS = (1.0, 20.0)
 # Urgent work is late after half its run time and of no use after 3.5 times that.
 URGENT_PATIENCE_FACTOR = 1.5
 # While less than this share of a pool's accelerators is in use nobody else wants what
 # a run away from its rack holds for longer, and operators promise that nothing waits
-# for three seconds beside room for it twice over. It costs 0.02 of what callers get
-# on a heavy day (16 drawn days of each workload, `scripts/bench site`).
+# for three seconds beside room for it twice over.
 IDLE_SHARE = 0.5
 IDLE_PATIENCE_SECONDS = 2.0
 # Tasks that fit where they need nothing that is counted.
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -39,8 +39,7 @@
 # Guaranteed work must have begun 2.9 s after its acceptance. A stop and the start
 # after it take half a second, and an expectation may be wrong by as much again.
 RECLAIM_WAIT_SECONDS = 1.5
-# Units looked at in one pass: at 24 workers a unit that does not fit takes 0.05 ms,
-# so a full queue costs a pass a few milliseconds.
+# Units looked at in one pass, so that a full queue costs it a few milliseconds.
 LOOK_LIMIT = 200
 # They hold nothing, so all passes share them.
 MECHANISMS = make_mechanisms()
@@ -228,10 +227,7 @@
 
         Urgent work may always have that. Other work may stop what has a lower
         priority and loses next to nothing, while it can be in time itself. Were it
-        stopped only in the last four seconds of that, gangs would find too little:
-        callers got 0.740 and 0.757 of what was owed to them, with this 0.803 and
-        0.788 (means of 12 drawn days of each heavy workload, `scripts/bench site`,
-        with the stops of young work that `preempting` allows).
+        stopped only in the last seconds of that, gangs would find too little.
         """
         if rank.urgent or rank.lasting:
             return not rank.useless
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -22,32 +22,22 @@
 # gap until it is placed again.
 RESTART_SECONDS = 0.5
 # Beyond its guarantee urgent work stops nothing that was started less than this
-# ago: work that is stopped again and again for others never ends. Seen without it:
-# 14 starts of one rebuild within a minute.
+# ago: work that is stopped again and again for others never ends.
 SPARED_SECONDS = 2.0
 # Nothing that was begun more often than this is stopped, but for guaranteed work: the
-# same patient tasks would pay for all others. With it callers of the worst kind of
-# job got 0.458 of what was owed, without it 0.392, and all callers 0.717 and 0.646
-# (means of two days of one heavy workload, `scripts/bench site`).
+# same patient tasks would pay for all others.
 SPARED_STARTS = 3
 # Work without checkpoints loses all that it did, so usual work stops only what has just
-# begun. Rebuilds found too little room before a table of ten seconds had ended: callers
-# got 0.740 and 0.757 of what was owed to them, with this 0.803 and 0.788 (12 drawn days
-# of each of two heavy workloads, `scripts/bench site`). At 8 s three times as much is
-# thrown away.
+# begun; without any of that, gangs would find too little room until long tables end.
 UNSAVED_SECONDS = 3.0
 # For urgent work, unsaved work that is older may be stopped as well, while all of it
 # comes to no more than what the urgent work does itself, times this. A gang of four
 # whole workers in one rack stood beside four racks on which single unsaved tasks were
-# spread, none of them young, for ten seconds, and its caller got nothing. Against the
-# bound by age alone: callers got 0.830 for 0.783, 0.803 for 0.784 and 0.896 for 0.883,
-# callers with nothing 3.5 for 4.8, 6.1 for 7.7 and 0.8 for 1.2 a day (32 drawn days of
-# each heavy workload, `scripts/bench site`). From 1.5 to 3 that is flat; at 3 twice as
-# much is thrown away.
+# spread, none of them young, for ten seconds, and its caller got nothing.
 URGENT_WASTE_FACTOR = 2.0
 # What may be thrown away for work that is not urgent but goes before what is
 # stopped: a few restarts, against the hundreds of core-seconds of a gang that would
-# come too late for its caller. At 600 as much was served and more thrown away.
+# come too late for its caller.
 USUAL_CORE_SECONDS = 250.0
 # Urgent work of others goes last: stopping it makes one caller late for another.
 URGENT_VICTIM_FACTOR = 10.0
--- a/src/primrosestile/decisions/work/rescuing.py
+++ b/src/primrosestile/decisions/work/rescuing.py
@@ -28,8 +28,7 @@
 # A worker that is slow for good takes 1.3 times as long, and tasks of one step differ
 # by as much; what is further behind than this has met trouble.
 BEHIND_FACTOR = 2.5
-# A job whose own task makes no progress anywhere must not be moved without end. With
-# three, a gang of 1.3 s was begun four times, each time beside another slow worker.
+# A job whose own task makes no progress anywhere must not be moved without end.
 MOST_RESCUES = 2
 
 
--- a/src/primrosestile/decisions/work/standing.py
+++ b/src/primrosestile/decisions/work/standing.py
@@ -9,11 +9,11 @@
 
 import math
 
-# An owner of 176 workers takes 0.37 cores on a calm day, and several times that after a
-# takeover.
+# An owner of a hundred workers and more needs several times what it takes on a calm day
+# just after a takeover.
 AMPLE_PROCESSOR_CORES = 1.0
-# An owner of 350 workers on a link of 5 Mbit/s fell behind, and those on 100 did not; a
-# limit at either would part VMs that are hardly different.
+# Well between links that can't carry a large fleet and those that can: a limit at
+# either would part VMs that are hardly different.
 AMPLE_LINK_MBPS = 50.0
 # A link of this share of an ample one lacks all that counts.
 LEAST_LINK_SHARE = 0.1
--- a/src/primrosestile/decisions/work/trust.py
+++ b/src/primrosestile/decisions/work/trust.py
@@ -15,13 +15,12 @@
 # loses its trust again by the next failure if nothing has changed.
 DISTRUST_SECONDS = 6.0
 # Work that can't be done fails partway; a run that fails this soon, with nothing
-# done, more likely met a worker that fails everything: 0.03 to 0.05 s where that
-# was seen. The worker is left out for a little at once, since the next job that
-# comes may have but one more attempt.
+# done, more likely met a worker that fails everything. The worker is left out for a
+# little at once, since the next job that comes may have but one more attempt.
 AT_ONCE_SECONDS = 0.25
 DOUBT_SECONDS = 3.0
-# Tasks stood still on a worker for 5 to 7 s where that was seen, and it is noticed one
-# to two seconds after; what is placed there meanwhile stands still as well.
+# What is placed on a worker on which a task stands still does so as well, while that
+# lasts: some seconds.
 STILL_SECONDS = 5.0
 # A worker that refused a start for its health is asked again after this.
 UNHEALTHY_SECONDS = 1.0
--- a/src/primrosestile/platform/entries.py
+++ b/src/primrosestile/platform/entries.py
@@ -125,8 +125,7 @@
 def _is_address(text: str) -> bool:
     """Whether a text is `ip:port`, an address of version 6 in brackets.
 
-    Kept, since a worker's address stays: an entry is read in 9 microseconds, and in
-    16 without (least of 7 times 2,000 reads, on a busy VM).
+    Kept, since a worker's address stays and its entry is read twice a second.
     """
     host, _, port = text.rpartition(":")
     if not (port.isascii() and port.isdecimal() and 0 < len(port) <= 5):
--- a/src/primrosestile/programs/common.py
+++ b/src/primrosestile/programs/common.py
@@ -154,7 +154,7 @@
 
     Connections are closed only once no service runs any more. Closed before, a
     service that happened to use one raised, and the process ended with 1 though it
-    had drained well: one roll of nine programs in eight, beside load.
+    had drained well.
 
     Args:
         services: Each runs until it is cancelled.
