Give the records of waves of upkeep a module of their own

The records, with the time that owners have known a wave and writes that went unanswered, are a class of their own now. The logic is as before, but that a record which has vanished is not told to operators a second time as taken up.

--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -9,32 +9,25 @@
 speaks of one order. Where an earlier one went unanswered, or was an earlier owner's,
 the VM stays recorded as ordered, and so counts as away, until an order is answered
 with its beginning; what runs there by then may be a life that came after the upkeep.
-
-A wave's deadline is counted by owners' steady clocks, one after another; each notes in
-the record how much has passed. Two owners' times of day may be minutes apart: work
-would be thrown away as if the deadline were past, or be waited for long after it.
 """
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
 import structlog
 
-from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import LEASE_SECONDS, Term
-from primrosestile.coordination.work.keys import OWNER_KEY, make_wave_key
+from primrosestile.clock import read_clock
+from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.vmlist import VmList
+from primrosestile.coordination.work.waverecords import RecordUnreadable, WaveRecords
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Proof
 from primrosestile.decisions.work.upkeep import may_go, plan_upkeep
 from primrosestile.errors import Failure
-from primrosestile.protocol.store import Entry
-from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
+from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.protocol.upkeep import UpkeepAnswer, UpkeepCalls
 from primrosestile.state.upkeep import VmState, Wave, WaveRecord, WorkerVm
-from primrosestile.state.work import encode_record
 
 # How often operators' wishes are read while there is none, and while one is open.
 IDLE_SECONDS = 2.0
@@ -42,11 +35,6 @@
 # Two owners must not order for one VM within 3 s; the one before may have ordered
 # until our term began.
 TURN_SECONDS = 3.3
-
-# How often the record is written while nothing happens but time; the next owner counts
-# on from there, and the spare part of the deadline covers what it misses.
-NOTE_SECONDS = 2.0
-
 # An upkeep takes 2 s and the worker 1.5 s more; a list may be a second old.
 RETURN_SECONDS = 5.0
 LIST_AGE_SECONDS = 1.0
@@ -54,25 +42,6 @@
 _log = structlog.get_logger()
 
 
-class _RecordUnreadable(Exception):
-    """What stands for a wave can't be read.
-
-    Attributes:
-        revision: At which it stands.
-    """
-
-    def __init__(self, revision: int) -> None:
-        super().__init__(f"at revision {revision}")
-        self.revision = revision
-
-
-def _decode_record(entry: Entry) -> WaveRecord:
-    try:
-        return msgspec.msgpack.decode(entry.value, type=WaveRecord)
-    except msgspec.MsgspecError as error:
-        raise _RecordUnreadable(entry.mod_revision) from error
-
-
 @dataclass(frozen=True, slots=True)
 class _Ordered:
     """The life on a VM when its upkeep was ordered, and when that was answered."""
@@ -93,18 +62,12 @@
         wake: Callable[[], None],
     ) -> None:
         self._calls = calls
-        self._store = store
         self._term = term
         self._board = board
         self._wake = wake
         self._began = read_clock()
-        self._records: dict[int, tuple[WaveRecord, int]] = {}
+        self._records = WaveRecords(store, term)
         self._unreadable: dict[int, int] = {}
-        # Waves of which the latest write, or any, was not answered yet: the store may
-        # hold another record, or none.
-        self._unsettled: set[int] = set()
-        # Since when waves are known, on the loop's clock, former owners' time included.
-        self._known_since: dict[int, float] = {}
         self._completed: dict[int, Wave] = {}
         # Both by wave and VM, since one wave's upkeep says nothing of another's: the
         # orders that were answered with a beginning, and where each order so far was
@@ -141,7 +104,7 @@
                 await self._load(wave)
                 await self._reopen(wave)
                 closed |= await self._advance(wave, vms)
-            except _RecordUnreadable as unreadable:
+            except RecordUnreadable as unreadable:
                 self._note_unreadable(wave, unreadable.revision)
         self._set_closed(frozenset(closed))
         return len(waves)
@@ -163,30 +126,12 @@
             worker.closed = worker.name in closed
 
     async def _load(self, wave: Wave) -> None:
-        """Read how far an earlier owner brought a wave."""
-        if wave.number in self._records:
-            return
-        entry = await self._store.get(make_wave_key(wave.number))
-        if entry is not None:
-            record = _decode_record(entry)
-            self._records[wave.number] = (record, entry.mod_revision)
-            # The former owner's lease has run out since it wrote.
-            before = record.waited + LEASE_SECONDS
-            self._known_since.setdefault(wave.number, read_clock() - before)
+        """Know how far a wave got; tell operators of one that is taken up."""
+        if not await self._records.load(wave):
             return
-        self._known_since.setdefault(wave.number, read_clock())
-        self._records[wave.number] = (WaveRecord(read_wall_clock()), 0)
-        # It is written before anything is waited for. Else an owner that is lost before
-        # its first order leaves no time of the wave, and the next one waits for work
-        # past the deadline: one would see `wave_taken` twice.
-        self._unsettled.add(wave.number)
         await self._calls.report(wave.number, False, self._term.fence)
         _log.info("wave_taken", wave=wave.number, vms=len(wave.vms), most=wave.most)
 
-    def _find_waited(self, wave: Wave) -> float:
-        """Return for how long owners have known a wave, in seconds."""
-        return read_clock() - self._known_since[wave.number]
-
     def _note_unreadable(self, wave: Wave, revision: int) -> None:
         """Leave a wave alone whose record can't be read.
 
@@ -212,9 +157,9 @@
 
     async def _advance(self, wave: Wave, vms: dict[str, WorkerVm]) -> frozenset[str]:
         """Order what may begin; return the workers that are to be emptied."""
-        await self._settle(wave)
+        await self._records.settle(wave)
         await self._note_over(wave, vms)
-        record, _ = self._records[wave.number]
+        record = self._records.find(wave)
         stays = [name for name in wave.vms if not self._is_gone(wave, name)]
         if all(name in record.over for name in stays):
             await self._complete(wave)
@@ -229,7 +174,7 @@
             vms,
             record.begun,
             sum(not self._is_gone(wave, name) for name in away),
-            wave.deadline_seconds - self._find_waited(wave),
+            wave.deadline_seconds - self._records.find_waited(wave),
             read_clock(),
             self._list_leaving(answered=False),
         )
@@ -243,14 +188,14 @@
 
     async def _note_over(self, wave: Wave, vms: dict[str, WorkerVm]) -> None:
         """Note the VMs that are back."""
-        record, _ = self._records[wave.number]
+        record = self._records.find(wave)
         over = set(record.over)
         for name in record.begun:
             vm = None if self._vms.is_missing(name) else vms.get(name)
             if vm is not None and self._is_back(wave, vm):
                 over.add(name)
         if over != set(record.over):
-            await self._write(wave, record.begun, tuple(sorted(over)))
+            await self._records.write(wave, record.begun, tuple(sorted(over)))
 
     def _is_back(self, wave: Wave, vm: WorkerVm) -> bool:
         """Whether a VM has a wave's upkeep behind it.
@@ -292,7 +237,7 @@
             answered: Only those whose upkeep has begun for certain.
         """
         found = set()
-        for number, (record, _) in self._records.items():
+        for number, record in self._records:
             for name in set(record.begun) - set(record.over):
                 ordered = self._ordered.get((number, name))
                 if ordered is not None:
@@ -302,9 +247,9 @@
         return frozenset(found)
 
     async def _begin(self, wave: Wave, vm: WorkerVm) -> None:
-        record, _ = self._records[wave.number]
+        record = self._records.find(wave)
         begun = (*record.begun, vm.name)
-        if await self._write(wave, begun, record.over):
+        if await self._records.write(wave, begun, record.over):
             self._not_begun.add((wave.number, vm.name))
             await self._send(wave, vm)
 
@@ -350,8 +295,8 @@
                 self._board.drop_worker(vm.worker, Proof.VM_ORDERED)
             self._wake()
         elif answer is UpkeepAnswer.NOT_THERE:
-            record, _ = self._records[wave.number]
-            await self._write(wave, record.begun, (*record.over, vm.name))
+            record = self._records.find(wave)
+            await self._records.write(wave, record.begun, (*record.over, vm.name))
         elif surely_first:
             self._not_begun.add(key)
             if answer is UpkeepAnswer.BUSY:
@@ -363,44 +308,9 @@
         Only for one that surely has not begun. Another one that were struck off would
         no longer count as away, and one more than allowed would be ordered.
         """
-        record, _ = self._records[wave.number]
+        record = self._records.find(wave)
         begun = tuple(name for name in record.begun if name != vm.name)
-        await self._write(wave, begun, record.over)
-
-    async def _settle(self, wave: Wave) -> None:
-        """Find out which record stands after a write that went unanswered.
-
-        One that takes an order back may stand, or land later. Were the order given
-        again by what this owner remembers, the next owner would find none, count the VM
-        as there and give a first order: one VM too many is away, and what runs there
-        counts as ended. Once a write is answered, whichever way, the earlier one has
-        landed or its condition never holds again.
-        """
-        record, _ = self._records[wave.number]
-        unnoted = self._find_waited(wave) - record.waited
-        if wave.number in self._unsettled or unnoted > NOTE_SECONDS:
-            await self._write(wave, record.begun, record.over)
-
-    async def _write(
-        self, wave: Wave, begun: tuple[str, ...], over: tuple[str, ...]
-    ) -> bool:
-        record, revision = self._records[wave.number]
-        waited = self._find_waited(wave)
-        changed = WaveRecord(record.first_seen, begun, over, waited)
-        key = make_wave_key(wave.number)
-        self._unsettled.add(wave.number)
-        done = await self._store.commit(
-            [Condition(OWNER_KEY, self._term.fence), Condition(key, revision)],
-            [Write(key, encode_record(changed))],
-        )
-        self._unsettled.discard(wave.number)
-        if not done.done:
-            # Ours after a lost answer, or another owner's: read anew either way.
-            self._records.pop(wave.number, None)
-            await self._load(wave)
-            return False
-        self._records[wave.number] = (changed, done.revision)
-        return True
+        await self._records.write(wave, begun, record.over)
 
     async def _complete(self, wave: Wave) -> None:
         if await self._calls.report(wave.number, True, self._term.fence):
