Keep a process's lease when one connection to the store falls silent

A renewal waited up to 2 s on the silent connection, then a further third of the lease, so the lease of 3 s ran out (also the default one of 4 s: asked at 1.33, given up at 3.33, asked again at 4.67). All cells were given up at 51.16 and taken again at 51.92; the next owner slept up to 2 s before its first renewal, so the leases of tasks (6 s, last extended at 47.04) ended between 53.0 and the renewal at up to 53.94. That is the second start 6.5 s after the first. Ruled out: the workers' connections (renewed anew after 1 s each). Change: a renewal takes at most half the lease and the next one is due a third after the one before was asked; a new owner renews the leases that it takes over before its first pause.

--- a/features/doubles/cells.py
+++ b/features/doubles/cells.py
@@ -29,6 +29,7 @@
 from primrosestile.coordination.vmwatch import VmWatch
 from primrosestile.decisions.cellchoice import CellPicture
 from primrosestile.errors import Failure
+from primrosestile.protocol.workers import TaskReport
 from primrosestile.state.fleet import Cell, FailureDomain, Fleet, Rack, Worker
 from primrosestile.state.jobs import (
     JOBS_PREFIX,
@@ -338,6 +339,14 @@
         entry = self.store.read_all().get(f"{JOBS_PREFIX}{CELL}/{job_id}")
         return decode_job(entry.value) if entry else None
 
+    def list_tasks(self) -> list[TaskReport]:
+        """Return what the workers report of their tasks."""
+        return self.runner.run(self._list_tasks())
+
+    async def _list_tasks(self) -> list[TaskReport]:
+        workers = self.workers_by_name.values()
+        return [task for worker in workers for task in worker.report(0).tasks]
+
     def list_runs(self) -> list[TaskRun]:
         return [
             run
--- a/features/fuzzing/found.feature
+++ b/features/fuzzing/found.feature
@@ -43,6 +43,20 @@
     And 10 seconds pass in the fuzzed cell
     Then every promise about gangs holds in the fuzzed cell
 
+  Scenario: A renewal that a silent connection swallows leaves the owner its cells
+    Guards against an owner that loses every cell to one connection to the store that
+    has gone silent.
+    Given a fuzzed cell that runs a restartable gang of 60 seconds
+    When the owner's next call to the store is never answered
+    And 10 seconds pass in the fuzzed cell
+    Then the fuzzed cell has the owner and the epoch that it had
+
+  Scenario: The next owner renews the leases that it takes over at once
+    Guards against tasks whose leases lapse during a change of owner.
+    Given a fuzzed cell that runs a restartable gang of 60 seconds
+    When the owner of the fuzzed cell is killed
+    Then the next owner renews the gang's leases within 0.5 seconds of its recovery
+
   Scenario: A new owner knows from the start which workers are leaving
     A worker leaves, which only the VM list says. The owner of its cell dies, then
     another placer takes over and places what waits. If it began before it had read
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -3,12 +3,14 @@
 from behave import given, then, when
 from features.doubles.cells import (
     SETTLE_SECONDS,
+    TASK_LEASE_SECONDS,
     Deployment,
     Placer,
     check_gangs,
     check_settled,
 )
 from features.doubles.network import Fate
+from features.doubles.processes import Running
 from features.doubles.requests import (
     SETTLE_SECONDS as SETTLE_REQUESTS_SECONDS,
     Counter,
@@ -21,6 +23,8 @@
 from features.fuzzing.running import run_machine
 from features.fuzzing.settings import SettingsMachine
 
+STEP_SECONDS = 0.05
+
 
 def start_deployment(context: Any) -> Deployment:
     context.deployment = Deployment()
@@ -86,6 +90,51 @@
     context.deployment.kill(find_owner(context.deployment).process.name)
 
 
+@when("the owner's next call to the store is never answered")
+def silence_store(context: Any) -> None:
+    owner = find_owner(context.deployment)
+    (keeper,) = owner.ownership.keepers.values()
+    context.owner, context.epoch = owner, keeper.epoch
+    owner.store_link.fates.append(Fate.LOST_BEFORE)
+
+
+@then("the fuzzed cell has the owner and the epoch that it had")
+def check_same_owner(context: Any) -> None:
+    owner = find_owner(context.deployment)
+    (keeper,) = owner.ownership.keepers.values()
+    assert (owner, keeper.epoch) == (context.owner, context.epoch), keeper.epoch
+
+
+@then(
+    "the next owner renews the gang's leases within {seconds:f} seconds of its recovery"
+)
+def check_renewed_at_once(context: Any, seconds: float) -> None:
+    deployment = context.deployment
+    deployment.placers = {
+        name: placer
+        for name, placer in deployment.placers.items()
+        if placer.process.state is Running.YES
+    }
+    while not is_recovered(deployment):
+        deployment.advance(STEP_SECONDS)
+    deployment.advance(seconds)
+    tasks = deployment.list_tasks()
+    assert len(tasks) == 2, tasks
+    for task in tasks:
+        used = TASK_LEASE_SECONDS - task.lease_seconds
+        # A lease is shortened by the age of what is known of other members.
+        assert used <= 2 * seconds, task
+
+
+def is_recovered(deployment: Deployment) -> bool:
+    keepers = [
+        keeper
+        for placer in deployment.placers.values()
+        for keeper in placer.ownership.keepers.values()
+    ]
+    return any(keeper.recovered.is_set() for keeper in keepers)
+
+
 @when("a restartable gang of {seconds:d} seconds is submitted to the fuzzed cell")
 def submit_gang(context: Any, seconds: int) -> None:
     context.deployment.submit(float(seconds), restartable=True)
--- a/src/primrosestile/coordination/following.py
+++ b/src/primrosestile/coordination/following.py
@@ -46,6 +46,9 @@
     async def follow(self, group: asyncio.TaskGroup, name: str) -> None:
         """Follow one worker until cancelled or superseded."""
         contact = self._data.contacts[name]
+        if self._data.book.list_on(name):
+            # The owner before may have renewed its leases long ago.
+            await self._run_round(group, contact)
         while not self.superseded.is_set():
             await asyncio.sleep(self._choose_pause())
             await self._run_round(group, contact)
--- a/src/primrosestile/coordination/membership.py
+++ b/src/primrosestile/coordination/membership.py
@@ -21,8 +21,11 @@
 from primrosestile.state.jobs import ProcessRecord
 
 PROCESSES_PREFIX = "processes/"
-# Renewed three times within its time to live, so two lost renewals do no harm.
+# Renewals are due three times within the time to live.
 RENEWALS_PER_LEASE = 3
+# Of the time to live, how long one renewal may take. A connection that has gone silent
+# is found by this, and leaves time for one more renewal on a new connection.
+RENEWAL_TIMEOUT_SHARE = 0.5
 # A process slow to hear of the store's answer stops acting this long before the
 # store can have given its cells away, since clocks run at different speeds.
 LEASE_MARGIN_SECONDS = 0.25
@@ -86,12 +89,17 @@
         self._valid_until = asked_at + self._seconds - LEASE_MARGIN_SECONDS
 
     async def _renew(self) -> None:
+        period = self._seconds / RENEWALS_PER_LEASE
+        due_at = read_clock() + period
         while True:
-            await asyncio.sleep(self._seconds / RENEWALS_PER_LEASE)
+            # At once when the one before took longer than a period to fail.
+            await asyncio.sleep(max(0.0, due_at - read_clock()))
             asked_at = read_clock()
+            due_at = asked_at + period
             try:
-                alive = await self._store.keep_lease(self.lease)
-            except Failure:
+                async with asyncio.timeout(self._seconds * RENEWAL_TIMEOUT_SHARE):
+                    alive = await self._store.keep_lease(self.lease)
+            except (Failure, TimeoutError):
                 self._store_failed_at = read_clock()
                 if not self.is_valid():
                     # Renewing goes on: the store may come back before it has
