Keep lines about the fleet from displacing those that explain an outcome

Cause: one bound of 400 lines a second for everything. Ruled out: a higher bound for all lines (a fault that repeats would take the processor). Change: lines about a caller's outcome have a budget of their own (2,000 a second, 4,000 in a burst), the others keep 400; a new owner tells of its workers in two lines; a metric counts dropped lines by event.

--- a/features/logs/explaining.feature
+++ b/features/logs/explaining.feature
@@ -29,3 +29,22 @@
     When 5000 lines are logged within a second and one in the next
     Then 400 of them are written
     And the next line says that 4600 were dropped
+    And the metrics of the process count 4600 dropped lines of that event
+
+  Scenario: What became of callers' work is told whatever is told of the fleet
+    Guards against lines about workers that displace those that explain an outcome.
+    When 5000 lines about workers and then 500 about runs are logged within a second
+    Then all of those about runs are written
+
+  Scenario: A large fleet is taken over with many jobs open
+    Guards against a takeover that can't be explained afterwards, its lines dropped.
+    Given the log of 2 processes that run 100 jobs of 10 tasks on 270 workers
+    When their owner is killed, 30 urgent jobs come and the other one takes over
+    Then each decision, start and end of these jobs is logged
+    And no line was dropped
+    And the takeover's lines about workers are fewer than 10
+
+  Scenario: Logs of a large fleet are searched within seconds
+    Guards against an on-call engineer who waits for the story of one task.
+    Given the logs of 20 processes with 10000 lines each
+    Then the story of a task in them is told within 5 s
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -4,7 +4,10 @@
 import contextlib
 import io
 import json
+import sys
 import tempfile
+import time
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -14,15 +17,21 @@
 from features.doubles.fleetworld import FleetWorld, make_policy
 from typer.testing import CliRunner
 
+from primrosestile.clock import read_clock
 from primrosestile.platform.policy import POLICY_KEY
 from primrosestile.programs import cli
-from primrosestile.programs.logs import LINES_PER_SECOND, _Bound, set_up_logs
+from primrosestile.programs.cliexplain import gather_story
+from primrosestile.programs.logbounds import OTHER_LINES_PER_SECOND, LineBounds
+from primrosestile.programs.logs import set_up_logs
+from primrosestile.programs.metrics import Metrics
 from primrosestile.state.work import Need
 from primrosestile_standin.fleetscript import Script
 
 PATIENT = "00000000000000b1"
 TWICE = f"{PATIENT}.0.0.1"
 URGENT = "00000000000000c1"
+LazyLogger = type(structlog.get_logger())
+FLOOD = "worker_silent"
 TASK = {"cpu": 1000, "mem_mb": 1000, "estimate_ms": 60_000}
 
 
@@ -165,11 +174,12 @@
 @when("{count:d} lines are logged within a second and one in the next")
 def step_flood(context: Any, count: int) -> None:
     now = [10.0]
-    bound = _Bound(lambda: now[0])
+    context.metrics = Metrics("p")
+    bound = LineBounds(context.metrics.note_dropped_line, lambda: now[0])
     context.written = 0
     for _ in range(count):
         with contextlib.suppress(structlog.DropEvent):
-            bound(None, "info", {})
+            bound(None, "info", {"event": FLOOD})
             context.written += 1
     now[0] = 11.0
     context.next = json.loads(json.dumps(bound(None, "info", {})))
@@ -177,9 +187,173 @@
 
 @then("{count:d} of them are written")
 def step_written(context: Any, count: int) -> None:
-    assert context.written == count == LINES_PER_SECOND
+    assert context.written == count == OTHER_LINES_PER_SECOND
 
 
 @then("the next line says that {count:d} were dropped")
 def step_dropped(context: Any, count: int) -> None:
     assert context.next["lines_dropped"] == count
+
+
+@then("the metrics of the process count {count:d} dropped lines of that event")
+def step_counted(context: Any, count: int) -> None:
+    page, _ = context.metrics.render([])
+    lines = page.decode().splitlines()
+    (line,) = [each for each in lines if each.startswith("log_lines_dropped_total")]
+    assert f'event="{FLOOD}"' in line and line.endswith(f" {count}"), line
+
+
+@when(
+    "{fleet:d} lines about workers and then {runs:d} about runs are logged within"
+    " a second"
+)
+def step_both(context: Any, fleet: int, runs: int) -> None:
+    dropped: Counter[str] = Counter()
+
+    def note(event: str) -> None:
+        dropped[event] += 1
+
+    bound = LineBounds(note, lambda: 10.0)
+    for event, count in ((FLOOD, fleet), ("run_started", runs)):
+        for _ in range(count):
+            with contextlib.suppress(structlog.DropEvent):
+                bound(None, "info", {"event": event})
+    context.dropped = dropped
+
+
+@then("all of those about runs are written")
+def step_runs_written(context: Any) -> None:
+    assert context.dropped[FLOOD] and not context.dropped["run_started"]
+
+
+@given(
+    "the log of {processes:d} processes that run {jobs:d} jobs of {tasks:d} tasks"
+    " on {workers:d} workers"
+)
+def step_large(
+    context: Any, processes: int, jobs: int, tasks: int, workers: int
+) -> None:
+    context.tasks = tasks
+    context.output = io.StringIO()
+    context.dropped = []
+    context.world = world = FleetWorld()
+    context.cleanups.append(world.close)
+    context.jobs = [f"{number:016x}" for number in range(jobs)]
+    steps = [{"count": tasks, "gpu": 1, **TASK}]
+
+    async def begin() -> None:
+        world.store.put(POLICY_KEY, make_policy(1))
+        for number in range(workers):
+            world.add_worker(f"w{number}", rack=f"r{number // 20}")
+        for number in range(processes):
+            world.add_process(f"p{number}")
+        await asyncio.sleep(2.0)
+        world.fleet.default = Script(8.0, Need(1000, 1000, 1))
+        for job in context.jobs:
+            await world.submit("p0", job, "usual", "post", steps=steps)
+        await asyncio.sleep(2.0)
+
+    run_logged(context, begin())
+
+
+@when("their owner is killed, {count:d} urgent jobs come and the other one takes over")
+def step_take_over(context: Any, count: int) -> None:
+    world: FleetWorld = context.world
+    urgent = [f"a{number:015x}" for number in range(count)]
+    context.jobs += urgent
+    steps = [{"count": context.tasks, "gpu": 1, **TASK}]
+
+    async def take_over() -> None:
+        owner = world.find_owner()
+        assert owner is not None
+        await world.kill(owner.name)
+        context.killed_at = read_clock()
+        other = next(name for name in world.processes if name != owner.name)
+        for job in urgent:
+            await world.submit(other, job, "urgent", "post", steps=steps)
+        await asyncio.sleep(14.0)
+
+    run_logged(context, take_over())
+
+
+def run_logged(context: Any, work: Coroutine[Any, Any, None]) -> None:
+    """Run on the paused clock, by which the bounds of the log count as well."""
+    loop = context.world.runner.get_loop()
+    forget_loggers()
+    with contextlib.redirect_stdout(context.output):
+        try:
+            set_up_logs("p", "info", context.dropped.append, loop.time)
+            context.world.run(work)
+        finally:
+            structlog.contextvars.clear_contextvars()
+            structlog.reset_defaults()
+            forget_loggers()
+
+
+def forget_loggers() -> None:
+    """Let each module's logger be made anew, with the bounds of this scenario."""
+    for module in list(sys.modules.values()):
+        logger = getattr(module, "_log", None)
+        if isinstance(logger, LazyLogger):
+            logger.__dict__.pop("bind", None)
+
+
+def read_lines(context: Any) -> list[Any]:
+    return [json.loads(line) for line in context.output.getvalue().splitlines()]
+
+
+@then("each decision, start and end of these jobs is logged")
+def step_all_logged(context: Any) -> None:
+    seen = Counter((line["event"], line["job_id"]) for line in read_lines(context))
+    for job in context.jobs:
+        assert seen["job_admitted", job] >= 1, job
+        for event in ("run_decided", "run_started", "run_ended"):
+            assert seen[event, job] >= context.tasks, (event, job, seen[event, job])
+
+
+@then("no line was dropped")
+def step_none_dropped(context: Any) -> None:
+    assert not context.dropped, Counter(context.dropped)
+
+
+@then("the takeover's lines about workers are fewer than {most:d}")
+def step_fleet_lines(context: Any, most: int) -> None:
+    lines = read_lines(context)
+    gained = [n for n, line in enumerate(lines) if line["event"] == "ownership_gained"]
+    taken_over = lines[gained[-1] :]
+    told = [line for line in taken_over if line["event"].startswith("worker")]
+    assert 0 < len(told) < most, Counter(line["event"] for line in told)
+
+
+@given("the logs of {files:d} processes with {count:d} lines each")
+def step_many_lines(context: Any, files: int, count: int) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.files = []
+    for number in range(files):
+        path = Path(folder.name) / f"p{number}.log"
+        with path.open("w") as file:
+            for line in range(count):
+                file.write(make_line(number, line) + "\n")
+        context.files.append(path)
+
+
+def make_line(process: int, number: int) -> str:
+    line = {
+        "job_id": f"{number % 1000:016x}",
+        "task": f"{number % 1000:016x}.0.0.{process}",
+        "run": 1,
+        "worker": f"w{number % 270}",
+        "event": "run_started",
+        "process": f"p{process}",
+        "timestamp": f"2026-01-01T00:{number // 60 % 60:02}:{number % 60:02}Z",
+    }
+    return json.dumps(line)
+
+
+@then("the story of a task in them is told within {seconds:g} s")
+def step_told_soon(context: Any, seconds: float) -> None:
+    began = time.monotonic()
+    story = gather_story(context.files, f"{7:016x}.0.0.3")
+    assert story
+    assert time.monotonic() - began < seconds
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -81,6 +81,7 @@
         self._stopped: dict[tuple[str, int], float] = {}
         self._strays: dict[tuple[str, int], float] = {}
         self._last_heard = read_clock()
+        self._was_silent = False
 
     @property
     def entry(self) -> WorkerEntry:
@@ -227,7 +228,9 @@
             self._take_absent(look, sent_at)
         if not self.worker.in_hand and self.clock.known:
             self.worker.in_hand = True
-            _log.info("worker_in_hand", worker=self.worker.name)
+            # An owner's first contact with its workers is told in sum.
+            if self._was_silent:
+                _log.info("worker_in_hand", worker=self.worker.name)
         self._wake()
         if fresh:
             await self._record_ends(last)
@@ -314,6 +317,7 @@
         worker = self.worker
         if worker.in_hand and now - self._last_heard > LOOK_SECONDS:
             worker.in_hand = False
+            self._was_silent = True
             _log.warning(
                 "worker_silent",
                 worker=worker.name,
--- a/src/primrosestile/coordination/work/passlog.py
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -1,6 +1,8 @@
-"""What a pass says in the log of runs that it ends or takes as gone."""
+"""What the owner says in the log: of runs that end, and of the fleet in sum."""
 
-from collections.abc import Mapping, Sequence
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from itertools import islice
 
 import structlog
 
@@ -8,10 +10,39 @@
 from primrosestile.coordination.work.logfields import name_member, name_unit
 from primrosestile.decisions.work.planning import Stop
 from primrosestile.decisions.work.rescuing import Rescue
-from primrosestile.decisions.work.units import Member, Proof
+from primrosestile.decisions.work.units import Member, Proof, Worker
 
 _log = structlog.get_logger()
 
+# Names that one line lists at most.
+NAMES_LISTED = 20
+
+
+def log_workers_found(workers: Collection[Worker]) -> None:
+    """Say which workers a new owner begins with, in one line for all of them."""
+    _log.info(
+        "workers_found",
+        count=len(workers),
+        pools=Counter(each.entry.pool for each in workers),
+        leaving=_list_names(each for each in workers if each.entry.leaving),
+        unlisted=_list_names(each for each in workers if not each.listed),
+    )
+
+
+def log_workers_heard(workers: Collection[Worker]) -> None:
+    """Say how many workers have answered a new owner, and which have not."""
+    silent = [each for each in workers if not each.in_hand]
+    _log.info(
+        "workers_heard",
+        count=len(workers) - len(silent),
+        silent_count=len(silent),
+        silent=_list_names(silent),
+    )
+
+
+def _list_names(workers: Iterable[Worker]) -> list[str]:
+    return [each.name for each in islice(workers, NAMES_LISTED)]
+
 
 def log_gone(
     gone: Sequence[tuple[Member, Proof]], links: Mapping[str, WorkerLink], fence: int
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -22,7 +22,13 @@
 from primrosestile.coordination.work.metering import MeteredCalls
 from primrosestile.coordination.work.orders import Orders
 from primrosestile.coordination.work.ownwatch import OwnWatch
-from primrosestile.coordination.work.passlog import log_gone, log_rescue, log_stop
+from primrosestile.coordination.work.passlog import (
+    log_gone,
+    log_rescue,
+    log_stop,
+    log_workers_found,
+    log_workers_heard,
+)
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
@@ -59,6 +65,8 @@
 # one gave it: the earlier one's care after its own lease, then the worker's.
 BLIND_SECONDS = CARE_SECONDS + LEASE_SECONDS / SLOW_CLOCK_FACTOR + 1.0
 CLEAN_SECONDS = 10.0
+# After the first links have begun, until the log tells which workers are silent.
+CONTACT_SECONDS = 1.0
 RETRY_SECONDS = 0.2
 
 _log = structlog.get_logger()
@@ -139,6 +147,7 @@
             await self._load()
             caring.cancel()
             self._watch.loaded = True
+            log_workers_found(self._board.workers.values())
             self._tasks = tasks
             orders = Orders(
                 self._calls,
@@ -157,6 +166,7 @@
             tasks.create_task(self._advisor.run())
             tasks.create_task(self._upkeep.run())
             tasks.create_task(self._clean_up())
+            tasks.create_task(self._tell_contact())
             await self._run_passes(tasks, orders)
             raise _TermOver
 
@@ -183,6 +193,8 @@
 
     def _add_worker(self, entry: WorkerEntry) -> None:
         self._board.add_worker(entry)
+        if self._tasks is None:
+            return
         _log.info(
             "worker_found",
             worker=entry.worker,
@@ -190,8 +202,7 @@
             rack=entry.rack,
             leaving=entry.leaving,
         )
-        if self._tasks is not None:
-            self._start_link(entry.worker, self._tasks)
+        self._start_link(entry.worker, self._tasks)
 
     def _start_link(self, name: str, tasks: asyncio.TaskGroup) -> None:
         link = WorkerLink(
@@ -335,6 +346,10 @@
     def _log_gone(self) -> None:
         log_gone(self._board.take_gone(), self._links, self._term.fence)
 
+    async def _tell_contact(self) -> None:
+        await asyncio.sleep(CONTACT_SECONDS)
+        log_workers_heard(self._board.workers.values())
+
     async def _clean_up(self) -> None:
         """Keep what stands in the store to what is open or may be asked for."""
         while True:
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -26,6 +26,7 @@
 )
 from primrosestile.programs.entryapp import EntryParts, make_entry_app
 from primrosestile.programs.logs import set_up_logs
+from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.parts import AddressBook, Parts, make_parts
 from primrosestile.state.process import ProcessSettings
 from primrosestile.state.settings import Settings
@@ -67,9 +68,9 @@
     submissions: Submissions
 
 
-def make_entry(settings: ProcessSettings) -> Entry:
+def make_entry(settings: ProcessSettings, metrics: Metrics) -> Entry:
     """Build an entry; the settings in force reach its parts as they are read."""
-    parts = make_parts(settings, PROGRAM)
+    parts = make_parts(settings, PROGRAM, metrics)
     record = parts.registration.record
     holder = f"{record.name}/{record.incarnation}"
     claims = Claims(parts.store, holder, DirectoryCheck(parts.directory))
@@ -99,8 +100,9 @@
 
 async def run_entry(settings: ProcessSettings) -> None:
     """Run one entry until it is told to end."""
-    set_up_logs(settings.name, settings.log_level)
-    entry = make_entry(settings)
+    metrics = Metrics(PROGRAM)
+    set_up_logs(settings.name, settings.log_level, metrics.note_dropped_line)
+    entry = make_entry(settings, metrics)
     parts = entry.parts
     app = make_entry_app(
         EntryParts(
--- /dev/null
+++ b/src/primrosestile/programs/logbounds.py
@@ -0,0 +1,110 @@
+"""How many lines a process writes each second, and which lines give way to which.
+
+Lines that explain a caller's outcome have a budget of their own: lines about the fleet,
+of which a takeover or a fault writes hundreds at once, never displace them.
+"""
+
+import time
+from collections.abc import Callable
+
+import structlog
+
+# What became of a request, a job or a run, and why.
+OUTCOME_EVENTS = frozenset(
+    {
+        "call_refused",
+        "call_failed",
+        "cancel_accepted",
+        "eviction_failed",
+        "gang_start_failed",
+        "gang_started",
+        "job_accepted",
+        "job_action_stopped",
+        "job_admitted",
+        "job_cancelled",
+        "job_ended",
+        "job_moved",
+        "job_not_known",
+        "last_record_removed",
+        "last_record_stands",
+        "reclaimed",
+        "refused",
+        "request_broke",
+        "request_failed",
+        "run_decided",
+        "run_ended",
+        "run_evacuated",
+        "run_gone",
+        "run_preempted",
+        "run_rescued",
+        "run_started",
+        "start_refused",
+        "start_unanswered",
+        "stop_refused",
+        "stop_unanswered",
+        "stray_stopped",
+    }
+)
+OUTCOME_LINES_PER_SECOND = 2_000
+# Many jobs may start within one second; their lines are written all the same.
+OUTCOME_BURST_LINES = 4_000
+OTHER_LINES_PER_SECOND = 400
+
+
+class _Budget:
+    """A token bucket of lines."""
+
+    def __init__(self, lines_per_second: int, burst_lines: int) -> None:
+        self._lines_per_second = lines_per_second
+        self._burst_lines = burst_lines
+        self._left = float(burst_lines)
+        self._filled_at = 0.0
+
+    def take(self, now: float) -> bool:
+        """Return whether one more line may be written."""
+        gained = (now - self._filled_at) * self._lines_per_second
+        self._left = min(self._burst_lines, self._left + gained)
+        self._filled_at = now
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+
+class LineBounds:
+    """A structlog processor that drops lines past the bound of a second.
+
+    Args:
+        note_dropped: Called with the event of each line that is dropped.
+        read_time: A steady clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        note_dropped: Callable[[str], None],
+        read_time: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._note_dropped = note_dropped
+        self._read_time = read_time
+        self._outcomes = _Budget(OUTCOME_LINES_PER_SECOND, OUTCOME_BURST_LINES)
+        self._others = _Budget(OTHER_LINES_PER_SECOND, OTHER_LINES_PER_SECOND)
+        self._dropped = 0
+
+    def __call__(
+        self, logger: object, method: str, line: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        """Return the line; the first one after a loss tells how many were dropped.
+
+        Raises:
+            structlog.DropEvent: The line is past the bound.
+        """
+        event = str(line.get("event", ""))
+        budget = self._outcomes if event in OUTCOME_EVENTS else self._others
+        if not budget.take(self._read_time()):
+            self._dropped += 1
+            self._note_dropped(event)
+            raise structlog.DropEvent
+        if self._dropped:
+            line["lines_dropped"] = self._dropped
+            self._dropped = 0
+        return line
--- a/src/primrosestile/programs/logs.py
+++ b/src/primrosestile/programs/logs.py
@@ -9,48 +9,33 @@
 import msgspec
 import structlog
 
+from primrosestile.programs.logbounds import LineBounds
+
 # Every line carries these, so that a search for one id finds every line of it.
 LINE_FIELDS = ("request_id", "job_id", "epoch")
-# Lines a second that one process writes at most; writing costs processor time, and
-# a fault that repeats must not take it from callers. What was left out is counted.
-LINES_PER_SECOND = 400
 
 # Local variables stay out of traces: they hold callers' tokens and our keys.
 _TRACES = structlog.tracebacks.ExceptionDictTransformer(show_locals=False)
 
 
-class _Bound:
-    """Drops lines past the bound of a second; the next line tells how many."""
-
-    def __init__(self, read_time: Callable[[], float] = time.monotonic) -> None:
-        self._read_time = read_time
-        self._second = 0
-        self._count = 0
-        self._dropped = 0
-
-    def __call__(
-        self, logger: Any, method: str, event: structlog.typing.EventDict
-    ) -> structlog.typing.EventDict:
-        second = int(self._read_time())
-        if second != self._second:
-            self._second = second
-            self._count = 0
-        self._count += 1
-        if self._count > LINES_PER_SECOND:
-            self._dropped += 1
-            raise structlog.DropEvent
-        if self._dropped:
-            event["lines_dropped"] = self._dropped
-            self._dropped = 0
-        return event
-
-
-def set_up_logs(process: str, level: str = "info") -> None:
-    """Write one JSON object a line to standard output."""
+def set_up_logs(
+    process: str,
+    level: str = "info",
+    note_dropped: Callable[[str], None] = lambda event: None,
+    read_time: Callable[[], float] = time.monotonic,
+) -> None:
+    """Write one JSON object a line to standard output.
+
+    Args:
+        process: Named in every line.
+        note_dropped: Called with the event of each line that the bounds leave out.
+        level: The least level that is written, as structlog names it.
+        read_time: A steady clock, in seconds, by which the bounds count.
+    """
     number = logging.getLevelNamesMapping().get(level.upper(), logging.INFO)
     structlog.configure(
         processors=[
-            _Bound(),
+            LineBounds(note_dropped, read_time),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/src/primrosestile/programs/metrics.py
+++ b/src/primrosestile/programs/metrics.py
@@ -27,6 +27,12 @@
             labels,
             registry,
         )
+        self.lines_dropped = Counter(
+            "log_lines_dropped_total",
+            "Lines of the log that its bounds left out, by event",
+            labels,
+            registry,
+        )
         self.seconds = Histogram(
             "request_seconds",
             "Seconds from arrival to answer",
@@ -36,6 +42,10 @@
         )
         self.state = Gauge("state", "Figures of the moment, by name", labels, registry)
 
+    def note_dropped_line(self, event: str) -> None:
+        """Count a line of the log that was left out."""
+        self.lines_dropped.inc({"event": event})
+
     def render(self, accept: list[str]) -> tuple[bytes, Mapping[str, str]]:
         """Return the page and its headers."""
         return render(self.registry, accept)
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -55,10 +55,10 @@
 class Node:
     """The parts of one process, wired."""
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(self, settings: PlatformSettings, metrics: Metrics) -> None:
         self.settings = settings
         bounds = settings.bounds
-        self._metrics = Metrics("node")
+        self._metrics = metrics
         self._refusals = Refusals(self._count_unreadable)
         self._connections = Connections()
         self._store = PlatformStore(
@@ -233,8 +233,9 @@
     except BadSettings as error:
         print(f"settings: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    set_up_logs(settings.name)
-    uvloop.run(Node(settings).run())
+    metrics = Metrics("node")
+    set_up_logs(settings.name, note_dropped=metrics.note_dropped_line)
+    uvloop.run(Node(settings, metrics).run())
 
 
 if __name__ == "__main__":
--- a/src/primrosestile/programs/parts.py
+++ b/src/primrosestile/programs/parts.py
@@ -80,7 +80,7 @@
         return known.address if known else ""
 
 
-def make_parts(settings: ProcessSettings, program: str) -> Parts:
+def make_parts(settings: ProcessSettings, program: str, metrics: Metrics) -> Parts:
     """Build the common parts of one process."""
     store = make_store(lambda: settings.store)
     lease = ProcessLease(store, settings.process_lease_seconds)
@@ -114,5 +114,5 @@
         follower=follower,
         relay=relay,
         health=health,
-        metrics=Metrics(program),
+        metrics=metrics,
     )
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -18,6 +18,7 @@
     start_http,
 )
 from primrosestile.programs.logs import set_up_logs
+from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.parts import AddressBook, Parts, make_parts
 from primrosestile.protocol.messages import (
     Body,
@@ -46,9 +47,9 @@
     caretaker: Caretaker
 
 
-def make_placer(settings: ProcessSettings) -> Placer:
+def make_placer(settings: ProcessSettings, metrics: Metrics) -> Placer:
     """Build a placer; the settings in force reach its parts as they are read."""
-    parts = make_parts(settings, PROGRAM)
+    parts = make_parts(settings, PROGRAM, metrics)
     workers = make_workers(AddressBook(parts.follower).find)
     exchange = Exchange(
         settings.name, parts.peers, parts.directory, lambda: parts.follower.settings
@@ -102,8 +103,9 @@
 
 async def run_placer(settings: ProcessSettings) -> None:
     """Run one placer until it is told to end."""
-    set_up_logs(settings.name, settings.log_level)
-    placer = make_placer(settings)
+    metrics = Metrics(PROGRAM)
+    set_up_logs(settings.name, settings.log_level, metrics.note_dropped_line)
+    placer = make_placer(settings, metrics)
     parts = placer.parts
     _add_message_handlers(placer)
     runner = await start_http(_make_app(placer), settings.http)
--- a/src/primrosestile/programs/steward.py
+++ b/src/primrosestile/programs/steward.py
@@ -14,6 +14,7 @@
     start_http,
 )
 from primrosestile.programs.logs import set_up_logs
+from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.parts import make_parts
 from primrosestile.programs.stewardapp import make_steward_app
 from primrosestile.state.process import ProcessSettings
@@ -24,8 +25,9 @@
 
 async def run_steward(settings: ProcessSettings) -> None:
     """Run one steward until it is told to end."""
-    set_up_logs(settings.name, settings.log_level)
-    parts = make_parts(settings, PROGRAM)
+    metrics = Metrics(PROGRAM)
+    set_up_logs(settings.name, settings.log_level, metrics.note_dropped_line)
+    parts = make_parts(settings, PROGRAM, metrics)
     connections = Connections()
     app = make_steward_app(
         parts.store, parts.follower, parts.directory.records, connections
