Free room for all tasks of an urgent step in one round

Cause: units of a step are alike, so after the first one that could not start the others were passed over, also when room had just been freed for it. Ruled out: for usual and patient work the same (their stops stay one a pass; many cheap stops a pass would throw more away). Change: after room was freed for an urgent unit the next one of its step is looked at; what could be stopped is forgotten only for the workers of what was stopped, not for all. On deployments whose urgent steps are gangs nothing changes.

--- a/features/steps/work_freeing_steps.py
+++ b/features/steps/work_freeing_steps.py
@@ -153,6 +153,20 @@
     run_tasks(context, 12, "w0", count, Need(100, 100, 1))
 
 
+@when("an urgent step of {count:d} tasks of one accelerator waits {later:g} s later")
+def step_urgent_step(context: Any, count: int, later: float) -> None:
+    step = Step(count, Need(100, 100, 1), 0.1)
+    add_job(context.board, 30, 0, (step,), now=NOW + later)
+    plan(context, later)
+
+
+@then("for each of its tasks one other is stopped")
+def step_each_freed(context: Any) -> None:
+    gainers = [stop.gainer for stop in context.plan.stops]
+    units = find_units(context.board, 30)
+    assert sorted(map(id, gainers)) == sorted(map(id, units)), len(gainers)
+
+
 @then("what is stopped for it is on worker 1")
 def step_on_other(context: Any) -> None:
     on = find_stopped_on(list_stopped_for(context, 30))
--- a/features/work/freeing.feature
+++ b/features/work/freeing.feature
@@ -46,3 +46,11 @@
     And all of the stopped tasks have ended, and others run as they did
     And an urgent task of one accelerator waits 0.5 s later
     Then what is stopped for it is on worker 1
+
+  Scenario: Room for all tasks of an urgent step is freed at once
+    Guards against urgent tasks that begin one after another, each once work was
+    stopped for it.
+    When the gang is cancelled
+    And all of the stopped tasks have ended, and others run as they did
+    And an urgent step of 4 tasks of one accelerator waits 0.5 s later
+    Then for each of its tasks one other is stopped
--- a/src/primrosestile/decisions/work/evicting.py
+++ b/src/primrosestile/decisions/work/evicting.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.freeing import find_reluctance
@@ -88,9 +88,12 @@
         # What room can be made where, as long as it looks as it did then.
         self._offers: dict[_OfferKey, dict[str, tuple[_Figures, _Offer | None]]] = {}
 
-    def note_stopped(self) -> None:
-        """Forget what could be stopped, after something was."""
-        self._offers.clear()
+    def note_stopped(self, units: Iterable[Unit]) -> None:
+        """Forget what could be stopped on the workers of units that were."""
+        names = {member.worker for unit in units for member in unit.members}
+        for offers in self._offers.values():
+            for name in names:
+                offers.pop(name, None)
 
     def find(self, unit: Unit, rooms: Rooms) -> Eviction | None:
         """Return the cheapest units whose end makes room for a unit, or None."""
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -189,7 +189,11 @@
         return unit.job.job_id in self.entitled
 
     def _start(self, rank: Rank, unit: Unit) -> bool:
-        """Start a unit, or have room freed or kept for it."""
+        """Start a unit, or have room freed or kept for it.
+
+        Returns:
+            Whether another unit of the same step may do as well.
+        """
         self.holds.release([unit])
         workers = self._place(unit, self.rooms)
         if workers is not None:
@@ -198,7 +202,7 @@
             take_rooms(unit, workers, self.soon)
             return True
         if self._may_evict(rank) and self._free_room(unit, rank):
-            return False
+            return rank.urgent
         if rank.entitled:
             # Room is kept for it against what is not within a guarantee only.
             self.blocked.append(unit)
@@ -253,7 +257,7 @@
                 self.board.abandon(victim)
                 begin_stopping(victim, self.now)
                 give_back(victim, self.soon)
-            self.evictions.note_stopped()
+            self.evictions.note_stopped(eviction.units)
             workers = self._place(unit, self.soon)
             if workers is not None:
                 hold_freed(unit, (worker.name for worker in workers), self.now)
