--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -70,6 +70,23 @@
     context.world.run(fail())
 
 
+@when("the store {refuses} the scheduling process")
+def step_refused(context: Any, refuses: str) -> None:
+    async def refuse() -> None:
+        name = take_owner(context).name
+        faults = context.world.store.faults
+        named = faults.refused if refuses == "turns away" else faults.silent
+        named.add(name)
+
+    context.world.run(refuse())
+
+
+@then("until then nothing of {name} was stopped")
+def step_nothing_stopped(context: Any, name: str) -> None:
+    ends = [task for task, _, _ in context.world.fleet.ends]
+    assert not [task for task in ends if task.startswith(make_id(name))], ends
+
+
 @when("it can read wishes again")
 def step_read_again(context: Any) -> None:
     context.gave_up = context.dead
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -48,6 +48,8 @@
             one["after"] = [int(each) for each in row["after"].split(",")]
         if "most per worker" in headings and row["most per worker"]:
             one["anti_affinity"] = int(row["most per worker"])
+        if "checkpoints" in headings and row["checkpoints"] == "yes":
+            one["checkpoint"] = True
         if "gang" in headings and row["gang"] == "yes":
             one["gang"] = True
         steps.append(one)
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -92,6 +92,28 @@
     Then nothing of e4 started later than 3 s after that
     And the fleet's ledger shows nothing wrong
 
+  Scenario Outline: An owner that can't write stops nothing for others
+    Guards against work that is thrown away for starts which can't be recorded.
+    Given the tasks of b1 take 60 s
+    When job b1 is handed in to patient by post with steps
+      | count | accelerators | checkpoints |
+      | 32    | 1            | yes         |
+    And b1 runs on the fleet
+    And job u1 is handed in to urgent by domes with steps
+      | count | accelerators |
+      | 8     | 1            |
+    And <wait> s pass
+    And the store <refuses> the scheduling process
+    Then another process schedules within 4 s
+    And until then nothing of b1 was stopped
+    And u1 runs on the fleet within 1.5 s
+    And the fleet's ledger shows nothing wrong
+
+    Examples:
+      | refuses     | wait |
+      | turns away  | 1.2  |
+      | is cut from | 1    |
+
   Scenario: No process can do better
     One process alone is left, and it hears no wish. Were it to leave the fleet without
     an owner, the leases of the workers would lapse, and with them all that runs.
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -46,6 +46,8 @@
 # it looks again; a watch may be silent for good.
 WATCH_SECONDS = 2.0
 RETRY_SECONDS = 0.25
+# At a slow store renewals that are answered are this far apart at the most.
+OVERDUE_SECONDS = 0.95
 # After so many renewals in a row without an answer, a read is answered before the next
 # is sent. At a store that loses a third of its answers that is one in nine.
 MOST_UNANSWERED = 2
@@ -74,6 +76,7 @@
         lost: Set when another owner is known to stand, or the key is gone.
         given_up_before: How many owners in a row gave up; None while not known.
         given_up: Set when this one gave up as well.
+        unrenewed: Whether the newest renewal failed.
     """
 
     fence: int
@@ -83,6 +86,7 @@
     read_clock: Callable[[], float] = read_suspending_clock
     given_up_before: int | None = None
     given_up: bool = False
+    unrenewed: bool = False
 
     def may_act(self) -> bool:
         """Whether the store can't have given the fleet to another process yet.
@@ -99,6 +103,11 @@
         """
         return not self.lost.is_set() and self.read_clock() < self.valid_until + seconds
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether the store may not answer this process any more."""
+        return self.unrenewed or self.find_renewal_age() > OVERDUE_SECONDS
+
     def find_renewal_age(self) -> float:
         """Return the seconds since the newest renewal that was answered was sent."""
         renewed_at = self.valid_until - LEASE_SECONDS + MARGIN_SECONDS
@@ -111,6 +120,7 @@
 
     def extend(self, asked_at: float) -> None:
         """Note a renewal that was sent at a time."""
+        self.unrenewed = False
         self.valid_until = asked_at + LEASE_SECONDS - MARGIN_SECONDS
 
 
@@ -292,6 +302,7 @@
                 # The store may be back before it has counted the lease out; only
                 # its own word ends the term.
                 _log.warning("ownership_not_renewed", reason=str(failure))
+                term.unrenewed = True
                 unanswered += int(failure.kind is ErrorKind.STORE_ANSWER_LOST)
                 await _wait_or_lost(term, RETRY_SECONDS)
                 continue
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -25,6 +25,7 @@
 
 import structlog
 
+from primrosestile.clock import read_clock
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.ended import EndedJobs
 from primrosestile.coordination.work.keys import (
@@ -52,6 +53,8 @@
 # Bytes of values in one change; the store takes about a megabyte a call.
 BYTES_PER_CHANGE = 400_000
 RETRY_SECONDS = (0.05, 0.1, 0.2, 0.4)
+# A round takes as long as two calls to a slow store when a record has changed.
+STALL_SECONDS = 0.6
 
 _log = structlog.get_logger()
 
@@ -101,6 +104,17 @@
         self._revisions: dict[str, int] = {}
         self._wanted = asyncio.Event()
         self._round: asyncio.Future[None] | None = None
+        # Whether the newest change failed, and since when a round is being written.
+        self._failed = False
+        self._writing_since: float | None = None
+
+    @property
+    def writable(self) -> bool:
+        """Whether changes are being recorded, as far as is known."""
+        if self._failed:
+            return False
+        since = self._writing_since
+        return since is None or read_clock() - since < STALL_SECONDS
 
     def note_job(self, job_id: str, revision: int) -> None:
         """Take in at which revision a job stands."""
@@ -140,7 +154,9 @@
             self._wanted.clear()
             done, self._round = self._round, None
             jobs = sorted(self._board.take_changed(), key=lambda job: job.job_id)
+            self._writing_since = read_clock()
             await self._write_round(jobs)
+            self._writing_since = None
             if done is not None and not done.done():
                 done.set_result(None)
 
@@ -175,8 +191,11 @@
         tries = 0
         while True:
             try:
-                return await self._store.commit(conditions, writes, removals)
+                outcome = await self._store.commit(conditions, writes, removals)
+                self._failed = False
+                return outcome
             except Failure as failure:
+                self._failed = True
                 _log.warning("records_not_written", reason=str(failure), tries=tries)
                 await asyncio.sleep(RETRY_SECONDS[min(tries, len(RETRY_SECONDS) - 1)])
                 tries += 1
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -297,10 +297,7 @@
         for unit in find_evacuations(self._board, self._durations, now):
             self._board.abandon(unit)
             _log.info("run_evacuated", **name_unit(unit))
-        recent = self._roster.recent and self._policies.recent
-        # A job may have been cancelled unheard: a caller was told so, and what starts
-        # all the same is seen as work that nobody asked for.
-        if recent and self._intake.recent:
+        if self._may_decide():
             plan = make_plan(self._board, self._durations, self._speeds, read_clock())
             for stop in plan.stops:
                 log_stop(stop)
@@ -311,6 +308,16 @@
         orders.pace(find_paces(self._board, now))
         orders.stop_abandoned()
 
+    def _may_decide(self) -> bool:
+        """Whether all that a decision rests on is recent, and can be recorded.
+
+        A job may have been cancelled unheard: a caller was told so, and what starts
+        all the same is seen as work that nobody asked for. What is stopped for a start
+        that can't be recorded is thrown away.
+        """
+        recent = self._roster.recent and self._policies.recent and self._intake.recent
+        return recent and self._recorder.writable and not self._term.doubtful
+
     def _leave_out(self, worker: Worker, now: float) -> None:
         """Give a worker on which a task stands still no work for a while."""
         until = self._trust.note_still(worker.name, now, len(self._board.workers))
