Watch for a vacancy from the store's revision, not from that of the owner's key

The store keeps 20 s of history: once the owner has served for longer, a watch from its key's revision is refused at once (410), and every waiting VM read and watched again each 0.25 s. A vacancy was then noticed at the next poll, not at once. Ruled out: renewals (they don't change the key); the large size alone (it is 6 VMs on a small site, with the same rate each). Change: the key is read as a list, whose revision the watch goes on from.

--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -186,22 +186,33 @@
             The revision at which the owner's key must stand when it is taken.
         """
         while True:
-            found = await self._store.get(OWNER_KEY)
+            found, revision = await self._read_owner()
             wait = self._find_wait()
             if found is None and wait:
                 await asyncio.sleep(wait)
-                found = await self._store.get(OWNER_KEY)
+                found, revision = await self._read_owner()
             if found is None:
                 return 0
             if self._is_own(found):
                 _log.info("ownership_left_over", fence=found.mod_revision)
                 return found.mod_revision
-            heard = await self._store.watch_once(
-                OWNER_KEY, found.mod_revision, WATCH_SECONDS
-            )
+            heard = await self._store.watch_once(OWNER_KEY, revision, WATCH_SECONDS)
             if not heard.complete:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _read_owner(self) -> tuple[Entry | None, int]:
+        """Return the owner's key, and the store's revision to watch from.
+
+        The revision of the key itself would not do: the store keeps its history for
+        seconds, and an owner serves for longer.
+        """
+        page = await self._store.list(OWNER_KEY)
+        if page.left_out:
+            # Taken for a vacancy, it would be written over at each try.
+            raise Failure(ErrorKind.STORE_ANSWER_LOST, "the owner's key is unreadable")
+        found = [entry for entry in page.entries if entry.key == OWNER_KEY]
+        return (found[0] if found else None), page.revision
+
     def _is_own(self, found: Entry) -> bool:
         """Whether an owner's key names this process, which owns nothing now.
 
--- a/src/primrosestile_standin/fleetstore.py
+++ b/src/primrosestile_standin/fleetstore.py
@@ -71,6 +71,8 @@
     def __init__(self) -> None:
         self.faults = FleetStoreFaults()
         self.calls = 0
+        # Reads and watches, by key or prefix.
+        self.calls_by_key: Counter[str] = Counter()
         # Of lists, by process.
         self.bytes_listed: Counter[str] = Counter()
         self.revision = 1
@@ -214,6 +216,7 @@
 
     async def get(self, key: str, recent: bool = True) -> Entry | None:
         """Return the value of a key, or None."""
+        self._store.calls_by_key[key] += 1
         await self._enter()
         if not recent and self._store.faults.stale_reads:
             return None
@@ -223,6 +226,7 @@
 
     async def list(self, prefix: str, after: str = "") -> Page:
         """Return one page of the entries under a prefix."""
+        self._store.calls_by_key[prefix] += 1
         await self._enter()
         self._check_read(prefix)
         page = self._store.read_page(prefix, after)
@@ -299,6 +303,7 @@
 
     async def watch_once(self, prefix: str, after: int, seconds: float) -> Heard:
         """Return changes after a revision, as soon as there is one."""
+        self._store.calls_by_key[prefix] += 1
         await self._enter()
         heard = await self._wait_for_changes(prefix, after, seconds)
         await self._carry(_weigh([change.entry for change in heard.changes]))
