Start guaranteed work beside what is held for others while there is other room

Cause: before guaranteed units were looked at, all room held for others was counted as free, so they were placed there (the fullest fitting worker, which is the one that is being emptied), and the gang that it had been freed for had other work stopped for it. Change: guaranteed work is first placed beside what is held, and goes before it only where that fails.

--- a/features/steps/work_freeing_steps.py
+++ b/features/steps/work_freeing_steps.py
@@ -12,6 +12,7 @@
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Proof, Unit
 from primrosestile.state.work import JobState, Need, Step
+from primrosestile.state.workers import EndKind
 
 BEGAN = 90.0
 NOW = 100.0
@@ -72,6 +73,12 @@
         context.board.finish(unit.job, JobState.CANCELLED)
 
 
+@when("{count:d} tasks on worker 1 have ended")
+def step_end_others(context: Any, count: int) -> None:
+    for unit in find_units(context.board, 11)[:count]:
+        context.board.note_end(unit.members[0].task, unit.run, EndKind.DONE, "")
+
+
 def add_task(context: Any, organisation: str, later: float) -> None:
     step = Step(1, Need(100, 100, 1), 0.1)
     fields = {"now": NOW + later, "organisation": organisation}
@@ -110,6 +117,11 @@
     assert find_start(context, 30) == ["w0"], find_start(context, 30)
 
 
+@then("the task is started on worker 1")
+def step_started_elsewhere(context: Any) -> None:
+    assert find_start(context, 30) == ["w1"], find_start(context, 30)
+
+
 @then("the gang is started on worker 0")
 def step_gang_started(context: Any) -> None:
     assert find_start(context, GANG) == ["w0"], find_start(context, GANG)
--- a/features/work/freeing.feature
+++ b/features/work/freeing.feature
@@ -26,6 +26,16 @@
     And a guaranteed task of one accelerator waits 0.2 s later
     Then the task is started on worker 0
 
+  Scenario: Guaranteed work leaves what was freed for others while there is other room
+    Guards against work that is stopped again for a gang whose room went to a job that
+    could have started elsewhere.
+    Given 4 accelerators are guaranteed to post alone
+    When 1 of the stopped tasks has ended
+    And 2 tasks on worker 1 have ended
+    And a guaranteed task of one accelerator waits 0.2 s later
+    Then the task is started on worker 1
+    And nothing more is stopped for the gang
+
   Scenario: Room is held no longer than its bound
     When 1 of the stopped tasks has ended
     And an urgent task of one accelerator that is more pressing waits 3.5 s later
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -129,9 +129,9 @@
         """Return what to do."""
         self.holds.hold(self.waiting)
         self._rescue()
-        # What is guaranteed goes before what is held for others.
-        others = [each for each in self.waiting if not self._is_entitled(each)]
-        self.holds.release(others)
+        held = [
+            each for each in self.waiting if each.freed and not self._is_entitled(each)
+        ]
         # Units of one step are alike: if one can't go, none of the others can.
         waiting: set[tuple[object, ...]] = set()
         looked = 0
@@ -146,9 +146,6 @@
             likeness = (unit.step_key, *unit.failed_on)
             if likeness in waiting:
                 continue
-            if not rank.entitled and others:
-                self.holds.hold(others)
-                others = []
             if not rank.entitled and self.blocked:
                 for blocked in self.blocked:
                     self._keep(blocked)
@@ -156,7 +153,7 @@
             looked += 1
             if looked > LOOK_LIMIT:
                 break
-            if not self._start(rank, unit):
+            if not self._start_beside(rank, unit, held):
                 waiting.add(likeness)
         return Plan(tuple(self.starts), tuple(self.stops), tuple(self.rescues))
 
@@ -188,6 +185,33 @@
     def _is_entitled(self, unit: Unit) -> bool:
         return unit.job.job_id in self.entitled
 
+    def _start_beside(self, rank: Rank, unit: Unit, held: list[Unit]) -> bool:
+        """Start a unit, guaranteed work where nothing is held for others if it can.
+
+        Args:
+            rank: Of the unit.
+            unit: To be started.
+            held: For which room is held; guaranteed work goes before them.
+        """
+        if not rank.entitled or not held:
+            return self._start(rank, unit)
+        self.holds.release([unit])
+        if self._start_now(rank, unit):
+            return True
+        self.holds.release(held)
+        started = self._start(rank, unit)
+        self.holds.hold(held)
+        return started
+
+    def _start_now(self, rank: Rank, unit: Unit) -> bool:
+        workers = self._place(unit, self.rooms)
+        if workers is None:
+            return False
+        self.starts.append(Assignment(unit, tuple(workers), rank))
+        take_rooms(unit, workers, self.rooms)
+        take_rooms(unit, workers, self.soon)
+        return True
+
     def _start(self, rank: Rank, unit: Unit) -> bool:
         """Start a unit, or have room freed or kept for it.
 
@@ -195,11 +219,7 @@
             Whether another unit of the same step may do as well.
         """
         self.holds.release([unit])
-        workers = self._place(unit, self.rooms)
-        if workers is not None:
-            self.starts.append(Assignment(unit, tuple(workers), rank))
-            take_rooms(unit, workers, self.rooms)
-            take_rooms(unit, workers, self.soon)
+        if self._start_now(rank, unit):
             return True
         if self._may_evict(rank) and self._free_room(unit, rank):
             return rank.urgent
