Count waiting jobs by small keys of their own

Cause: a VM that is asked for the number of waiting jobs read every open job and its record. Change: a key under waiting/ is written with the job and removed by the owner with the first record of a start; a new owner makes keys and jobs agree once, for VMs of two versions. The fixture of a job whose record was written over now lacks the key, as its owner removed it with that record.

--- a/features/doubles/longday.py
+++ b/features/doubles/longday.py
@@ -9,7 +9,12 @@
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.ended import EndedJobs
-from primrosestile.coordination.work.keys import JOBS_PREFIX, OWNER_KEY, make_job_key
+from primrosestile.coordination.work.keys import (
+    JOBS_PREFIX,
+    OWNER_KEY,
+    make_job_key,
+    make_waiting,
+)
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.decisions.work.board import Board
 from primrosestile.platform.policy import read_policy
@@ -51,7 +56,10 @@
     for number in numbers:
         job_id = spread_id(number)
         key = make_job_key(job_id)
-        world.store.put(key, encode_record(make_submission(job_id, tasks)))
+        submission = make_submission(job_id, tasks)
+        world.store.put(key, encode_record(submission))
+        waiting = make_waiting(job_id, submission.queue)
+        world.store.put(waiting.key, waiting.value)
         entry = world.store.read(key)
         assert entry is not None
         entries.append(entry)
@@ -76,7 +84,7 @@
         job_id = entry.key.removeprefix(JOBS_PREFIX)
         job = board.admit(make_submission(job_id, tasks), None, read_clock(), 0.0)
         board.open_occurrence(job, 0)
-        recorder.note_job(job_id, entry.mod_revision)
+        recorder.note_job(job, entry.mod_revision)
         for unit in job.units.values():
             unit.run = 1
             unit.phase = Phase.DONE
--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -20,9 +20,11 @@
     ENDED_PREFIX,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
+    WAITING_PREFIX,
     WISHES_PREFIX,
     make_job_key,
     make_progress_key,
+    make_waiting_key,
 )
 from primrosestile.coordination.work.reading import Reader
 from primrosestile.errors import ErrorKind, Failure
@@ -396,6 +398,8 @@
         store_jobs(context.world, [78], 1)
         key = make_progress_key(spread_id(78))
         context.world.store.put(key, FOREIGN)
+        # Its owner had started it before the record was written over.
+        context.world.store.remove(make_waiting_key(spread_id(78)))
         context.foreign += [key, make_job_key(spread_id(78))]
 
     context.world.run(put())
@@ -422,7 +426,7 @@
     context.reads = []
 
     def note_page(prefix: str, after: str) -> Page:
-        if prefix == JOBS_PREFIX and not after:
+        if prefix == WAITING_PREFIX and not after:
             context.reads.append(prefix)
         return read_page(prefix, after)
 
@@ -434,7 +438,9 @@
         return await asyncio.gather(*asked)
 
     world.store.read_page = note_page  # type: ignore[method-assign]
+    before = world.store.bytes_listed[process]
     context.counts = world.run(ask())
+    context.read = world.store.bytes_listed[process] - before
     world.store.read_page = read_page  # type: ignore[method-assign]
 
 
--- a/src/primrosestile/coordination/work/intake.py
+++ b/src/primrosestile/coordination/work/intake.py
@@ -212,7 +212,7 @@
             return
         age = _find_age(submission.accepted_at, since)
         job = self._board.admit(submission, progress, read_clock(), age)
-        self._recorder.note_job(job_id, entry.mod_revision)
+        self._recorder.note_job(job, entry.mod_revision)
         if progress is None:
             _log.info(
                 "job_admitted",
--- a/src/primrosestile/coordination/work/keys.py
+++ b/src/primrosestile/coordination/work/keys.py
@@ -13,6 +13,9 @@
 # The id of the newest job or cancellation, written in the same change: its revision
 # tells the owner at the price of one small read what a silent watch keeps from it.
 LATEST_WISH_KEY = "latest-wish"
+# The queue of each job of which nothing has started: written with the job, removed by
+# the owner with the first record of a start. Every VM counts what waits by these.
+WAITING_PREFIX = "waiting/"
 # Written by the owner only, under its fence.
 PROGRESS_PREFIX = "progress/"
 # What is left of an ended job, in place of its other keys; by the owner. Nobody
@@ -35,6 +38,16 @@
     return Write(LATEST_WISH_KEY, job_id.encode())
 
 
+def make_waiting_key(job_id: str) -> str:
+    """Return the key that stands while nothing of a job has started."""
+    return WAITING_PREFIX + job_id
+
+
+def make_waiting(job_id: str, queue: str) -> Write:
+    """Return the write by which a job counts as waiting in its queue."""
+    return Write(make_waiting_key(job_id), queue.encode())
+
+
 def make_job_key(job_id: str) -> str:
     """Return the key of a job as accepted."""
     return JOBS_PREFIX + job_id
--- a/src/primrosestile/coordination/work/pending.py
+++ b/src/primrosestile/coordination/work/pending.py
@@ -1,21 +1,18 @@
 """How many accepted jobs of each queue wait for their first task to start.
 
-That takes a read of all that is open. On a VM with a slow link callers who ask one
-after another would fill it with the same bytes, and calls of others would wait; so
-those who ask within a second share one read.
+Each such job has a small key of its own. Counted from the jobs and their records, every
+VM that is asked would read all that is open: a megabyte and more on a large fleet,
+which a slow link carries in a second and which stays in the process's memory. Callers
+who ask within a second share one read.
 """
 
 import asyncio
 from collections import Counter
 
-import msgspec
-
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.keys import JOBS_PREFIX, PROGRESS_PREFIX
+from primrosestile.coordination.work.keys import WAITING_PREFIX
 from primrosestile.errors import Failure
-from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
-from primrosestile.state.work import JobState, decode_progress, decode_submission
 
 # Callers are promised a number that is at most 2 s old.
 SHARED_SECONDS = 1.0
@@ -44,33 +41,5 @@
             raise
 
     async def _read(self) -> Counter[str]:
-        jobs, _ = await list_entries(self._store, JOBS_PREFIX)
-        if not jobs:
-            return Counter()
-        started, _ = await list_entries(self._store, PROGRESS_PREFIX)
-        begun = {
-            entry.key.removeprefix(PROGRESS_PREFIX)
-            for entry in started
-            if _has_begun(entry)
-        }
-        return Counter(
-            _find_queue(entry)
-            for entry in jobs
-            if entry.key.removeprefix(JOBS_PREFIX) not in begun
-        )
-
-
-def _has_begun(entry: Entry) -> bool:
-    """Whether a record tells of a start; one that can't be read is not counted on."""
-    try:
-        return decode_progress(entry.value).state is not JobState.QUEUED
-    except msgspec.MsgspecError:
-        return True
-
-
-def _find_queue(entry: Entry) -> str:
-    """Return a job's queue; empty when the job can't be read."""
-    try:
-        return decode_submission(entry.value).queue
-    except msgspec.MsgspecError:
-        return ""
+        waiting, _ = await list_entries(self._store, WAITING_PREFIX)
+        return Counter(entry.value.decode(errors="replace") for entry in waiting)
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -34,6 +34,7 @@
     make_ended_key,
     make_job_key,
     make_progress_key,
+    make_waiting_key,
 )
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Job
@@ -46,7 +47,7 @@
     TransactionalStore,
     Write,
 )
-from primrosestile.state.work import EndedRecord, encode_record
+from primrosestile.state.work import EndedRecord, JobState, encode_record
 
 # What one change holds besides the condition on the owner.
 PARTS_PER_CHANGE = CHANGE_LIMIT - 1
@@ -65,11 +66,13 @@
 
     Attributes:
         over: It is the job's last record, in place of its keys.
+        begun: Something of the job has started, or it has ended.
     """
 
     job: Job
     value: bytes
     over: bool
+    begun: bool
 
     @property
     def job_id(self) -> str:
@@ -102,6 +105,8 @@
         # At which revisions the jobs stand, and their progress where there is any.
         self._jobs: dict[str, int] = {}
         self._revisions: dict[str, int] = {}
+        # Jobs that callers may still be told of as waiting.
+        self._waiting: set[str] = set()
         self._wanted = asyncio.Event()
         self._round: asyncio.Future[None] | None = None
         # Whether the newest change failed, and since when a round is being written.
@@ -116,9 +121,11 @@
         since = self._writing_since
         return since is None or read_clock() - since < STALL_SECONDS
 
-    def note_job(self, job_id: str, revision: int) -> None:
+    def note_job(self, job: Job, revision: int) -> None:
         """Take in at which revision a job stands."""
-        self._jobs[job_id] = revision
+        self._jobs[job.job_id] = revision
+        if job.state is JobState.QUEUED:
+            self._waiting.add(job.job_id)
 
     def note_revision(self, job_id: str, revision: int) -> None:
         """Take in at which revision a record stands."""
@@ -205,13 +212,21 @@
         progress_key = make_progress_key(job_id)
         of_job = Condition(make_job_key(job_id), self._jobs.get(job_id, 0))
         if record.over:
-            keys = (of_job.key, make_cancel_key(job_id), progress_key)
+            keys = (
+                of_job.key,
+                make_cancel_key(job_id),
+                progress_key,
+                make_waiting_key(job_id),
+            )
             return _Part((of_job,), Write(make_ended_key(job_id), record.value), keys)
         revision = self._revisions.get(job_id, 0)
         # RECORD_COMPARED.
         of_record = Condition(progress_key, revision)
         conditions = (of_record,) if revision else (of_record, of_job)
-        return _Part(conditions, Write(progress_key, record.value))
+        removals: tuple[str, ...] = ()
+        if record.begun and job_id in self._waiting:
+            removals = (make_waiting_key(job_id),)
+        return _Part(conditions, Write(progress_key, record.value), removals)
 
     def _note_written(self, records: Sequence[_Record], revision: int) -> None:
         for record in records:
@@ -219,6 +234,8 @@
                 self._forget(record.job, "written")
             else:
                 self._revisions[record.job_id] = revision
+                if record.begun:
+                    self._waiting.discard(record.job_id)
 
     def _forget(self, job: Job, how: str) -> None:
         """Drop a job whose keys have been removed; `how` we know that is logged."""
@@ -234,6 +251,7 @@
         self._board.jobs.pop(job.job_id, None)
         self._jobs.pop(job.job_id, None)
         self._revisions.pop(job.job_id, None)
+        self._waiting.discard(job.job_id)
 
     def _take_found(
         self, outcome: Committed, records: Sequence[_Record]
@@ -292,9 +310,10 @@
 
 def _make_record(job: Job) -> _Record:
     if not _is_over(job):
-        return _Record(job, encode_record(job.make_progress()), over=False)
+        begun = job.state is not JobState.QUEUED
+        return _Record(job, encode_record(job.make_progress()), False, begun)
     submission = job.submission
     last = EndedRecord(
         job.state, submission.queue, submission.organisation, job.ended_at
     )
-    return _Record(job, encode_record(last), over=True)
+    return _Record(job, encode_record(last), over=True, begun=True)
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -33,6 +33,7 @@
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
 from primrosestile.coordination.work.upkeep import UpkeepDuty
+from primrosestile.coordination.work.waitingkeys import settle_waiting
 from primrosestile.coordination.work.workerclock import (
     LEASE_SECONDS,
     SLOW_CLOCK_FACTOR,
@@ -167,6 +168,7 @@
             tasks.create_task(self._upkeep.run())
             tasks.create_task(self._clean_up())
             tasks.create_task(self._tell_contact())
+            tasks.create_task(settle_waiting(self._store, self._term, self._board))
             await self._run_passes(tasks, orders)
             raise _TermOver
 
--- a/src/primrosestile/coordination/work/submitting.py
+++ b/src/primrosestile/coordination/work/submitting.py
@@ -19,6 +19,7 @@
     make_job_key,
     make_latest_wish,
     make_progress_key,
+    make_waiting,
 )
 from primrosestile.coordination.work.pending import PendingCounts
 from primrosestile.coordination.work.policywatch import PolicyWatch
@@ -94,6 +95,7 @@
             writes = [
                 Write(key, encode_record(submission)),
                 make_latest_wish(job_id),
+                make_waiting(job_id, submission.queue),
             ]
             try:
                 outcome = await self._store.commit(conditions, writes)
--- /dev/null
+++ b/src/primrosestile/coordination/work/waitingkeys.py
@@ -0,0 +1,73 @@
+"""Makes the keys of waiting jobs agree with the jobs, once at the start of a term.
+
+A job that was accepted by an earlier version of this program has no such key, and an
+owner of an earlier version leaves the key of a job that it starts. Callers would be
+told of too few or too many waiting jobs for as long as those jobs are open.
+"""
+
+import structlog
+
+from primrosestile.coordination.work.election import Term
+from primrosestile.coordination.work.keys import (
+    OWNER_KEY,
+    WAITING_PREFIX,
+    make_job_key,
+    make_progress_key,
+    make_waiting,
+    make_waiting_key,
+)
+from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.units import Job
+from primrosestile.errors import Failure
+from primrosestile.protocol.transactions import (
+    Condition,
+    TransactionalStore,
+    list_entries,
+)
+from primrosestile.state.work import JobState
+
+_log = structlog.get_logger()
+
+
+async def settle_waiting(store: TransactionalStore, term: Term, board: Board) -> None:
+    """Write the keys that are missing and remove those that are left over."""
+    try:
+        entries, _ = await list_entries(store, WAITING_PREFIX)
+        standing = {entry.key.removeprefix(WAITING_PREFIX) for entry in entries}
+        for job in list(board.jobs.values()):
+            if job.state is JobState.QUEUED and job.job_id not in standing:
+                await _add(store, term, job)
+        for job_id in standing:
+            await _remove_left_over(store, term, board, job_id)
+    except Failure as failure:
+        # Only a count is wrong by it, and the next owner tries again.
+        _log.warning("waiting_keys_not_settled", reason=str(failure))
+
+
+async def _add(store: TransactionalStore, term: Term, job: Job) -> None:
+    """Add a job's key unless it has started or ended meanwhile."""
+    job_key = make_job_key(job.job_id)
+    entry = await store.get(job_key)
+    if entry is None:
+        return
+    conditions = [
+        Condition(OWNER_KEY, term.fence),
+        Condition(job_key, entry.mod_revision),
+        Condition(make_progress_key(job.job_id), 0),
+    ]
+    write = make_waiting(job.job_id, job.submission.queue)
+    await store.commit(conditions, [write])
+
+
+async def _remove_left_over(
+    store: TransactionalStore, term: Term, board: Board, job_id: str
+) -> None:
+    """Remove a key whose job has started, or doesn't exist any more."""
+    conditions = [Condition(OWNER_KEY, term.fence)]
+    job = board.jobs.get(job_id)
+    if job is None:
+        # A job that was accepted just now may not have been heard of yet.
+        conditions.append(Condition(make_job_key(job_id), 0))
+    elif job.state is JobState.QUEUED:
+        return
+    await store.commit(conditions, removals=[make_waiting_key(job_id)])
