--- a/features/doubles/fleetworld.py
+++ b/features/doubles/fleetworld.py
@@ -10,11 +10,12 @@
 import looptime
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import Election, Term
+from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.keys import OWNER_KEY
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.errors import Failure
 from primrosestile.platform.callers import read_submission
--- a/features/doubles/longday.py
+++ b/features/doubles/longday.py
@@ -7,7 +7,6 @@
 from features.doubles.fleetworld import POOL, FleetWorld, make_policy
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.ended import EndedJobs
 from primrosestile.coordination.work.keys import (
     JOBS_PREFIX,
@@ -16,6 +15,7 @@
     make_waiting,
 )
 from primrosestile.coordination.work.recording import Recorder
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.board import Board
 from primrosestile.platform.policy import read_policy
 from primrosestile.protocol.store import Entry
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -175,7 +175,7 @@
 def step_flood(context: Any, count: int) -> None:
     now = [10.0]
     context.metrics = Metrics("p")
-    bound = LineBounds(context.metrics.note_dropped_line, lambda: now[0])
+    bound = LineBounds(context.metrics.count_dropped_line, lambda: now[0])
     context.written = 0
     for _ in range(count):
         with contextlib.suppress(structlog.DropEvent):
--- a/src/primrosestile/coordination/work/advising.py
+++ b/src/primrosestile/coordination/work/advising.py
@@ -7,7 +7,7 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.advising import (
     Question,
     choose_question,
--- a/src/primrosestile/coordination/work/caring.py
+++ b/src/primrosestile/coordination/work/caring.py
@@ -11,8 +11,8 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.links import CARE_SECONDS
+from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.workerclock import Reading, WorkerClock
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import Refusal, WorkerCalls, WorkerList
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -2,22 +2,23 @@
 
 Whoever writes the owner's key under its lease, where none stands or one that a former
 life of the same process has left, is the owner; the revision of that write is the
-fence. The lease is counted from the moment before a renewal was
-sent, on a clock that counts suspension: an owner that was paused past its lease
-must find that out before it gives one more order, since another may schedule by
-then. Orders under an old fence do nothing on a worker that has seen the newer
-one, but a worker may not have seen it yet.
+fence. What an owner may do, and until when, is told by its `term`.
 """
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import msgspec
 import structlog
 
 from primrosestile.coordination.work.keys import GIVEN_UP_KEY, OWNER_KEY
+from primrosestile.coordination.work.renewals import Renewals
+from primrosestile.coordination.work.term import (
+    LEASE_SECONDS,
+    MARGIN_SECONDS,
+    Term,
+    read_suspending_clock,
+)
 from primrosestile.decisions.work.fitness import SOUND_SECONDS, find_pause
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
@@ -33,23 +34,10 @@
     encode_record,
 )
 
-# A dead owner is replaced this long after its last renewal, and urgent work that
-# comes meanwhile is late by that. The platform grants no lease under a second.
-LEASE_SECONDS = 1.2
-# Renewals are sent this often whether or not the ones before were answered, so that
-# neither a slow store nor a lost answer takes the lease.
-RENEW_SECONDS = 0.25
-# Of these so many may be on their way at once.
-MOST_ON_THEIR_WAY = 4
-# Clocks of two machines run at speeds that differ by up to 2%, and an order is on
-# its way for some milliseconds after the check.
-MARGIN_SECONDS = 0.25
 # How long a process that does not own waits for the owner's key to change before
 # it looks again; a watch may be silent for good.
 WATCH_SECONDS = 2.0
 RETRY_SECONDS = 0.25
-# The age of the newest answered renewal past which the store may be out of reach.
-OVERDUE_SECONDS = 0.75
 # How long a vacancy lasts before a process stands that gave the ownership up just now.
 # The weakest of the others stands after 0.5 s and takes two calls, of 0.3 s each at a
 # slow store, and one whose watch is silent looks again after 2 s: whoever could take
@@ -59,72 +47,6 @@
 _log = structlog.get_logger()
 
 
-def read_suspending_clock() -> float:
-    """Return seconds on a clock that goes on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-@dataclass(slots=True)
-class Term:
-    """One process's ownership.
-
-    Attributes:
-        fence: Higher than that of every earlier term.
-        lease: What the owner's key hangs on.
-        valid_until: On the clock that counts suspension.
-        lost: Set when another owner is known to stand, or the key is gone.
-        given_up_before: How many owners in a row gave up; None while not known.
-        given_up: Set when this one gave up as well.
-        unrenewed: Whether the newest renewal failed.
-    """
-
-    fence: int
-    lease: int
-    valid_until: float
-    lost: asyncio.Event
-    read_clock: Callable[[], float] = read_suspending_clock
-    given_up_before: int | None = None
-    given_up: bool = False
-    unrenewed: bool = False
-
-    def may_act(self) -> bool:
-        """Whether the store can't have given the fleet to another process yet.
-
-        NO_ORDER_PAST_LEASE: every order asks this first.
-        """
-        return not self.lost.is_set() and self.read_clock() < self.valid_until
-
-    def may_care(self, seconds: float) -> bool:
-        """Whether leases of workers may be extended: some seconds past the term's end.
-
-        The next owner counts on an end of that: what it can't ask it gives up once no
-        earlier owner can have extended its lease any more.
-        """
-        return not self.lost.is_set() and self.read_clock() < self.valid_until + seconds
-
-    @property
-    def doubtful(self) -> bool:
-        """Whether the store may not answer this process any more."""
-        return self.unrenewed or self.find_renewal_age() > OVERDUE_SECONDS
-
-    def find_renewal_age(self) -> float:
-        """Return the seconds since the newest renewal that was answered was sent."""
-        renewed_at = self.valid_until - LEASE_SECONDS + MARGIN_SECONDS
-        return self.read_clock() - renewed_at
-
-    def give_up(self) -> None:
-        """End the term for one that another process may serve better."""
-        self.given_up = True
-        self.lost.set()
-
-    def extend(self, asked_at: float) -> None:
-        """Note the answer to a renewal that was sent at a time."""
-        self.unrenewed = False
-        until = asked_at + LEASE_SECONDS - MARGIN_SECONDS
-        # Answers overtake one another.
-        self.valid_until = max(self.valid_until, until)
-
-
 class Election:
     """Gains the ownership, renews it, and runs a term's work meanwhile."""
 
@@ -327,74 +249,3 @@
             return
         # Let another process be first.
         await asyncio.sleep(RETRY_SECONDS)
-
-
-class Renewals:
-    """The renewals of one term, of which several may be on their way.
-
-    Attributes:
-        lapsed: The store has counted the lease out.
-    """
-
-    def __init__(self, store: TransactionalStore, term: Term) -> None:
-        self._store = store
-        self._term = term
-        self._on_their_way = 0
-        # Whether the newest that ended was given up without an answer.
-        self._unanswered = False
-        self.lapsed = False
-
-    async def run(self) -> None:
-        """Send one after another until the term is lost."""
-        async with asyncio.TaskGroup() as tasks:
-            sent = set()
-            while not self._term.lost.is_set():
-                if self._on_their_way < MOST_ON_THEIR_WAY:
-                    sent.add(tasks.create_task(self._renew()))
-                await _wait_or_lost(self._term, RENEW_SECONDS)
-            for task in sent:
-                task.cancel()
-
-    async def _renew(self) -> None:
-        self._on_their_way += 1
-        try:
-            alive, asked_at = await self._extend_lease()
-        except Failure as failure:
-            # The store may be back before it has counted the lease out; only its own
-            # word ends the term.
-            _log.warning("ownership_not_renewed", reason=str(failure))
-            self._term.unrenewed = True
-            self._unanswered |= failure.kind is ErrorKind.STORE_ANSWER_LOST
-            return
-        finally:
-            self._on_their_way -= 1
-        if not alive:
-            _log.warning("ownership_lapsed", fence=self._term.fence)
-            self.lapsed = True
-            self._term.lost.set()
-            return
-        self._unanswered = False
-        self._term.extend(asked_at)
-
-    async def _extend_lease(self) -> tuple[bool, float]:
-        """Renew once; return False when the lease has ended, and when it was asked.
-
-        A renewal whose answer comes too late is carried out all the same. The store
-        would go on counting this process as the owner by them, while it may give no
-        order itself: nothing would start until its link or processor is well, and
-        one would see renewals fail beside an `owner` that never changes. So a read
-        comes first: while that fails, the lease runs out as it should, unless the
-        store is away for all and counts none out.
-        """
-        if self._unanswered:
-            await self._store.get(OWNER_KEY)
-        asked_at = self._term.read_clock()
-        return await self._store.keep_lease(self._term.lease), asked_at
-
-
-async def _wait_or_lost(term: Term, seconds: float) -> None:
-    try:
-        async with asyncio.timeout(seconds):
-            await term.lost.wait()
-    except TimeoutError:
-        return
--- a/src/primrosestile/coordination/work/ended.py
+++ b/src/primrosestile/coordination/work/ended.py
@@ -19,12 +19,12 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.keys import (
     ENDED_PREFIX,
     OWNER_KEY,
     make_ended_key,
 )
+from primrosestile.coordination.work.term import Term
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import (
--- a/src/primrosestile/coordination/work/learned.py
+++ b/src/primrosestile/coordination/work/learned.py
@@ -9,8 +9,8 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.keys import LEARNED_KEY, OWNER_KEY
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.durations import Durations, Seen
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.errors import Failure
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -16,10 +16,10 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.endnumbers import ASK_AGAIN_SECONDS, EndNumbers
 from primrosestile.coordination.work.logfields import name_member
 from primrosestile.coordination.work.recording import Recorder
+from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.workerclock import Reading, WorkerClock
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Member, MemberState, Proof, Worker
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -13,10 +13,10 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.links import WorkerLink
 from primrosestile.coordination.work.logfields import name_member, name_unit
 from primrosestile.coordination.work.recording import Recorder
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.pacing import Pace
 from primrosestile.decisions.work.planning import Assignment
--- a/src/primrosestile/coordination/work/ownwatch.py
+++ b/src/primrosestile/coordination/work/ownwatch.py
@@ -8,12 +8,12 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.intake import Intake
 from primrosestile.coordination.work.keys import GIVEN_UP_KEY, OWNER_KEY
 from primrosestile.coordination.work.links import WorkerLink
 from primrosestile.coordination.work.metering import MeteredCalls
 from primrosestile.coordination.work.recording import Recorder
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.fitness import (
     MOST_SERVE_STEPS,
--- a/src/primrosestile/coordination/work/passlog.py
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -29,11 +29,11 @@
     )
 
 
-def log_workers_heard(workers: Collection[Worker]) -> None:
+def log_workers_answered(workers: Collection[Worker]) -> None:
     """Say how many workers have answered a new owner, and which have not."""
     silent = [each for each in workers if not each.in_hand]
     _log.info(
-        "workers_heard",
+        "workers_answered",
         count=len(workers) - len(silent),
         silent_count=len(silent),
         silent=_list_names(silent),
--- a/src/primrosestile/coordination/work/policywatch.py
+++ b/src/primrosestile/coordination/work/policywatch.py
@@ -19,7 +19,7 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import read_suspending_clock
+from primrosestile.coordination.work.term import read_suspending_clock
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.policies import PolicySource
 from primrosestile.protocol.store import Entry
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -26,7 +26,6 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.ended import EndedJobs
 from primrosestile.coordination.work.keys import (
     OWNER_KEY,
@@ -36,6 +35,7 @@
     make_progress_key,
     make_waiting_key,
 )
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Job
 from primrosestile.errors import Failure
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -13,7 +13,6 @@
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.advising import Advisor
 from primrosestile.coordination.work.caring import Caretaker
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.ended import EndedJobs
 from primrosestile.coordination.work.intake import Intake
 from primrosestile.coordination.work.learned import Memory
@@ -26,12 +25,13 @@
     log_gone,
     log_rescue,
     log_stop,
+    log_workers_answered,
     log_workers_found,
-    log_workers_heard,
 )
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.recording import OwnershipLost, Recorder
 from primrosestile.coordination.work.roster import Roster
+from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.upkeep import UpkeepDuty
 from primrosestile.coordination.work.waitingkeys import settle_waiting
 from primrosestile.coordination.work.workerclock import (
@@ -167,7 +167,7 @@
             tasks.create_task(self._advisor.run())
             tasks.create_task(self._upkeep.run())
             tasks.create_task(self._clean_up())
-            tasks.create_task(self._tell_contact())
+            tasks.create_task(self._report_contact())
             tasks.create_task(settle_waiting(self._store, self._term, self._board))
             await self._run_passes(tasks, orders)
             raise _TermOver
@@ -355,9 +355,9 @@
     def _log_gone(self) -> None:
         log_gone(self._board.take_gone(), self._links, self._term.fence)
 
-    async def _tell_contact(self) -> None:
+    async def _report_contact(self) -> None:
         await asyncio.sleep(CONTACT_SECONDS)
-        log_workers_heard(self._board.workers.values())
+        log_workers_answered(self._board.workers.values())
 
     async def _clean_up(self) -> None:
         """Keep what stands in the store to what is open or may be asked for."""
--- a/src/primrosestile/coordination/work/upkeep.py
+++ b/src/primrosestile/coordination/work/upkeep.py
@@ -18,7 +18,7 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.election import Term
+from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.vmlist import VmList
 from primrosestile.coordination.work.waverecords import RecordUnreadable, WaveRecords
 from primrosestile.decisions.work.board import Board
--- a/src/primrosestile/coordination/work/waitingkeys.py
+++ b/src/primrosestile/coordination/work/waitingkeys.py
@@ -7,7 +7,6 @@
 
 import structlog
 
-from primrosestile.coordination.work.election import Term
 from primrosestile.coordination.work.keys import (
     OWNER_KEY,
     WAITING_PREFIX,
@@ -16,6 +15,7 @@
     make_waiting,
     make_waiting_key,
 )
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Job
 from primrosestile.errors import Failure
--- a/src/primrosestile/coordination/work/waverecords.py
+++ b/src/primrosestile/coordination/work/waverecords.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from primrosestile.clock import read_clock, read_wall_clock
-from primrosestile.coordination.work.election import LEASE_SECONDS, Term
 from primrosestile.coordination.work.keys import OWNER_KEY, make_wave_key
+from primrosestile.coordination.work.term import LEASE_SECONDS, Term
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
 from primrosestile.state.upkeep import Wave, WaveRecord
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -101,7 +101,7 @@
 async def run_entry(settings: ProcessSettings) -> None:
     """Run one entry until it is told to end."""
     metrics = Metrics(PROGRAM)
-    set_up_logs(settings.name, settings.log_level, metrics.note_dropped_line)
+    set_up_logs(settings.name, settings.log_level, metrics.count_dropped_line)
     entry = make_entry(settings, metrics)
     parts = entry.parts
     app = make_entry_app(
--- a/src/primrosestile/programs/logbounds.py
+++ b/src/primrosestile/programs/logbounds.py
@@ -75,16 +75,16 @@
     """A structlog processor that drops lines past the bound of a second.
 
     Args:
-        note_dropped: Called with the event of each line that is dropped.
+        count_dropped: Called with the event of each line that is dropped.
         read_time: A steady clock, in seconds.
     """
 
     def __init__(
         self,
-        note_dropped: Callable[[str], None],
+        count_dropped: Callable[[str], None],
         read_time: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._note_dropped = note_dropped
+        self._count_dropped = count_dropped
         self._read_time = read_time
         self._outcomes = _Budget(OUTCOME_LINES_PER_SECOND, OUTCOME_BURST_LINES)
         self._others = _Budget(OTHER_LINES_PER_SECOND, OTHER_LINES_PER_SECOND)
@@ -102,7 +102,7 @@
         budget = self._outcomes if event in OUTCOME_EVENTS else self._others
         if not budget.take(self._read_time()):
             self._dropped += 1
-            self._note_dropped(event)
+            self._count_dropped(event)
             raise structlog.DropEvent
         if self._dropped:
             line["lines_dropped"] = self._dropped
--- a/src/primrosestile/programs/logs.py
+++ b/src/primrosestile/programs/logs.py
@@ -21,21 +21,21 @@
 def set_up_logs(
     process: str,
     level: str = "info",
-    note_dropped: Callable[[str], None] = lambda event: None,
+    count_dropped: Callable[[str], None] = lambda event: None,
     read_time: Callable[[], float] = time.monotonic,
 ) -> None:
     """Write one JSON object a line to standard output.
 
     Args:
         process: Named in every line.
-        note_dropped: Called with the event of each line that the bounds leave out.
+        count_dropped: Called with the event of each line that the bounds leave out.
         level: The least level that is written, as structlog names it.
         read_time: A steady clock, in seconds, by which the bounds count.
     """
     number = logging.getLevelNamesMapping().get(level.upper(), logging.INFO)
     structlog.configure(
         processors=[
-            LineBounds(note_dropped, read_time),
+            LineBounds(count_dropped, read_time),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/src/primrosestile/programs/metrics.py
+++ b/src/primrosestile/programs/metrics.py
@@ -42,7 +42,7 @@
         )
         self.state = Gauge("state", "Figures of the moment, by name", labels, registry)
 
-    def note_dropped_line(self, event: str) -> None:
+    def count_dropped_line(self, event: str) -> None:
         """Count a line of the log that was left out."""
         self.lines_dropped.inc({"event": event})
 
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -9,10 +9,11 @@
 import uvloop
 from aiohttp import web
 
-from primrosestile.coordination.work.election import Election, Term
+from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.policywatch import PolicyWatch
 from primrosestile.coordination.work.scheduling import Scheduler, run_scheduler
 from primrosestile.coordination.work.submitting import Submitting
+from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.standing import find_stand_back
 from primrosestile.platform.advice import PlatformAdvice
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
@@ -234,7 +235,7 @@
         print(f"settings: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     metrics = Metrics("node")
-    set_up_logs(settings.name, note_dropped=metrics.note_dropped_line)
+    set_up_logs(settings.name, count_dropped=metrics.count_dropped_line)
     uvloop.run(Node(settings, metrics).run())
 
 
--- a/src/primrosestile/programs/placer.py
+++ b/src/primrosestile/programs/placer.py
@@ -104,7 +104,7 @@
 async def run_placer(settings: ProcessSettings) -> None:
     """Run one placer until it is told to end."""
     metrics = Metrics(PROGRAM)
-    set_up_logs(settings.name, settings.log_level, metrics.note_dropped_line)
+    set_up_logs(settings.name, settings.log_level, metrics.count_dropped_line)
     placer = make_placer(settings, metrics)
     parts = placer.parts
     _add_message_handlers(placer)
--- a/src/primrosestile/programs/steward.py
+++ b/src/primrosestile/programs/steward.py
@@ -26,7 +26,7 @@
 async def run_steward(settings: ProcessSettings) -> None:
     """Run one steward until it is told to end."""
     metrics = Metrics(PROGRAM)
-    set_up_logs(settings.name, settings.log_level, metrics.note_dropped_line)
+    set_up_logs(settings.name, settings.log_level, metrics.count_dropped_line)
     parts = make_parts(settings, PROGRAM, metrics)
     connections = Connections()
     app = make_steward_app(
