--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -21,6 +21,7 @@
 from primrosestile.platform.settings import BadSettings, parse_settings
 from primrosestile.platform.store import PlatformStore
 from primrosestile.platform.workers import PlatformWorkers
+from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.node import Node
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Entry
@@ -222,7 +223,8 @@
         self.ends.append(end)
 
     def start_node(self) -> None:
-        node = Node(parse_settings(SETTINGS.format(ip=self.ip, **self.ports)))
+        settings = parse_settings(SETTINGS.format(ip=self.ip, **self.ports))
+        node = Node(settings, Metrics("node"))
 
         async def start() -> None:
             self.node = asyncio.get_running_loop().create_task(node.run())
--- a/src/primrosestile/coordination/work/pending.py
+++ b/src/primrosestile/coordination/work/pending.py
@@ -2,8 +2,7 @@
 
 Each such job has a small key of its own. Counted from the jobs and their records, every
 VM that is asked would read all that is open: a megabyte and more on a large fleet,
-which a slow link carries in a second and which stays in the process's memory. Callers
-who ask within a second share one read.
+which a slow link carries in a second. Callers who ask within a second share one read.
 """
 
 import asyncio
