Hold fifty drawn changes of owner, by five ways, to 1.9 s

Owners die, leave, freeze, are cut off from the store or turned away by it, at 24 workers (50 changes) and 270 (10).

--- a/features/steps/work_election_steps.py
+++ b/features/steps/work_election_steps.py
@@ -4,12 +4,14 @@
 import random
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
+from features.doubles.fleetworld import FleetWorld, Process
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import OWNER_KEY
 
 STEP_SECONDS = 0.02
+FROZEN_SECONDS = 4.0
 SEED = 20_611
 
 
@@ -78,21 +80,61 @@
     assert len(set(context.owners)) == 1, (set(context.owners), missing)
 
 
-@when("{count:d} owners die one after another, each at a moment of its own")
-def step_owners_die(context: Any, count: int) -> None:
-    world = context.world
+@given("{count:d} more workers")
+def step_more_workers(context: Any, count: int) -> None:
+    async def add() -> None:
+        for number in range(count):
+            context.world.add_worker(f"x{number}", rack=f"r{number // 20}")
+        await asyncio.sleep(2.0)
+
+    context.world.run(add())
+
+
+async def kill(world: FleetWorld, owner: Process) -> None:
+    await world.kill(owner.name)
+
+
+async def leave(world: FleetWorld, owner: Process) -> None:
+    await owner.election.leave()
+    await world.kill(owner.name)
+
+
+async def freeze(world: FleetWorld, owner: Process) -> None:
+    world.store.faults.silent.add(owner.name)
+    owner.frozen_for += FROZEN_SECONDS
+
+
+async def cut_off(world: FleetWorld, owner: Process) -> None:
+    world.store.faults.silent.add(owner.name)
+
+
+async def turn_away(world: FleetWorld, owner: Process) -> None:
+    world.store.faults.refused.add(owner.name)
+
+
+WAYS = (kill, leave, freeze, cut_off, turn_away)
+
+
+@when("{count:d} owners in turn die, leave, freeze, are cut off or turned away")
+def step_owners_go(context: Any, count: int) -> None:
+    world: FleetWorld = context.world
     chance = random.Random(SEED)
     context.absences = []
 
     async def replace_one(number: int) -> None:
-        await world.wait_for(lambda: world.find_owner() is not None, 5.0)
+        await world.wait_for(lambda: is_at_work(world, ""), 10.0)
         await asyncio.sleep(chance.uniform(1.0, 3.0))
         owner = world.find_owner()
-        died_at = read_clock()
+        assert owner is not None
+        way = WAYS[number % len(WAYS)]
+        gone_at = read_clock()
+        await way(world, owner)
+        await world.wait_for(lambda: is_at_work(world, owner.name), 10.0)
+        context.absences.append((round(read_clock() - gone_at, 2), way.__name__))
+        world.store.faults.silent.discard(owner.name)
+        world.store.faults.refused.discard(owner.name)
         await world.kill(owner.name)
         world.add_process(f"q{number}")
-        await world.wait_for(lambda: is_at_work(world), 10.0)
-        context.absences.append(read_clock() - died_at)
 
     async def replace_all() -> None:
         for number in range(count):
@@ -101,17 +143,17 @@
     world.run(replace_all())
 
 
-def is_at_work(world: Any) -> bool:
-    """Whether an owner has read what there is and may give orders."""
-    owner = world.find_owner()
-    if owner is None or owner.scheduler is None:
-        return False
-    return bool(owner.scheduler.count().get("workers_in_hand"))
+def is_at_work(world: FleetWorld, former: str) -> bool:
+    """Whether an owner that is not the former one has workers in hand."""
+    for process in world.processes.values():
+        term = process.election.term
+        acts = term is not None and term.may_act() and process.name != former
+        if acts and process.scheduler is not None:
+            return bool(process.scheduler.count().get("workers_in_hand"))
+    return False
 
 
 @then("none was missed for more than {most:g} s")
 def step_absence(context: Any, most: float) -> None:
     absences = sorted(context.absences)
-    median = absences[len(absences) // 2]
-    print(f"median {median:.2f} s, worst {absences[-1]:.2f} s")
-    assert absences[-1] <= most, absences[-5:]
+    assert absences[-1][0] <= most, absences
--- a/features/work/election.feature
+++ b/features/work/election.feature
@@ -29,7 +29,13 @@
       | takes 0.6 s longer over each call          |
       | loses the answer to each third renewal     |
 
-  Scenario: Owners that go without a word are replaced in time
+  Scenario Outline: Owners that go are replaced in time
     Guards against urgent work that waits for the next owner.
-    When 50 owners die one after another, each at a moment of its own
+    Given <workers> more workers
+    When <count> owners in turn die, leave, freeze, are cut off or turned away
     Then none was missed for more than 1.9 s
+
+    Examples:
+      | workers | count |
+      | 20      | 50    |
+      | 266     | 10    |
