--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -219,9 +219,7 @@
         last = self._numbers.take(look.ended, read_clock())
         if look.forget_limit is not None:
             last = min(last, look.forget_limit)
-        self._pause = ASK_AGAIN_SECONDS if self._numbers.doubtful else 0.0
-        if look.forget_limit is not None:
-            self._pause = LOOK_SECONDS
+        self._pause = self._choose_pause(look)
         for ended in fresh:
             self._take_end(ended)
         if look.complete and len(look.ended) < ENDS_PER_LOOK:
@@ -235,6 +233,15 @@
         if fresh:
             await self._record_ends(last)
 
+    def _choose_pause(self, look: WorkerLook) -> float:
+        """Return how long to wait before the next look, in seconds.
+
+        Ends that can't be forgotten yet make the worker answer at once.
+        """
+        if look.forget_limit is not None:
+            return LOOK_SECONDS
+        return ASK_AGAIN_SECONDS if self._numbers.doubtful else 0.0
+
     async def _record_ends(self, last: int) -> None:
         """Let the worker forget ends up to a number, once they are in the store.
 
