Count what an earlier owner runs as no longer young

Cause: a run that is taken over counted as begun at the change of owner. Unsaved work that had run for long was then young again, so urgent work stopped it at next to no cost, without the bound of proportion. Change: it counts as begun 3 s before, as long as unsaved work counts as young. Figures: the scenario failed first (a patient task without checkpoints was stopped for an urgent one of a second).

--- a/features/steps/work_heavy_steps.py
+++ b/features/steps/work_heavy_steps.py
@@ -8,13 +8,21 @@
 from tools.bench.site_driver import PLANNERS, SiteRun
 from tools.bench.site_measures import measure
 from tools.bench.site_workloads import draw_day, read_workload
-from work_decisions_steps import add_job, add_worker, make_board
+from work_decisions_steps import POOL, add_job, add_worker, make_board
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.planning import make_plan
 from primrosestile.decisions.work.preempting import CORES_PER_ACCELERATOR
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.state.work import Need, Step
+from primrosestile.state.work import (
+    JobState,
+    Need,
+    Phase,
+    Progress,
+    Step,
+    Submission,
+    UnitRecord,
+)
 
 WORKLOADS = Path("examples/workloads")
 # Jobs far back in time, so that none is late at the time of a step.
@@ -48,9 +56,35 @@
         context.board.note_up(each.unit.members[0], began)
 
 
+@given("{count:d} patient tasks {saving} checkpoints run under an earlier owner")
+def step_restored(context: Any, count: int, saving: str) -> None:
+    need = Need(100, 100, 1)
+    saves = saving == "with"
+    step = Step(count, need, estimate_seconds=10.0, checkpoints=saves)
+    submission = Submission(f"{1:016x}", "q2", "domes", POOL, "", (step,))
+    (worker,) = context.board.workers
+    units = tuple(
+        UnitRecord(0, 0, index, Phase.ORDERED, run=1, workers=(worker,))
+        for index in range(count)
+    )
+    progress = Progress(JobState.RUNNING, units)
+    job = context.board.admit(submission, progress, NOW, 0.0)
+    for unit in job.units.values():
+        context.board.note_up(unit.members[0], NOW)
+
+
 @when("an urgent task of one accelerator waits")
 def step_urgent(context: Any) -> None:
-    step = Step(1, Need(100, 100, 1), estimate_seconds=2.0)
+    wait_urgent(context, 2.0)
+
+
+@when("an urgent task of one accelerator and {seconds:g} s waits")
+def step_short_urgent(context: Any, seconds: float) -> None:
+    wait_urgent(context, seconds)
+
+
+def wait_urgent(context: Any, seconds: float) -> None:
+    step = Step(1, Need(100, 100, 1), estimate_seconds=seconds)
     add_job(context.board, 2, 0, (step,), now=NOW)
     plan(context)
 
--- a/features/work/heavy.feature
+++ b/features/work/heavy.feature
@@ -15,6 +15,18 @@
     When an urgent task of one accelerator waits
     Then nothing is stopped
 
+  Scenario Outline: A change of owner makes no work young
+    Guards against old unsaved work that is thrown away after a change of owner.
+    Given a fleet of decisions with 1 workers of 4 accelerators
+    And 4 patient tasks <saving> run under an earlier owner
+    When an urgent task of one accelerator and 1 s waits
+    Then <what> stopped
+
+    Examples:
+      | saving              | what                     |
+      | without checkpoints | nothing is               |
+      | with checkpoints    | one of the patient tasks is |
+
   Scenario: An urgent gang of a whole worker takes the place of a few old tasks
     Unsaved tasks of a patient job are spread over the racks, and none of them is young.
     Kept from stopping any of them, a gang that needs whole workers waits until they
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -26,6 +26,10 @@
 )
 from primrosestile.state.workers import EndKind, WorkerEntry, make_bare_entry
 
+# How long a run of an earlier owner counts as having gone on: at least as long as work
+# that saves nothing counts as young, so that a change of owner makes none of it so.
+RESTORED_SECONDS = 3.0
+
 
 def _make_forgotten_queue(attempts: int) -> Queue:
     """Return what a job is judged by while no policy names its queue.
@@ -111,6 +115,7 @@
             self.place_members(unit, record.workers, now)
             for member in unit.members:
                 member.restored = True
+                member.since = now - RESTORED_SECONDS
                 member.pace = UNKNOWN_PACE
 
     def order(self, unit: Unit, workers: Iterable[str], now: float) -> None:
--- a/src/primrosestile/decisions/work/preempting.py
+++ b/src/primrosestile/decisions/work/preempting.py
@@ -125,9 +125,7 @@
     if victim.run > SPARED_STARTS:
         return False
     if victim.step.checkpoints:
-        first = victim.members[0]
-        # What an earlier owner started has run for longer than its absence.
-        return first.restored or now - first.since > SPARED_SECONDS
+        return now - victim.members[0].since > SPARED_SECONDS
     return gainer.job.queue.priority == 0 or not is_aged(victim, now)
 
 
