--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -312,6 +312,21 @@
     ]
 
 
+def write_targets(figures: Any) -> list[str]:
+    """Return what users ask of their deployments, and how far the system gets."""
+    rows = [
+        f"| {each['deployment']} | {each['asked']:.2f} | {each['found']} | {each['now']} |"
+        for each in figures
+    ]
+    return [
+        "Mean worth over the standard days with trouble, processor time counted.",
+        "",
+        "| deployment | asked | as found | now |",
+        "|---|---|---|---|",
+        *rows,
+    ]
+
+
 def make_page() -> str:
     figures = read_figures("slopes")
     recovery = read_figures("recovery")
@@ -331,6 +346,10 @@
         f"settings a day, {TEAMS} teams, {REGIONS} regions, {DOMAINS} failure domains, "
         f"{VM_FAILURES_PER_DAY} VM failures and {RESTARTS_PER_DAY:,} restarts a day.",
         "",
+        "## What users ask of their deployments",
+        "",
+        *write_targets(read_figures("targets")),
+        "",
         "## What was measured, by role",
         "",
         *write_slopes(slopes, figures),
