Derive what an owner's lease and a restored run's age rest on, instead of copying it

Found in reading the change again. The end of the owner's lease was worked out at three places from the same two constants: it is one function now, and the age of a renewal is told by it. The 3 s by which a run of an earlier owner counts as begun was a copy of the bound on young work, and would have parted from it: it is that bound now. A scenario's name uses plain words. No behaviour changes. Left as they are: five loops wait for an event or a time, each with another step after it.

--- a/features/logs/explaining.feature
+++ b/features/logs/explaining.feature
@@ -31,7 +31,7 @@
     And the next line says that 4600 were dropped
     And the metrics of the process count 4600 dropped lines of that event
 
-  Scenario: What became of callers' work is told whatever is told of the fleet
+  Scenario: Lines about runs are written however many there are about workers
     Guards against lines about workers that displace those that explain an outcome.
     When 5000 lines about workers and then 500 about runs are logged within a second
     Then all of those about runs are written
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -15,8 +15,8 @@
 from primrosestile.coordination.work.renewals import Renewals
 from primrosestile.coordination.work.term import (
     LEASE_SECONDS,
-    MARGIN_SECONDS,
     Term,
+    find_lease_end,
     read_suspending_clock,
 )
 from primrosestile.decisions.work.fitness import SOUND_SECONDS, find_pause
@@ -196,7 +196,7 @@
         if not self._lease or not await self._store.keep_lease(self._lease):
             asked_at = self._read_clock()
             self._lease = await self._store.grant_lease(LEASE_SECONDS)
-        self._lease_until = asked_at + LEASE_SECONDS - MARGIN_SECONDS
+        self._lease_until = find_lease_end(asked_at)
         return self._lease
 
     async def _serve(self, term: Term) -> None:
--- a/src/primrosestile/coordination/work/term.py
+++ b/src/primrosestile/coordination/work/term.py
@@ -21,6 +21,11 @@
 OVERDUE_SECONDS = 0.88
 
 
+def find_lease_end(asked_at: float) -> float:
+    """Return until when an owner may act by a renewal that was sent at a time."""
+    return asked_at + LEASE_SECONDS - MARGIN_SECONDS
+
+
 def read_suspending_clock() -> float:
     """Return seconds on a clock that goes on while the machine is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -71,8 +76,8 @@
 
     def find_renewal_age(self) -> float:
         """Return the seconds since the newest renewal that was answered was sent."""
-        renewed_at = self.valid_until - LEASE_SECONDS + MARGIN_SECONDS
-        return self.read_clock() - renewed_at
+        now = self.read_clock()
+        return find_lease_end(now) - self.valid_until
 
     def give_up(self) -> None:
         """End the term for one that another process may serve better."""
@@ -82,6 +87,5 @@
     def extend(self, asked_at: float) -> None:
         """Note the answer to a renewal that was sent at a time."""
         self.unrenewed = False
-        until = asked_at + LEASE_SECONDS - MARGIN_SECONDS
         # Answers overtake one another.
-        self.valid_until = max(self.valid_until, until)
+        self.valid_until = max(self.valid_until, find_lease_end(asked_at))
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Collection, Iterable, Iterator
 
+from primrosestile.decisions.work.preempting import UNSAVED_SECONDS
 from primrosestile.decisions.work.units import (
     LIFE_PROOFS,
     UNKNOWN_PACE,
@@ -26,10 +27,6 @@
 )
 from primrosestile.state.workers import EndKind, WorkerEntry, make_bare_entry
 
-# How long a run of an earlier owner counts as having gone on: at least as long as work
-# that saves nothing counts as young, so that a change of owner makes none of it so.
-RESTORED_SECONDS = 3.0
-
 
 def _make_forgotten_queue(attempts: int) -> Queue:
     """Return what a job is judged by while no policy names its queue.
@@ -115,7 +112,8 @@
             self.place_members(unit, record.workers, now)
             for member in unit.members:
                 member.restored = True
-                member.since = now - RESTORED_SECONDS
+                # A change of owner makes no work young.
+                member.since = now - UNSAVED_SECONDS
                 member.pace = UNKNOWN_PACE
 
     def order(self, unit: Unit, workers: Iterable[str], now: float) -> None:
