Log how often a run has failed when it is decided, and what goes with a worker's life

What the log of the incident could not show: whether any of the 35 runs had been counted against the task, and which other tasks a worker had when it was gone. run_decided has the failures that count so far, worker_life_over the tasks.

--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Callable
+from itertools import islice
 
 import structlog
 
@@ -49,6 +50,8 @@
 # How long the store may take over the ends of a look before the lease is looked
 # after again without it.
 RECORD_WAIT_SECONDS = 1.5
+# Tasks that one log line lists at most.
+TASKS_LISTED = 20
 
 _log = structlog.get_logger()
 
@@ -209,7 +212,12 @@
             _log.info("worker_life_doubted", worker=worker.name, address=address)
             await asyncio.sleep(DOUBT_SECONDS)
             return
-        _log.info("worker_life_over", worker=worker.name)
+        _log.info(
+            "worker_life_over",
+            worker=worker.name,
+            members=len(worker.members),
+            tasks=[each.task for each in islice(worker.members.values(), TASKS_LISTED)],
+        )
         self._board.drop_worker(worker.name, Proof.LIFE_OVER)
         self._wake()
 
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -75,6 +75,7 @@
                 workers=workers,
                 entitled=each.rank.entitled,
                 slack=round(each.rank.slack, 2),
+                failures=each.unit.failures,
             )
         members = [member for each in assignments for member in each.unit.members]
         self._tasks.create_task(self._record_and_send(members))
