Reproduce a task that crashes one worker after another, on the stand-in

What callers saw: a task was started again after each worker that it crashed, without end, and its job was never shown as failed. The stand-in's workers can now be crashed by a task and are back under another name at their address; its ledger tells when a task that has crashed three workers is started three times more.

--- a/src/primrosestile_standin/fleetcalls.py
+++ b/src/primrosestile_standin/fleetcalls.py
@@ -113,6 +113,9 @@
         await asyncio.sleep(ANSWER_SECONDS)
         worker = self._fleet.find_at(entry.address)
         if worker is None:
+            if self._fleet.is_dark(entry.address):
+                await asyncio.sleep(TIMEOUT_SECONDS)
+                raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer")
             raise Failure(ErrorKind.NO_TARGET, f"nothing listens at {entry.address}")
         if self._is_cut(worker):
             await asyncio.sleep(TIMEOUT_SECONDS)
--- a/src/primrosestile_standin/fleetscript.py
+++ b/src/primrosestile_standin/fleetscript.py
@@ -17,6 +17,8 @@
         ticketed: It starts with a good ticket only.
         serves: It lasts, and is slower the more a filling task beside it works.
         checkpoints: A run of it goes on from where an earlier one got to.
+        crashes_after: Seconds from its start until it crashes its worker; None for
+            never.
     """
 
     seconds: float = 2.0
@@ -26,3 +28,4 @@
     ticketed: bool = False
     serves: bool = False
     checkpoints: bool = False
+    crashes_after: float | None = None
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from primrosestile.clock import read_clock
@@ -28,6 +30,9 @@
 # A service alone on a worker, and what each percent of a filling task adds.
 SERVES_ALONE_MS = 40.0
 DISTURBED_MS_PER_PERCENT = 1.5
+# A task that has crashed so many workers must not be started so many times more.
+CRASH_LIMIT = 3
+STARTS_AFTER_LIMIT = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +223,9 @@
         run = _Run(order.task, order.run, read_clock(), script)
         run.done_before = self._fleet.checkpoints.find_done(order.checkpoint)
         self.runs[order.task] = run
+        if script.crashes_after is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(script.crashes_after, self._crash_by, run)
         if script.gang == 1:
             self.work(run)
         else:
@@ -277,6 +285,13 @@
         self._ends_changed.set()
         self._ends_changed = asyncio.Event()
 
+    def _crash_by(self, run: _Run) -> None:
+        """Crash, if a task that crashes its worker is still there."""
+        if self.alive and self.runs.get(run.task) is run:
+            self._fleet.crashes[run.task] += 1
+            self.crash()
+            self._fleet.on_crash(self)
+
     def crash(self) -> None:
         """End this life: everything on it is gone without a word."""
         self.alive = False
@@ -288,12 +303,18 @@
             self._fleet.break_gang(run.task, run.run)
 
 
+def _ignore_crash(worker: FleetWorker) -> None:
+    """Leave a crashed worker as it is."""
+
+
 class Fleet:
     """All workers, and the ledger of what ran.
 
     Attributes:
         faults_found: Broken promises, as sentences; empty at the end of a test.
         advice: Knows where steps may run, and which tickets are good.
+        crashes: How many workers each task has crashed.
+        on_crash: Called with each worker that a task has crashed.
     """
 
     def __init__(self) -> None:
@@ -306,6 +327,9 @@
         self.faults_found: list[str] = []
         self.starts: list[tuple[str, int, str]] = []
         self.ends: list[tuple[str, int, EndKind]] = []
+        self.crashes: Counter[str] = Counter()
+        self.on_crash: Callable[[FleetWorker], None] = _ignore_crash
+        self._starts_after_limit: Counter[str] = Counter()
         self._well_ends: dict[str, list[_WellEnd]] = {}
         self._taken_done: set[str] = set()
         self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, _Run]]] = {}
@@ -323,6 +347,13 @@
                 return worker
         return None
 
+    def is_dark(self, address: str) -> bool:
+        """Whether the last worker at an address has left it dark."""
+        found = [
+            each for each in self.workers.values() if each.entry.address == address
+        ]
+        return bool(found) and not found[-1].alive and found[-1].faults.dark
+
     def find_script(self, task: str) -> Script:
         """Return what becomes of a task: by its name, its job, or as usual."""
         job = task.partition(".")[0]
@@ -343,6 +374,18 @@
                 )
         if self.name_unit(order.task) in self._taken_done:
             self.faults_found.append(f"{order.task} starts after it has ended well")
+        self._check_crashes(order.task)
+
+    def _check_crashes(self, task: str) -> None:
+        """Enter a start of a task that has crashed as many workers as it may."""
+        if self.crashes[task] < CRASH_LIMIT:
+            return
+        self._starts_after_limit[task] += 1
+        if self._starts_after_limit[task] == STARTS_AFTER_LIMIT:
+            self.faults_found.append(
+                f"{task} is started {STARTS_AFTER_LIMIT} times more after it has"
+                f" crashed {CRASH_LIMIT} workers"
+            )
 
     def note_end(self, worker: FleetWorker, task: str, run: int, kind: EndKind) -> None:
         """Enter an end; the other members of a gang end with it."""
