Give up a task that crashes the workers that start it

Cause: only a run that its worker reported as failed used up an attempt. A run that went with its worker (proof 'life over' or 'lease over') was placed again without any count. The class: an end that nobody reports is taken for no end. Change: decisions.work.crashes counts the workers that crashed under each task, by its position in a gang, in the stored record, once a run. Given up: two crashes at once after a start with nothing else there; a third such one; any fourth. From the second on the task is tried on a worker of its own, for which it waits 2 s at most, and suspects are kept apart. A refused connection counts when the lease is over; a silent worker only once another one answers at its address, so a cut is no crash; runs that were seen to last a minute don't count.

--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -1,13 +1,15 @@
 """Steps for tasks that crash their workers."""
 
+import asyncio
 import dataclasses
 from typing import Any
 
-from behave import given, then
+from behave import given, then, when
 from features.doubles.restarts import Restarts, make_restarts
 from features.steps.work_steps import make_id
 
 from primrosestile_standin.fleetscript import Script
+from primrosestile_standin.fleetworker import FleetWorker
 
 
 @given("crashed workers are back after {seconds:g} s")
@@ -35,3 +37,65 @@
 def step_crashed(context: Any, count: int) -> None:
     restarts: Restarts = context.restarts
     assert restarts.count <= count, f"{restarts.count} workers have crashed"
+
+
+@given("crashed workers are back after {seconds:g} s, and answer nothing until then")
+def step_back_dark(context: Any, seconds: float) -> None:
+    context.restarts.after = seconds
+    context.restarts.dark = True
+
+
+def find_worker(context: Any, name: str) -> str | None:
+    """Return a worker on which a task of a job runs."""
+    for worker in context.world.fleet.workers.values():
+        if worker.alive and list_tasks(worker, make_id(name)):
+            return str(worker.entry.worker)
+    return None
+
+
+def list_tasks(worker: FleetWorker, job: str) -> list[str]:
+    return [task for task in worker.runs if task.startswith(job)]
+
+
+async def wait_for_worker(context: Any, name: str, seconds: float) -> str:
+    """Return a worker on which a task of a job runs, once there is one."""
+    await context.world.wait_for(
+        lambda: find_worker(context, name) is not None, seconds
+    )
+    worker = find_worker(context, name)
+    assert worker is not None
+    return worker
+
+
+@when(
+    "the worker that runs {name} crashes {count:d} times, {seconds:g} s after its start"
+)
+def step_crash_often(context: Any, name: str, count: int, seconds: float) -> None:
+    async def crash() -> None:
+        for _ in range(count):
+            await wait_for_worker(context, name, 20.0)
+            await asyncio.sleep(seconds)
+            context.restarts.crash(await wait_for_worker(context, name, 0.1))
+        # The last crash is heard of once the worker is back.
+        await asyncio.sleep(context.restarts.after + 0.3)
+
+    context.world.run(crash())
+
+
+@when("the worker that runs {name} is cut off for {seconds:g} s, {count:d} times")
+def step_cut_often(context: Any, name: str, seconds: float, count: int) -> None:
+    async def cut() -> None:
+        for _ in range(count):
+            worker = await wait_for_worker(context, name, 20.0)
+            faults = context.world.fleet.workers[worker].faults
+            faults.cut = True
+            await asyncio.sleep(seconds)
+            faults.cut = False
+            await asyncio.sleep(2.0)
+
+    context.world.run(cut())
+
+
+@then("a task of {name} runs within {seconds:g} s")
+def step_runs_within(context: Any, name: str, seconds: float) -> None:
+    context.world.run(wait_for_worker(context, name, seconds))
--- a/features/work/crashes.feature
+++ b/features/work/crashes.feature
@@ -32,3 +32,107 @@
     When 10 s pass
     Then at most 3 workers have crashed
     And the fleet's ledger shows nothing wrong
+
+  Scenario: The crashed workers answer nothing until they are back
+    Guards against taking workers that crash with their VM for workers that are cut off.
+    Given crashed workers are back after 9 s, and answer nothing until then
+    And task 0 of c3 crashes its worker after 0.01 s
+    When job c3 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    Then job c3 is shown as failed within 50 s
+    When 20 s pass
+    Then at most 5 workers have crashed
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: The crashed workers are back long after their lease
+    Guards against waiting for a sign that comes after three more starts.
+    Given crashed workers are back after 30 s
+    And task 0 of c4 crashes its worker after 0.01 s
+    When job c4 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    Then job c4 is shown as failed within 30 s
+    And at most 3 workers have crashed
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: The start that crashes a worker is never answered
+    Guards against counting only runs that a worker has confirmed.
+    Given task 0 of c5 crashes its worker after 0 s
+    And the answers to the next 1 orders to every worker are lost
+    When job c5 is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    Then job c5 is shown as failed within 20 s
+    And at most 4 workers have crashed
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: A task crashes its worker some time after its start
+    Guards against counting only crashes that come at once.
+    Given the tasks of c6 take 8 s
+    And task 0 of c6 crashes its worker after 3 s
+    When job c6 is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    Then job c6 is shown as failed within 40 s
+    And at most 4 workers have crashed
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: One member of a gang crashes its worker
+    Guards against a count of the gang's ends in place of its member's crashes.
+    Given task 2 of c7 crashes its worker after 0.01 s
+    When job c7 is handed in with steps
+      | count | accelerators | gang |
+      | 4     | 8            | yes  |
+    Then job c7 is shown as failed within 40 s
+    And at most 4 workers have crashed
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: Tasks of others run beside one that crashes its workers
+    Guards against ending jobs whose tasks were only on the same workers.
+    Given the tasks of c8 take 6 s
+    And task 0 of c9 crashes its worker after 0.01 s
+    When job c8 is handed in with steps
+      | count | accelerators |
+      | 30    | 1            |
+    And job c9 is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    Then job c9 is shown as failed within 30 s
+    And job c8 is shown as completed within 30 s
+    And at most 4 workers have crashed
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: The same task meets three workers that crash by themselves
+    Guards against giving up a task that crashes nothing.
+    Given the tasks of ca take 6 s
+    When job ca is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    And the worker that runs ca crashes 3 times, 2 s after its start
+    Then job ca is shown as completed within 20 s
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: No worker is ever empty for a suspected task
+    Guards against waiting for a worker of its own while there is room beside others.
+    Given the tasks of cb take 60 s
+    And the tasks of cc take 6 s
+    When job cb is handed in with steps
+      | count | accelerators | most per worker |
+      | 6     | 1            | 1               |
+    And job cc is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    And the worker that runs cc crashes 2 times, 1 s after its start
+    Then a task of cc runs within 3 s
+    And job cc is shown as completed within 10 s
+
+  Scenario: A worker that was only cut off
+    Guards against counting a lease that ran out as a crash.
+    Given the tasks of cd take 30 s
+    When job cd is handed in with steps
+      | count | accelerators |
+      | 1     | 1            |
+    And the worker that runs cd is cut off for 12 s, 4 times
+    Then job cd is shown as completed within 50 s
+    And the fleet's ledger shows nothing wrong
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -24,7 +24,7 @@
 from primrosestile.coordination.work.workerclock import Reading, WorkerClock
 from primrosestile.decisions.work.board import Board
 from primrosestile.decisions.work.units import Member, MemberState, Proof, Worker
-from primrosestile.errors import Failure
+from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import (
     EndedTask,
     Refusal,
@@ -118,8 +118,10 @@
 
     def note_answer(self, clock: float, sent_at: float) -> None:
         """Take in the clock of an answer to an order."""
+        now = read_clock()
+        self.worker.record_answer(now)
         if clock:
-            self.clock.note(Reading(clock, sent_at, read_clock()))
+            self.clock.note(Reading(clock, sent_at, now))
 
     def note_stopped(self, member: Member) -> None:
         """Note that the worker has answered a stop.
@@ -182,6 +184,8 @@
             await self._take_refusal(answer, entry.address)
             return
         self._last_heard = read_clock()
+        self.worker.record_answer(self._last_heard)
+        self._board.crashes.record_contact(self.worker)
         self.clock.note(Reading(answer.clock, sent_at, self._last_heard))
         if entry.address == self.entry.address:
             self.worker.proven = True
@@ -330,6 +334,7 @@
         """
         now = read_clock()
         worker = self.worker
+        worker.record_no_answer(now)
         if worker.in_hand and now - self._last_heard > LOOK_SECONDS:
             worker.in_hand = False
             self._was_silent = True
@@ -347,5 +352,6 @@
             _log.warning(
                 "worker_lease_over", worker=worker.name, members=len(worker.members)
             )
-            self._board.clear_worker(worker, Proof.LEASE_OVER)
+            refuses = failure.kind is ErrorKind.NO_TARGET
+            self._board.clear_worker(worker, Proof.LEASE_OVER, now, refuses)
             self._wake()
--- a/src/primrosestile/coordination/work/passlog.py
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -8,6 +8,7 @@
 
 from primrosestile.coordination.work.links import WorkerLink
 from primrosestile.coordination.work.logfields import name_member, name_unit
+from primrosestile.decisions.work.crashes import Crash
 from primrosestile.decisions.work.planning import Stop
 from primrosestile.decisions.work.rescuing import Rescue
 from primrosestile.decisions.work.units import Member, Proof, Worker
@@ -65,6 +66,19 @@
         )
 
 
+def log_crashes(crashes: Sequence[Crash]) -> None:
+    """Say which tasks were on workers that crashed, and which of them are given up."""
+    for each in crashes:
+        fields = {
+            **name_member(each.member),
+            "crashes": each.count.count,
+            "alone": each.count.alone,
+        }
+        _log.info("worker_crashed_under_task", **fields)
+        if each.given_up:
+            _log.warning("task_given_up", **fields)
+
+
 def log_stop(stop: Stop) -> None:
     """Say which run makes way for which job."""
     unit = stop.unit
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -22,6 +22,7 @@
 from primrosestile.coordination.work.orders import Orders
 from primrosestile.coordination.work.ownwatch import OwnWatch
 from primrosestile.coordination.work.passlog import (
+    log_crashes,
     log_gone,
     log_rescue,
     log_stop,
@@ -194,6 +195,7 @@
             self._board.workers[entry.worker].listed = False
 
     def _add_worker(self, entry: WorkerEntry) -> None:
+        self._board.crashes.record_next_life(entry.address, entry.worker, read_clock())
         self._board.add_worker(entry)
         if self._tasks is None:
             return
@@ -225,7 +227,7 @@
             await link.run()
         finally:
             # What the link knew of its worker belongs into the lines.
-            log_gone(self._board.take_gone(), self._links, self._term.fence)
+            self._log_gone()
             # A worker that was given up may be back under its name by now; to drop
             # its new link would leave what runs there without orders for good.
             if self._links.get(name) is link:
@@ -350,10 +352,11 @@
         for name, link in self._links.items():
             if not link.clock.known and link.worker.members:
                 _log.warning("runs_given_up", worker=name)
-                self._board.clear_worker(link.worker, Proof.UNHEARD)
+                self._board.clear_worker(link.worker, Proof.UNHEARD, read_clock())
 
     def _log_gone(self) -> None:
         log_gone(self._board.take_gone(), self._links, self._term.fence)
+        log_crashes(self._board.crashes.take_found())
 
     async def _report_contact(self) -> None:
         await asyncio.sleep(CONTACT_SECONDS)
--- a/src/primrosestile/decisions/work/board.py
+++ b/src/primrosestile/decisions/work/board.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Collection, Iterable, Iterator
 
+from primrosestile.decisions.work.crashes import Crashes
 from primrosestile.decisions.work.preempting import UNSAVED_SECONDS
 from primrosestile.decisions.work.units import (
     LIFE_PROOFS,
@@ -44,6 +45,7 @@
     Attributes:
         changed: Jobs whose records differ from what was last taken.
         gone: Members taken as gone since these were last taken, and why.
+        crashes: Which tasks crash their workers.
     """
 
     def __init__(self, policy: Policy, wall: float) -> None:
@@ -52,6 +54,7 @@
         self.workers: dict[str, Worker] = {}
         self.changed: set[Job] = set()
         self.gone: list[tuple[Member, Proof]] = []
+        self.crashes = Crashes(self._give_up)
         # Seconds since 1970, as of the present event, for what is due at a time of day
         # and for the records; a new owner may hear of ends before its first pass.
         self.wall = wall
@@ -107,6 +110,7 @@
         unit.failures = record.failures
         unit.checkpoint = record.checkpoint
         unit.failed_here = record.failure_counted
+        unit.crashes = {each.position: each for each in record.crashes}
         if unit.phase is Phase.ORDERED:
             unit.abandoned = record.failure_counted
             self.place_members(unit, record.workers, now)
@@ -125,6 +129,7 @@
         unit.claim = ()
         unit.freed = ()
         unit.freed_rounds = 0
+        unit.isolating_since = None
         self.place_members(unit, workers, now)
         self.changed.add(unit.job)
 
@@ -189,6 +194,8 @@
             return
         if proof in LIFE_PROOFS:
             self._ended[name] = worker.entry.address
+        if proof is Proof.LIFE_OVER:
+            self.crashes.record_crash(worker)
         for member in list(worker.members.values()):
             self.note_gone(member, proof)
 
@@ -201,8 +208,21 @@
         for name in [name for name in self._ended if name not in present]:
             del self._ended[name]
 
-    def clear_worker(self, worker: Worker, proof: Proof) -> None:
-        """Note that nothing can be running on a worker, which may come back."""
+    def clear_worker(
+        self, worker: Worker, proof: Proof, now: float, refuses: bool = False
+    ) -> None:
+        """Note that nothing can be running on a worker, which may come back.
+
+        Args:
+            worker: Whose lease is over.
+            proof: Why that is certain.
+            now: On the loop's clock.
+            refuses: Nothing listens at its address, so it has crashed.
+        """
+        if refuses:
+            self.crashes.record_crash(worker)
+        else:
+            self.crashes.record_silence(worker, now)
         for member in list(worker.members.values()):
             self.note_gone(member, proof)
 
@@ -289,6 +309,9 @@
             if unit.phase is Phase.ORDERED:
                 unit.abandoned = True
 
+    def _give_up(self, job: Job) -> None:
+        self.finish(job, JobState.FAILED)
+
     def abandon(self, unit: Unit) -> None:
         """End a unit's present run, so that it can be started again."""
         if unit.phase is Phase.ORDERED:
@@ -350,6 +373,8 @@
             if self._are_done(job, occurrence, unit.step.after, done):
                 if unit.ready_at is None:
                     unit.ready_at = now
+                if unit.crashes and unit.isolating_since is None:
+                    unit.isolating_since = now
                 yield unit
 
     def _are_done(
@@ -376,6 +401,9 @@
             "running_units": phases.count(Phase.ORDERED),
             "workers_in_hand": sum(each.in_hand for each in self.workers.values()),
             "workers": len(self.workers),
+            "suspected_units": sum(
+                bool(unit.crashes) for job in open_jobs for unit in job.units.values()
+            ),
         }
 
     def take_gone(self) -> list[tuple[Member, Proof]]:
--- a/src/primrosestile/decisions/work/freeing.py
+++ b/src/primrosestile/decisions/work/freeing.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.crashes import is_isolated
 from primrosestile.decisions.work.placing import (
     Room,
     Rooms,
@@ -122,5 +123,7 @@
 
 def _give_room(unit: Unit, room: Room) -> None:
     room.take(unit.step.need, unit.step.filling, -1)
+    if is_isolated(unit):
+        room.closed = False
     if unit.step.most_per_worker:
         room.steps[unit.step_key] -= 1
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -14,6 +14,11 @@
 from dataclasses import dataclass, field
 
 from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.crashes import (
+    awaits_isolation,
+    is_isolated,
+    is_on_trial,
+)
 from primrosestile.decisions.work.units import Unit, Worker
 from primrosestile.state.work import Need
 
@@ -55,6 +60,9 @@
         steps: Tasks of each step with a bound on their number here: those that
             the worker has, and those that this pass gave it. Were the latter left
             out, one pass would put a whole step on one worker.
+        occupied: Something runs there.
+        suspected: A worker has crashed under something that runs there.
+        closed: Something there may crash the worker: nothing else is started.
     """
 
     worker: Worker
@@ -64,6 +72,9 @@
     steps: dict[tuple[str, int, int], int] = field(default_factory=dict)
     kept: list[Kept] = field(default_factory=list)
     wanted: bool = False
+    occupied: bool = False
+    suspected: bool = False
+    closed: bool = False
 
     def take(self, need: Need, filling: bool, count: int = 1) -> None:
         """Count tasks in; a negative count gives them back."""
@@ -82,6 +93,9 @@
             self.steps.copy(),
             self.kept.copy(),
             self.wanted,
+            self.occupied,
+            self.suspected,
+            self.closed,
         )
 
     def keep(self, need: Need, filling: bool, count: int, until: float) -> None:
@@ -133,6 +147,9 @@
                 free.memory,
                 free.accelerators,
                 _count_bounded(worker),
+                occupied=bool(worker.members),
+                suspected=any(each.unit.crashes for each in worker.members.values()),
+                closed=any(is_on_trial(each, now) for each in worker.members.values()),
             )
     return rooms
 
@@ -159,6 +176,7 @@
         room
         for room in rooms.values()
         if room.worker.entry.pool == pool
+        and not room.closed
         and (not label or label in room.worker.entry.labels)
     ]
 
@@ -170,6 +188,8 @@
     with one worker of its label, a task that failed once would never start again.
     """
     allowed = list_suitable(unit, rooms)
+    if unit.crashes and awaits_isolation(unit, now):
+        allowed = [room for room in allowed if not room.occupied]
     if unit.job.queue.advised is not None:
         permits = unit.permits
         allowed = [room for room in allowed if permits.is_valid(room.worker.name, now)]
@@ -250,6 +270,12 @@
         return None
     waited = now - (unit.ready_at or now)
     patient = waited < patience
+    if unit.crashes:
+        # Two suspects on one worker would both be suspected of its next crash.
+        apart = [room for room in eligible if not room.suspected]
+        workers = _place_in(unit, apart, patient)
+        if workers is not None:
+            return workers
     if unit.job.queue.priority == 0:
         fast = [room for room in eligible if room.worker.name not in slow]
         for group in ([room for room in fast if not room.wanted], fast):
@@ -376,6 +402,10 @@
 def take_room(unit: Unit, room: Room) -> None:
     """Count one member of a unit in."""
     room.take(unit.step.need, unit.step.filling)
+    room.occupied = True
+    if unit.crashes:
+        room.suspected = True
+        room.closed = room.closed or is_isolated(unit)
     if unit.step.most_per_worker:
         key = unit.step_key
         room.steps[key] = room.steps.get(key, 0) + 1
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -143,7 +143,7 @@
             self.mechanisms.order,
         )
         for rank, unit in ranked:
-            likeness = (unit.step_key, *unit.failed_on)
+            likeness = (unit.step_key, bool(unit.crashes), *unit.failed_on)
             if likeness in waiting:
                 continue
             if not rank.entitled and self.blocked:
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -15,6 +15,7 @@
 
 from primrosestile.state.policy import Queue
 from primrosestile.state.work import (
+    CrashCount,
     JobState,
     Need,
     Phase,
@@ -163,6 +164,8 @@
         abandoned: Its present run is to end; members are being stopped.
         failed_here: A failure of its present run was counted.
         failed_on: Workers on which a run of it failed.
+        crashes: Workers that crashed under its tasks, by the task's position.
+        isolating_since: Since when it waits for workers of its own.
         rescues: Runs of it that were stopped since a member stood still.
         claim: Workers that are being freed for it, or waited for.
         claimed_until: When they are expected to be free.
@@ -183,6 +186,8 @@
     abandoned: bool = False
     failed_here: bool = False
     failed_on: set[str] = field(default_factory=set)
+    crashes: dict[int, CrashCount] = field(default_factory=dict)
+    isolating_since: float | None = None
     rescues: int = 0
     claim: tuple[str, ...] = ()
     claimed_until: float = 0.0
@@ -234,6 +239,7 @@
             workers=workers,
             checkpoint=self.checkpoint,
             failure_counted=self.failed_here,
+            crashes=tuple(self.crashes.values()),
         )
 
 
@@ -311,6 +317,8 @@
         distrusted_until: It gets no work before, as work on it went badly.
         leaves_at: When it may be gone, once it has said that it leaves.
         stop_late_at: When a run there was last seen that should have ended.
+        answered_at: When it last answered a call.
+        unanswered_at: Of the first call since then that it left unanswered.
         used: What its members take, gone ones left out.
     """
 
@@ -323,6 +331,8 @@
     distrusted_until: float = 0.0
     leaves_at: float = math.inf
     stop_late_at: float = -math.inf
+    answered_at: float = -math.inf
+    unanswered_at: float | None = None
     members: dict[tuple[str, int], Member] = field(default_factory=dict)
     processor: int = 0
     memory: int = 0
@@ -344,6 +354,16 @@
             and now >= self.distrusted_until
         )
 
+    def record_answer(self, now: float) -> None:
+        """Note that it has answered a call."""
+        self.answered_at = now
+        self.unanswered_at = None
+
+    def record_no_answer(self, now: float) -> None:
+        """Note that it has left a call unanswered."""
+        if self.unanswered_at is None:
+            self.unanswered_at = now
+
     def attach(self, member: Member) -> None:
         """Count a member in."""
         self.members[member.task, member.run] = member
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -140,6 +140,21 @@
     DONE = 2
 
 
+class CrashCount(msgspec.Struct, frozen=True, array_like=True):
+    """How many workers have crashed under one task of a unit.
+
+    Attributes:
+        position: The member's place in its unit; 0 for a single task.
+        run: The latest run that was counted; the next owner may find its end again.
+        alone: Crashes shortly after a start, with nothing else on the worker.
+    """
+
+    position: int
+    count: int = 0
+    run: int = 0
+    alone: int = 0
+
+
 class UnitRecord(msgspec.Struct, frozen=True, array_like=True):
     """One unit that has been started at least once.
 
@@ -151,6 +166,7 @@
         failure_counted: Whether `failures` has that of the latest run in it. An end is
             repeated to the next owner until its worker is told that it may forget it;
             counted twice, one failure of a gang would use up two attempts.
+        crashes: Of its tasks under which workers have crashed.
     """
 
     occurrence: int
@@ -162,6 +178,7 @@
     workers: tuple[str, ...] = ()
     checkpoint: str = ""
     failure_counted: bool = False
+    crashes: tuple[CrashCount, ...] = ()
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
