Give up a job whose workers are lost soon after each of its starts

A job that ends its workers' engines was started for ever. Change: the record counts starts that lost a member within a minute; the sixth ends the job as failed, with the reason lost_everywhere. A job that lasts longer each time is not given up. Evidence: 'A gang that loses its workers at each start is given up' failed before (still started after 300 s) and passes; found.feature 13 passed.

--- a/features/fuzzing/found.feature
+++ b/features/fuzzing/found.feature
@@ -51,6 +51,22 @@
     And 10 seconds pass in the fuzzed cell
     Then the fuzzed cell has the owner and the epoch that it had
 
+  Scenario: A gang that loses its workers at each start is given up
+    Guards against starting a job again without end that ends its workers' engines.
+    Given a fuzzed cell of four workers
+    When a restartable gang of 60 seconds is submitted to the fuzzed cell
+    And each task of the fuzzed cell is lost within a second of its start, for 300 seconds
+    Then the job of the fuzzed cell has failed after at most 6 starts
+
+  Scenario: A gang that loses a worker now and then runs to its end
+    Guards against giving up a job that lasts, for workers that fail by themselves.
+    Given a fuzzed cell of four workers
+    When a restartable gang of 120 seconds is submitted to the fuzzed cell
+    And the workers of the gang lose their tasks every 70 seconds, 8 times
+    And 150 seconds pass in the fuzzed cell
+    Then no job of the fuzzed cell is stuck
+    And the job of the fuzzed cell has finished
+
   Scenario: The next owner renews the leases that it takes over at once
     Guards against tasks whose leases lapse during a change of owner.
     Given a fuzzed cell that runs a restartable gang of 60 seconds
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -4,6 +4,7 @@
 from features.doubles.cells import (
     SETTLE_SECONDS,
     TASK_LEASE_SECONDS,
+    WORKERS,
     Deployment,
     Placer,
     check_gangs,
@@ -23,6 +24,8 @@
 from features.fuzzing.running import run_machine
 from features.fuzzing.settings import SettingsMachine
 
+from primrosestile.state.jobs import JobRecord, JobState
+
 STEP_SECONDS = 0.05
 
 
@@ -150,6 +153,51 @@
     context.deployment.lose_tasks(find_second_worker(context.deployment))
 
 
+@when(
+    "each task of the fuzzed cell is lost within a second of its start,"
+    " for {seconds:d} seconds"
+)
+def lose_all_tasks(context: Any, seconds: int) -> None:
+    for _ in range(seconds):
+        lose_everything(context.deployment)
+        context.deployment.advance(1.0)
+
+
+def lose_everything(deployment: Deployment) -> None:
+    for name in WORKERS:
+        deployment.lose_tasks(name)
+
+
+@when(
+    "the workers of the gang lose their tasks every {seconds:d} seconds,"
+    " {count:d} times"
+)
+def lose_tasks_often(context: Any, seconds: int, count: int) -> None:
+    for _ in range(count):
+        context.deployment.advance(float(seconds))
+        lose_everything(context.deployment)
+
+
+def read_only_job(context: Any) -> JobRecord:
+    (submitted,) = context.deployment.submitted
+    record = context.deployment.read_record(submitted.spec.job_id)
+    assert isinstance(record, JobRecord)
+    return record
+
+
+@then("the job of the fuzzed cell has failed after at most {count:d} starts")
+def check_given_up(context: Any, count: int) -> None:
+    record = read_only_job(context)
+    assert record.state is JobState.FAILED, record.state
+    starts = {run.task_id for run in context.deployment.list_runs()}
+    assert len(starts) <= count, starts
+
+
+@then("the job of the fuzzed cell has finished")
+def check_finished(context: Any) -> None:
+    assert read_only_job(context).state is JobState.FINISHED
+
+
 @when("the store of the fuzzed cell goes down")
 def stop_store(context: Any) -> None:
     context.deployment.store.faults.down = True
--- a/src/primrosestile/coordination/actions.py
+++ b/src/primrosestile/coordination/actions.py
@@ -46,6 +46,10 @@
 # the best place each time, and then nothing tells the job's fault from the worker's;
 # a job that is tried for ever costs licensed accelerators and helps nobody.
 HOPELESS_LIMIT = 6
+# A job that ends its workers' engines is never reported as failed: each time a member
+# is gone. After so many losses, each this soon after a start, it ends as failed.
+LOSS_LIMIT = 6
+SOON_SECONDS = 60.0
 
 _log = structlog.get_logger()
 
@@ -256,10 +260,17 @@
             await self.finish(record)
             return
         detail = f"on {', '.join(workers)}"
+        lasted = read_wall_clock() - record.started_at
+        losses = record.losses + (lasted < SOON_SECONDS)
+        if record.spec.restartable and losses >= LOSS_LIMIT:
+            _log.warning("job_given_up", job_id=record.spec.job_id, losses=losses)
+            code = ReasonCode.LOST_EVERYWHERE
+            await self.end(record, JobState.FAILED, code, f"lost {losses} times")
+            return
         if record.spec.restartable:
-            waiting = replace(record, state=JobState.ACCEPTED, members=()).with_reason(
-                make_reason(code, detail)
-            )
+            waiting = replace(
+                record, state=JobState.ACCEPTED, members=(), losses=losses
+            ).with_reason(make_reason(code, detail))
             await self._write_and_release(waiting, record)
             return
         # RESTART_ONLY_IF_ALLOWED: it may have run, so it never runs again.
--- a/src/primrosestile/programs/reasons.py
+++ b/src/primrosestile/programs/reasons.py
@@ -34,6 +34,7 @@
     ReasonCode.ADOPTED: "A new owner of the cell took it over as it ran.",
     ReasonCode.FINISHED: "It finished.",
     ReasonCode.FAILED_EVERYWHERE: "It failed on several workers that run other jobs.",
+    ReasonCode.LOST_EVERYWHERE: "Its workers were lost soon after each start.",
     ReasonCode.CANCELLED_BY_CALLER: "Its caller cancelled it.",
     ReasonCode.OUTCOME_UNKNOWN: "It may have run; nobody can tell how it ended.",
     ReasonCode.QUARANTINED: "The worker failed many different jobs and gets no more.",
--- a/src/primrosestile/state/jobs.py
+++ b/src/primrosestile/state/jobs.py
@@ -58,6 +58,7 @@
     ADOPTED = "adopted"
     FINISHED = "finished"
     FAILED_EVERYWHERE = "failed_everywhere"
+    LOST_EVERYWHERE = "lost_everywhere"
     CANCELLED_BY_CALLER = "cancelled_by_caller"
     OUTCOME_UNKNOWN = "outcome_unknown"
     QUARANTINED = "quarantined"
@@ -120,6 +121,7 @@
         members: Where the latest attempt was started.
         cancel_requested: Set by any entry; the owner acts on it.
         checkpoint: Progress saved, as seconds of work already done.
+        losses: Starts that lost a member soon afterwards.
         moved_to: The id under which the job goes on in another cell.
         history: The latest reasons, oldest first.
     """
@@ -135,6 +137,7 @@
     started_at: float = 0.0
     finished_at: float = 0.0
     failures: int = 0
+    losses: int = 0
     moved_to: str = ""
     history: tuple[Reason, ...] = ()
 
