Start nothing on a worker beside a run that nobody wants

What would be seen: LIMIT, on a worker that doesn't refuse what doesn't fit. Free room was counted from the runs that records know; a run that no record wants (of a job that is gone, under an earlier owner) was stopped, but its room counted as free meanwhile. Change: such runs are counted by worker, and nothing is started there until they are gone. The stand-in's workers may start what doesn't fit, and their capacity may change; its ledger tells of a start beyond the room, by the present one and for 4.5 s the one before. Evidence: 'A run that nobody wants any more is still there' failed before (two starts beyond the room) and passes. Two scenarios on rooms that shrink and grow passed on the code before as well: the entry that was read last is what counts.

--- /dev/null
+++ b/features/steps/work_capacity_steps.py
@@ -0,0 +1,59 @@
+"""Steps for workers whose capacity changes, and that start whatever they are told."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+from features.steps.work_steps import list_running, make_id
+from msgspec.structs import replace
+
+from primrosestile.protocol.fleet import StartOrder
+from primrosestile.state.work import Need
+from primrosestile_standin.fleetscript import Script
+
+STRAY_JOB = make_id("stray")
+
+
+@given("no worker refuses what does not fit")
+def step_unguarded(context: Any) -> None:
+    for worker in context.world.fleet.workers.values():
+        worker.faults.unguarded = True
+
+
+@when("worker {name} has {count:d} accelerators from now on")
+def step_capacity(context: Any, name: str, count: int) -> None:
+    async def change() -> None:
+        worker = context.world.fleet.workers[name]
+        capacity = replace(worker.entry.capacity, accelerators=count)
+        worker.change_capacity(capacity)
+        entry = worker.entry
+        context.world.list_worker(name, entry.address, entry.rack, count)
+
+    context.world.run(change())
+
+
+@then("{count:d} tasks of {name} run")
+def step_count_running(context: Any, count: int, name: str) -> None:
+    running = list_running(context.world, make_id(name))
+    assert len(running) == count, running
+
+
+@when(
+    "{first} and {second} run a task of {count:d} accelerators that no job has,"
+    " and stop it in {seconds:g} s"
+)
+def step_strays(
+    context: Any, first: str, second: str, count: int, seconds: float
+) -> None:
+    async def start() -> None:
+        fleet = context.world.fleet
+        for number, name in enumerate((first, second)):
+            worker = fleet.workers[name]
+            worker.faults.stop_seconds = seconds
+            task = f"{STRAY_JOB}.0.0.{number}"
+            fleet.scripts[task] = Script(60.0, Need(1000, 1000, count))
+            until = worker.read_clock() + 8.0
+            worker.take_start(worker.fence, StartOrder(task, 1, "", until))
+        await asyncio.sleep(0.05)
+
+    context.world.run(start())
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -270,10 +270,12 @@
 
     def _take_running(self, running: tuple[RunningTask, ...]) -> None:
         now = read_clock()
+        unwanted = 0
         for row in running:
             member = self._board.find_member(row.task, row.run)
             if member is None or member.state is MemberState.GONE:
                 self._strays[row.task, row.run] = now
+                unwanted += 1
                 continue
             self._board.note_up(member, now)
             member.heard_at = now
@@ -284,6 +286,7 @@
                 member.usage = row.usage
             if row.checkpoint and row.checkpoint != member.unit.checkpoint:
                 member.unit.checkpoint = row.checkpoint
+        self.worker.unwanted_runs = unwanted
 
     def _take_end(self, ended: EndedTask) -> None:
         member = self._board.find_member(ended.task, ended.run)
--- a/src/primrosestile_standin/fleetfaults.py
+++ b/src/primrosestile_standin/fleetfaults.py
@@ -21,6 +21,7 @@
         clock_jumps: Seconds by which the times in its next answers are wrong.
         number_jumps: By how much the number of the last end is too high in its next
             looks that list one.
+        unguarded: It starts what does not fit.
         dark: Once it has crashed, its address answers nothing; else it refuses.
     """
 
@@ -34,4 +35,5 @@
     stop_seconds: float = STOP_SECONDS
     clock_jumps: list[float] = field(default_factory=list)
     number_jumps: list[int] = field(default_factory=list)
+    unguarded: bool = False
     dark: bool = False
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -17,6 +17,7 @@
     StartOrder,
     WorkerLook,
 )
+from primrosestile.state.work import Need
 from primrosestile.state.workers import EndKind, WorkerEntry
 from primrosestile_standin.fleetadvice import FleetAdvice
 from primrosestile_standin.fleetcheckpoints import FleetCheckpoints
@@ -30,6 +31,8 @@
 # A service alone on a worker, and what each percent of a filling task adds.
 SERVES_ALONE_MS = 40.0
 DISTURBED_MS_PER_PERCENT = 1.5
+# A room that has shrunk still counts for so long: contact with its VM and a heartbeat.
+SHRUNK_SECONDS = 4.5
 # A task that has crashed so many workers must not be started so many times more.
 CRASH_LIMIT = 3
 STARTS_AFTER_LIMIT = 3
@@ -80,6 +83,8 @@
         self._ended: list[EndedTask] = []
         self._number = 0
         self._barred: dict[str, int] = {}
+        # What it had before it shrank, and until when that still counts.
+        self._before: tuple[Need, float] | None = None
         self._ends_changed = asyncio.Event()
 
     def read_clock(self) -> float:
@@ -91,6 +96,24 @@
         jumps = self.faults.clock_jumps
         return self.read_clock() + (jumps.pop(0) if jumps else 0.0)
 
+    def change_capacity(self, capacity: Need) -> None:
+        """Have more room or less from now on; what runs goes on."""
+        self._before = (self.entry.capacity, read_clock() + SHRUNK_SECONDS)
+        self.entry = replace(self.entry, capacity=capacity)
+
+    def is_overfull(self) -> bool:
+        """Whether more runs than there is room for, by its present or last room."""
+        rooms = [self.entry.capacity]
+        if self._before is not None and read_clock() < self._before[1]:
+            rooms.append(self._before[0])
+        used = [run.script.need for run in self.runs.values()]
+        processor = sum(each.processor for each in used)
+        accelerators = sum(each.accelerators for each in used)
+        return all(
+            processor > room.processor or accelerators > room.accelerators
+            for room in rooms
+        )
+
     def sweep(self) -> None:
         """Kill everything once its lease has run out."""
         if self.runs and self.read_clock() >= self.until:
@@ -209,6 +232,8 @@
         return None
 
     def _has_room(self, script: Script) -> bool:
+        if self.faults.unguarded:
+            return True
         used = [run.script.need for run in self.runs.values()]
         capacity = self.entry.capacity
         return (
@@ -223,6 +248,10 @@
         run = _Run(order.task, order.run, read_clock(), script)
         run.done_before = self._fleet.checkpoints.find_done(order.checkpoint)
         self.runs[order.task] = run
+        if self.is_overfull():
+            self._fleet.faults_found.append(
+                f"{order.task} is started on {self.entry.worker} beyond its room"
+            )
         if script.crashes_after is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(script.crashes_after, self._crash_by, run)
