--- /dev/null
+++ b/features/doubles/crashday.py
@@ -0,0 +1,138 @@
+"""A drawn day of tasks that crash their workers, and of workers that crash anyway.
+
+Owners are killed and the store is away all the while. What is drawn follows the seed.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from features.doubles.fleetworld import FleetWorld
+from features.doubles.restarts import Restarts
+
+from primrosestile.errors import Failure
+from primrosestile.state.work import JobState, Need
+from primrosestile_standin.fleetscript import Script
+
+QUEUES = ("urgent", "usual", "patient")
+JOBS = 16
+CRASHING_SHARE = 0.3
+TASK_SECONDS = 4.0
+CRASH_SECONDS = (0.0, 0.01, 0.4, 2.0)
+BACK_SECONDS = (1.0, 3.5, 8.0)
+SETTLE_SECONDS = 100.0
+
+
+@dataclass(slots=True)
+class CrashDay:
+    """One day.
+
+    Attributes:
+        queues: The queue of each accepted job.
+        crashing: Jobs one task of which crashes its workers.
+        wrong: What must not be, in words.
+        calm: Nothing more goes wrong, but for tasks that crash.
+    """
+
+    world: FleetWorld
+    restarts: Restarts
+    draw: random.Random
+    queues: dict[str, str] = field(default_factory=dict)
+    crashing: set[str] = field(default_factory=set)
+    wrong: list[str] = field(default_factory=list)
+    calm: bool = False
+
+    async def play(self) -> None:
+        """Play the day, and judge it."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._make_trouble())
+            for _ in range(JOBS):
+                tasks.create_task(self._hand_in())
+                await asyncio.sleep(self.draw.uniform(0.2, 2.5))
+            self.calm = True
+        await asyncio.sleep(SETTLE_SECONDS)
+        await self._judge()
+
+    async def _hand_in(self) -> None:
+        draw = self.draw
+        job_id = f"{draw.getrandbits(64):016x}"
+        count = draw.randint(1, 4)
+        step = {
+            "count": count,
+            "cpu": 1000,
+            "mem_mb": 1000,
+            "gpu": draw.choice((1, 1, 4, 8)),
+            "gang": draw.random() < 0.3,
+        }
+        crashing = draw.random() < CRASHING_SHARE
+        guilty = draw.randrange(count) if crashing else None
+        for index in range(count):
+            self.world.fleet.scripts[f"{job_id}.0.0.{index}"] = Script(
+                seconds=TASK_SECONDS,
+                need=Need(1000, 1000, step["gpu"]),
+                gang=count if step["gang"] else 1,
+                crashes_after=draw.choice(CRASH_SECONDS) if index == guilty else None,
+            )
+        queue = draw.choice(QUEUES)
+        for _ in range(20):
+            name = draw.choice(list(self.world.processes))
+            try:
+                await self.world.submit(name, job_id, queue, steps=[step])
+            except (Failure, AssertionError):
+                await asyncio.sleep(0.3)
+                continue
+            self.queues[job_id] = queue
+            if crashing:
+                self.crashing.add(job_id)
+            return
+
+    async def _make_trouble(self) -> None:
+        troubles: list[Callable[[], Awaitable[None]]] = [
+            self._crash_worker,
+            self._change_restarts,
+            self._kill_owner,
+            self._lose_orders,
+            self._take_store_down,
+        ]
+        while not self.calm:
+            await asyncio.sleep(self.draw.uniform(0.3, 2.5))
+            await self.draw.choice(troubles)()
+
+    async def _crash_worker(self) -> None:
+        workers = self.world.fleet.workers.values()
+        alive = sorted(each.entry.worker for each in workers if each.alive)
+        if len(alive) > len({each.entry.address for each in workers}) // 2:
+            self.restarts.crash(self.draw.choice(alive))
+
+    async def _change_restarts(self) -> None:
+        self.restarts.after = self.draw.choice(BACK_SECONDS)
+        self.restarts.dark = self.draw.random() < 0.4
+
+    async def _kill_owner(self) -> None:
+        owner = self.world.find_owner()
+        if owner is not None:
+            await self.world.kill(owner.name)
+            await asyncio.sleep(self.draw.uniform(0.0, 1.0))
+            self.world.add_process(owner.name)
+
+    async def _lose_orders(self) -> None:
+        for worker in self.world.fleet.workers.values():
+            worker.faults.lose_answers = self.draw.randint(0, 2)
+
+    async def _take_store_down(self) -> None:
+        self.world.store.faults.down = True
+        await asyncio.sleep(self.draw.uniform(0.2, 2.0))
+        self.world.store.faults.down = False
+
+    async def _judge(self) -> None:
+        """Find jobs that should have ended otherwise, and broken promises."""
+        self.wrong += map(str, self.world.fleet.faults_found)
+        process = next(iter(self.world.processes))
+        for job_id, queue in self.queues.items():
+            state = await self.world.read_state(process, job_id, queue)
+            should_be = (
+                JobState.FAILED if job_id in self.crashing else JobState.COMPLETED
+            )
+            if state is not should_be:
+                self.wrong.append(f"{job_id} is {state}, not {should_be}")
--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
+import random
 from typing import Any
 
 from behave import given, then, when
+from features.doubles.crashday import CrashDay
 from features.doubles.restarts import Restarts, make_restarts
 from features.steps.work_steps import make_id
 
@@ -99,3 +101,14 @@
 @then("a task of {name} runs within {seconds:g} s")
 def step_runs_within(context: Any, name: str, seconds: float) -> None:
     context.world.run(wait_for_worker(context, name, seconds))
+
+
+@when("a day of crashes is drawn with seed {seed:d}")
+def step_day(context: Any, seed: int) -> None:
+    context.day = CrashDay(context.world, context.restarts, random.Random(seed))
+    context.world.run(context.day.play())
+
+
+@then("every job of that day ended as it should")
+def step_day_ended(context: Any) -> None:
+    assert not context.day.wrong, context.day.wrong
--- a/features/work/crashes.feature
+++ b/features/work/crashes.feature
@@ -136,3 +136,19 @@
     And the worker that runs cd is cut off for 12 s, 4 times
     Then job cd is shown as completed within 50 s
     And the fleet's ledger shows nothing wrong
+
+  Scenario Outline: Days with tasks and workers that crash, and owners that change
+    Guards against giving up the wrong jobs, or none, in whichever order crashes are heard.
+    When a day of crashes is drawn with seed <seed>
+    Then every job of that day ended as it should
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
