Decide nothing on a worker whose address refuses connections

A worker that had just crashed counted as in hand until it had been silent for a second; a start on it was refused at once, given up as never sent, and decided again 14 ms later, 50 to 80 times, each with a record. An urgent job waited a second beside workers that were free, and the store was written to 70 times a second. Change: a refused connection, of a look or of a start, takes the worker out of hand until it answers a look. The stand-in breaks a look that waits on a worker when that crashes, as a socket does. Evidence: 'A task is to start on a worker that has just crashed' failed before (decided 80 times in 1.5 s) and passes. features/work passes whole.

--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -112,3 +112,22 @@
 @then("every job of that day ended as it should")
 def step_day_ended(context: Any) -> None:
     assert not context.day.wrong, context.day.wrong
+
+
+@when("worker {name} crashes by itself")
+def step_crash_alone(context: Any, name: str) -> None:
+    async def crash() -> None:
+        context.restarts.crash(name)
+
+    context.world.run(crash())
+
+
+@then("no task of {name} has been decided on more than {count:d} times")
+def step_decided(context: Any, name: str, count: int) -> None:
+    async def list_runs() -> list[int]:
+        owner = context.world.find_owner()
+        job = owner.scheduler.board.jobs[make_id(name)]
+        return [unit.run for unit in job.units.values()]
+
+    runs = context.world.run(list_runs())
+    assert max(runs) <= count, runs
--- a/features/work/crashes.feature
+++ b/features/work/crashes.feature
@@ -152,3 +152,16 @@
       | 6    |
       | 7    |
       | 8    |
+
+  Scenario: A task is to start on a worker that has just crashed
+    Guards against deciding on the same worker again and again until it counts as silent.
+    Given crashed workers are back after 9 s
+    And the tasks of ce take 2 s
+    When worker w1 crashes by itself
+    And job ce is handed in with steps
+      | count | accelerators |
+      | 6     | 8            |
+    And 1.5 s pass
+    Then no task of ce has been decided on more than 2 times
+    And job ce is shown as completed within 12 s
+    And the fleet's ledger shows nothing wrong
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -132,6 +132,19 @@
         """
         self._stopped.setdefault((member.task, member.run), read_clock())
 
+    def note_silent(self, failure: Failure) -> None:
+        """Give the worker no work until it answers a look."""
+        if not self.worker.in_hand:
+            return
+        self.worker.in_hand = False
+        self._was_silent = True
+        _log.warning(
+            "worker_silent",
+            worker=self.worker.name,
+            reason=str(failure),
+            members=len(self.worker.members),
+        )
+
     def take_strays(self) -> list[tuple[str, int]]:
         """Return runs on the worker that nobody wants, to be stopped."""
         strays = list(self._strays)
@@ -338,15 +351,10 @@
         now = read_clock()
         worker = self.worker
         worker.record_no_answer(now)
-        if worker.in_hand and now - self._last_heard > LOOK_SECONDS:
-            worker.in_hand = False
-            self._was_silent = True
-            _log.warning(
-                "worker_silent",
-                worker=worker.name,
-                reason=str(failure),
-                members=len(worker.members),
-            )
+        refuses = failure.kind is ErrorKind.NO_TARGET
+        # A refused connection is an answer: nothing listens there now.
+        if refuses or now - self._last_heard > LOOK_SECONDS:
+            self.note_silent(failure)
         if not worker.members:
             if not worker.listed:
                 self._board.drop_worker(worker.name, Proof.LEASE_OVER)
@@ -355,6 +363,5 @@
             _log.warning(
                 "worker_lease_over", worker=worker.name, members=len(worker.members)
             )
-            refuses = failure.kind is ErrorKind.NO_TARGET
             self._board.clear_worker(worker, Proof.LEASE_OVER, now, refuses)
             self._wake()
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -141,7 +141,10 @@
                     link.entry, self._term.fence, self._make_order(member, link)
                 )
             except Failure as failure:
-                unanswered |= failure.kind is not ErrorKind.NO_TARGET
+                refused = failure.kind is ErrorKind.NO_TARGET
+                unanswered |= not refused
+                if refused:
+                    link.note_silent(failure)
                 _log.info(
                     "start_unanswered",
                     **name_member(member),
--- a/src/primrosestile_standin/fleetcalls.py
+++ b/src/primrosestile_standin/fleetcalls.py
@@ -60,6 +60,10 @@
             return refusal
         if wait:
             await worker.wait_for_end(wait)
+        if not worker.alive:
+            if worker.faults.dark:
+                await asyncio.sleep(TIMEOUT_SECONDS)
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "the connection broke")
         worker.sweep()
         if self._is_cut(worker):
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -324,6 +324,7 @@
     def crash(self) -> None:
         """End this life: everything on it is gone without a word."""
         self.alive = False
+        self._ends_changed.set()
         gone = list(self.runs.values())
         self.runs.clear()
         for run in gone:
