--- a/features/doubles/crashday.py
+++ b/features/doubles/crashday.py
@@ -22,6 +22,7 @@
 CRASH_SECONDS = (0.0, 0.01, 0.4, 2.0)
 BACK_SECONDS = (1.0, 3.5, 8.0)
 SETTLE_SECONDS = 100.0
+INNOCENT_CRASHES = 4
 
 
 @dataclass(slots=True)
@@ -131,8 +132,22 @@
         process = next(iter(self.world.processes))
         for job_id, queue in self.queues.items():
             state = await self.world.read_state(process, job_id, queue)
-            should_be = (
-                JobState.FAILED if job_id in self.crashing else JobState.COMPLETED
-            )
-            if state is not should_be:
-                self.wrong.append(f"{job_id} is {state}, not {should_be}")
+            if state not in self._list_allowed(job_id):
+                self.wrong.append(f"{job_id} is {state}")
+
+    def _list_allowed(self, job_id: str) -> list[JobState]:
+        """Return how a job may end.
+
+        Operators allow a task to be given up under which two workers have crashed; one
+        that crashes none may be given up only after twice as many.
+        """
+        if job_id in self.crashing:
+            return [JobState.FAILED]
+        met = [
+            count
+            for task, count in self.world.fleet.crashed_under.items()
+            if task.startswith(job_id)
+        ]
+        if max(met, default=0) >= INNOCENT_CRASHES:
+            return [JobState.COMPLETED, JobState.FAILED]
+        return [JobState.COMPLETED]
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -328,6 +328,7 @@
         gone = list(self.runs.values())
         self.runs.clear()
         for run in gone:
+            self._fleet.crashed_under[run.task] += 1
             if run.timer is not None:
                 run.timer.cancel()
             self._fleet.break_gang(run.task, run.run)
@@ -344,6 +345,7 @@
         faults_found: Broken promises, as sentences; empty at the end of a test.
         advice: Knows where steps may run, and which tickets are good.
         crashes: How many workers each task has crashed.
+        crashed_under: How many workers have crashed while each task was there.
         on_crash: Called with each worker that a task has crashed.
     """
 
@@ -358,6 +360,7 @@
         self.starts: list[tuple[str, int, str]] = []
         self.ends: list[tuple[str, int, EndKind]] = []
         self.crashes: Counter[str] = Counter()
+        self.crashed_under: Counter[str] = Counter()
         self.on_crash: Callable[[FleetWorker], None] = _ignore_crash
         self._starts_after_limit: Counter[str] = Counter()
         self._well_ends: dict[str, list[_WellEnd]] = {}
