Count a crash when another worker answers at a silent worker's address

Found by reading: any answer from the address made the owner forget what had been on a silent worker, also that of the next life, should its entry have been listed before the silent one was given up (a worker that no owner had heard as yet). Then the crash was not counted. Change: an answer of the same life forgets it, one of another life counts it; an entry counts it only if it names another life. Two scenarios without input or output.

--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -8,8 +8,11 @@
 from behave import given, then, when
 from features.doubles.crashday import CrashDay
 from features.doubles.restarts import Restarts, make_restarts
+from features.steps.work_decisions_steps import add_job, add_worker, make_board
 from features.steps.work_steps import make_id
 
+from primrosestile.decisions.work.units import Proof
+from primrosestile.state.work import Need, Step
 from primrosestile_standin.fleetscript import Script
 from primrosestile_standin.fleetworker import FleetWorker
 
@@ -131,3 +134,39 @@
 
     runs = context.world.run(list_runs())
     assert max(runs) <= count, runs
+
+
+@given("a picture of a worker that fell silent with a task of {name} on it")
+def step_silent(context: Any, name: str) -> None:
+    board = context.board = make_board()
+    add_worker(board, 1, 8)
+    add_job(board, 1, 1, (Step(1, Need(1000, 1000, 1)),))
+    (unit,) = board.jobs[f"{1:016x}"].units.values()
+    board.order(unit, ["w1"], 0.0)
+    board.clear_worker(board.workers["w1"], Proof.LEASE_OVER, 10.0)
+
+
+@when("the worker itself is listed again")
+def step_listed(context: Any) -> None:
+    context.board.crashes.record_entry("a1", "w1", 11.0)
+
+
+@when("another worker answers at its address")
+def step_next_answers(context: Any) -> None:
+    context.board.crashes.record_answer("a1", "w9", 12.0)
+
+
+@when("the worker itself answers")
+def step_same_answers(context: Any) -> None:
+    context.board.crashes.record_answer("a1", "w1", 11.5)
+
+
+@then("no crash of {name} is counted")
+def step_none_counted(context: Any, name: str) -> None:
+    assert not context.board.crashes.found
+
+
+@then("{count:d} crash of {name} is counted")
+def step_counted(context: Any, count: int, name: str) -> None:
+    found = context.board.crashes.found
+    assert [each.count.count for each in found] == [count], found
--- a/features/work/crashes.feature
+++ b/features/work/crashes.feature
@@ -165,3 +165,18 @@
     Then no task of ce has been decided on more than 2 times
     And job ce is shown as completed within 12 s
     And the fleet's ledger shows nothing wrong
+
+  Scenario: What became of a silent worker shows only at the next one's answer
+    Guards against forgetting a crash since another worker answers at the address.
+    Given a picture of a worker that fell silent with a task of cf on it
+    When the worker itself is listed again
+    Then no crash of cf is counted
+    When another worker answers at its address
+    Then 1 crash of cf is counted
+
+  Scenario: A silent worker answers again
+    Guards against counting a cut as a crash once its worker is replaced later.
+    Given a picture of a worker that fell silent with a task of cf on it
+    When the worker itself answers
+    And another worker answers at its address
+    Then no crash of cf is counted
--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -198,7 +198,9 @@
             return
         self._last_heard = read_clock()
         self.worker.record_answer(self._last_heard)
-        self._board.crashes.record_contact(self.worker)
+        self._board.crashes.record_answer(
+            entry.address, self.worker.name, self._last_heard
+        )
         self.clock.note(Reading(answer.clock, sent_at, self._last_heard))
         if entry.address == self.entry.address:
             self.worker.proven = True
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -196,7 +196,7 @@
             self._board.workers[entry.worker].listed = False
 
     def _add_worker(self, entry: WorkerEntry) -> None:
-        self._board.crashes.record_next_life(entry.address, entry.worker, read_clock())
+        self._board.crashes.record_entry(entry.address, entry.worker, read_clock())
         self._board.add_worker(entry)
         if self._tasks is None:
             return
--- a/src/primrosestile/decisions/work/crashes.py
+++ b/src/primrosestile/decisions/work/crashes.py
@@ -110,12 +110,19 @@
         if losses:
             self._pending[worker.entry.address] = (now, losses)
 
-    def record_contact(self, worker: Worker) -> None:
-        """Forget that a worker was silent: it has answered as the same life."""
-        self._pending.pop(worker.entry.address, None)
+    def record_answer(self, address: str, worker: str, now: float) -> None:
+        """Learn from an answer what became of the worker that was silent there.
 
-    def record_next_life(self, address: str, worker: str, now: float) -> None:
-        """Count what was on a silent worker at whose address another one serves."""
+        If it is the same life, that was cut off; if another one, it has crashed.
+        """
+        self.record_entry(address, worker, now)
+        self._pending.pop(address, None)
+
+    def record_entry(self, address: str, worker: str, now: float) -> None:
+        """Count what was on a silent worker at whose address another one is listed.
+
+        The entry of the same life tells nothing: it stands for seconds after its end.
+        """
         since, losses = self._pending.get(address, (now, ()))
         if not losses or losses[0].worker == worker:
             return
