Keep units of one step apart that may go to different workers, and name things as the field does

Read as a newcomer would: a unit that waits for a worker of its own stood for the others of its step in a pass, so that a sibling with one crash waited up to 2 s with it, though it may go anywhere. The rest is names: orphaned_runs, can_take_decided, record_silence, pop_found; a crash has its worker by its member.

--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -132,7 +132,7 @@
         """
         self._stopped.setdefault((member.task, member.run), read_clock())
 
-    def note_silent(self, failure: Failure) -> None:
+    def record_silence(self, failure: Failure) -> None:
         """Give the worker no work until it answers a look."""
         if not self.worker.in_hand:
             return
@@ -285,12 +285,12 @@
 
     def _take_running(self, running: tuple[RunningTask, ...]) -> None:
         now = read_clock()
-        unwanted = 0
+        orphaned = 0
         for row in running:
             member = self._board.find_member(row.task, row.run)
             if member is None or member.state is MemberState.GONE:
                 self._strays[row.task, row.run] = now
-                unwanted += 1
+                orphaned += 1
                 continue
             self._board.note_up(member, now)
             member.heard_at = now
@@ -301,7 +301,7 @@
                 member.usage = row.usage
             if row.checkpoint and row.checkpoint != member.unit.checkpoint:
                 member.unit.checkpoint = row.checkpoint
-        self.worker.unwanted_runs = unwanted
+        self.worker.orphaned_runs = orphaned
 
     def _take_end(self, ended: EndedTask) -> None:
         member = self._board.find_member(ended.task, ended.run)
@@ -356,7 +356,7 @@
         refuses = failure.kind is ErrorKind.NO_TARGET
         # A refused connection is an answer: nothing listens there now.
         if refuses or now - self._last_heard > LOOK_SECONDS:
-            self.note_silent(failure)
+            self.record_silence(failure)
         if not worker.members:
             if not worker.listed:
                 self._board.drop_worker(worker.name, Proof.LEASE_OVER)
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -116,7 +116,11 @@
         bring a worker over a capacity that has shrunk, or meet one that leaves.
         """
         link = self._links.get(member.worker)
-        return link is not None and self._is_list_recent() and link.worker.may_keep()
+        return (
+            link is not None
+            and self._is_list_recent()
+            and link.worker.can_take_decided()
+        )
 
     def _withhold(self, unit: Unit) -> None:
         """Give a run up of which nothing was sent."""
@@ -144,7 +148,7 @@
                 refused = failure.kind is ErrorKind.NO_TARGET
                 unanswered |= not refused
                 if refused:
-                    link.note_silent(failure)
+                    link.record_silence(failure)
                 _log.info(
                     "start_unanswered",
                     **name_member(member),
--- a/src/primrosestile/coordination/work/scheduling.py
+++ b/src/primrosestile/coordination/work/scheduling.py
@@ -357,7 +357,7 @@
 
     def _log_gone(self) -> None:
         log_gone(self._board.take_gone(), self._links, self._term.fence)
-        log_crashes(self._board.crashes.take_found())
+        log_crashes(self._board.crashes.pop_found())
 
     async def _report_contact(self) -> None:
         await asyncio.sleep(CONTACT_SECONDS)
--- a/src/primrosestile/decisions/work/crashes.py
+++ b/src/primrosestile/decisions/work/crashes.py
@@ -46,13 +46,11 @@
     """One task whose worker has crashed.
 
     Attributes:
-        worker: The name of the life that is over.
         count: That of the task, with this crash.
         given_up: Whether its job fails by it.
     """
 
     member: Member
-    worker: str
     count: CrashCount
     given_up: bool
 
@@ -63,11 +61,11 @@
 
     Attributes:
         alone: Nothing of other units was there, and it had only just started.
+        lasted: It was seen to run for long.
     """
 
     member: Member
     position: int
-    worker: str
     alone: bool
     lasted: bool
 
@@ -76,7 +74,7 @@
     """Counts, for each task, the workers that crashed under it.
 
     Attributes:
-        found: Crashes that were counted since these were last taken.
+        found: Crashes that were counted since the last call of `pop_found`.
     """
 
     def __init__(self, give_up: Callable[[Job], None]) -> None:
@@ -113,7 +111,7 @@
     def record_answer(self, address: str, worker: str, now: float) -> None:
         """Learn from an answer what became of the worker that was silent there.
 
-        If it is the same life, that was cut off; if another one, it has crashed.
+        The same incarnation was only cut off; if it is another one, it has crashed.
         """
         self.record_entry(address, worker, now)
         self._pending.pop(address, None)
@@ -121,16 +119,16 @@
     def record_entry(self, address: str, worker: str, now: float) -> None:
         """Count what was on a silent worker at whose address another one is listed.
 
-        The entry of the same life tells nothing: it stands for seconds after its end.
+        The entry of the same incarnation stands for seconds after its end.
         """
         since, losses = self._pending.get(address, (now, ()))
-        if not losses or losses[0].worker == worker:
+        if not losses or losses[0].member.worker == worker:
             return
         del self._pending[address]
         if now - since < PENDING_SECONDS:
             self._count(losses)
 
-    def take_found(self) -> list[Crash]:
+    def pop_found(self) -> list[Crash]:
         """Return the crashes counted since the last call."""
         found = self.found
         self.found = []
@@ -151,7 +149,7 @@
             )
             unit.crashes[loss.position] = count
             given_up = _is_given_up(count, loss.alone)
-            self.found.append(Crash(loss.member, loss.worker, count, given_up))
+            self.found.append(Crash(loss.member, count, given_up))
             if given_up:
                 self._give_up(unit.job)
 
@@ -170,7 +168,6 @@
         _Loss(
             member,
             member.unit.members.index(member),
-            worker.name,
             alone and _has_just_started(member, worker),
             lasted=worker.answered_at - (member.up_at or member.since) > LASTED_SECONDS,
         )
--- a/src/primrosestile/decisions/work/planning.py
+++ b/src/primrosestile/decisions/work/planning.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.board import Board
+from primrosestile.decisions.work.crashes import is_isolated
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evicting import Evictions, give_back
 from primrosestile.decisions.work.freeing import (
@@ -143,7 +144,8 @@
             self.mechanisms.order,
         )
         for rank, unit in ranked:
-            likeness = (unit.step_key, bool(unit.crashes), *unit.failed_on)
+            suspicion = (bool(unit.crashes), is_isolated(unit))
+            likeness = (unit.step_key, suspicion, *unit.failed_on)
             if likeness in waiting:
                 continue
             if not rank.entitled and self.blocked:
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -319,7 +319,7 @@
         stop_late_at: When a run there was last seen that should have ended.
         answered_at: When it last answered a call.
         unanswered_at: Of the first call since then that it left unanswered.
-        unwanted_runs: Runs there that no record wants. How much room they take isn't
+        orphaned_runs: Runs there that no record wants. How much room they take isn't
             known, so nothing is started beside them.
         used: What its members take, gone ones left out.
     """
@@ -335,7 +335,7 @@
     stop_late_at: float = -math.inf
     answered_at: float = -math.inf
     unanswered_at: float | None = None
-    unwanted_runs: int = 0
+    orphaned_runs: int = 0
     members: dict[tuple[str, int], Member] = field(default_factory=dict)
     processor: int = 0
     memory: int = 0
@@ -354,7 +354,7 @@
             and not self.closed
             and not self.cordoned
             and not self.entry.leaving
-            and not self.unwanted_runs
+            and not self.orphaned_runs
             and now >= self.distrusted_until
         )
 
@@ -368,7 +368,7 @@
         if self.unanswered_at is None:
             self.unanswered_at = now
 
-    def may_keep(self) -> bool:
+    def can_take_decided(self) -> bool:
         """Whether starts that were decided for it may still be sent to it.
 
         They are counted in by now, so nothing may be over what it has.
