--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -11,8 +11,11 @@
 from features.steps.work_decisions_steps import add_job, add_worker, make_board
 from features.steps.work_steps import make_id
 
+from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.planning import make_plan
+from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Proof
-from primrosestile.state.work import Need, Step
+from primrosestile.state.work import CrashCount, Need, Step
 from primrosestile_standin.fleetscript import Script
 from primrosestile_standin.fleetworker import FleetWorker
 
@@ -136,6 +139,34 @@
     assert max(runs) <= count, runs
 
 
+@given(
+    "a picture of {count:d} workers in use, and 2 tasks of a step that met"
+    " {first:d} and {second:d} crashes"
+)
+def step_in_use(context: Any, count: int, first: int, second: int) -> None:
+    board = context.board = make_board()
+    for number in range(count):
+        add_worker(board, number, 8)
+    add_job(board, 1, 1, (Step(count, Need(100, 100, 1)),))
+    for number, unit in enumerate(board.jobs[f"{1:016x}"].units.values()):
+        board.order(unit, [f"w{number}"], 0.0)
+    add_job(board, 2, 1, (Step(2, Need(100, 100, 1)),))
+    context.units = list(board.jobs[f"{2:016x}"].units.values())
+    for unit, crashes in zip(context.units, (first, second), strict=True):
+        unit.crashes = {0: CrashCount(0, crashes, 1)}
+
+
+@when("a pass is planned")
+def step_pass(context: Any) -> None:
+    context.plan = make_plan(context.board, Durations(), Speeds(), 1.0)
+
+
+@then("only the task that met 1 crash is started")
+def step_sibling(context: Any) -> None:
+    started = [each.unit for each in context.plan.starts]
+    assert started == [context.units[1]], started
+
+
 @given("a picture of a worker that fell silent with a task of {name} on it")
 def step_silent(context: Any, name: str) -> None:
     board = context.board = make_board()
--- a/features/work/crashes.feature
+++ b/features/work/crashes.feature
@@ -166,6 +166,12 @@
     And job ce is shown as completed within 12 s
     And the fleet's ledger shows nothing wrong
 
+  Scenario: A task waits for a worker of its own beside a sibling that need not
+    Guards against taking the first for the others of its step, which then wait as well.
+    Given a picture of 2 workers in use, and 2 tasks of a step that met 2 and 1 crashes
+    When a pass is planned
+    Then only the task that met 1 crash is started
+
   Scenario: What became of a silent worker shows only at the next one's answer
     Guards against forgetting a crash since another worker answers at the address.
     Given a picture of a worker that fell silent with a task of cf on it
