Find suspects on a worker once, and use one bound and one check of room in each place

Change: suspects are found once per worker; logfields.list_names bounds what a line lists; FleetWorker._fits serves both. Behaviour is the same.

--- a/src/primrosestile/coordination/work/links.py
+++ b/src/primrosestile/coordination/work/links.py
@@ -12,13 +12,12 @@
 
 import asyncio
 from collections.abc import Callable
-from itertools import islice
 
 import structlog
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.endnumbers import ASK_AGAIN_SECONDS, EndNumbers
-from primrosestile.coordination.work.logfields import name_member
+from primrosestile.coordination.work.logfields import list_names, name_member
 from primrosestile.coordination.work.recording import Recorder
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.workerclock import Reading, WorkerClock
@@ -50,8 +49,6 @@
 # How long the store may take over the ends of a look before the lease is looked
 # after again without it.
 RECORD_WAIT_SECONDS = 1.5
-# Tasks that one log line lists at most.
-TASKS_LISTED = 20
 
 _log = structlog.get_logger()
 
@@ -235,7 +232,7 @@
             "worker_life_over",
             worker=worker.name,
             members=len(worker.members),
-            tasks=[each.task for each in islice(worker.members.values(), TASKS_LISTED)],
+            tasks=list_names(each.task for each in worker.members.values()),
         )
         self._board.drop_worker(worker.name, Proof.LIFE_OVER)
         self._wake()
--- a/src/primrosestile/coordination/work/logfields.py
+++ b/src/primrosestile/coordination/work/logfields.py
@@ -1,9 +1,19 @@
 """How log lines name a run, so that one search by its fields finds all of its lines."""
 
+from collections.abc import Iterable
+from itertools import islice
 from typing import Any
 
 from primrosestile.decisions.work.units import Member, Unit
 
+# Names that one line lists at most.
+NAMES_LISTED = 20
+
+
+def list_names(names: Iterable[str]) -> list[str]:
+    """Return as many names as one line may list."""
+    return list(islice(names, NAMES_LISTED))
+
 
 def name_member(member: Member) -> dict[str, Any]:
     """Return the fields that name one task's run on its worker."""
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -145,10 +145,10 @@
                     link.entry, self._term.fence, self._make_order(member, link)
                 )
             except Failure as failure:
-                refused = failure.kind is ErrorKind.NO_TARGET
-                unanswered |= not refused
-                if refused:
+                if failure.kind is ErrorKind.NO_TARGET:
                     link.record_silence(failure)
+                else:
+                    unanswered = True
                 _log.info(
                     "start_unanswered",
                     **name_member(member),
--- a/src/primrosestile/coordination/work/passlog.py
+++ b/src/primrosestile/coordination/work/passlog.py
@@ -1,13 +1,16 @@
 """What the owner says in the log: of runs that end, and of the fleet in sum."""
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from itertools import islice
+from collections.abc import Collection, Mapping, Sequence
 
 import structlog
 
 from primrosestile.coordination.work.links import WorkerLink
-from primrosestile.coordination.work.logfields import name_member, name_unit
+from primrosestile.coordination.work.logfields import (
+    list_names,
+    name_member,
+    name_unit,
+)
 from primrosestile.decisions.work.crashes import Crash
 from primrosestile.decisions.work.planning import Stop
 from primrosestile.decisions.work.rescuing import Rescue
@@ -15,9 +18,6 @@
 
 _log = structlog.get_logger()
 
-# Names that one line lists at most.
-NAMES_LISTED = 20
-
 
 def log_workers_found(workers: Collection[Worker]) -> None:
     """Say which workers a new owner begins with, in one line for all of them."""
@@ -25,8 +25,8 @@
         "workers_found",
         count=len(workers),
         pools=Counter(each.entry.pool for each in workers),
-        leaving=_list_names(each for each in workers if each.entry.leaving),
-        unlisted=_list_names(each for each in workers if not each.listed),
+        leaving=list_names(each.name for each in workers if each.entry.leaving),
+        unlisted=list_names(each.name for each in workers if not each.listed),
     )
 
 
@@ -37,14 +37,10 @@
         "workers_answered",
         count=len(workers) - len(silent),
         silent_count=len(silent),
-        silent=_list_names(silent),
+        silent=list_names(each.name for each in silent),
     )
 
 
-def _list_names(workers: Iterable[Worker]) -> list[str]:
-    return [each.name for each in islice(workers, NAMES_LISTED)]
-
-
 def log_gone(
     gone: Sequence[tuple[Member, Proof]], links: Mapping[str, WorkerLink], fence: int
 ) -> None:
--- a/src/primrosestile/decisions/work/placing.py
+++ b/src/primrosestile/decisions/work/placing.py
@@ -141,6 +141,7 @@
     for worker in board.workers.values():
         if worker.may_take(now):
             free = worker.find_room()
+            suspects = [each for each in worker.members.values() if each.unit.crashes]
             rooms[worker.name] = Room(
                 worker,
                 free.processor,
@@ -148,8 +149,8 @@
                 free.accelerators,
                 _count_bounded(worker),
                 occupied=bool(worker.members),
-                suspected=any(each.unit.crashes for each in worker.members.values()),
-                closed=any(is_on_trial(each, now) for each in worker.members.values()),
+                suspected=bool(suspects),
+                closed=any(is_on_trial(each, now) for each in suspects),
             )
     return rooms
 
--- a/src/primrosestile_standin/fleetworker.py
+++ b/src/primrosestile_standin/fleetworker.py
@@ -31,6 +31,7 @@
 # A service alone on a worker, and what each percent of a filling task adds.
 SERVES_ALONE_MS = 40.0
 DISTURBED_MS_PER_PERCENT = 1.5
+NOTHING = Need()
 # A room that has shrunk still counts for so long: contact with its VM and a heartbeat.
 SHRUNK_SECONDS = 4.5
 # A task that has crashed so many workers must not be started so many times more.
@@ -106,12 +107,14 @@
         rooms = [self.entry.capacity]
         if self._before is not None and read_clock() < self._before[1]:
             rooms.append(self._before[0])
-        used = [run.script.need for run in self.runs.values()]
-        processor = sum(each.processor for each in used)
-        accelerators = sum(each.accelerators for each in used)
-        return all(
-            processor > room.processor or accelerators > room.accelerators
-            for room in rooms
+        return not any(self._fits(room) for room in rooms)
+
+    def _fits(self, room: Need, more: Need = NOTHING) -> bool:
+        """Whether what runs, and one task more, has room."""
+        used = [more, *(run.script.need for run in self.runs.values())]
+        return (
+            sum(each.processor for each in used) <= room.processor
+            and sum(each.accelerators for each in used) <= room.accelerators
         )
 
     def sweep(self) -> None:
@@ -232,16 +235,7 @@
         return None
 
     def _has_room(self, script: Script) -> bool:
-        if self.faults.unguarded:
-            return True
-        used = [run.script.need for run in self.runs.values()]
-        capacity = self.entry.capacity
-        return (
-            sum(each.processor for each in used) + script.need.processor
-            <= capacity.processor
-            and sum(each.accelerators for each in used) + script.need.accelerators
-            <= capacity.accelerators
-        )
+        return self.faults.unguarded or self._fits(self.entry.capacity, script.need)
 
     def _begin(self, order: StartOrder, script: Script) -> None:
         self._fleet.note_start(self, order)
