--- a/features/doubles/crashday.py
+++ b/features/doubles/crashday.py
@@ -10,6 +10,7 @@
 
 from features.doubles.fleetworld import FleetWorld
 from features.doubles.restarts import Restarts
+from features.doubles.troubles import restart_process, take_store_down
 
 from primrosestile.errors import Failure
 from primrosestile.state.work import JobState, Need
@@ -113,18 +114,14 @@
     async def _kill_owner(self) -> None:
         owner = self.world.find_owner()
         if owner is not None:
-            await self.world.kill(owner.name)
-            await asyncio.sleep(self.draw.uniform(0.0, 1.0))
-            self.world.add_process(owner.name)
+            await restart_process(self.world, owner, self.draw)
 
     async def _lose_orders(self) -> None:
         for worker in self.world.fleet.workers.values():
             worker.faults.lose_answers = self.draw.randint(0, 2)
 
     async def _take_store_down(self) -> None:
-        self.world.store.faults.down = True
-        await asyncio.sleep(self.draw.uniform(0.2, 2.0))
-        self.world.store.faults.down = False
+        await take_store_down(self.world, self.draw.uniform(0.2, 2.0))
 
     async def _judge(self) -> None:
         """Find jobs that should have ended otherwise, and broken promises."""
--- a/features/doubles/drawnday.py
+++ b/features/doubles/drawnday.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from features.doubles.fleetworld import FleetWorld, Process
+from features.doubles.troubles import restart_process, take_store_down
 
 from primrosestile.errors import Failure
 from primrosestile.state.work import JobState, Need
@@ -144,9 +145,7 @@
     async def _kill_owner(self) -> None:
         owner = self.world.find_owner()
         if owner is not None and self.draw.random() < 0.5:
-            await self.world.kill(owner.name)
-            await asyncio.sleep(self.draw.uniform(0.0, 1.0))
-            self.world.add_process(owner.name)
+            await restart_process(self.world, owner, self.draw)
 
     async def _cancel(self) -> None:
         process = self._draw_process()
@@ -159,9 +158,7 @@
         await process.submitting.cancel(job_id, queue, "domes")
 
     async def _take_store_down(self) -> None:
-        self.world.store.faults.down = True
-        await asyncio.sleep(self.draw.uniform(0.2, 2.5))
-        self.world.store.faults.down = False
+        await take_store_down(self.world, self.draw.uniform(0.2, 2.5))
 
     async def _age_reads(self) -> None:
         faults = self.world.store.faults
--- a/features/steps/work_capacity_steps.py
+++ b/features/steps/work_capacity_steps.py
@@ -13,7 +13,7 @@
 from primrosestile.state.work import Need
 from primrosestile_standin.fleetscript import Script
 
-STRAY_JOB = make_id("stray")
+ORPHANED_JOB = make_id("orphan")
 
 
 @given("no worker refuses what does not fit")
@@ -61,7 +61,7 @@
     "{first} and {second} run a task of {count:d} accelerators that no job has,"
     " and stop it in {seconds:g} s"
 )
-def step_strays(
+def step_orphans(
     context: Any, first: str, second: str, count: int, seconds: float
 ) -> None:
     async def start() -> None:
@@ -69,7 +69,7 @@
         for number, name in enumerate((first, second)):
             worker = fleet.workers[name]
             worker.faults.stop_seconds = seconds
-            task = f"{STRAY_JOB}.0.0.{number}"
+            task = f"{ORPHANED_JOB}.0.0.{number}"
             fleet.scripts[task] = Script(60.0, Need(1000, 1000, count))
             until = worker.read_clock() + 8.0
             worker.take_start(worker.fence, StartOrder(task, 1, "", until))
--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -17,7 +17,6 @@
 from primrosestile.decisions.work.units import Proof
 from primrosestile.state.work import CrashCount, Need, Step
 from primrosestile_standin.fleetscript import Script
-from primrosestile_standin.fleetworker import FleetWorker
 
 
 @given("crashed workers are back after {seconds:g} s")
@@ -56,15 +55,11 @@
 def find_worker(context: Any, name: str) -> str | None:
     """Return a worker on which a task of a job runs."""
     for worker in context.world.fleet.workers.values():
-        if worker.alive and list_tasks(worker, make_id(name)):
+        if any(task.startswith(make_id(name)) for task in worker.runs):
             return str(worker.entry.worker)
     return None
 
 
-def list_tasks(worker: FleetWorker, job: str) -> list[str]:
-    return [task for task in worker.runs if task.startswith(job)]
-
-
 async def wait_for_worker(context: Any, name: str, seconds: float) -> str:
     """Return a worker on which a task of a job runs, once there is one."""
     await context.world.wait_for(
@@ -84,7 +79,7 @@
             await wait_for_worker(context, name, 20.0)
             await asyncio.sleep(seconds)
             context.restarts.crash(await wait_for_worker(context, name, 0.1))
-        # The last crash is heard of once the worker is back.
+        # The last crash is detected once the worker is back.
         await asyncio.sleep(context.restarts.after + 0.3)
 
     context.world.run(crash())
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, step, then, when
 from features.doubles.fleetworld import FleetWorld, make_address, make_policy
+from features.doubles.troubles import take_store_down
 
 from primrosestile.clock import read_wall_clock
 from primrosestile.errors import ErrorKind, Failure
@@ -462,13 +463,7 @@
 
 @when("the store is down for {seconds:g} s")
 def step_store_down(context: Any, seconds: float) -> None:
-    async def down() -> None:
-        faults = context.world.store.faults
-        faults.down = True
-        await asyncio.sleep(seconds)
-        faults.down = False
-
-    context.world.run(down())
+    context.world.run(take_store_down(context.world, seconds))
 
 
 @when("the answers to the next {count:d} writes are lost")
--- a/src/primrosestile/coordination/work/recording.py
+++ b/src/primrosestile/coordination/work/recording.py
@@ -105,7 +105,7 @@
         # At which revisions the jobs stand, and their progress where there is any.
         self._jobs: dict[str, int] = {}
         self._revisions: dict[str, int] = {}
-        # Jobs that callers may still be told of as waiting.
+        # Jobs whose key under `waiting/` may still stand.
         self._waiting: set[str] = set()
         self._wanted = asyncio.Event()
         self._round: asyncio.Future[None] | None = None
--- a/src/primrosestile/coordination/work/waitingkeys.py
+++ b/src/primrosestile/coordination/work/waitingkeys.py
@@ -1,8 +1,8 @@
 """Makes the keys of waiting jobs agree with the jobs, once at the start of a term.
 
 A job that was accepted by an earlier version of this program has no such key, and an
-owner of an earlier version leaves the key of a job that it starts. Callers would be
-told of too few or too many waiting jobs for as long as those jobs are open.
+owner of an earlier version leaves the key of a job that it starts. The count of waiting
+jobs would be too low or too high for as long as those jobs are open.
 """
 
 import structlog
@@ -66,7 +66,7 @@
     conditions = [Condition(OWNER_KEY, term.fence)]
     job = board.jobs.get(job_id)
     if job is None:
-        # A job that was accepted just now may not have been heard of yet.
+        # A job that was accepted just now may not be on the board yet.
         conditions.append(Condition(make_job_key(job_id), 0))
     elif job.state is JobState.QUEUED:
         return
