Keep work of a guaranteed shape out of units of another shape

The known red: racks of 2 and 2 workers of 3 accelerators; "4 rack", "4 cell" and "3 worker" guaranteed to one organisation. Its second job of 4 anywhere was charged to the unit of 4 in a rack, as the unit of its own shape was in use. When the first one ended, the second stayed in the rack unit with (1, 3, 0, 0); 4 in a rack and 3 on a worker can't both be taken from (2, 0, 3, 3). The organisation was within its guarantee and could not have it.

Ruled out: the check `is_owed` (what runs and what is asked for is exactly what is guaranteed); moving the charge when the first job ends (the allocations don't exist by then, whatever the charge).

Work whose shape is guaranteed to its organisation is charged to units of that shape or stays outside all allocations.

--- a/src/primrosestile/decisions/cell_charges.py
+++ b/src/primrosestile/decisions/cell_charges.py
@@ -106,23 +106,28 @@
 ) -> Options:
     """Order the units that work of a shape could use.
 
-    Units in use come first, then unused ones of exactly this shape, or else the
-    smallest that it would fill by more than half. Small work goes outside the
-    allocations rather than into a larger unit: a non-preemptible caption job on one
-    accelerator would block its own organisation's render of a whole rack.
+    Work of a guaranteed shape uses only units of that shape. In another unit it would
+    still be there once its own unit is free again, and the organisation would then be
+    within its guarantee without being able to use all of it.
+
+    For other work, units in use come first, then the smallest unused ones that it would
+    fill by more than half. Small work goes outside the allocations rather than into a
+    larger unit: a non-preemptible caption job on one accelerator would block its own
+    organisation's render of a whole rack.
     """
     own = order_units(guaranteed, organisation, used)
+    exact = [unit for unit in own if guaranteed[unit][1] == shape]
+    if exact:
+        return Options((*exact, None), ())
     unused = [unit for unit in own if unit not in used]
-    fitting = [unit for unit in unused if guaranteed[unit][1] == shape]
-    if not fitting:
-        filled = [
-            unit
-            for unit in unused
-            if 2 * shape.accelerators > guaranteed[unit][1].accelerators
-        ]
-        fitting = [
-            unit for unit in filled if guaranteed[unit][1] == guaranteed[filled[0]][1]
-        ]
+    filled = [
+        unit
+        for unit in unused
+        if 2 * shape.accelerators > guaranteed[unit][1].accelerators
+    ]
+    fitting = [
+        unit for unit in filled if guaranteed[unit][1] == guaranteed[filled[0]][1]
+    ]
     preferred = [unit for unit in own if unit in used] + fitting
     others = [unit for unit in unused if unit not in fitting]
     return Options((*preferred, None), tuple(others))
