Measure the progress of a run that an owner took over from its first report

A new owner set `up_at` to its first poll of a run but took all of the run's progress for that of the time since. Members of a gang are first polled at different moments, so a member polled 20 ms ago counted as ten times faster than one polled a second ago, and a gang at 56 to 98 percent was stopped as stalled about a second after each change of owner. The time worked before was taken for 0 as well, so a restart looked cheap. The comparison of a gang's workers (`Speeds`) and the remaining time (`guess_left`) had the same fault, for runs from a checkpoint too.

Ruled out: leaving taken-over members out altogether (a member that stalls over the change would never be helped).

A member has the moment and the progress at which its measurement began: its start, or the first report where the progress at its start isn't known. The time worked before counts as its share of the expected run time.

--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -543,6 +543,30 @@
     context.plan = plan_at(context.fleet_state, seconds)
 
 
+@given(
+    "a new owner first polls its members at {first:g} and {second:g} percent,"
+    " after {before:g} and {after:g} s"
+)
+def step_taken_over(
+    context: Any, first: float, second: float, before: float, after: float
+) -> None:
+    reports = zip(context.unit.members, (first, second), (before, after), strict=True)
+    for member, percent, seconds in reports:
+        member.restored = True
+        context.fleet_state.mark_up(member, seconds)
+        member.record_progress(percent, seconds)
+
+
+@when("they then show {first:g} and {second:g} percent after {seconds:g} s")
+def step_later_progress(
+    context: Any, first: float, second: float, seconds: float
+) -> None:
+    for member, percent in zip(context.unit.members, (first, second), strict=True):
+        member.record_progress(percent, seconds)
+    context.held = {member.worker for member in context.unit.members}
+    context.plan = plan_at(context.fleet_state, seconds)
+
+
 @then("the gang is restarted elsewhere")
 def step_elsewhere(context: Any) -> None:
     (restart,) = context.plan.stall_restarts
--- a/features/work/decisions.feature
+++ b/features/work/decisions.feature
@@ -101,6 +101,28 @@
       | 0     | 0      | restarted elsewhere |
       | 90    | 70     | not restarted       |
 
+  Scenario Outline: After a change of owner only a gang that has stalled is restarted
+    The new owner first polls a gang that has run for long. Taking all its progress for
+    that of the time since, it compares members polled at different moments, finds a
+    healthy one far behind, and stops a gang shortly before its end.
+    Given a fleet state with 4 workers of 4 accelerators
+    And an urgent gang of 2 tasks of 4 accelerators runs for 3 s
+    And a new owner first polls its members at 56 and 58 percent, after 8.7 and 9.68 s
+    When they then show <first> and <second> percent after 9.7 s
+    Then the gang is <outcome>
+
+    Examples:
+      | first | second | outcome       |
+      | 88    | 60     | not restarted |
+      | 56    | 60     | not restarted |
+
+  Scenario: A gang that stalls over a change of owner is restarted elsewhere
+    Given a fleet state with 4 workers of 4 accelerators
+    And an urgent gang of 2 tasks of 4 accelerators runs for 1 s
+    And a new owner first polls its members at 10 and 60 percent, after 1.2 and 1.2 s
+    When they then show 10 and 100 percent after 2.2 s
+    Then the gang is restarted elsewhere
+
   Scenario: Stalled low-priority work is not restarted while it can be in time
     Eight tasks on a worker that stalls for some seconds would all start over.
     Given a fleet state with 4 workers of 4 accelerators
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -294,10 +294,7 @@
                 orphaned += 1
                 continue
             self._fleet_state.mark_up(member, now)
-            member.heard_at = now
-            if row.percent > member.percent:
-                member.percent = row.percent
-                member.progressed_at = now
+            member.record_progress(row.percent, now)
             if row.usage is not None:
                 member.usage = row.usage
             if row.checkpoint and row.checkpoint != member.unit.checkpoint:
--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -81,10 +81,12 @@
 
     def guess_left(self, member: Member, now: float) -> float:
         """Return a member's remaining seconds, by its progress if that is enough."""
-        elapsed = now - (member.up_at or member.since)
-        if member.percent >= MIN_PROGRESS_PERCENT:
-            return elapsed * (100.0 - member.percent) / member.percent
-        return max(0.0, self.guess_unit(member.unit) - elapsed)
+        elapsed = now - (member.measured_at or member.since)
+        gained = member.percent - member.measured_percent
+        if gained >= MIN_PROGRESS_PERCENT:
+            return elapsed * (100.0 - member.percent) / gained
+        left = self.guess_unit(member.unit) * (100.0 - member.measured_percent) / 100.0
+        return max(0.0, left - elapsed)
 
     def make_record(self) -> dict[str, QueueRunTimes]:
         """Return the statistics for the next owner."""
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -345,7 +345,7 @@
         if member.state is not MemberState.SENT:
             return
         member.state = MemberState.UP
-        member.up_at = member.progressed_at = now
+        member.up_at = member.measured_at = member.progressed_at = now
         job = member.unit.job
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
--- a/src/primrosestile/decisions/work/speeds.py
+++ b/src/primrosestile/decisions/work/speeds.py
@@ -62,9 +62,10 @@
     def _compare_gang(self, unit: Unit) -> None:
         rates = {}
         for member in unit.members:
-            seconds = member.progressed_at - member.up_at
-            if member.up_at and seconds > 0 and member.percent > 0:
-                rates[member.worker] = member.percent / seconds
+            seconds = member.progressed_at - member.measured_at
+            gained = member.percent - member.measured_percent
+            if member.up_at and seconds > 0 and gained > 0:
+                rates[member.worker] = gained / seconds
         if len(rates) < 2:
             return
         middle = median(rates.values())
--- a/src/primrosestile/decisions/work/stall_restarts.py
+++ b/src/primrosestile/decisions/work/stall_restarts.py
@@ -7,8 +7,9 @@
 
 How long a stall will last isn't known; it is expected to last for as long again as it
 has so far. So a restart elsewhere pays as soon as the time lost exceeds the time worked
-so far, which is then repeated, plus the time of the stop. This uses observed progress
-only; whether the unit would be late at all is decided by learned run times.
+so far, which is then repeated, plus the time of the stop. This uses observed
+progress; learned run times decide only whether the unit would be late at all, and how
+long a run that an earlier owner started had worked before.
 """
 
 from collections.abc import Iterator
@@ -22,6 +23,9 @@
 # Workers are polled once a second; a running task progresses between two polls by at
 # least one percent.
 STALL_SECONDS = 0.9
+# Progress is reported in whole percent; over less than this, one percent more or less
+# would make a speed.
+MEASURED_SECONDS = 0.5
 # Time of the stop, its end and the next start.
 RESTART_ELSEWHERE_SECONDS = 0.4
 # A permanently slow worker takes 1.3 times as long, and tasks of one step differ by as
@@ -54,7 +58,7 @@
         if not worker.acquired:
             continue
         for member in worker.members.values():
-            if member.heard_at - member.up_at < STALL_SECONDS:
+            if member.heard_at - member.measured_at < STALL_SECONDS:
                 # Too short for a stall.
                 continue
             unit = member.unit
@@ -62,7 +66,9 @@
                 continue
             if id(unit) not in best:
                 best[id(unit)] = find_best_speed(unit)
-            lost, worked = find_lost_seconds(member, best[id(unit)])
+            lost, worked = find_lost_seconds(
+                member, best[id(unit)], durations.guess_unit(unit)
+            )
             if unit.step.checkpoints:
                 worked = 0.0
             if lost < max(STALL_SECONDS, RESTART_ELSEWHERE_SECONDS + worked):
@@ -94,7 +100,9 @@
     return member.state is MemberState.UP and member.percent < 100
 
 
-def find_lost_seconds(member: Member, best: float) -> tuple[float, float]:
+def find_lost_seconds(
+    member: Member, best: float, expected: float
+) -> tuple[float, float]:
     """Return for how many seconds a member has stalled, and for how many it worked.
 
     A gang's members are alike, so one that is far slower than the fastest has lost the
@@ -104,15 +112,18 @@
     Args:
         member: Of a running unit.
         best: The speed of the fastest member of its gang; 0 if it has no gang.
+        expected: The run time of the whole unit, in seconds, for the time worked before
+            the speed was measured.
     """
+    before = expected * member.measured_percent / 100
     lost = max(0.0, member.heard_at - member.progressed_at)
-    worked = max(0.0, member.progressed_at - member.up_at)
-    elapsed = max(0.0, member.heard_at - member.up_at)
+    worked = before + max(0.0, member.progressed_at - member.measured_at)
+    elapsed = max(0.0, member.heard_at - member.measured_at)
     speed = find_speed(member)
     if best <= BEHIND_FACTOR * speed:
         return lost, worked
     share = speed / best
-    return max((lost, worked), (elapsed * (1 - share), elapsed * share))
+    return max((lost, worked), (elapsed * (1 - share), before + elapsed * share))
 
 
 def find_best_speed(unit: Unit) -> float:
@@ -121,9 +132,11 @@
 
 
 def find_speed(member: Member) -> float:
-    """Return a member's mean speed, in percent per second."""
-    elapsed = member.heard_at - member.up_at
-    return member.percent / elapsed if elapsed > 0 else 0.0
+    """Return a member's mean speed, in percent per second; 0 until it is measured."""
+    elapsed = member.heard_at - member.measured_at
+    if elapsed < MEASURED_SECONDS:
+        return 0.0
+    return (member.percent - member.measured_percent) / elapsed
 
 
 def list_up_members(unit: Unit) -> Iterator[Member]:
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -92,6 +92,8 @@
         restored: It was ordered by an earlier owner, under a lower fence.
         resumed: It began from a checkpoint, not from the beginning.
         up_at: When its worker first reported that it runs.
+        measured_at: Since when its speed is measured.
+        measured_percent: Its progress then.
         progressed_at: When its progress was last seen to rise.
         heard_at: When its progress was last reported.
         address: Where its worker has answered as this incarnation; empty if not known.
@@ -112,6 +114,8 @@
     percent: float = 0.0
     usage: float = 0.0
     up_at: float = 0.0
+    measured_at: float = 0.0
+    measured_percent: float = 0.0
     progressed_at: float = 0.0
     heard_at: float = 0.0
     address: str = ""
@@ -119,6 +123,21 @@
     paced_at: float = 0.0
     stopping_at: float | None = None
 
+    def record_progress(self, percent: float, now: float) -> None:
+        """Record the progress that its worker reports.
+
+        When a run of an earlier owner began, and with how much of its work done, is not
+        known; neither is the latter for a run from a checkpoint. The speed of such a
+        run is measured from the first report.
+        """
+        if not self.heard_at and (self.restored or self.resumed):
+            self.measured_at = now
+            self.measured_percent = percent
+        self.heard_at = now
+        if percent > self.percent:
+            self.percent = percent
+            self.progressed_at = now
+
 
 @dataclass(frozen=True, slots=True)
 class Permit:
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -374,11 +374,8 @@
             for member, share in zip(run.unit.members, run.shares, strict=True):
                 if member.worker not in due:
                     continue
-                member.heard_at = self._now
                 percent = math.floor(min(100.0, 100 * share))
-                if percent > member.percent:
-                    member.percent = percent
-                    member.progressed_at = self._now
+                member.record_progress(percent, self._now)
 
     def _begin(self, unit: Unit) -> None:
         if unit.abandoned or not unit.members:
