--- a/src/primrosestile/coordination/work/worker_discovery.py
+++ b/src/primrosestile/coordination/work/worker_discovery.py
@@ -98,6 +98,12 @@
         if cordoned == self._cordoned:
             return False
         _log.info("failure_domains_cordoned", domains=sorted(cordoned))
+        known = {
+            worker.entry.failure_domain for worker in self._fleet_state.workers.values()
+        }
+        if cordoned - known:
+            # A cordon under a misspelt name protects nothing.
+            _log.warning("cordons_without_workers", domains=sorted(cordoned - known))
         self._cordoned = cordoned
         return True
 
