Show from the logs where urgent jobs lose time before they start

`primrosestile delays` prints, for the jobs of one priority, the spans from the caller's call to the start of their last task, and the late ones with their longest span. Two lines got a figure for it: `job_accepted` how long the call took, `run_started` how long the run's record took.

--- a/features/logs/explaining.feature
+++ b/features/logs/explaining.feature
@@ -23,6 +23,21 @@
     When the engineer asks for the id ffffffffffffffff
     Then the engineer is told to give the logs of all processes
 
+  Scenario: Urgent jobs start late, and the logs show on the way to what
+    Callers of urgent work wait, and a table tells whether that is for the store, the
+    owner, a decision or a worker.
+    Given the logs of 3 processes in which an urgent gang waits 0.4 s for its record
+    When the engineer asks where urgent jobs lose time
+    Then the table names record as the longest span of that gang
+    And it shows these spans of it
+      | accept | notice | decide | record | order | total |
+      | 0.010  | 0.020  | 0.030  | 0.400  | 0.150 | 0.610 |
+
+  Scenario: No urgent job is in the logs
+    Given the logs of 3 processes on which a worker crashed under a task
+    When the engineer asks where urgent jobs lose time
+    Then the engineer is told to give the logs of all processes
+
   Scenario: Log lines are rate-limited and dropped ones are counted
     Guards against a fault that logs thousands of lines a second and takes the processor
     from callers. Dropped lines are counted, so that missing lines do not look like
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -94,14 +94,16 @@
 
     async def _record_and_send(self, members: Sequence[Member]) -> None:
         # RUN_RECORDED_BEFORE_ORDER.
+        began = read_clock()
         await self._recorder.save()
+        record_seconds = read_clock() - began
         await self._wait_for_list()
         withheld = {each.unit for each in members if not self._may_send(each)}
         for unit in withheld:
             self._withhold(unit)
         for member in members:
             if member.unit not in withheld:
-                self._tasks.create_task(self._send_start(member))
+                self._tasks.create_task(self._send_start(member, record_seconds))
 
     async def _wait_for_list(self) -> None:
         """Wait for a recent worker list, in case an outage delayed the record."""
@@ -131,8 +133,13 @@
             self._fleet_state.mark_gone(member, Proof.NEVER_SENT)
         self._wake()
 
-    async def _send_start(self, member: Member) -> None:
-        """Start one member, or abandon its unit's run."""
+    async def _send_start(self, member: Member, record_seconds: float) -> None:
+        """Start one member, or abandon its unit's run.
+
+        Args:
+            member: Of a run that is recorded.
+            record_seconds: How long its record took, for the log.
+        """
         unanswered = False
         for _ in range(START_TRIES):
             if member.state is not MemberState.SENT or member.unit.abandoned:
@@ -157,6 +164,14 @@
                 )
                 continue
             link.record_order_answer(answer.clock, sent_at)
+            if answer.refusal is None:
+                _log.info(
+                    "run_started",
+                    **name_member(member),
+                    fence=self._term.fence,
+                    worker_clock=round(answer.clock, 3),
+                    record_seconds=round(record_seconds, 3),
+                )
             self._process_answer(member, link, answer, unanswered)
             return
         if not unanswered:
@@ -179,12 +194,6 @@
         self, member: Member, link: WorkerLink, answer: OrderAnswer, unanswered: bool
     ) -> None:
         if answer.refusal is None:
-            _log.info(
-                "run_started",
-                **name_member(member),
-                fence=self._term.fence,
-                worker_clock=round(answer.clock, 3),
-            )
             self._fleet_state.mark_up(member, read_clock())
             self._recorder.request_round()
             return
--- a/src/primrosestile/programs/cli.py
+++ b/src/primrosestile/programs/cli.py
@@ -25,6 +25,9 @@
 app.command(epilog="Example: primrosestile explain --id 20e744bf3218dfdb node-*.log")(
     cli_timeline.explain
 )
+app.command(epilog="Example: primrosestile delays --over 0.25 node-*.log")(
+    cli_timeline.delays
+)
 
 
 def main() -> None:
--- a/src/primrosestile/programs/cli_timeline.py
+++ b/src/primrosestile/programs/cli_timeline.py
@@ -1,4 +1,4 @@
-"""Collects the log lines of one id from several processes into one timeline.
+"""Commands on the logs of several processes: timelines, and delays of starts.
 
 For a task's id the timeline contains its runs and the owner's view of their workers.
 The process that accepted a call and the one that scheduled its job are usually not
@@ -14,6 +14,7 @@
 import typer
 
 from primrosestile.programs.cli_output import Exit, print_note
+from primrosestile.programs.start_delays import find_delays, format_delays
 from primrosestile.programs.task_timeline import (
     find_time,
     parse_task,
@@ -42,6 +43,25 @@
         print(format_line(line))
 
 
+def delays(
+    files: Annotated[list[Path], typer.Argument(help="Logs of processes.")],
+    priority: Annotated[
+        int, typer.Option(help="Priority of the queues; 0 is urgent.")
+    ] = 0,
+    over: Annotated[
+        float, typer.Option(help="Lists the jobs that took more seconds than this.")
+    ] = 0.25,
+) -> None:
+    """Print where jobs lose time between the call and the start of their last task."""
+    found = find_delays(collect_lines(files, ""), priority)
+    if not found:
+        print_note(f"no job of priority {priority} starts in {len(files)} files")
+        print_note("Give the logs of all processes, the owner's among them.")
+        raise typer.Exit(Exit.NOT_FOUND)
+    for row in format_delays(found, over):
+        print(row)
+
+
 def collect_timeline(files: Iterable[Path], id: str) -> list[Any]:
     """Return the lines that belong to an id, ordered by time."""
     task = parse_task(id)
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -97,6 +97,7 @@
         policy = self._policies.require()
         body = await _read_body(request, policy.limits.body_bytes)
         accepted_at = read_wall_clock()
+        began = read_clock()
 
         def make(policy: Policy) -> Submission:
             queue = _find_queue(policy, request)
@@ -109,6 +110,7 @@
             job_id=job_id,
             queue=submission.queue,
             organisation=submission.organisation,
+            seconds=round(read_clock() - began, 3),
             policy_age=round(self._policies.age, 3),
         )
         return web.Response(status=200)
