Write records of different jobs side by side at a slow store

The owner wrote one round of records after another, so a start waited for the round under way and then for its own: two calls of the store.

Which calls must follow one another so that nothing runs twice: the record of a run before its order, and two records of one job, since the second needs the revision that the first returns. Records of different jobs needn't.

When a round takes longer than 20 ms the next begins beside it, with jobs that are in no round; at most 6 at once, and one at a time while writes fail. At a store at rest rounds follow one another as before, so that changes go on sharing calls, which are priced. A caller waits for the records of its own jobs; the ends of a worker are acknowledged once the jobs of all of them are stored, those from an earlier poll too.

Ruled out: rounds at any moment (more calls at a store at rest); sending the order before the record (another owner could start the task again).

--- a/features/doubles/stored_jobs.py
+++ b/features/doubles/stored_jobs.py
@@ -91,7 +91,7 @@
             unit.run = 1
             unit.phase = Phase.DONE
         fleet_state.finish(job, JobState.COMPLETED)
-    await recorder.save()
+    await recorder.save(list(fleet_state.jobs.values()))
     writing.cancel()
     world.store.remove(OWNER_KEY)
 
--- a/src/primrosestile/coordination/work/health_monitor.py
+++ b/src/primrosestile/coordination/work/health_monitor.py
@@ -154,7 +154,8 @@
         if not self.loaded:
             return 0.0
         if self._saving is None or self._saving.done():
-            self._saving = asyncio.create_task(self._recorder.save())
+            jobs = list(self._fleet_state.jobs.values())
+            self._saving = asyncio.create_task(self._recorder.save(jobs))
             self._saving_since = now
         return now - self._saving_since
 
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -95,7 +95,7 @@
     async def _record_and_send(self, members: Sequence[Member]) -> None:
         # RUN_RECORDED_BEFORE_ORDER.
         began = read_clock()
-        await self._recorder.save()
+        await self._recorder.save({member.unit.job for member in members})
         record_seconds = read_clock() - began
         await self._wait_for_list()
         withheld = {each.unit for each in members if not self._may_send(each)}
--- a/src/primrosestile/coordination/work/recorder.py
+++ b/src/primrosestile/coordination/work/recorder.py
@@ -16,10 +16,13 @@
 one again.
 
 Callers that need a record to be stored wait for the end of the round that writes it.
+While the store answers in time, one round follows another, so that changes share calls.
+At a slow store the next round begins beside the one under way, with the records of
+other jobs: urgent work would otherwise wait for two calls of the store instead of one.
 """
 
 import asyncio
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass
 
 import structlog
@@ -34,6 +37,7 @@
     make_progress_key,
     make_waiting_key,
 )
+from primrosestile.coordination.work.record_rounds import RecordRounds, Round
 from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.units import Job
@@ -55,6 +59,11 @@
 RETRY_SECONDS = (0.05, 0.1, 0.2, 0.4)
 # A round that finds another revision takes two calls to a slow store.
 STALL_SECONDS = 0.6
+# When a round takes longer than this, the next one begins beside it. A store at rest
+# answers within half of it.
+ROUND_SECONDS = 0.02
+# A store that takes 0.25 s a call would have a dozen rounds at once.
+MAX_ROUNDS = 6
 
 _log = structlog.get_logger()
 
@@ -111,17 +120,16 @@
         # Jobs whose key under `waiting/` may still exist.
         self._waiting: set[str] = set()
         self._wanted = asyncio.Event()
-        self._round: asyncio.Future[None] | None = None
-        # Whether the latest write failed, and when the round under way began.
+        self._rounds = RecordRounds()
+        # Whether the latest write failed.
         self._failed = False
-        self._writing_since: float | None = None
 
     @property
     def writable(self) -> bool:
         """Whether changes are being recorded, by the latest write and its duration."""
         if self._failed:
             return False
-        since = self._writing_since
+        since = self._rounds.began
         return since is None or read_clock() - since < STALL_SECONDS
 
     def set_job_revision(self, job: Job, revision: int) -> None:
@@ -149,29 +157,46 @@
         self._fleet_state.changed.update(over)
         self.request_round()
 
-    async def save(self) -> None:
-        """Return once all changes made up to now are in the store."""
-        if self._round is None:
-            self._round = asyncio.get_running_loop().create_future()
-        waiting = self._round
+    async def save(self, jobs: Collection[Job]) -> None:
+        """Return once all changes made to jobs up to now are in the store."""
         self._wanted.set()
-        await asyncio.shield(waiting)
+        await self._rounds.wait(jobs, self._fleet_state.changed)
 
     async def run(self) -> None:
         """Write rounds until the term is lost."""
-        while not self._term.lost.is_set():
-            await self._wanted.wait()
-            self._wanted.clear()
-            done, self._round = self._round, None
-            jobs = sorted(self._fleet_state.pop_changed(), key=lambda job: job.job_id)
-            self._writing_since = read_clock()
-            await self._write_round(jobs)
-            self._writing_since = None
-            if done is not None and not done.done():
-                done.set_result(None)
-
-    async def _write_round(self, jobs: Sequence[Job]) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            under_way: set[asyncio.Task[None]] = set()
+            while not self._term.lost.is_set():
+                await self._wanted.wait()
+                self._wanted.clear()
+                begun = self._begin_round()
+                if begun is None:
+                    continue
+                writing = tasks.create_task(self._write_round(begun))
+                under_way.add(writing)
+                writing.add_done_callback(under_way.discard)
+                await asyncio.wait({writing}, timeout=ROUND_SECONDS)
+                # While writes fail, further ones would only load the store.
+                while under_way and (self._failed or len(under_way) >= MAX_ROUNDS):
+                    await asyncio.wait(under_way, return_when=asyncio.FIRST_COMPLETED)
+
+    def _begin_round(self) -> Round | None:
+        """Begin a round of the changed jobs whose records are not being written."""
+        changed = self._fleet_state.pop_changed()
+        writing = self._rounds.writing
+        self._fleet_state.changed.update(changed & writing)
+        free = changed - writing
+        return self._rounds.begin(free, read_clock()) if free else None
+
+    async def _write_round(self, begun: Round) -> None:
+        jobs = sorted(begun.jobs, key=lambda job: job.job_id)
         records = [_make_record(job) for job in jobs if job.job_id not in self._ended]
+        await self._write_records(records)
+        self._rounds.end(begun)
+        # Changes that came meanwhile to these jobs had to wait.
+        self.request_round()
+
+    async def _write_records(self, records: Sequence[_Record]) -> None:
         groups = list(self._split(records))
         if len(groups) == 1:
             await self._write_group(groups[0])
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -11,7 +11,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 
 import structlog
 
@@ -25,7 +25,13 @@
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.worker_clock import ClockReading, WorkerClock
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.units import Member, MemberState, Proof, Worker
+from primrosestile.decisions.work.units import (
+    Job,
+    Member,
+    MemberState,
+    Proof,
+    Worker,
+)
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import (
     EndedTask,
@@ -248,6 +254,7 @@
         if poll.acknowledge_limit is not None:
             last = min(last, poll.acknowledge_limit)
         self._pause = self._choose_pause(poll)
+        jobs = self._list_jobs(fresh)
         for ended in fresh:
             self._process_end(ended)
         if poll.complete and len(poll.ended) < ENDS_PER_POLL:
@@ -259,7 +266,16 @@
                 _log.info("worker_in_hand", worker=self.worker.name)
         self._wake()
         if fresh:
-            await self._record_ends(last)
+            await self._record_ends(jobs, last)
+
+    def _list_jobs(self, ended: Iterable[EndedTask]) -> set[Job]:
+        """Return the open jobs to which ended runs belong.
+
+        A run that counts as gone belongs to them as well: its end was processed in an
+        earlier poll, and the record of that may be on its way.
+        """
+        jobs = (self._fleet_state.find_job(each.task) for each in ended)
+        return {job for job in jobs if job is not None}
 
     def _choose_pause(self, poll: PollAnswer) -> float:
         """Return how long to wait before the next poll, in seconds.
@@ -270,16 +286,20 @@
             return POLL_SECONDS
         return UNCONFIRMED_PAUSE_SECONDS if self._numbers.doubtful else 0.0
 
-    async def _record_ends(self, last: int) -> None:
+    async def _record_ends(self, jobs: Collection[Job], last: int) -> None:
         """Acknowledge ends up to a number to the worker, once they are in the store.
 
+        Args:
+            jobs: Whose runs have ended.
+            last: The number of the last end.
+
         END_STORED_BEFORE_FORGOTTEN. An end that could not be read is never
         acknowledged: its run may have ended well, and would be neither running nor
         ended, and run again.
         """
         try:
             async with asyncio.timeout(RECORD_WAIT_SECONDS):
-                await self._recorder.save()
+                await self._recorder.save(jobs)
         except TimeoutError:
             return
         self._numbers.acknowledge(last)
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -239,12 +239,14 @@
                 return member
         return None
 
+    def find_job(self, task: str) -> Job | None:
+        """Return the open job that a task belongs to."""
+        return self.jobs.get(task.partition(".")[0])
+
     def _find_unit(self, task: str) -> Unit | None:
         parts = task.split(".")
-        if len(parts) != 4:
-            return None
-        job = self.jobs.get(parts[0])
-        if job is None:
+        job = self.find_job(task)
+        if len(parts) != 4 or job is None:
             return None
         occurrence, step, index = int(parts[1]), int(parts[2]), int(parts[3])
         if step >= len(job.submission.steps):
