Count a worker's clock as sure only after three times that agree

The first two times of a worker, five seconds apart with a lost answer between, were both 7 s ahead. Agreeing for more than 3 s they counted as sure, so the lease requested was taken for 7 s long. By the worker's own clock it was 14 s ahead, which the worker shortens to its longest of 10 s: it ran its tasks 0.4 s longer than the owner believed, and they could have been started a second time elsewhere.

Ruled out: rate, travel time and rounding (the course has none).

Two wrong times may agree with each other, so a clock is sure after three that agree. Until then each lease counts as the longest that the platform allows, as before the 3 s were over.

--- a/src/primrosestile/coordination/work/worker_clock.py
+++ b/src/primrosestile/coordination/work/worker_clock.py
@@ -29,6 +29,8 @@
 # If times contradict all earlier ones and agree with one another for this long, the
 # worker's clock was set. It is shorter than a lease.
 CLOCK_SET_SECONDS = 3.0
+# Two wrong times may agree with each other.
+SURE_READINGS = 3
 
 _log = structlog.get_logger()
 
@@ -57,6 +59,7 @@
 
     def __init__(self, reading: ClockReading) -> None:
         self.first = self.latest = reading
+        self.count = 1
         # Offsets from our own time, scaled by one factor or the other. Of the lower
         # bounds, the second highest counts: it is confirmed by another reading.
         self._upper = reading.worker_time - reading.sent_at * FAST_CLOCK_FACTOR
@@ -75,6 +78,7 @@
 
     def narrow(self, reading: ClockReading) -> None:
         """Narrow the bounds by a reading that they hold."""
+        self.count += 1
         if reading.worker_time > self.latest.worker_time:
             self.latest = reading
         self._upper = min(
@@ -181,6 +185,7 @@
         covered = self._bounds.latest.received_at - self._bounds.first.received_at
         sure = (
             covered > CLOCK_SET_SECONDS
+            and self._bounds.count >= SURE_READINGS
             and self._candidate is None
             and not self._was_set
         )
