Give a worker no work from its first failed poll until it answers again

Ruled out: starting the gang elsewhere at once (the start may have been carried out); counting unanswered orders as well (an unanswered order to a worker that answers polls is repeated, and its first answer counts).

A worker whose latest poll failed takes no new work until it answers a call, and a decided start that has not been sent is withheld. It keeps its lease and what runs.

The scenario failed on the code before (not started within 0.2 s).

--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -332,6 +332,17 @@
     context.world.fleet.workers[name].faults.late_orders = [seconds] * count
 
 
+@when("worker {name} resets every connection for {seconds:g} s from now on")
+def step_resets(context: Any, name: str, seconds: float) -> None:
+    async def reset() -> None:
+        worker = context.world.fleet.workers[name]
+        worker.reset_connections()
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, setattr, worker.faults, "resets", False)
+
+    context.world.run(reset())
+
+
 @when("worker {name} is draining")
 def step_drains(context: Any, name: str) -> None:
     async def put() -> None:
--- a/features/work/faults.feature
+++ b/features/work/faults.feature
@@ -285,3 +285,20 @@
     And worker w1 crashes and starts again as w9
     Then job h1 is shown as completed within 13 s
     And the fleet's ledger shows nothing wrong
+
+  Scenario: A worker that resets its connections for half a second gets no work meanwhile
+    A gang of three has room on three workers; a fourth one is free, and goes down and up.
+    If a member were ordered there, nobody would know whether it was started, and the
+    whole gang would wait until that worker answers.
+    Given the tasks of k1 take 2 s
+    When worker w1 resets every connection for 0.6 s from now on
+    And 0.1 s pass
+    And job k1 is handed in with steps
+      | count | accelerators | gang |
+      | 3     | 8            | yes  |
+    Then k1 runs on the fleet within 0.2 s
+    When 1 s pass
+    And job k2 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    Then 1 task of k2 was started in 1 s
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -98,7 +98,7 @@
         await self._recorder.save({member.unit.job for member in members})
         record_seconds = read_clock() - began
         await self._wait_for_list()
-        withheld = {each.unit for each in members if not self._may_send(each)}
+        withheld = {each.unit for each in members if not self._may_begin(each)}
         for unit in withheld:
             self._withhold(unit)
         for member in members:
@@ -112,6 +112,11 @@
                 return
             await asyncio.sleep(LIST_WAIT_SECONDS / LIST_CHECKS)
 
+    def _may_begin(self, member: Member) -> bool:
+        """Whether a start may be sent for the first time."""
+        link = self._links.get(member.worker)
+        return link is not None and link.worker.answers and self._may_send(member)
+
     def _may_send(self, member: Member) -> bool:
         """Whether a start may still be sent, by the worker's present state.
 
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -377,9 +377,20 @@
             and not self.cordoned
             and not self.entry.leaving
             and not self.orphaned_runs
+            and self.answers
             and now >= self.quarantined_until
         )
 
+    @property
+    def answers(self) -> bool:
+        """Whether it answered the latest call.
+
+        A worker that restarts in turn refuses calls for less than the time after which
+        it counts as silent. A gang with one member there starts nowhere until it
+        answers again, since that member's start may have been carried out.
+        """
+        return self.unanswered_at is None
+
     def record_answer(self, now: float) -> None:
         """Record that it has answered a call."""
         self.answered_at = now
--- a/src/primrosestile_standin/fleet_calls.py
+++ b/src/primrosestile_standin/fleet_calls.py
@@ -65,6 +65,7 @@
                 await asyncio.sleep(TIMEOUT_SECONDS)
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "the connection was closed")
         worker.sweep()
+        self._check_resets(worker)
         if self._is_cut(worker):
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
         poll = worker.make_poll()
@@ -124,8 +125,13 @@
         if self._is_cut(worker):
             await asyncio.sleep(TIMEOUT_SECONDS)
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
+        self._check_resets(worker)
         return worker if worker.entry.worker == entry.worker else None
 
+    def _check_resets(self, worker: FleetWorker) -> None:
+        if worker.faults.resets:
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "the connection was reset")
+
     async def _carry(self, rows: int) -> None:
         self._carried += 1
         if self._carried % 10 < self.lost_of_ten:
--- a/src/primrosestile_standin/fleet_faults.py
+++ b/src/primrosestile_standin/fleet_faults.py
@@ -22,6 +22,7 @@
         number_jumps: By how much the number of the last end is too high in its next
             poll answers that list one.
         overcommits: It starts tasks that do not fit.
+        resets: It resets the connection of every call; what runs goes on.
         unresponsive: After a crash its address answers nothing, instead of refusing
             connections.
     """
@@ -37,4 +38,5 @@
     clock_jumps: list[float] = field(default_factory=list)
     number_jumps: list[int] = field(default_factory=list)
     overcommits: bool = False
+    resets: bool = False
     unresponsive: bool = False
--- a/src/primrosestile_standin/fleet_worker.py
+++ b/src/primrosestile_standin/fleet_worker.py
@@ -317,6 +317,11 @@
             self.crash()
             self._fleet.on_crash(self)
 
+    def reset_connections(self) -> None:
+        """Reset the connections of all calls, those under way too, from now on."""
+        self.faults.resets = True
+        self._ends_changed.set()
+
     def crash(self) -> None:
         """End this incarnation; its runs are lost without a report."""
         self.alive = False
