Make the wait for expected ends replaceable, and keep the way that stands

An urgent gang on a full fleet waits up to 1.5 s, and no longer than its slack, for runs that are expected to end, before work is stopped for it.

Behaviour is unchanged.

--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.eviction_wait import find_eviction_wait
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.placement import Rooms, find_locality_wait
 from primrosestile.decisions.work.preemption import may_stop
@@ -59,6 +60,14 @@
         ...
 
 
+class EvictionWait(Protocol):
+    """Decides until when a unit waits for room before work is stopped for it."""
+
+    def __call__(self, unit: Unit, rank: Rank, now: float) -> float:
+        """Return that time; room that is expected later is not waited for."""
+        ...
+
+
 class StallFinding(Protocol):
     """Finds the stalled units that should restart elsewhere."""
 
@@ -87,6 +96,7 @@
     locality_wait: LocalityWait
     reservation: RoomReservation
     permission: Permission
+    eviction_wait: EvictionWait
     stall_finding: StallFinding
     slow_finding: SlowFinding
 
@@ -98,6 +108,7 @@
         locality_wait=find_locality_wait,
         reservation=reserve_room,
         permission=may_stop,
+        eviction_wait=find_eviction_wait,
         stall_finding=find_stall_restarts,
         slow_finding=find_slow,
     )
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -40,9 +40,6 @@
 # An eviction that wastes less than this is made at once: what a small urgent job itself
 # takes.
 CHEAP_CORE_SECONDS = 100.0
-# Guaranteed work must start within 2.9 s of its acceptance. A stop and the start after
-# it take half a second, and an expected end may be wrong by as much again.
-RECLAIM_WAIT_SECONDS = 1.5
 # Units examined in one pass, so that a full queue costs it only a few milliseconds.
 MAX_UNITS_EXAMINED = 200
 # Stateless, so all passes share them.
@@ -301,9 +298,7 @@
         """Whether room will be free soon enough without stopping anything."""
         if eviction.cost < CHEAP_CORE_SECONDS:
             return False
-        latest = unit.job.accepted + RECLAIM_WAIT_SECONDS
-        if not rank.late:
-            latest = min(latest, self.now + rank.slack)
+        latest = self.mechanisms.eviction_wait(unit, rank, self.now)
         return could_start_before(unit, self.rooms, self.durations, self.now, latest)
 
 
--- a/tools/bench/ablation.py
+++ b/tools/bench/ablation.py
@@ -105,6 +105,10 @@
     return allowed and (gainer.job.job_id in entitled or not is_aged(victim, now))
 
 
+def stop_at_once(unit: Unit, rank: Rank, now: float) -> float:
+    return now
+
+
 @dataclass(frozen=True, slots=True)
 class Variant:
     """The mechanisms with one left out."""
@@ -131,6 +135,7 @@
         "stops for usual work": drop(permission=stop_for_urgent),
         "stops of unsaved work": drop(permission=stop_checkpointed),
         "stops of aged unsaved work": drop(permission=spare_aged),
+        "waits for expected ends": drop(eviction_wait=stop_at_once),
         "rescues": drop(stall_finding=lambda fleet_state, durations, now: []),
         "slow workers": drop(slow_finding=lambda *_: set()),
         "learned run times": Variant(whole, partial(RunStatistics, NoDurations())),
