Tell refused callers to return at once where only this VM can't reach the store

While the store turns some VMs away or a VM's path is cut, callers there were told to return in a second, as if the store were away for all. Their next attempt reaches another VM, which would have accepted the job at once; with half its run time to spare urgent work was late by then.

A VM that refuses a caller for the store asks the owner, whose address stands in the owner's key, whether the store answers it; the owner reads from the store at that moment. If it answers, or neither the store nor the owner answers anything (this VM's path is cut), callers return at once; else after a second, as before. An answer holds for 0.25 s and takes 0.25 s at the most.

An owner's key of the code before is read; that code reads the new one.

--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -61,10 +61,12 @@
         read_clock: Callable[[], float] = read_suspending_clock,
         election_delay: float = 0.0,
         address: str = "",
+        readiness_address: str = "",
     ) -> None:
         self._election_delay = election_delay
         self._store = store
-        self._record = OwnerRecord(process, address)
+        self._record = OwnerRecord(process, address, readiness_address)
+        self._owner_address = ""
         self._run_term = run_term
         self._read_clock = read_clock
         self._leaving = False
@@ -91,6 +93,11 @@
             if term is not None:
                 await self._serve(term)
 
+    @property
+    def owner_address(self) -> str:
+        """The readiness address of the owner that was read last; empty if unknown."""
+        return self._owner_address
+
     async def leave(self) -> None:
         """Hand the ownership over at once, so that another process takes over."""
         self._leaving = True
@@ -137,8 +144,16 @@
             # Treated as absent, the key would be overwritten at each try.
             raise Failure(ErrorKind.STORE_ANSWER_LOST, "the owner's key is unreadable")
         found = [entry for entry in page.entries if entry.key == OWNER_KEY]
+        if found:
+            self._note_owner(found[0])
         return (found[0] if found else None), page.revision
 
+    def _note_owner(self, found: Entry) -> None:
+        try:
+            self._owner_address = decode_owner(found.value).readiness_address
+        except msgspec.MsgspecError:
+            self._owner_address = ""
+
     def _is_own(self, found: Entry) -> bool:
         """Whether an owner's key names this process, which is not the owner now.
 
@@ -148,10 +163,12 @@
         by that time after all processes were killed together.
         """
         try:
-            return decode_owner(found.value) == self._record
+            owner = decode_owner(found.value)
         except msgspec.MsgspecError:
             # Another writer's key; it is removed when its lease expires.
             return False
+        own = self._record
+        return (owner.process, owner.address) == (own.process, own.address)
 
     def _find_election_delay(self) -> float:
         """Return how long other candidates go first, in seconds."""
--- a/src/primrosestile/coordination/work/policy_watch.py
+++ b/src/primrosestile/coordination/work/policy_watch.py
@@ -43,6 +43,7 @@
         doubtful: Whether the latest call to the store failed. A write that is sent now
             may go unanswered, and its caller with it, so a read checks first whether
             the store answers again.
+        silent: Whether the latest read that failed got no answer at all.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         # When the newest answered read was sent.
         self._answered_at = -math.inf
         self.doubtful = False
+        self.silent = False
         self.loaded = asyncio.Event()
 
     @property
@@ -128,7 +130,8 @@
         asked_at = self._read_steady()
         try:
             entry = await self._source.read()
-        except Failure:
+        except Failure as failure:
+            self.silent = failure.silent
             # An earlier read may fail after a later one was answered.
             self.doubtful |= asked_at >= self._answered_at
             raise
--- a/src/primrosestile/errors.py
+++ b/src/primrosestile/errors.py
@@ -181,15 +181,21 @@
         detail: What happened, for people; never a secret.
         retry_after: Seconds; overrides the value of the table where a better one
             is known.
+        silent: No part of an answer came in time, not even a refused connection.
     """
 
     def __init__(
-        self, kind: ErrorKind, detail: str = "", retry_after: float | None = None
+        self,
+        kind: ErrorKind,
+        detail: str = "",
+        retry_after: float | None = None,
+        silent: bool = False,
     ) -> None:
         super().__init__(f"{kind.value}: {detail}" if detail else kind.value)
         self.kind = kind
         self.detail = detail
         self.retry_after = retry_after
+        self.silent = silent
 
     @property
     def answer(self) -> Answer:
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -11,6 +11,7 @@
 
 from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.job_submissions import JobSubmissions
+from primrosestile.coordination.work.outage_scope import OutageScope
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.scheduler import Scheduler, run_scheduler
 from primrosestile.coordination.work.term import Term
@@ -31,6 +32,7 @@
 from primrosestile.programs.node_calls import CallerCalls
 from primrosestile.programs.time_correction import follow_vm_clock
 from primrosestile.transport.connections import Connections
+from primrosestile.transport.store_views import HttpStoreViews
 
 EXIT_BAD_SETTINGS = 2
 # Maximum age of the policy that requests are checked against, as shares of the
@@ -72,11 +74,6 @@
                 bounds.key_revoke_seconds * POLICY_AGE_REVOKE_SHARE,
             ),
         )
-        self._calls = CallerCalls(
-            JobSubmissions(self._store, self._policies, POLICY_KEY),
-            self._policies,
-            self._metrics,
-        )
         self._scheduler: Scheduler | None = None
         self._election = Election(
             self._store,
@@ -84,6 +81,22 @@
             self._run_term,
             election_delay=find_election_delay(*self._vm_resources),
             address=settings.callers_address,
+            readiness_address=settings.ready_address,
+        )
+        # Of their own, so that a silent owner does not count as a fault of the path to
+        # the store.
+        self._owner_connections = Connections()
+        scope = OutageScope(
+            HttpStoreViews(self._owner_connections),
+            lambda: self._election.owner_address,
+            settings.ready_address,
+            lambda: self._policies.silent,
+        )
+        self._calls = CallerCalls(
+            JobSubmissions(self._store, self._policies, POLICY_KEY),
+            self._policies,
+            scope,
+            self._metrics,
         )
 
     @property
@@ -117,6 +130,7 @@
         finally:
             await metrics.cleanup()
             await self._connections.close()
+            await self._owner_connections.close()
         _log.info("ended")
 
     async def _serve(
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -8,6 +8,7 @@
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.job_submissions import JobSubmissions
+from primrosestile.coordination.work.outage_scope import OutageScope
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.callers import (
@@ -21,6 +22,7 @@
 from primrosestile.programs.metrics import Metrics
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import Submission
+from primrosestile.transport.store_views import CHECK_SECONDS, STORE_VIEW_PATH
 
 # An answer is sent this long before the caller's deadline, because it is useless once
 # the caller has disconnected.
@@ -40,18 +42,37 @@
     """
 
     def __init__(
-        self, submissions: JobSubmissions, policies: PolicyWatch, metrics: Metrics
+        self,
+        submissions: JobSubmissions,
+        policies: PolicyWatch,
+        scope: OutageScope,
+        metrics: Metrics,
     ) -> None:
         self._metrics = metrics
+        self._scope = scope
         self._submissions = submissions
         self._policies = policies
         self.leaving = False
 
     async def answer_ready(self, request: web.BaseRequest) -> web.Response:
-        """Answer the balancer's readiness check."""
+        """Answer the balancer's readiness check, or another VM's about the store."""
+        if request.path == STORE_VIEW_PATH:
+            answers = await self._does_store_answer()
+            return web.Response(status=200 if answers else 503)
         ready = self._policies.recent and not self.leaving
         return web.Response(status=200 if ready else 503)
 
+    async def _does_store_answer(self) -> bool:
+        """Whether the store answers a read that is sent now."""
+        if self._policies.age < CHECK_SECONDS:
+            return True
+        try:
+            async with asyncio.timeout(CHECK_SECONDS):
+                await self._policies.refresh()
+        except (Failure, TimeoutError):
+            return False
+        return True
+
     async def answer(self, request: web.BaseRequest) -> web.Response:
         """Answer one call, also when its handling fails."""
         began = read_clock()
@@ -59,10 +80,11 @@
             async with asyncio.timeout(_find_limit(request)):
                 response = await self._dispatch(request)
         except Failure as failure:
-            response = _answer_failure(request, failure, began)
+            retry_delay = await self._find_retry_delay(failure)
+            response = _answer_failure(request, failure, began, retry_delay)
         except TimeoutError:
             late = Failure(ErrorKind.DEADLINE_UNKNOWN, "no outcome in time")
-            response = _answer_failure(request, late, began)
+            response = _answer_failure(request, late, began, late.retry_delay)
         except (ConnectionError, asyncio.CancelledError):
             raise
         except Exception:
@@ -76,6 +98,16 @@
         self._metrics.seconds.observe({"method": request.method}, read_clock() - began)
         return response
 
+    async def _find_retry_delay(self, failure: Failure) -> float | None:
+        """Return after how many seconds a refused caller should return, or None.
+
+        A caller's next attempt reaches another VM.
+        """
+        away = failure.kind is ErrorKind.STORE_UNAVAILABLE
+        if away and await self._scope.is_own():
+            return 0.0
+        return failure.retry_delay
+
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
         policy = self._policies.require()
         queue = _find_queue(policy, request)
@@ -177,7 +209,10 @@
 
 
 def _answer_failure(
-    request: web.BaseRequest, failure: Failure, began: float
+    request: web.BaseRequest,
+    failure: Failure,
+    began: float,
+    retry_delay: float | None = None,
 ) -> web.Response:
     answer = failure.answer
     _log.info(
@@ -188,10 +223,10 @@
         detail=failure.detail,
         ran=answer.ran.value,
         status=answer.status,
+        retry_after=retry_delay,
         seconds=round(read_clock() - began, 3),
     )
     response = web.Response(status=answer.status)
-    after = failure.retry_delay
-    if after is not None:
-        response.headers["Retry-After"] = str(max(1, math.ceil(after)))
+    if retry_delay is not None:
+        response.headers["Retry-After"] = str(math.ceil(retry_delay))
     return response
--- a/src/primrosestile/transport/connections.py
+++ b/src/primrosestile/transport/connections.py
@@ -147,6 +147,7 @@
                 complete answer came.
         """
         progress = _Progress()
+        silent = False
         target = self._find(address)
         started = read_clock()
         try:
@@ -160,11 +161,12 @@
             raise
         except TimeoutError:
             self._note_silence(address, target)
+            silent = True
             detail = f"{address}{path} did not answer within {timeout:g} s"
         except (aiohttp.ClientError, OSError) as error:
             detail = f"{address}{path}: {error or type(error).__name__}"
         kind = kinds.lost if progress.sent else kinds.unsent
-        raise Failure(kind, detail)
+        raise Failure(kind, detail, silent=silent)
 
     async def close(self) -> None:
         """Close every connection."""
