Rename log events in the field's terms

The postmortems keep what the logs said then.

wishes_not_heard -> requests_not_followed, latest_wish_not_read -> latest_request_not_read, run_rescued -> run_restarted_elsewhere, stray_stopped -> orphan_stopped, worker_in_hand -> worker_answers_again, look_failed -> poll_failed, worker_life_over -> worker_incarnation_over, worker_life_doubted -> worker_incarnation_doubted, worker_distrusted -> worker_quarantined; the proofs "life over" and "unheard" are "incarnation over" and "never answered".

--- a/features/logs/explaining.feature
+++ b/features/logs/explaining.feature
@@ -14,7 +14,7 @@
     the proof that ended the first one, and the owner's view of its worker at that time.
     Given the logs of 3 processes on which a worker crashed under a task
     When the engineer asks for that task
-    Then the task's timeline has in order: job admitted, run decided, run started, worker life over, run gone, run decided, run started, run ended
+    Then the task's timeline has in order: job admitted, run decided, run started, worker incarnation over, run gone, run decided, run started, run ended
     And the timeline shows the proof, the fence and the worker's clock
     And the timeline omits other tasks and their workers
 
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -150,7 +150,7 @@
     gone = next(
         line for line in context.result.output.splitlines() if "run gone" in line
     )
-    for each in ("proof=life over", "fence=", "worker_clock=", "heard_ago="):
+    for each in ("proof=incarnation over", "fence=", "worker_clock=", "heard_ago="):
         assert each in gone, gone
 
 
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -197,7 +197,7 @@
     Examples:
       | measure       | value | does                                |
       | requests_age  | 3.9   | stays                               |
-      | requests_age  | 4.1   | resigns: wishes not heard           |
+      | requests_age  | 4.1   | resigns: requests not received      |
       | records_age   | 4.9   | stays                               |
       | records_age   | 5.1   | resigns: records not written        |
       | heard         | 50    | stays                               |
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -323,7 +323,7 @@
 
     async def _stop_orphan(self, link: WorkerLink, task: str, run: int) -> None:
         """Stop an orphaned run once; if a poll shows it again, it is stopped again."""
-        _log.info("stray_stopped", task=task, run=run, worker=link.worker.name)
+        _log.info("orphan_stopped", task=task, run=run, worker=link.worker.name)
         try:
             if self._term.may_act():
                 await self._send_stop(link, task, run)
--- a/src/primrosestile/coordination/work/request_watch.py
+++ b/src/primrosestile/coordination/work/request_watch.py
@@ -251,7 +251,7 @@
                     self._failures = 0
                 except Failure as failure:
                     self._failures += 1
-                    _log.warning("wishes_not_heard", reason=str(failure))
+                    _log.warning("requests_not_followed", reason=str(failure))
                     await asyncio.sleep(RETRY_SECONDS)
 
     async def _follow(self, tasks: asyncio.TaskGroup) -> None:
@@ -289,7 +289,7 @@
                     await self._read_again(tasks, lost=True)
             except Failure as failure:
                 # Not counted: this read only supplements the watch, whose failures are.
-                _log.info("latest_wish_not_read", reason=str(failure))
+                _log.info("latest_request_not_read", reason=str(failure))
 
     async def _read_again(self, tasks: asyncio.TaskGroup, lost: bool) -> None:
         """Read what the watch may have missed.
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -272,7 +272,7 @@
         )
         if until > worker.quarantined_until:
             worker.quarantined_until = until
-            _log.warning("worker_distrusted", worker=worker.name)
+            _log.warning("worker_quarantined", worker=worker.name)
 
     def _record_duration(self, member: Member) -> None:
         unit = member.unit
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -93,7 +93,7 @@
     """Log which run is stopped because a member is stalled, and on which worker."""
     unit = restart.unit
     _log.info(
-        "run_rescued",
+        "run_restarted_elsewhere",
         **name_unit(unit),
         size=unit.size,
         worker=restart.worker.name,
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -185,7 +185,7 @@
         try:
             await self._poll(waiting=False)
         except Failure as failure:
-            _log.info("look_failed", worker=self.worker.name, reason=str(failure))
+            _log.info("poll_failed", worker=self.worker.name, reason=str(failure))
 
     async def _poll(self, waiting: bool = True) -> None:
         """Poll once.
@@ -215,7 +215,7 @@
 
     async def _process_refusal(self, refusal: Refusal, address: str) -> None:
         if refusal is Refusal.FENCE:
-            _log.warning("fence_refused", worker=self.worker.name, by="look")
+            _log.warning("fence_refused", worker=self.worker.name, by="poll")
             self._term.lost.set()
         elif refusal is Refusal.OTHER_INCARNATION:
             await self._process_other_incarnation(address)
@@ -235,11 +235,11 @@
         worker = self.worker
         asked_there = worker.verified and address == worker.entry.address
         if worker.members and not asked_there:
-            _log.info("worker_life_doubted", worker=worker.name, address=address)
+            _log.info("worker_incarnation_doubted", worker=worker.name, address=address)
             await asyncio.sleep(OTHER_INCARNATION_PAUSE_SECONDS)
             return
         _log.info(
-            "worker_life_over",
+            "worker_incarnation_over",
             worker=worker.name,
             members=len(worker.members),
             tasks=list_names(each.task for each in worker.members.values()),
@@ -263,7 +263,7 @@
             self.worker.acquired = True
             # An owner's first contacts with its workers are logged as one summary.
             if self._was_silent:
-                _log.info("worker_in_hand", worker=self.worker.name)
+                _log.info("worker_answers_again", worker=self.worker.name)
         self._wake()
         if fresh:
             await self._record_ends(jobs, last)
--- a/src/primrosestile/decisions/work/owner_health.py
+++ b/src/primrosestile/decisions/work/owner_health.py
@@ -60,7 +60,7 @@
 class OwnerProblem(StrEnum):
     """Which part of the owner's work isn't done."""
 
-    REQUESTS = "wishes not heard"
+    REQUESTS = "requests not received"
     RECORDS = "records not written"
     WORKERS = "workers not heard"
     CALLS = "calls not answered"
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -72,10 +72,10 @@
     BARRED = "barred"
     FENCED_OFF = "fenced off"
     GANG_ENDED = "gang ended"
-    INCARNATION_OVER = "life over"
+    INCARNATION_OVER = "incarnation over"
     LEASE_OVER = "lease over"
     VM_ORDERED = "VM ordered"
-    NEVER_ANSWERED = "unheard"
+    NEVER_ANSWERED = "never answered"
 
 
 # Proofs that an incarnation has ended for good, so that its name never comes back;
--- a/src/primrosestile/programs/log_limits.py
+++ b/src/primrosestile/programs/log_limits.py
@@ -37,13 +37,13 @@
         "run_evacuated",
         "run_gone",
         "run_preempted",
-        "run_rescued",
+        "run_restarted_elsewhere",
         "run_started",
         "start_refused",
         "start_unanswered",
         "stop_refused",
         "stop_unanswered",
-        "stray_stopped",
+        "orphan_stopped",
     }
 )
 OUTCOME_LINES_PER_SECOND = 2_000
--- a/src/primrosestile/programs/task_timeline.py
+++ b/src/primrosestile/programs/task_timeline.py
@@ -14,7 +14,7 @@
 
 # Prefixes of the events in the owner's lines about the fleet.
 _OWNER_EVENTS = ("ownership_", "fence_refused", "jobs_loaded", "recovery_delayed")
-_WORKER_EVENTS = ("worker_", "look_failed", "runs_given_up")
+_WORKER_EVENTS = ("worker_", "poll_failed", "runs_given_up")
 # A task's name has four parts: job, occurrence, step, and number in the step.
 _TASK_PARTS = 4
 
