Restart urgent gangs elsewhere when their worker leaves before their end

The gang broke, and the lost member counted as running until the worker's lease was over, seven seconds later: of no use to the caller by then.

An urgent unit without checkpoints that is expected to end after its worker's announced time is restarted elsewhere, if there is room and unless only staying could be in time.

The first example failed on the code before.

--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -567,6 +567,14 @@
     context.plan = plan_at(context.fleet_state, seconds)
 
 
+@when("its first worker announces that it leaves in {seconds:g} s")
+def step_departing(context: Any, seconds: float) -> None:
+    worker = context.fleet_state.workers[context.unit.members[0].worker]
+    worker.entry = replace(worker.entry, leaving=True)
+    worker.leaves_at = 1.0 + seconds
+    context.plan = plan_at(context.fleet_state, 1.0)
+
+
 @then("the gang is restarted elsewhere")
 def step_elsewhere(context: Any) -> None:
     (restart,) = context.plan.stall_restarts
--- a/features/work/decisions.feature
+++ b/features/work/decisions.feature
@@ -123,6 +123,22 @@
     When they then show 10 and 100 percent after 2.2 s
     Then the gang is restarted elsewhere
 
+  Scenario Outline: An urgent gang on a worker that leaves before its end
+    The gang ends with the worker, and its lost member counts as running until its lease
+    is over, seven seconds later. Its caller has two seconds to spare.
+    Given a fleet state with <workers> workers of 4 accelerators
+    And <kind> gang of 2 tasks of 4 accelerators runs for 3 s
+    When its members show 33 and 33 percent after 1 s
+    And its first worker announces that it leaves in <stays> s
+    Then the gang is <outcome>
+
+    Examples:
+      | workers | kind           | stays | outcome             |
+      | 4       | an urgent      | 1.9   | restarted elsewhere |
+      | 4       | an urgent      | 2.1   | not restarted       |
+      | 2       | an urgent      | 1.9   | not restarted       |
+      | 4       | a low-priority | 1.9   | not restarted       |
+
   Scenario: Stalled low-priority work is not restarted while it can be in time
     Eight tasks on a worker that stalls for some seconds would all start over.
     Given a fleet state with 4 workers of 4 accelerators
--- a/src/primrosestile/decisions/work/__init__.py
+++ b/src/primrosestile/decisions/work/__init__.py
@@ -8,7 +8,8 @@
 
 One pass, `plan`, runs these in order; each module names the load it is made for:
 
-1. `stall_restarts`: which stalled units are restarted elsewhere.
+1. `stall_restarts`, `departure_restarts`: which units are restarted elsewhere, since a
+   member is stalled or its worker leaves.
 2. `queue_order`: which waiting unit goes first.
 3. `placement`: where it goes, if it fits.
 4. `preemption`: what may be stopped for it, if it does not fit; `evictions`: where;
--- /dev/null
+++ b/src/primrosestile/decisions/work/departure_restarts.py
@@ -0,0 +1,59 @@
+"""Which urgent units are restarted elsewhere because their worker leaves.
+
+Load: workers that announce two seconds ahead that they leave, under urgent gangs that
+need longer. Harm: the gang ends with the worker, and nobody can tell that the lost
+member does not run on until its lease is over. A gang of 3.4 s that lost one member
+waited seven seconds for that, and was of no use to its caller.
+
+Work with checkpoints is moved by `evacuation`. Other work stays, since a worker may run
+for many seconds longer than it announced.
+"""
+
+from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.fleet_state import FleetState
+from primrosestile.decisions.work.queue_order import find_objective_seconds
+from primrosestile.decisions.work.stall_restarts import (
+    MAX_STALL_RESTARTS,
+    RESTART_ELSEWHERE_SECONDS,
+    StallRestart,
+)
+from primrosestile.decisions.work.units import MemberState, Unit, Worker
+
+
+def find_departure_restarts(
+    fleet_state: FleetState, durations: Durations, now: float
+) -> list[StallRestart]:
+    """Return the urgent units that would be lost with a leaving worker, each once."""
+    found: dict[int, StallRestart] = {}
+    for worker in fleet_state.workers.values():
+        if not worker.entry.leaving:
+            continue
+        for member in worker.members.values():
+            unit = member.unit
+            if may_restart(unit) and is_worth_restarting(unit, worker, durations, now):
+                lost = now - (member.up_at or member.since)
+                found[id(unit)] = StallRestart(unit, worker, lost)
+    return list(found.values())
+
+
+def may_restart(unit: Unit) -> bool:
+    """Whether a unit is urgent, loses its work with its worker, and may restart."""
+    step = unit.step
+    if unit.job.queue.priority or step.checkpoints or step.daemon or step.best_effort:
+        return False
+    if unit.abandoned or unit.stall_restarts >= MAX_STALL_RESTARTS:
+        return False
+    return any(member.state is MemberState.UP for member in unit.members)
+
+
+def is_worth_restarting(
+    unit: Unit, worker: Worker, durations: Durations, now: float
+) -> bool:
+    """Whether a restart serves the caller better than staying on a leaving worker."""
+    left = max(durations.guess_left(member, now) for member in unit.members)
+    if left <= worker.leaves_at - now:
+        return False
+    spare = unit.job.accepted + find_objective_seconds(unit.job, durations) - now
+    restarted = RESTART_ELSEWHERE_SECONDS + durations.guess_unit(unit)
+    # If only staying can be in time, it is worth the risk.
+    return restarted <= spare or left > spare
--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from primrosestile.decisions.work.departure_restarts import find_departure_restarts
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.eviction_wait import find_eviction_wait
 from primrosestile.decisions.work.fleet_state import FleetState
@@ -68,8 +69,8 @@
         ...
 
 
-class StallFinding(Protocol):
-    """Finds the stalled units that should restart elsewhere."""
+class RestartFinding(Protocol):
+    """Finds the units that should restart elsewhere."""
 
     def __call__(
         self, fleet_state: FleetState, durations: Durations, now: float
@@ -97,7 +98,8 @@
     reservation: RoomReservation
     permission: Permission
     eviction_wait: EvictionWait
-    stall_finding: StallFinding
+    stall_finding: RestartFinding
+    departure_finding: RestartFinding
     slow_finding: SlowFinding
 
 
@@ -110,5 +112,6 @@
         permission=may_stop,
         eviction_wait=find_eviction_wait,
         stall_finding=find_stall_restarts,
+        departure_finding=find_departure_restarts,
         slow_finding=find_slow,
     )
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -129,7 +129,7 @@
     def run(self) -> Plan:
         """Return the decisions."""
         self.holds.hold(self.waiting)
-        self._restart_stalled()
+        self._restart_elsewhere()
         held = [
             each
             for each in self.waiting
@@ -161,16 +161,24 @@
                 waiting.add(likeness)
         return Plan(tuple(self.starts), tuple(self.stops), tuple(self.stall_restarts))
 
-    def _restart_stalled(self) -> None:
-        """Stop units with a stalled member if they can restart elsewhere at once.
+    def _list_restarts(self) -> list[StallRestart]:
+        mechanisms = self.mechanisms
+        return [
+            restart
+            for find in (mechanisms.stall_finding, mechanisms.departure_finding)
+            for restart in find(self.fleet_state, self.durations, self.now)
+        ]
+
+    def _restart_elsewhere(self) -> None:
+        """Stop stalled or departing units if they can restart elsewhere at once.
 
         Their locality wait starts over: a gang of 1.3 s that went to two racks because
         it had waited long enough took 4.2 s there.
         """
-        for restart in self.mechanisms.stall_finding(
-            self.fleet_state, self.durations, self.now
-        ):
+        for restart in self._list_restarts():
             unit = restart.unit
+            if unit.abandoned:
+                continue
             elsewhere = copy_rooms(self.future_rooms)
             give_back(unit, elsewhere)
             elsewhere.pop(restart.worker.name, None)
--- a/tools/bench/ablation.py
+++ b/tools/bench/ablation.py
@@ -137,6 +137,9 @@
         "stops of aged unsaved work": drop(permission=spare_aged),
         "waits for expected ends": drop(eviction_wait=stop_at_once),
         "rescues": drop(stall_finding=lambda fleet_state, durations, now: []),
+        "restarts at departures": drop(
+            departure_finding=lambda fleet_state, durations, now: []
+        ),
         "slow workers": drop(slow_finding=lambda *_: set()),
         "learned run times": Variant(whole, partial(RunStatistics, NoDurations())),
         "learned speeds": Variant(whole, lambda: RunStatistics(speeds=NoSpeeds())),
