Ask a few other VMs as well whether the store answers them

A VM that can't reach the store asked the owner alone.

The VM also asks the seeds of its settings file, at the address of `listen.control`, which each process listens on now; one VM that reaches the store is enough. The question moves there from the address of the readiness checks.

--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -1,6 +1,7 @@
 """Steps for what callers are told while the store is away."""
 
 import asyncio
+from collections import Counter
 from typing import Any
 
 import looptime
@@ -24,7 +25,6 @@
 from primrosestile.state.work import decode_owner
 from primrosestile.transport.store_views import STORE_VIEW_PATH
 
-OWN_ADDRESS = "10.1.0.1:8523"
 ANSWERS = {
     "served": StoreView.ANSWERS,
     "silent": StoreView.SILENT,
@@ -52,28 +52,26 @@
         return read_policy(entry)
 
 
-class Owner:
-    """What the owner sees of the store, and how often it was asked."""
+class Peers:
+    """What other VMs see of the store, and how often each was asked."""
 
     def __init__(self) -> None:
-        self.answer = StoreView.ANSWERS
-        self.asked: list[str] = []
+        self.answers: dict[str, StoreView] = {}
+        self.asked: Counter[str] = Counter()
 
     async def ask(self, address: str) -> StoreView:
-        self.asked.append(address)
+        self.asked[address] += 1
         await asyncio.sleep(0.01)
-        return self.answer
+        return self.answers[address]
 
 
-@given("a VM that can't read the policy and {relation}")
-def step_vm(context: Any, relation: str) -> None:
-    known = {"is the owner": OWN_ADDRESS, "knows no owner": ""}
-    owner_address = known.get(relation, relation.rpartition(" ")[2])
-    make_vm(context, PolicyStore(), owner_address)
+@given("a VM that can't read the policy and knows {names}")
+def step_vm(context: Any, names: str) -> None:
+    make_vm(context, PolicyStore(), [] if names == "no other" else names.split(" and "))
 
 
-def make_vm(context: Any, store: PolicyStore, owner_address: str) -> None:
-    context.owner = Owner()
+def make_vm(context: Any, store: PolicyStore, peers: list[str]) -> None:
+    context.peers = Peers()
     context.runner = asyncio.Runner(loop_factory=looptime.new_event_loop)
     context.cleanups.append(context.runner.close)
     context.store = store
@@ -82,17 +80,15 @@
         return PolicyWatch(store, 1.6, read_clock)
 
     policies = context.policies = context.runner.run(make())
-    scope = OutageScope(
-        context.owner, lambda: owner_address, OWN_ADDRESS, lambda: policies.silent
-    )
+    scope = OutageScope(context.peers, lambda: peers, lambda: policies.silent)
     # No submission reaches the store without a recent policy.
     submissions: Any = JobSubmissions(None, policies, POLICY_KEY)  # type: ignore[arg-type]
     context.calls = CallerCalls(submissions, policies, scope, Metrics("node"))
 
 
-@step("the owner is {answer}")
-def step_owner(context: Any, answer: str) -> None:
-    context.owner.answer = ANSWERS[answer]
+@step("peer {peer} is {answer}")
+def step_peer(context: Any, peer: str, answer: str) -> None:
+    context.peers.answers[peer] = ANSWERS[answer]
 
 
 @given("the store {fault} this VM's reads")
@@ -140,21 +136,21 @@
     assert context.response.headers["Retry-After"] == delay
 
 
-@then("the owner was asked {count:d} times")
-def step_asked(context: Any, count: int) -> None:
-    assert len(context.owner.asked) == count, context.owner.asked
+@then("peer {peer} was asked {count:d} times")
+def step_asked(context: Any, peer: str, count: int) -> None:
+    assert context.peers.asked[peer] == count, context.peers.asked
 
 
-@then("an owner's record without a readiness address is still read as its own")
+@then("an owner's record without a peer address is still read as its own")
 def step_earlier_record(context: Any) -> None:
     owner = decode_owner(msgspec.msgpack.encode(["vm-1", "10.1.0.1:8521"]))
     assert (owner.process, owner.address) == ("vm-1", "10.1.0.1:8521")
-    assert owner.readiness_address == ""
+    assert owner.peer_address == ""
 
 
-@given("the owner has read the policy {seconds:g} s ago")
+@given("a VM that has read the policy {seconds:g} s ago")
 def step_read_before(context: Any, seconds: float) -> None:
-    make_vm(context, PolicyStore("answers"), OWN_ADDRESS)
+    make_vm(context, PolicyStore("answers"), [])
 
     async def read() -> None:
         # The first read brings the policy, the second proves that it is the newest.
@@ -175,7 +171,7 @@
     async def ask() -> None:
         began = read_clock()
         request = make_mocked_request("GET", STORE_VIEW_PATH)
-        context.response = await context.calls.answer_ready(request)
+        context.response = await context.calls.answer_peer(request)
         context.took = read_clock() - began
 
     context.runner.run(ask())
--- a/features/work/outage_scope.feature
+++ b/features/work/outage_scope.feature
@@ -3,60 +3,58 @@
   away, urgent work would be late by a second's wait for nothing; where the store is away
   for all, callers who return at once use up their attempts before it is back.
 
-  Scenario Outline: A VM without a recent policy asks the owner
-    The store may turn this VM away, or be away for all; its path to both may be cut, or
-    the owner's VM be down.
-    Given a VM that can't read the policy and knows the owner at 10.1.0.19:8523
+  Scenario Outline: A VM without a recent policy asks the owner and a seed
+    The store may turn this VM away, or be away for all; its path to all may be cut, or
+    other VMs be down or turned away as well.
+    Given a VM that can't read the policy and knows owner and seed
     And the store <fault> this VM's reads
-    And the owner is <answer>
+    And peer owner is <owner>
+    And peer seed is <seed>
     When a caller submits a job
     Then it is refused as not run, to return after <delay> s
 
     Examples:
-      | fault             | answer     | delay |
-      | refuses           | served     | 0     |
-      | leaves unanswered | served     | 0     |
-      | refuses           | not served | 1     |
-      | leaves unanswered | not served | 1     |
-      | leaves unanswered | silent     | 0     |
-      | refuses           | silent     | 1     |
-      | leaves unanswered | absent     | 1     |
+      | fault             | owner      | seed       | delay |
+      | refuses           | served     | served     | 0     |
+      | refuses           | not served | served     | 0     |
+      | refuses           | absent     | served     | 0     |
+      | leaves unanswered | served     | silent     | 0     |
+      | refuses           | not served | not served | 1     |
+      | leaves unanswered | not served | not served | 1     |
+      | leaves unanswered | silent     | not served | 1     |
+      | leaves unanswered | silent     | silent     | 0     |
+      | refuses           | silent     | silent     | 1     |
+      | leaves unanswered | absent     | silent     | 1     |
 
-  Scenario: The owner itself has no one to ask
-    Given a VM that can't read the policy and is the owner
-    When a caller submits a job
-    Then it is refused as not run, to return after 1 s
-    And the owner was asked 0 times
-
-  Scenario: A VM that has not read of an owner
-    Given a VM that can't read the policy and knows no owner
+  Scenario: A VM that knows no other
+    Given a VM that can't read the policy and knows no other
     When a caller submits a job
     Then it is refused as not run, to return after 1 s
 
   Scenario: A burst of refused callers costs one question
-    Given a VM that can't read the policy and knows the owner at 10.1.0.19:8523
-    And the owner is silent
+    Given a VM that can't read the policy and knows owner
+    And peer owner is silent
     When 100 callers submit jobs at once
-    Then the owner was asked 1 times
+    Then peer owner was asked 1 times
     When 0.3 s pass and a caller submits a job
-    Then the owner was asked 2 times
+    Then peer owner was asked 2 times
 
-  Scenario: The store comes back for this VM only after an outage of all
-    Guards against an answer that outlives the state of the owner.
-    Given a VM that can't read the policy and knows the owner at 10.1.0.19:8523
-    And the owner is not served
+  Scenario: The store comes back for others first
+    Guards against an answer that outlives the state of the store.
+    Given a VM that can't read the policy and knows owner
+    And peer owner is not served
     When a caller submits a job
-    And the owner is served
+    And peer owner is served
     And 0.3 s pass and a caller submits a job
     Then it is refused as not run, to return after 0 s
 
   Scenario: An owner's record of an earlier version is read
-    Then an owner's record without a readiness address is still read as its own
+    Then an owner's record without a peer address is still read as its own
 
-  Scenario Outline: The owner answers by a read of the store that is made at that moment
-    Guards against an owner that counts the store as present for seconds after it is
-    gone, since its policy is recent.
-    Given the owner has read the policy <age> s ago
+  Scenario Outline: A VM answers by a read of the store that is made at that moment
+    Guards against one that counts the store as present for seconds after it is gone,
+    since its policy is recent.
+    Given a VM that has read the policy <age> s ago
     And the store <fault> its reads now
     When another VM asks it whether the store answers
     Then it says <answer> within 0.2 s
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -61,11 +61,11 @@
         read_clock: Callable[[], float] = read_suspending_clock,
         election_delay: float = 0.0,
         address: str = "",
-        readiness_address: str = "",
+        peer_address: str = "",
     ) -> None:
         self._election_delay = election_delay
         self._store = store
-        self._record = OwnerRecord(process, address, readiness_address)
+        self._record = OwnerRecord(process, address, peer_address)
         self._owner_address = ""
         self._run_term = run_term
         self._read_clock = read_clock
@@ -95,7 +95,7 @@
 
     @property
     def owner_address(self) -> str:
-        """The readiness address of the owner that was read last; empty if unknown."""
+        """The peer address of the owner that was read last; empty if unknown."""
         return self._owner_address
 
     async def leave(self) -> None:
@@ -150,7 +150,7 @@
 
     def _note_owner(self, found: Entry) -> None:
         try:
-            self._owner_address = decode_owner(found.value).readiness_address
+            self._owner_address = decode_owner(found.value).peer_address
         except msgspec.MsgspecError:
             self._owner_address = ""
 
--- a/src/primrosestile/coordination/work/outage_scope.py
+++ b/src/primrosestile/coordination/work/outage_scope.py
@@ -6,13 +6,14 @@
 for all VMs, that second is right: callers who return at once use up their attempts
 before it is back.
 
-The VM asks the owner whether the store answers it now. If neither the store nor the
-owner answers anything, this VM's network path is cut.
+The VM asks the owner and a few others whether the store answers them now; the owner
+alone may be among those that are turned away. If neither the store nor any of them
+answers anything, this VM's network path is cut.
 """
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import structlog
 
@@ -32,23 +33,19 @@
     def __init__(
         self,
         calls: StoreViewCalls,
-        find_owner: Callable[[], str],
-        own_address: str,
+        list_peers: Callable[[], Collection[str]],
         is_silent: Callable[[], bool],
     ) -> None:
         """Begin without an answer.
 
         Args:
-            calls: Queries to the owner.
-            find_owner: Returns the address to ask, as last read from the store; empty
-                while there was none.
-            own_address: This process's own one.
+            calls: Queries to other VMs.
+            list_peers: Returns the addresses to ask.
             is_silent: Returns whether the store, when it last failed, gave no answer at
                 all.
         """
         self._calls = calls
-        self._find_owner = find_owner
-        self._own_address = own_address
+        self._list_peers = list_peers
         self._is_silent = is_silent
         self._asking = asyncio.Lock()
         self._asked_at = -math.inf
@@ -63,13 +60,19 @@
         return self._is_own
 
     async def _ask(self) -> bool:
-        owner = self._find_owner()
-        if owner in ("", self._own_address):
-            return False
-        answer = await self._calls.ask(owner)
-        _log.info("owner_asked", owner=owner, answer=answer.name.lower())
-        if answer is StoreView.SILENT:
-            # A store that refuses calls shows that the path is sound; then the owner's
-            # VM is down, and says nothing of the store.
-            return self._is_silent()
-        return answer is StoreView.ANSWERS
+        peers = sorted(self._list_peers())
+        answers = await asyncio.gather(*(self._calls.ask(each) for each in peers))
+        is_own = self._judge(set(answers))
+        _log.info(
+            "store_views_asked",
+            answers=[answer.name.lower() for answer in answers],
+            own=is_own,
+        )
+        return is_own
+
+    def _judge(self, answers: set[StoreView]) -> bool:
+        if StoreView.ANSWERS in answers:
+            return True
+        # A store that refuses calls shows that the path is sound; then VMs that are
+        # silent are down, and say nothing of the store.
+        return answers == {StoreView.SILENT} and self._is_silent()
--- a/src/primrosestile/platform/settings.py
+++ b/src/primrosestile/platform/settings.py
@@ -62,6 +62,8 @@
     Attributes:
         callers_address: Listening address for callers.
         ready_address: Listening address for the load balancer's readiness checks.
+        peer_address: Listening address for other processes of ours; may be empty.
+        seeds: Such addresses of a few other VMs, which may be down.
         internal_ports: First and last port that are free for our own use.
         advice_address: Address of the advice service; may be empty.
         vm_list_address: Address of the platform's list of machines; may be empty.
@@ -74,6 +76,8 @@
     failure_domain: str
     callers_address: str
     ready_address: str
+    peer_address: str
+    seeds: tuple[str, ...]
     internal_ports: tuple[int, int]
     store_address: str
     advice_address: str
@@ -133,6 +137,8 @@
         failure_domain=values.get("zone", ""),
         callers_address=values["listen.front"],
         ready_address=values["listen.ready"],
+        peer_address=values.get("listen.control", ""),
+        seeds=tuple(filter(None, values.get("seeds", "").split(","))),
         internal_ports=(int(first), int(last)),
         store_address=values["platform.address"],
         advice_address=values.get("advice", ""),
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -81,15 +81,14 @@
             self._run_term,
             election_delay=find_election_delay(*self._vm_resources),
             address=settings.callers_address,
-            readiness_address=settings.ready_address,
+            peer_address=settings.peer_address,
         )
-        # Of their own, so that a silent owner does not count as a fault of the path to
-        # the store.
-        self._owner_connections = Connections()
+        # Of their own, so that a silent VM does not count as a fault of the path to the
+        # store.
+        self._peer_connections = Connections()
         scope = OutageScope(
-            HttpStoreViews(self._owner_connections),
-            lambda: self._election.owner_address,
-            settings.ready_address,
+            HttpStoreViews(self._peer_connections),
+            self._list_peers,
             lambda: self._policies.silent,
         )
         self._calls = CallerCalls(
@@ -99,6 +98,11 @@
             self._metrics,
         )
 
+    def _list_peers(self) -> set[str]:
+        """Return the peer addresses of the owner and the seeds, without our own."""
+        known = {self._election.owner_address, *self.settings.seeds}
+        return known - {"", self.settings.peer_address}
+
     @property
     def _vm_resources(self) -> tuple[float, float]:
         """The VM's processor share and link, which set its election delay."""
@@ -118,6 +122,9 @@
         callers = await _listen(self._calls.answer, self.settings.callers_address)
         ready = await _listen(self._calls.answer_ready, self.settings.ready_address)
         metrics = await _listen(self._answer_metrics, self._metrics_address)
+        peers = None
+        if self.settings.peer_address:
+            peers = await _listen(self._calls.answer_peer, self.settings.peer_address)
         _log.info(
             "started",
             address=self.settings.callers_address,
@@ -129,8 +136,10 @@
             await self._serve(signalled, callers, ready)
         finally:
             await metrics.cleanup()
+            if peers is not None:
+                await peers.cleanup()
             await self._connections.close()
-            await self._owner_connections.close()
+            await self._peer_connections.close()
         _log.info("ended")
 
     async def _serve(
@@ -151,8 +160,8 @@
                 task.cancel()
 
     def _log_reload(self) -> None:
-        # Only the seeds in the file may change for a running process, and they are
-        # unused: processes find one another through the store.
+        # Only the seeds in the file may change for a running process. Those it was
+        # started with are asked only beside the owner, so they may be stale.
         _log.info("settings_reload_asked")
 
     async def _run_for_election(self) -> None:
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -55,13 +55,17 @@
         self.leaving = False
 
     async def answer_ready(self, request: web.BaseRequest) -> web.Response:
-        """Answer the balancer's readiness check, or another VM's about the store."""
-        if request.path == STORE_VIEW_PATH:
-            answers = await self._does_store_answer()
-            return web.Response(status=200 if answers else 503)
+        """Answer the balancer's readiness check."""
         ready = self._policies.recent and not self.leaving
         return web.Response(status=200 if ready else 503)
 
+    async def answer_peer(self, request: web.BaseRequest) -> web.Response:
+        """Answer another process of ours whether the store answers this one."""
+        if request.path != STORE_VIEW_PATH:
+            return web.Response(status=404)
+        answers = await self._does_store_answer()
+        return web.Response(status=200 if answers else 503)
+
     async def _does_store_answer(self) -> bool:
         """Whether the store answers a read that is sent now."""
         if self._policies.age < CHECK_SECONDS:
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -230,12 +230,12 @@
 
     Attributes:
         address: Its listening address; no two processes share one at the same time.
-        readiness_address: Where it answers whether it is ready; empty if not known.
+        peer_address: Where it answers other processes of ours; empty if not known.
     """
 
     process: str
     address: str = ""
-    readiness_address: str = ""
+    peer_address: str = ""
 
 
 class ResignationRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/primrosestile/transport/store_views.py
+++ b/src/primrosestile/transport/store_views.py
@@ -6,7 +6,7 @@
 from primrosestile.protocol.store_views import StoreView
 from primrosestile.transport.connections import Connections, FailureKinds
 
-# Where a process answers this, on the address of its readiness.
+# Where a process answers this, on its address for peers.
 STORE_VIEW_PATH = "/store"
 # How long an asked process waits for the store, and an asking one for its answer. A
 # caller waits meanwhile.
