--- a/features/settings/cli.feature
+++ b/features/settings/cli.feature
@@ -11,7 +11,7 @@
       | examples/domeworks/settings.json   | 0    |
       | examples/thistlegate/settings.json | 0    |
       | examples/domeworks/tokens.json     | 2    |
-      | docs/design.md                     | 2    |
+      | docs/design/overview.md                     | 2    |
       | examples/nothing.json              | 2    |
 
   Scenario: A fault is shown with path, reason and remedy
@@ -61,7 +61,7 @@
       | settings edit policy --set queue_limit                         | 2    |
       | settings edit policy --set a.b=1                               | 5    |
       | settings put policy examples/domeworks/settings.json           | 2    |
-      | settings put teams/preview docs/design.md                      | 2    |
+      | settings put teams/preview docs/design/overview.md                      | 2    |
       | settings history policy --limit 0                              | 2    |
       | job explain osborne-cell-1.0                                   | 5    |
       | settings get policy --token-file examples/domeworks/tokens.json | 2    |
--- a/tools/bench/site_bound.py
+++ b/tools/bench/site_bound.py
@@ -1,6 +1,7 @@
 """Upper bounds on a day's figures for any scheduler, even with perfect foresight.
 
-`docs/decisions-work.md` describes how the bound is derived and what makes it loose.
+`docs/design/decisions-work.md` describes how the bound is derived and what makes it
+loose.
 Each figure is bounded separately, as if the callers that it leaves out were absent.
 """
 
