Name restarts elsewhere for both of their causes

`Restart` and its bounds get a module of their own, since a stalled member and a leaving worker both lead to one. A worker that leaves isn't quarantined for such a restart: it gets no new work anyway, and would use up the share of the fleet that may be quarantined.

--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -527,7 +527,7 @@
 
 @given("it was restarted elsewhere twice")
 def step_moved(context: Any) -> None:
-    context.unit.stall_restarts = 2
+    context.unit.restarts = 2
 
 
 @when("its members show {first:g} and {second:g} percent after {seconds:g} s")
@@ -577,7 +577,7 @@
 
 @then("the gang is restarted elsewhere")
 def step_elsewhere(context: Any) -> None:
-    (restart,) = context.plan.stall_restarts
+    (restart,) = context.plan.restarts
     assert restart.unit is context.unit
     end_stopping(context.fleet_state)
     (start,) = plan_at(context.fleet_state, 2.4).starts
@@ -586,5 +586,5 @@
 
 @then("the gang is not restarted")
 def step_left_alone(context: Any) -> None:
-    assert not context.plan.stall_restarts
+    assert not context.plan.restarts
     assert not context.unit.abandoned
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -25,7 +25,7 @@
 from primrosestile.coordination.work.scheduler_log import (
     log_crashes,
     log_gone,
-    log_stall_restart,
+    log_restart,
     log_stop,
     log_workers_answered,
     log_workers_found,
@@ -324,9 +324,11 @@
             )
             for stop in plan.stops:
                 log_stop(stop)
-            for restart in plan.stall_restarts:
-                log_stall_restart(restart)
-                self._quarantine_worker(restart.worker, now)
+            for restart in plan.restarts:
+                log_restart(restart)
+                # A worker that leaves gets no new work anyway.
+                if not restart.worker.entry.leaving:
+                    self._quarantine_worker(restart.worker, now)
             orders.start(plan.starts)
         orders.pace(find_paces(self._fleet_state, now))
         orders.stop_abandoned()
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -13,7 +13,7 @@
 from primrosestile.coordination.work.worker_links import WorkerLink
 from primrosestile.decisions.work.crashes import Crash
 from primrosestile.decisions.work.plan import Stop
-from primrosestile.decisions.work.stall_restarts import StallRestart
+from primrosestile.decisions.work.restarts import Restart
 from primrosestile.decisions.work.units import Member, Proof, Worker
 
 _log = structlog.get_logger()
@@ -89,8 +89,8 @@
     )
 
 
-def log_stall_restart(restart: StallRestart) -> None:
-    """Log which run is stopped because a member is stalled, and on which worker."""
+def log_restart(restart: Restart) -> None:
+    """Log which run is stopped to restart elsewhere, and because of which worker."""
     unit = restart.unit
     _log.info(
         "run_restarted_elsewhere",
--- a/src/primrosestile/decisions/work/departure_restarts.py
+++ b/src/primrosestile/decisions/work/departure_restarts.py
@@ -12,19 +12,19 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.queue_order import find_objective_seconds
-from primrosestile.decisions.work.stall_restarts import (
-    MAX_STALL_RESTARTS,
+from primrosestile.decisions.work.restarts import (
+    MAX_RESTARTS,
     RESTART_ELSEWHERE_SECONDS,
-    StallRestart,
+    Restart,
 )
 from primrosestile.decisions.work.units import MemberState, Unit, Worker
 
 
 def find_departure_restarts(
     fleet_state: FleetState, durations: Durations, now: float
-) -> list[StallRestart]:
+) -> list[Restart]:
     """Return the urgent units that would be lost with a leaving worker, each once."""
-    found: dict[int, StallRestart] = {}
+    found: dict[int, Restart] = {}
     for worker in fleet_state.workers.values():
         if not worker.entry.leaving:
             continue
@@ -32,7 +32,7 @@
             unit = member.unit
             if may_restart(unit) and is_worth_restarting(unit, worker, durations, now):
                 lost = now - (member.up_at or member.since)
-                found[id(unit)] = StallRestart(unit, worker, lost)
+                found[id(unit)] = Restart(unit, worker, lost)
     return list(found.values())
 
 
@@ -41,7 +41,7 @@
     step = unit.step
     if unit.job.queue.priority or step.checkpoints or step.daemon or step.best_effort:
         return False
-    if unit.abandoned or unit.stall_restarts >= MAX_STALL_RESTARTS:
+    if unit.abandoned or unit.restarts >= MAX_RESTARTS:
         return False
     return any(member.state is MemberState.UP for member in unit.members)
 
--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -17,11 +17,9 @@
 from primrosestile.decisions.work.preemption import may_stop
 from primrosestile.decisions.work.queue_order import Rank, RankKey
 from primrosestile.decisions.work.reservations import reserve_room
+from primrosestile.decisions.work.restarts import Restart
 from primrosestile.decisions.work.speeds import Speeds, find_slow
-from primrosestile.decisions.work.stall_restarts import (
-    StallRestart,
-    find_stall_restarts,
-)
+from primrosestile.decisions.work.stall_restarts import find_stall_restarts
 from primrosestile.decisions.work.units import Unit
 
 
@@ -74,7 +72,7 @@
 
     def __call__(
         self, fleet_state: FleetState, durations: Durations, now: float
-    ) -> list[StallRestart]:
+    ) -> list[Restart]:
         """Return them, each once."""
         ...
 
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -33,8 +33,8 @@
     could_start_before,
     count_reservation,
 )
+from primrosestile.decisions.work.restarts import Restart
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.stall_restarts import StallRestart
 from primrosestile.decisions.work.units import Unit, Worker
 
 # An eviction that wastes less than this is made at once: what a small urgent job itself
@@ -76,7 +76,7 @@
 
     starts: tuple[Assignment, ...]
     stops: tuple[Stop, ...]
-    stall_restarts: tuple[StallRestart, ...] = ()
+    restarts: tuple[Restart, ...] = ()
 
 
 def make_plan(
@@ -122,7 +122,7 @@
         self.holds = Holds((self.rooms, self.future_rooms), now)
         self.starts: list[Assignment] = []
         self.stops: list[Stop] = []
-        self.stall_restarts: list[StallRestart] = []
+        self.restarts: list[Restart] = []
         self.reserved = 0
         self.blocked: list[Unit] = []
 
@@ -159,9 +159,9 @@
                 break
             if not self._start_beside(rank, unit, held):
                 waiting.add(likeness)
-        return Plan(tuple(self.starts), tuple(self.stops), tuple(self.stall_restarts))
+        return Plan(tuple(self.starts), tuple(self.stops), tuple(self.restarts))
 
-    def _list_restarts(self) -> list[StallRestart]:
+    def _list_restarts(self) -> list[Restart]:
         mechanisms = self.mechanisms
         return [
             restart
@@ -188,8 +188,8 @@
             if workers is None:
                 unit.ready_at = began
                 continue
-            self.stall_restarts.append(restart)
-            unit.stall_restarts += 1
+            self.restarts.append(restart)
+            unit.restarts += 1
             self.fleet_state.abandon(unit)
             give_back(unit, self.future_rooms)
             take_rooms(unit, workers, self.future_rooms)
--- /dev/null
+++ b/src/primrosestile/decisions/work/restarts.py
@@ -0,0 +1,23 @@
+"""A unit that is stopped so that it can restart on other workers at once."""
+
+from dataclasses import dataclass
+
+from primrosestile.decisions.work.units import Unit, Worker
+
+# Time of the stop, its end and the next start.
+RESTART_ELSEWHERE_SECONDS = 0.4
+# A unit whose task makes no progress on any worker must not be restarted without bound.
+MAX_RESTARTS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Restart:
+    """A unit to restart elsewhere, and the worker because of which it is.
+
+    Attributes:
+        lost: Seconds that the member there has lost, or loses by the restart.
+    """
+
+    unit: Unit
+    worker: Worker
+    lost: float
--- a/src/primrosestile/decisions/work/stall_restarts.py
+++ b/src/primrosestile/decisions/work/stall_restarts.py
@@ -13,12 +13,16 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.queue_order import find_objective_seconds
-from primrosestile.decisions.work.units import Member, MemberState, Unit, Worker
+from primrosestile.decisions.work.restarts import (
+    MAX_RESTARTS,
+    RESTART_ELSEWHERE_SECONDS,
+    Restart,
+)
+from primrosestile.decisions.work.units import Member, MemberState, Unit
 
 # Workers are polled once a second; a running task progresses between two polls by at
 # least one percent.
@@ -26,33 +30,16 @@
 # Progress is reported in whole percent; over less than this, one percent more or less
 # would make a speed.
 MEASURED_SECONDS = 0.5
-# Time of the stop, its end and the next start.
-RESTART_ELSEWHERE_SECONDS = 0.4
 # A permanently slow worker takes 1.3 times as long, and tasks of one step differ by as
 # much; a task that is slower than the fastest by more than this factor has stalled.
 BEHIND_FACTOR = 2.5
-# A unit whose task makes no progress on any worker must not be restarted without bound.
-MAX_STALL_RESTARTS = 2
-
-
-@dataclass(frozen=True, slots=True)
-class StallRestart:
-    """A unit to restart elsewhere, and the worker on which it stalled.
-
-    Attributes:
-        lost: Seconds that the stalled member has lost.
-    """
-
-    unit: Unit
-    worker: Worker
-    lost: float
 
 
 def find_stall_restarts(
     fleet_state: FleetState, durations: Durations, now: float
-) -> list[StallRestart]:
+) -> list[Restart]:
     """Return the stalled units that would be late, each once."""
-    found: dict[int, StallRestart] = {}
+    found: dict[int, Restart] = {}
     best: dict[int, float] = {}
     for worker in fleet_state.workers.values():
         if not worker.acquired:
@@ -74,7 +61,7 @@
             if lost < max(STALL_SECONDS, RESTART_ELSEWHERE_SECONDS + worked):
                 continue
             if find_slack(unit, worked, durations, now) < lost:
-                found[id(unit)] = StallRestart(unit, worker, lost)
+                found[id(unit)] = Restart(unit, worker, lost)
     return list(found.values())
 
 
@@ -95,7 +82,7 @@
     step = unit.step
     if step.daemon or step.best_effort or unit.abandoned:
         return False
-    if unit.stall_restarts >= MAX_STALL_RESTARTS:
+    if unit.restarts >= MAX_RESTARTS:
         return False
     return member.state is MemberState.UP and member.percent < 100
 
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -186,7 +186,8 @@
         failed_on: Workers on which a run of it failed.
         crashes: Workers that crashed under its tasks, by the task's position.
         isolating_since: Since when it waits for workers of its own.
-        stall_restarts: Runs of it that were stopped because a member stalled.
+        restarts: Runs of it that were stopped to restart it elsewhere, because a member
+            stalled or its worker was leaving.
         reserved_workers: Workers on which room is reserved for it.
         reserved_until: When they are expected to be free.
         freed_workers: Workers on which others were stopped for it, one for each member.
@@ -208,7 +209,7 @@
     failed_on: set[str] = field(default_factory=set)
     crashes: dict[int, CrashCount] = field(default_factory=dict)
     isolating_since: float | None = None
-    stall_restarts: int = 0
+    restarts: int = 0
     reserved_workers: tuple[str, ...] = ()
     reserved_until: float = 0.0
     freed_workers: tuple[str, ...] = ()
--- a/tools/bench/passes.py
+++ b/tools/bench/passes.py
@@ -59,7 +59,7 @@
     ]
     stall_restarts = [
         (each.unit.job.job_id, each.unit.key, each.worker.name, each.lost)
-        for each in plan.stall_restarts
+        for each in plan.restarts
     ]
     return [*starts, *stops, *stall_restarts]
 
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -128,7 +128,7 @@
         restarts: Starts of units after their first.
         max_starts: The most starts of one unit.
         passes: Scheduling passes.
-        stall_restarts: Runs that were stopped because a member stalled.
+        restarts_elsewhere: Runs that were stopped to restart on other workers.
     """
 
     outcomes: list[Outcome] = field(default_factory=list)
@@ -138,7 +138,7 @@
     restarts: int = 0
     max_starts: int = 0
     passes: int = 0
-    stall_restarts: int = 0
+    restarts_elsewhere: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -336,14 +336,14 @@
         plan = self._planner(
             self._fleet_state, self._durations, self._speeds, self._now
         )
-        for restart in plan.stall_restarts:
+        for restart in plan.restarts:
             until = self._quarantine.record_stall(
                 restart.worker.name, self._now, len(self._fleet_state.workers)
             )
             restart.worker.quarantined_until = max(
                 restart.worker.quarantined_until, until
             )
-            self.day.stall_restarts += 1
+            self.day.restarts_elsewhere += 1
         for start in plan.starts:
             names = [worker.name for worker in start.workers]
             self._fleet_state.order(start.unit, names, self._now)
