--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -40,6 +40,7 @@
 from primrosestile.coordination.work.worker_links import LEASE_GRACE_SECONDS, WorkerLink
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuation import find_evacuations
+from primrosestile.decisions.work.fleet_counts import count_fleet
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.paces import find_paces
 from primrosestile.decisions.work.plan import make_plan
@@ -144,7 +145,7 @@
 
     def count(self) -> dict[str, float]:
         """Return the current values of the metrics."""
-        return {**self._fleet_state.count(), **self._health.count()}
+        return {**count_fleet(self._fleet_state), **self._health.count()}
 
     def _wake(self) -> None:
         self._pass_wanted.set()
--- a/src/primrosestile/decisions/work/advice.py
+++ b/src/primrosestile/decisions/work/advice.py
@@ -14,6 +14,7 @@
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
+from primrosestile.decisions.work.permits import Permit
 from primrosestile.decisions.work.placement import (
     Rooms,
     count_allowed,
@@ -21,7 +22,7 @@
     make_rooms,
 )
 from primrosestile.decisions.work.queue_order import find_entitled, rank_units
-from primrosestile.decisions.work.units import Permit, Unit
+from primrosestile.decisions.work.units import Unit
 from primrosestile.state.policy import AdviceRules
 
 # A job's objective allows for one question about this many workers per step.
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -396,21 +396,6 @@
                 return False
         return True
 
-    def count(self) -> dict[str, int]:
-        """Return current figures for the metrics."""
-        open_jobs = [job for job in self.jobs.values() if not job.state.final]
-        phases = [unit.phase for job in open_jobs for unit in job.units.values()]
-        return {
-            "open_jobs": len(open_jobs),
-            "waiting_units": phases.count(Phase.WAITING),
-            "running_units": phases.count(Phase.ORDERED),
-            "workers_in_hand": sum(each.acquired for each in self.workers.values()),
-            "workers": len(self.workers),
-            "suspected_units": sum(
-                bool(unit.crashes) for job in open_jobs for unit in job.units.values()
-            ),
-        }
-
     def pop_gone(self) -> list[tuple[Member, Proof]]:
         """Return the members marked as gone since the last call, and why."""
         gone = self.gone
