Wait at most 0.4 s for a store that has just failed before refusing a caller

After a failed call a submission first reads from the store whether it is back. At a store that leaves calls unanswered that read took its whole second, and the caller, whose job could not be accepted, lost a third of the time it had to try elsewhere.

The read counts as failed after 0.4 s; a store that is sixty times slower than usual answers within 0.3 s. Nothing is sent meanwhile, so "not run" is true.

Kept since a caller who can't be served is to be refused at once.

The scenario failed on the code before (1.004 s).

--- a/features/steps/work_submitting_steps.py
+++ b/features/steps/work_submitting_steps.py
@@ -144,6 +144,11 @@
     assert context.told == ["accepted", "accepted"], context.told
 
 
+@when("the store leaves the calls of {process} unanswered")
+def step_unanswered(context: Any, process: str) -> None:
+    context.world.store.faults.silent.add(process)
+
+
 @then("the second is told {kind}")
 def step_second(context: Any, kind: str) -> None:
     assert context.told[1] == kind, context.told
--- a/features/work/submitting.feature
+++ b/features/work/submitting.feature
@@ -42,6 +42,15 @@
     Then the caller is told store_unavailable within 0.05 s
     And 0 tasks of g5 were started in 5 s
 
+  Scenario: The store is known to leave calls unanswered
+    The caller may only be told that the job did not run while nothing was sent, and is
+    told soon; held until a read has failed, it has less time to try elsewhere.
+    When the store leaves the calls of p1 unanswered
+    And 1.2 s pass
+    And job g8 is handed in at p1
+    Then the caller is told store_unavailable within 0.5 s
+    And 0 tasks of g8 were started in 5 s
+
   Scenario: The policy changes under a submission
     A key is revoked between the read of the policy and the write of the job. The store
     refuses the write and returns the newer policy.
--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -46,6 +46,9 @@
 # A change of policy between its read and the write costs one try; operators write a few
 # versions a second at the most.
 POLICY_TRIES = 6
+# How long a caller waits to learn that a store that has just failed is still away. One
+# that is sixty times slower than usual answers within 0.3 s.
+CHECK_SECONDS = 0.4
 # After a lost answer the record is read back this many times before the outcome is
 # reported as unknown.
 READ_BACK_TRIES = 3
@@ -82,7 +85,7 @@
         key = make_job_key(job_id)
         ended_key = make_ended_key(job_id)
         if self._policies.doubtful:
-            await self._policies.refresh()
+            await self._check_store()
         for _ in range(POLICY_TRIES):
             policy = self._policies.require()
             submission = make(policy)
@@ -116,6 +119,15 @@
                 return submission
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy keeps changing")
 
+    async def _check_store(self) -> None:
+        """Raise the failure of a read that is not answered soon; nothing was sent."""
+        try:
+            async with asyncio.timeout(CHECK_SECONDS):
+                await self._policies.refresh()
+        except TimeoutError as error:
+            detail = f"the store did not answer within {CHECK_SECONDS:g} s"
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, detail) from error
+
     def _apply_found(self, outcome: CommitResult) -> dict[str, Entry]:
         """Apply a newer policy; return the entries found, by key."""
         found = {entry.key: entry for entry in outcome.found}
