--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -341,15 +341,15 @@
         "that to the users' target of 14,678 VMs; it was not played.",
         "",
         f"| figure | {' | '.join(columns)} | power | at 14,678 VMs |",
-        "|---|---|---|---|---|",
+        "|---|" + "---|" * (len(columns) + 2),
         *(f"| {' | '.join(map(str, row))} |" for row in figures["rows"]),
         "",
         "Why it grows: one VM schedules the whole fleet, with a task for each worker; "
         "all others only accept calls, so the middle VM grows only in traffic, "
         "which is the policy that each reads. Over budget at that size: the "
         "memory (256 MB), traffic (28 kB a second) and connections of the VM that "
-        "schedules. The day at 300 VMs gave no result: the machine ran out of memory "
-        "while other plays ran beside it.",
+        "schedules. The day at 301 VMs broke no rule. Callers were served to 0.568, "
+        "at 29 VMs to 0.826: 0.69 of that, where the users ask for 0.7 or more.",
     ]
 
 
