--- a/tools/bench/site_measures.py
+++ b/tools/bench/site_measures.py
@@ -45,7 +45,7 @@
     figures["thrown away, core-seconds"] = day.thrown_away
     figures["far runs"] = day.far
     figures["stops"] = day.stops
-    figures["rescues"] = day.restarts
+    figures["rescues"] = day.restarts_elsewhere
     figures["restarts"] = day.restarts
     figures["most starts of a unit"] = day.max_starts
     servable = [each for each in outcomes if each.servable]
