--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -85,7 +85,7 @@
         key = make_job_key(job_id)
         ended_key = make_ended_key(job_id)
         if self._policies.doubtful:
-            await self._check_store()
+            await self._policies.refresh_within(CHECK_SECONDS)
         for _ in range(POLICY_TRIES):
             policy = self._policies.require()
             submission = make(policy)
@@ -119,15 +119,6 @@
                 return submission
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy keeps changing")
 
-    async def _check_store(self) -> None:
-        """Raise the failure of a read that is not answered soon; nothing was sent."""
-        try:
-            async with asyncio.timeout(CHECK_SECONDS):
-                await self._policies.refresh()
-        except TimeoutError as error:
-            detail = f"the store did not answer within {CHECK_SECONDS:g} s"
-            raise Failure(ErrorKind.STORE_UNAVAILABLE, detail) from error
-
     def _apply_found(self, outcome: CommitResult) -> dict[str, Entry]:
         """Apply a newer policy; return the entries found, by key."""
         found = {entry.key: entry for entry in outcome.found}
--- a/src/primrosestile/coordination/work/policy_watch.py
+++ b/src/primrosestile/coordination/work/policy_watch.py
@@ -144,6 +144,15 @@
         if self._policy is not None and entry.mod_revision <= self._policy.revision:
             self._proved_at = max(self._proved_at, asked_at)
 
+    async def refresh_within(self, seconds: float) -> None:
+        """Read the policy once; a read that is not answered in time has failed."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.refresh()
+        except TimeoutError as error:
+            detail = f"the store did not answer within {seconds:g} s"
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, detail) from error
+
     def apply_version(self, entry: Entry) -> None:
         """Apply a version unless a newer one is known.
 
--- a/src/primrosestile/decisions/work/departure_restarts.py
+++ b/src/primrosestile/decisions/work/departure_restarts.py
@@ -13,9 +13,9 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.queue_order import find_objective_seconds
 from primrosestile.decisions.work.restarts import (
-    MAX_RESTARTS,
     RESTART_ELSEWHERE_SECONDS,
     Restart,
+    may_restart,
 )
 from primrosestile.decisions.work.units import MemberState, Unit, Worker
 
@@ -30,18 +30,17 @@
             continue
         for member in worker.members.values():
             unit = member.unit
-            if may_restart(unit) and is_worth_restarting(unit, worker, durations, now):
+            if id(unit) in found or not (may_restart(unit) and loses_work(unit)):
+                continue
+            if is_worth_restarting(unit, worker, durations, now):
                 lost = now - (member.up_at or member.since)
                 found[id(unit)] = Restart(unit, worker, lost)
     return list(found.values())
 
 
-def may_restart(unit: Unit) -> bool:
-    """Whether a unit is urgent, loses its work with its worker, and may restart."""
-    step = unit.step
-    if unit.job.queue.priority or step.checkpoints or step.daemon or step.best_effort:
-        return False
-    if unit.abandoned or unit.restarts >= MAX_RESTARTS:
+def loses_work(unit: Unit) -> bool:
+    """Whether a unit is urgent, runs, and loses its work with its worker."""
+    if unit.job.queue.priority or unit.step.checkpoints:
         return False
     return any(member.state is MemberState.UP for member in unit.members)
 
--- a/src/primrosestile/decisions/work/restarts.py
+++ b/src/primrosestile/decisions/work/restarts.py
@@ -21,3 +21,11 @@
     unit: Unit
     worker: Worker
     lost: float
+
+
+def may_restart(unit: Unit) -> bool:
+    """Whether a unit may be restarted elsewhere at all."""
+    step = unit.step
+    if step.daemon or step.best_effort or unit.abandoned:
+        return False
+    return unit.restarts < MAX_RESTARTS
--- a/src/primrosestile/decisions/work/stall_restarts.py
+++ b/src/primrosestile/decisions/work/stall_restarts.py
@@ -18,9 +18,9 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.queue_order import find_objective_seconds
 from primrosestile.decisions.work.restarts import (
-    MAX_RESTARTS,
     RESTART_ELSEWHERE_SECONDS,
     Restart,
+    may_restart,
 )
 from primrosestile.decisions.work.units import Member, MemberState, Unit
 
@@ -49,7 +49,9 @@
                 # Too short for a stall.
                 continue
             unit = member.unit
-            if id(unit) in found or not may_restart(member):
+            if id(unit) in found or not may_restart(unit):
+                continue
+            if not has_meaningful_progress(member):
                 continue
             if id(unit) not in best:
                 best[id(unit)] = find_best_speed(unit)
@@ -76,14 +78,8 @@
     return job.accepted + find_objective_seconds(job, durations) - left - now
 
 
-def may_restart(member: Member) -> bool:
-    """Whether a member's progress is meaningful, and its unit may be restarted."""
-    unit = member.unit
-    step = unit.step
-    if step.daemon or step.best_effort or unit.abandoned:
-        return False
-    if unit.restarts >= MAX_RESTARTS:
-        return False
+def has_meaningful_progress(member: Member) -> bool:
+    """Whether a member runs and is not done."""
     return member.state is MemberState.UP and member.percent < 100
 
 
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -71,9 +71,8 @@
         if self._policies.age < CHECK_SECONDS:
             return True
         try:
-            async with asyncio.timeout(CHECK_SECONDS):
-                await self._policies.refresh()
-        except (Failure, TimeoutError):
+            await self._policies.refresh_within(CHECK_SECONDS)
+        except Failure:
             return False
         return True
 
@@ -84,11 +83,12 @@
             async with asyncio.timeout(_find_limit(request)):
                 response = await self._dispatch(request)
         except Failure as failure:
-            retry_delay = await self._find_retry_delay(failure)
-            response = _answer_failure(request, failure, began, retry_delay)
+            if await self._is_served_elsewhere(failure):
+                failure.retry_after = 0.0
+            response = _answer_failure(request, failure, began)
         except TimeoutError:
             late = Failure(ErrorKind.DEADLINE_UNKNOWN, "no outcome in time")
-            response = _answer_failure(request, late, began, late.retry_delay)
+            response = _answer_failure(request, late, began)
         except (ConnectionError, asyncio.CancelledError):
             raise
         except Exception:
@@ -102,15 +102,10 @@
         self._metrics.seconds.observe({"method": request.method}, read_clock() - began)
         return response
 
-    async def _find_retry_delay(self, failure: Failure) -> float | None:
-        """Return after how many seconds a refused caller should return, or None.
-
-        A caller's next attempt reaches another VM.
-        """
+    async def _is_served_elsewhere(self, failure: Failure) -> bool:
+        """Whether a caller's next attempt, which reaches another VM, can succeed."""
         away = failure.kind is ErrorKind.STORE_UNAVAILABLE
-        if away and await self._scope.is_own():
-            return 0.0
-        return failure.retry_delay
+        return away and await self._scope.is_own()
 
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
         policy = self._policies.require()
@@ -213,10 +208,7 @@
 
 
 def _answer_failure(
-    request: web.BaseRequest,
-    failure: Failure,
-    began: float,
-    retry_delay: float | None = None,
+    request: web.BaseRequest, failure: Failure, began: float
 ) -> web.Response:
     answer = failure.answer
     _log.info(
@@ -227,10 +219,10 @@
         detail=failure.detail,
         ran=answer.ran.value,
         status=answer.status,
-        retry_after=retry_delay,
+        retry_after=failure.retry_delay,
         seconds=round(read_clock() - began, 3),
     )
     response = web.Response(status=answer.status)
-    if retry_delay is not None:
-        response.headers["Retry-After"] = str(math.ceil(retry_delay))
+    if failure.retry_delay is not None:
+        response.headers["Retry-After"] = str(math.ceil(failure.retry_delay))
     return response
--- a/src/primrosestile/programs/start_delays.py
+++ b/src/primrosestile/programs/start_delays.py
@@ -7,11 +7,10 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, fields
+from dataclasses import asdict, dataclass, fields
 from datetime import datetime
-from typing import Any
 
-Line = Mapping[str, Any]
+from primrosestile.programs.task_timeline import Line, find_time
 
 _QUANTILES = (0.5, 0.9, 1.0)
 
@@ -37,12 +36,13 @@
     @property
     def total(self) -> float:
         """Seconds from the caller's call to the start of the last task."""
-        return sum(getattr(self, each.name) for each in fields(self))
+        return float(sum(asdict(self).values()))
 
     @property
     def longest(self) -> str:
         """The name of the longest span."""
-        return max((each.name for each in fields(self)), key=self.__getattribute__)
+        spans = asdict(self)
+        return max(spans, key=spans.__getitem__)
 
 
 def find_delays(lines: Iterable[Line], priority: int) -> dict[str, StartDelay]:
@@ -51,7 +51,7 @@
     admitted: dict[str, Line] = {}
     decided: dict[tuple[str, int, int], Line] = {}
     started: dict[tuple[str, str], Line] = {}
-    for line in sorted(lines, key=_find_seconds):
+    for line in sorted(lines, key=find_time):
         job_id = str(line.get("job_id", ""))
         event = line["event"]
         if event == "job_accepted":
@@ -103,7 +103,7 @@
 
 
 def _find_seconds(line: Line) -> float:
-    return datetime.fromisoformat(str(line["timestamp"])).timestamp()
+    return datetime.fromisoformat(find_time(line)).timestamp()
 
 
 def format_delays(delays: Mapping[str, StartDelay], over: float) -> list[str]:
