Log how much of a store's answer had arrived when a read was cut off

The line policy_not_read was the same for a store that sent nothing and for one whose answer had arrived by nine tenths, and the size of a policy was logged nowhere. So the hypotheses on the refused callers (a value larger than what the link carries within the timeout, a store that turns VMs away, silent connections) could not be told apart from our own logs.

A timed-out call now says 'did not answer' or 'sent N of M bytes of its answer'; policy_applied has the size.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -62,6 +62,13 @@
     And a write that is answered with 503 had no effect
     And a write that is answered with 429 had no effect
 
+  Scenario: An answer that arrives too slowly is told from none
+    Guards against logs in which a store that is away and a slow link look the same.
+    When a value of 60 kB is read that arrives at 20 kB/s
+    Then the read fails and names how much of the answer has arrived
+    When a value is read that is never answered
+    Then the read fails and says that there was no answer
+
   Scenario: The list of VMs is read page by page, and maintenance is ordered
     Then the VMs on two pages are listed
     And a maintenance order carries its holder and fence
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,9 +1,11 @@
 """Steps for the adapter to the users' platform."""
 
 import asyncio
+import base64
 import contextlib
 import json
 import os
+import re
 import socket
 from collections.abc import AsyncIterator
 from typing import Any
@@ -50,6 +52,8 @@
 """
 EXAMPLE_PORTS = {"front": 8521, "ready": 8523, "store": 8524, "advice": 8525}
 WAIT_SECONDS = 30.0
+# A slow answer is sent in parts of this size.
+PART_BYTES = 1000
 
 
 def find_free_port() -> int:
@@ -295,6 +299,80 @@
         await end.cleanup()
 
 
+@contextlib.asynccontextmanager
+async def answer_slowly(body: bytes, rate: float) -> AsyncIterator[str]:
+    """Serve every GET with a body at a rate in bytes a second; yield the address.
+
+    With a rate of 0 no call is answered.
+    """
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        if not rate:
+            await asyncio.Event().wait()
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        for start in range(0, len(body), PART_BYTES):
+            part = body[start : start + PART_BYTES]
+            await asyncio.sleep(len(part) / rate)
+            await response.write(part)
+        return response
+
+    app = web.Application()
+    app.router.add_get("/{path:.*}", answer)
+    end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+    await end.setup()
+    port = find_free_port()
+    await web.TCPSite(end, "127.0.0.1", port).start()
+    try:
+        yield f"127.0.0.1:{port}"
+    finally:
+        await end.cleanup()
+
+
+def read_slowly(size: int, rate: float) -> Entry | Failure | None:
+    """Read a value of `size` bytes at a rate in bytes a second."""
+    value = base64.b64encode(bytes(size)).decode()
+    item = {"key": "k", "value": value, "revision": 1, "created": 1}
+
+    async def read() -> Entry | Failure | None:
+        async with answer_slowly(json.dumps(item).encode(), rate) as address:
+            connections = Connections()
+            store = PlatformStore(address, connections, link=1000.0)
+            try:
+                return await store.get("k")
+            except Failure as failure:
+                return failure
+            finally:
+                await connections.close()
+
+    return asyncio.run(read())
+
+
+@when("a value of {size:d} kB is read that arrives at {rate:g} kB/s")
+def step_read_slowly(context: Any, size: int, rate: float) -> None:
+    context.read = read_slowly(size * 1000, rate * 1000)
+
+
+@when("a value is read that is never answered")
+def step_read_unanswered(context: Any) -> None:
+    context.read = read_slowly(1, 0.0)
+
+
+@then("the read fails and names how much of the answer has arrived")
+def step_arrived(context: Any) -> None:
+    assert isinstance(context.read, Failure)
+    found = re.search(r"sent (\d+) of (\d+) bytes", context.read.detail)
+    assert found is not None, context.read.detail
+    assert 0 < int(found[1]) < int(found[2]), context.read.detail
+
+
+@then("the read fails and says that there was no answer")
+def step_unanswered(context: Any) -> None:
+    assert isinstance(context.read, Failure)
+    assert "did not answer" in context.read.detail, context.read.detail
+
+
 def send_order(status: int) -> OrderAnswer:
     """Send a start to a worker that answers every order with one status."""
 
--- a/src/primrosestile/coordination/work/policy_watch.py
+++ b/src/primrosestile/coordination/work/policy_watch.py
@@ -180,4 +180,5 @@
             revision=policy.revision,
             queues=len(policy.queues),
             keys=len(policy.keys),
+            size=len(entry.value),
         )
--- a/src/primrosestile/transport/connections.py
+++ b/src/primrosestile/transport/connections.py
@@ -64,9 +64,24 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """Whether a call has held a connection yet."""
+    """How far a call has come.
+
+    Attributes:
+        sent: Whether it has held a connection.
+        received: Bytes of the answer's body; None before its headers.
+        stated: Length of the body as the headers state it, if they do.
+    """
 
     sent: bool = False
+    received: int | None = None
+    stated: int | None = None
+
+    def describe(self) -> str:
+        """Return how much of the answer has arrived."""
+        if self.received is None:
+            return "did not answer"
+        of = "" if self.stated is None else f" of {self.stated}"
+        return f"sent {self.received}{of} bytes of its answer"
 
 
 @dataclass(slots=True)
@@ -162,7 +177,7 @@
         except TimeoutError:
             self._note_silence(address, target)
             silent = True
-            detail = f"{address}{path} did not answer within {timeout:g} s"
+            detail = f"{address}{path} {progress.describe()} within {timeout:g} s"
         except (aiohttp.ClientError, OSError) as error:
             detail = f"{address}{path}: {error or type(error).__name__}"
         kind = kinds.lost if progress.sent else kinds.unsent
@@ -204,7 +219,7 @@
                 trace_request_ctx=progress,
             ) as response:
                 check_length(response)
-                content = await response.read()
+                content = await _read_body(response, progress)
                 return Reply(response.status, response.headers, content)
         finally:
             pool.users -= 1
@@ -254,6 +269,16 @@
         raise aiohttp.ClientPayloadError("the answer is too large")
 
 
+async def _read_body(response: aiohttp.ClientResponse, progress: _Progress) -> bytes:
+    progress.received = 0
+    progress.stated = response.content_length
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        progress.received = len(body)
+    return bytes(body)
+
+
 def close_later(session: aiohttp.ClientSession) -> None:
     """Close an unused session in the background, outside the failed call's deadline."""
     task = asyncio.get_running_loop().create_task(session.close())
