Show in tests that a policy too large for its timeout is never read

On 5 Mbit/s with 540 or 1048 kB, and on 10 Mbit/s with 1048 kB, callers are refused for all of the 60 s; with less, or on a fast link, an unchanged policy uses 54 kB/s to 1.9 MB/s of it. Through the real client a value of 1048 kB over 5 Mbit/s is cut off after 1 s with 430,000 of 1,397,390 bytes there.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -69,6 +69,11 @@
     When a value is read that is never answered
     Then the read fails and says that there was no answer
 
+  Scenario: The largest value arrives over a slow link
+    Guards against a value that is requested again and again and never arrives whole.
+    When a value of 1048 kB is read over a link of 5 Mbit/s
+    Then the value is read
+
   Scenario: The list of VMs is read page by page, and maintenance is ordered
     Then the VMs on two pages are listed
     And a maintenance order carries its holder and fence
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -21,7 +21,7 @@
 from primrosestile.platform.policy import POLICY_KEY, read_policy
 from primrosestile.platform.rejections import Fault, Unreadable
 from primrosestile.platform.settings import SettingsError, parse_settings
-from primrosestile.platform.store import PlatformStore
+from primrosestile.platform.store import BYTES_PER_MEGABIT, PlatformStore
 from primrosestile.platform.workers import PlatformWorkers
 from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.node import Node
@@ -330,15 +330,18 @@
         await end.cleanup()
 
 
-def read_slowly(size: int, rate: float) -> Entry | Failure | None:
-    """Read a value of `size` bytes at a rate in bytes a second."""
+def read_slowly(size: int, rate: float, link: float) -> Entry | Failure | None:
+    """Read a value of `size` bytes that arrives at a rate in bytes a second.
+
+    The VM's settings name a link of `link` megabits a second.
+    """
     value = base64.b64encode(bytes(size)).decode()
     item = {"key": "k", "value": value, "revision": 1, "created": 1}
 
     async def read() -> Entry | Failure | None:
         async with answer_slowly(json.dumps(item).encode(), rate) as address:
             connections = Connections()
-            store = PlatformStore(address, connections, link=1000.0)
+            store = PlatformStore(address, connections, link)
             try:
                 return await store.get("k")
             except Failure as failure:
@@ -351,12 +354,23 @@
 
 @when("a value of {size:d} kB is read that arrives at {rate:g} kB/s")
 def step_read_slowly(context: Any, size: int, rate: float) -> None:
-    context.read = read_slowly(size * 1000, rate * 1000)
+    context.read = read_slowly(size * 1000, rate * 1000, link=1000.0)
+
+
+@when("a value of {size:d} kB is read over a link of {megabits:g} Mbit/s")
+def step_read_linked(context: Any, size: int, megabits: float) -> None:
+    rate = megabits * BYTES_PER_MEGABIT
+    context.read = read_slowly(size * 1000, rate, link=megabits)
+
+
+@then("the value is read")
+def step_value_read(context: Any) -> None:
+    assert isinstance(context.read, Entry), context.read
 
 
 @when("a value is read that is never answered")
 def step_read_unanswered(context: Any) -> None:
-    context.read = read_slowly(1, 0.0)
+    context.read = read_slowly(1, 0.0, link=1000.0)
 
 
 @then("the read fails and names how much of the answer has arrived")
--- a/features/steps/work_submitting_steps.py
+++ b/features/steps/work_submitting_steps.py
@@ -14,13 +14,17 @@
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
+from primrosestile.platform.store import BYTES_PER_MEGABIT
 from primrosestile.protocol.store import Entry
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import JobState, Submission
 from primrosestile_standin.fleet_store import FleetStore
+from primrosestile_standin.link import VALUE_FACTOR, Link
 
 ONE_TASK = [{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1}]
 KEYS = {"domes": "key-domes", "post": "key-post"}
+# Interval at which a step checks whether callers are refused.
+SAMPLE_SECONDS = 0.05
 
 
 def make_submission_maker(job_id: str, organisation: str) -> Any:
@@ -385,3 +389,66 @@
 @then("its policy was recent all the time")
 def step_recent(context: Any) -> None:
     assert not context.stale, context.stale
+
+
+def make_large_policy(version: int, size: int) -> bytes:
+    """Return a policy of many queues, padded to a size in bytes."""
+    few, many = (
+        make_policy(version, queues={f"queue{each:05}": 1 for each in range(count)})
+        for count in (1, 101)
+    )
+    count = 1 + 100 * (size - len(few)) // (len(many) - len(few))
+    queues = {f"queue{each:05}": 1 for each in range(count)}
+    return make_policy(version, queues=queues).ljust(size)
+
+
+@given("its link has {megabits:g} Mbit/s")
+def step_policy_link(context: Any, megabits: float) -> None:
+    context.link = Link()
+    context.link.rate = megabits * BYTES_PER_MEGABIT
+
+
+@when(
+    "it runs for {seconds:g} s while operators replace a policy of {size:d} kB"
+    " every {interval:g} s"
+)
+def step_replace_policy(
+    context: Any, seconds: float, size: int, interval: float
+) -> None:
+    store = FleetStore()
+    source = PlatformPolicies(store.connect("p1", context.link))
+    watch = PolicyWatch(source, context.holds, read_clock)
+    context.policy_bytes = size * 1000
+    # Seconds in which callers were refused, and the version known at the end, of each
+    # interval.
+    context.refused, context.known = [], []
+    context.ran_for = seconds
+
+    async def run() -> None:
+        reading = asyncio.create_task(watch.run())
+        for version in range(1, round(seconds / interval) + 1):
+            store.put(POLICY_KEY, make_large_policy(version, context.policy_bytes))
+            refused = 0
+            for _ in range(round(interval / SAMPLE_SECONDS)):
+                await asyncio.sleep(SAMPLE_SECONDS)
+                refused += not watch.recent
+            context.refused.append(refused * SAMPLE_SECONDS)
+            context.known.append(watch.policy.version if watch.policy else 0)
+        reading.cancel()
+        await asyncio.wait({reading})
+
+    run_paused(run())
+
+
+@then("callers were refused for at most {seconds:g} s after each change")
+def step_refused_briefly(context: Any, seconds: float) -> None:
+    assert max(context.refused) <= seconds, context.refused
+    assert context.known == list(range(1, len(context.known) + 1)), context.known
+
+
+@then("its link carried each version once and at most {rate:g} kB/s besides")
+def step_link_load(context: Any, rate: float) -> None:
+    versions = len(context.refused)
+    once = versions * VALUE_FACTOR * context.policy_bytes
+    limit = once + rate * 1000 * context.ran_for
+    assert context.link.carried <= limit, (context.link.carried, limit)
--- a/features/work/submitting.feature
+++ b/features/work/submitting.feature
@@ -145,3 +145,20 @@
       | 1.6   | 48   |
       | 2.5   | 34   |
       | 0.8   | 77   |
+
+  Scenario Outline: A large policy is read over a slow link
+    Guards against a VM that refuses all callers for good once the policy has grown.
+    Given a process whose proof of the policy holds for 2.4 s
+    And its link has <megabits> Mbit/s
+    When it runs for 60 s while operators replace a policy of <size> kB every 20 s
+    Then callers were refused for at most 3 s after each change
+    And its link carried each version once and at most 28 kB/s besides
+
+    Examples:
+      | megabits | size |
+      | 5        | 30   |
+      | 5        | 270  |
+      | 5        | 540  |
+      | 5        | 1048 |
+      | 10       | 1048 |
+      | 100      | 1048 |
--- a/src/primrosestile_standin/link.py
+++ b/src/primrosestile_standin/link.py
@@ -24,11 +24,13 @@
     Attributes:
         rate: Throughput of the link in bytes a second.
         call_seconds: Processor time per answer.
+        carried: Bytes transferred so far.
     """
 
     def __init__(self) -> None:
         self.rate = math.inf
         self.call_seconds = 0.0
+        self.carried = 0.0
         self._link = _SerialServer()
         self._processor = _SerialServer()
 
@@ -45,6 +47,7 @@
                 part = min(size, PART_BYTES)
                 size -= part
                 await self._link.serve(part / self.rate)
+                self.carried += part
             await self._processor.serve(self.call_seconds)
 
 
