Model the time that large calls take over the stand-in's links

The stand-in gave the answer of a watch and of a change one second, whatever the adapter's limit, said of a change whose request was cut short that it had certainly no effect, and carried the arguments of a start in no time. Now a watch and a change have the adapter's own limits over the whole call, such a change counts as unanswered, and the arguments of a start take their share of the link within the limit of an order.

--- a/src/primrosestile_standin/fleet_calls.py
+++ b/src/primrosestile_standin/fleet_calls.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import (
     OrderAnswer,
@@ -76,7 +77,11 @@
         self, entry: WorkerEntry, fence: int, order: StartOrder
     ) -> OrderAnswer:
         """Start one run."""
-        return await self._order(entry, lambda worker: worker.take_start(fence, order))
+        return await self._order(
+            entry,
+            lambda worker: worker.take_start(fence, order),
+            len(order.payload.encode()),
+        )
 
     async def stop(
         self, entry: WorkerEntry, fence: int, task: str, run: int
@@ -95,8 +100,14 @@
         )
 
     async def _order(
-        self, entry: WorkerEntry, execute: Callable[[FleetWorker], Refusal | None]
+        self,
+        entry: WorkerEntry,
+        execute: Callable[[FleetWorker], Refusal | None],
+        payload_bytes: int = 0,
     ) -> OrderAnswer:
+        began = read_clock()
+        if payload_bytes:
+            await self._carry_bytes(payload_bytes, began)
         worker = await self._reach(entry)
         if worker is None:
             return OrderAnswer(refusal=Refusal.OTHER_INCARNATION)
@@ -110,7 +121,7 @@
         if worker.faults.lose_answers:
             worker.faults.lose_answers -= 1
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "lost")
-        await self._carry(1)
+        await self._carry(1, began)
         return OrderAnswer(worker.report_clock(), refusal)
 
     async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
@@ -132,13 +143,19 @@
         if worker.faults.resets:
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "the connection was reset")
 
-    async def _carry(self, rows: int) -> None:
+    async def _carry(self, rows: int, began: float | None = None) -> None:
         self._carried += 1
         if self._carried % 10 < self.lost_of_ten:
             await asyncio.sleep(TIMEOUT_SECONDS)
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time")
+        size = ANSWER_BYTES + rows * ROW_BYTES
+        await self._carry_bytes(size, read_clock() if began is None else began)
+
+    async def _carry_bytes(self, size: int, began: float) -> None:
+        """Carry a part of a call that began at `began`, or fail by its timeout."""
+        left = max(0.0, began + TIMEOUT_SECONDS - read_clock())
         try:
-            await self._link.carry(ANSWER_BYTES + rows * ROW_BYTES, TIMEOUT_SECONDS)
+            await self._link.carry(size, left)
         except TimeoutError as error:
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time") from error
 
--- a/src/primrosestile_standin/fleet_store.py
+++ b/src/primrosestile_standin/fleet_store.py
@@ -14,7 +14,12 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.platform.store import BYTES_PER_MEGABIT, find_list_timeout
+from primrosestile.platform.store import (
+    BYTES_PER_MEGABIT,
+    WATCH_SLACK_SECONDS,
+    WRITE_TIMEOUT_SECONDS,
+    find_list_timeout,
+)
 from primrosestile.protocol.store import Change, Entry, Page
 from primrosestile.protocol.transactions import (
     CommitResult,
@@ -270,8 +275,15 @@
         removals: Sequence[str] = (),
     ) -> CommitResult:
         """Apply a transaction if all of its conditions hold."""
+        lost = ErrorKind.STORE_ANSWER_LOST
+        began = read_clock()
         await self._enter()
-        await self._carry(sum(map(_measure_write, writes)))
+        # A change whose request is cut short has no effect, but its caller can't tell.
+        await self._carry(
+            sum(map(_measure_write, writes)),
+            lost,
+            _find_left(began, WRITE_TIMEOUT_SECONDS),
+        )
         faults = self._store.faults
         if faults.late_writes:
             delay = faults.late_writes.pop(0)
@@ -282,7 +294,11 @@
         if faults.lose_writes:
             faults.lose_writes -= 1
             raise Failure(ErrorKind.STORE_ANSWER_LOST, "lost")
-        await self._carry(_measure_answer(outcome.found), ErrorKind.STORE_ANSWER_LOST)
+        await self._carry(
+            _measure_answer(outcome.found),
+            lost,
+            _find_left(began, WRITE_TIMEOUT_SECONDS),
+        )
         return outcome
 
     def _apply_late(
@@ -317,9 +333,13 @@
     async def watch_once(self, prefix: str, after: int, seconds: float) -> WatchBatch:
         """Return the changes after a revision, as soon as there is one."""
         self._store.calls_by_key[prefix] += 1
+        began = read_clock()
         await self._enter()
         batch = await self._wait_for_changes(prefix, after, seconds)
-        await self._carry(_measure_answer([change.entry for change in batch.changes]))
+        await self._carry(
+            _measure_answer([change.entry for change in batch.changes]),
+            seconds=_find_left(began, seconds + WATCH_SLACK_SECONDS),
+        )
         return batch
 
     async def _wait_for_changes(
@@ -381,6 +401,11 @@
             raise Failure(ErrorKind.STORE_UNAVAILABLE, "refused")
 
 
+def _find_left(began: float, timeout: float) -> float:
+    """Return what is left of a call's timeout, in seconds."""
+    return max(0.0, began + timeout - read_clock())
+
+
 def _measure_answer(entries: Sequence[Entry | None]) -> float:
     """Return the size of an answer with entries, in bytes."""
     values = [entry.value for entry in entries if entry is not None]
