Read the policy anew only when it has changed

Cause: a read of a key had 1 s for its whole answer, whatever its size, and began at the first byte again after each timeout. Over 5 Mbit/s (625 kB/s) a larger policy never arrived whole, and up to three such reads shared the link. The class: a limit that does not depend on a message's size, on a message that can grow, and a repetition that starts from zero.

Ruled out: a store that turns VMs away (it answered each of their calls), silent connections (the links were full), an unreadable version (VMs on fast links served by it).

Change: - An answer that has begun may take as long as the VM's link needs for the largest value, as long as parts keep arriving (transport/call_progress). A silent connection is still found after 1 s. The same holds for a change that is refused with large entries, for a watch, and, by its size, for the request of a change. - A policy of more than 12 kB is checked by a condition on its known revision, which answers in a few bytes unless it has changed. 12 kB every 0.75 s is 21 kB/s, within what a VM may use of its link; smaller policies are read as before, as a check costs the store a write. - While a version arrives no second read is sent.

--- a/features/doubles/work_links.py
+++ b/features/doubles/work_links.py
@@ -31,6 +31,7 @@
     Write,
 )
 from primrosestile.state.workers import WorkerEntry
+from primrosestile.transport.call_progress import do_nothing
 
 ORDER_TIMEOUT_SECONDS = 0.45
 POLL_SLACK_SECONDS = 0.6
@@ -194,9 +195,20 @@
     def __init__(self, store: TransactionalStore) -> None:
         self._store = store
 
-    async def get(self, key: str, recent: bool = True) -> Entry | None:
+    async def get(
+        self,
+        key: str,
+        recent: bool = True,
+        on_answer: Callable[[], None] = do_nothing,
+    ) -> Entry | None:
         """Return the present value of a key, or None."""
-        return await run_outside(lambda: self._store.get(key, recent))
+        return await run_outside(lambda: self._store.get(key, recent, on_answer))
+
+    async def check(
+        self, condition: Condition, on_answer: Callable[[], None] = do_nothing
+    ) -> CommitResult:
+        """Return whether a condition holds; if not, the entry under its key."""
+        return await run_outside(lambda: self._store.check(condition, on_answer))
 
     async def list(self, prefix: str, after: str = "") -> Page:
         """Return one page of the entries under a prefix."""
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import looptime
@@ -19,6 +20,7 @@
 from primrosestile.platform.policy import POLICY_KEY, read_policy
 from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.node_calls import CallerCalls
+from primrosestile.protocol.policies import StoredVersion
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.store_views import StoreView
 from primrosestile.state.policy import Policy
@@ -39,10 +41,11 @@
     def __init__(self, fault: str = "refuses") -> None:
         self.fault = fault
 
-    async def read(self) -> Entry:
+    async def read(self, known: int, on_answer: Callable[[], None]) -> StoredVersion:
         await asyncio.sleep(0.004)
         if self.fault == "answers":
-            return Entry("policy", make_policy(1), 1, 1)
+            on_answer()
+            return StoredVersion(1, Entry("policy", make_policy(1), 1, 1))
         silent = self.fault == "leaves unanswered"
         if silent:
             await asyncio.sleep(1.0)
--- a/features/steps/work_submitting_steps.py
+++ b/features/steps/work_submitting_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 from behave import given, then, when
@@ -15,6 +16,7 @@
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies
 from primrosestile.platform.store import BYTES_PER_MEGABIT
+from primrosestile.protocol.policies import StoredVersion
 from primrosestile.protocol.store import Entry
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import JobState, Submission
@@ -333,13 +335,16 @@
         self.answers_after = answers_after
         self._policies = PlatformPolicies(FleetStore().connect("p1"))
 
-    async def read(self) -> Entry | None:
+    async def read(
+        self, known: int, on_answer: Callable[[], None]
+    ) -> StoredVersion | None:
         self.reads += 1
         if self.reads % self.fails_each == 0:
             await asyncio.sleep(self.fails_after)
             raise Failure(ErrorKind.STORE_UNAVAILABLE, "refused")
         await asyncio.sleep(self.answers_after)
-        return Entry(POLICY_KEY, make_policy(1), 1, 1)
+        on_answer()
+        return StoredVersion(1, Entry(POLICY_KEY, make_policy(1), 1, 1))
 
     def decode(self, entry: Entry) -> Policy:
         return self._policies.decode(entry)
--- a/src/primrosestile/coordination/work/policy_watch.py
+++ b/src/primrosestile/coordination/work/policy_watch.py
@@ -6,6 +6,10 @@
 nothing, as it may be silent while versions change. A policy whose proof is older than a
 bound is not used; callers are refused at once and told when to retry.
 
+A large version may take longer to arrive over a slow link than the interval between
+two reads. No other read is sent meanwhile: it would transfer the same version again,
+and both would take twice as long.
+
 A newest version that can't be decoded proves nothing either, since it may revoke a key.
 The last readable version stays in force for the rest of its bound; then callers are
 refused until there is a readable version. No job could be accepted meanwhile in any
@@ -60,6 +64,8 @@
         self._unreadable_revision = 0
         # When the newest answered read was sent.
         self._answered_at = -math.inf
+        # For each read whose answer is arriving, an event that is set at its end.
+        self._arriving: set[asyncio.Event] = set()
         self.doubtful = False
         self.silent = False
         self.loaded = asyncio.Event()
@@ -83,6 +89,11 @@
         """Whether requests may be judged by the policy."""
         return self._policy is not None and self.age < self._max_proof_age
 
+    @property
+    def arriving(self) -> bool:
+        """Whether the store is answering a read at this moment."""
+        return bool(self._arriving)
+
     def require(self) -> Policy:
         """Return the policy to judge a request by.
 
@@ -107,6 +118,9 @@
             while True:
                 started = read_clock()
                 wait = self._max_proof_age / POLLS_PER_PROOF
+                if self._arriving:
+                    await self._wait_for_arrival()
+                    continue
                 if len(in_flight) < MAX_IN_FLIGHT:
                     reading = tasks.create_task(self._try_refresh())
                     in_flight.add(reading)
@@ -128,27 +142,51 @@
     async def refresh(self) -> None:
         """Read the policy once."""
         asked_at = self._read_steady()
+        ended = asyncio.Event()
         try:
-            entry = await self._source.read()
+            version = await self._source.read(
+                self._known_revision, lambda: self._arriving.add(ended)
+            )
         except Failure as failure:
             self.silent = failure.silent
             # An earlier read may fail after a later one was answered.
             self.doubtful |= asked_at >= self._answered_at
             raise
+        finally:
+            self._arriving.discard(ended)
+            ended.set()
         if asked_at >= self._answered_at:
             self.doubtful = False
             self._answered_at = asked_at
-        if entry is None:
+        if version is None:
             return
-        self.apply_version(entry)
-        if self._policy is not None and entry.mod_revision <= self._policy.revision:
+        if version.entry is not None:
+            self.apply_version(version.entry)
+        if self._policy is not None and version.revision <= self._policy.revision:
             self._proved_at = max(self._proved_at, asked_at)
 
+    @property
+    def _known_revision(self) -> int:
+        """Revision of the newest version read, readable or not; 0 for none."""
+        applied = 0 if self._policy is None else self._policy.revision
+        return max(applied, self._unreadable_revision)
+
+    async def _wait_for_arrival(self) -> None:
+        """Wait until one of the reads that are being answered has ended."""
+        ended = next(iter(self._arriving))
+        await ended.wait()
+
     async def refresh_within(self, seconds: float) -> None:
-        """Read the policy once; a read that is not answered in time has failed."""
+        """Read the policy once; a read that is not answered in time has failed.
+
+        If a version is arriving, this waits for it.
+        """
         try:
             async with asyncio.timeout(seconds):
-                await self.refresh()
+                if self._arriving:
+                    await self._wait_for_arrival()
+                else:
+                    await self.refresh()
         except TimeoutError as error:
             detail = f"the store did not answer within {seconds:g} s"
             raise Failure(ErrorKind.STORE_UNAVAILABLE, detail) from error
--- a/src/primrosestile/platform/policy.py
+++ b/src/primrosestile/platform/policy.py
@@ -1,5 +1,6 @@
 """Decodes the operators' configuration in the platform's store."""
 
+from collections.abc import Callable
 from typing import Annotated
 
 import msgspec
@@ -12,11 +13,15 @@
     Unreadable,
     decode_json,
 )
+from primrosestile.protocol.policies import StoredVersion
 from primrosestile.protocol.store import Entry
-from primrosestile.protocol.transactions import TransactionalStore
+from primrosestile.protocol.transactions import Condition, TransactionalStore
 from primrosestile.state.policy import AdviceRules, CallLimits, Policy, Pool, Queue
 
 POLICY_KEY = "op/config"
+# A larger version is read anew only when it has changed. Reading this much every 0.75 s
+# takes 21 kB/s, most of what a VM may use of its link; a check costs the store a write.
+MAX_REREAD_BYTES = 12_000
 # A day: no timeout or objective is longer. A longer one can't be distinguished from
 # no deadline.
 MAX_DURATION_MS = 86_400_000.0
@@ -155,13 +160,27 @@
     ) -> None:
         self._store = store
         self._rejections = rejections or RejectionLog()
+        # Size of the version that was decoded last.
+        self._size = 0
 
-    async def read(self) -> Entry | None:
+    async def read(
+        self, known: int, on_answer: Callable[[], None]
+    ) -> StoredVersion | None:
         """Return the current version; a stale read is not allowed."""
-        return await self._store.get(POLICY_KEY)
+        if known and self._size > MAX_REREAD_BYTES:
+            outcome = await self._store.check(Condition(POLICY_KEY, known), on_answer)
+            if outcome.done:
+                return StoredVersion(known, None)
+            entry = next(iter(outcome.found), None)
+        else:
+            entry = await self._store.get(POLICY_KEY, on_answer=on_answer)
+        if entry is None:
+            return None
+        return StoredVersion(entry.mod_revision, entry)
 
     def decode(self, entry: Entry) -> Policy:
         """Return the policy of a stored version."""
+        self._size = len(entry.value)
         rejected: dict[str, Unreadable] = {}
         try:
             return read_policy(entry)
--- a/src/primrosestile/platform/store.py
+++ b/src/primrosestile/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import binascii
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Annotated, Any
 from urllib.parse import quote
 
@@ -23,6 +23,7 @@
     WatchBatch,
     Write,
 )
+from primrosestile.transport.call_progress import TimeLimits, do_nothing
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 
 # A healthy store answers in 4 ms, a slow one in 300 ms. After this time the connection
@@ -31,18 +32,19 @@
 WRITE_TIMEOUT_SECONDS = 1.5
 # Added to the requested wait time of a watch.
 WATCH_SLACK_SECONDS = 1.0
-# The largest page: a megabyte of values in base 64, their keys and numbers.
+# The largest page or value: a megabyte in base 64, with keys and numbers.
 PAGE_BYTES = 1_500_000
 BYTES_PER_MEGABIT = 125_000
 # Other calls at the same time may take the other half of the link.
 LINK_SHARE = 0.5
-# Beyond this, reading in parts is faster, whatever the link.
-MAX_LIST_SECONDS = 6.0
+# Beyond this, reading a page in parts is faster, whatever the link.
+MAX_TRANSFER_SECONDS = 5.0
 
 # Statuses by which the store says that a call had no effect: bad request, forbidden,
 # too many requests, unavailable.
 NO_EFFECT_STATUSES = (400, 403, 429, 503)
 
+_JSON_HEADERS = {"Content-Type": "application/json"}
 _READ = FailureKinds(ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_UNAVAILABLE)
 _WRITE = FailureKinds(ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_ANSWER_LOST)
 
@@ -50,6 +52,17 @@
 _Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 
 
+def find_transfer_seconds(link: float, size: float = PAGE_BYTES) -> float:
+    """Return how long a message may take over a VM's link, beyond its timeout.
+
+    Args:
+        link: Throughput in megabits a second.
+        size: The message's size in bytes; by default that of the largest answer.
+    """
+    carried = size / (link * BYTES_PER_MEGABIT * LINK_SHARE)
+    return min(MAX_TRANSFER_SECONDS, carried)
+
+
 def find_list_timeout(link: float) -> float:
     """Return the timeout in seconds of reading a page over a link in megabits a second.
 
@@ -57,8 +70,7 @@
     full page: it would request the same page over and over, and as the owner it would
     receive no jobs and no cancellations.
     """
-    carried = PAGE_BYTES / (link * BYTES_PER_MEGABIT * LINK_SHARE)
-    return min(MAX_LIST_SECONDS, READ_TIMEOUT_SECONDS + carried)
+    return READ_TIMEOUT_SECONDS + find_transfer_seconds(link)
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -115,15 +127,23 @@
     ) -> None:
         self._address = address
         self._connections = connections
+        self._link = link
         self._list_seconds = find_list_timeout(link)
+        self._transfer_seconds = find_transfer_seconds(link)
         self._rejections = rejections or RejectionLog()
 
-    async def get(self, key: str, recent: bool = True) -> Entry | None:
+    async def get(
+        self,
+        key: str,
+        recent: bool = True,
+        on_answer: Callable[[], None] = do_nothing,
+    ) -> Entry | None:
         """Return the value of a key, or None; the current one if `recent`."""
         path = f"/v1/kv-key?key={quote(key, safe='')}"
         if not recent:
             path += "&serializable=1"
-        reply = await self._read(path, READ_TIMEOUT_SECONDS, (200, 404))
+        limits = TimeLimits(READ_TIMEOUT_SECONDS, self._transfer_seconds)
+        reply = await self._read(path, limits, (200, 404), on_answer)
         if reply.status == 404:
             return None
         item = _decode(reply, _Item)
@@ -164,6 +184,25 @@
         reply = await self._write("POST", "/v1/kv-txn", body, (200, 412, 404))
         if reply.status == 404:
             raise Failure(ErrorKind.NOT_FOUND, "the lease of a write has expired")
+        return self._read_outcome(reply)
+
+    async def check(
+        self, condition: Condition, on_answer: Callable[[], None] = do_nothing
+    ) -> CommitResult:
+        """Return whether a condition holds; if not, the entry under its key."""
+        row = {"key": condition.key, "revision": condition.revision}
+        reply = await self._connections.call(
+            self._address,
+            "/v1/kv-txn",
+            msgspec.json.encode({"precondition": [row], "writes": [], "remove": []}),
+            TimeLimits(READ_TIMEOUT_SECONDS, self._transfer_seconds),
+            _READ,
+            headers=_JSON_HEADERS,
+            on_answer=on_answer,
+        )
+        return self._read_outcome(_check(reply, "/v1/kv-txn", (200, 412), _READ))
+
+    def _read_outcome(self, reply: Reply) -> CommitResult:
         if reply.status == 200:
             return CommitResult(done=True, revision=_decode(reply, _Done).revision)
         # All items must be readable: a rejected one would count as a key that does not
@@ -190,8 +229,8 @@
             f"/v1/kv-watch?prefix={quote(prefix, safe='')}"
             f"&after={after}&wait_ms={int(seconds * 1000)}"
         )
-        timeout = seconds + WATCH_SLACK_SECONDS
-        reply = await self._read(path, timeout, (200, 410))
+        limits = TimeLimits(seconds + WATCH_SLACK_SECONDS, self._transfer_seconds)
+        reply = await self._read(path, limits, (200, 410))
         if reply.status == 410:
             return WatchBatch((), after, complete=False)
         answer = _decode(reply, _Events)
@@ -230,23 +269,35 @@
         return tuple(entries)
 
     async def _read(
-        self, path: str, timeout: float, accepted: tuple[int, ...]
+        self,
+        path: str,
+        limits: float | TimeLimits,
+        accepted: tuple[int, ...],
+        on_answer: Callable[[], None] = do_nothing,
     ) -> Reply:
         reply = await self._connections.call(
-            self._address, path, b"", timeout, _READ, method="GET"
+            self._address,
+            path,
+            b"",
+            limits,
+            _READ,
+            method="GET",
+            on_answer=on_answer,
         )
         return _check(reply, path, accepted, _READ)
 
     async def _write(
         self, method: str, path: str, body: dict[str, Any], accepted: tuple[int, ...]
     ) -> Reply:
+        content = msgspec.json.encode(body)
+        sending_seconds = find_transfer_seconds(self._link, len(content))
         reply = await self._connections.call(
             self._address,
             path,
-            msgspec.json.encode(body),
-            WRITE_TIMEOUT_SECONDS,
+            content,
+            TimeLimits(WRITE_TIMEOUT_SECONDS + sending_seconds, self._transfer_seconds),
             _WRITE,
-            headers={"Content-Type": "application/json"},
+            headers=_JSON_HEADERS,
             method=method,
         )
         return _check(reply, path, accepted, _WRITE)
--- a/src/primrosestile/protocol/policies.py
+++ b/src/primrosestile/protocol/policies.py
@@ -1,11 +1,26 @@
 """Interface to the operators' stored policy."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from primrosestile.protocol.store import Entry
 from primrosestile.state.policy import Policy
 
 
+@dataclass(frozen=True, slots=True)
+class StoredVersion:
+    """The current version of the policy.
+
+    Attributes:
+        revision: Store revision at which it was written.
+        entry: None when it is the version that the reader knows.
+    """
+
+    revision: int
+    entry: Entry | None
+
+
 class PolicySource(Protocol):
     """Reads and decodes the stored policy.
 
@@ -15,8 +30,16 @@
 
     key: str
 
-    async def read(self) -> Entry | None:
-        """Return the current version; a stale read is not allowed."""
+    async def read(
+        self, known: int, on_answer: Callable[[], None]
+    ) -> StoredVersion | None:
+        """Return the current version; a stale read is not allowed.
+
+        Args:
+            known: Revision of the newest version that the reader knows; 0 for none.
+            on_answer: Called when the answer begins; a large version may take seconds
+                to arrive.
+        """
         ...
 
     def decode(self, entry: Entry) -> Policy:
--- a/src/primrosestile/protocol/transactions.py
+++ b/src/primrosestile/protocol/transactions.py
@@ -6,7 +6,7 @@
 `STORE_ANSWER_LOST` that it may have had one or may still have one.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -73,13 +73,29 @@
             write may have had one.
     """
 
-    async def get(self, key: str, recent: bool = True) -> Entry | None:
+    async def get(
+        self,
+        key: str,
+        recent: bool = True,
+        on_answer: Callable[[], None] = ...,
+    ) -> Entry | None:
         """Return the value of a key, or None.
 
         Args:
             key: The whole key.
             recent: Whether the value must be current. A read that may be seconds stale
                 costs a tenth, and is safe for keys that never change once written.
+            on_answer: Called when the answer begins; a large one may take seconds more.
+        """
+        ...
+
+    async def check(
+        self, condition: Condition, on_answer: Callable[[], None] = ...
+    ) -> CommitResult:
+        """Return whether a condition holds; if not, the entry under its key.
+
+        For a large value that rarely changes: its read transfers it each time. The
+        store counts the call as a write.
         """
         ...
 
--- a/src/primrosestile/transport/connections.py
+++ b/src/primrosestile/transport/connections.py
@@ -5,9 +5,11 @@
 pool are then likely to be silent too, and each would cost one caller a whole timeout:
 the target keeps timing out for us although it serves others. After a timeout no idle
 connection of that address is used again; the next call opens a new one. A caller that
-cancels after a second without an answer counts as a timeout. When two addresses go
-silent within seconds, the same device has likely dropped the others too, so every
-connection from before is replaced at its next use.
+cancels after a second without an answer counts as a timeout. An answer that is still
+arriving when its time is over shows a slow link, not a silent connection.
+
+When two addresses go silent within seconds, the same device has likely dropped the
+others too, so every connection from before is replaced at its next use.
 
 Whether anything may have been sent decides between "not run" and "may have run". A
 call counts as sent from the moment it holds a connection.
@@ -15,7 +17,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any
@@ -25,6 +27,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.transport.call_progress import CallProgress, TimeLimits, do_nothing
 
 # A worker accepts about this many connections and refuses more.
 CONNECTIONS_PER_ADDRESS = 64
@@ -62,28 +65,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class _Progress:
-    """How far a call has come.
-
-    Attributes:
-        sent: Whether it has held a connection.
-        received: Bytes of the answer's body; None before its headers.
-        stated: Length of the body as the headers state it, if they do.
-    """
-
-    sent: bool = False
-    received: int | None = None
-    stated: int | None = None
-
-    def describe(self) -> str:
-        """Return how much of the answer has arrived."""
-        if self.received is None:
-            return "did not answer"
-        of = "" if self.stated is None else f" of {self.stated}"
-        return f"sent {self.received}{of} bytes of its answer"
-
-
 @dataclass(slots=True)
 class _Pool:
     """The connections in use for one address, and the number of calls on them."""
@@ -141,10 +122,11 @@
         address: str,
         path: str,
         body: bytes,
-        timeout: float,
+        timeout: float | TimeLimits,
         kinds: FailureKinds,
         headers: Mapping[str, str] | None = None,
         method: str = "POST",
+        on_answer: Callable[[], None] = do_nothing,
     ) -> Reply:
         """Send one call and return its complete answer.
 
@@ -152,32 +134,37 @@
             address: `ip:port`, with a path prefix when several share it.
             path: Appended to the address.
             body: Sent as it is.
-            timeout: Seconds for the whole call, including the wait for a connection.
+            timeout: Seconds for the whole call, including the wait for a connection;
+                or limits that leave a large answer time to arrive.
             kinds: The error kinds to raise.
             headers: Sent in addition to the default ones.
             method: HTTP method.
+            on_answer: Called when the answer begins.
 
         Raises:
             Failure: `kinds.unsent` when nothing was sent, `kinds.lost` when no
                 complete answer came.
         """
-        progress = _Progress()
+        limits = timeout if isinstance(timeout, TimeLimits) else TimeLimits(timeout)
+        progress = CallProgress(limits, on_answer)
         silent = False
         target = self._find(address)
         started = read_clock()
         try:
-            async with asyncio.timeout(timeout), target.slots:
+            async with progress.timeout, target.slots:
                 return await self._exchange(
                     target, address, path, body, headers, method, progress
                 )
         except asyncio.CancelledError:
-            if progress.sent and read_clock() - started >= SILENT_SECONDS:
+            if progress.sent and progress.silent_seconds >= SILENT_SECONDS:
                 self._note_silence(address, target)
             raise
         except TimeoutError:
-            self._note_silence(address, target)
-            silent = True
-            detail = f"{address}{path} {progress.describe()} within {timeout:g} s"
+            silent = not progress.slow
+            if silent:
+                self._note_silence(address, target)
+            seconds = read_clock() - started
+            detail = f"{address}{path} {progress.describe()} within {seconds:.2g} s"
         except (aiohttp.ClientError, OSError) as error:
             detail = f"{address}{path}: {error or type(error).__name__}"
         kind = kinds.lost if progress.sent else kinds.unsent
@@ -198,7 +185,7 @@
         body: bytes,
         headers: Mapping[str, str] | None,
         method: str,
-        progress: _Progress,
+        progress: CallProgress,
     ) -> Reply:
         pool = target.pool
         if pool is not None and self._silence_detector.invalidates(pool.opened_at):
@@ -219,7 +206,7 @@
                 trace_request_ctx=progress,
             ) as response:
                 check_length(response)
-                content = await _read_body(response, progress)
+                content = await progress.read_body(response)
                 return Reply(response.status, response.headers, content)
         finally:
             pool.users -= 1
@@ -269,16 +256,6 @@
         raise aiohttp.ClientPayloadError("the answer is too large")
 
 
-async def _read_body(response: aiohttp.ClientResponse, progress: _Progress) -> bytes:
-    progress.received = 0
-    progress.stated = response.content_length
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        progress.received = len(body)
-    return bytes(body)
-
-
 def close_later(session: aiohttp.ClientSession) -> None:
     """Close an unused session in the background, outside the failed call's deadline."""
     task = asyncio.get_running_loop().create_task(session.close())
--- a/src/primrosestile_standin/fleet_store.py
+++ b/src/primrosestile_standin/fleet_store.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from sortedcontainers import SortedDict
@@ -19,6 +19,7 @@
     WATCH_SLACK_SECONDS,
     WRITE_TIMEOUT_SECONDS,
     find_list_timeout,
+    find_transfer_seconds,
 )
 from primrosestile.protocol.store import Change, Entry, Page
 from primrosestile.protocol.transactions import (
@@ -27,6 +28,7 @@
     WatchBatch,
     Write,
 )
+from primrosestile.transport.call_progress import do_nothing
 from primrosestile_standin.link import ANSWER_BYTES, ROW_BYTES, VALUE_FACTOR, Link
 
 PAGE_ITEMS = 500
@@ -145,12 +147,9 @@
         removals: Sequence[str],
     ) -> CommitResult:
         """Apply a transaction if its conditions hold."""
-        found = tuple(
-            self._entries[each.key] for each in conditions if each.key in self._entries
-        )
-        standing = {entry.key: entry.mod_revision for entry in found}
-        if any(standing.get(each.key, 0) != each.revision for each in conditions):
-            return CommitResult(done=False, found=found)
+        outcome = self.check(conditions)
+        if not outcome.done:
+            return outcome
         if any(write.lease and write.lease not in self._leases for write in writes):
             raise Failure(ErrorKind.NOT_FOUND, "no such lease")
         self.revision += 1
@@ -166,6 +165,16 @@
         self._notify()
         return CommitResult(done=True, revision=self.revision)
 
+    def check(self, conditions: Sequence[Condition]) -> CommitResult:
+        """Return whether all conditions hold; if not, the entries under their keys."""
+        found = tuple(
+            self._entries[each.key] for each in conditions if each.key in self._entries
+        )
+        standing = {entry.key: entry.mod_revision for entry in found}
+        if any(standing.get(each.key, 0) != each.revision for each in conditions):
+            return CommitResult(done=False, found=found)
+        return CommitResult(done=True, revision=self.revision)
+
     def grant(self, seconds: float) -> int:
         """Return a new lease."""
         self._next_lease += 1
@@ -228,23 +237,51 @@
         self._link_free_at = 0.0
         self._renewals = 0
 
-    async def get(self, key: str, recent: bool = True) -> Entry | None:
+    @property
+    def _megabits(self) -> float:
+        """Throughput of the link in megabits a second."""
+        return self._link.rate / BYTES_PER_MEGABIT
+
+    @property
+    def _answer_seconds(self) -> float:
+        """Seconds that an answer may take, by the link."""
+        return self.TIMEOUT_SECONDS + find_transfer_seconds(self._megabits)
+
+    async def get(
+        self,
+        key: str,
+        recent: bool = True,
+        on_answer: Callable[[], None] = do_nothing,
+    ) -> Entry | None:
         """Return the value of a key, or None."""
         self._store.calls_by_key[key] += 1
         await self._enter()
         if not recent and self._store.faults.stale_reads:
             return None
         found = self._store.read(key)
-        await self._carry(_measure_answer([found]))
+        on_answer()
+        await self._carry(_measure_answer([found]), seconds=self._answer_seconds)
         return found
 
+    async def check(
+        self, condition: Condition, on_answer: Callable[[], None] = do_nothing
+    ) -> CommitResult:
+        """Return whether a condition holds; if not, the entry under its key."""
+        self._store.calls_by_key[condition.key] += 1
+        await self._enter()
+        outcome = self._store.check([condition])
+        on_answer()
+        size = _measure_answer(outcome.found)
+        await self._carry(size, seconds=self._answer_seconds)
+        return outcome
+
     async def list(self, prefix: str, after: str = "") -> Page:
         """Return one page of the entries under a prefix."""
         self._store.calls_by_key[prefix] += 1
         await self._enter()
         self._check_read(prefix)
         page = self._store.read_page(prefix, after)
-        seconds = find_list_timeout(self._link.rate / BYTES_PER_MEGABIT)
+        seconds = find_list_timeout(self._megabits)
         await self._carry(_measure_answer(page.entries), seconds=seconds)
         await self._carry_page(page)
         return page
@@ -277,12 +314,16 @@
         """Apply a transaction if all of its conditions hold."""
         lost = ErrorKind.STORE_ANSWER_LOST
         began = read_clock()
+        size = sum(map(_measure_write, writes))
+        write_seconds = WRITE_TIMEOUT_SECONDS + find_transfer_seconds(
+            self._megabits, size
+        )
         await self._enter()
         # A change whose request is cut short has no effect, but its caller can't tell.
         await self._carry(
-            sum(map(_measure_write, writes)),
+            size,
             lost,
-            _find_left(began, WRITE_TIMEOUT_SECONDS),
+            _find_left(began, write_seconds),
         )
         faults = self._store.faults
         if faults.late_writes:
@@ -297,7 +338,7 @@
         await self._carry(
             _measure_answer(outcome.found),
             lost,
-            _find_left(began, WRITE_TIMEOUT_SECONDS),
+            _find_left(began, write_seconds + find_transfer_seconds(self._megabits)),
         )
         return outcome
 
@@ -338,7 +379,8 @@
         batch = await self._wait_for_changes(prefix, after, seconds)
         await self._carry(
             _measure_answer([change.entry for change in batch.changes]),
-            seconds=_find_left(began, seconds + WATCH_SLACK_SECONDS),
+            seconds=_find_left(began, seconds + WATCH_SLACK_SECONDS)
+            + find_transfer_seconds(self._megabits),
         )
         return batch
 
