Send a refusal within the caller's deadline

What callers saw. With the store away, a caller with a deadline of 0.2 s got its refusal after 0.25 s, and one with a deadline of 1 s whose query was refused by the store after 0.75 s got it after 1.0 s. Both had left by then; neither saw the Retry-After.

The caller's deadline bounded the handling of a call, but not the queries of other VMs that decide on Retry-After: 0.25 s more, where one of them doesn't answer. Besides, a deadline under 0.05 s was extended to 0.05 s.

The lock around these queries added nothing: whoever waited for it used the answer of the query that held it, so no caller waited for more than 0.25 s in all.

The whole answer shares one deadline. The queries of other VMs go on when a caller can't wait for them, and later callers use what they bring; the caller itself is told the delay of the table. Of a deadline shorter than 0.3 s, half is kept for the way back. In the test double a silent VM now takes as long as the real query does.

--- /dev/null
+++ b/features/steps/work_caller_deadlines_steps.py
@@ -0,0 +1,82 @@
+"""Steps for answers to callers who wait for a limited time."""
+
+import asyncio
+from typing import Any
+
+from aiohttp.test_utils import make_mocked_request
+from behave import given, then, when
+from features.doubles.fleet_world import HOST
+from features.steps.work_outage_scope_steps import ANSWERS
+
+from primrosestile.clock import read_clock
+from primrosestile.coordination.work.job_submissions import JobSubmissions
+from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.callers import DEADLINE_HEADER
+from primrosestile.platform.policy import POLICY_KEY
+from primrosestile.protocol.store import Entry
+
+JOB_ID = "00000000000000a1"
+
+
+class LateStore:
+    """A store that refuses each read after a time."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+
+    async def get(self, key: str, recent: bool = True) -> Entry | None:
+        await asyncio.sleep(self._seconds)
+        raise Failure(ErrorKind.STORE_UNAVAILABLE, "refused")
+
+
+@given("it knows {name}, which is {answer}")
+def step_peer(context: Any, name: str, answer: str) -> None:
+    context.known.append(name)
+    context.peers.answers[name] = ANSWERS[answer]
+
+
+@given("the store refuses its other reads after {seconds:g} s")
+def step_late_reads(context: Any, seconds: float) -> None:
+    store: Any = LateStore(seconds)
+    context.calls._submissions = JobSubmissions(store, context.policies, POLICY_KEY)
+
+
+def call(context: Any, method: str, deadline_header: str | None) -> None:
+    """Send one call and record its answer, duration and log."""
+    headers = {"Host": HOST, "Authorization": "Token key-domes"}
+    if deadline_header is not None:
+        headers[DEADLINE_HEADER] = deadline_header
+
+    async def send() -> None:
+        request = make_mocked_request(method, f"/usual/{JOB_ID}", headers=headers)
+        began = read_clock()
+        context.response = await context.calls.answer(request)
+        context.took = read_clock() - began
+
+    context.runner.run(send())
+
+
+def call_within(context: Any, method: str, seconds: float) -> None:
+    context.deadline = seconds
+    call(context, method, f"{seconds * 1000:g}")
+
+
+@when("a caller with a deadline of {seconds:g} s submits a job")
+def step_submit(context: Any, seconds: float) -> None:
+    call_within(context, "POST", seconds)
+
+
+@when("a caller with a deadline of {seconds:g} s asks for the state of a job")
+def step_query(context: Any, seconds: float) -> None:
+    call_within(context, "GET", seconds)
+
+
+@when("{pause:g} s pass and a caller with a deadline of {seconds:g} s submits a job")
+def step_submit_later(context: Any, pause: float, seconds: float) -> None:
+    context.runner.run(asyncio.sleep(pause))
+    call_within(context, "POST", seconds)
+
+
+@then("it was answered within its deadline")
+def step_in_time(context: Any) -> None:
+    assert context.took < context.deadline, context.took
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -23,7 +23,7 @@
 from primrosestile.protocol.store_views import StoreView
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import decode_owner
-from primrosestile.transport.store_views import STORE_VIEW_PATH
+from primrosestile.transport.store_views import STORE_VIEW_PATH, TIMEOUT_SECONDS
 
 ANSWERS = {
     "served": StoreView.ANSWERS,
@@ -61,8 +61,9 @@
 
     async def ask(self, address: str) -> StoreView:
         self.asked[address] += 1
-        await asyncio.sleep(0.01)
-        return self.answers[address]
+        answer = self.answers[address]
+        await asyncio.sleep(TIMEOUT_SECONDS if answer is StoreView.SILENT else 0.01)
+        return answer
 
 
 @given("a VM that can't read the policy and knows {names}")
@@ -72,6 +73,7 @@
 
 def make_vm(context: Any, store: PolicyStore, peers: list[str]) -> None:
     context.peers = Peers()
+    context.known = peers
     context.runner = asyncio.Runner(loop_factory=looptime.new_event_loop)
     context.cleanups.append(context.runner.close)
     context.store = store
--- /dev/null
+++ b/features/work/caller_deadlines.feature
@@ -0,0 +1,40 @@
+Feature: Callers get their answer before their deadline
+  An answer that comes after the caller has left is lost: a refusal without its
+  Retry-After, an acceptance that the caller doesn't know of.
+
+  Scenario Outline: A refused caller has a short deadline
+    Guards against a refusal that waits for the answers of other VMs after its caller
+    has left.
+    Given a VM that can't read the policy and knows owner and seed
+    And peer owner is silent
+    And peer seed is <seed>
+    When a caller with a deadline of <deadline> s submits a job
+    Then it is refused as not run, to return after <delay> s
+    And it was answered within its deadline
+
+    Examples:
+      | seed   | deadline | delay |
+      | silent | 0.2      | 1     |
+      | silent | 0.06     | 1     |
+      | served | 0.2      | 1     |
+      | served | 0.5      | 0     |
+
+  Scenario: The store refuses a query late
+    Guards against asking other VMs for longer than is left of the caller's time.
+    Given a VM that has read the policy 0 s ago
+    And it knows owner, which is silent
+    And the store refuses its other reads after 0.75 s
+    When a caller with a deadline of 1 s asks for the state of a job
+    Then it is refused as not run, to return after 1 s
+    And it was answered within its deadline
+
+  Scenario: A caller without time leaves the answers of other VMs to the next
+    Guards against asking again and again, and never learning the answer.
+    Given a VM that can't read the policy and knows owner and seed
+    And peer owner is silent
+    And peer seed is served
+    When a caller with a deadline of 0.2 s submits a job
+    And 0.2 s pass and a caller with a deadline of 0.2 s submits a job
+    Then it is refused as not run, to return after 0 s
+    And it was answered within its deadline
+    And peer seed was asked 1 times
--- a/src/primrosestile/coordination/work/outage_scope.py
+++ b/src/primrosestile/coordination/work/outage_scope.py
@@ -47,28 +47,41 @@
         self._calls = calls
         self._list_peers = list_peers
         self._is_silent = is_silent
-        self._asking = asyncio.Lock()
+        self._asking: asyncio.Task[None] | None = None
         self._asked_at = -math.inf
         self._is_own = False
 
-    async def is_own(self) -> bool:
-        """Whether other VMs can be expected to reach the store."""
-        async with self._asking:
-            if read_clock() - self._asked_at >= ANSWER_SECONDS:
-                self._is_own = await self._ask()
-                self._asked_at = read_clock()
+    async def is_own(self, until: float) -> bool:
+        """Whether other VMs can be expected to reach the store.
+
+        Args:
+            until: Clock time of the answer; False if it is not known by then.
+        """
+        if self._is_known():
+            return self._is_own
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.create_task(self._ask())
+        try:
+            async with asyncio.timeout_at(until):
+                # Later callers use the answer when this one can't wait for it.
+                await asyncio.shield(self._asking)
+        except TimeoutError:
+            return False
         return self._is_own
 
-    async def _ask(self) -> bool:
+    def _is_known(self) -> bool:
+        return read_clock() - self._asked_at < ANSWER_SECONDS
+
+    async def _ask(self) -> None:
         peers = sorted(self._list_peers())
         answers = await asyncio.gather(*(self._calls.ask(each) for each in peers))
-        is_own = self._judge(set(answers))
+        self._is_own = self._judge(set(answers))
+        self._asked_at = read_clock()
         _log.info(
             "store_views_asked",
             answers=[answer.name.lower() for answer in answers],
-            own=is_own,
+            own=self._is_own,
         )
-        return is_own
 
     def _judge(self, answers: set[StoreView]) -> bool:
         if StoreView.ANSWERS in answers:
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -25,7 +25,7 @@
 from primrosestile.transport.store_views import CHECK_SECONDS, STORE_VIEW_PATH
 
 # An answer is sent this long before the caller's deadline, because it is useless once
-# the caller has disconnected.
+# the caller has disconnected. Of a shorter deadline than twice this, half is kept.
 ANSWER_MARGIN_SECONDS = 0.15
 # Maximum duration of a call, also the default where the caller gave no deadline.
 MAX_CALL_SECONDS = 3.0
@@ -77,13 +77,14 @@
         return True
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
-        """Answer one call, also when its handling fails."""
+        """Answer one call within its caller's deadline, also when it fails."""
         began = read_clock()
+        until = began + _find_limit(_read_deadline(request))
         try:
-            async with asyncio.timeout(_find_limit(request)):
+            async with asyncio.timeout_at(until):
                 response = await self._dispatch(request)
         except Failure as failure:
-            if await self._is_served_elsewhere(failure):
+            if await self._is_served_elsewhere(failure, until):
                 failure.retry_after = 0.0
             response = _answer_failure(request, failure, began)
         except TimeoutError:
@@ -102,10 +103,10 @@
         self._metrics.seconds.observe({"method": request.method}, read_clock() - began)
         return response
 
-    async def _is_served_elsewhere(self, failure: Failure) -> bool:
+    async def _is_served_elsewhere(self, failure: Failure, until: float) -> bool:
         """Whether a caller's next attempt, which reaches another VM, can succeed."""
         away = failure.kind is ErrorKind.STORE_UNAVAILABLE
-        return away and await self._scope.is_own()
+        return away and await self._scope.is_own(until)
 
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
         policy = self._policies.require()
@@ -168,13 +169,19 @@
         )
 
 
-def _find_limit(request: web.BaseRequest) -> float:
-    given = request.headers.get(DEADLINE_HEADER, "")
+def _read_deadline(request: web.BaseRequest) -> float:
+    """Return how many seconds the caller waits for an answer."""
     try:
-        seconds = float(given) / 1000 if given else MAX_CALL_SECONDS
+        seconds = float(request.headers.get(DEADLINE_HEADER, "")) / 1000
     except ValueError:
-        seconds = MAX_CALL_SECONDS
-    return max(0.05, min(seconds, MAX_CALL_SECONDS) - ANSWER_MARGIN_SECONDS)
+        return MAX_CALL_SECONDS
+    return seconds if math.isfinite(seconds) else MAX_CALL_SECONDS
+
+
+def _find_limit(deadline: float) -> float:
+    """Return after how many seconds a call must be answered, given its deadline."""
+    deadline = max(0.0, min(deadline, MAX_CALL_SECONDS))
+    return max(deadline / 2, deadline - ANSWER_MARGIN_SECONDS)
 
 
 def _find_queue(policy: Policy, request: web.BaseRequest) -> Queue:
