Log how long a refused caller would have waited

In the incident of the policy that was too large to read, `call_refused` had the time after which a caller was refused, but not its deadline, so a refusal that came too late couldn't be told from one in time. The line has the field `deadline` now, in seconds: what the caller gave, or the 3 s by default, also where what it gave is no number.

--- a/features/steps/work_caller_deadlines_steps.py
+++ b/features/steps/work_caller_deadlines_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+import structlog.testing
 from aiohttp.test_utils import make_mocked_request
 from behave import given, then, when
 from features.doubles.fleet_world import HOST
@@ -53,7 +54,8 @@
         context.response = await context.calls.answer(request)
         context.took = read_clock() - began
 
-    context.runner.run(send())
+    with structlog.testing.capture_logs() as context.log:
+        context.runner.run(send())
 
 
 def call_within(context: Any, method: str, seconds: float) -> None:
@@ -77,6 +79,22 @@
     call_within(context, "POST", seconds)
 
 
+@when('a caller with the deadline "{header}" submits a job')
+def step_header(context: Any, header: str) -> None:
+    call(context, "POST", header)
+
+
+@when('a caller with the deadline "" submits a job')
+def step_no_header(context: Any) -> None:
+    call(context, "POST", None)
+
+
 @then("it was answered within its deadline")
 def step_in_time(context: Any) -> None:
     assert context.took < context.deadline, context.took
+
+
+@then("the log of its refusal has the deadline {seconds:g} s")
+def step_logged(context: Any, seconds: float) -> None:
+    lines = [line for line in context.log if line["event"] == "call_refused"]
+    assert [line["deadline"] for line in lines] == [seconds], lines
--- a/features/work/caller_deadlines.feature
+++ b/features/work/caller_deadlines.feature
@@ -38,3 +38,18 @@
     Then it is refused as not run, to return after 0 s
     And it was answered within its deadline
     And peer seed was asked 1 times
+
+  Scenario Outline: The log shows how long a refused caller would have waited
+    Guards against a refusal that nobody can tell from one that came too late.
+    Given a VM that can't read the policy and knows owner
+    And peer owner is not served
+    When a caller with the deadline "<header>" submits a job
+    Then the log of its refusal has the deadline <deadline> s
+
+    Examples:
+      | header | deadline |
+      | 800    | 0.8      |
+      | 20000  | 20       |
+      |        | 3        |
+      | soon   | 3        |
+      | nan    | 3        |
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -228,6 +228,7 @@
         status=answer.status,
         retry_after=failure.retry_delay,
         seconds=round(read_clock() - began, 3),
+        deadline=round(_read_deadline(request), 3),
     )
     response = web.Response(status=answer.status)
     if failure.retry_delay is not None:
