Repeat a read of a job's state that is not answered

What callers saw. A query whose first read met a connection to the store that had gone silent was refused after 1 s, though its caller waited 2.5 s and a new connection was answered within milliseconds. Callers with a deadline of 0.4 s were refused one after the other, as often as there were silent connections.

The state of a job takes up to four reads in a row, and the first that timed out failed the query. A read that is cancelled with its caller before 1 s doesn't count as silent, so the other connections of the pool stayed in use, silent like it.

Reads that the store refuses (429, 503, connection refused) aren't affected, and are not repeated.

`RecordReader` sends a read that is not answered within 0.4 s a second time, and a third time once the first has timed out, which opens a new connection. If that isn't answered within 0.4 s either, the query is refused, 1.4 s after its first read instead of 1 s. A read goes on when its caller leaves, so that its connection counts as silent.

--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -23,6 +23,7 @@
 )
 from primrosestile.coordination.work.pending_counts import PendingCounts
 from primrosestile.coordination.work.policy_watch import PolicyWatch
+from primrosestile.coordination.work.record_reader import RecordReader
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import (
@@ -67,6 +68,7 @@
         self._policies = policies
         self._policy_key = policy_key
         self._pending = PendingCounts(store)
+        self._reader = RecordReader(store)
 
     async def submit(
         self, job_id: str, make: Callable[[Policy], Submission]
@@ -146,11 +148,11 @@
 
     async def find(self, job_id: str) -> Submission | None:
         """Return an open job as accepted, or None when there is none."""
-        entry = await self._store.get(make_job_key(job_id))
+        entry = await self._reader.get(make_job_key(job_id))
         return None if entry is None else decode_submission(entry.value)
 
     async def _find_ended(self, job_id: str, recent: bool = True) -> EndedRecord | None:
-        entry = await self._store.get(make_ended_key(job_id), recent)
+        entry = await self._reader.get(make_ended_key(job_id), recent)
         return None if entry is None else decode_ended(entry.value)
 
     async def read_state(self, job_id: str, queue: Queue) -> JobState | None:
@@ -165,7 +167,7 @@
         ended = await self._find_ended(job_id, recent=False)
         if ended is not None:
             return ended.state
-        entry = await self._store.get(make_progress_key(job_id))
+        entry = await self._reader.get(make_progress_key(job_id))
         if entry is not None:
             return decode_progress(entry.value).state
         submission = await self.find(job_id)
@@ -185,7 +187,7 @@
     async def cancel(self, job_id: str, queue: Queue, organisation: str) -> bool:
         """Store a job's cancellation; return False when there is no such job."""
         job_key = make_job_key(job_id)
-        entry = await self._store.get(job_key)
+        entry = await self._reader.get(job_key)
         if entry is None:
             return False
         submission = decode_submission(entry.value)
