Tell other VMs by a small read whether the store answers

What callers saw. A VM that is refused the store asks a few others whether the store answers them, and sends its callers on at once if so. A VM whose policy took 0.5 s to arrive, as a large one does on a link of 10 Mbit/s, said no although it served, and callers were told to return in a second.

The VM that was asked read the whole policy, and cancelled that read after 0.15 s. Thirty VMs that asked it at once made it begin thirty such reads; with a large policy they fill the link of the very VMs that still serve, until their own proof of the policy lapses.

Answering by the age of the policy alone: it is recent for up to 1.6 s after the store is gone, which outage_scope guards against.

The VM answers yes if its policy is recent and the store answers a small read that is sent then; checks within 0.1 s share one read. A VM whose policy is not recent says no without a read, since it refuses its callers.

--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -34,15 +34,34 @@
 
 
 class PolicyStore:
-    """The policy's source; it answers, refuses every read, or answers none."""
+    """The store and the policy in it; it answers, refuses every read, or answers none.
+
+    Attributes:
+        policy_seconds: How long a read of the policy takes.
+        policy_reads: How many reads of the policy were begun.
+        other_reads: How many other reads were begun.
+    """
 
     def __init__(self, fault: str = "refuses") -> None:
         self.fault = fault
+        self.policy_seconds = 0.004
+        self.policy_reads = 0
+        self.other_reads = 0
 
     async def read(self) -> Entry:
-        await asyncio.sleep(0.004)
+        self.policy_reads += 1
+        await self._answer(self.policy_seconds)
+        return Entry("policy", make_policy(1), 1, 1)
+
+    async def get(self, key: str, recent: bool = True) -> Entry | None:
+        self.other_reads += 1
+        await self._answer(0.004)
+        return None
+
+    async def _answer(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
         if self.fault == "answers":
-            return Entry("policy", make_policy(1), 1, 1)
+            return
         silent = self.fault == "leaves unanswered"
         if silent:
             await asyncio.sleep(1.0)
@@ -83,8 +102,8 @@
 
     policies = context.policies = context.runner.run(make())
     scope = OutageScope(context.peers, lambda: peers, lambda: policies.silent)
-    # No submission reaches the store without a recent policy.
-    submissions: Any = JobSubmissions(None, policies, POLICY_KEY)  # type: ignore[arg-type]
+    connected: Any = store
+    submissions = JobSubmissions(connected, policies, POLICY_KEY)
     context.calls = CallerCalls(submissions, policies, scope, Metrics("node"))
 
 
@@ -168,17 +187,36 @@
     context.store.fault = fault
 
 
+@given("a read of the policy takes {seconds:g} s now")
+def step_slow_policy(context: Any, seconds: float) -> None:
+    context.store.policy_seconds = seconds
+
+
 @when("another VM asks it whether the store answers")
 def step_ask(context: Any) -> None:
+    step_ask_many(context, 1)
+
+
+@when("{count:d} other VMs ask it at once whether the store answers")
+def step_ask_many(context: Any, count: int) -> None:
+    context.store.policy_reads = 0
+
     async def ask() -> None:
         began = read_clock()
-        request = make_mocked_request("GET", STORE_VIEW_PATH)
-        context.response = await context.calls.answer_peer(request)
+        requests = [make_mocked_request("GET", STORE_VIEW_PATH) for _ in range(count)]
+        answers = await asyncio.gather(*map(context.calls.answer_peer, requests))
+        context.response = answers[0]
         context.took = read_clock() - began
 
     context.runner.run(ask())
 
 
+@then("it has made {count:d} small read of the store and none of the policy")
+def step_small_read(context: Any, count: int) -> None:
+    assert context.store.other_reads == count, context.store.other_reads
+    assert not context.store.policy_reads, context.store.policy_reads
+
+
 @then("it says {answer} within {seconds:g} s")
 def step_says(context: Any, answer: str, seconds: float) -> None:
     assert context.response.status == {"yes": 200, "no": 503}[answer]
--- a/features/work/outage_scope.feature
+++ b/features/work/outage_scope.feature
@@ -64,3 +64,30 @@
       | 1   | refuses           | no     |
       | 1   | leaves unanswered | no     |
       | 1   | answers           | yes    |
+
+  Scenario: A VM whose policy takes long to read says that the store answers
+    Guards against a VM that serves callers and tells others that the store is away,
+    because a large policy doesn't arrive within the time of an answer.
+    Given a VM that has read the policy 1 s ago
+    And the store answers its reads now
+    And a read of the policy takes 0.5 s now
+    When another VM asks it whether the store answers
+    Then it says yes within 0.2 s
+
+  Scenario: Many VMs ask one
+    Guards against VMs that fill the link of the one that they ask with reads of the
+    policy, until it can't serve either.
+    Given a VM that has read the policy 1 s ago
+    And the store answers its reads now
+    When 30 other VMs ask it at once whether the store answers
+    Then it says yes within 0.2 s
+    And it has made 1 small read of the store and none of the policy
+
+  Scenario: A VM that can't read the policy says that the store is away for it
+    Guards against callers who are sent on to a VM that refuses them, because small
+    reads are answered there.
+    Given a VM that has read the policy 3 s ago
+    And the store answers its reads now
+    And a read of the policy takes 2 s now
+    When another VM asks it whether the store answers
+    Then it says no within 0.2 s
--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -24,6 +24,7 @@
 from primrosestile.coordination.work.pending_counts import PendingCounts
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.record_reader import RecordReader
+from primrosestile.coordination.work.store_check import StoreCheck
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import (
@@ -69,6 +70,7 @@
         self._policy_key = policy_key
         self._pending = PendingCounts(store)
         self._reader = RecordReader(store)
+        self._check = StoreCheck(self._reader)
 
     async def submit(
         self, job_id: str, make: Callable[[Policy], Submission]
@@ -146,6 +148,14 @@
                 return submission
         raise Failure(ErrorKind.STORE_ANSWER_LOST, "the store did not answer the write")
 
+    async def check_store(self, seconds: float) -> None:
+        """Fail unless the store answers a read within a time.
+
+        Raises:
+            Failure: STORE_UNAVAILABLE when it does not.
+        """
+        await self._check.run(seconds)
+
     async def find(self, job_id: str) -> Submission | None:
         """Return an open job as accepted, or None when there is none."""
         entry = await self._reader.get(make_job_key(job_id))
--- a/src/primrosestile/coordination/work/record_reader.py
+++ b/src/primrosestile/coordination/work/record_reader.py
@@ -39,7 +39,7 @@
         pending: set[asyncio.Task[Entry | None]] = set()
         unanswered = Failure(ErrorKind.STORE_UNAVAILABLE, f"{key} was not answered")
         for wait in WAITS:
-            pending.add(self._begin_read(key, recent))
+            pending.add(self.begin_read(key, recent))
             done, pending = await asyncio.wait(
                 pending, timeout=wait, return_when=asyncio.FIRST_COMPLETED
             )
@@ -52,7 +52,7 @@
                     unanswered = failure
         raise unanswered
 
-    def _begin_read(self, key: str, recent: bool) -> asyncio.Task[Entry | None]:
+    def begin_read(self, key: str, recent: bool = True) -> asyncio.Task[Entry | None]:
         """Begin a read that goes on when its caller leaves.
 
         If it were cancelled with a caller whose deadline is short, its connection would
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -63,15 +63,20 @@
         """Answer another process of ours whether the store answers this one."""
         if request.path != STORE_VIEW_PATH:
             return web.Response(status=404)
-        answers = await self._does_store_answer()
-        return web.Response(status=200 if answers else 503)
+        serves = await self._can_serve()
+        return web.Response(status=200 if serves else 503)
 
-    async def _does_store_answer(self) -> bool:
-        """Whether the store answers a read that is sent now."""
+    async def _can_serve(self) -> bool:
+        """Whether the policy is recent and the store answers a read that is sent now.
+
+        A recent policy alone doesn't show that the store still answers.
+        """
+        if not self._policies.recent:
+            return False
         if self._policies.age < CHECK_SECONDS:
             return True
         try:
-            await self._policies.refresh_within(CHECK_SECONDS)
+            await self._submissions.check_store(CHECK_SECONDS)
         except Failure:
             return False
         return True
