Check the store by a small read before a job is written

What callers saw. After a call to the store had failed, submissions were refused after 0.4 s (*the store did not answer within 0.4 s*) although the store answered, as long as a read of the policy took longer than that: on a link of 10 Mbit/s from about 500 kB on.

While the store is in doubt, each submission checked it by a read of the whole policy, and cancelled that read after 0.4 s. Twenty callers began twenty such reads.

Skipping the check: a write to a store that is away goes unanswered, and its caller with it (submitting: *The store is known to leave calls unanswered*).

The check is the small read by which other VMs are answered; callers share it. The policy needn't be read there: the write is conditional on its revision.

--- a/features/steps/work_caller_deadlines_steps.py
+++ b/features/steps/work_caller_deadlines_steps.py
@@ -1,9 +1,12 @@
 """Steps for answers to callers who wait for a limited time."""
 
 import asyncio
+import json
 from typing import Any
+from unittest import mock
 
 import structlog.testing
+from aiohttp import StreamReader, web
 from aiohttp.test_utils import make_mocked_request
 from behave import given, then, when
 from features.doubles.fleet_world import HOST
@@ -42,6 +45,12 @@
     context.calls._submissions = JobSubmissions(store, context.policies, POLICY_KEY)
 
 
+@given("a call to the store has just failed")
+def step_doubtful(context: Any) -> None:
+    context.policies.doubtful = True
+    context.store.policy_reads = 0
+
+
 def call(context: Any, method: str, deadline_header: str | None) -> None:
     """Send one call and record its answer, duration and log."""
     headers = {"Host": HOST, "Authorization": "Token key-domes"}
@@ -98,3 +107,43 @@
 def step_logged(context: Any, seconds: float) -> None:
     lines = [line for line in context.log if line["event"] == "call_refused"]
     assert [line["deadline"] for line in lines] == [seconds], lines
+
+
+@when("{count:d} callers with a deadline of {seconds:g} s submit jobs at once")
+def step_submit_many(context: Any, count: int, seconds: float) -> None:
+    headers = {
+        "Host": HOST,
+        "Authorization": "Token key-domes",
+        DEADLINE_HEADER: f"{seconds * 1000:g}",
+    }
+
+    async def send(number: int) -> int:
+        body = json.dumps({"spec": "", "steps": [{"count": 1}]}).encode()
+        request = make_submission_request(f"/usual/{number:016x}", headers, body)
+        response: web.Response = await context.calls.answer(request)
+        return response.status
+
+    async def send_all() -> None:
+        began = read_clock()
+        context.statuses = await asyncio.gather(*map(send, range(count)))
+        context.took = read_clock() - began
+
+    context.runner.run(send_all())
+
+
+def make_submission_request(
+    path: str, headers: dict[str, str], body: bytes
+) -> web.Request:
+    """Return a POST request with a body."""
+    protocol = mock.Mock(_reading_paused=False)
+    loop = asyncio.get_running_loop()
+    payload = StreamReader(protocol, limit=2**16, loop=loop)
+    payload.feed_data(body)
+    payload.feed_eof()
+    return make_mocked_request("POST", path, headers=headers, payload=payload)
+
+
+@then("they are accepted within {seconds:g} s")
+def step_accepted(context: Any, seconds: float) -> None:
+    assert set(context.statuses) == {200}, context.statuses
+    assert context.took <= seconds, context.took
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Sequence
 from typing import Any
 
 import looptime
@@ -21,6 +22,7 @@
 from primrosestile.programs.node_calls import CallerCalls
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.store_views import StoreView
+from primrosestile.protocol.transactions import CommitResult, Condition, Write
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import decode_owner
 from primrosestile.transport.store_views import STORE_VIEW_PATH, TIMEOUT_SECONDS
@@ -58,6 +60,15 @@
         await self._answer(0.004)
         return None
 
+    async def commit(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write] = (),
+        removals: Sequence[str] = (),
+    ) -> CommitResult:
+        await self._answer(0.004)
+        return CommitResult(done=True, revision=2)
+
     async def _answer(self, seconds: float) -> None:
         await asyncio.sleep(seconds)
         if self.fault == "answers":
--- a/features/work/caller_deadlines.feature
+++ b/features/work/caller_deadlines.feature
@@ -53,3 +53,15 @@
       |        | 3        |
       | soon   | 3        |
       | nan    | 3        |
+
+  Scenario: A job is submitted while the policy takes long to read
+    After a failed call the store is checked before a job is written. Guards against
+    refusing jobs because a large policy doesn't arrive within that check, and against
+    a read of the policy for each of these callers.
+    Given a VM that has read the policy 0.2 s ago
+    And the store answers its reads now
+    And a read of the policy takes 0.7 s now
+    And a call to the store has just failed
+    When 20 callers with a deadline of 1 s submit jobs at once
+    Then they are accepted within 0.1 s
+    And it has made 1 small read of the store and none of the policy
--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -89,7 +89,8 @@
         key = make_job_key(job_id)
         ended_key = make_ended_key(job_id)
         if self._policies.doubtful:
-            await self._policies.refresh_within(CHECK_SECONDS)
+            await self.check_store(CHECK_SECONDS)
+            self._policies.doubtful = False
         for _ in range(POLICY_TRIES):
             policy = self._policies.require()
             submission = make(policy)
