Space out callers' attempts once a VM has not been ready for seconds

What callers saw. A caller makes five attempts; all were used up within seconds, most at VMs that refused as well.

The owner and the seeds left the question unanswered, as the VM's own link was full, and the store counted as silent. Silence all round counts as a cut of this VM's own path, with the other VMs serving. That holds for a cut of seconds. But 5 s after the last proof of its policy a VM has failed the readiness check twice, and the balancer sends it new connections only while under half of the VMs near it are ready: then most other VMs refuse as well. For the same reason one VM that serves, often the owner, which always reaches the store, doesn't show by then that the next attempt will succeed.

From 5 s on callers return at once only if some VM serves and no fewer serve than say that they don't; otherwise after a second, so that five attempts take over 4 s. `store_views_asked` has the age of the policy. A caller on a connection from before, at a VM whose own path is cut for longer than 5 s, returns a second later than it would have.

--- a/features/steps/work_caller_deadlines_steps.py
+++ b/features/steps/work_caller_deadlines_steps.py
@@ -1,16 +1,14 @@
 """Steps for answers to callers who wait for a limited time."""
 
 import asyncio
-import json
 from typing import Any
-from unittest import mock
 
 import structlog.testing
-from aiohttp import StreamReader, web
+from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 from behave import given, then, when
 from features.doubles.fleet_world import HOST
-from features.steps.work_outage_scope_steps import ANSWERS
+from features.steps.work_outage_scope_steps import ANSWERS, make_submission
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.job_submissions import JobSubmissions
@@ -111,15 +109,10 @@
 
 @when("{count:d} callers with a deadline of {seconds:g} s submit jobs at once")
 def step_submit_many(context: Any, count: int, seconds: float) -> None:
-    headers = {
-        "Host": HOST,
-        "Authorization": "Token key-domes",
-        DEADLINE_HEADER: f"{seconds * 1000:g}",
-    }
+    headers = {DEADLINE_HEADER: f"{seconds * 1000:g}"}
 
     async def send(number: int) -> int:
-        body = json.dumps({"spec": "", "steps": [{"count": 1}]}).encode()
-        request = make_submission_request(f"/usual/{number:016x}", headers, body)
+        request = make_submission(number, **headers)
         response: web.Response = await context.calls.answer(request)
         return response.status
 
@@ -131,18 +124,6 @@
     context.runner.run(send_all())
 
 
-def make_submission_request(
-    path: str, headers: dict[str, str], body: bytes
-) -> web.Request:
-    """Return a POST request with a body."""
-    protocol = mock.Mock(_reading_paused=False)
-    loop = asyncio.get_running_loop()
-    payload = StreamReader(protocol, limit=2**16, loop=loop)
-    payload.feed_data(body)
-    payload.feed_eof()
-    return make_mocked_request("POST", path, headers=headers, payload=payload)
-
-
 @then("they are accepted within {seconds:g} s")
 def step_accepted(context: Any, seconds: float) -> None:
     assert set(context.statuses) == {200}, context.statuses
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -1,16 +1,18 @@
 """Steps for what callers are told while the store is away."""
 
 import asyncio
+import json
 from collections import Counter
 from collections.abc import Sequence
 from typing import Any
+from unittest import mock
 
 import looptime
 import msgspec
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.test_utils import make_mocked_request
 from behave import given, step, then, when
-from features.doubles.fleet_world import make_policy
+from features.doubles.fleet_world import HOST, make_policy
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.job_submissions import JobSubmissions
@@ -123,6 +125,11 @@
     context.peers.answers[peer] = ANSWERS[answer]
 
 
+@given("{seconds:g} s have passed")
+def step_passed(context: Any, seconds: float) -> None:
+    context.runner.run(asyncio.sleep(seconds))
+
+
 @given("the store {fault} this VM's reads")
 def step_store(context: Any, fault: str) -> None:
     context.store.fault = fault
@@ -162,6 +169,45 @@
     context.runner.run(submit_all())
 
 
+@when(
+    "the store answers again {seconds:g} s later, and a caller makes {count:d} attempts"
+    " meanwhile"
+)
+def step_attempts(context: Any, seconds: float, count: int) -> None:
+    async def attempt_all() -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, setattr, context.store, "fault", "answers")
+        polling = loop.create_task(context.policies.run())
+        context.statuses = []
+        for _ in range(count):
+            response = await context.calls.answer(make_submission())
+            context.statuses.append(response.status)
+            if response.status == 200:
+                break
+            await asyncio.sleep(float(response.headers["Retry-After"]))
+        polling.cancel()
+        await asyncio.wait({polling})
+
+    context.runner.run(attempt_all())
+
+
+def make_submission(number: int = 1, **headers: str) -> web.Request:
+    """Return a call that submits a job of one task."""
+    protocol = mock.Mock(_reading_paused=False)
+    loop = asyncio.get_running_loop()
+    payload = StreamReader(protocol, limit=2**16, loop=loop)
+    payload.feed_data(json.dumps({"spec": "", "steps": [{"count": 1}]}).encode())
+    payload.feed_eof()
+    path = f"/usual/{number:016x}"
+    headers = {"Host": HOST, "Authorization": "Token key-domes", **headers}
+    return make_mocked_request("POST", path, headers=headers, payload=payload)
+
+
+@then("one of its attempts is accepted")
+def step_attempt_accepted(context: Any) -> None:
+    assert context.statuses[-1] == 200, context.statuses
+
+
 @then("it is refused as not run, to return after {delay} s")
 def step_refused(context: Any, delay: str) -> None:
     assert context.response.status == 503, context.response.status
--- a/features/work/outage_scope.feature
+++ b/features/work/outage_scope.feature
@@ -26,6 +26,42 @@
       | refuses           | silent     | silent     | 1     |
       | leaves unanswered | absent     | silent     | 1     |
 
+  Scenario Outline: A VM that has not read the policy for a time asks the others
+    A VM that is not ready gets new connections only while under half of the VMs near it
+    are ready. Guards against callers who are sent on at once, from one VM that refuses
+    them to the next, until they have used up their attempts.
+    Given a VM that can't read the policy and knows owner and s1 and s2 and s3
+    And <age> s have passed
+    And the store <fault> this VM's reads
+    And peer owner is <owner>
+    And peer s1 is <s1>
+    And peer s2 is <s2>
+    And peer s3 is <s3>
+    When a caller submits a job
+    Then it is refused as not run, to return after <delay> s
+
+    Examples:
+      | age | fault             | owner  | s1         | s2         | s3         | delay |
+      | 1   | leaves unanswered | silent | silent     | silent     | silent     | 0     |
+      | 8   | leaves unanswered | silent | silent     | silent     | silent     | 1     |
+      | 1   | leaves unanswered | served | not served | not served | not served | 0     |
+      | 8   | leaves unanswered | served | not served | not served | not served | 1     |
+      | 8   | leaves unanswered | served | served     | not served | not served | 0     |
+      | 8   | leaves unanswered | served | silent     | silent     | silent     | 0     |
+      | 8   | refuses           | served | absent     | absent     | absent     | 0     |
+      | 8   | refuses           | served | not served | not served | silent     | 1     |
+
+  Scenario: A caller makes five attempts while most VMs have been silent for long
+    Guards against attempts that are used up within a second or two, just before the VMs
+    serve again.
+    Given a VM that can't read the policy and knows owner and seed
+    And 8 s have passed
+    And the store leaves unanswered this VM's reads
+    And peer owner is silent
+    And peer seed is silent
+    When the store answers again 3 s later, and a caller makes 5 attempts meanwhile
+    Then one of its attempts is accepted
+
   Scenario: A VM that knows no other
     Given a VM that can't read the policy and knows no other
     When a caller submits a job
--- a/src/primrosestile/coordination/work/outage_scope.py
+++ b/src/primrosestile/coordination/work/outage_scope.py
@@ -9,10 +9,15 @@
 The VM asks the owner and a few others whether the store answers them now; the owner
 alone may be among those that are turned away. If neither the store nor any of them
 answers anything, this VM's network path is cut.
+
+Once a VM has failed the readiness check for some seconds, the balancer sends new
+connections there only while under half of the VMs near it are ready. From then on,
+other VMs are expected to serve only if most of those that answer do.
 """
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable, Collection
 
 import structlog
@@ -23,6 +28,10 @@
 # How long an answer holds, so that a burst of refused callers costs one query. An
 # outage of all VMs may begin meanwhile.
 ANSWER_SECONDS = 0.25
+# After this long without a proof of the policy, the balancer has taken the VM out of
+# rotation: the check fails after 1.6 s, and counts when it has failed twice, once a
+# second.
+OUT_OF_ROTATION_SECONDS = 5.0
 
 _log = structlog.get_logger()
 
@@ -51,16 +60,17 @@
         self._asked_at = -math.inf
         self._is_own = False
 
-    async def is_own(self, until: float) -> bool:
+    async def is_own(self, until: float, policy_age: float) -> bool:
         """Whether other VMs can be expected to reach the store.
 
         Args:
             until: Clock time of the answer; False if it is not known by then.
+            policy_age: Seconds since this VM's policy was last known to be the newest.
         """
         if self._is_known():
             return self._is_own
         if self._asking is None or self._asking.done():
-            self._asking = asyncio.create_task(self._ask())
+            self._asking = asyncio.create_task(self._ask(policy_age))
         try:
             async with asyncio.timeout_at(until):
                 # Later callers use the answer when this one can't wait for it.
@@ -72,20 +82,24 @@
     def _is_known(self) -> bool:
         return read_clock() - self._asked_at < ANSWER_SECONDS
 
-    async def _ask(self) -> None:
+    async def _ask(self, policy_age: float) -> None:
         peers = sorted(self._list_peers())
         answers = await asyncio.gather(*(self._calls.ask(each) for each in peers))
-        self._is_own = self._judge(set(answers))
+        lasting = policy_age >= OUT_OF_ROTATION_SECONDS
+        self._is_own = self._judge(Counter(answers), lasting)
         self._asked_at = read_clock()
         _log.info(
             "store_views_asked",
             answers=[answer.name.lower() for answer in answers],
+            policy_age=round(policy_age, 3),
             own=self._is_own,
         )
 
-    def _judge(self, answers: set[StoreView]) -> bool:
-        if StoreView.ANSWERS in answers:
-            return True
+    def _judge(self, answers: Counter[StoreView], lasting: bool) -> bool:
+        if served := answers[StoreView.ANSWERS]:
+            return not lasting or served >= answers[StoreView.AWAY]
+        if lasting:
+            return False
         # A store that refuses calls shows that the path is sound; then VMs that are
         # silent are down, and say nothing of the store.
-        return answers == {StoreView.SILENT} and self._is_silent()
+        return set(answers) == {StoreView.SILENT} and self._is_silent()
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -111,7 +111,7 @@
     async def _is_served_elsewhere(self, failure: Failure, until: float) -> bool:
         """Whether a caller's next attempt, which reaches another VM, can succeed."""
         away = failure.kind is ErrorKind.STORE_UNAVAILABLE
-        return away and await self._scope.is_own(until)
+        return away and await self._scope.is_own(until, self._policies.age)
 
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
         policy = self._policies.require()
