Close callers' connections while the VM is not ready

What callers saw. A caller with an open connection to a VM that refuses all calls was refused on it call after call, although the balancer had taken the VM out of rotation.

The balancer decides only on new connections. Answers closed their connection when the process was shutting down, but not when its policy wasn't recent.

Closing idle connections as well: a call that is just being sent on one would break off, and its caller wouldn't know whether it was accepted.

Each answer of a VM that is not ready closes its connection.

--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -278,3 +278,13 @@
 def step_says(context: Any, answer: str, seconds: float) -> None:
     assert context.response.status == {"yes": 200, "no": 503}[answer]
     assert context.took <= seconds, context.took
+
+
+@then("its connection is closed")
+def step_closed(context: Any) -> None:
+    assert context.response.keep_alive is False
+
+
+@then("its connection stays open")
+def step_open(context: Any) -> None:
+    assert context.response.keep_alive is not False
--- a/features/work/outage_scope.feature
+++ b/features/work/outage_scope.feature
@@ -127,3 +127,18 @@
     And a read of the policy takes 2 s now
     When another VM asks it whether the store answers
     Then it says no within 0.2 s
+
+  Scenario: A VM that refuses callers closes their connections
+    The balancer sends new connections to VMs that are ready; an open one stays with its
+    VM. Guards against callers who are refused call after call while others serve.
+    Given a VM that can't read the policy and knows owner
+    And peer owner is served
+    When a caller submits a job
+    Then it is refused as not run, to return after 0 s
+    And its connection is closed
+
+  Scenario: A VM that is ready keeps callers' connections
+    Given a VM that has read the policy 1 s ago
+    And the store answers its reads now
+    When a caller submits a job
+    Then its connection stays open
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -38,7 +38,7 @@
 
     Attributes:
         leaving: The process is shutting down: its readiness is off, and connections
-            are closed after their answers.
+            are closed after their answers, as whenever it is not ready.
     """
 
     def __init__(
@@ -54,10 +54,13 @@
         self._policies = policies
         self.leaving = False
 
+    @property
+    def _ready(self) -> bool:
+        return self._policies.recent and not self.leaving
+
     async def answer_ready(self, request: web.BaseRequest) -> web.Response:
         """Answer the balancer's readiness check."""
-        ready = self._policies.recent and not self.leaving
-        return web.Response(status=200 if ready else 503)
+        return web.Response(status=200 if self._ready else 503)
 
     async def answer_peer(self, request: web.BaseRequest) -> web.Response:
         """Answer another process of ours whether the store answers this one."""
@@ -101,7 +104,8 @@
             _log.exception("call_failed", method=request.method, path=request.path)
             fault = Failure(ErrorKind.INTERNAL, "an unexpected error")
             response = _answer_failure(request, fault, began)
-        if self.leaving:
+        if not self._ready:
+            # The balancer sends the caller's next connection to another VM.
             response.force_close()
         labels = {"method": request.method, "status": str(response.status)}
         self._metrics.requests.inc(labels)
