Take a deeply nested record for unreadable

What callers saw. With one value of thousands of nested arrays under the key of a job's record, no owner ever began: nothing was scheduled, and no job ended.

The decoder raises RecursionError for such a value, not the error of an unreadable record, and each new owner's term ended by it. Callers who asked for that job got 500.

The decoders of stored records raise the usual error of an unreadable record.

features/work/reading, *A record that nobody can read keeps no owner from its start*, with such a record added: failed before, passes.

--- a/features/steps/work_reading_steps.py
+++ b/features/steps/work_reading_steps.py
@@ -34,6 +34,8 @@
 from primrosestile.state.work import Submission, decode_ended
 
 FOREIGN = b"\xc1\x00not ours"
+# More nested than a decoder follows, behind the fields of a record of ours.
+NESTED = b"\xdc\x00\x07\xa7running\x90\x00\x80" + b"\x91" * 5000
 
 
 @given("{count:d} jobs of {tasks:d} tasks each are open")
@@ -392,15 +394,24 @@
     context.world.run(put())
 
 
+@given("a job whose progress record is nested deeply")
+def step_nested_progress(context: Any) -> None:
+    put_progress(context, 79, NESTED)
+
+
 @given("a job whose progress record is unreadable")
 def step_foreign_progress(context: Any) -> None:
+    put_progress(context, 78, FOREIGN)
+
+
+def put_progress(context: Any, number: int, value: bytes) -> None:
     async def put() -> None:
-        store_jobs(context.world, [78], 1)
-        key = make_progress_key(spread_id(78))
-        context.world.store.put(key, FOREIGN)
+        store_jobs(context.world, [number], 1)
+        key = make_progress_key(spread_id(number))
+        context.world.store.put(key, value)
         # Its owner had started it before the record was overwritten.
-        context.world.store.remove(make_waiting_key(spread_id(78)))
-        context.foreign += [key, make_job_key(spread_id(78))]
+        context.world.store.remove(make_waiting_key(spread_id(number)))
+        context.foreign += [key, make_job_key(spread_id(number))]
 
     context.world.run(put())
 
--- a/features/work/reading.feature
+++ b/features/work/reading.feature
@@ -153,6 +153,7 @@
     Given a fleet of 2 workers with 8 accelerators in 1 racks
     And unreadable records are in the store
     And a job whose progress record is unreadable
+    And a job whose progress record is nested deeply
     And 1 processes of ours
     When job c1 is handed in at p1
     Then 1 task of c1 was started in 5 s
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -10,10 +10,12 @@
 """
 
 from enum import IntEnum, StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
+T = TypeVar("T")
+
 
 class JobState(StrEnum):
     """State of a job; the values are those that callers read."""
@@ -257,29 +259,37 @@
     return _encoder.encode(record)
 
 
+def _decode(decoder: msgspec.msgpack.Decoder[T], value: bytes) -> T:
+    try:
+        return decoder.decode(value)
+    except RecursionError as error:
+        # Another writer's value; readers handle the error of an unreadable record.
+        raise msgspec.DecodeError("the value is nested too deeply") from error
+
+
 def decode_submission(value: bytes) -> Submission:
     """Return the submission of a job."""
-    return _submissions.decode(value)
+    return _decode(_submissions, value)
 
 
 def decode_progress(value: bytes) -> Progress:
     """Return the progress of a job."""
-    return _progresses.decode(value)
+    return _decode(_progresses, value)
 
 
 def decode_resignations(value: bytes) -> int:
     """Return how many owners in a row have resigned."""
-    return _resignations.decode(value).count
+    return _decode(_resignations, value).count
 
 
 def decode_owner(value: bytes) -> OwnerRecord:
     """Return the record of the process that schedules the fleet."""
-    return _owners.decode(value)
+    return _decode(_owners, value)
 
 
 def decode_ended(value: bytes) -> EndedRecord:
     """Return the record of an ended job."""
-    return _ended.decode(value)
+    return _decode(_ended, value)
 
 
 def matches_submission(progress: Progress, submission: Submission) -> bool:
