Tell callers what is known of a job with a damaged record

What callers saw. A query of a job with a record that can't be decoded ended in 500 for good, with a traceback in the log each time, also where other records tell the state: a running job whose progress record another program had overwritten was unknown to its caller.

The decoders' errors were not handled: they counted as faults of the program.

Ruled out. 410, and a state that is guessed, where only the damaged record is left: the job may have been accepted, and its end isn't known. 429 or 503 for a submission under such an id: they would say that the job was not accepted.

A query goes on to the job's other records. A job with a submission and a progress record has started and not ended, so it is shown as running; a damaged end record doesn't hide an open job. Where nothing readable is left, and for a submission or a cancellation that would have to be compared with it, the answer stays 500, with a detail that names the record. A submission stored under another job's key counts as damaged, as it does for the owner.

--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 import structlog
 
 from primrosestile.clock import read_wall_clock
@@ -23,7 +24,7 @@
 )
 from primrosestile.coordination.work.pending_counts import PendingCounts
 from primrosestile.coordination.work.policy_watch import PolicyWatch
-from primrosestile.coordination.work.record_reader import RecordReader
+from primrosestile.coordination.work.record_reader import RecordReader, UnreadableRecord
 from primrosestile.coordination.work.store_check import StoreCheck
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
@@ -116,11 +117,12 @@
                 return submission
             found = self._apply_found(outcome)
             if key in found:
-                stored = decode_submission(found[key].value)
+                stored = self._decode_submission(found[key], job_id)
                 self._check_same(stored, submission)
                 return stored
             if ended_key in found:
-                self._check_same(decode_ended(found[ended_key].value), submission)
+                ended = self._reader.decode(found[ended_key], decode_ended)
+                self._check_same(ended, submission)
                 return submission
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy keeps changing")
 
@@ -160,11 +162,20 @@
     async def find(self, job_id: str) -> Submission | None:
         """Return an open job as accepted, or None when there is none."""
         entry = await self._reader.get(make_job_key(job_id))
-        return None if entry is None else decode_submission(entry.value)
+        return None if entry is None else self._decode_submission(entry, job_id)
+
+    def _decode_submission(self, entry: Entry, job_id: str) -> Submission:
+        def decode(value: bytes) -> Submission:
+            submission = decode_submission(value)
+            if submission.job_id != job_id:
+                raise msgspec.ValidationError("the record is another job's")
+            return submission
+
+        return self._reader.decode(entry, decode)
 
     async def _find_ended(self, job_id: str, recent: bool = True) -> EndedRecord | None:
         entry = await self._reader.get(make_ended_key(job_id), recent)
-        return None if entry is None else decode_ended(entry.value)
+        return None if entry is None else self._reader.decode(entry, decode_ended)
 
     async def read_state(self, job_id: str, queue: Queue) -> JobState | None:
         """Return the state of a job of a queue; None when there is none.
@@ -174,14 +185,21 @@
         are read. The owner replaces the other keys by the last record in one change, so
         a job that has neither progress nor a submission either ended between these
         reads or never existed.
+
+        Raises:
+            Failure: INTERNAL when the job exists and a record that can't be read hides
+                its state, and whatever a read raises.
         """
-        ended = await self._find_ended(job_id, recent=False)
+        try:
+            ended = await self._find_ended(job_id, recent=False)
+        except UnreadableRecord:
+            # The job may be open: only the owner's last record replaces the others.
+            ended = None
         if ended is not None:
             return ended.state
-        entry = await self._reader.get(make_progress_key(job_id))
-        if entry is not None:
-            return decode_progress(entry.value).state
-        submission = await self.find(job_id)
+        state, submission = await self._find_open(job_id)
+        if state is not None:
+            return state
         if submission is not None and self._belongs_to_queue(submission, queue.name):
             return JobState.QUEUED
         ended = None if submission else await self._find_ended(job_id)
@@ -195,13 +213,28 @@
         )
         return None
 
+    async def _find_open(
+        self, job_id: str
+    ) -> tuple[JobState | None, Submission | None]:
+        """Return the state by an open job's progress, or its submission."""
+        entry = await self._reader.get(make_progress_key(job_id))
+        if entry is None:
+            return None, await self.find(job_id)
+        try:
+            return self._reader.decode(entry, decode_progress).state, None
+        except UnreadableRecord:
+            # Progress is written with the first start and replaced with the last
+            # record, so a job that has it and a submission is running.
+            submitted = await self._reader.get(make_job_key(job_id))
+            return (None if submitted is None else JobState.RUNNING), None
+
     async def cancel(self, job_id: str, queue: Queue, organisation: str) -> bool:
         """Store a job's cancellation; return False when there is no such job."""
         job_key = make_job_key(job_id)
         entry = await self._reader.get(job_key)
         if entry is None:
             return False
-        submission = decode_submission(entry.value)
+        submission = self._decode_submission(entry, job_id)
         if not self._belongs_to_queue(submission, queue.name):
             return False
         # The path of another queue may be public; a call without a key has no
