--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -25,7 +25,7 @@
 from primrosestile.transport.store_views import CHECK_SECONDS, STORE_VIEW_PATH
 
 # An answer is sent this long before the caller's deadline, because it is useless once
-# the caller has disconnected.
+# the caller has disconnected. Of a shorter deadline than twice this, half is kept.
 ANSWER_MARGIN_SECONDS = 0.15
 # Maximum duration of a call, also the default where the caller gave no deadline.
 MAX_CALL_SECONDS = 3.0
@@ -38,7 +38,7 @@
 
     Attributes:
         leaving: The process is shutting down: its readiness is off, and connections
-            are closed after their answers.
+            are closed after their answers, as whenever it is not ready.
     """
 
     def __init__(
@@ -54,36 +54,45 @@
         self._policies = policies
         self.leaving = False
 
+    @property
+    def _ready(self) -> bool:
+        return self._policies.recent and not self.leaving
+
     async def answer_ready(self, request: web.BaseRequest) -> web.Response:
         """Answer the balancer's readiness check."""
-        ready = self._policies.recent and not self.leaving
-        return web.Response(status=200 if ready else 503)
+        return web.Response(status=200 if self._ready else 503)
 
     async def answer_peer(self, request: web.BaseRequest) -> web.Response:
         """Answer another process of ours whether the store answers this one."""
         if request.path != STORE_VIEW_PATH:
             return web.Response(status=404)
-        answers = await self._does_store_answer()
-        return web.Response(status=200 if answers else 503)
+        serves = await self._can_serve()
+        return web.Response(status=200 if serves else 503)
+
+    async def _can_serve(self) -> bool:
+        """Whether the policy is recent and the store answers a read that is sent now.
 
-    async def _does_store_answer(self) -> bool:
-        """Whether the store answers a read that is sent now."""
+        A recent policy alone doesn't show that the store still answers.
+        """
+        if not self._policies.recent:
+            return False
         if self._policies.age < CHECK_SECONDS:
             return True
         try:
-            await self._policies.refresh_within(CHECK_SECONDS)
+            await self._submissions.check_store(CHECK_SECONDS)
         except Failure:
             return False
         return True
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
-        """Answer one call, also when its handling fails."""
+        """Answer one call within its caller's deadline, also when it fails."""
         began = read_clock()
+        until = began + _find_limit(_read_deadline(request))
         try:
-            async with asyncio.timeout(_find_limit(request)):
+            async with asyncio.timeout_at(until):
                 response = await self._dispatch(request)
         except Failure as failure:
-            if await self._is_served_elsewhere(failure):
+            if await self._is_served_elsewhere(failure, until):
                 failure.retry_after = 0.0
             response = _answer_failure(request, failure, began)
         except TimeoutError:
@@ -95,17 +104,18 @@
             _log.exception("call_failed", method=request.method, path=request.path)
             fault = Failure(ErrorKind.INTERNAL, "an unexpected error")
             response = _answer_failure(request, fault, began)
-        if self.leaving:
+        if not self._ready:
+            # The balancer sends the caller's next connection to another VM.
             response.force_close()
         labels = {"method": request.method, "status": str(response.status)}
         self._metrics.requests.inc(labels)
         self._metrics.seconds.observe({"method": request.method}, read_clock() - began)
         return response
 
-    async def _is_served_elsewhere(self, failure: Failure) -> bool:
+    async def _is_served_elsewhere(self, failure: Failure, until: float) -> bool:
         """Whether a caller's next attempt, which reaches another VM, can succeed."""
         away = failure.kind is ErrorKind.STORE_UNAVAILABLE
-        return away and await self._scope.is_own()
+        return away and await self._scope.is_own(until, self._policies.age)
 
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
         policy = self._policies.require()
@@ -168,13 +178,19 @@
         )
 
 
-def _find_limit(request: web.BaseRequest) -> float:
-    given = request.headers.get(DEADLINE_HEADER, "")
+def _read_deadline(request: web.BaseRequest) -> float:
+    """Return how many seconds the caller waits for an answer."""
     try:
-        seconds = float(given) / 1000 if given else MAX_CALL_SECONDS
+        seconds = float(request.headers.get(DEADLINE_HEADER, "")) / 1000
     except ValueError:
-        seconds = MAX_CALL_SECONDS
-    return max(0.05, min(seconds, MAX_CALL_SECONDS) - ANSWER_MARGIN_SECONDS)
+        return MAX_CALL_SECONDS
+    return seconds if math.isfinite(seconds) else MAX_CALL_SECONDS
+
+
+def _find_limit(deadline: float) -> float:
+    """Return after how many seconds a call must be answered, given its deadline."""
+    deadline = max(0.0, min(deadline, MAX_CALL_SECONDS))
+    return max(deadline / 2, deadline - ANSWER_MARGIN_SECONDS)
 
 
 def _find_queue(policy: Policy, request: web.BaseRequest) -> Queue:
@@ -221,6 +237,7 @@
         status=answer.status,
         retry_after=failure.retry_delay,
         seconds=round(read_clock() - began, 3),
+        deadline=round(_read_deadline(request), 3),
     )
     response = web.Response(status=answer.status)
     if failure.retry_delay is not None:
