Show that a new owner with a slow link never reads large statistics, failing

What callers saw: no job starts while a VM with a slow link owns the fleet.

`StatisticsStore.load` is the first read of a term, by `get`, which has 1 s for the whole answer. Statistics are kept for each incarnation of a worker and never dropped: 15,000 of them and 4,000 queues are 0.73 MB, 0.98 MB on the wire, 1.56 s at 5 Mbit/s. The read fails, `Scheduler._load` begins again with it, and the owner does not resign before 45 s.

Ruled out: at 1000 Mbit/s the scenario passes.

--- /dev/null
+++ b/features/work/slow_link.feature
@@ -0,0 +1,13 @@
+Feature: Large messages complete over a slow link
+  The limit of a call must leave time for the largest message that the call can carry. A
+  call that is cut off begins again at the first byte: it never completes, and takes the
+  link from all others.
+
+  Scenario: A new owner reads large statistics
+    Guards against an owner that never gets beyond its first read, so that no job starts.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And statistics of 15000 workers and 4000 queues from an earlier owner
+    When p1 starts over a link of 5 Mbit/s
+    And 1 s pass
+    And job l1 is handed in at p1
+    Then job l1 is shown as completed within 30 s
