Show that many large records never reach the store over a slow link, failing

What callers saw: jobs that were accepted never start, and are shown as queued.

The recorder sends all groups of a round at the same time, each of 0.4 MB and up to one record more, and each with 1.5 s for the whole call. At 5 Mbit/s 1.5 s carry 0.94 MB in base 64. All groups time out together and all are sent again together.

Ruled out: at 1000 Mbit/s the scenario passes.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -11,3 +11,11 @@
     And 1 s pass
     And job l1 is handed in at p1
     Then job l1 is shown as completed within 30 s
+
+  Scenario: Many large records change at once
+    Guards against an owner that writes them all at the same time, so that each write
+    times out and no task of these jobs is ever started.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 8 jobs of 4000 tasks each are open
+    When an owner over a link of 5 Mbit/s records a start of every task
+    Then all of these records are stored within 60 s
