Show that a refused submission counts as unknown while the policy arrives, failing

What callers saw: *the outcome isn't known*, for a job that the store had refused.

A submission has the policy's key among its conditions, and a refusal brings the items of all conditions: with a policy of 1 MB 1.33 MB, 2.1 s at 5 Mbit/s. It is cut off after 1.5 s, so it counts as unanswered, and the policy in it is thrown away.

Ruled out: at 1000 Mbit/s the scenario passes.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -19,3 +19,14 @@
     And 8 jobs of 4000 tasks each are open
     When an owner over a link of 5 Mbit/s records a start of every task
     Then all of these records are stored within 60 s
+
+  Scenario: The policy changes under a submission
+    Guards against a caller who is told that its job may run, since the refusal brings
+    the whole policy and is cut off.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a policy of 1000 kB
+    And 2 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And operators change the policy
+    And job l3 is handed in at p1 at once
+    Then the caller is told whether the job was accepted
