Show that counts of waiting jobs crowd one another out, failing

What callers saw: no answer before their deadline, for as long as callers go on asking.

`PendingCounts` begins another read of all keys when the last one began more than 1 s ago, whether it has ended or not. With 11,000 waiting jobs a read takes 1.9 s at 5 Mbit/s, so more reads begin than end, and each gets a smaller share of the link.

Ruled out: at 1000 Mbit/s the scenario passes. `policy_not_read` is not in its log.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -30,3 +30,14 @@
     And operators change the policy
     And job l3 is handed in at p1 at once
     Then the caller is told whether the job was accepted
+
+  Scenario: Callers keep asking how many jobs wait
+    Guards against a read that begins each second and takes longer than that, so that the
+    reads crowd one another out.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And some other process schedules
+    And 1 processes of ours
+    And 11000 jobs wait
+    When p1 gets a link of 5 Mbit/s
+    And for 15 s 1 callers ask p1 every 0.25 s for the number of waiting jobs
+    Then each caller of the last 5 s was told within 2.85 s
