Show that large starts crowd one another out on a slow link, failing

What callers saw: a job that is accepted and shown as running, and never ends.

All starts of a decision are sent at the same time, each with its job's arguments of up to 4,000 bytes and 0.45 s for the whole call. 256 of them are 1.05 MB, 1.7 s at 5 Mbit/s. All time out, three times, all runs are given up, and the next decision is the same.

Ruled out: at 1000 Mbit/s the scenario passes.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -41,3 +41,12 @@
     When p1 gets a link of 5 Mbit/s
     And for 15 s 1 callers ask p1 every 0.25 s for the number of waiting jobs
     Then each caller of the last 5 s was told within 2.85 s
+
+  Scenario: Many tasks with large arguments start at once
+    Guards against starts that crowd one another out, so that all of them time out and
+    are sent again.
+    Given a fleet of 32 workers with 8 accelerators in 4 racks
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And job l5 of 256 tasks with arguments of 4000 bytes is handed in at p1
+    Then job l5 is shown as completed within 30 s
