Show that reads of a large job's state crowd one another out, failing

What callers saw: 503 for each query of a job, as long as several ask at the same time.

Each query reads the job's whole record for its state, by `get` with its 1 s. A record of 4,000 tasks is about 0.24 MB on the wire. Five reads at a time are cut off after 1 s.

Ruled out: at 1000 Mbit/s the scenario passes.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -50,3 +50,14 @@
     When p1 gets a link of 5 Mbit/s
     And job l5 of 256 tasks with arguments of 4000 bytes is handed in at p1
     Then job l5 is shown as completed within 30 s
+
+  Scenario: Callers ask together for the state of a large job
+    Guards against reads of one record that crowd one another out, so that no caller is
+    ever told.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And some other process schedules
+    And 1 processes of ours
+    And a job of 4000 tasks whose record is stored
+    When p1 gets a link of 5 Mbit/s
+    And for 10 s 5 callers ask p1 every 2.5 s for the state of that job
+    Then each caller of the last 5 s was told within 2.85 s
