Show that one lost answer refuses all later callers on a slow link, failing

What callers saw: after a single lost answer of the store a VM refuses every call, for as long as callers come.

After a failed write each submission first reads the policy, with 0.4 s for the whole answer. A policy of 200 kB takes 0.43 s at 5 Mbit/s, so each such read is cut off, and together they keep the watch's own reads beyond their 1 s.

Ruled out: without the lost answer the scenario passes at 5 Mbit/s, and with it at 1000 Mbit/s.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -61,3 +61,15 @@
     When p1 gets a link of 5 Mbit/s
     And for 10 s 5 callers ask p1 every 2.5 s for the state of that job
     Then each caller of the last 5 s was told within 2.85 s
+
+  Scenario: One answer is lost while callers keep coming
+    Guards against a check of the store by a read of the whole policy, which is cut off
+    at each caller and keeps the reads that would succeed from succeeding.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And some other process schedules
+    And a policy of 200 kB
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And the answers to the next 1 writes are lost
+    And for 12 s 2 callers hand in jobs at p1 every 0.2 s
+    Then each caller of the last 5 s was told within 2.85 s
