Show that a VM with a slow link calls the store away, failing

What callers saw: at a VM that the store turns away, *return in a second*, though another VM would have accepted the job at once.

To answer whether the store answers it, a VM reads the whole policy within 0.15 s, in which 5 Mbit/s carry 94 kB. With a larger policy it always says no.

Ruled out: at 1000 Mbit/s the scenario passes.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -73,3 +73,10 @@
     And the answers to the next 1 writes are lost
     And for 12 s 2 callers hand in jobs at p1 every 0.2 s
     Then each caller of the last 5 s was told within 2.85 s
+
+  Scenario: Another VM asks whether the store answers
+    Guards against a VM that calls the store away because its policy takes longer to
+    arrive than the query may take, so that callers of the other VM are told to wait.
+    Given a VM with a link of 5 Mbit/s that has read a policy of 200 kB
+    When another VM asks it whether the store answers
+    Then it says yes within 0.2 s
