Show that an owner with a slow link gives a large fleet no work, failing

What callers saw: accepted jobs that never start, with all workers free.

The owner gives work only by a list of workers that was requested less than 1.5 s ago. A list of 3,000 is 1.2 MB, 1.9 s at 5 Mbit/s: it is out of date when it arrives.

Ruled out: at 1000 Mbit/s the scenario passes. With 2,000 workers of our own, each of them polled, it failed too (trial; no worker silent, the ownership kept); the scenario lists other services' workers, as that takes a tenth of the time.

Run: this scenario failed: the job isn't completed after 12 s.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -80,3 +80,14 @@
     Given a VM with a link of 5 Mbit/s that has read a policy of 200 kB
     When another VM asks it whether the store answers
     Then it says yes within 0.2 s
+
+  Scenario: The list of workers is long
+    Guards against an owner that gives no work to any worker, since its list of them is
+    out of date as soon as it has arrived.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And the list has 3000 workers of other services
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And 3 s pass
+    And job l9 is handed in at p1
+    Then job l9 is shown as completed within 12 s
