Share the read of a large record among the callers who wait for it

What callers saw: none of five callers who asked for the state of a job of 4,000 tasks, at a VM with 5 Mbit/s, was ever told.

Cause: each query read the whole record for itself, and repeated the read after 0.4 s although its answer was arriving.

Change: callers for one key share a query; a read whose answer has begun isn't repeated. A shared answer counts only if it brought an entry, which is at most as old as the transfer: a key that was missing may have been written since, and then the caller's own read decides, so 'no such job' stays as true as before.

--- a/features/steps/work_caller_deadlines_steps.py
+++ b/features/steps/work_caller_deadlines_steps.py
@@ -1,6 +1,7 @@
 """Steps for answers to callers who wait for a limited time."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import structlog.testing
@@ -16,6 +17,7 @@
 from primrosestile.platform.callers import DEADLINE_HEADER
 from primrosestile.platform.policy import POLICY_KEY
 from primrosestile.protocol.store import Entry
+from primrosestile.transport.call_progress import do_nothing
 
 JOB_ID = "00000000000000a1"
 
@@ -26,7 +28,12 @@
     def __init__(self, seconds: float) -> None:
         self._seconds = seconds
 
-    async def get(self, key: str, recent: bool = True) -> Entry | None:
+    async def get(
+        self,
+        key: str,
+        recent: bool = True,
+        on_answer: Callable[[], None] = do_nothing,
+    ) -> Entry | None:
         await asyncio.sleep(self._seconds)
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "refused")
 
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -28,6 +29,7 @@
 from primrosestile.protocol.transactions import CommitResult, Condition, Write
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import decode_owner
+from primrosestile.transport.call_progress import do_nothing
 from primrosestile.transport.store_views import STORE_VIEW_PATH, TIMEOUT_SECONDS
 
 ANSWERS = {
@@ -59,7 +61,12 @@
         on_answer()
         return StoredVersion(1, Entry("policy", make_policy(1), 1, 1))
 
-    async def get(self, key: str, recent: bool = True) -> Entry | None:
+    async def get(
+        self,
+        key: str,
+        recent: bool = True,
+        on_answer: Callable[[], None] = do_nothing,
+    ) -> Entry | None:
         self.other_reads += 1
         await self._answer(0.004)
         return None
@@ -69,6 +76,7 @@
         conditions: Sequence[Condition],
         writes: Sequence[Write] = (),
         removals: Sequence[str] = (),
+        found_bytes: float = math.inf,
     ) -> CommitResult:
         await self._answer(0.004)
         return CommitResult(done=True, revision=2)
--- a/src/primrosestile/coordination/work/record_reader.py
+++ b/src/primrosestile/coordination/work/record_reader.py
@@ -3,6 +3,9 @@
 A read has no effect, so one that is not answered is repeated: its connection may have
 gone silent while a new one would be answered. Writes are not repeated here.
 
+A large record may take seconds to arrive over a slow link. Callers who ask for it
+meanwhile share its read, and a read that is being answered is not repeated.
+
 A record that can't be decoded, such as one that another program has written, stays in
 the store. It is logged once, and its reader decides what is known without it.
 """
@@ -46,6 +49,10 @@
     def __init__(self, store: TransactionalStore) -> None:
         self._store = store
         self._reads: set[asyncio.Task[Entry | None]] = set()
+        # Reads of current values whose answers are arriving, by key.
+        self._arriving: dict[str, asyncio.Task[Entry | None]] = {}
+        # Queries for current values, by key.
+        self._queries: dict[str, asyncio.Task[Entry | None]] = {}
         self._logged: dict[str, int] = {}
 
     async def get(self, key: str, recent: bool = True) -> Entry | None:
@@ -58,6 +65,20 @@
         Raises:
             Failure: That of a read that was refused, or of one that was not answered.
         """
+        if not recent:
+            return await self._get(key, recent)
+        shared = self._queries.get(key)
+        if shared is not None:
+            entry = await asyncio.shield(shared)
+            # A key that was missing may have been written since that query began.
+            if entry is not None:
+                return entry
+        query = asyncio.create_task(self._get(key, recent))
+        self._queries[key] = query
+        query.add_done_callback(lambda ended: self._end_query(key, ended))
+        return await asyncio.shield(query)
+
+    async def _get(self, key: str, recent: bool) -> Entry | None:
         pending: set[asyncio.Task[Entry | None]] = set()
         unanswered = Failure(ErrorKind.STORE_UNAVAILABLE, f"{key} was not answered")
         for wait in WAITS:
@@ -65,6 +86,10 @@
             done, pending = await asyncio.wait(
                 pending, timeout=wait, return_when=asyncio.FIRST_COMPLETED
             )
+            arriving = self._arriving.get(key)
+            if not done and arriving in pending:
+                done, _ = await asyncio.wait({arriving})
+                pending -= done
             for read in done:
                 try:
                     return read.result()
@@ -80,16 +105,25 @@
         If it were cancelled with a caller whose deadline is short, its connection would
         never count as silent, and the next callers would use others of the same pool.
         """
-        read = asyncio.create_task(self._store.get(key, recent))
+
+        def note_answer() -> None:
+            self._arriving[key] = read
+
+        read = asyncio.create_task(self._store.get(key, recent, note_answer))
         self._reads.add(read)
-        read.add_done_callback(self._end_read)
+        read.add_done_callback(lambda ended: self._end_read(key, ended))
         return read
 
-    def _end_read(self, read: asyncio.Task[Entry | None]) -> None:
+    def _end_read(self, key: str, read: asyncio.Task[Entry | None]) -> None:
         self._reads.discard(read)
-        if not read.cancelled():
-            # Otherwise the loop reports the failure of a read that nobody waits for.
-            read.exception()
+        if self._arriving.get(key) is read:
+            del self._arriving[key]
+        _mark_retrieved(read)
+
+    def _end_query(self, key: str, query: asyncio.Task[Entry | None]) -> None:
+        if self._queries.get(key) is query:
+            del self._queries[key]
+        _mark_retrieved(query)
 
     def decode(self, entry: Entry, decode: Callable[[bytes], T]) -> T:
         """Return the record of an entry.
@@ -111,3 +145,9 @@
             del self._logged[next(iter(self._logged))]
         self._logged[entry.key] = entry.mod_revision
         _log.warning("record_unreadable", key=entry.key, reason=reason)
+
+
+def _mark_retrieved(task: asyncio.Task[Entry | None]) -> None:
+    """Keep the loop from reporting a failure that nobody waits for."""
+    if not task.cancelled():
+        task.exception()
