Refuse a submission at once while a newer policy is arriving

Cause: the refusal of a write brings the entries that stand under its conditions, the whole policy among them, and over 5 Mbit/s that takes most of a caller's deadline. It also shares the link with the read of the policy.

Change: an answer over 100 kB to a submission isn't transferred; its connection is closed. The status alone proves that the job was not accepted by this write. The job's own keys are read; if nothing stands there, the policy is read at once, and the call is judged again or, after 0.4 s, refused as not run, with when to return.

Adapter: 'A large value is transferred only when it has changed' (new).

--- a/features/doubles/work_links.py
+++ b/features/doubles/work_links.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextvars
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
@@ -219,10 +220,11 @@
         conditions: Sequence[Condition],
         writes: Sequence[Write] = (),
         removals: Sequence[str] = (),
+        found_bytes: float = math.inf,
     ) -> CommitResult:
         """Apply a transaction if all of its conditions hold."""
         return await run_outside(
-            lambda: self._store.commit(conditions, writes, removals)
+            lambda: self._store.commit(conditions, writes, removals, found_bytes)
         )
 
     async def grant_lease(self, seconds: float) -> int:
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -74,6 +74,13 @@
     When a value of 1048 kB is read over a link of 5 Mbit/s
     Then the value is read
 
+  Scenario: A large value is transferred only when it has changed
+    Guards against a link that is full of copies of one value.
+    Given a store over HTTP with a value of 1000 kB
+    Then a check of its revision is answered in under 1 kB
+    And a check of an older revision brings the value
+    And a change on the condition of an older revision is refused without the value
+
   Scenario: The list of VMs is read page by page, and maintenance is ordered
     Then the VMs on two pages are listed
     And a maintenance order carries its holder and fence
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -27,10 +27,10 @@
 from primrosestile.programs.node import Node
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Entry
-from primrosestile.protocol.transactions import Write
+from primrosestile.protocol.transactions import Condition, Write
 from primrosestile.state.policy import Queue
 from primrosestile.state.work import Need
-from primrosestile.transport.connections import Connections
+from primrosestile.transport.connections import Connections, Reply
 from primrosestile_standin.fleet_http import AdviceServer, StoreServer, WorkersServer
 from primrosestile_standin.fleet_script import Script
 from primrosestile_standin.fleet_store import FleetStore
@@ -357,6 +357,76 @@
     context.read = read_slowly(size * 1000, rate * 1000, link=1000.0)
 
 
+@contextlib.asynccontextmanager
+async def serve_store(store: FleetStore) -> AsyncIterator[tuple[PlatformStore, list]]:
+    """Serve a store; yield a client and the sizes of the answers that it got."""
+    sizes: list[int] = []
+
+    class CountingConnections(Connections):
+        async def call(self, *args: Any, **options: Any) -> Reply:
+            reply = await super().call(*args, **options)
+            sizes.append(len(reply.body))
+            return reply
+
+    end = web.AppRunner(StoreServer(store).make_app(), shutdown_timeout=0.1)
+    await end.setup()
+    port = find_free_port()
+    await web.TCPSite(end, "127.0.0.1", port).start()
+    connections = CountingConnections()
+    try:
+        yield PlatformStore(f"127.0.0.1:{port}", connections, link=5.0), sizes
+    finally:
+        await connections.close()
+        await end.cleanup()
+
+
+@given("a store over HTTP with a value of {size:d} kB")
+def step_large_value(context: Any, size: int) -> None:
+    context.stored = FleetStore()
+    context.value = bytes(size * 1000)
+    context.revision = context.stored.put("k", context.value)
+
+
+@then("a check of its revision is answered in under {size:d} kB")
+def step_check_same(context: Any, size: int) -> None:
+    async def check() -> None:
+        async with serve_store(context.stored) as (store, sizes):
+            outcome = await store.check(Condition("k", context.revision))
+            assert outcome.done
+            assert sizes[0] < size * 1000, sizes
+
+    asyncio.run(check())
+
+
+@then("a check of an older revision brings the value")
+def step_check_older(context: Any) -> None:
+    async def check() -> None:
+        async with serve_store(context.stored) as (store, _):
+            outcome = await store.check(Condition("k", context.revision - 1))
+            assert not outcome.done
+            assert outcome.found[0].value == context.value
+            assert outcome.found[0].mod_revision == context.revision
+
+    asyncio.run(check())
+
+
+@then("a change on the condition of an older revision is refused without the value")
+def step_refused_without(context: Any) -> None:
+    async def change() -> None:
+        async with serve_store(context.stored) as (store, sizes):
+            conditions = [Condition("k", context.revision - 1)]
+            outcome = await store.commit(
+                conditions, [Write("other", b"v")], found_bytes=1000
+            )
+            assert not outcome.done
+            assert outcome.omitted
+            assert sizes == [0], sizes
+            # The next call needs another connection.
+            assert await store.get("other") is None
+
+    asyncio.run(change())
+
+
 @when("a value of {size:d} kB is read over a link of {megabits:g} Mbit/s")
 def step_read_linked(context: Any, size: int, megabits: float) -> None:
     rate = megabits * BYTES_PER_MEGABIT
--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -52,6 +52,9 @@
 # How long a caller waits to learn that a store that has just failed is still away. One
 # that is sixty times slower than usual answers within 0.3 s.
 CHECK_SECONDS = 0.4
+# A refused submission brings the entries that it met, such as the whole policy. More is
+# not transferred: over 5 Mbit/s it would take the caller's whole deadline.
+MAX_FOUND_BYTES = 100_000
 # After a lost answer the record is read back this many times before the outcome is
 # reported as unknown.
 READ_BACK_TRIES = 3
@@ -107,7 +110,9 @@
                 make_waiting(job_id, submission.queue),
             ]
             try:
-                outcome = await self._store.commit(conditions, writes)
+                outcome = await self._store.commit(
+                    conditions, writes, found_bytes=MAX_FOUND_BYTES
+                )
             except Failure as failure:
                 self._policies.doubtful = True
                 if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
@@ -115,6 +120,12 @@
                 return await self._read_back(job_id, submission)
             if outcome.done:
                 return submission
+            if outcome.omitted:
+                known = await self._find_known(job_id, submission)
+                if known is not None:
+                    return known
+                await self._policies.wait_for_newer(policy.revision, CHECK_SECONDS)
+                continue
             found = self._apply_found(outcome)
             if key in found:
                 stored = self._decode_submission(found[key], job_id)
@@ -138,19 +149,34 @@
         for _ in range(READ_BACK_TRIES):
             await asyncio.sleep(READ_BACK_SECONDS)
             try:
-                stored = await self.find(job_id)
-                ended = None if stored else await self._find_ended(job_id)
+                known = await self._find_known(job_id, submission)
             except Failure as failure:
+                if failure.kind is ErrorKind.CONFLICT:
+                    raise
                 _log.warning("read_back_failed", job_id=job_id, reason=str(failure))
                 continue
-            if stored is not None:
-                self._check_same(stored, submission)
-                return stored
-            if ended is not None:
-                self._check_same(ended, submission)
-                return submission
+            if known is not None:
+                return known
         raise Failure(ErrorKind.STORE_ANSWER_LOST, "the store did not answer the write")
 
+    async def _find_known(
+        self, job_id: str, submission: Submission
+    ) -> Submission | None:
+        """Return what is stored under a job's id, or None when there is nothing.
+
+        Raises:
+            Failure: CONFLICT when another job has the id, and whatever a read raises.
+        """
+        stored = await self.find(job_id)
+        if stored is not None:
+            self._check_same(stored, submission)
+            return stored
+        ended = await self._find_ended(job_id)
+        if ended is not None:
+            self._check_same(ended, submission)
+            return submission
+        return None
+
     async def check_store(self, seconds: float) -> None:
         """Fail unless the store answers a read within a time.
 
--- a/src/primrosestile/coordination/work/policy_watch.py
+++ b/src/primrosestile/coordination/work/policy_watch.py
@@ -66,6 +66,10 @@
         self._answered_at = -math.inf
         # For each read whose answer is arriving, an event that is set at its end.
         self._arriving: set[asyncio.Event] = set()
+        # Set when the policy must be read at once.
+        self._due = asyncio.Event()
+        # Set, and replaced, with each change of the newest known version.
+        self._changed = asyncio.Event()
         self.doubtful = False
         self.silent = False
         self.loaded = asyncio.Event()
@@ -89,11 +93,6 @@
         """Whether requests may be judged by the policy."""
         return self._policy is not None and self.age < self._max_proof_age
 
-    @property
-    def arriving(self) -> bool:
-        """Whether the store is answering a read at this moment."""
-        return bool(self._arriving)
-
     def require(self) -> Policy:
         """Return the policy to judge a request by.
 
@@ -121,6 +120,7 @@
                 if self._arriving:
                     await self._wait_for_arrival()
                     continue
+                self._due.clear()
                 if len(in_flight) < MAX_IN_FLIGHT:
                     reading = tasks.create_task(self._try_refresh())
                     in_flight.add(reading)
@@ -128,7 +128,15 @@
                     await asyncio.wait({reading}, timeout=wait * UNANSWERED_FACTOR)
                     if reading.done() and not reading.result():
                         wait = RETRY_SECONDS
-                await asyncio.sleep(max(0.0, wait - (read_clock() - started)))
+                await self._pause(wait - (read_clock() - started))
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the next read is due."""
+        try:
+            async with asyncio.timeout(max(0.0, seconds)):
+                await self._due.wait()
+        except TimeoutError:
+            return
 
     async def _try_refresh(self) -> bool:
         """Read the policy once; return whether that succeeded."""
@@ -176,19 +184,19 @@
         ended = next(iter(self._arriving))
         await ended.wait()
 
-    async def refresh_within(self, seconds: float) -> None:
-        """Read the policy once; a read that is not answered in time has failed.
+    async def wait_for_newer(self, revision: int, seconds: float) -> None:
+        """Have the policy read at once, and wait for a version after a revision.
 
-        If a version is arriving, this waits for it.
+        Raises:
+            Failure: STORE_UNAVAILABLE when none has arrived in time.
         """
+        self._due.set()
         try:
             async with asyncio.timeout(seconds):
-                if self._arriving:
-                    await self._wait_for_arrival()
-                else:
-                    await self.refresh()
+                while self._known_revision <= revision:
+                    await self._changed.wait()
         except TimeoutError as error:
-            detail = f"the store did not answer within {seconds:g} s"
+            detail = "a newer policy is still arriving"
             raise Failure(ErrorKind.STORE_UNAVAILABLE, detail) from error
 
     def apply_version(self, entry: Entry) -> None:
@@ -205,6 +213,7 @@
             policy = self._source.decode(entry)
         except Failure as failure:
             self._unreadable_revision = entry.mod_revision
+            self._notify_waiting()
             _log.error(
                 "policy_not_applied", revision=entry.mod_revision, reason=str(failure)
             )
@@ -212,6 +221,7 @@
         self._unreadable_revision = 0
         self._policy = policy
         self.loaded.set()
+        self._notify_waiting()
         _log.info(
             "policy_applied",
             version=policy.version,
@@ -220,3 +230,7 @@
             keys=len(policy.keys),
             size=len(entry.value),
         )
+
+    def _notify_waiting(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/src/primrosestile/platform/store.py
+++ b/src/primrosestile/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import math
 from collections.abc import Callable, Iterable, Sequence
 from typing import Annotated, Any
 from urllib.parse import quote
@@ -23,7 +24,7 @@
     WatchBatch,
     Write,
 )
-from primrosestile.transport.call_progress import TimeLimits, do_nothing
+from primrosestile.transport.call_progress import AnswerLimits, do_nothing
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 
 # A healthy store answers in 4 ms, a slow one in 300 ms. After this time the connection
@@ -142,7 +143,7 @@
         path = f"/v1/kv-key?key={quote(key, safe='')}"
         if not recent:
             path += "&serializable=1"
-        limits = TimeLimits(READ_TIMEOUT_SECONDS, self._transfer_seconds)
+        limits = AnswerLimits(READ_TIMEOUT_SECONDS, self._transfer_seconds)
         reply = await self._read(path, limits, (200, 404), on_answer)
         if reply.status == 404:
             return None
@@ -172,6 +173,7 @@
         conditions: Sequence[Condition],
         writes: Sequence[Write] = (),
         removals: Sequence[str] = (),
+        found_bytes: float = math.inf,
     ) -> CommitResult:
         """Apply a change if all of its conditions hold."""
         body = {
@@ -181,7 +183,9 @@
             "writes": [_make_write(each) for each in writes],
             "remove": list(removals),
         }
-        reply = await self._write("POST", "/v1/kv-txn", body, (200, 412, 404))
+        reply = await self._write(
+            "POST", "/v1/kv-txn", body, (200, 412, 404), found_bytes
+        )
         if reply.status == 404:
             raise Failure(ErrorKind.NOT_FOUND, "the lease of a write has expired")
         return self._read_outcome(reply)
@@ -195,7 +199,7 @@
             self._address,
             "/v1/kv-txn",
             msgspec.json.encode({"precondition": [row], "writes": [], "remove": []}),
-            TimeLimits(READ_TIMEOUT_SECONDS, self._transfer_seconds),
+            AnswerLimits(READ_TIMEOUT_SECONDS, self._transfer_seconds),
             _READ,
             headers=_JSON_HEADERS,
             on_answer=on_answer,
@@ -205,6 +209,8 @@
     def _read_outcome(self, reply: Reply) -> CommitResult:
         if reply.status == 200:
             return CommitResult(done=True, revision=_decode(reply, _Done).revision)
+        if reply.omitted:
+            return CommitResult(done=False, omitted=True)
         # All items must be readable: a rejected one would count as a key that does not
         # exist, and the owner's own key as held by another process.
         items = _decode(reply, _NotDone).items
@@ -229,7 +235,7 @@
             f"/v1/kv-watch?prefix={quote(prefix, safe='')}"
             f"&after={after}&wait_ms={int(seconds * 1000)}"
         )
-        limits = TimeLimits(seconds + WATCH_SLACK_SECONDS, self._transfer_seconds)
+        limits = AnswerLimits(seconds + WATCH_SLACK_SECONDS, self._transfer_seconds)
         reply = await self._read(path, limits, (200, 410))
         if reply.status == 410:
             return WatchBatch((), after, complete=False)
@@ -271,7 +277,7 @@
     async def _read(
         self,
         path: str,
-        limits: float | TimeLimits,
+        limits: float | AnswerLimits,
         accepted: tuple[int, ...],
         on_answer: Callable[[], None] = do_nothing,
     ) -> Reply:
@@ -287,7 +293,12 @@
         return _check(reply, path, accepted, _READ)
 
     async def _write(
-        self, method: str, path: str, body: dict[str, Any], accepted: tuple[int, ...]
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any],
+        accepted: tuple[int, ...],
+        answer_bytes: float = math.inf,
     ) -> Reply:
         content = msgspec.json.encode(body)
         sending_seconds = find_transfer_seconds(self._link, len(content))
@@ -295,7 +306,11 @@
             self._address,
             path,
             content,
-            TimeLimits(WRITE_TIMEOUT_SECONDS + sending_seconds, self._transfer_seconds),
+            AnswerLimits(
+                WRITE_TIMEOUT_SECONDS + sending_seconds,
+                self._transfer_seconds,
+                answer_bytes,
+            ),
             _WRITE,
             headers=_JSON_HEADERS,
             method=method,
--- a/src/primrosestile/protocol/transactions.py
+++ b/src/primrosestile/protocol/transactions.py
@@ -6,6 +6,7 @@
 `STORE_ANSWER_LOST` that it may have had one or may still have one.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -43,11 +44,14 @@
         revision: Store revision of the change.
         found: When not done, the entries under the keys of the conditions; keys that
             do not exist are left out.
+        omitted: When not done, whether the entries were larger than the caller's limit
+            and so were not transferred.
     """
 
     done: bool
     revision: int = 0
     found: tuple[Entry, ...] = ()
+    omitted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,8 +112,16 @@
         conditions: Sequence[Condition],
         writes: Sequence[Write] = (),
         removals: Sequence[str] = (),
+        found_bytes: float = math.inf,
     ) -> CommitResult:
-        """Apply a change if all of its conditions hold."""
+        """Apply a change if all of its conditions hold.
+
+        Args:
+            conditions: What must hold.
+            writes: Values to be written.
+            removals: Keys to be removed.
+            found_bytes: Size above which the entries found are not transferred.
+        """
         ...
 
     async def grant_lease(self, seconds: float) -> int:
--- a/src/primrosestile/transport/call_progress.py
+++ b/src/primrosestile/transport/call_progress.py
@@ -1,4 +1,4 @@
-"""Progress of one HTTP call, and the time limits that follow from it.
+"""Progress of one HTTP call, and the limits on its answer.
 
 A fixed limit on the whole answer would cut a large one off on a slow link, and each
 repetition would begin at its first byte again. So an answer that keeps arriving may
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,17 +16,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TimeLimits:
-    """Time limits of one call.
+class AnswerLimits:
+    """Limits on the answer to one call.
 
     Attributes:
         answer_seconds: Until the answer begins, including the wait for a connection,
             and between two parts of it.
         transfer_seconds: Added to that for the whole call once its answer has begun.
+        body_bytes: A larger body is not transferred.
     """
 
     answer_seconds: float
     transfer_seconds: float = 0.0
+    body_bytes: float = math.inf
 
 
 def do_nothing() -> None:
@@ -40,11 +43,11 @@
         timeout: To be entered around the call.
     """
 
-    def __init__(self, limits: TimeLimits, on_answer: Callable[[], None]) -> None:
+    def __init__(self, limits: AnswerLimits, on_answer: Callable[[], None]) -> None:
         """Begin a call.
 
         Args:
-            limits: Its time limits.
+            limits: The limits on its answer.
             on_answer: Called when the answer begins.
         """
         self._limits = limits
@@ -66,12 +69,16 @@
         """Whether the answer was still arriving when the call's time was over."""
         return self._received is not None and self.timeout.when() == self._latest
 
-    async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        """Return the body of the call's answer."""
+    async def read_body(self, response: aiohttp.ClientResponse) -> bytes | None:
+        """Return the body of the call's answer; None for one over the limit."""
         self._stated = response.content_length
         self._received = 0
         self._extend()
         self._on_answer()
+        if (self._stated or 0) > self._limits.body_bytes:
+            # An open connection would go on transferring the body.
+            response.close()
+            return None
         body = bytearray()
         async for part in response.content.iter_any():
             body += part
--- a/src/primrosestile/transport/connections.py
+++ b/src/primrosestile/transport/connections.py
@@ -27,7 +27,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.transport.call_progress import CallProgress, TimeLimits, do_nothing
+from primrosestile.transport.call_progress import AnswerLimits, CallProgress, do_nothing
 
 # A worker accepts about this many connections and refuses more.
 CONNECTIONS_PER_ADDRESS = 64
@@ -58,11 +58,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A complete answer."""
+    """An answer.
+
+    Attributes:
+        omitted: Whether the body was larger than the call's limit, and is left out.
+    """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    omitted: bool = False
 
 
 @dataclass(slots=True)
@@ -122,7 +127,7 @@
         address: str,
         path: str,
         body: bytes,
-        timeout: float | TimeLimits,
+        timeout: float | AnswerLimits,
         kinds: FailureKinds,
         headers: Mapping[str, str] | None = None,
         method: str = "POST",
@@ -145,7 +150,7 @@
             Failure: `kinds.unsent` when nothing was sent, `kinds.lost` when no
                 complete answer came.
         """
-        limits = timeout if isinstance(timeout, TimeLimits) else TimeLimits(timeout)
+        limits = timeout if isinstance(timeout, AnswerLimits) else AnswerLimits(timeout)
         progress = CallProgress(limits, on_answer)
         silent = False
         target = self._find(address)
@@ -207,7 +212,12 @@
             ) as response:
                 check_length(response)
                 content = await progress.read_body(response)
-                return Reply(response.status, response.headers, content)
+                return Reply(
+                    response.status,
+                    response.headers,
+                    content or b"",
+                    omitted=content is None,
+                )
         finally:
             pool.users -= 1
             if pool.retired and not pool.users:
--- a/src/primrosestile_standin/fleet_store.py
+++ b/src/primrosestile_standin/fleet_store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -310,6 +311,7 @@
         conditions: Sequence[Condition],
         writes: Sequence[Write] = (),
         removals: Sequence[str] = (),
+        found_bytes: float = math.inf,
     ) -> CommitResult:
         """Apply a transaction if all of its conditions hold."""
         lost = ErrorKind.STORE_ANSWER_LOST
@@ -335,8 +337,12 @@
         if faults.lose_writes:
             faults.lose_writes -= 1
             raise Failure(ErrorKind.STORE_ANSWER_LOST, "lost")
+        answer_size = _measure_answer(outcome.found)
+        if answer_size > found_bytes:
+            outcome = CommitResult(done=False, omitted=True)
+            answer_size = ANSWER_BYTES
         await self._carry(
-            _measure_answer(outcome.found),
+            answer_size,
             lost,
             _find_left(began, write_seconds + find_transfer_seconds(self._megabits)),
         )
