Wait briefly for a policy that is being read

What callers saw. After a restart of all VMs of a zone, or at a VM that went on after a suspension of seconds, each call was refused at once (*the policy is not recent*) and cost its caller an attempt, though the policy came 0.3 s later.

A call needs a recent policy at the moment it arrives, and the balancer uses all VMs of a zone while fewer than half are ready.

A read of the policy for each such call: the poll already reads it. Waiting while the store is known to be away: those callers are refused at once, as before.

Unless the last call to the store has failed, a call waits for the poll's read for up to 0.5 s, and so that 0.3 s of its time are left for asking other VMs. The 0.5 s begin with the first such call, so that callers are refused at once while the policy takes long.

--- a/features/steps/work_caller_deadlines_steps.py
+++ b/features/steps/work_caller_deadlines_steps.py
@@ -8,7 +8,12 @@
 from aiohttp.test_utils import make_mocked_request
 from behave import given, then, when
 from features.doubles.fleet_world import HOST
-from features.steps.work_outage_scope_steps import ANSWERS, make_submission
+from features.steps.work_outage_scope_steps import (
+    ANSWERS,
+    PolicyStore,
+    make_submission,
+    make_vm,
+)
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.job_submissions import JobSubmissions
@@ -43,6 +48,27 @@
     context.calls._submissions = JobSubmissions(store, context.policies, POLICY_KEY)
 
 
+@given("a VM that has just started")
+def step_just_started(context: Any) -> None:
+    make_vm(context, PolicyStore("answers"), [])
+
+
+@given("its process has been suspended for {seconds:g} s")
+def step_suspended(context: Any, seconds: float) -> None:
+    if not seconds:
+        return
+
+    async def suspend() -> None:
+        slow = context.store.policy_seconds
+        context.store.policy_seconds = 0.004
+        await context.policies.refresh()
+        context.store.policy_seconds = slow
+        read_steady = context.policies._read_steady
+        context.policies._read_steady = lambda: read_steady() + seconds
+
+    context.runner.run(suspend())
+
+
 @given("a call to the store has just failed")
 def step_doubtful(context: Any) -> None:
     context.policies.doubtful = True
@@ -75,6 +101,22 @@
     call_within(context, "POST", seconds)
 
 
+@when(
+    "a caller with a deadline of {seconds:g} s asks for the state of a job while the"
+    " policy is polled"
+)
+def step_query_polled(context: Any, seconds: float) -> None:
+    polling = context.runner.get_loop().create_task(context.policies.run())
+    context.cleanups.append(polling.cancel)
+    call_within(context, "GET", seconds)
+
+
+@then("it is told {status:d} within {seconds:g} s")
+def step_told(context: Any, status: int, seconds: float) -> None:
+    assert context.response.status == status, context.response.status
+    assert context.took <= seconds, context.took
+
+
 @when("a caller with a deadline of {seconds:g} s asks for the state of a job")
 def step_query(context: Any, seconds: float) -> None:
     call_within(context, "GET", seconds)
--- a/features/work/caller_deadlines.feature
+++ b/features/work/caller_deadlines.feature
@@ -65,3 +65,38 @@
     When 20 callers with a deadline of 1 s submit jobs at once
     Then they are accepted within 0.1 s
     And it has made 1 small read of the store and none of the policy
+
+  Scenario Outline: A caller comes while the policy is being read
+    All VMs of a zone have just started, or a VM goes on after a suspension. Guards
+    against a refusal that costs the caller an attempt, with the policy milliseconds
+    away.
+    Given a VM that has just started
+    And the store answers its reads now
+    And a read of the policy takes <read> s now
+    And its process has been suspended for <suspended> s
+    When a caller with a deadline of <deadline> s asks for the state of a job while the policy is polled
+    Then it is told <status> within <within> s
+
+    Examples:
+      | suspended | read | deadline | status | within |
+      | 0         | 0.3  | 1        | 410    | 0.4    |
+      | 3         | 0.3  | 1        | 410    | 0.4    |
+      | 0         | 0.3  | 0.2      | 503    | 0.15   |
+      | 0         | 2    | 3        | 503    | 0.6    |
+
+  Scenario: A caller comes after the policy could not be read
+    Guards against callers who wait although the store is known to be away.
+    Given a VM that can't read the policy and knows owner
+    And the store refuses this VM's reads
+    And peer owner is not served
+    When a caller with a deadline of 3 s asks for the state of a job while the policy is polled
+    Then it is told 503 within 0.1 s
+
+  Scenario: A read of the policy takes seconds
+    Guards against each caller being held while the policy is known to take long.
+    Given a VM that has just started
+    And the store answers its reads now
+    And a read of the policy takes 5 s now
+    When a caller with a deadline of 3 s asks for the state of a job while the policy is polled
+    And a caller with a deadline of 3 s asks for the state of a job
+    Then it is told 503 within 0.1 s
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -29,6 +29,12 @@
 ANSWER_MARGIN_SECONDS = 0.15
 # Maximum duration of a call, also the default where the caller gave no deadline.
 MAX_CALL_SECONDS = 3.0
+# How long calls wait for the policy once it is not recent, unless the store is known to
+# be away. A store that is sixty times slower than usual answers within 0.3 s.
+POLICY_WAIT_SECONDS = 0.5
+POLICY_CHECK_SECONDS = 0.02
+# Kept of a caller's time for asking other VMs, which takes up to 0.25 s.
+SCOPE_SECONDS = 0.3
 
 _log = structlog.get_logger()
 
@@ -52,6 +58,7 @@
         self._scope = scope
         self._submissions = submissions
         self._policies = policies
+        self._not_recent_since: float | None = None
         self.leaving = False
 
     @property
@@ -88,6 +95,7 @@
         """Answer one call within its caller's deadline, also when it fails."""
         began = read_clock()
         until = began + _find_limit(_read_deadline(request))
+        await self._await_policy(until - SCOPE_SECONDS)
         try:
             async with asyncio.timeout_at(until):
                 response = await self._dispatch(request)
@@ -112,6 +120,23 @@
         self._metrics.seconds.observe({"method": request.method}, read_clock() - began)
         return response
 
+    async def _await_policy(self, until: float) -> None:
+        """Wait for a policy that is being read, as after a start or a suspension.
+
+        The time for that begins with the first call that finds no recent policy, so
+        that callers are refused at once while the policy takes long to arrive.
+        """
+        if self._policies.recent:
+            self._not_recent_since = None
+            return
+        if self._not_recent_since is None:
+            self._not_recent_since = read_clock()
+        until = min(until, self._not_recent_since + POLICY_WAIT_SECONDS)
+        while not self._policies.recent and not self._policies.doubtful:
+            if read_clock() >= until:
+                return
+            await asyncio.sleep(POLICY_CHECK_SECONDS)
+
     async def _is_served_elsewhere(self, failure: Failure, until: float) -> bool:
         """Whether a caller's next attempt, which reaches another VM, can succeed."""
         away = failure.kind is ErrorKind.STORE_UNAVAILABLE
