--- a/src/primrosestile/coordination/work/policy_watch.py
+++ b/src/primrosestile/coordination/work/policy_watch.py
@@ -68,7 +68,7 @@
         self._arriving: set[asyncio.Event] = set()
         # Set when the policy must be read at once.
         self._due = asyncio.Event()
-        # Set, and replaced, with each change of the newest known version.
+        # Set, and replaced, with each new version and with the end of each read.
         self._changed = asyncio.Event()
         self.doubtful = False
         self.silent = False
@@ -159,6 +159,7 @@
             self.silent = failure.silent
             # An earlier read may fail after a later one was answered.
             self.doubtful |= asked_at >= self._answered_at
+            self._notify_waiting()
             raise
         finally:
             self._arriving.discard(ended)
@@ -172,6 +173,7 @@
             self.apply_version(version.entry)
         if self._policy is not None and version.revision <= self._policy.revision:
             self._proved_at = max(self._proved_at, asked_at)
+            self._notify_waiting()
 
     @property
     def _known_revision(self) -> int:
@@ -184,6 +186,15 @@
         ended = next(iter(self._arriving))
         await ended.wait()
 
+    async def wait_for_proof(self, seconds: float) -> None:
+        """Wait until the policy is recent or a read of it fails, for at most a time."""
+        try:
+            async with asyncio.timeout(seconds):
+                while not self.recent and not self.doubtful:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
     async def wait_for_newer(self, revision: int, seconds: float) -> None:
         """Have the policy read at once, and wait for a version after a revision.
 
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -32,7 +32,6 @@
 # How long calls wait for the policy once it is not recent, unless the store is known to
 # be away. A store that is sixty times slower than usual answers within 0.3 s.
 POLICY_WAIT_SECONDS = 0.5
-POLICY_CHECK_SECONDS = 0.02
 # Kept of a caller's time for asking other VMs, which takes up to 0.25 s.
 SCOPE_SECONDS = 0.3
 
@@ -132,10 +131,7 @@
         if self._not_recent_since is None:
             self._not_recent_since = read_clock()
         until = min(until, self._not_recent_since + POLICY_WAIT_SECONDS)
-        while not self._policies.recent and not self._policies.doubtful:
-            if read_clock() >= until:
-                return
-            await asyncio.sleep(POLICY_CHECK_SECONDS)
+        await self._policies.wait_for_proof(until - read_clock())
 
     async def _is_served_elsewhere(self, failure: Failure, until: float) -> bool:
         """Whether a caller's next attempt, which reaches another VM, can succeed."""
