--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -10,9 +10,10 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuation import find_evacuations
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.placement import could_hold, find_eligible, make_rooms
+from primrosestile.decisions.work.placement import could_hold, find_eligible
 from primrosestile.decisions.work.plan import Plan, Stop, make_plan
 from primrosestile.decisions.work.queue_order import find_entitled, rank_unit
+from primrosestile.decisions.work.rooms import make_rooms
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Unit
 from primrosestile.decisions.work.worker_quarantine import WorkerQuarantine
--- a/src/primrosestile/decisions/work/advice.py
+++ b/src/primrosestile/decisions/work/advice.py
@@ -15,13 +15,9 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.permits import Permit
-from primrosestile.decisions.work.placement import (
-    Rooms,
-    count_allowed,
-    list_suitable,
-    make_rooms,
-)
+from primrosestile.decisions.work.placement import count_allowed, list_suitable
 from primrosestile.decisions.work.queue_order import find_entitled, rank_units
+from primrosestile.decisions.work.rooms import Rooms, make_rooms
 from primrosestile.decisions.work.units import Unit
 from primrosestile.state.policy import AdviceRules
 
--- a/src/primrosestile/decisions/work/evictions.py
+++ b/src/primrosestile/decisions/work/evictions.py
@@ -13,14 +13,12 @@
 
 from primrosestile.decisions.work.held_room import find_late_stop_factor
 from primrosestile.decisions.work.placement import (
-    Room,
-    Rooms,
     count_allowed,
     find_eligible,
     list_racks,
-    take_room,
 )
 from primrosestile.decisions.work.preemption import Eviction, compute_cost, is_aged
+from primrosestile.decisions.work.rooms import Room, Rooms, take_room
 from primrosestile.decisions.work.units import MemberState, Unit
 from primrosestile.state.work import Need
 
--- a/src/primrosestile/decisions/work/held_room.py
+++ b/src/primrosestile/decisions/work/held_room.py
@@ -12,14 +12,8 @@
 
 from primrosestile.decisions.work.crashes import is_isolated
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.placement import (
-    Room,
-    Rooms,
-    copy_rooms,
-    fill,
-    find_eligible,
-    take_room,
-)
+from primrosestile.decisions.work.placement import fill, find_eligible
+from primrosestile.decisions.work.rooms import Room, Rooms, copy_rooms, take_room
 from primrosestile.decisions.work.units import Member, Unit, Worker
 
 # A stop is answered within 0.4 s, then its end is listed and the next start recorded; a
--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -13,11 +13,12 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.eviction_wait import find_eviction_wait
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.placement import Rooms, find_locality_wait
+from primrosestile.decisions.work.placement import find_locality_wait
 from primrosestile.decisions.work.preemption import may_stop
 from primrosestile.decisions.work.queue_order import Rank, RankKey
 from primrosestile.decisions.work.reservations import reserve_room
 from primrosestile.decisions.work.restarts import Restart
+from primrosestile.decisions.work.rooms import Rooms
 from primrosestile.decisions.work.speeds import Speeds, find_slow
 from primrosestile.decisions.work.stall_restarts import find_stall_restarts
 from primrosestile.decisions.work.units import Unit
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -18,14 +18,7 @@
     record_stopping,
 )
 from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
-from primrosestile.decisions.work.placement import (
-    Rooms,
-    copy_rooms,
-    find_idle_pools,
-    make_rooms,
-    place,
-    take_rooms,
-)
+from primrosestile.decisions.work.placement import find_idle_pools, place
 from primrosestile.decisions.work.preemption import Eviction, is_affordable
 from primrosestile.decisions.work.queue_order import Rank, find_entitled, rank_units
 from primrosestile.decisions.work.reservations import (
@@ -34,6 +27,7 @@
     count_reservation,
 )
 from primrosestile.decisions.work.restarts import Restart
+from primrosestile.decisions.work.rooms import Rooms, copy_rooms, make_rooms, take_rooms
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Unit, Worker
 
--- a/src/primrosestile/decisions/work/reservations.py
+++ b/src/primrosestile/decisions/work/reservations.py
@@ -14,12 +14,11 @@
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.placement import (
-    Room,
-    Rooms,
     count_allowed,
     find_eligible,
     list_racks,
 )
+from primrosestile.decisions.work.rooms import Room, Rooms
 from primrosestile.decisions.work.units import Member, MemberState, Unit
 
 # Units that have reservations at one time, besides urgent ones. With more, so much room
--- a/tools/bench/ablation.py
+++ b/tools/bench/ablation.py
@@ -17,10 +17,10 @@
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
-from primrosestile.decisions.work.placement import Rooms
 from primrosestile.decisions.work.plan import make_plan
 from primrosestile.decisions.work.preemption import is_aged, may_stop
 from primrosestile.decisions.work.queue_order import Rank, RankKey
+from primrosestile.decisions.work.rooms import Rooms
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Member, Unit
 from primrosestile.decisions.work.worker_quarantine import WorkerQuarantine
