--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -13,8 +13,8 @@
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.plan import make_plan
+from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.units import Proof
 from primrosestile.state.work import CrashCount, Need, Step
 from primrosestile_standin.fleet_script import Script
 
--- a/features/steps/work_freeing_steps.py
+++ b/features/steps/work_freeing_steps.py
@@ -9,8 +9,9 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.plan import Stop, make_plan
+from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.units import Proof, Unit
+from primrosestile.decisions.work.units import Unit
 from primrosestile.state.work import JobState, Need, Step
 from primrosestile.state.workers import EndKind
 
--- a/src/primrosestile/coordination/work/maintenance.py
+++ b/src/primrosestile/coordination/work/maintenance.py
@@ -23,7 +23,7 @@
 from primrosestile.coordination.work.wave_records import RecordUnreadable, WaveRecords
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.maintenance import may_go, plan_maintenance
-from primrosestile.decisions.work.units import Proof
+from primrosestile.decisions.work.proofs import Proof
 from primrosestile.errors import Failure
 from primrosestile.protocol.maintenance import MaintenanceAnswer, MaintenanceCalls
 from primrosestile.protocol.transactions import TransactionalStore
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -20,13 +20,8 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.paces import Pace
 from primrosestile.decisions.work.plan import Assignment
-from primrosestile.decisions.work.units import (
-    Member,
-    MemberState,
-    Proof,
-    Unit,
-    Worker,
-)
+from primrosestile.decisions.work.proofs import Proof
+from primrosestile.decisions.work.units import Member, MemberState, Unit, Worker
 from primrosestile.decisions.work.worker_quarantine import UNHEALTHY_QUARANTINE_SECONDS
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder, WorkerCalls
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -44,8 +44,9 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.paces import find_paces
 from primrosestile.decisions.work.plan import make_plan
+from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.units import Job, Member, Proof, Worker
+from primrosestile.decisions.work.units import Job, Member, Worker
 from primrosestile.decisions.work.worker_quarantine import (
     EARLY_FAILURE_SECONDS,
     WorkerQuarantine,
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -13,8 +13,9 @@
 from primrosestile.coordination.work.worker_links import WorkerLink
 from primrosestile.decisions.work.crashes import Crash
 from primrosestile.decisions.work.plan import Stop
+from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.restarts import Restart
-from primrosestile.decisions.work.units import Member, Proof, Worker
+from primrosestile.decisions.work.units import Member, Worker
 
 _log = structlog.get_logger()
 
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -25,13 +25,8 @@
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.worker_clock import ClockReading, WorkerClock
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.units import (
-    Job,
-    Member,
-    MemberState,
-    Proof,
-    Worker,
-)
+from primrosestile.decisions.work.proofs import Proof
+from primrosestile.decisions.work.units import Job, Member, MemberState, Worker
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.fleet import (
     EndedTask,
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -7,13 +7,12 @@
 
 from primrosestile.decisions.work.crashes import Crashes
 from primrosestile.decisions.work.preemption import UNSAVED_SECONDS
+from primrosestile.decisions.work.proofs import FINAL_PROOFS, Proof
 from primrosestile.decisions.work.units import (
-    FINAL_PROOFS,
     UNKNOWN_PACE,
     Job,
     Member,
     MemberState,
-    Proof,
     Unit,
     Worker,
 )
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -19,10 +19,11 @@
 from primrosestile.decisions.work.placement import fill, find_eligible
 from primrosestile.decisions.work.plan import Assignment, Plan, make_plan
 from primrosestile.decisions.work.preemption import count_cores
+from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.queue_order import Rank
 from primrosestile.decisions.work.rooms import make_rooms, take_rooms
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.units import Proof, Unit
+from primrosestile.decisions.work.units import Unit
 from primrosestile.decisions.work.worker_quarantine import WorkerQuarantine
 from primrosestile.state.policy import Policy, Pool, Queue
 from primrosestile.state.work import JobState
