Find the waiting units outside the fleet's state

Which units could start reads only jobs, so it is a function of waiting_units.py now. Moved only; three callers and one step pass the jobs instead of calling a method.

--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -16,6 +16,7 @@
 from primrosestile.decisions.work.rooms import make_rooms
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Unit
+from primrosestile.decisions.work.waiting_units import list_waiting
 from primrosestile.decisions.work.worker_quarantine import WorkerQuarantine
 from primrosestile.state.policy import Policy, Pool, Queue
 from primrosestile.state.work import Need, Step, Submission
@@ -371,7 +372,7 @@
     """Return the waiting jobs, the most urgent first."""
     entitled = find_entitled(fleet_state)
     ranked = sorted(
-        fleet_state.list_waiting(now),
+        list_waiting(fleet_state.jobs.values(), now),
         key=lambda unit: rank_unit(
             unit, now, unit.job.job_id in entitled, Durations()
         ).make_key(),
--- a/src/primrosestile/decisions/work/advice.py
+++ b/src/primrosestile/decisions/work/advice.py
@@ -19,6 +19,7 @@
 from primrosestile.decisions.work.queue_order import find_entitled, rank_units
 from primrosestile.decisions.work.rooms import Rooms, make_rooms
 from primrosestile.decisions.work.units import Unit
+from primrosestile.decisions.work.waiting_units import list_waiting
 from primrosestile.state.policy import AdviceRules
 
 # A job's objective allows for one question about this many workers per step.
@@ -50,7 +51,7 @@
     """Return a question about the most urgent step that needs one, or None."""
     waiting = [
         unit
-        for unit in fleet_state.list_waiting(now)
+        for unit in list_waiting(fleet_state.jobs.values(), now)
         if unit.job.queue.advised is not None
     ]
     if not waiting:
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -359,42 +359,6 @@
                 if member.unit.abandoned and member.state is not MemberState.GONE:
                     yield member
 
-    def list_waiting(self, now: float) -> list[Unit]:
-        """Return the units that could start if there were room."""
-        waiting: list[Unit] = []
-        for job in self.jobs.values():
-            if job.state.final:
-                continue
-            waiting += self._list_startable(job, now)
-        return waiting
-
-    def _list_startable(self, job: Job, now: float) -> Iterator[Unit]:
-        done: dict[tuple[int, int], bool] = {}
-        for unit in job.units.values():
-            if not unit.idle:
-                continue
-            occurrence = unit.key.occurrence
-            if self._are_done(job, occurrence, unit.step.after, done):
-                if unit.ready_at is None:
-                    unit.ready_at = now
-                if unit.crashes and unit.isolating_since is None:
-                    unit.isolating_since = now
-                yield unit
-
-    def _are_done(
-        self,
-        job: Job,
-        occurrence: int,
-        steps: tuple[int, ...],
-        known: dict[tuple[int, int], bool],
-    ) -> bool:
-        for step in steps:
-            if (occurrence, step) not in known:
-                known[occurrence, step] = job.is_step_done(occurrence, step)
-            if not known[occurrence, step]:
-                return False
-        return True
-
     def pop_gone(self) -> list[tuple[Member, Proof]]:
         """Return the members marked as gone since the last call, and why."""
         gone = self.gone
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -30,6 +30,7 @@
 from primrosestile.decisions.work.rooms import Rooms, copy_rooms, make_rooms, take_rooms
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Unit, Worker
+from primrosestile.decisions.work.waiting_units import list_waiting
 
 # An eviction that wastes less than this is made at once: what a small urgent job itself
 # takes.
@@ -109,7 +110,7 @@
         self.evictions = Evictions(self.entitled, now, mechanisms.permission)
         self.idle_pools = find_idle_pools(fleet_state)
         self.rooms = make_rooms(fleet_state, now)
-        self.waiting = fleet_state.list_waiting(now)
+        self.waiting = list_waiting(fleet_state.jobs.values(), now)
         _mark_reserved(self.waiting, self.rooms)
         record_stopping(fleet_state, now)
         self.future_rooms = add_stopping(fleet_state, self.rooms, now)
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -24,6 +24,7 @@
 from primrosestile.decisions.work.rooms import make_rooms, take_rooms
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Unit
+from primrosestile.decisions.work.waiting_units import list_waiting
 from primrosestile.decisions.work.worker_quarantine import WorkerQuarantine
 from primrosestile.state.policy import Policy, Pool, Queue
 from primrosestile.state.work import JobState
@@ -70,7 +71,9 @@
     """Start what fits in order of arrival, without reservations or preemption."""
     rooms = make_rooms(fleet_state, now)
     starts = []
-    waiting = sorted(fleet_state.list_waiting(now), key=lambda unit: unit.job.accepted)
+    waiting = sorted(
+        list_waiting(fleet_state.jobs.values(), now), key=lambda unit: unit.job.accepted
+    )
     for unit in waiting:
         workers = fill(unit, find_eligible(unit, rooms, now))
         if workers is not None:
