Take the outcomes of runs out of the scheduler

What the end or the stall of a run does to the statistics and to a worker's quarantine is run_outcomes.py now; the scheduler keeps the term and its passes.

--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -21,6 +21,7 @@
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.recorder import OwnershipLost, Recorder
 from primrosestile.coordination.work.request_watch import RequestWatch
+from primrosestile.coordination.work.run_outcomes import RunOutcomes
 from primrosestile.coordination.work.run_statistics import StatisticsStore
 from primrosestile.coordination.work.scheduler_log import (
     log_crashes,
@@ -46,17 +47,13 @@
 from primrosestile.decisions.work.plan import make_plan
 from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.decisions.work.units import Job, Member, Worker
-from primrosestile.decisions.work.worker_quarantine import (
-    EARLY_FAILURE_SECONDS,
-    WorkerQuarantine,
-)
+from primrosestile.decisions.work.units import Job
 from primrosestile.errors import Failure
 from primrosestile.protocol.advice import AdviceCalls
 from primrosestile.protocol.fleet import WorkerCalls, WorkerList
 from primrosestile.protocol.maintenance import MaintenanceCalls
 from primrosestile.protocol.transactions import TransactionalStore
-from primrosestile.state.workers import EndKind, WorkerEntry
+from primrosestile.state.workers import WorkerEntry
 
 # The longest time without a pass: some changes, such as the end of a locality wait,
 # come without an event.
@@ -102,9 +99,9 @@
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
         self._fleet_state = FleetState(policy, read_wall_clock())
-        self._quarantine = WorkerQuarantine()
         self._durations = Durations()
         self._speeds = Speeds()
+        self._outcomes = RunOutcomes(self._fleet_state, self._durations, self._speeds)
         self._statistics = StatisticsStore(store, term, self._durations, self._speeds)
         self._ended = EndedJobs(store, term, status_retention_seconds)
         self._recorder = Recorder(store, term, self._fleet_state, self._ended)
@@ -234,7 +231,7 @@
             self._fleet_state,
             self._recorder,
             self._wake,
-            self._record_end,
+            self._outcomes.record_end,
             self._max_lease_seconds,
         )
         self._links[name] = link
@@ -251,42 +248,6 @@
             if self._links.get(name) is link:
                 del self._links[name]
 
-    def _record_end(self, member: Member, kind: EndKind) -> None:
-        """Update the worker's quarantine and the statistics with the end of a run."""
-        if kind is EndKind.DONE:
-            self._quarantine.record_success(member.worker)
-            self._record_duration(member)
-        if kind is not EndKind.FAILED:
-            return
-        worker = self._fleet_state.workers.get(member.worker)
-        seconds = read_clock() - (member.up_at or member.since)
-        # A daemon task may fail at any time; only an early failure counts against its
-        # worker.
-        expected = member.unit.step.daemon and seconds > EARLY_FAILURE_SECONDS
-        if worker is None or expected:
-            return
-        until = self._quarantine.record_failure(
-            member.worker,
-            member.unit.job.job_id,
-            seconds,
-            read_clock(),
-            len(self._fleet_state.workers),
-        )
-        if until > worker.quarantined_until:
-            worker.quarantined_until = until
-            _log.warning("worker_quarantined", worker=worker.name)
-
-    def _record_duration(self, member: Member) -> None:
-        unit = member.unit
-        self._speeds.record_success(member, read_clock())
-        if not member.up_at or member.restored or member.resumed:
-            return
-        self._durations.learn(
-            unit.job.submission.queue,
-            unit.step.estimate_seconds,
-            read_clock() - member.up_at,
-        )
-
     async def _run_passes(self, tasks: asyncio.TaskGroup, orders: Orders) -> None:
         while not self._term.lost.is_set():
             await self._wait()
@@ -330,7 +291,7 @@
                 log_restart(restart)
                 # A worker that leaves gets no new work anyway.
                 if not restart.worker.entry.leaving:
-                    self._quarantine_worker(restart.worker, now)
+                    self._outcomes.record_stall(restart.worker, now)
             orders.start(plan.starts)
         orders.pace(find_paces(self._fleet_state, now))
         orders.stop_abandoned()
@@ -347,13 +308,6 @@
         )
         return recent and self._recorder.writable and not self._term.doubtful
 
-    def _quarantine_worker(self, worker: Worker, now: float) -> None:
-        """Quarantine a worker on which a task is stalled."""
-        until = self._quarantine.record_stall(
-            worker.name, now, len(self._fleet_state.workers)
-        )
-        worker.quarantined_until = max(worker.quarantined_until, until)
-
     def _open_due(self) -> None:
         """Open the occurrences of repeating jobs that are due."""
         for job in self._fleet_state.jobs.values():
