Give the searches that leave units out a module of their own

Finding allocations for the units that are not lost, for those that work touches, or for as many as possible depends on no state of the class; these are functions of allocation_search.py now, and keep_most joins them from cell_charges.py. Parameters come in the order of find_allocations.

--- a/src/primrosestile/decisions/cell_allocations.py
+++ b/src/primrosestile/decisions/cell_allocations.py
@@ -12,22 +12,17 @@
 
 from collections.abc import Mapping, Sequence
 
+from primrosestile.decisions.allocation_search import find_kept, keep_most, move_touched
 from primrosestile.decisions.cell_charges import (
     Options,
     Pinned,
     RechargeSearch,
     add_charge,
-    keep_most,
     list_needs,
     order_charges,
     order_units,
 )
-from primrosestile.decisions.guarantee_allocations import (
-    Allocation,
-    Layout,
-    Need,
-    find_allocations,
-)
+from primrosestile.decisions.guarantee_allocations import Allocation, Layout, Need
 from primrosestile.state.tenancy import Shape
 
 Charge = tuple[int | None, list[Allocation]]
@@ -277,7 +272,9 @@
             trial = list(needs)
             if unit is not None:
                 trial[unit] = add_charge(needs[unit], counts)
-            found = self._move_allocations(unit, counts, allocations, trial, available)
+            found = move_touched(
+                self._layout, available, trial, allocations, unit, counts
+            )
             if (
                 found is None
                 and full_search
@@ -288,39 +285,6 @@
                 return unit, found
         return None
 
-    def _move_allocations(
-        self,
-        unit: int | None,
-        counts: Mapping[int, int],
-        allocations: list[Allocation],
-        needs: Sequence[Need],
-        available: Sequence[int],
-    ) -> list[Allocation] | None:
-        """Move only the allocations that the work touches.
-
-        A cell of 1,024 workers has hundreds of units, and work touches two or three of
-        them. Searching for all would take most of a second.
-        """
-        touched = [
-            index
-            for index, allocation in enumerate(allocations)
-            if index == unit or any(allocation.get(worker, 0) for worker in counts)
-        ]
-        left = list(available)
-        for index, allocation in enumerate(allocations):
-            if index not in touched:
-                for worker, count in allocation.items():
-                    left[worker] -= count
-        found = find_allocations(
-            self._layout, left, [needs[index] for index in touched]
-        )
-        if found is None:
-            return None
-        moved = list(allocations)
-        for index, allocation in zip(touched, found, strict=True):
-            moved[index] = allocation
-        return moved
-
     def _find_beside_uncharged(self, pinned: Pinned) -> Charge | None:
         """Find a charge after clearing those of the work's neighbours.
 
@@ -350,17 +314,7 @@
     def _find_kept(
         self, needs: Sequence[Need], available: Sequence[int]
     ) -> list[Allocation] | None:
-        """Find allocations for the units that are not lost."""
-        kept = [unit for unit in range(len(needs)) if unit not in self._lost]
-        found = find_allocations(
-            self._layout, available, [needs[unit] for unit in kept]
-        )
-        if found is None:
-            return None
-        allocations: list[Allocation] = [{} for _ in needs]
-        for unit, allocation in zip(kept, found, strict=True):
-            allocations[unit] = allocation
-        return allocations
+        return find_kept(self._layout, available, needs, self._lost)
 
     def _search(self) -> None:
         """Search all allocations again, and new charges if the current ones fail."""
--- a/src/primrosestile/decisions/cell_charges.py
+++ b/src/primrosestile/decisions/cell_charges.py
@@ -190,36 +190,3 @@
     def _find(self, available: list[int]) -> list[Allocation] | None:
         needs = list_needs(self._guaranteed, self.charges, self._pinned)
         return find_allocations(self._layout, available, needs)
-
-
-def keep_most(
-    layout: Layout, available: Sequence[int], needs: Sequence[Need]
-) -> tuple[list[Allocation], frozenset[int]]:
-    """Find allocations for as many units as possible; the others are lost.
-
-    Units in use come first, since non-preemptible work runs in them; then small ones,
-    so that most organisations keep theirs.
-
-    Returns:
-        An allocation for each unit, empty for lost ones; and the lost units.
-    """
-    order = sorted(
-        range(len(needs)),
-        key=lambda unit: (
-            not needs[unit].charged,
-            needs[unit].shape.accelerators,
-            unit,
-        ),
-    )
-    left = list(available)
-    allocations: list[Allocation] = [{} for _ in needs]
-    lost = set()
-    for unit in order:
-        found = find_allocations(layout, left, [needs[unit]])
-        if found is None:
-            lost.add(unit)
-            continue
-        allocations[unit] = found[0]
-        for worker, count in found[0].items():
-            left[worker] -= count
-    return allocations, frozenset(lost)
