Compute a job's deadline in one place

Its acceptance plus its objective stood in departure_restarts and in stall_restarts; it is queue_order.find_deadline now. rank_unit keeps its own sum: an occurrence of a repeating job is ranked from when it became ready, not from the job's acceptance. No change of behaviour.

--- a/src/primrosestile/decisions/work/departure_restarts.py
+++ b/src/primrosestile/decisions/work/departure_restarts.py
@@ -11,7 +11,7 @@
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.queue_order import find_objective_seconds
+from primrosestile.decisions.work.queue_order import find_deadline
 from primrosestile.decisions.work.restarts import (
     RESTART_ELSEWHERE_SECONDS,
     Restart,
@@ -52,7 +52,7 @@
     left = max(durations.guess_left(member, now) for member in unit.members)
     if left <= worker.leaves_at - now:
         return False
-    spare = unit.job.accepted + find_objective_seconds(unit.job, durations) - now
+    spare = find_deadline(unit.job, durations) - now
     restarted = RESTART_ELSEWHERE_SECONDS + durations.guess_unit(unit)
     # If only staying can be in time, it is worth the risk.
     return restarted <= spare or left > spare
--- a/src/primrosestile/decisions/work/queue_order.py
+++ b/src/primrosestile/decisions/work/queue_order.py
@@ -74,6 +74,11 @@
     return queue.stretch * chain + queue.objective_seconds
 
 
+def find_deadline(job: Job, durations: Durations) -> float:
+    """Return when a job misses its objective, on the loop's clock."""
+    return job.accepted + find_objective_seconds(job, durations)
+
+
 def rank_unit(unit: Unit, now: float, entitled: bool, durations: Durations) -> Rank:
     """Return the rank of a waiting unit."""
     job = unit.job
--- a/src/primrosestile/decisions/work/stall_restarts.py
+++ b/src/primrosestile/decisions/work/stall_restarts.py
@@ -16,7 +16,7 @@
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.queue_order import find_objective_seconds
+from primrosestile.decisions.work.queue_order import find_deadline
 from primrosestile.decisions.work.restarts import (
     RESTART_ELSEWHERE_SECONDS,
     Restart,
@@ -73,9 +73,8 @@
     Low-priority work has seconds of slack; a restart would waste its work for nothing,
     eight tasks for each stalled worker.
     """
-    job = unit.job
     left = max(0.0, durations.guess_unit(unit) - worked)
-    return job.accepted + find_objective_seconds(job, durations) - left - now
+    return find_deadline(unit.job, durations) - left - now
 
 
 def has_meaningful_progress(member: Member) -> bool:
