--- a/src/primrosestile/decisions/request_queue.py
+++ b/src/primrosestile/decisions/request_queue.py
@@ -16,7 +16,7 @@
 from primrosestile.decisions.admission import (
     MAX_RETRY_AFTER_SECONDS,
     MIN_RETRY_AFTER_SECONDS,
-    QueuedRequest as QueuedRequest,
+    QueuedRequest,
     Refusal,
     WaitEstimate,
     decide_admission,
@@ -30,7 +30,7 @@
 from primrosestile.errors import ErrorKind
 from primrosestile.state.tenancy import Policy, Urgency
 
-__all__ = ["Refusal", "RequestQueue", "make_queue"]
+__all__ = ["QueuedRequest", "Refusal", "RequestQueue", "make_queue"]
 
 # Of each urgency, an organisation may hold twice as many places as are free, and one
 # of its classes as many as are free. A single organisation with one urgency gets two
