--- a/src/primrosestile/decisions/work/placement.py
+++ b/src/primrosestile/decisions/work/placement.py
@@ -164,9 +164,7 @@
 ) -> list[list[Room]]:
     """Return groups of rooms in the order in which they are to be tried."""
     step = unit.step
-    racks: dict[str, list[Room]] = {}
-    for room in eligible:
-        racks.setdefault(room.worker.entry.rack, []).append(room)
+    racks = _group_by_rack(eligible)
     groups: list[list[Room]] = []
     if step.data_rack in racks:
         groups.append(racks[step.data_rack])
@@ -183,9 +181,7 @@
 def list_racks(unit: Unit, eligible: Sequence[Room]) -> list[list[Room]]:
     """Return the groups of rooms within which a unit runs at full speed."""
     step = unit.step
-    racks: dict[str, list[Room]] = {}
-    for room in eligible:
-        racks.setdefault(room.worker.entry.rack, []).append(room)
+    racks = _group_by_rack(eligible)
     if step.data_rack in racks:
         groups = [racks[step.data_rack]]
     elif step.one_rack and unit.size > 1:
@@ -196,6 +192,13 @@
     return groups or [list(eligible)]
 
 
+def _group_by_rack(rooms: Iterable[Room]) -> dict[str, list[Room]]:
+    racks: dict[str, list[Room]] = {}
+    for room in rooms:
+        racks.setdefault(room.worker.entry.rack, []).append(room)
+    return racks
+
+
 def _count_free(rooms: Iterable[Room]) -> int:
     return sum(max(0, room.accelerators) for room in rooms)
 
