Print the answer to one call in one function of the command line

Five commands (job status, cancel and explain, fleet, guarantees) made one call, printed its answer and handled failures alike, each in its own words. It is cli_client.show_answer now. No change of behaviour.

--- a/src/primrosestile/programs/cli_client.py
+++ b/src/primrosestile/programs/cli_client.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import os
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -15,7 +15,12 @@
 from primrosestile.decisions.settings_check import Fault
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.programs.answers import REQUEST_ID_HEADER
-from primrosestile.programs.cli_output import CommandFailure, ErrorBody
+from primrosestile.programs.cli_output import (
+    CommandFailure,
+    ErrorBody,
+    print_result,
+    run_command,
+)
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 from primrosestile.transport.wire import encode_json
 
@@ -136,3 +141,20 @@
 ) -> Any:
     """Run a command that consists of one call without a body; return its answer."""
     return run_client(address, token_file, lambda client: client.call(method, path))
+
+
+def show_answer(
+    address: str,
+    token_file: Path | None,
+    path: str,
+    describe: Callable[[Any], Iterable[str]],
+    as_json: bool,
+    method: str = "GET",
+) -> None:
+    """Run a command that prints the answer to one call, as JSON or as text."""
+
+    def work() -> None:
+        found = call_once(address, token_file, path, method)
+        print_result(found, as_json, describe)
+
+    run_command(work, as_json)
--- a/src/primrosestile/programs/cli_jobs.py
+++ b/src/primrosestile/programs/cli_jobs.py
@@ -10,7 +10,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.programs.cli_client import Client, call_once, run_client
+from primrosestile.programs.cli_client import Client, run_client, show_answer
 from primrosestile.programs.cli_options import (
     ENTRY_DEFAULT,
     STEWARD_DEFAULT,
@@ -108,12 +108,7 @@
     token_file: TokenFile = None,
 ) -> None:
     """Show the state and history of a job."""
-
-    def work() -> None:
-        found = call_once(entry, token_file, f"/v1/jobs/{job_id}")
-        print_result(found, as_json, _describe_job)
-
-    run_command(work, as_json)
+    show_answer(entry, token_file, f"/v1/jobs/{job_id}", _describe_job, as_json)
 
 
 @app.command(epilog="Example: primrosestile job cancel osborne-cell-1.00c5")
@@ -129,11 +124,7 @@
         ended = found["state"] in ENDED
         yield f"{job_id} is {found['state'] if ended else 'to be cancelled'}"
 
-    def work() -> None:
-        found = call_once(entry, token_file, f"/v1/jobs/{job_id}", "DELETE")
-        print_result(found, as_json, describe)
-
-    run_command(work, as_json)
+    show_answer(entry, token_file, f"/v1/jobs/{job_id}", describe, as_json, "DELETE")
 
 
 @app.command(epilog="Example: primrosestile job explain osborne-cell-1.00c5")
@@ -149,11 +140,7 @@
         yield f"{job_id}: {found['state']}. {found['summary']}"
         yield from (f"  {reason['sentence']}" for reason in found["reasons"])
 
-    def work() -> None:
-        found = call_once(steward, token_file, f"/v1/jobs/{job_id}/explain")
-        print_result(found, as_json, describe)
-
-    run_command(work, as_json)
+    show_answer(steward, token_file, f"/v1/jobs/{job_id}/explain", describe, as_json)
 
 
 def _describe_job(found: dict[str, Any]) -> Iterator[str]:
--- a/src/primrosestile/programs/cli_views.py
+++ b/src/primrosestile/programs/cli_views.py
@@ -3,14 +3,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-from primrosestile.programs.cli_client import call_once
+from primrosestile.programs.cli_client import show_answer
 from primrosestile.programs.cli_options import (
     STEWARD_DEFAULT,
     AsJson,
     Steward,
     TokenFile,
 )
-from primrosestile.programs.cli_output import print_result, run_command
 
 
 def fleet(
@@ -19,12 +18,7 @@
     token_file: TokenFile = None,
 ) -> None:
     """Show each cell: free accelerators, waiting jobs and unavailable workers."""
-
-    def work() -> None:
-        found = call_once(steward, token_file, "/v1/fleet")
-        print_result(found, as_json, _describe_fleet)
-
-    run_command(work, as_json)
+    show_answer(steward, token_file, "/v1/fleet", _describe_fleet, as_json)
 
 
 def _describe_fleet(found: dict[str, Any]) -> Iterator[str]:
@@ -62,12 +56,7 @@
     token_file: TokenFile = None,
 ) -> None:
     """Show each organisation's guarantees, and whether all can be held."""
-
-    def work() -> None:
-        found = call_once(steward, token_file, "/v1/guarantees")
-        print_result(found, as_json, _describe_guarantees)
-
-    run_command(work, as_json)
+    show_answer(steward, token_file, "/v1/guarantees", _describe_guarantees, as_json)
 
 
 def _describe_guarantees(found: dict[str, Any]) -> Iterator[str]:
