Keep the record of the stand-in's starts and ends in a module of its own

The record and the invariants that need nothing else (starts after an acknowledged end, starts after too many crashes) are fleet_record.py now. Fleet shows its lists under the same names.

--- a/src/primrosestile_standin/fleet_worker.py
+++ b/src/primrosestile_standin/fleet_worker.py
@@ -22,6 +22,7 @@
 from primrosestile_standin.fleet_advice import FleetAdvice
 from primrosestile_standin.fleet_checkpoints import FleetCheckpoints
 from primrosestile_standin.fleet_faults import FleetWorkerFaults
+from primrosestile_standin.fleet_record import FleetRecord
 from primrosestile_standin.fleet_script import Script
 
 ANSWER_SECONDS = 0.002
@@ -35,20 +36,6 @@
 # A capacity before a reduction stays allowed while the new one becomes known: contact
 # with its VM and a heartbeat.
 OLD_CAPACITY_SECONDS = 4.5
-# After a task has crashed CRASH_LIMIT workers, STARTS_AFTER_LIMIT more starts of it
-# are a violation.
-CRASH_LIMIT = 3
-STARTS_AFTER_LIMIT = 3
-
-
-@dataclass(frozen=True, slots=True)
-class _SuccessfulEnd:
-    """A successful end, with its worker's lapses and the count of starts by then."""
-
-    worker: "FleetWorker"
-    run: int
-    lapses: int
-    starts: int
 
 
 @dataclass(slots=True)
@@ -133,7 +120,7 @@
         self._extend(until)
         for each in self._ended:
             if each.number <= seen:
-                self._fleet.record_acknowledged(self, each)
+                self._fleet.record.record_acknowledged(self, each)
         self._ended = [each for each in self._ended if each.number > seen]
         return None
 
@@ -340,10 +327,10 @@
 
 
 class Fleet:
-    """All workers, and the record of starts, ends and violations.
+    """All workers, and the record of what they do.
 
     Attributes:
-        violations: Violated invariants, as texts; must be empty at the end of a test.
+        record: Starts, ends and violations.
         advice: Decides where steps may run, and which tickets are valid.
         crashes: How many workers each task has crashed.
         crashed_under: How many workers have crashed while each task was on them.
@@ -357,17 +344,27 @@
         self.advice = FleetAdvice()
         self.checkpoints = FleetCheckpoints()
         self.tickets_refused = 0
-        self.violations: list[str] = []
-        self.starts: list[tuple[str, int, str]] = []
-        self.ends: list[tuple[str, int, EndKind]] = []
+        self.record = FleetRecord(self.name_unit)
         self.crashes: Counter[str] = Counter()
         self.crashed_under: Counter[str] = Counter()
         self.on_crash: Callable[[FleetWorker], None] = _ignore_crash
-        self._starts_after_limit: Counter[str] = Counter()
-        self._successful_ends: dict[str, list[_SuccessfulEnd]] = {}
-        self._acknowledged_units: set[str] = set()
         self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, _Run]]] = {}
 
+    @property
+    def starts(self) -> list[tuple[str, int, str]]:
+        """Task, run and worker of each start."""
+        return self.record.starts
+
+    @property
+    def ends(self) -> list[tuple[str, int, EndKind]]:
+        """Task, run and kind of each end."""
+        return self.record.ends
+
+    @property
+    def violations(self) -> list[str]:
+        """Violated invariants, as texts; must be empty at the end of a test."""
+        return self.record.violations
+
     def add(self, entry: WorkerEntry, clock_rate: float = 1.0) -> FleetWorker:
         """Add an incarnation of a worker."""
         worker = FleetWorker(self, entry, clock_rate)
@@ -396,40 +393,25 @@
     def record_start(self, worker: FleetWorker, order: StartOrder) -> None:
         """Record a start, and the invariants that it violates."""
         self.starts.append((order.task, order.run, worker.entry.worker))
-        unit = self.name_unit(order.task)
         if self.find_script(order.task).checkpoints:
+            unit = self.name_unit(order.task)
             wrong = self.checkpoints.check(unit, order.run, order.checkpoint)
-            self.violations += [wrong] if wrong else []
+            if wrong:
+                self.violations.append(wrong)
         for other in self.workers.values():
             other.sweep()
             if other.alive and order.task in other.runs:
                 self.violations.append(
                     f"{order.task} run {order.run} starts while it runs elsewhere"
                 )
-        if self.name_unit(order.task) in self._acknowledged_units:
-            self.violations.append(f"{order.task} starts after its successful end")
-        self._check_crashes(order.task)
-
-    def _check_crashes(self, task: str) -> None:
-        """Record a start of a task that has reached the crash limit."""
-        if self.crashes[task] < CRASH_LIMIT:
-            return
-        self._starts_after_limit[task] += 1
-        if self._starts_after_limit[task] == STARTS_AFTER_LIMIT:
-            self.violations.append(
-                f"{task} was started {STARTS_AFTER_LIMIT} more times after it had"
-                f" crashed {CRASH_LIMIT} workers"
-            )
+        self.record.check_start(order.task, self.crashes[order.task])
 
     def record_end(
         self, worker: FleetWorker, task: str, run: int, kind: EndKind
     ) -> None:
         """Record an end; the other members of a gang end with it."""
-        self.ends.append((task, run, kind))
+        self.record.record_end(worker, task, run, kind)
         done = kind is EndKind.DONE
-        if done:
-            end = _SuccessfulEnd(worker, run, worker.lapses, len(self.starts))
-            self._successful_ends.setdefault(task, []).append(end)
         self._end_gang(task, run, EndKind.DONE if done else EndKind.GANG_BROKEN)
 
     def break_gang(self, task: str, run: int) -> None:
@@ -442,22 +424,6 @@
             if member.task != task:
                 other.end(member, kind)
 
-    def record_acknowledged(self, worker: FleetWorker, ended: EndedTask) -> None:
-        """Record an acknowledged end, and the violating starts after it.
-
-        An end does not count if the worker's lease has expired since.
-        """
-        unit = self.name_unit(ended.task)
-        for end in self._successful_ends.get(ended.task, ()):
-            if (end.worker, end.run, end.lapses) != (worker, ended.run, worker.lapses):
-                continue
-            self._acknowledged_units.add(unit)
-            for task, run, _ in self.starts[end.starts :]:
-                if self.name_unit(task) == unit:
-                    self.violations.append(
-                        f"{task} run {run} was started after an acknowledged end"
-                    )
-
     def name_unit(self, task: str) -> str:
         """Return the unit of a task: itself, or its step for a gang."""
         if self.find_script(task).gang > 1:
