Give the runs of the stand-in's workers a module of their own

What a run reports and how much its worker's runs use depends on the runs alone; it is fleet_runs.py now, and _Run is public there. Cancelling a run's timer stood in three places and is Run.cancel_timer.

--- a/src/primrosestile_standin/fleet_worker.py
+++ b/src/primrosestile_standin/fleet_worker.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from primrosestile.clock import read_clock
 from primrosestile.protocol.fleet import (
@@ -23,34 +23,18 @@
 from primrosestile_standin.fleet_checkpoints import FleetCheckpoints
 from primrosestile_standin.fleet_faults import FleetWorkerFaults
 from primrosestile_standin.fleet_record import FleetRecord
+from primrosestile_standin.fleet_runs import Run, compute_latency_ms, fits
 from primrosestile_standin.fleet_script import Script
 
 ANSWER_SECONDS = 0.002
 TIMEOUT_SECONDS = 0.45
 MAX_LEASE_SECONDS = 10.0
 GANG_WAIT_SECONDS = 3.0
-# Latency of a service alone on its worker, and what each percent of another task adds.
-BASE_LATENCY_MS = 40.0
-LATENCY_MS_PER_PERCENT = 1.5
-NOTHING = Need()
 # A capacity before a reduction stays allowed while the new one becomes known: contact
 # with its VM and a heartbeat.
 OLD_CAPACITY_SECONDS = 4.5
 
 
-@dataclass(slots=True)
-class _Run:
-    task: str
-    run: int
-    began: float
-    script: Script
-    working: bool = False
-    stopping: bool = False
-    timer: asyncio.TimerHandle | None = None
-    pace: int = 100
-    done_before: float = 0.0
-
-
 class FleetWorker:
     """One incarnation of one worker.
 
@@ -67,7 +51,7 @@
         self.fence = 0
         self.until = 0.0
         self.lapses = 0
-        self.runs: dict[str, _Run] = {}
+        self.runs: dict[str, Run] = {}
         self._fleet = fleet
         self._rate = clock_rate
         self._ended: list[EndedTask] = []
@@ -96,15 +80,7 @@
         capacities = [self.entry.capacity]
         if self._old_capacity is not None and read_clock() < self._old_capacity[1]:
             capacities.append(self._old_capacity[0])
-        return not any(self._fits(capacity) for capacity in capacities)
-
-    def _fits(self, capacity: Need, more: Need = NOTHING) -> bool:
-        """Return whether the runs, and one more task, fit a capacity."""
-        used = [more, *(run.script.need for run in self.runs.values())]
-        return (
-            sum(each.processor for each in used) <= capacity.processor
-            and sum(each.accelerators for each in used) <= capacity.accelerators
-        )
+        return not any(fits(self.runs.values(), capacity) for capacity in capacities)
 
     def sweep(self) -> None:
         """End all runs once the lease has expired."""
@@ -138,7 +114,7 @@
                 run.task,
                 run.run,
                 self._save(run),
-                self._find_percent(run),
+                0.0 if self.faults.stalled_tasks else run.find_percent(),
                 self.find_usage(run),
             )
             for run in self.runs.values()
@@ -152,7 +128,7 @@
             ended[-1] = replace(ended[-1], number=number)
         return tuple(ended)
 
-    def _save(self, run: _Run, stopped: bool = False) -> str:
+    def _save(self, run: Run, stopped: bool = False) -> str:
         """Return a run's latest checkpoint."""
         if not run.script.checkpoints:
             return ""
@@ -160,12 +136,9 @@
         unit = self._fleet.name_unit(run.task)
         return self._fleet.checkpoints.make(unit, run.done_before + worked, stopped)
 
-    def find_usage(self, run: _Run) -> float:
+    def find_usage(self, run: Run) -> float:
         """Return a service's latency in milliseconds; 0 for other tasks."""
-        if not run.script.serves:
-            return 0.0
-        others = sum(each.pace for each in self.runs.values() if not each.script.serves)
-        return BASE_LATENCY_MS + others * LATENCY_MS_PER_PERCENT
+        return compute_latency_ms(run, self.runs.values())
 
     def take_pace(self, fence: int, task: str, percent: int) -> Refusal | None:
         """Limit a run's speed to a share of its full speed."""
@@ -178,13 +151,6 @@
         run.pace = percent
         return None
 
-    def _find_percent(self, run: _Run) -> float:
-        if not run.working or self.faults.stalled_tasks:
-            return 0.0
-        if run.script.serves:
-            return 100.0
-        return min(99.0, 100 * (read_clock() - run.began) / run.script.seconds)
-
     async def wait_for_end(self, seconds: float) -> None:
         """Return once an end is listed, or after a timeout."""
         if self._ended:
@@ -224,11 +190,13 @@
         return None
 
     def _has_room(self, script: Script) -> bool:
-        return self.faults.overcommits or self._fits(self.entry.capacity, script.need)
+        return self.faults.overcommits or fits(
+            self.runs.values(), self.entry.capacity, script.need
+        )
 
     def _begin(self, order: StartOrder, script: Script) -> None:
         self._fleet.record_start(self, order)
-        run = _Run(order.task, order.run, read_clock(), script)
+        run = Run(order.task, order.run, read_clock(), script)
         run.done_before = self._fleet.checkpoints.find_saved_seconds(order.checkpoint)
         self.runs[order.task] = run
         if self.is_overcommitted():
@@ -243,7 +211,7 @@
         else:
             self._fleet.join_gang(self, run)
 
-    def work(self, run: _Run) -> None:
+    def work(self, run: Run) -> None:
         """Start a run's work, and schedule its end."""
         run.working = True
         run.began = read_clock()
@@ -251,17 +219,16 @@
         kind = EndKind.FAILED if fails else EndKind.DONE
         self._set_timer(run, max(0.0, run.script.seconds - run.done_before), kind)
 
-    def wait_for_gang(self, run: _Run) -> None:
+    def wait_for_gang(self, run: Run) -> None:
         """Wait for the other members of a gang, up to a timeout."""
         self._set_timer(run, GANG_WAIT_SECONDS, EndKind.GANG_INCOMPLETE)
 
-    def _set_timer(self, run: _Run, seconds: float, kind: EndKind) -> None:
-        if run.timer is not None:
-            run.timer.cancel()
+    def _set_timer(self, run: Run, seconds: float, kind: EndKind) -> None:
+        run.cancel_timer()
         loop = asyncio.get_running_loop()
         run.timer = loop.call_later(seconds, self._end_if_there, run, kind)
 
-    def _end_if_there(self, run: _Run, kind: EndKind) -> None:
+    def _end_if_there(self, run: Run, kind: EndKind) -> None:
         self.sweep()
         if self.runs.get(run.task) is not run:
             return
@@ -282,13 +249,12 @@
             self._set_timer(present, self.faults.stop_seconds, EndKind.STOPPED)
         return None
 
-    def end(self, run: _Run, kind: EndKind) -> None:
+    def end(self, run: Run, kind: EndKind) -> None:
         """End a run and list its end."""
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
-        if run.timer is not None:
-            run.timer.cancel()
+        run.cancel_timer()
         self._number += 1
         self._barred[run.task] = max(self._barred.get(run.task, 0), run.run)
         saved = self._save(run, stopped=kind is EndKind.STOPPED)
@@ -297,7 +263,7 @@
         self._ends_changed.set()
         self._ends_changed = asyncio.Event()
 
-    def _crash_by(self, run: _Run) -> None:
+    def _crash_by(self, run: Run) -> None:
         """Crash the worker if the run that crashes it is still there."""
         if self.alive and self.runs.get(run.task) is run:
             self._fleet.crashes[run.task] += 1
@@ -317,8 +283,7 @@
         self.runs.clear()
         for run in gone:
             self._fleet.crashed_under[run.task] += 1
-            if run.timer is not None:
-                run.timer.cancel()
+            run.cancel_timer()
             self._fleet.break_gang(run.task, run.run)
 
 
@@ -348,7 +313,7 @@
         self.crashes: Counter[str] = Counter()
         self.crashed_under: Counter[str] = Counter()
         self.on_crash: Callable[[FleetWorker], None] = _ignore_crash
-        self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, _Run]]] = {}
+        self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, Run]]] = {}
 
     @property
     def starts(self) -> list[tuple[str, int, str]]:
@@ -430,7 +395,7 @@
             return task.rpartition(".")[0]
         return task
 
-    def join_gang(self, worker: FleetWorker, run: _Run) -> None:
+    def join_gang(self, worker: FleetWorker, run: Run) -> None:
         """Add a member to its gang; start the gang's work once it is complete."""
         key = (run.task.rpartition(".")[0], run.run)
         members = self._gathered.setdefault(key, [])
