--- a/src/primrosestile_standin/fleet_worker.py
+++ b/src/primrosestile_standin/fleet_worker.py
@@ -10,17 +10,12 @@
 from dataclasses import replace
 
 from primrosestile.clock import read_clock
-from primrosestile.protocol.fleet import (
-    EndedTask,
-    PollAnswer,
-    Refusal,
-    RunningTask,
-    StartOrder,
-)
+from primrosestile.protocol.fleet import PollAnswer, Refusal, RunningTask, StartOrder
 from primrosestile.state.work import Need
 from primrosestile.state.workers import EndKind, WorkerEntry
 from primrosestile_standin.fleet_advice import FleetAdvice
 from primrosestile_standin.fleet_checkpoints import FleetCheckpoints
+from primrosestile_standin.fleet_ends import EndList
 from primrosestile_standin.fleet_faults import FleetWorkerFaults
 from primrosestile_standin.fleet_record import FleetRecord
 from primrosestile_standin.fleet_runs import Run, compute_latency_ms, fits
@@ -54,12 +49,10 @@
         self.runs: dict[str, Run] = {}
         self._fleet = fleet
         self._rate = clock_rate
-        self._ended: list[EndedTask] = []
-        self._number = 0
+        self._ends = EndList()
         self._barred: dict[str, int] = {}
         # The capacity before the last change, and until when it stays allowed.
         self._old_capacity: tuple[Need, float] | None = None
-        self._ends_changed = asyncio.Event()
 
     def read_clock(self) -> float:
         """Return the worker's own monotonic clock."""
@@ -94,10 +87,8 @@
             return Refusal.FENCE
         self.fence = fence
         self._extend(until)
-        for each in self._ended:
-            if each.number <= seen:
-                self._fleet.record.record_acknowledged(self, each)
-        self._ended = [each for each in self._ended if each.number > seen]
+        for each in self._ends.acknowledge(seen):
+            self._fleet.record.record_acknowledged(self, each)
         return None
 
     def _extend(self, until: float | None) -> None:
@@ -119,14 +110,8 @@
             )
             for run in self.runs.values()
         )
-        return PollAnswer(self.report_clock(), running, self._list_ends())
-
-    def _list_ends(self) -> tuple[EndedTask, ...]:
-        ended = list(self._ended)
-        if ended and self.faults.number_jumps:
-            number = ended[-1].number + self.faults.number_jumps.pop(0)
-            ended[-1] = replace(ended[-1], number=number)
-        return tuple(ended)
+        ended = self._ends.show(self.faults.number_jumps)
+        return PollAnswer(self.report_clock(), running, ended)
 
     def _save(self, run: Run, stopped: bool = False) -> str:
         """Return a run's latest checkpoint."""
@@ -153,12 +138,7 @@
 
     async def wait_for_end(self, seconds: float) -> None:
         """Return once an end is listed, or after a timeout."""
-        if self._ended:
-            return
-        try:
-            async with asyncio.timeout(seconds):
-                await self._ends_changed.wait()
-        except TimeoutError:
+        if not await self._ends.wait(seconds):
             self.sweep()
 
     def take_start(self, fence: int, order: StartOrder) -> Refusal | None:
@@ -255,13 +235,11 @@
             return
         del self.runs[run.task]
         run.cancel_timer()
-        self._number += 1
         self._barred[run.task] = max(self._barred.get(run.task, 0), run.run)
         saved = self._save(run, stopped=kind is EndKind.STOPPED)
-        self._ended.append(EndedTask(self._number, run.task, run.run, kind, saved))
+        self._ends.add(run.task, run.run, kind, saved)
         self._fleet.record_end(self, run.task, run.run, kind)
-        self._ends_changed.set()
-        self._ends_changed = asyncio.Event()
+        self._ends.announce()
 
     def _crash_by(self, run: Run) -> None:
         """Crash the worker if the run that crashes it is still there."""
@@ -273,12 +251,12 @@
     def reset_connections(self) -> None:
         """Reset the connections of all calls, those under way too, from now on."""
         self.faults.resets = True
-        self._ends_changed.set()
+        self._ends.end_waits()
 
     def crash(self) -> None:
         """End this incarnation; its runs are lost without a report."""
         self.alive = False
-        self._ends_changed.set()
+        self._ends.end_waits()
         gone = list(self.runs.values())
         self.runs.clear()
         for run in gone:
