--- a/src/primrosestile/coordination/work/run_outcomes.py
+++ b/src/primrosestile/coordination/work/run_outcomes.py
@@ -1,4 +1,4 @@
-"""Applies how runs go to the owner's statistics and to its workers' quarantine."""
+"""Applies ends and stalls of runs to the run statistics and the quarantine."""
 
 import structlog
 
--- a/src/primrosestile_standin/fleet_record.py
+++ b/src/primrosestile_standin/fleet_record.py
@@ -1,7 +1,7 @@
 """The record of starts and ends on the in-memory workers, and what it violates.
 
-It notices tasks that start after a successful end that the owner has acknowledged, and
-tasks that are started on and on though they crash their workers.
+It detects tasks that start after a successful end that the owner has acknowledged, and
+tasks that keep being started although they crash their workers.
 """
 
 from collections import Counter
