Show that a process with a slow link never reads a large fleet's settings, failing

What operators saw: a change that is accepted and never in force at such a process, unless a peer passes it on.

A page of the gateway has up to 500 values of any size, and 2 s for the whole answer. The settings of 15,000 workers and 210 teams are 232 values in one page: 0.87 MB on the wire when loaded, 2.0 MB when each has been changed twice, since the audit entries are stored with the values, and 8.5 MB after 16 changes.

The sizes are those of the gateway's encoding of a store that was loaded and changed in this way.

--- a/features/steps/work_slow_link_steps.py
+++ b/features/steps/work_slow_link_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -17,10 +17,13 @@
     make_policy,
 )
 from features.doubles.stored_jobs import make_submission, spread_id
+from features.settings.doubles import ACTOR, encode_text, run_paused
 from features.steps.work_outage_scope_steps import make_vm
 from features.steps.work_steps import make_id
 
 from primrosestile.clock import read_clock
+from primrosestile.coordination.setting_store import put_setting
+from primrosestile.coordination.settings_follower import make_follower
 from primrosestile.coordination.work.ended_jobs import EndedJobs
 from primrosestile.coordination.work.keys import (
     JOBS_PREFIX,
@@ -33,12 +36,14 @@
 from primrosestile.coordination.work.recorder import Recorder
 from primrosestile.coordination.work.run_statistics import RunStatistics
 from primrosestile.coordination.work.term import Term
+from primrosestile.decisions.settings_parts import list_load_steps
 from primrosestile.decisions.work.durations import QueueRunTimes
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.errors import Failure
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies, read_policy
 from primrosestile.platform.store import BYTES_PER_MEGABIT
-from primrosestile.protocol.store import Entry
+from primrosestile.protocol.store import Change, Entry
+from primrosestile.state.settings import SETTINGS_PREFIX
 from primrosestile.state.work import (
     JobState,
     Phase,
@@ -46,9 +51,18 @@
     UnitRecord,
     encode_record,
 )
+from primrosestile.transport import gateway
+from primrosestile.transport.connections import FailureKinds, Reply
+from primrosestile.transport.store import (
+    CALL_TIMEOUT_SECONDS,
+    HEARTBEAT_BOUND_SECONDS,
+    GatewayStore,
+)
+from primrosestile.transport.wire import decode_json, encode_json
 from primrosestile_standin.fleet_script import Script
 from primrosestile_standin.fleet_store import FleetStore
 from primrosestile_standin.link import Link
+from primrosestile_standin.store import MemoryStore
 
 RETENTION_SECONDS = 120.0
 # An answer is sent this long after the call at the latest.
@@ -366,3 +380,83 @@
     context.queues[job_id] = "usual"
     step = {"count": tasks, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "estimate_ms": 2000}
     context.world.run(context.world.submit("p1", job_id, spec="x" * size, steps=[step]))
+
+
+# The product's own settings.
+
+
+class LinkedConnections:
+    """Answers reads of the gateway from a store in memory, over a link."""
+
+    def __init__(self, store: MemoryStore, link: Link) -> None:
+        self._store = store
+        self._link = link
+
+    async def call(
+        self, address: str, path: str, body: bytes, timeout: float, kinds: FailureKinds
+    ) -> Reply:
+        assert path == gateway.RANGE_PATH, path
+        request = decode_json(body, gateway.RangeRequest)
+        start, end = request.key.decode(), request.range_end.decode()
+        page = await self._store.read_range(start, end, int(request.limit))
+        answer = gateway.RangeResponse(
+            gateway.Header(str(page.revision)),
+            tuple(gateway.write_entry(entry) for entry in page.entries),
+            page.more,
+        )
+        reply = Reply(200, {}, encode_json(answer))
+        try:
+            await self._link.carry(len(reply.body), timeout)
+        except TimeoutError as error:
+            raise Failure(kinds.lost, "no answer in time") from error
+        return reply
+
+
+async def watch_nothing(
+    prefix: str, revision: int
+) -> AsyncIterator[tuple[Change, ...]]:
+    """Yield no change; the watch has a connection of its own."""
+    await asyncio.Event().wait()
+    yield ()
+
+
+@given("each of these settings was changed {count:d} times")
+def step_settings_changed(context: Any, count: int) -> None:
+    async def change() -> None:
+        document = msgspec.to_builtins(context.large)
+        for path, value in list_load_steps(document, {}):
+            for revision in range(1, count + 1):
+                text = encode_text(value)
+                await put_setting(context.store, path, text, revision, ACTOR)
+
+    run_paused(change())
+
+
+@when("a process begins to follow them over a link of {megabits:g} Mbit/s")
+def step_follow(context: Any, megabits: float) -> None:
+    store = GatewayStore(
+        lambda: ("store",), CALL_TIMEOUT_SECONDS, HEARTBEAT_BOUND_SECONDS
+    )
+    connections = LinkedConnections(context.store, make_link(megabits))
+    store._connections = connections  # type: ignore[assignment]
+    store.watch = watch_nothing  # type: ignore[assignment,method-assign]
+    context.follower = make_follower(store, "follower")
+
+
+@then("it has read all of them within {seconds:g} s")
+def step_followed(context: Any, seconds: float) -> None:
+    async def check() -> None:
+        following = asyncio.create_task(context.follower.run())
+        try:
+            async with asyncio.timeout(seconds):
+                await context.follower.wait_for_first()
+        except TimeoutError:
+            raise AssertionError("nothing was read") from None
+        finally:
+            following.cancel()
+        stored = [
+            key for key in context.store.read_all() if key.startswith(SETTINGS_PREFIX)
+        ]
+        assert len(context.follower.revisions) == len(stored)
+
+    run_paused(check())
--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -91,3 +91,11 @@
     And 3 s pass
     And job l9 is handed in at p1
     Then job l9 is shown as completed within 12 s
+
+  Scenario: A process reads the settings of a large fleet
+    Guards against a process that never receives a change of the settings from the store,
+    since a page is limited by its number of values and not by their size.
+    Given a settings store loaded with 15000 workers, 19 domains, 210 teams
+    And each of these settings was changed 2 times
+    When a process begins to follow them over a link of 5 Mbit/s
+    Then it has read all of them within 30 s
