Show that owners on slow links resign in turn while they load, failing

What callers saw: many accepted jobs and no start, although a process owns the fleet nearly all the time.

An owner that still loads its state counts as healthy while parts arrive, but for 45 s at most, whatever there is to load. 7,000 open jobs with arguments of 3 kB are 31 MB on the wire, 49 s at 5 Mbit/s. The owner resigns (*requests not received*) 3 s before the end, drops what it has read, and the next one begins again.

Ruled out: at 10 and at 1000 Mbit/s the scenario passes.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -99,3 +99,11 @@
     And each of these settings was changed 2 times
     When a process begins to follow them over a link of 5 Mbit/s
     Then it has read all of them within 30 s
+
+  Scenario: A new owner loads more than its limit leaves time for
+    Guards against an owner that resigns while its state still arrives, so that the next
+    one begins again and none ever schedules.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And 7000 jobs of 1 tasks each are open
+    When p1 starts on a VM with a link of 5 Mbit/s
+    Then p1 gives its first order within 130 s of being the owner
