Let a page of settings arrive however large it is

An answer that keeps arriving has 30 s more now; a silent connection is still found after 2 s.

features/work/slow_link, 'A process reads the settings of a large fleet', failed before ('nothing was read' in 30 s) and passes. Its double of the connections carries an answer for as long as the limits of the real ones do.

--- a/features/steps/work_slow_link_steps.py
+++ b/features/steps/work_slow_link_steps.py
@@ -54,6 +54,7 @@
     encode_record,
 )
 from primrosestile.transport import gateway
+from primrosestile.transport.call_progress import AnswerLimits
 from primrosestile.transport.connections import FailureKinds, Reply
 from primrosestile.transport.store import (
     CALL_TIMEOUT_SECONDS,
@@ -423,7 +424,12 @@
         self._link = link
 
     async def call(
-        self, address: str, path: str, body: bytes, timeout: float, kinds: FailureKinds
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        limits: AnswerLimits,
+        kinds: FailureKinds,
     ) -> Reply:
         assert path == gateway.RANGE_PATH, path
         request = decode_json(body, gateway.RangeRequest)
@@ -436,7 +442,9 @@
         )
         reply = Reply(200, {}, encode_json(answer))
         try:
-            await self._link.carry(len(reply.body), timeout)
+            await self._link.carry(
+                len(reply.body), limits.answer_seconds + limits.transfer_seconds
+            )
         except TimeoutError as error:
             raise Failure(kinds.lost, "no answer in time") from error
         return reply
--- a/src/primrosestile/transport/store.py
+++ b/src/primrosestile/transport/store.py
@@ -14,11 +14,15 @@
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Change, Entry, Page, SwapResult
 from primrosestile.transport import gateway
+from primrosestile.transport.call_progress import AnswerLimits
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 from primrosestile.transport.watch import read_lines
 from primrosestile.transport.wire import decode_json, encode_json
 
 CALL_TIMEOUT_SECONDS = 2.0
+# Added for an answer that keeps arriving: the largest one, 16 MB, takes 26 s over
+# 5 Mbit/s.
+MAX_TRANSFER_SECONDS = 30.0
 # The stand-in sends a progress notification each second, and a real store is
 # configured to do so as well. Three missed ones mean that the stream is dead.
 HEARTBEAT_BOUND_SECONDS = 3.5
@@ -37,7 +41,8 @@
 
     Args:
         addresses: Read before each call, so that changes apply at once.
-        timeout: Seconds for each call.
+        timeout: Seconds for each call; an answer to a read that has begun may take
+            longer.
         heartbeat_bound: Seconds of silence after which a watch is closed.
     """
     return GatewayStore(addresses, timeout, heartbeat_bound)
@@ -54,6 +59,7 @@
     ) -> None:
         self._addresses = addresses
         self._timeout = timeout
+        self._read_limits = AnswerLimits(timeout, MAX_TRANSFER_SECONDS)
         self._heartbeat_bound = heartbeat_bound
         self._connections = Connections()
         self._preferred = 0
@@ -159,7 +165,7 @@
         for address in self._order_addresses():
             try:
                 reply = await self._connections.call(
-                    address, gateway.RANGE_PATH, body, self._timeout, _READ
+                    address, gateway.RANGE_PATH, body, self._read_limits, _READ
                 )
                 return read_reply(reply, gateway.RangeResponse, _READ)
             except Failure as failure:
