Give each owner that follows one which could not load twice as long

The limit of 45 s stands for the first, so that a VM with a faster link gets its turn; it doubles with each resignation. The count of resignations was cleared meanwhile, as an owner that only loads counted as healthy for 20 s; it is healthy from when it has loaded.

--- a/src/primrosestile/coordination/work/health_monitor.py
+++ b/src/primrosestile/coordination/work/health_monitor.py
@@ -34,9 +34,11 @@
 # The loop's delay is the mean of this many samples, that is over 4 s, after which a
 # single suspension of the VM no longer counts.
 DELAY_SAMPLES = 16
-# How long loading may take on the slowest link: 4 MB of open jobs take 32 s over
-# 1 Mbit/s.
+# How long the first owner may load its state, so that a VM with a faster link gets its
+# turn: 4 MB of open jobs take 32 s over 1 Mbit/s. Each one after it has twice as long,
+# since a state that has grown may take longer on every VM.
 MAX_LOAD_SECONDS = 45.0
+MAX_LOAD_DOUBLINGS = 4
 # Past this age of the newest answered renewal, the store counts as unreachable. By then
 # two renewals in a row have timed out after 1.5 s each; one that takes 1 s on a full
 # link still counts as answered.
@@ -126,6 +128,7 @@
             unanswered=unanswered,
             store_answers=now - self._store_failed_at,
             served=now - self._began,
+            loaded=self.loaded,
         )
 
     def _find_requests_age(self, now: float) -> float:
@@ -137,10 +140,15 @@
         extended meanwhile.
         """
         age = min(self._requests.requests_age, now - self._began)
-        if self.loaded or now - self._began > MAX_LOAD_SECONDS:
+        if self.loaded or now - self._began > self._load_limit:
             return age
         return min(age, self._requests.read_stall)
 
+    @property
+    def _load_limit(self) -> float:
+        resignations = self._owner_health.resignations or 0
+        return MAX_LOAD_SECONDS * 2 ** min(resignations, MAX_LOAD_DOUBLINGS)
+
     def _is_heard(self, name: str, now: float) -> bool:
         link = self._links.get(name)
         # A worker that was found just now has not been polled yet.
--- a/src/primrosestile/decisions/work/owner_health.py
+++ b/src/primrosestile/decisions/work/owner_health.py
@@ -81,6 +81,8 @@
         unanswered: The share of them that wasn't answered, averaged over the workers.
         store_answers: For how many seconds the store has answered each renewal.
         served: Seconds since the term began.
+        loaded: Whether the owner has loaded its state. Before that it has not shown
+            that it can schedule.
     """
 
     requests_age: float
@@ -92,6 +94,7 @@
     unanswered: float
     store_answers: float
     served: float
+    loaded: bool = True
 
 
 def find_problem(work: OwnerMetrics) -> OwnerProblem | None:
@@ -146,7 +149,7 @@
         problem = find_problem(work)
         if problem is None:
             self._problem_since = None
-            if self._healthy_since is None:
+            if self._healthy_since is None and work.loaded:
                 self._healthy_since = now
             return None
         self._healthy_since = None
