Let the soak run beside itself, with more processes and with faults in series

Cause: runs listened on fixed addresses, so that two of them on one machine took each other's ports; faults came singly, so that no process or link was hit twice in a row; the number of processes was fixed; and a process that was not ready again after the faults ended the whole tool with an exception instead of counting as a violation. Without the options the draws of a seed are what they were.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,13 +5,13 @@
 from typing import Any
 
 from behave import then, when
-from tools.soak import run_seed
+from tools.soak import Options, run_seed
 
 
 @when("soak seed {seed:d} runs for {seconds:g} s")
 def step_soak(context: Any, seed: int, seconds: float) -> None:
     context.folder = Path(tempfile.mkdtemp()) / f"seed-{seed}"
-    context.soak, context.wrong = run_seed(seed, seconds, context.folder)
+    context.soak, context.wrong = run_seed(seed, Options(seconds), context.folder)
 
 
 @then("nothing was lost, nothing ran twice and no refused work ran")
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,10 +1,11 @@
 """A randomized soak test of real processes under injected faults.
 
-    python -m tools.soak --seeds 1-50 --seconds 12
+    python -m tools.soak --seeds 1-50 --seconds 12 [--nodes 3] [--series 1]
 
-Each seed starts the platform's stand-in, three of our processes with a proxy between
+Each seed starts the platform's stand-in, some of our processes with a proxy between
 each and the store, and callers. It injects random overlapping faults, ends them, and
-then checks what callers and workers observed. A seed that once failed stays in
+then checks what callers and workers observed. With `--series`, each fault hits its
+target several times in a row. A seed that once failed stays in
 `features/soak/soak.feature` with its cause.
 """
 
@@ -34,7 +35,10 @@
 from tools.soakproxy import Mode, Proxy
 
 ROOT = Path(__file__).resolve().parent.parent
-NODES = 3
+# Their hosts are numbered within a /24 network.
+MAX_NODES = 250
+# Processes that start at the same time.
+START_GROUP = 6
 WORKERS = 6
 ACCELERATORS = 8
 READY_SECONDS = 20.0
@@ -46,11 +50,14 @@
 JOBS_PER_SECOND = 4.0
 FAULT_GAP_SECONDS = (0.3, 1.2)
 FAULT_SECONDS = (0.3, 4.0)
+SERIES_GAP_SECONDS = 0.2
+# Runs of several processes of the tool listen on separate addresses.
+NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
 SETTINGS = """node=n{number}
-ip=127.0.0.{host}
+ip={host}
 zone=leith-hall
-listen.front=127.0.0.{host}:{front}
-listen.ready=127.0.0.{host}:{ready}
+listen.front={host}:{front}
+listen.ready={host}:{ready}
 port_range=7000,7015
 platform.address=127.0.0.1:{store}
 advice=127.0.0.1:{advice}
@@ -59,6 +66,21 @@
 READY_PORT = 18_523
 
 
+@dataclass(frozen=True)
+class Options:
+    """What a run consists of besides its seed.
+
+    Attributes:
+        seconds: For how long jobs are sent and faults injected.
+        nodes: Number of our processes.
+        series: How many times in a row each fault hits its target.
+    """
+
+    seconds: float = 12.0
+    nodes: int = 3
+    series: int = 1
+
+
 @dataclass(slots=True)
 class Job:
     """One job and the answers that its caller got.
@@ -93,10 +115,11 @@
 
     def __init__(self, number: int, folder: Path) -> None:
         self.number = number
-        self.host = number + 1
+        self.host = f"{NETWORK}.{number + 1}"
         self.log = folder / f"n{number}.log"
         self._settings = folder / f"n{number}.conf"
         self._process: asyncio.subprocess.Process | None = None
+        self._restarting = asyncio.Lock()
 
     def write_settings(self, store: int, advice: int) -> None:
         text = SETTINGS.format(
@@ -134,19 +157,21 @@
             await self._process.wait()
 
     async def restart(self) -> None:
-        await self.end()
-        await self.start()
+        """Replace the process; overlapping restarts never leave two running."""
+        async with self._restarting:
+            await self.end()
+            await self.start()
 
 
 class Soak:
     """The run of one seed."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(self, seed: int, options: Options, folder: Path) -> None:
         self.rng = random.Random(seed)
-        self.seconds = seconds
+        self.options = options
         self.store = FleetStore()
         self.fleet = Fleet()
-        self.nodes = [Node(number, folder) for number in range(1, NODES + 1)]
+        self.nodes = [Node(n, folder) for n in range(1, options.nodes + 1)]
         self.proxies: list[Proxy] = []
         self.jobs: list[Job] = []
         self.faults: Counter[str] = Counter()
@@ -164,8 +189,7 @@
                 await self._heal()
                 await self._check_jobs()
             finally:
-                for node in self.nodes:
-                    await node.end()
+                await asyncio.gather(*(node.end() for node in self.nodes))
                 for proxy in self.proxies:
                     await proxy.close()
                 for end in self._runners:
@@ -191,8 +215,11 @@
         for node in self.nodes:
             proxy = await self._add_proxy(store)
             node.write_settings(proxy.port, advice)
-            await node.start()
-        await self._wait_ready()
+        for first in range(0, len(self.nodes), START_GROUP):
+            group = self.nodes[first : first + START_GROUP]
+            for node in group:
+                await node.start()
+            await self._check_ready(group, "its start")
 
     async def _listen(self, app: web.Application) -> int:
         end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
@@ -208,10 +235,16 @@
         self.proxies.append(proxy)
         return proxy
 
-    async def _wait_ready(self) -> None:
-        async with asyncio.timeout(READY_SECONDS):
-            for node in self.nodes:
-                await wait_until(lambda node=node: self._is_ready(node))
+    async def _check_ready(self, nodes: list[Node], since: str) -> None:
+        until = asyncio.get_running_loop().time() + READY_SECONDS
+        for node in nodes:
+            try:
+                async with asyncio.timeout_at(until):
+                    await wait_until(lambda node=node: self._is_ready(node))
+            except TimeoutError:
+                self.violations.append(
+                    f"n{node.number} is not ready {READY_SECONDS:g} s after {since}"
+                )
 
     async def _is_ready(self, node: Node) -> bool:
         return await self._call(node, "GET", "/v1/ready", READY_PORT) == 200
@@ -223,7 +256,7 @@
         headers = {"Host": HOST, "Authorization": "Token key-domes"}
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-                url = f"http://127.0.0.{node.host}:{port}{path}"
+                url = f"http://{node.host}:{port}{path}"
                 async with self._session.request(
                     method, url, data=body, headers=headers
                 ) as response:
@@ -233,7 +266,7 @@
             return 0
 
     async def _send_jobs(self, tasks: asyncio.TaskGroup) -> None:
-        until = asyncio.get_running_loop().time() + self.seconds
+        until = asyncio.get_running_loop().time() + self.options.seconds
         while asyncio.get_running_loop().time() < until:
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_SECOND))
             tasks.create_task(self._submit(self._draw_job()))
@@ -271,57 +304,68 @@
             await asyncio.sleep(0.3)
 
     async def _draw_faults(self, tasks: asyncio.TaskGroup) -> None:
-        until = asyncio.get_running_loop().time() + self.seconds
+        until = asyncio.get_running_loop().time() + self.options.seconds
         while asyncio.get_running_loop().time() < until:
             await asyncio.sleep(self.rng.uniform(*FAULT_GAP_SECONDS))
             kind = self.rng.choice(list(FAULTS))
             self.faults[kind] += 1
             duration = self.rng.uniform(*FAULT_SECONDS)
-            tasks.create_task(FAULTS[kind](self, duration))
-
-    async def kill(self, duration: float) -> None:
-        node = self.rng.choice(self.nodes)
+            tasks.create_task(self._inject(kind, duration))
+
+    async def _inject(self, kind: str, duration: float) -> None:
+        inject = FAULTS[kind]
+        if self.options.series == 1:
+            await inject(self, self.rng, duration)
+            return
+        target = self.rng.getrandbits(32)
+        for _ in range(self.options.series):
+            # Equal draws, so that the whole series hits one process or link.
+            await inject(self, random.Random(target), duration / self.options.series)
+            await asyncio.sleep(SERIES_GAP_SECONDS)
+
+    async def kill(self, rng: random.Random, duration: float) -> None:
+        node = rng.choice(self.nodes)
         node.signal(signal.SIGCONT)
         node.signal(signal.SIGKILL)
         await asyncio.sleep(min(duration, 1.0))
         await node.restart()
 
-    async def terminate(self, duration: float) -> None:
-        node = self.rng.choice(self.nodes)
+    async def terminate(self, rng: random.Random, duration: float) -> None:
+        node = rng.choice(self.nodes)
         node.signal(signal.SIGTERM)
         await asyncio.sleep(6.0)
         await node.restart()
 
-    async def pause(self, duration: float) -> None:
-        node = self.rng.choice(self.nodes)
+    async def pause(self, rng: random.Random, duration: float) -> None:
+        node = rng.choice(self.nodes)
         node.signal(signal.SIGSTOP)
         await asyncio.sleep(duration)
         node.signal(signal.SIGCONT)
 
-    async def break_link(self, duration: float) -> None:
-        proxy = self.rng.choice(self.proxies)
+    async def break_link(self, rng: random.Random, duration: float) -> None:
+        proxy = rng.choice(self.proxies)
         modes = [mode for mode in Mode if mode is not Mode.GOOD]
-        proxy.set_mode(self.rng.choice(modes))
+        proxy.set_mode(rng.choice(modes))
         await asyncio.sleep(duration)
         proxy.set_mode(Mode.GOOD)
 
-    async def reset_links(self, duration: float) -> None:
+    async def reset_links(self, rng: random.Random, duration: float) -> None:
         for proxy in self.proxies:
             proxy.reset()
 
-    async def stop_store(self, duration: float) -> None:
+    async def stop_store(self, rng: random.Random, duration: float) -> None:
         self.store.faults.down = True
         await asyncio.sleep(duration)
         self.store.faults.down = False
 
-    async def lose_store_answers(self, duration: float) -> None:
+    async def lose_store_answers(self, rng: random.Random, duration: float) -> None:
         self.store.faults.lose_writes += 3
-        self.store.faults.late_writes += [self.rng.uniform(0.5, 3.0)]
+        self.store.faults.late_writes += [rng.uniform(0.5, 3.0)]
 
-    async def lose_orders(self, duration: float) -> None:
-        worker = self.rng.choice(list(self.fleet.workers.values()))
+    async def lose_orders(self, rng: random.Random, duration: float) -> None:
+        worker = rng.choice(list(self.fleet.workers.values()))
         worker.faults.lose_answers += 2
-        worker.faults.late_orders += [self.rng.uniform(0.5, 6.0)]
+        worker.faults.late_orders += [rng.uniform(0.5, 6.0)]
 
     async def _heal(self) -> None:
         self.store.faults.lose_writes = 0
@@ -332,7 +376,7 @@
         for node in self.nodes:
             if not node.alive:
                 await node.start()
-        await self._wait_ready()
+        await self._check_ready(self.nodes, "the faults")
 
     async def _check_jobs(self) -> None:
         """Check each job's final state and the violations that workers recorded."""
@@ -360,7 +404,7 @@
         return status == 200 and json.loads(self.answer)["state"] == "completed"
 
 
-FAULTS: dict[str, Callable[[Soak, float], object]] = {
+FAULTS: dict[str, Callable[[Soak, random.Random, float], Awaitable[None]]] = {
     "kill": Soak.kill,
     "tell to end": Soak.terminate,
     "pause": Soak.pause,
@@ -372,12 +416,12 @@
 }
 
 
-def run_seed(seed: int, seconds: float, folder: Path) -> tuple[Soak, list[str]]:
+def run_seed(seed: int, options: Options, folder: Path) -> tuple[Soak, list[str]]:
     """Run one seed; its processes write their logs into the folder."""
     folder.mkdir(parents=True, exist_ok=True)
 
     async def run() -> tuple[Soak, list[str]]:
-        soak = Soak(seed, seconds, folder)
+        soak = Soak(seed, options, folder)
         return soak, await soak.run()
 
     return asyncio.run(run())
@@ -386,14 +430,19 @@
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m tools.soak")
     parser.add_argument("--seeds", default="1-5", help="a number or first-last")
-    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--seconds", type=float, default=Options.seconds)
+    parser.add_argument("--nodes", type=int, default=Options.nodes)
+    parser.add_argument("--series", type=int, default=Options.series)
     parser.add_argument("--logs", type=Path, default=None)
-    options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
+    arguments = parser.parse_args()
+    if not 1 <= arguments.nodes <= MAX_NODES:
+        parser.error(f"--nodes is 1 to {MAX_NODES}")
+    options = Options(arguments.seconds, arguments.nodes, arguments.series)
+    first, _, last = arguments.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        folder = (options.logs or Path(tempfile.mkdtemp())) / f"seed-{seed}"
-        soak, violations = run_seed(seed, options.seconds, folder)
+        folder = (arguments.logs or Path(tempfile.mkdtemp())) / f"seed-{seed}"
+        soak, violations = run_seed(seed, options, folder)
         accepted = sum(job.accepted for job in soak.jobs)
         faults = sum(soak.faults.values())
         print(f"seed {seed}: {len(soak.jobs)} jobs, {accepted} accepted,", end=" ")
