Soak processes behind slow links while the policy grows, failing

What callers saw: processes whose link carries less of the policy in a second than it has bytes refused every call with 503 for good, and accepted jobs waited for ever once such a process was the owner. The soak could not show it: its proxies delayed, dropped or reset what they carried, but had no bandwidth, and the policy never changed. Change: a proxy can bound the bytes a second that the answers on all its connections share. Then each process must accept a job by the newest policy within 20 s and serve more calls than it refuses for 6 s. The growth has a generator of its own, so the draws of the seeds without it are unchanged.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,12 +1,15 @@
 """A randomized soak test of real processes under injected faults.
 
     python -m tools.soak --seeds 1-50 --seconds 12 [--nodes 3] [--series 1]
+        [--growth] [--logs FOLDER]
 
 Each seed starts the platform's stand-in, some of our processes with a proxy between
 each and the store, and callers. It injects random overlapping faults, ends them, and
 then checks what callers and workers observed. With `--series`, each fault hits its
-target several times in a row. A seed that once failed stays in
-`features/soak/soak.feature` with its cause.
+target several times in a row. With `--growth`, operators also add queues to the
+policy until it has several hundred kB, and some processes read it over slow links,
+which stay slow. A seed that once failed stays in `features/soak/soak.feature` with
+its cause.
 """
 
 import argparse
@@ -32,6 +35,12 @@
 from primrosestile_standin.fleet_http import AdviceServer, StoreServer, WorkersServer
 from primrosestile_standin.fleet_store import FleetStore
 from primrosestile_standin.fleet_worker import Fleet, Script
+from tools.soakpolicy import (
+    NO_GROWTH,
+    draw_growth,
+    make_grown_policy,
+    name_newest_queue,
+)
 from tools.soakproxy import Mode, Proxy
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -47,6 +56,11 @@
 CALL_TIMEOUT_SECONDS = 3.0
 POLL_SECONDS = 0.1
 MAX_ATTEMPTS = 4
+RETRY_SECONDS = 0.3
+# From the end of the faults until a process must accept jobs by the newest policy.
+APPLY_SECONDS = 20.0
+# For so long a process must then serve more calls than it refuses.
+SERVE_SECONDS = 6.0
 JOBS_PER_SECOND = 4.0
 FAULT_GAP_SECONDS = (0.3, 1.2)
 FAULT_SECONDS = (0.3, 4.0)
@@ -62,6 +76,7 @@
 platform.address=127.0.0.1:{store}
 advice=127.0.0.1:{advice}
 """
+LINK_SETTING = "limits.link_mbps={megabits:g}\n"
 FRONT_PORT = 18_521
 READY_PORT = 18_523
 
@@ -74,11 +89,13 @@
         seconds: For how long jobs are sent and faults injected.
         nodes: Number of our processes.
         series: How many times in a row each fault hits its target.
+        growth: Whether the policy grows while some processes have slow links.
     """
 
     seconds: float = 12.0
     nodes: int = 3
     series: int = 1
+    growth: bool = False
 
 
 @dataclass(slots=True)
@@ -121,7 +138,7 @@
         self._process: asyncio.subprocess.Process | None = None
         self._restarting = asyncio.Lock()
 
-    def write_settings(self, store: int, advice: int) -> None:
+    def write_settings(self, store: int, advice: int, link: float | None) -> None:
         text = SETTINGS.format(
             number=self.number,
             host=self.host,
@@ -130,6 +147,8 @@
             store=store,
             advice=advice,
         )
+        if link is not None:
+            text += LINK_SETTING.format(megabits=link)
         self._settings.write_text(text)
 
     async def start(self) -> None:
@@ -169,6 +188,10 @@
     def __init__(self, seed: int, options: Options, folder: Path) -> None:
         self.rng = random.Random(seed)
         self.options = options
+        self.growth = NO_GROWTH
+        if options.growth:
+            self.growth = draw_growth(seed, options.nodes, options.seconds)
+        self.version = 1
         self.store = FleetStore()
         self.fleet = Fleet()
         self.nodes = [Node(n, folder) for n in range(1, options.nodes + 1)]
@@ -186,7 +209,11 @@
                 async with asyncio.TaskGroup() as tasks:
                     tasks.create_task(self._send_jobs(tasks))
                     tasks.create_task(self._draw_faults(tasks))
+                    tasks.create_task(self._grow_policy())
                 await self._heal()
+                await asyncio.gather(
+                    self._check_ready(self.nodes, "the faults"), self._check_served()
+                )
                 await self._check_jobs()
             finally:
                 await asyncio.gather(*(node.end() for node in self.nodes))
@@ -197,7 +224,7 @@
         return self.violations
 
     async def _set_up(self) -> None:
-        self.store.put(POLICY_KEY, make_policy(1))
+        self.store.put(POLICY_KEY, make_policy(self.version))
         store = await self._listen(StoreServer(self.store).make_app())
         advice = await self._listen(AdviceServer(self.fleet).make_app())
         for number in range(WORKERS):
@@ -214,7 +241,9 @@
             self.fleet.add(entry.make())
         for node in self.nodes:
             proxy = await self._add_proxy(store)
-            node.write_settings(proxy.port, advice)
+            proxy.rate = self.growth.links.get(node.number)
+            link = self.growth.find_megabits(node.number)
+            node.write_settings(proxy.port, advice, link)
         for first in range(0, len(self.nodes), START_GROUP):
             group = self.nodes[first : first + START_GROUP]
             for node in group:
@@ -236,16 +265,17 @@
         return proxy
 
     async def _check_ready(self, nodes: list[Node], since: str) -> None:
-        until = asyncio.get_running_loop().time() + READY_SECONDS
-        for node in nodes:
+        async def check(node: Node) -> None:
             try:
-                async with asyncio.timeout_at(until):
-                    await wait_until(lambda node=node: self._is_ready(node))
+                async with asyncio.timeout(READY_SECONDS):
+                    await wait_until(lambda: self._is_ready(node))
             except TimeoutError:
                 self.violations.append(
                     f"n{node.number} is not ready {READY_SECONDS:g} s after {since}"
                 )
 
+        await asyncio.gather(*map(check, nodes))
+
     async def _is_ready(self, node: Node) -> bool:
         return await self._call(node, "GET", "/v1/ready", READY_PORT) == 200
 
@@ -301,7 +331,15 @@
             job.answers.append(await self._call(node, "POST", path, FRONT_PORT, body))
             if job.accepted:
                 return
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _grow_policy(self) -> None:
+        queues = 0
+        for step in self.growth.steps:
+            await asyncio.sleep(step.after)
+            queues += step.queues
+            self.version += 1
+            self.store.put(POLICY_KEY, make_grown_policy(self.version, queues))
 
     async def _draw_faults(self, tasks: asyncio.TaskGroup) -> None:
         until = asyncio.get_running_loop().time() + self.options.seconds
@@ -376,7 +414,38 @@
         for node in self.nodes:
             if not node.alive:
                 await node.start()
-        await self._check_ready(self.nodes, "the faults")
+
+    async def _check_served(self) -> None:
+        """Check that each process applies a grown policy and serves callers by it."""
+        if self.options.growth:
+            await asyncio.gather(*map(self._check_node, self.nodes))
+
+    async def _check_node(self, node: Node) -> None:
+        job, body = self._draw_job()
+        job.queue = name_newest_queue(self.version)
+        path = f"/{job.queue}/{job.job_id}"
+        rate = self.growth.links.get(node.number)
+        name = f"n{node.number}"
+        if rate is not None:
+            name += f", with a link of {rate / 1000:.0f} kB/s,"
+        until = asyncio.get_running_loop().time() + APPLY_SECONDS
+        while not job.accepted and asyncio.get_running_loop().time() < until:
+            job.answers.append(await self._call(node, "POST", path, FRONT_PORT, body))
+            await asyncio.sleep(RETRY_SECONDS)
+        if not job.accepted:
+            statuses = dict(Counter(job.answers))
+            self.violations.append(
+                f"{name} accepted no job by version {self.version} in "
+                f"{APPLY_SECONDS:g} s; answers by status: {statuses}"
+            )
+        until = asyncio.get_running_loop().time() + SERVE_SECONDS
+        answers = []
+        while asyncio.get_running_loop().time() < until:
+            answers.append(await self._call(node, "GET", path, FRONT_PORT))
+            await asyncio.sleep(POLL_SECONDS)
+        served = sum(status in {200, 410} for status in answers)
+        if served <= len(answers) / 2:
+            self.violations.append(f"{name} served {served} of {len(answers)} queries")
 
     async def _check_jobs(self) -> None:
         """Check each job's final state and the violations that workers recorded."""
@@ -433,11 +502,18 @@
     parser.add_argument("--seconds", type=float, default=Options.seconds)
     parser.add_argument("--nodes", type=int, default=Options.nodes)
     parser.add_argument("--series", type=int, default=Options.series)
+    parser.add_argument("--growth", action="store_true")
     parser.add_argument("--logs", type=Path, default=None)
     arguments = parser.parse_args()
     if not 1 <= arguments.nodes <= MAX_NODES:
         parser.error(f"--nodes is 1 to {MAX_NODES}")
-    options = Options(arguments.seconds, arguments.nodes, arguments.series)
+    if arguments.growth and arguments.nodes == 1:
+        parser.error(
+            "--growth needs a process with a fast link and one with a slow one"
+        )
+    options = Options(
+        arguments.seconds, arguments.nodes, arguments.series, arguments.growth
+    )
     first, _, last = arguments.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
--- a/tools/soakproxy.py
+++ b/tools/soakproxy.py
@@ -5,6 +5,8 @@
 from enum import Enum
 
 CHUNK_BYTES = 65_536
+# Small against the rate of a slow link, so that its connections share it evenly.
+SLOW_CHUNK_BYTES = 4_096
 DELAY_SECONDS = 0.25
 
 
@@ -23,10 +25,17 @@
 
 
 class Proxy:
-    """Forwards connections to a port of 127.0.0.1."""
+    """Forwards connections to a port of 127.0.0.1.
+
+    Attributes:
+        rate: Bytes a second that the answers on all connections share; None for no
+            limit.
+    """
 
     def __init__(self, target: int) -> None:
         self.target = target
+        self.rate: float | None = None
+        self._link_free_at = 0.0
         self.port = 0
         self.mode = Mode.GOOD
         self._server: asyncio.Server | None = None
@@ -79,11 +88,25 @@
     ) -> None:
         """Forward bytes until one side closes; bytes that are dropped stay lost."""
         with contextlib.suppress(ConnectionError):
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(self._find_chunk(stop)):
+                if writer.is_closing():
+                    break
                 if self.mode is Mode.SLOW:
                     await asyncio.sleep(DELAY_SECONDS)
+                if self.rate is not None and stop is Mode.ONE_WAY:
+                    await self._carry(len(data), self.rate)
                 if self.mode in (Mode.SILENT, stop):
                     continue
                 writer.write(data)
                 await writer.drain()
         writer.transport.abort()
+
+    def _find_chunk(self, stop: Mode) -> int:
+        slow = self.rate is not None and stop is Mode.ONE_WAY
+        return SLOW_CHUNK_BYTES if slow else CHUNK_BYTES
+
+    async def _carry(self, size: int, rate: float) -> None:
+        """Wait until the link has carried this many bytes."""
+        now = asyncio.get_running_loop().time()
+        self._link_free_at = max(now, self._link_free_at) + size / rate
+        await asyncio.sleep(self._link_free_at - now)
