Check in the soak that a removed key is rejected in time, whatever the link

A process behind a slow link may keep serving by a version that it knows to be the newest, but not by one that has been replaced: a key that was removed would go on being accepted. The soak checked only that such a process serves at all. Change: the last version of a growing policy lacks a key, and from 5 s after that (the default bound on a revocation) no process may accept a call with it, whether faults hit it or not.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,8 +8,8 @@
 then checks what callers and workers observed. With `--series`, each fault hits its
 target several times in a row. With `--growth`, operators also add queues to the
 policy until it has several hundred kB, and some processes read it over slow links,
-which stay slow. A seed that once failed stays in `features/soak/soak.feature` with
-its cause.
+which stay slow; the last change removes a key. A seed that once failed stays in
+`features/soak/soak.feature` with its cause.
 """
 
 import argparse
@@ -37,6 +37,7 @@
 from primrosestile_standin.fleet_worker import Fleet, Script
 from tools.soakpolicy import (
     NO_GROWTH,
+    REMOVED_KEY,
     draw_growth,
     make_grown_policy,
     name_newest_queue,
@@ -61,6 +62,9 @@
 APPLY_SECONDS = 20.0
 # For so long a process must then serve more calls than it refuses.
 SERVE_SECONDS = 6.0
+# From the removal of a key until each process must reject it, in touch or not.
+REVOKE_SECONDS = 5.0
+UNKNOWN_JOB = "0" * 16
 JOBS_PER_SECOND = 4.0
 FAULT_GAP_SECONDS = (0.3, 1.2)
 FAULT_SECONDS = (0.3, 4.0)
@@ -200,6 +204,7 @@
         self.faults: Counter[str] = Counter()
         self.violations: list[str] = []
         self._runners: list[web.AppRunner] = []
+        self._probes: list[asyncio.Task[None]] = []
 
     async def run(self) -> list[str]:
         """Run the seed; return each violation as a sentence."""
@@ -216,6 +221,8 @@
                 )
                 await self._check_jobs()
             finally:
+                for probe in self._probes:
+                    probe.cancel()
                 await asyncio.gather(*(node.end() for node in self.nodes))
                 for proxy in self.proxies:
                     await proxy.close()
@@ -249,6 +256,8 @@
             for node in group:
                 await node.start()
             await self._check_ready(group, "its start")
+        if not await self._is_key_accepted(self.nodes[0]):
+            self.violations.append("n1 rejects a key before its removal")
 
     async def _listen(self, app: web.Application) -> int:
         end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
@@ -280,10 +289,16 @@
         return await self._call(node, "GET", "/v1/ready", READY_PORT) == 200
 
     async def _call(
-        self, node: Node, method: str, path: str, port: int, body: bytes = b""
+        self,
+        node: Node,
+        method: str,
+        path: str,
+        port: int,
+        body: bytes = b"",
+        key: str = "key-domes",
     ) -> int:
         """Return the status; 0 for no answer. The body goes to `self.answer`."""
-        headers = {"Host": HOST, "Authorization": "Token key-domes"}
+        headers = {"Host": HOST, "Authorization": f"Token {key}"}
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 url = f"http://{node.host}:{port}{path}"
@@ -334,12 +349,36 @@
             await asyncio.sleep(RETRY_SECONDS)
 
     async def _grow_policy(self) -> None:
+        if not self.growth.steps:
+            return
         queues = 0
         for step in self.growth.steps:
             await asyncio.sleep(step.after)
             queues += step.queues
             self.version += 1
-            self.store.put(POLICY_KEY, make_grown_policy(self.version, queues))
+            last = step is self.growth.steps[-1]
+            policy = make_grown_policy(self.version, queues, removed=last)
+            self.store.put(POLICY_KEY, policy)
+        self._probes = [
+            asyncio.create_task(self._check_removed_key(node)) for node in self.nodes
+        ]
+
+    async def _check_removed_key(self, node: Node) -> None:
+        """Check until cancelled that a process rejects the removed key."""
+        await asyncio.sleep(REVOKE_SECONDS)
+        while True:
+            if await self._is_key_accepted(node):
+                self.violations.append(
+                    f"n{node.number} accepted a key over {REVOKE_SECONDS:g} s after "
+                    "its removal"
+                )
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _is_key_accepted(self, node: Node) -> bool:
+        path = f"/usual/{UNKNOWN_JOB}"
+        status = await self._call(node, "GET", path, FRONT_PORT, key=REMOVED_KEY)
+        return status in {200, 410}
 
     async def _draw_faults(self, tasks: asyncio.TaskGroup) -> None:
         until = asyncio.get_running_loop().time() + self.options.seconds
--- a/tools/soakpolicy.py
+++ b/tools/soakpolicy.py
@@ -10,6 +10,8 @@
 QUEUES_PER_STEP = (700, 1_500)
 LINK_BYTES_PER_SECOND = (300_000, 900_000)
 BITS_PER_MEGABIT = 1_000_000
+# A key that the last version of a grown policy no longer has.
+REMOVED_KEY = "key-post"
 
 
 @dataclass(frozen=True)
@@ -70,8 +72,15 @@
     return f"version-{version}"
 
 
-def make_grown_policy(version: int, queues: int) -> bytes:
-    """Return a policy with this number of queues besides the usual ones."""
+def make_grown_policy(version: int, queues: int, removed: bool) -> bytes:
+    """Return a policy with this number of queues besides the usual ones.
+
+    Args:
+        version: Its version.
+        queues: The number of queues.
+        removed: Whether `REMOVED_KEY` is removed.
+    """
     added = {f"added-{version}-{number}": 1 for number in range(queues)}
     newest = {name_newest_queue(version): 1}
-    return make_policy(version, queues=QUEUES | newest | added)
+    keys = {"domes": ["key-domes"], "post": [] if removed else [REMOVED_KEY]}
+    return make_policy(version, keys=keys, queues=QUEUES | newest | added)
