--- a/src/primrosestile/transport/connections.py
+++ b/src/primrosestile/transport/connections.py
@@ -5,9 +5,11 @@
 pool are then likely to be silent too, and each would cost one caller a whole timeout:
 the target keeps timing out for us although it serves others. After a timeout no idle
 connection of that address is used again; the next call opens a new one. A caller that
-cancels after a second without an answer counts as a timeout. When two addresses go
-silent within seconds, the same device has likely dropped the others too, so every
-connection from before is replaced at its next use.
+cancels after a second without an answer counts as a timeout. An answer that is still
+arriving when its time is over shows a slow link, not a silent connection.
+
+When two addresses go silent within seconds, the same device has likely dropped the
+others too, so every connection from before is replaced at its next use.
 
 Whether anything may have been sent decides between "not run" and "may have run". A
 call counts as sent from the moment it holds a connection.
@@ -15,7 +17,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any
@@ -25,6 +27,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.transport.call_progress import CallProgress, TimeLimits, do_nothing
 
 # A worker accepts about this many connections and refuses more.
 CONNECTIONS_PER_ADDRESS = 64
@@ -62,13 +65,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class _Progress:
-    """Whether a call has held a connection yet."""
-
-    sent: bool = False
-
-
 @dataclass(slots=True)
 class _Pool:
     """The connections in use for one address, and the number of calls on them."""
@@ -126,10 +122,11 @@
         address: str,
         path: str,
         body: bytes,
-        timeout: float,
+        timeout: float | TimeLimits,
         kinds: FailureKinds,
         headers: Mapping[str, str] | None = None,
         method: str = "POST",
+        on_answer: Callable[[], None] = do_nothing,
     ) -> Reply:
         """Send one call and return its complete answer.
 
@@ -137,32 +134,37 @@
             address: `ip:port`, with a path prefix when several share it.
             path: Appended to the address.
             body: Sent as it is.
-            timeout: Seconds for the whole call, including the wait for a connection.
+            timeout: Seconds for the whole call, including the wait for a connection;
+                or limits that leave a large answer time to arrive.
             kinds: The error kinds to raise.
             headers: Sent in addition to the default ones.
             method: HTTP method.
+            on_answer: Called when the answer begins.
 
         Raises:
             Failure: `kinds.unsent` when nothing was sent, `kinds.lost` when no
                 complete answer came.
         """
-        progress = _Progress()
+        limits = timeout if isinstance(timeout, TimeLimits) else TimeLimits(timeout)
+        progress = CallProgress(limits, on_answer)
         silent = False
         target = self._find(address)
         started = read_clock()
         try:
-            async with asyncio.timeout(timeout), target.slots:
+            async with progress.timeout, target.slots:
                 return await self._exchange(
                     target, address, path, body, headers, method, progress
                 )
         except asyncio.CancelledError:
-            if progress.sent and read_clock() - started >= SILENT_SECONDS:
+            if progress.sent and progress.silent_seconds >= SILENT_SECONDS:
                 self._note_silence(address, target)
             raise
         except TimeoutError:
-            self._note_silence(address, target)
-            silent = True
-            detail = f"{address}{path} did not answer within {timeout:g} s"
+            silent = not progress.slow
+            if silent:
+                self._note_silence(address, target)
+            seconds = read_clock() - started
+            detail = f"{address}{path} {progress.describe()} within {seconds:.2g} s"
         except (aiohttp.ClientError, OSError) as error:
             detail = f"{address}{path}: {error or type(error).__name__}"
         kind = kinds.lost if progress.sent else kinds.unsent
@@ -183,7 +185,7 @@
         body: bytes,
         headers: Mapping[str, str] | None,
         method: str,
-        progress: _Progress,
+        progress: CallProgress,
     ) -> Reply:
         pool = target.pool
         if pool is not None and self._silence_detector.invalidates(pool.opened_at):
@@ -204,7 +206,7 @@
                 trace_request_ctx=progress,
             ) as response:
                 check_length(response)
-                content = await response.read()
+                content = await progress.read_body(response)
                 return Reply(response.status, response.headers, content)
         finally:
             pool.users -= 1
