Let an owner that can't read the policy resign

What callers saw: accepted jobs stayed open for 45 s and more while an owner on a slow link renewed its lease and decided nothing, since a decision needs a recent policy; another VM was healthy.

Cause: the owner measures its requests, records, workers, calls and processor, but not its reads of the policy.

Change: eight seconds without an answered read of the policy, while the store answers its renewals, count as a problem. The largest policy takes 6 s over 2 Mbit/s. A policy that can't be decoded doesn't count: its reads are answered, and another owner could not decode it either.

slow_owner, 'The owner can't read the policy', failed before (no other process schedules within 15 s) and passes.

--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -20,6 +20,7 @@
     find_candidacy_pause,
     find_minimum_term_seconds,
 )
+from primrosestile.platform.policy import POLICY_KEY
 from primrosestile.state.work import JobState
 
 # Added to the store's usual time for a call, this makes it sixty times as long.
@@ -80,6 +81,14 @@
     context.world.run(fail())
 
 
+@when("the scheduling process can't read the policy")
+def step_unread_policy(context: Any) -> None:
+    async def fail() -> None:
+        context.world.store.faults.unread_key[take_owner(context).name] = POLICY_KEY
+
+    context.world.run(fail())
+
+
 @when("the store {refuses} the scheduling process")
 def step_refused(context: Any, refuses: str) -> None:
     async def refuse() -> None:
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -40,6 +40,19 @@
     And job e2 is shown at another process as completed within 10 s
     And the fleet's ledger shows nothing wrong
 
+  Scenario: The owner can't read the policy
+    Guards against an owner that renews its lease and decides nothing, since a decision
+    needs a recent policy.
+    Given the tasks of e3 take 2 s
+    When the scheduling process can't read the policy
+    And 2 s pass
+    And job e3 is handed in at another process with steps
+      | count | accelerators |
+      | 2     | 1            |
+    Then another process schedules within 15 s
+    And job e3 is shown at another process as completed within 10 s
+    And the fleet's ledger shows nothing wrong
+
   Scenario Outline: The owner's calls to workers go unanswered
     The network between the owner's VM and the workers is broken, and that of no other
     VM. Lease renewals and records get through. Tasks are started and their starts given
--- a/src/primrosestile/coordination/work/health_monitor.py
+++ b/src/primrosestile/coordination/work/health_monitor.py
@@ -13,6 +13,7 @@
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import OWNER_KEY, RESIGNATIONS_KEY
 from primrosestile.coordination.work.metered_calls import MeteredCalls
+from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.recorder import Recorder
 from primrosestile.coordination.work.request_watch import RequestWatch
 from primrosestile.coordination.work.term import Term
@@ -60,6 +61,7 @@
         store: TransactionalStore,
         term: Term,
         fleet_state: FleetState,
+        policies: PolicyWatch,
         requests: RequestWatch,
         recorder: Recorder,
         links: Mapping[str, WorkerLink],
@@ -68,6 +70,7 @@
         self._store = store
         self._term = term
         self._fleet_state = fleet_state
+        self._policies = policies
         self._requests = requests
         self._recorder = recorder
         self._links = links
@@ -129,6 +132,7 @@
             store_answers=now - self._store_failed_at,
             served=now - self._began,
             loaded=self.loaded,
+            policy_silence=min(self._policies.silence, now - self._began),
         )
 
     def _find_requests_age(self, now: float) -> float:
@@ -177,6 +181,7 @@
             records_age=round(work.records_age, 2),
             workers=work.workers,
             heard=work.heard,
+            policy_silence=round(work.policy_silence, 2),
             loop_delay=round(work.loop_delay, 3),
             calls=work.calls,
             unanswered=round(work.unanswered, 2),
--- a/src/primrosestile/coordination/work/policy_watch.py
+++ b/src/primrosestile/coordination/work/policy_watch.py
@@ -93,6 +93,11 @@
         """Seconds since the policy was last known to be the newest."""
         return self._read_steady() - self._proved_at
 
+    @property
+    def silence(self) -> float:
+        """Seconds since the latest answered read was sent, whatever it returned."""
+        return self._read_steady() - self._answered_at
+
     @property
     def recent(self) -> bool:
         """Whether requests may be judged by the policy."""
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -128,6 +128,7 @@
             store,
             term,
             self._fleet_state,
+            policies,
             self._requests,
             self._recorder,
             self._links,
--- a/src/primrosestile/decisions/work/owner_health.py
+++ b/src/primrosestile/decisions/work/owner_health.py
@@ -23,6 +23,9 @@
 # Age of a change of records that is not stored. A write times out after 1.5 s and is
 # sent again, so three have failed: with a store that loses a third, one in 27 cases.
 MAX_RECORDS_AGE_SECONDS = 5.0
+# Time without an answered read of the policy. The largest takes 6 s over 2 Mbit/s; what
+# an owner can't judge by a recent policy, it doesn't decide.
+MAX_POLICY_SILENCE_SECONDS = 8.0
 # Half of the 7 s of a worker's lease: a worker that is silent for that long may lapse
 # in as much again, about what a change of owner and its first polls take.
 MAX_WORKER_SILENCE_SECONDS = 3.5
@@ -62,6 +65,7 @@
 
     REQUESTS = "requests not received"
     RECORDS = "records not written"
+    POLICY = "policy not read"
     WORKERS = "workers not heard"
     CALLS = "calls not answered"
     PROCESSOR = "processor behind"
@@ -74,6 +78,7 @@
     Attributes:
         requests_age: Seconds since all caller requests in the store were last known.
         records_age: Seconds since the oldest change that is not in the store.
+        policy_silence: Seconds since an answered read of the policy was sent.
         workers: Listed workers.
         heard: Those of them that answered within `MAX_WORKER_SILENCE_SECONDS`.
         loop_delay: Mean delay of the event loop, in seconds.
@@ -95,6 +100,7 @@
     store_answers: float
     served: float
     loaded: bool = True
+    policy_silence: float = 0.0
 
 
 def find_problem(work: OwnerMetrics) -> OwnerProblem | None:
@@ -103,6 +109,8 @@
         return OwnerProblem.REQUESTS
     if min(work.records_age, work.store_answers) > MAX_RECORDS_AGE_SECONDS:
         return OwnerProblem.RECORDS
+    if min(work.policy_silence, work.store_answers) > MAX_POLICY_SILENCE_SECONDS:
+        return OwnerProblem.POLICY
     if work.store_answers <= MAX_WORKER_SILENCE_SECONDS:
         return None
     if work.heard < work.workers * MIN_HEARD_SHARE:
--- a/src/primrosestile_standin/fleet_store.py
+++ b/src/primrosestile_standin/fleet_store.py
@@ -55,6 +55,7 @@
         late_writes: Delays of the next writes, in seconds; none is answered.
         silent_watches: Watches deliver no change.
         unread: For each process, a prefix whose lists and watches fail.
+        unread_key: For each process, a key that it can't read.
         slow_seconds: Added to the duration of each call.
         megabits: For each process, the rate of its link for lists, in Mbit/s.
         stale_reads: Reads that may be stale return nothing.
@@ -71,6 +72,7 @@
     late_writes: list[float] = field(default_factory=list)
     silent_watches: bool = False
     unread: dict[str, str] = field(default_factory=dict)
+    unread_key: dict[str, str] = field(default_factory=dict)
     slow_seconds: float = 0.0
     megabits: dict[str, float] = field(default_factory=dict)
     stale_reads: bool = False
@@ -259,6 +261,7 @@
         """Return the value of a key, or None."""
         self._store.calls_by_key[key] += 1
         await self._enter()
+        self._check_key(key)
         if not recent and self._store.faults.stale_reads:
             return None
         found = self._store.read(key)
@@ -274,6 +277,7 @@
         self._store.calls_by_key[condition.key] += 1
         await self._enter()
         self._check_change()
+        self._check_key(condition.key)
         outcome = self._store.check([condition])
         size = _measure_answer(outcome.found)
         await self._carry(size, seconds=self._answer_seconds, on_part=on_part)
@@ -446,6 +450,10 @@
         if unread is not None and prefix.startswith(unread):
             raise Failure(ErrorKind.STORE_UNAVAILABLE, "unread")
 
+    def _check_key(self, key: str) -> None:
+        if self._store.faults.unread_key.get(self._process) == key:
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, "unread")
+
     def _check_change(self) -> None:
         if self._store.faults.refuses_changes:
             raise Failure(ErrorKind.STORE_UNAVAILABLE, "refused")
