Leave a shared failure unchanged when its caller is told to return at once

Callers that share a check of the store share its failure, and the delay that one of them is told was written into it. No wrong answer was seen: within the time in which they share it, they also share the answer of the other VMs. Two comments say more exactly what holds.

--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -223,8 +223,8 @@
         try:
             return self._reader.decode(entry, decode_progress).state, None
         except UnreadableRecord:
-            # Progress is written with the first start and replaced with the last
-            # record, so a job that has it and a submission is running.
+            # Progress is written with the first start, and the last record replaces
+            # it and the submission: the job has started and is not over yet.
             submitted = await self._reader.get(make_job_key(job_id))
             return (None if submitted is None else JobState.RUNNING), None
 
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -70,7 +70,7 @@
         return web.Response(status=200 if self._ready else 503)
 
     async def answer_peer(self, request: web.BaseRequest) -> web.Response:
-        """Answer another process of ours whether the store answers this one."""
+        """Answer another process of ours whether this one serves callers."""
         if request.path != STORE_VIEW_PATH:
             return web.Response(status=404)
         serves = await self._can_serve()
@@ -101,7 +101,8 @@
                 response = await self._dispatch(request)
         except Failure as failure:
             if await self._is_served_elsewhere(failure, until):
-                failure.retry_after = 0.0
+                # Callers that share a read share its failure, which stays unchanged.
+                failure = Failure(failure.kind, failure.detail, retry_after=0.0)
             response = _answer_failure(request, failure, began)
         except TimeoutError:
             late = Failure(ErrorKind.DEADLINE_UNKNOWN, "no outcome in time")
