--- a/tools/check.py
+++ b/tools/check.py
@@ -73,7 +73,8 @@
         file=sys.stderr,
     )
     if done.returncode and all(result.passed for result in results):
-        results.append(Result(f"{folder}: behave", False, done.stdout + done.stderr))
+        detail = f"exit status {done.returncode}\n{done.stdout}{done.stderr}"
+        results.append(Result(f"{folder}: behave", False, detail))
     failed = any(not result.passed for result in results)
     if failed and not results[-1].detail:
         results[-1] = Result(
