--- a/features/steps/work_state_queries_steps.py
+++ b/features/steps/work_state_queries_steps.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
-from behave import given, then, when
+from behave import given, step, then, when
 from features.doubles.fleet_world import HOST, make_policy
 
 from primrosestile.clock import read_clock
@@ -130,8 +130,8 @@
     assert response.status == 504, response.status
 
 
-@when("{seconds:g} s go by")
-def step_go_by(context: Any, seconds: float) -> None:
+@step("{seconds:g} s later another one asks")
+def step_later(context: Any, seconds: float) -> None:
     context.queried.runner.run(asyncio.sleep(seconds))
 
 
