Count waiting jobs by one read at a time

Callers who asked a VM with a slow link how many jobs wait were told nothing: with 11,000 waiting jobs a read takes 1.9 s over 5 Mbit/s, and the next caller 1 s after its beginning began another. The reads shared the link, and each caller's deadline passed first.

Ruled out: sharing a complete count for longer, as the number may be 2 s old and a read alone takes 1.9 s; waiting for any read that is under way, as one on a dead connection takes seconds to fail.

A caller now joins a read whose pages keep arriving, whatever its age. One of which nothing arrived for 1 s is not joined. A count that took more than 4.5 s to arrive fails instead of being told, since jobs that were accepted 5 s before must be in it.

"Callers keep asking how many jobs wait" failed before (none of the callers of the last 5 s was told) and passes.

--- a/features/steps/work_slow_link_steps.py
+++ b/features/steps/work_slow_link_steps.py
@@ -34,6 +34,7 @@
     make_waiting,
     make_wave_key,
 )
+from primrosestile.coordination.work.pending_counts import PendingCounts
 from primrosestile.coordination.work.recorder import Recorder
 from primrosestile.coordination.work.run_statistics import RunStatistics
 from primrosestile.coordination.work.term import Term
@@ -43,7 +44,7 @@
 from primrosestile.errors import Failure
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies, read_policy
 from primrosestile.platform.store import BYTES_PER_MEGABIT
-from primrosestile.protocol.store import Change, Entry
+from primrosestile.protocol.store import Change, Entry, Page
 from primrosestile.state.maintenance import Wave, WaveRecord
 from primrosestile.state.settings import SETTINGS_PREFIX
 from primrosestile.state.work import (
@@ -63,7 +64,7 @@
 )
 from primrosestile.transport.wire import decode_json, encode_json
 from primrosestile_standin.fleet_script import Script
-from primrosestile_standin.fleet_store import FleetStore
+from primrosestile_standin.fleet_store import FleetStore, FleetStoreClient
 from primrosestile_standin.link import Link
 from primrosestile_standin.store import MemoryStore
 
@@ -297,6 +298,43 @@
     context.world.run(keep_asking(context, ask, seconds, callers, interval))
 
 
+class OneSilentList(FleetStoreClient):
+    """A client whose first list is never answered."""
+
+    silent = True
+
+    async def list(self, prefix: str, after: str = "") -> Page:
+        """Return one page of the entries under a prefix."""
+        if self.silent:
+            self.silent = False
+            await asyncio.Event().wait()
+        return await super().list(prefix, after)
+
+
+@given("the store leaves the first list unanswered")
+def step_silent_list(context: Any) -> None:
+    context.counts = PendingCounts(OneSilentList(context.world.store, "p1", Link()))
+
+
+@when("two callers ask {seconds:g} s apart for the number of waiting jobs")
+def step_ask_apart(context: Any, seconds: float) -> None:
+    async def ask() -> None:
+        first = asyncio.create_task(context.counts.count("usual"))
+        await asyncio.sleep(seconds)
+        asked_at = read_clock()
+        async with asyncio.timeout(CALL_SECONDS):
+            await context.counts.count("usual")
+        context.took = read_clock() - asked_at
+        first.cancel()
+
+    context.world.run(ask())
+
+
+@then("the second is told at once")
+def step_second_told(context: Any) -> None:
+    assert context.took < 0.1, context.took
+
+
 @when(
     "for {seconds:g} s {callers:d} callers ask {process} every {interval:g} s"
     " for the state of that job"
--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -42,6 +42,13 @@
     And for 15 s 1 callers ask p1 every 0.25 s for the number of waiting jobs
     Then each caller of the last 5 s was told within 2.85 s
 
+  Scenario: The count of waiting jobs is never answered
+    Guards against callers who all wait for a read on a dead connection.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And the store leaves the first list unanswered
+    When two callers ask 1.25 s apart for the number of waiting jobs
+    Then the second is told at once
+
   Scenario: Many tasks with large arguments start at once
     Guards against starts that crowd one another out, so that all of them time out and
     are sent again.
--- a/src/primrosestile/coordination/work/pending_counts.py
+++ b/src/primrosestile/coordination/work/pending_counts.py
@@ -3,6 +3,8 @@
 Each such job has a small key of its own. A count from the jobs and their records would
 make every VM that is asked read all open jobs: a megabyte and more on a large fleet,
 which takes a second on a slow link. Callers who ask within a second share one read.
+So do those who ask while a longer one arrives: a second read beside it would take
+as much of the link, and neither would arrive in time.
 """
 
 import asyncio
@@ -10,11 +12,15 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import WAITING_PREFIX
-from primrosestile.errors import Failure
+from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
 
 # The number must be at most 2 s old when a caller gets it.
 SHARED_SECONDS = 1.0
+# A job that was accepted this long ago must be counted.
+MAX_AGE_SECONDS = 4.5
+# A read of which nothing arrives for this long may be on a dead connection.
+SILENT_SECONDS = 1.0
 
 
 class PendingCounts:
@@ -24,12 +30,14 @@
         self._store = store
         self._reading: asyncio.Task[Counter[str]] | None = None
         self._asked_at = 0.0
+        # When the latest read began or the latest page arrived.
+        self._active_at = 0.0
 
     async def count(self, queue: str) -> int:
         """Return how many jobs of a queue have no task started."""
         reading = self._reading
-        if reading is None or read_clock() - self._asked_at > SHARED_SECONDS:
-            self._asked_at = read_clock()
+        if reading is None or not self._may_share(reading):
+            self._asked_at = self._active_at = read_clock()
             reading = self._reading = asyncio.create_task(self._read())
         try:
             # A caller that is cancelled must not cancel the read of the others.
@@ -39,6 +47,21 @@
                 self._reading = None
             raise
 
+    def _may_share(self, reading: asyncio.Task[Counter[str]]) -> bool:
+        """Whether another caller may be told what a read returns."""
+        now = read_clock()
+        if now - self._asked_at <= SHARED_SECONDS:
+            return True
+        return not reading.done() and now - self._active_at <= SILENT_SECONDS
+
     async def _read(self) -> Counter[str]:
-        waiting, _ = await list_entries(self._store, WAITING_PREFIX)
+        began = read_clock()
+        waiting, _ = await list_entries(
+            self._store, WAITING_PREFIX, on_page=self._note_page
+        )
+        if read_clock() - began > MAX_AGE_SECONDS:
+            raise Failure(ErrorKind.STORE_UNAVAILABLE, "the count took too long")
         return Counter(entry.value.decode(errors="replace") for entry in waiting)
+
+    def _note_page(self) -> None:
+        self._active_at = read_clock()
--- a/src/primrosestile/protocol/transactions.py
+++ b/src/primrosestile/protocol/transactions.py
@@ -138,7 +138,10 @@
 
 
 async def list_entries(
-    store: TransactionalStore, prefix: str, whole: bool = True
+    store: TransactionalStore,
+    prefix: str,
+    whole: bool = True,
+    on_page: Callable[[], None] | None = None,
 ) -> tuple[list[Entry], int]:
     """Return all entries under a prefix and a revision to watch from.
 
@@ -151,6 +154,7 @@
         whole: Whether to fail when the key of an item can't be read. One of our own
             records that is dropped would count as absent, and its job's tasks would
             run a second time. Under keys that others write, the item can be dropped.
+        on_page: Called after each page but the last.
 
     Raises:
         Failure: STORE_UNAVAILABLE as above, and the failures of any call.
@@ -163,6 +167,8 @@
     # A store whose pages do not advance would be read in an endless loop.
     while page.more and page.entries and page.entries[-1].key > last:
         last = page.entries[-1].key
+        if on_page is not None:
+            on_page()
         page = await store.list(prefix, last)
         entries += page.entries
         left_out += page.left_out
