--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -282,14 +282,8 @@
 
 
 @contextlib.asynccontextmanager
-async def answer_always(path: str, status: int) -> AsyncIterator[str]:
-    """Serve a path with one fixed status; yield the address."""
-
-    async def answer(request: web.Request) -> web.Response:
-        return web.Response(status=status, text="{}")
-
-    app = web.Application()
-    app.router.add_post(path, answer)
+async def serve(app: web.Application) -> AsyncIterator[str]:
+    """Serve an application; yield its address."""
     end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
     await end.setup()
     port = find_free_port()
@@ -300,6 +294,19 @@
         await end.cleanup()
 
 
+@contextlib.asynccontextmanager
+async def answer_always(path: str, status: int) -> AsyncIterator[str]:
+    """Serve a path with one fixed status; yield the address."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=status, text="{}")
+
+    app = web.Application()
+    app.router.add_post(path, answer)
+    async with serve(app) as address:
+        yield address
+
+
 @contextlib.asynccontextmanager
 async def answer_slowly(
     body: bytes, rate: float, stops_after: float = math.inf
@@ -325,14 +332,8 @@
 
     app = web.Application()
     app.router.add_get("/{path:.*}", answer)
-    end = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
-    await end.setup()
-    port = find_free_port()
-    await web.TCPSite(end, "127.0.0.1", port).start()
-    try:
-        yield f"127.0.0.1:{port}"
-    finally:
-        await end.cleanup()
+    async with serve(app) as address:
+        yield address
 
 
 def read_slowly(
@@ -376,16 +377,12 @@
             sizes.append(len(reply.body))
             return reply
 
-    end = web.AppRunner(StoreServer(store).make_app(), shutdown_timeout=0.1)
-    await end.setup()
-    port = find_free_port()
-    await web.TCPSite(end, "127.0.0.1", port).start()
     connections = CountingConnections()
-    try:
-        yield PlatformStore(f"127.0.0.1:{port}", connections, link=5.0), sizes
-    finally:
-        await connections.close()
-        await end.cleanup()
+    async with serve(StoreServer(store).make_app()) as address:
+        try:
+            yield PlatformStore(address, connections, link=5.0), sizes
+        finally:
+            await connections.close()
 
 
 @given("a store over HTTP with a value of {size:d} kB")
