--- /dev/null
+++ b/features/work/slow_link.feature
@@ -0,0 +1,93 @@
+Feature: Large messages complete over a slow link
+  The limit of a call must leave time for the largest message that the call can carry. A
+  call that is cut off begins again at the first byte: it never completes, and takes the
+  link from all others.
+
+  Scenario: A new owner reads large statistics
+    Guards against an owner that never gets beyond its first read, so that no job starts.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And statistics of 15000 workers and 4000 queues from an earlier owner
+    When p1 starts over a link of 5 Mbit/s
+    And 1 s pass
+    And job l1 is handed in at p1
+    Then job l1 is shown as completed within 30 s
+
+  Scenario: Many large records change at once
+    Guards against an owner that writes them all at the same time, so that each write
+    times out and no task of these jobs is ever started.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And 8 jobs of 4000 tasks each are open
+    When an owner over a link of 5 Mbit/s records a start of every task
+    Then all of these records are stored within 60 s
+
+  Scenario: The policy changes under a submission
+    Guards against a caller who is told that its job may run, since the refusal brings
+    the whole policy and is cut off.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And a policy of 1000 kB
+    And 2 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And operators change the policy
+    And job l3 is handed in at p1 at once
+    Then the caller is told whether the job was accepted
+
+  Scenario: Callers keep asking how many jobs wait
+    Guards against a read that begins each second and takes longer than that, so that the
+    reads crowd one another out.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And some other process schedules
+    And 1 processes of ours
+    And 11000 jobs wait
+    When p1 gets a link of 5 Mbit/s
+    And for 15 s 1 callers ask p1 every 0.25 s for the number of waiting jobs
+    Then each caller of the last 5 s was told within 2.85 s
+
+  Scenario: Many tasks with large arguments start at once
+    Guards against starts that crowd one another out, so that all of them time out and
+    are sent again.
+    Given a fleet of 32 workers with 8 accelerators in 4 racks
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And job l5 of 256 tasks with arguments of 4000 bytes is handed in at p1
+    Then job l5 is shown as completed within 30 s
+
+  Scenario: Callers ask together for the state of a large job
+    Guards against reads of one record that crowd one another out, so that no caller is
+    ever told.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And some other process schedules
+    And 1 processes of ours
+    And a job of 4000 tasks whose record is stored
+    When p1 gets a link of 5 Mbit/s
+    And for 10 s 5 callers ask p1 every 2.5 s for the state of that job
+    Then each caller of the last 5 s was told within 2.85 s
+
+  Scenario: One answer is lost while callers keep coming
+    Guards against a check of the store by a read of the whole policy, which is cut off
+    at each caller and keeps the reads that would succeed from succeeding.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And some other process schedules
+    And a policy of 200 kB
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And the answers to the next 1 writes are lost
+    And for 12 s 2 callers hand in jobs at p1 every 0.2 s
+    Then each caller of the last 5 s was told within 2.85 s
+
+  Scenario: Another VM asks whether the store answers
+    Guards against a VM that calls the store away because its policy takes longer to
+    arrive than the query may take, so that callers of the other VM are told to wait.
+    Given a VM with a link of 5 Mbit/s that has read a policy of 200 kB
+    When another VM asks it whether the store answers
+    Then it says yes within 0.2 s
+
+  Scenario: The list of workers is long
+    Guards against an owner that gives no work to any worker, since its list of them is
+    out of date as soon as it has arrived.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And the list has 3000 workers of other services
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And 3 s pass
+    And job l9 is handed in at p1
+    Then job l9 is shown as completed within 12 s
