--- a/src/primrosestile_standin/fleet_worker.py
+++ b/src/primrosestile_standin/fleet_worker.py
@@ -7,61 +7,27 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from primrosestile.clock import read_clock
-from primrosestile.protocol.fleet import (
-    EndedTask,
-    PollAnswer,
-    Refusal,
-    RunningTask,
-    StartOrder,
-)
+from primrosestile.protocol.fleet import PollAnswer, Refusal, RunningTask, StartOrder
 from primrosestile.state.work import Need
 from primrosestile.state.workers import EndKind, WorkerEntry
 from primrosestile_standin.fleet_advice import FleetAdvice
 from primrosestile_standin.fleet_checkpoints import FleetCheckpoints
+from primrosestile_standin.fleet_ends import EndList
 from primrosestile_standin.fleet_faults import FleetWorkerFaults
+from primrosestile_standin.fleet_record import FleetRecord
+from primrosestile_standin.fleet_runs import Run, compute_latency_ms, fits
 from primrosestile_standin.fleet_script import Script
 
 ANSWER_SECONDS = 0.002
 TIMEOUT_SECONDS = 0.45
 MAX_LEASE_SECONDS = 10.0
 GANG_WAIT_SECONDS = 3.0
-# Latency of a service alone on its worker, and what each percent of another task adds.
-BASE_LATENCY_MS = 40.0
-LATENCY_MS_PER_PERCENT = 1.5
-NOTHING = Need()
 # A capacity before a reduction stays allowed while the new one becomes known: contact
 # with its VM and a heartbeat.
 OLD_CAPACITY_SECONDS = 4.5
-# After a task has crashed CRASH_LIMIT workers, STARTS_AFTER_LIMIT more starts of it
-# are a violation.
-CRASH_LIMIT = 3
-STARTS_AFTER_LIMIT = 3
-
-
-@dataclass(frozen=True, slots=True)
-class _SuccessfulEnd:
-    """A successful end, with its worker's lapses and the count of starts by then."""
-
-    worker: "FleetWorker"
-    run: int
-    lapses: int
-    starts: int
-
-
-@dataclass(slots=True)
-class _Run:
-    task: str
-    run: int
-    began: float
-    script: Script
-    working: bool = False
-    stopping: bool = False
-    timer: asyncio.TimerHandle | None = None
-    pace: int = 100
-    done_before: float = 0.0
 
 
 class FleetWorker:
@@ -80,15 +46,13 @@
         self.fence = 0
         self.until = 0.0
         self.lapses = 0
-        self.runs: dict[str, _Run] = {}
+        self.runs: dict[str, Run] = {}
         self._fleet = fleet
         self._rate = clock_rate
-        self._ended: list[EndedTask] = []
-        self._number = 0
+        self._ends = EndList()
         self._barred: dict[str, int] = {}
         # The capacity before the last change, and until when it stays allowed.
         self._old_capacity: tuple[Need, float] | None = None
-        self._ends_changed = asyncio.Event()
 
     def read_clock(self) -> float:
         """Return the worker's own monotonic clock."""
@@ -109,15 +73,7 @@
         capacities = [self.entry.capacity]
         if self._old_capacity is not None and read_clock() < self._old_capacity[1]:
             capacities.append(self._old_capacity[0])
-        return not any(self._fits(capacity) for capacity in capacities)
-
-    def _fits(self, capacity: Need, more: Need = NOTHING) -> bool:
-        """Return whether the runs, and one more task, fit a capacity."""
-        used = [more, *(run.script.need for run in self.runs.values())]
-        return (
-            sum(each.processor for each in used) <= capacity.processor
-            and sum(each.accelerators for each in used) <= capacity.accelerators
-        )
+        return not any(fits(self.runs.values(), capacity) for capacity in capacities)
 
     def sweep(self) -> None:
         """End all runs once the lease has expired."""
@@ -131,10 +87,8 @@
             return Refusal.FENCE
         self.fence = fence
         self._extend(until)
-        for each in self._ended:
-            if each.number <= seen:
-                self._fleet.record_acknowledged(self, each)
-        self._ended = [each for each in self._ended if each.number > seen]
+        for each in self._ends.acknowledge(seen):
+            self._fleet.record.record_acknowledged(self, each)
         return None
 
     def _extend(self, until: float | None) -> None:
@@ -151,21 +105,15 @@
                 run.task,
                 run.run,
                 self._save(run),
-                self._find_percent(run),
+                0.0 if self.faults.stalled_tasks else run.find_percent(),
                 self.find_usage(run),
             )
             for run in self.runs.values()
         )
-        return PollAnswer(self.report_clock(), running, self._list_ends())
-
-    def _list_ends(self) -> tuple[EndedTask, ...]:
-        ended = list(self._ended)
-        if ended and self.faults.number_jumps:
-            number = ended[-1].number + self.faults.number_jumps.pop(0)
-            ended[-1] = replace(ended[-1], number=number)
-        return tuple(ended)
+        ended = self._ends.show(self.faults.number_jumps)
+        return PollAnswer(self.report_clock(), running, ended)
 
-    def _save(self, run: _Run, stopped: bool = False) -> str:
+    def _save(self, run: Run, stopped: bool = False) -> str:
         """Return a run's latest checkpoint."""
         if not run.script.checkpoints:
             return ""
@@ -173,12 +121,9 @@
         unit = self._fleet.name_unit(run.task)
         return self._fleet.checkpoints.make(unit, run.done_before + worked, stopped)
 
-    def find_usage(self, run: _Run) -> float:
+    def find_usage(self, run: Run) -> float:
         """Return a service's latency in milliseconds; 0 for other tasks."""
-        if not run.script.serves:
-            return 0.0
-        others = sum(each.pace for each in self.runs.values() if not each.script.serves)
-        return BASE_LATENCY_MS + others * LATENCY_MS_PER_PERCENT
+        return compute_latency_ms(run, self.runs.values())
 
     def take_pace(self, fence: int, task: str, percent: int) -> Refusal | None:
         """Limit a run's speed to a share of its full speed."""
@@ -191,21 +136,9 @@
         run.pace = percent
         return None
 
-    def _find_percent(self, run: _Run) -> float:
-        if not run.working or self.faults.stalled_tasks:
-            return 0.0
-        if run.script.serves:
-            return 100.0
-        return min(99.0, 100 * (read_clock() - run.began) / run.script.seconds)
-
     async def wait_for_end(self, seconds: float) -> None:
         """Return once an end is listed, or after a timeout."""
-        if self._ended:
-            return
-        try:
-            async with asyncio.timeout(seconds):
-                await self._ends_changed.wait()
-        except TimeoutError:
+        if not await self._ends.wait(seconds):
             self.sweep()
 
     def take_start(self, fence: int, order: StartOrder) -> Refusal | None:
@@ -237,11 +170,13 @@
         return None
 
     def _has_room(self, script: Script) -> bool:
-        return self.faults.overcommits or self._fits(self.entry.capacity, script.need)
+        return self.faults.overcommits or fits(
+            self.runs.values(), self.entry.capacity, script.need
+        )
 
     def _begin(self, order: StartOrder, script: Script) -> None:
         self._fleet.record_start(self, order)
-        run = _Run(order.task, order.run, read_clock(), script)
+        run = Run(order.task, order.run, read_clock(), script)
         run.done_before = self._fleet.checkpoints.find_saved_seconds(order.checkpoint)
         self.runs[order.task] = run
         if self.is_overcommitted():
@@ -256,7 +191,7 @@
         else:
             self._fleet.join_gang(self, run)
 
-    def work(self, run: _Run) -> None:
+    def work(self, run: Run) -> None:
         """Start a run's work, and schedule its end."""
         run.working = True
         run.began = read_clock()
@@ -264,17 +199,16 @@
         kind = EndKind.FAILED if fails else EndKind.DONE
         self._set_timer(run, max(0.0, run.script.seconds - run.done_before), kind)
 
-    def wait_for_gang(self, run: _Run) -> None:
+    def wait_for_gang(self, run: Run) -> None:
         """Wait for the other members of a gang, up to a timeout."""
         self._set_timer(run, GANG_WAIT_SECONDS, EndKind.GANG_INCOMPLETE)
 
-    def _set_timer(self, run: _Run, seconds: float, kind: EndKind) -> None:
-        if run.timer is not None:
-            run.timer.cancel()
+    def _set_timer(self, run: Run, seconds: float, kind: EndKind) -> None:
+        run.cancel_timer()
         loop = asyncio.get_running_loop()
         run.timer = loop.call_later(seconds, self._end_if_there, run, kind)
 
-    def _end_if_there(self, run: _Run, kind: EndKind) -> None:
+    def _end_if_there(self, run: Run, kind: EndKind) -> None:
         self.sweep()
         if self.runs.get(run.task) is not run:
             return
@@ -295,22 +229,19 @@
             self._set_timer(present, self.faults.stop_seconds, EndKind.STOPPED)
         return None
 
-    def end(self, run: _Run, kind: EndKind) -> None:
+    def end(self, run: Run, kind: EndKind) -> None:
         """End a run and list its end."""
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
-        if run.timer is not None:
-            run.timer.cancel()
-        self._number += 1
+        run.cancel_timer()
         self._barred[run.task] = max(self._barred.get(run.task, 0), run.run)
         saved = self._save(run, stopped=kind is EndKind.STOPPED)
-        self._ended.append(EndedTask(self._number, run.task, run.run, kind, saved))
+        self._ends.add(run.task, run.run, kind, saved)
         self._fleet.record_end(self, run.task, run.run, kind)
-        self._ends_changed.set()
-        self._ends_changed = asyncio.Event()
+        self._ends.announce()
 
-    def _crash_by(self, run: _Run) -> None:
+    def _crash_by(self, run: Run) -> None:
         """Crash the worker if the run that crashes it is still there."""
         if self.alive and self.runs.get(run.task) is run:
             self._fleet.crashes[run.task] += 1
@@ -320,18 +251,17 @@
     def reset_connections(self) -> None:
         """Reset the connections of all calls, those under way too, from now on."""
         self.faults.resets = True
-        self._ends_changed.set()
+        self._ends.end_waits()
 
     def crash(self) -> None:
         """End this incarnation; its runs are lost without a report."""
         self.alive = False
-        self._ends_changed.set()
+        self._ends.end_waits()
         gone = list(self.runs.values())
         self.runs.clear()
         for run in gone:
             self._fleet.crashed_under[run.task] += 1
-            if run.timer is not None:
-                run.timer.cancel()
+            run.cancel_timer()
             self._fleet.break_gang(run.task, run.run)
 
 
@@ -340,10 +270,10 @@
 
 
 class Fleet:
-    """All workers, and the record of starts, ends and violations.
+    """All workers, and the record of what they do.
 
     Attributes:
-        violations: Violated invariants, as texts; must be empty at the end of a test.
+        record: Starts, ends and violations.
         advice: Decides where steps may run, and which tickets are valid.
         crashes: How many workers each task has crashed.
         crashed_under: How many workers have crashed while each task was on them.
@@ -357,16 +287,26 @@
         self.advice = FleetAdvice()
         self.checkpoints = FleetCheckpoints()
         self.tickets_refused = 0
-        self.violations: list[str] = []
-        self.starts: list[tuple[str, int, str]] = []
-        self.ends: list[tuple[str, int, EndKind]] = []
+        self.record = FleetRecord(self.name_unit)
         self.crashes: Counter[str] = Counter()
         self.crashed_under: Counter[str] = Counter()
         self.on_crash: Callable[[FleetWorker], None] = _ignore_crash
-        self._starts_after_limit: Counter[str] = Counter()
-        self._successful_ends: dict[str, list[_SuccessfulEnd]] = {}
-        self._acknowledged_units: set[str] = set()
-        self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, _Run]]] = {}
+        self._gathered: dict[tuple[str, int], list[tuple[FleetWorker, Run]]] = {}
+
+    @property
+    def starts(self) -> list[tuple[str, int, str]]:
+        """Task, run and worker of each start."""
+        return self.record.starts
+
+    @property
+    def ends(self) -> list[tuple[str, int, EndKind]]:
+        """Task, run and kind of each end."""
+        return self.record.ends
+
+    @property
+    def violations(self) -> list[str]:
+        """Violated invariants, as texts; must be empty at the end of a test."""
+        return self.record.violations
 
     def add(self, entry: WorkerEntry, clock_rate: float = 1.0) -> FleetWorker:
         """Add an incarnation of a worker."""
@@ -396,40 +336,25 @@
     def record_start(self, worker: FleetWorker, order: StartOrder) -> None:
         """Record a start, and the invariants that it violates."""
         self.starts.append((order.task, order.run, worker.entry.worker))
-        unit = self.name_unit(order.task)
         if self.find_script(order.task).checkpoints:
+            unit = self.name_unit(order.task)
             wrong = self.checkpoints.check(unit, order.run, order.checkpoint)
-            self.violations += [wrong] if wrong else []
+            if wrong:
+                self.violations.append(wrong)
         for other in self.workers.values():
             other.sweep()
             if other.alive and order.task in other.runs:
                 self.violations.append(
                     f"{order.task} run {order.run} starts while it runs elsewhere"
                 )
-        if self.name_unit(order.task) in self._acknowledged_units:
-            self.violations.append(f"{order.task} starts after its successful end")
-        self._check_crashes(order.task)
-
-    def _check_crashes(self, task: str) -> None:
-        """Record a start of a task that has reached the crash limit."""
-        if self.crashes[task] < CRASH_LIMIT:
-            return
-        self._starts_after_limit[task] += 1
-        if self._starts_after_limit[task] == STARTS_AFTER_LIMIT:
-            self.violations.append(
-                f"{task} was started {STARTS_AFTER_LIMIT} more times after it had"
-                f" crashed {CRASH_LIMIT} workers"
-            )
+        self.record.check_start(order.task, self.crashes[order.task])
 
     def record_end(
         self, worker: FleetWorker, task: str, run: int, kind: EndKind
     ) -> None:
         """Record an end; the other members of a gang end with it."""
-        self.ends.append((task, run, kind))
+        self.record.record_end(worker, task, run, kind)
         done = kind is EndKind.DONE
-        if done:
-            end = _SuccessfulEnd(worker, run, worker.lapses, len(self.starts))
-            self._successful_ends.setdefault(task, []).append(end)
         self._end_gang(task, run, EndKind.DONE if done else EndKind.GANG_BROKEN)
 
     def break_gang(self, task: str, run: int) -> None:
@@ -442,29 +367,13 @@
             if member.task != task:
                 other.end(member, kind)
 
-    def record_acknowledged(self, worker: FleetWorker, ended: EndedTask) -> None:
-        """Record an acknowledged end, and the violating starts after it.
-
-        An end does not count if the worker's lease has expired since.
-        """
-        unit = self.name_unit(ended.task)
-        for end in self._successful_ends.get(ended.task, ()):
-            if (end.worker, end.run, end.lapses) != (worker, ended.run, worker.lapses):
-                continue
-            self._acknowledged_units.add(unit)
-            for task, run, _ in self.starts[end.starts :]:
-                if self.name_unit(task) == unit:
-                    self.violations.append(
-                        f"{task} run {run} was started after an acknowledged end"
-                    )
-
     def name_unit(self, task: str) -> str:
         """Return the unit of a task: itself, or its step for a gang."""
         if self.find_script(task).gang > 1:
             return task.rpartition(".")[0]
         return task
 
-    def join_gang(self, worker: FleetWorker, run: _Run) -> None:
+    def join_gang(self, worker: FleetWorker, run: Run) -> None:
         """Add a member to its gang; start the gang's work once it is complete."""
         key = (run.task.rpartition(".")[0], run.run)
         members = self._gathered.setdefault(key, [])
