--- a/src/primrosestile_standin/fleet_store.py
+++ b/src/primrosestile_standin/fleet_store.py
@@ -9,7 +9,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from sortedcontainers import SortedDict
 
@@ -30,7 +30,8 @@
     Write,
 )
 from primrosestile.transport.call_progress import do_nothing
-from primrosestile_standin.link import ANSWER_BYTES, ROW_BYTES, VALUE_FACTOR, Link
+from primrosestile_standin.fleet_store_faults import FleetStoreFaults
+from primrosestile_standin.link import ANSWER_BYTES, Link, measure_answer, measure_write
 
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
@@ -39,46 +40,6 @@
 ITEM_BYTES = 75
 
 
-@dataclass(slots=True)
-class FleetStoreFaults:
-    """The active faults of the store.
-
-    Attributes:
-        down: Every call fails without effect; leases run on, or pause.
-        hangs: No call takes effect, and none is answered.
-        leases_pause: While the store is down or hangs, leases do not expire.
-        refused: Processes whose calls are refused.
-        silent: Processes whose calls are never answered.
-        lose_writes: How many of the next writes take effect without an answer.
-        lose_renewals: One of so many lease renewals takes effect without an answer;
-            0 for none.
-        late_writes: Delays of the next writes, in seconds; none is answered.
-        silent_watches: Watches deliver no change.
-        unread: For each process, a prefix whose lists and watches fail.
-        unread_key: For each process, a key that it can't read.
-        slow_seconds: Added to the duration of each call.
-        megabits: For each process, the rate of its link for lists, in Mbit/s.
-        stale_reads: Reads that may be stale return nothing.
-        refuses_changes: Changes and checks are refused, reads are served.
-    """
-
-    down: bool = False
-    hangs: bool = False
-    leases_pause: bool = False
-    refused: set[str] = field(default_factory=set)
-    silent: set[str] = field(default_factory=set)
-    lose_writes: int = 0
-    lose_renewals: int = 0
-    late_writes: list[float] = field(default_factory=list)
-    silent_watches: bool = False
-    unread: dict[str, str] = field(default_factory=dict)
-    unread_key: dict[str, str] = field(default_factory=dict)
-    slow_seconds: float = 0.0
-    megabits: dict[str, float] = field(default_factory=dict)
-    stale_reads: bool = False
-    refuses_changes: bool = False
-
-
 @dataclass(slots=True)
 class _Lease:
     seconds: float
@@ -266,7 +227,7 @@
             return None
         found = self._store.read(key)
         await self._carry(
-            _measure_answer([found]), seconds=self._answer_seconds, on_part=on_part
+            measure_answer([found]), seconds=self._answer_seconds, on_part=on_part
         )
         return found
 
@@ -279,7 +240,7 @@
         self._check_change()
         self._check_key(condition.key)
         outcome = self._store.check([condition])
-        size = _measure_answer(outcome.found)
+        size = measure_answer(outcome.found)
         await self._carry(size, seconds=self._answer_seconds, on_part=on_part)
         return outcome
 
@@ -290,7 +251,7 @@
         self._check_read(prefix)
         page = self._store.read_page(prefix, after)
         seconds = find_list_timeout(self._megabits)
-        await self._carry(_measure_answer(page.entries), seconds=seconds)
+        await self._carry(measure_answer(page.entries), seconds=seconds)
         await self._carry_page(page)
         return page
 
@@ -324,7 +285,7 @@
         lost = ErrorKind.STORE_ANSWER_LOST
         self._check_change()
         began = read_clock()
-        size = sum(map(_measure_write, writes))
+        size = sum(map(measure_write, writes))
         write_seconds = find_write_timeout(size, self._megabits)
         await self._enter()
         # A change whose request is cut short has no effect, but its caller can't tell.
@@ -343,7 +304,7 @@
         if faults.lose_writes:
             faults.lose_writes -= 1
             raise Failure(ErrorKind.STORE_ANSWER_LOST, "lost")
-        answer_size = _measure_answer(outcome.found)
+        answer_size = measure_answer(outcome.found)
         if answer_size > found_bytes:
             outcome = CommitResult(done=False, omitted=True)
             answer_size = ANSWER_BYTES
@@ -390,7 +351,7 @@
         await self._enter()
         batch = await self._wait_for_changes(prefix, after, seconds)
         await self._carry(
-            _measure_answer([change.entry for change in batch.changes]),
+            measure_answer([change.entry for change in batch.changes]),
             seconds=_find_left(began, seconds + WATCH_SLACK_SECONDS)
             + MAX_VALUE_SECONDS,
         )
@@ -467,14 +428,3 @@
 def _find_left(began: float, timeout: float) -> float:
     """Return what is left of a call's timeout, in seconds."""
     return max(0.0, began + timeout - read_clock())
-
-
-def _measure_answer(entries: Sequence[Entry | None]) -> float:
-    """Return the size of an answer with entries, in bytes."""
-    values = [entry.value for entry in entries if entry is not None]
-    rows = len(entries) * ROW_BYTES
-    return ANSWER_BYTES + rows + VALUE_FACTOR * sum(map(len, values))
-
-
-def _measure_write(write: Write) -> float:
-    return ROW_BYTES + VALUE_FACTOR * len(write.value)
--- a/src/primrosestile_standin/link.py
+++ b/src/primrosestile_standin/link.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from primrosestile.clock import read_clock
+from primrosestile.protocol.store import Entry
+from primrosestile.protocol.transactions import Write
 from primrosestile.transport.call_progress import do_nothing
 
 # Small enough that a large answer delays a renewal only briefly.
@@ -20,6 +22,18 @@
 VALUE_FACTOR = 4 / 3
 
 
+def measure_answer(entries: Sequence[Entry | None]) -> float:
+    """Return the size of an answer with entries of the store, in bytes."""
+    values = [entry.value for entry in entries if entry is not None]
+    rows = len(entries) * ROW_BYTES
+    return ANSWER_BYTES + rows + VALUE_FACTOR * sum(map(len, values))
+
+
+def measure_write(write: Write) -> float:
+    """Return the size of a write in a request to the store, in bytes."""
+    return ROW_BYTES + VALUE_FACTOR * len(write.value)
+
+
 class Link:
     """A VM's link and processor.
 
