--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -448,10 +448,10 @@
         async with serve_store(other) as (store, _):
             for condition in (Condition("l", revision - 1), Condition("k", revision)):
                 try:
-                    outcome = await store.check(condition)
+                    await store.check(condition)
                 except Failure:
                     continue
-                raise AssertionError(outcome)
+                raise AssertionError(condition)
 
     asyncio.run(check())
 
