Derive the limits around stops from the time that a worker takes for one

Cause: held room, evacuations, restarts elsewhere and repeated stops used constants made for stops of 0.4 s; the deployment's own figure was parsed and used nowhere. On workers that take 0.9 s, a stop counted as unanswered before its end was listed, so the room of the gang no longer counted as freed and more work was stopped for it elsewhere.

Change: `stop_timing` derives these limits; for stops of up to 0.4 s they are what they were. The settings file takes `scheduling.*` lines that switch features; a misspelled one is an error. `stop_unanswered` names its worker.

Measured: features/work/freeing and features/platform/adapter pass (38 scenarios); the new scenario of a 0.9 s stop fails with the old limit.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -7,7 +7,21 @@
 
   Scenario: A settings file without the store's address is rejected
     Given the platform's settings file without platform.address
-    Then parsing fails and names the missing line
+    Then parsing fails for want of the missing line
+
+  Scenario: An operator switches features of the scheduler
+    Given the platform's settings file with scheduling.headroom=on
+    Then headroom is on, and each other feature is left to its rule
+
+  Scenario Outline: A misspelled feature of the scheduler is rejected
+    Guards against an operator who switches a feature off while it stays on.
+    Given the platform's settings file with <line>
+    Then parsing fails and names <named>
+
+    Examples:
+      | line                    | named              |
+      | scheduling.headrom=off  | scheduling.headrom |
+      | scheduling.headroom=no  | auto, on, off      |
 
   Scenario Outline: A body that is not a job is refused
     When a caller submits the body <body>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -30,6 +30,7 @@
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import CommitResult, Condition, Write
 from primrosestile.state.policy import Queue
+from primrosestile.state.scheduling import SchedulingSettings, Switch
 from primrosestile.state.work import Need
 from primrosestile.transport.connections import Connections, Reply
 from primrosestile_standin.fleet_http import AdviceServer, StoreServer, WorkersServer
@@ -72,6 +73,27 @@
     context.lines = SETTINGS.format(ip="127.0.0.1", **EXAMPLE_PORTS)
 
 
+@given("the platform's settings file with {line:S}")
+def step_settings_line(context: Any, line: str) -> None:
+    context.lines = SETTINGS.format(ip="127.0.0.1", **EXAMPLE_PORTS) + f"\n{line}\n"
+
+
+@then("headroom is on, and each other feature is left to its rule")
+def step_switched(context: Any) -> None:
+    expected = SchedulingSettings(headroom=Switch.ON)
+    assert parse_settings(context.lines).scheduling == expected
+
+
+@then("parsing fails and names {text}")
+def step_parsing_fails(context: Any, text: str) -> None:
+    try:
+        parse_settings(context.lines)
+    except SettingsError as error:
+        assert text in str(error), error
+    else:
+        raise AssertionError("the settings were accepted")
+
+
 @given("the platform's settings file without platform.address")
 def step_settings_short(context: Any) -> None:
     lines = SETTINGS.format(ip="127.0.0.1", **EXAMPLE_PORTS).splitlines()
@@ -88,14 +110,9 @@
     assert settings.bounds.max_lease_seconds == 10.0
 
 
-@then("parsing fails and names the missing line")
+@then("parsing fails for want of the missing line")
 def step_missing(context: Any) -> None:
-    try:
-        parse_settings(context.lines)
-    except SettingsError as error:
-        assert "platform.address" in str(error)
-    else:
-        raise AssertionError("the settings were accepted")
+    step_parsing_fails(context, "platform.address")
 
 
 @when("a caller submits the body {body}")
--- a/features/steps/work_freeing_steps.py
+++ b/features/steps/work_freeing_steps.py
@@ -11,6 +11,7 @@
 from primrosestile.decisions.work.plan import Stop, make_plan
 from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.speeds import Speeds
+from primrosestile.decisions.work.stop_timing import make_stop_timing
 from primrosestile.decisions.work.units import Unit
 from primrosestile.state.work import JobState, Need, Step
 from primrosestile.state.workers import EndKind
@@ -142,6 +143,11 @@
     assert not list_stopped_for(context, GANG)
 
 
+@given("a worker takes up to {seconds:g} s for a stop")
+def step_stop_seconds(context: Any, seconds: float) -> None:
+    context.fleet_state.stop_timing = make_stop_timing(seconds)
+
+
 @when("none of the stopped tasks has ended {later:g} s later")
 def step_unanswered(context: Any, later: float) -> None:
     plan(context, later)
--- a/features/work/freeing.feature
+++ b/features/work/freeing.feature
@@ -46,6 +46,18 @@
     When none of the stopped tasks has ended 1.2 s later
     Then the tasks on worker 1 are stopped for the gang, marked as stopped again
 
+  Scenario: A stop that takes long by the deployment's settings is not late
+    Guards against a second round of stops for a gang whose first stops are on their
+    way, on workers that take 0.9 s for a stop.
+    Given a worker takes up to 0.9 s for a stop
+    When none of the stopped tasks has ended 1.3 s later
+    Then nothing more is stopped for the gang
+
+  Scenario: A stop that takes longer than the deployment's settings say is late
+    Given a worker takes up to 0.9 s for a stop
+    When none of the stopped tasks has ended 1.6 s later
+    Then the tasks on worker 1 are stopped for the gang, marked as stopped again
+
   Scenario: Nothing more is stopped for a gang while its stops may still be answered
     When none of the stopped tasks has ended 0.4 s later
     Then nothing more is stopped for the gang
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -30,8 +30,6 @@
 # others wait for it.
 START_TRIES = 3
 STOP_RETRY_SECONDS = 0.2
-# A stop takes 0.4 s; it is sent again after this if the run's end was not listed.
-STOP_REPEAT_SECONDS = 1.0
 STOP_CHECKS = 20
 # Pause after a worker refused a start for lack of room that the owner counted as free:
 # the next poll shows what the worker still holds.
@@ -66,6 +64,8 @@
         self._tasks = tasks
         self._wake = wake
         self._is_list_recent = is_list_recent
+        # After this a stop is sent again if the run's end was not listed.
+        self._stop_repeat_seconds = fleet_state.stop_timing.late
         self._stopping: set[tuple[str, int]] = set()
 
     def start(self, assignments: Sequence[Assignment]) -> None:
@@ -295,7 +295,7 @@
         for _ in range(STOP_CHECKS):
             if member.state is MemberState.GONE:
                 return
-            await asyncio.sleep(STOP_REPEAT_SECONDS / STOP_CHECKS)
+            await asyncio.sleep(self._stop_repeat_seconds / STOP_CHECKS)
 
     async def _send_stop(self, link: WorkerLink, task: str, run: int) -> bool:
         """Return False if the stop must be sent again.
@@ -306,7 +306,13 @@
         try:
             answer = await self._calls.stop(link.entry, self._term.fence, task, run)
         except Failure as failure:
-            _log.info("stop_unanswered", task=task, run=run, reason=str(failure))
+            _log.info(
+                "stop_unanswered",
+                task=task,
+                run=run,
+                worker=link.worker.name,
+                reason=str(failure),
+            )
             return False
         link.record_order_answer(answer.clock, sent_at)
         if answer.refusal is Refusal.FENCE:
@@ -322,7 +328,7 @@
         try:
             if self._term.may_act():
                 await self._send_stop(link, task, run)
-                await asyncio.sleep(STOP_REPEAT_SECONDS)
+                await asyncio.sleep(self._stop_repeat_seconds)
         finally:
             self._stopping.discard((task, run))
 
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -53,6 +53,7 @@
 from primrosestile.protocol.fleet import WorkerCalls, WorkerList
 from primrosestile.protocol.maintenance import MaintenanceCalls
 from primrosestile.protocol.transactions import TransactionalStore
+from primrosestile.state.scheduling import DEFAULT_SETTINGS, SchedulingSettings
 from primrosestile.state.workers import WorkerEntry
 
 # The longest time without a pass: some changes, such as the end of a locality wait,
@@ -90,6 +91,7 @@
         max_lease_seconds: float,
         advice: AdviceCalls,
         maintenance: MaintenanceCalls,
+        settings: SchedulingSettings = DEFAULT_SETTINGS,
     ) -> None:
         self._store = store
         self._calls = MeteredCalls(calls)
@@ -98,7 +100,7 @@
         self._max_lease_seconds = max_lease_seconds
         policy = policies.policy
         assert policy is not None, "a term begins after the first policy is read"
-        self._fleet_state = FleetState(policy, read_wall_clock())
+        self._fleet_state = FleetState(policy, read_wall_clock(), settings)
         self._durations = Durations()
         self._speeds = Speeds()
         self._outcomes = RunOutcomes(self._fleet_state, self._durations, self._speeds)
--- a/src/primrosestile/decisions/work/departure_restarts.py
+++ b/src/primrosestile/decisions/work/departure_restarts.py
@@ -12,11 +12,7 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.queue_order import find_deadline
-from primrosestile.decisions.work.restarts import (
-    RESTART_ELSEWHERE_SECONDS,
-    Restart,
-    may_restart,
-)
+from primrosestile.decisions.work.restarts import Restart, may_restart
 from primrosestile.decisions.work.units import MemberState, Unit, Worker
 
 
@@ -25,6 +21,7 @@
 ) -> list[Restart]:
     """Return the urgent units that would be lost with a leaving worker, each once."""
     found: dict[int, Restart] = {}
+    restart_seconds = fleet_state.stop_timing.restart
     for worker in fleet_state.workers.values():
         if not worker.entry.leaving:
             continue
@@ -32,7 +29,7 @@
             unit = member.unit
             if id(unit) in found or not (may_restart(unit) and loses_work(unit)):
                 continue
-            if is_worth_restarting(unit, worker, durations, now):
+            if is_worth_restarting(unit, worker, durations, now, restart_seconds):
                 lost = now - (member.up_at or member.since)
                 found[id(unit)] = Restart(unit, worker, lost)
     return list(found.values())
@@ -46,13 +43,17 @@
 
 
 def is_worth_restarting(
-    unit: Unit, worker: Worker, durations: Durations, now: float
+    unit: Unit,
+    worker: Worker,
+    durations: Durations,
+    now: float,
+    restart_seconds: float,
 ) -> bool:
     """Whether a restart serves the caller better than staying on a leaving worker."""
     left = max(durations.guess_left(member, now) for member in unit.members)
     if left <= worker.leaves_at - now:
         return False
     spare = find_deadline(unit.job, durations) - now
-    restarted = RESTART_ELSEWHERE_SECONDS + durations.guess_unit(unit)
+    restarted = restart_seconds + durations.guess_unit(unit)
     # If only staying can be in time, it is worth the risk.
     return restarted <= spare or left > spare
--- a/src/primrosestile/decisions/work/evacuation.py
+++ b/src/primrosestile/decisions/work/evacuation.py
@@ -13,18 +13,15 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.units import Member, MemberState, Unit, Worker
 
-# How long before the worker may be gone its work is stopped: the order needs time to
-# arrive, the stop takes up to 0.4 s, and the end must be listed and recorded.
-EVACUATE_SECONDS = 1.0
-
 
 def find_evacuations(
     fleet_state: FleetState, durations: Durations, now: float
 ) -> list[Unit]:
     """Return the units to stop now, so that they resume from a checkpoint."""
     found: dict[int, Unit] = {}
+    ahead = fleet_state.stop_timing.evacuate
     for worker in fleet_state.workers.values():
-        if worker.entry.leaving and worker.leaves_at - now < EVACUATE_SECONDS:
+        if worker.entry.leaving and worker.leaves_at - now < ahead:
             for member in _list_worth_saving(worker, durations, now):
                 found[id(member.unit)] = member.unit
     return list(found.values())
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -8,6 +8,7 @@
 from primrosestile.decisions.work.crashes import Crashes
 from primrosestile.decisions.work.preemption import UNSAVED_SECONDS
 from primrosestile.decisions.work.proofs import FINAL_PROOFS, Proof
+from primrosestile.decisions.work.stop_timing import make_stop_timing
 from primrosestile.decisions.work.units import (
     UNKNOWN_PACE,
     Job,
@@ -17,6 +18,7 @@
     Worker,
 )
 from primrosestile.state.policy import Policy, Queue
+from primrosestile.state.scheduling import DEFAULT_SETTINGS, SchedulingSettings
 from primrosestile.state.work import (
     JobState,
     Phase,
@@ -45,10 +47,18 @@
         changed: Jobs whose records changed since the last `pop_changed`.
         gone: Members marked as gone since the last `pop_gone`, and why.
         crashes: Which tasks crash their workers.
+        stop_timing: Limits that depend on how long a worker takes to stop a run.
     """
 
-    def __init__(self, policy: Policy, wall: float) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        wall: float,
+        settings: SchedulingSettings = DEFAULT_SETTINGS,
+    ) -> None:
         self.policy = policy
+        self.settings = settings
+        self.stop_timing = make_stop_timing(settings.stop_seconds)
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.changed: set[Job] = set()
--- a/src/primrosestile/decisions/work/held_room.py
+++ b/src/primrosestile/decisions/work/held_room.py
@@ -14,14 +14,9 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.placement import fill, find_eligible
 from primrosestile.decisions.work.rooms import Room, Rooms, copy_rooms, take_room
+from primrosestile.decisions.work.stop_timing import StopTiming
 from primrosestile.decisions.work.units import Member, Unit, Worker
 
-# A stop is answered within 0.4 s, then its end is listed and the next start recorded; a
-# stop that is lost is sent again after 0.45 s.
-LATE_STOP_SECONDS = 1.0
-# Longest time that room is held for a unit, whatever delays its start: a caller of
-# urgent work waits for about as long.
-HELD_SECONDS = 3.0
 # How long others are preferred to a worker that left a stop unanswered.
 LATE_REMEMBERED_SECONDS = 6.0
 # Factor on the cost of stopping work on such a worker: if it answers at all, the unit
@@ -34,7 +29,7 @@
     for member in fleet_state.list_stopping():
         if member.stopping_at is None:
             member.stopping_at = now
-        elif is_stop_late(member, now):
+        elif is_stop_late(member, fleet_state.stop_timing, now):
             fleet_state.workers[member.worker].stop_late_at = now
 
 
@@ -44,10 +39,10 @@
         member.stopping_at = now
 
 
-def is_stop_late(member: Member, now: float) -> bool:
+def is_stop_late(member: Member, timing: StopTiming, now: float) -> bool:
     """Whether a run has not ended in time after it was to be stopped."""
     since = member.stopping_at
-    return since is not None and now - since > LATE_STOP_SECONDS
+    return since is not None and now - since > timing.late
 
 
 def find_late_stop_factor(worker: Worker, now: float) -> float:
@@ -62,15 +57,16 @@
     future_rooms = copy_rooms(rooms)
     for member in fleet_state.list_stopping():
         room = future_rooms.get(member.worker)
-        if room is not None and not is_stop_late(member, now):
-            room.take(member.unit.step.need, member.unit.step.best_effort, -1)
+        if room is None or is_stop_late(member, fleet_state.stop_timing, now):
+            continue
+        room.take(member.unit.step.need, member.unit.step.best_effort, -1)
     return future_rooms
 
 
-def hold_freed_room(unit: Unit, workers: Iterable[str], now: float) -> None:
-    """Record the workers on which room is being freed for a unit."""
+def hold_freed_room(unit: Unit, workers: Iterable[str], until: float) -> None:
+    """Record the workers on which room is being freed for a unit, and until when."""
     unit.freed_workers = tuple(workers)
-    unit.freed_until = now + HELD_SECONDS
+    unit.freed_until = until
 
 
 class Holds:
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -290,7 +290,8 @@
             self.evictions.drop_offers(eviction.units)
             workers = self._place(unit, self.future_rooms)
             if workers is not None:
-                hold_freed_room(unit, (worker.name for worker in workers), self.now)
+                until = self.now + self.fleet_state.stop_timing.held
+                hold_freed_room(unit, (worker.name for worker in workers), until)
         if workers is None:
             return False
         take_rooms(unit, workers, self.future_rooms)
--- a/src/primrosestile/decisions/work/restarts.py
+++ b/src/primrosestile/decisions/work/restarts.py
@@ -4,8 +4,6 @@
 
 from primrosestile.decisions.work.units import Unit, Worker
 
-# Time of the stop, its end and the next start.
-RESTART_ELSEWHERE_SECONDS = 0.4
 # A unit whose task makes no progress on any worker must not be restarted without bound.
 MAX_RESTARTS = 2
 
--- a/src/primrosestile/decisions/work/stall_restarts.py
+++ b/src/primrosestile/decisions/work/stall_restarts.py
@@ -17,11 +17,7 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.queue_order import find_deadline
-from primrosestile.decisions.work.restarts import (
-    RESTART_ELSEWHERE_SECONDS,
-    Restart,
-    may_restart,
-)
+from primrosestile.decisions.work.restarts import Restart, may_restart
 from primrosestile.decisions.work.units import Member, MemberState, Unit
 
 # Workers are polled once a second; a running task progresses between two polls by at
@@ -41,6 +37,7 @@
     """Return the stalled units that would be late, each once."""
     found: dict[int, Restart] = {}
     best: dict[int, float] = {}
+    restart_seconds = fleet_state.stop_timing.restart
     for worker in fleet_state.workers.values():
         if not worker.acquired:
             continue
@@ -60,7 +57,7 @@
             )
             if unit.step.checkpoints:
                 worked = 0.0
-            if lost < max(STALL_SECONDS, RESTART_ELSEWHERE_SECONDS + worked):
+            if lost < max(STALL_SECONDS, restart_seconds + worked):
                 continue
             if find_slack(unit, worked, durations, now) < lost:
                 found[id(unit)] = Restart(unit, worker, lost)
--- a/src/primrosestile/platform/settings.py
+++ b/src/primrosestile/platform/settings.py
@@ -1,7 +1,8 @@
 """Parses the settings file that the platform gives to each process.
 
 Its lines have the form `a.b=value`. Unknown lines are ignored, since new ones may be
-added.
+added. Lines that begin with `scheduling.` are the operators' own: there an unknown name
+or value is an error, since a feature that is misspelled would silently stay as it is.
 """
 
 import os
@@ -9,7 +10,18 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from primrosestile.state.scheduling import SchedulingSettings, Switch
+
 PATH_VARIABLE = "PRIMROSESTILE_CONFIG"
+SCHEDULING_PREFIX = "scheduling."
+# The features that an operator can switch.
+FEATURES = (
+    "headroom",
+    "preemption_history",
+    "organisation_shares",
+    "load_admission",
+    "speed_groups",
+)
 
 
 class SettingsError(Exception):
@@ -24,7 +36,6 @@
         policy_apply_seconds: From a policy's acceptance until it must be in force.
         key_revoke_seconds: From then until a removed key must be rejected.
         max_lease_seconds: A worker shortens a longer lease to this.
-        max_stop_seconds: How long a worker takes to stop a run.
         gang_wait_seconds: How long a member waits on its worker for the others.
         stop_grace_seconds: From SIGTERM until the process is killed.
         leaving_notice_seconds: From a worker's announcement that it is leaving until it
@@ -43,7 +54,6 @@
     policy_apply_seconds: float
     key_revoke_seconds: float
     max_lease_seconds: float
-    max_stop_seconds: float
     gang_wait_seconds: float
     stop_grace_seconds: float
     leaving_notice_seconds: float
@@ -69,6 +79,7 @@
         vm_list_address: Address of the platform's list of machines; may be empty.
         processor: Processor share of the VM, in cores of standard speed.
         link: Bandwidth of the VM's link, in megabits a second.
+        scheduling: Timing of the workers, and which features are used.
     """
 
     name: str
@@ -86,6 +97,7 @@
     processor: float
     link: float
     bounds: Bounds
+    scheduling: SchedulingSettings
 
 
 def read_settings() -> PlatformSettings:
@@ -93,7 +105,7 @@
 
     Raises:
         SettingsError: When it can't be read, lacks a required line, or holds a bad
-            number.
+            value.
     """
     path = os.environ.get(PATH_VARIABLE)
     if not path:
@@ -109,7 +121,7 @@
     """Parse the text of a settings file.
 
     Raises:
-        SettingsError: When a required line is missing or a number can't be parsed.
+        SettingsError: When a required line is missing or a value can't be parsed.
     """
     values = _split_lines(text)
     try:
@@ -149,6 +161,30 @@
         * float(values.get("limits.cores", "1")),
         link=float(values.get("limits.link_mbps", "1000")),
         bounds=_make_bounds(values),
+        scheduling=_make_scheduling(values),
+    )
+
+
+def _make_scheduling(values: Mapping[str, str]) -> SchedulingSettings:
+    switches = {}
+    for line, value in values.items():
+        if not line.startswith(SCHEDULING_PREFIX):
+            continue
+        feature = line.removeprefix(SCHEDULING_PREFIX)
+        if feature not in FEATURES:
+            known = ", ".join(FEATURES)
+            raise SettingsError(f"the line '{line}' names none of {known}")
+        try:
+            switches[feature] = Switch(value)
+        except ValueError:
+            choices = ", ".join(Switch)
+            raise SettingsError(
+                f"the line '{line}' has the value '{value}'; write one of {choices}"
+            ) from None
+    return SchedulingSettings(
+        stop_seconds=float(values.get("bounds.stop_timeout_ms", 400)) / 1000,
+        checkpoint_seconds=float(values.get("bounds.checkpoint_s", 2)),
+        **switches,
     )
 
 
@@ -163,7 +199,6 @@
         policy_apply_seconds=read_ms("config_apply_ms", 2000),
         key_revoke_seconds=read_ms("revoke_ms", 5000),
         max_lease_seconds=read_ms("max_hold_ms", 10_000),
-        max_stop_seconds=read_ms("stop_timeout_ms", 400),
         gang_wait_seconds=read_ms("gang_timeout_ms", 3000),
         stop_grace_seconds=read("grace_s", 6),
         leaving_notice_seconds=read_ms("drain_ms", 2000),
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -192,6 +192,7 @@
                 self._connections,
                 self._rejections,
             ),
+            self.settings.scheduling,
         )
         self._scheduler = scheduler
         try:
