--- a/src/primrosestile/coordination/work/run_statistics.py
+++ b/src/primrosestile/coordination/work/run_statistics.py
@@ -1,4 +1,4 @@
-"""Stores the owner's statistics of worker speeds and run times for the next owner.
+"""Stores the owner's statistics of speeds, run times and use for the next owner.
 
 It takes some minutes of tasks to find out which workers are slow. An owner without
 these statistics would give urgent work to slow workers again: on a day on which the
@@ -8,10 +8,11 @@
 import msgspec
 import structlog
 
-from primrosestile.clock import read_clock
+from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.keys import OWNER_KEY, STATISTICS_KEY
 from primrosestile.coordination.work.term import Term
 from primrosestile.decisions.work.durations import Durations, QueueRunTimes
+from primrosestile.decisions.work.organisation_shares import OrganisationShares
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.errors import Failure
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
@@ -28,10 +29,14 @@
     Attributes:
         speeds: For each worker, how often it was compared and its factor.
         durations: For each queue, the statistics of its runs.
+        uses: What each organisation used lately, by pool.
+        written_at: Seconds since 1970.
     """
 
     speeds: dict[str, tuple[int, float]] = {}
     durations: dict[str, QueueRunTimes] = {}
+    uses: dict[str, dict[str, float]] = {}
+    written_at: float = 0.0
 
 
 class StatisticsStore:
@@ -43,11 +48,13 @@
         term: Term,
         durations: Durations,
         speeds: Speeds,
+        shares: OrganisationShares,
     ) -> None:
         self._store = store
         self._term = term
         self._durations = durations
         self._speeds = speeds
+        self._shares = shares
         self._written = b""
         self._written_at = read_clock()
 
@@ -63,6 +70,8 @@
             return
         self._speeds.restore(statistics.speeds)
         self._durations.restore(statistics.durations)
+        age = read_wall_clock() - statistics.written_at
+        self._shares.restore(statistics.uses, age)
         self._written = entry.value
 
     @property
@@ -73,8 +82,13 @@
     async def save(self) -> None:
         """Write the statistics if they have changed."""
         self._written_at = read_clock()
+        uses = self._shares.uses
         statistics = RunStatistics(
-            self._speeds.make_record(), self._durations.make_record()
+            self._speeds.make_record(),
+            self._durations.make_record(),
+            uses,
+            # Without use the record need not change while nothing is learned.
+            read_wall_clock() if uses else 0.0,
         )
         value = msgspec.msgpack.encode(statistics)
         if value == self._written:
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -26,6 +26,7 @@
 from primrosestile.coordination.work.scheduler_log import (
     log_crashes,
     log_gone,
+    log_over_shares,
     log_restart,
     log_stop,
     log_workers_answered,
@@ -104,7 +105,9 @@
         self._durations = Durations()
         self._speeds = Speeds()
         self._outcomes = RunOutcomes(self._fleet_state, self._durations, self._speeds)
-        self._statistics = StatisticsStore(store, term, self._durations, self._speeds)
+        self._statistics = StatisticsStore(
+            store, term, self._durations, self._speeds, self._fleet_state.shares
+        )
         self._ended = EndedJobs(store, term, status_retention_seconds)
         self._recorder = Recorder(store, term, self._fleet_state, self._ended)
         self._pass_wanted = asyncio.Event()
@@ -285,9 +288,11 @@
             self._fleet_state.abandon(unit)
             _log.info("run_evacuated", **name_unit(unit))
         if self._may_decide():
+            over = self._fleet_state.shares.over
             plan = make_plan(
                 self._fleet_state, self._durations, self._speeds, read_clock()
             )
+            log_over_shares(over, self._fleet_state.shares.over)
             for stop in plan.stops:
                 log_stop(stop)
             for restart in plan.restarts:
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -12,6 +12,7 @@
 )
 from primrosestile.coordination.work.worker_links import WorkerLink
 from primrosestile.decisions.work.crashes import Crash
+from primrosestile.decisions.work.organisation_shares import Standing
 from primrosestile.decisions.work.plan import Stop
 from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.restarts import Restart
@@ -100,3 +101,29 @@
         worker=restart.worker.name,
         lost=round(restart.lost, 2),
     )
+
+
+def log_over_shares(
+    before: Collection[tuple[str, str]],
+    over: Mapping[tuple[str, str], Standing],
+) -> None:
+    """Log which organisations are over their shares now, or no longer are."""
+    for (pool, organisation), standing in over.items():
+        if (pool, organisation) not in before:
+            _log.info(
+                "organisation_over_share",
+                pool=pool,
+                organisation=organisation,
+                over=True,
+                use=round(standing.use, 4),
+                weight=standing.weight,
+                share=round(standing.share, 2),
+            )
+    for pool, organisation in before:
+        if (pool, organisation) not in over:
+            _log.info(
+                "organisation_over_share",
+                pool=pool,
+                organisation=organisation,
+                over=False,
+            )
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -6,6 +6,9 @@
 from collections.abc import Collection, Iterable, Iterator
 
 from primrosestile.decisions.work.crashes import Crashes
+from primrosestile.decisions.work.organisation_shares import (
+    make_organisation_shares,
+)
 from primrosestile.decisions.work.preemption import UNSAVED_SECONDS
 from primrosestile.decisions.work.proofs import FINAL_PROOFS, Proof
 from primrosestile.decisions.work.stop_timing import make_stop_timing
@@ -48,6 +51,7 @@
         gone: Members marked as gone since the last `pop_gone`, and why.
         crashes: Which tasks crash their workers.
         stop_timing: Limits that depend on how long a worker takes to stop a run.
+        shares: What each organisation used lately.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         self.policy = policy
         self.settings = settings
         self.stop_timing = make_stop_timing(settings.stop_seconds)
+        self.shares = make_organisation_shares(settings.organisation_shares)
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.changed: set[Job] = set()
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -111,6 +111,9 @@
         self.idle_pools = find_idle_pools(fleet_state)
         self.rooms = make_rooms(fleet_state, now)
         self.waiting = list_waiting(fleet_state.jobs.values(), now)
+        fleet_state.shares.update(
+            fleet_state.policy, fleet_state.workers.values(), self.waiting, now
+        )
         _mark_reserved(self.waiting, self.rooms)
         record_stopping(fleet_state, now)
         self.future_rooms = add_stopping(fleet_state, self.rooms, now)
@@ -139,6 +142,7 @@
             self.entitled,
             self.durations,
             self.mechanisms.order,
+            self.fleet_state.shares.is_over,
         )
         for rank, unit in ranked:
             suspicion = (bool(unit.crashes), is_isolated(unit))
--- a/src/primrosestile/decisions/work/queue_order.py
+++ b/src/primrosestile/decisions/work/queue_order.py
@@ -7,7 +7,8 @@
 slack alone, table jobs with an objective of twenty seconds went before rebuild jobs
 that waited for forty. Work that is already late goes behind work that can still be in
 time, or it would make that late as well, one after another. Work so far past its
-objective that the result is of no use to its caller goes last.
+objective that the result is of no use to its caller goes last. Within a priority, work
+of organisations that are over their shares goes after that of the others.
 """
 
 from collections import Counter
@@ -35,6 +36,7 @@
         useless: It would end too late to be of use to its caller.
         daemon: Its tasks are services; each second in which one is not running
             counts, however long ago its job was accepted.
+        over_share: Its organisation is over its share, and it is not entitled.
         slack: Seconds that it can wait and still meet its objective.
     """
 
@@ -43,6 +45,7 @@
     priority: int
     slack: float
     daemon: bool = False
+    over_share: bool = False
 
     @property
     def urgent(self) -> bool:
@@ -63,6 +66,7 @@
             not self.urgent,
             self.late,
             self.priority,
+            self.over_share,
             self.slack,
         )
 
@@ -79,7 +83,13 @@
     return job.accepted + find_objective_seconds(job, durations)
 
 
-def rank_unit(unit: Unit, now: float, entitled: bool, durations: Durations) -> Rank:
+def rank_unit(
+    unit: Unit,
+    now: float,
+    entitled: bool,
+    durations: Durations,
+    over_share: bool = False,
+) -> Rank:
     """Return the rank of a waiting unit."""
     job = unit.job
     if unit.step.daemon:
@@ -94,6 +104,7 @@
         useless=now + left > began + USELESS_AFTER_OBJECTIVES * objective,
         priority=job.queue.priority,
         slack=began + objective - left - now,
+        over_share=over_share and not entitled,
     )
 
 
@@ -103,6 +114,7 @@
     entitled: Collection[str],
     durations: Durations,
     make_key: Callable[[Rank], RankKey] = Rank.make_key,
+    is_over_share: Callable[[Unit], bool] = lambda unit: False,
 ) -> list[tuple[Rank, Unit]]:
     """Return waiting units with their ranks, the most urgent first.
 
@@ -112,9 +124,19 @@
         entitled: Jobs within their organisations' guarantees.
         durations: Expected run times.
         make_key: Makes the sort key of a rank.
+        is_over_share: Whether a unit's organisation is over its share.
     """
     ranked = [
-        (rank_unit(unit, now, unit.job.job_id in entitled, durations), unit)
+        (
+            rank_unit(
+                unit,
+                now,
+                unit.job.job_id in entitled,
+                durations,
+                is_over_share(unit),
+            ),
+            unit,
+        )
         for unit in units
     ]
     ranked.sort(key=lambda pair: make_key(pair[0]))
