Weigh callers and earlier stops when work is stopped

Cause: the cost of a stop counted only lost seconds, so the same gang was the cheapest again soon after its restart, and was stopped every three seconds.

The cost covers the wait for as many free workers and what the caller loses (stop_effects.py), and grows with each earlier stop. A unit that was stopped is spared for a checkpoint interval or for its expected run time, except by guaranteed work and services. A second round of stops for a unit needs a reason.

Ruled out: keeping work from starting on room reserved for urgent units; no gain.

--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -138,6 +138,8 @@
         )
         self._began = read_clock()
         self._pass_seconds = 0.0
+        # Runs stopped for others in this term.
+        self._preemptions = 0
 
     @property
     def fleet_state(self) -> FleetState:
@@ -146,7 +148,11 @@
 
     def count(self) -> dict[str, float]:
         """Return the current values of the metrics."""
-        return {**count_fleet(self._fleet_state), **self._health.count()}
+        return {
+            **count_fleet(self._fleet_state),
+            **self._health.count(),
+            "preemptions": float(self._preemptions),
+        }
 
     def _wake(self) -> None:
         self._pass_wanted.set()
@@ -288,6 +294,7 @@
             plan = make_plan(
                 self._fleet_state, self._durations, self._speeds, read_clock()
             )
+            self._preemptions += len(plan.stops)
             for stop in plan.stops:
                 log_stop(stop)
             for restart in plan.restarts:
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -87,6 +87,9 @@
         gainer=stop.gainer.job.job_id,
         cost=round(stop.cost, 1),
         again=stop.again,
+        stops=stop.stops,
+        late=stop.effect.late,
+        useless=stop.effect.useless,
     )
 
 
--- a/src/primrosestile/decisions/work/evictions.py
+++ b/src/primrosestile/decisions/work/evictions.py
@@ -77,8 +77,10 @@
         entitled: Collection[str],
         now: float,
         permission: Callable[[Unit, Unit, Collection[str], float], bool],
+        stop_cost: Callable[[Unit, float], float] = compute_cost,
     ) -> None:
         self._permission = permission
+        self._stop_cost = stop_cost
         self._entitled = entitled
         self.now = now
         self._candidates: dict[tuple[bool, int, bool], dict[str, _Candidates]] = {}
@@ -186,7 +188,7 @@
         """Return the cost of a unit, cached for all workers that it is on."""
         cost = self._costs.get(unit)
         if cost is None:
-            cost = self._costs[unit] = compute_cost(unit, self.now)
+            cost = self._costs[unit] = self._stop_cost(unit, self.now)
         return cost
 
 
--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -15,6 +15,7 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.placement import find_locality_wait
 from primrosestile.decisions.work.preemption import may_stop
+from primrosestile.decisions.work.preemption_history import StopRules, make_stop_rules
 from primrosestile.decisions.work.queue_order import Rank, RankKey
 from primrosestile.decisions.work.reservations import reserve_room
 from primrosestile.decisions.work.restarts import Restart
@@ -60,6 +61,16 @@
         ...
 
 
+class StopRulesMaking(Protocol):
+    """Makes the rules by which a pass stops units, from the permission to do so."""
+
+    def __call__(
+        self, fleet_state: FleetState, durations: Durations, permission: Permission
+    ) -> StopRules:
+        """Return them, for one pass."""
+        ...
+
+
 class EvictionWait(Protocol):
     """Decides until when a unit waits for room before work is stopped for it."""
 
@@ -96,6 +107,7 @@
     locality_wait: LocalityWait
     reservation: RoomReservation
     permission: Permission
+    stop_rules: StopRulesMaking
     eviction_wait: EvictionWait
     stall_finding: RestartFinding
     departure_finding: RestartFinding
@@ -109,6 +121,7 @@
         locality_wait=find_locality_wait,
         reservation=reserve_room,
         permission=may_stop,
+        stop_rules=make_stop_rules,
         eviction_wait=find_eviction_wait,
         stall_finding=find_stall_restarts,
         departure_finding=find_departure_restarts,
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -20,6 +20,7 @@
 from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
 from primrosestile.decisions.work.placement import find_idle_pools, place
 from primrosestile.decisions.work.preemption import Eviction, is_affordable
+from primrosestile.decisions.work.preemption_history import record_round, record_stop
 from primrosestile.decisions.work.queue_order import Rank, find_entitled, rank_units
 from primrosestile.decisions.work.reservations import (
     RESERVED_UNITS,
@@ -29,6 +30,7 @@
 from primrosestile.decisions.work.restarts import Restart
 from primrosestile.decisions.work.rooms import Rooms, copy_rooms, make_rooms, take_rooms
 from primrosestile.decisions.work.speeds import Speeds
+from primrosestile.decisions.work.stop_effects import NO_EFFECT, StopEffect
 from primrosestile.decisions.work.units import Unit, Worker
 from primrosestile.decisions.work.waiting_units import list_waiting
 
@@ -57,12 +59,16 @@
     Attributes:
         cost: Wasted core-seconds of all units stopped for the gainer in this pass.
         again: Work was stopped for the gainer before, but it has not started.
+        stops: How often the unit was stopped for others before.
+        effect: What the stop makes of the unit's result.
     """
 
     unit: Unit
     gainer: Unit
     cost: float
     again: bool = False
+    stops: int = 0
+    effect: StopEffect = NO_EFFECT
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +113,12 @@
         self.mechanisms = mechanisms
         self.slow = mechanisms.slow_finding(fleet_state, durations, speeds, now)
         self.entitled = find_entitled(fleet_state)
-        self.evictions = Evictions(self.entitled, now, mechanisms.permission)
+        self.stop_rules = mechanisms.stop_rules(
+            fleet_state, durations, mechanisms.permission
+        )
+        self.evictions = Evictions(
+            self.entitled, now, self.stop_rules.may_stop, self.stop_rules.compute_cost
+        )
         self.idle_pools = find_idle_pools(fleet_state)
         self.rooms = make_rooms(fleet_state, now)
         self.waiting = list_waiting(fleet_state.jobs.values(), now)
@@ -274,6 +285,8 @@
             unit.freed_workers = ()
             workers = self._place(unit, self.future_rooms)
         if workers is None:
+            if not self.stop_rules.may_stop_again(unit, self.entitled, self.now):
+                return False
             eviction = self.evictions.find(unit, self.future_rooms)
             if eviction is None or self._should_wait(unit, rank, eviction):
                 return False
@@ -283,13 +296,17 @@
             again = unit.eviction_count > 0
             unit.eviction_count += 1
             for victim in eviction.units:
-                self.stops.append(Stop(victim, unit, eviction.cost, again))
+                effect = self.stop_rules.find_effect(victim, self.now)
+                fields = (eviction.cost, again, victim.stop_count, effect)
+                self.stops.append(Stop(victim, unit, *fields))
+                record_stop(victim)
                 self.fleet_state.abandon(victim)
                 begin_stopping(victim, self.now)
                 give_back(victim, self.future_rooms)
             self.evictions.drop_offers(eviction.units)
             workers = self._place(unit, self.future_rooms)
             if workers is not None:
+                record_round(unit, (worker.name for worker in workers), self.now)
                 until = self.now + self.fleet_state.stop_timing.held
                 hold_freed_room(unit, (worker.name for worker in workers), until)
         if workers is None:
@@ -300,7 +317,10 @@
 
     def _should_wait(self, unit: Unit, rank: Rank, eviction: Eviction) -> bool:
         """Whether room will be free soon enough without stopping anything."""
-        if eviction.cost < CHEAP_CORE_SECONDS:
+        cost = eviction.cost
+        if rank.entitled:
+            cost = self.stop_rules.measure_waste(eviction, self.now)
+        if cost < CHEAP_CORE_SECONDS:
             return False
         latest = self.mechanisms.eviction_wait(unit, rank, self.now)
         return could_start_before(unit, self.rooms, self.durations, self.now, latest)
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -120,6 +120,10 @@
         freed_workers: Workers on which others were stopped for it, one for each member.
         freed_until: Until when the room freed there is held for it.
         eviction_count: How often others were stopped for it since its last run.
+        round_workers: Workers on which others were last stopped for it.
+        round_at: When that was.
+        stop_count: How often it was stopped for others; an earlier owner's stops are
+            not known.
     """
 
     job: "Job"
@@ -142,6 +146,9 @@
     freed_workers: tuple[str, ...] = ()
     freed_until: float = 0.0
     eviction_count: int = 0
+    round_workers: tuple[str, ...] = ()
+    round_at: float = -math.inf
+    stop_count: int = 0
 
     @property
     def size(self) -> int:
