Put gangs together from workers of similar speed

Cause: a quarter of the workers takes 2.2 times as long as the others. A gang is as slow as its slowest member, so nearly every wide gang runs at the slow speed and holds fast workers for twice the time.

Ruled out: leaving it to restarts elsewhere; a stop of 0.9 s takes more than the slack of urgent work.

Change: speed_groups divides the workers of a pool by their learned factors (slow from 1.5 times the fast group, until below 1.3 times). group_placement places urgent gangs on the fast group, waiting for it as long as they can still be in time; other gangs on the group in which they end first; patient single tasks on the slow group first. Both groups together only where a gang would otherwise be late. Work is stopped on the fast group where that gives the room. Guaranteed work never waits for speed. Speeds compares the members of running gangs after 1, 2 and 4 s, with factors up to 3, and takes account of the known factors. Run times are normalised by the factor of the worker, and a gang's room counts as free when its slowest member ends.

--- a/src/primrosestile/coordination/work/run_outcomes.py
+++ b/src/primrosestile/coordination/work/run_outcomes.py
@@ -67,5 +67,5 @@
         self._durations.learn(
             unit.job.submission.queue,
             unit.step.estimate_seconds,
-            read_clock() - member.up_at,
+            self._speeds.normalise(unit, read_clock() - member.up_at),
         )
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -27,6 +27,7 @@
     log_crashes,
     log_gone,
     log_restart,
+    log_speed_changes,
     log_stop,
     log_workers_answered,
     log_workers_found,
@@ -146,7 +147,11 @@
 
     def count(self) -> dict[str, float]:
         """Return the current values of the metrics."""
-        return {**count_fleet(self._fleet_state), **self._health.count()}
+        return {
+            **count_fleet(self._fleet_state),
+            "slow_workers": len(self._speeds.slow_group),
+            **self._health.count(),
+        }
 
     def _wake(self) -> None:
         self._pass_wanted.set()
@@ -288,6 +293,7 @@
             plan = make_plan(
                 self._fleet_state, self._durations, self._speeds, read_clock()
             )
+            log_speed_changes(self._speeds.pop_changes())
             for stop in plan.stops:
                 log_stop(stop)
             for restart in plan.restarts:
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -15,6 +15,7 @@
 from primrosestile.decisions.work.plan import Stop
 from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.restarts import Restart
+from primrosestile.decisions.work.speeds import SpeedChange
 from primrosestile.decisions.work.units import Member, Worker
 
 _log = structlog.get_logger()
@@ -90,6 +91,18 @@
     )
 
 
+def log_speed_changes(changes: Sequence[SpeedChange]) -> None:
+    """Log which workers joined the group of slow ones or left it."""
+    for each in changes:
+        _log.info(
+            "worker_speed_changed",
+            worker=each.worker,
+            group="slow" if each.slow else "fast",
+            factor=round(each.factor, 2),
+            comparisons=each.comparisons,
+        )
+
+
 def log_restart(restart: Restart) -> None:
     """Log which run is stopped to restart elsewhere, and because of which worker."""
     unit = restart.unit
--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -79,13 +79,17 @@
             longest.append(before + self.guess(queue, step))
         return max(longest, default=0.0)
 
+    def guess_run(self, member: Member) -> float:
+        """Return the expected time of a member's whole current run, in seconds."""
+        return self.guess_unit(member.unit)
+
     def guess_left(self, member: Member, now: float) -> float:
         """Return a member's remaining seconds, by its progress if that is enough."""
         elapsed = now - (member.measured_at or member.since)
         gained = member.percent - member.measured_percent
         if gained >= MIN_PROGRESS_PERCENT:
             return elapsed * (100.0 - member.percent) / gained
-        left = self.guess_unit(member.unit) * (100.0 - member.measured_percent) / 100.0
+        left = self.guess_run(member) * (100.0 - member.measured_percent) / 100.0
         return max(0.0, left - elapsed)
 
     def make_record(self) -> dict[str, QueueRunTimes]:
--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -13,6 +13,10 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.eviction_wait import find_eviction_wait
 from primrosestile.decisions.work.fleet_state import FleetState
+from primrosestile.decisions.work.group_placement import (
+    GroupPlacement,
+    make_group_placement,
+)
 from primrosestile.decisions.work.placement import find_locality_wait
 from primrosestile.decisions.work.preemption import may_stop
 from primrosestile.decisions.work.queue_order import Rank, RankKey
@@ -88,6 +92,16 @@
         ...
 
 
+class SpeedGrouping(Protocol):
+    """Makes the placement of a pass by the workers' speeds."""
+
+    def __call__(
+        self, fleet_state: FleetState, durations: Durations, speeds: Speeds, now: float
+    ) -> GroupPlacement:
+        """Return the placement."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Mechanisms:
     """The parts of a pass that can be replaced one by one."""
@@ -100,6 +114,7 @@
     stall_finding: RestartFinding
     departure_finding: RestartFinding
     slow_finding: SlowFinding
+    speed_grouping: SpeedGrouping
 
 
 def make_mechanisms() -> Mechanisms:
@@ -113,4 +128,5 @@
         stall_finding=find_stall_restarts,
         departure_finding=find_departure_restarts,
         slow_finding=find_slow,
+        speed_grouping=make_group_placement,
     )
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -18,7 +18,11 @@
     record_stopping,
 )
 from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
-from primrosestile.decisions.work.placement import find_idle_pools, place
+from primrosestile.decisions.work.placement import (
+    IDLE_LOCALITY_WAIT_SECONDS,
+    find_idle_pools,
+    place,
+)
 from primrosestile.decisions.work.preemption import Eviction, is_affordable
 from primrosestile.decisions.work.queue_order import Rank, find_entitled, rank_units
 from primrosestile.decisions.work.reservations import (
@@ -102,6 +106,8 @@
         mechanisms: Mechanisms,
     ) -> None:
         self.fleet_state = fleet_state
+        self.groups = mechanisms.speed_grouping(fleet_state, durations, speeds, now)
+        durations = self.groups.adjust(durations)
         self.durations = durations
         self.now = now
         self.mechanisms = mechanisms
@@ -244,7 +250,16 @@
         seconds = self.durations.guess_unit(unit)
         idle = unit.pool in self.idle_pools
         locality_wait = self.mechanisms.locality_wait(unit, seconds, idle)
-        return place(unit, rooms, self.now, seconds, self.slow, locality_wait)
+        # Room that was freed for it is used, and guaranteed work never waits for speed.
+        may_wait = not (unit.freed_workers or self._is_entitled(unit))
+        if (
+            idle
+            and self.now - (unit.ready_at or self.now) >= IDLE_LOCALITY_WAIT_SECONDS
+        ):
+            may_wait = False
+        return self.groups.place(
+            unit, rooms, seconds, self.slow, locality_wait, may_wait
+        )
 
     def _reserve(self, unit: Unit) -> None:
         """Reserve room for a unit, in what is free and in what is being freed.
@@ -252,7 +267,8 @@
         If it were reserved only in what is free now, work would be stopped for a
         lower-ranked unit, which then could not have the room.
         """
-        if self.mechanisms.reservation(unit, self.rooms, self.durations, self.now):
+        rooms = self.groups.select(unit, self.rooms)
+        if self.mechanisms.reservation(unit, rooms, self.durations, self.now):
             count_reservation(unit, self.future_rooms, self.now)
 
     def _may_evict(self, rank: Rank) -> bool:
@@ -274,7 +290,7 @@
             unit.freed_workers = ()
             workers = self._place(unit, self.future_rooms)
         if workers is None:
-            eviction = self.evictions.find(unit, self.future_rooms)
+            eviction, rooms = self._find_eviction(unit)
             if eviction is None or self._should_wait(unit, rank, eviction):
                 return False
             seconds = self.durations.guess_unit(unit)
@@ -288,7 +304,7 @@
                 begin_stopping(victim, self.now)
                 give_back(victim, self.future_rooms)
             self.evictions.drop_offers(eviction.units)
-            workers = self._place(unit, self.future_rooms)
+            workers = self._place_freed(unit, rooms)
             if workers is not None:
                 until = self.now + self.fleet_state.stop_timing.held
                 hold_freed_room(unit, (worker.name for worker in workers), until)
@@ -298,12 +314,29 @@
         take_rooms(unit, workers, self.rooms)
         return True
 
+    def _find_eviction(self, unit: Unit) -> tuple[Eviction | None, Rooms]:
+        """Return what to stop for a unit, and the rooms in which that frees room."""
+        rooms = self.future_rooms
+        for rooms in self.groups.list_choices(unit, self.future_rooms):
+            eviction = self.evictions.find(unit, rooms)
+            if eviction is not None:
+                return eviction, rooms
+        return None, rooms
+
+    def _place_freed(self, unit: Unit, rooms: Rooms) -> list[Worker] | None:
+        """Place a unit where work was stopped for it; it does not wait elsewhere."""
+        seconds = self.durations.guess_unit(unit)
+        idle = unit.pool in self.idle_pools
+        locality_wait = self.mechanisms.locality_wait(unit, seconds, idle)
+        return place(unit, rooms, self.now, seconds, self.slow, locality_wait)
+
     def _should_wait(self, unit: Unit, rank: Rank, eviction: Eviction) -> bool:
         """Whether room will be free soon enough without stopping anything."""
         if eviction.cost < CHEAP_CORE_SECONDS:
             return False
         latest = self.mechanisms.eviction_wait(unit, rank, self.now)
-        return could_start_before(unit, self.rooms, self.durations, self.now, latest)
+        rooms = self.groups.select(unit, self.rooms)
+        return could_start_before(unit, rooms, self.durations, self.now, latest)
 
 
 def _mark_reserved(waiting: list[Unit], rooms: Rooms) -> None:
--- a/src/primrosestile/decisions/work/reservations.py
+++ b/src/primrosestile/decisions/work/reservations.py
@@ -60,6 +60,13 @@
     unit.reserved_until, unit.reserved_workers = _find_best(unit, rooms, durations, now)
 
 
+def find_earliest_start(
+    unit: Unit, rooms: Rooms, durations: Durations, now: float
+) -> float:
+    """Return when a unit could start without stopping anything; infinite if never."""
+    return _find_best(unit, rooms, durations, now)[0]
+
+
 def could_start_before(
     unit: Unit, rooms: Rooms, durations: Durations, now: float, latest: float
 ) -> bool:
--- a/src/primrosestile/decisions/work/speeds.py
+++ b/src/primrosestile/decisions/work/speeds.py
@@ -9,12 +9,13 @@
 with the median speed of its members.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from statistics import median
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
-from primrosestile.decisions.work.units import Member, Unit
+from primrosestile.decisions.work.units import Member, MemberState, Unit
 
 # The weight of a new comparison: tasks of one step differ by 15%, so about the last
 # five count.
@@ -25,6 +26,15 @@
 SLOW_FACTOR = 1.14
 # Bounds of one comparison's factor: 1 / this, and this.
 MAX_FACTOR = 2.0
+# The same where running gangs are compared: a worker at 0.55 of the usual speed takes
+# 2.2 times as long as one at 1.2 of it.
+MAX_RUNNING_FACTOR = 3.0
+# A member of a running gang is compared after this long, and after twice and four times
+# as long; progress is reported in whole percent, so sooner it shows little.
+RUNNING_COMPARISON_SECONDS = 1.0
+MAX_RUNNING_COMPARISONS = 3
+# With fewer workers the median is itself the speed of a slow one too often.
+MIN_RUNNING_WORKERS = 3
 # Ended tasks of a step before another one is compared with them.
 MIN_SIBLINGS = 3
 # Steps whose run times are kept; older ones have ended.
@@ -35,10 +45,36 @@
 BEHIND_SECONDS = 1.2
 
 
+@dataclass(frozen=True, slots=True)
+class SpeedChange:
+    """A worker that joined the slow group or left it.
+
+    Attributes:
+        slow: Whether it is in the slow group now.
+        factor: How many times as long as usual it takes.
+        comparisons: From which that was learned.
+    """
+
+    worker: str
+    slow: bool
+    factor: float
+    comparisons: int
+
+
 class Speeds:
-    """The factor by which each worker is slower than usual."""
+    """The factor by which each worker is slower than usual.
+
+    Attributes:
+        observing: Running gangs are compared too, and each comparison takes account of
+            the known factors of the others. Once gangs are put together by speed, all
+            members of one may be slow, and equal speeds must not make them usual.
+        slow_group: The workers that were last found to be of the slow group.
+    """
 
     def __init__(self) -> None:
+        self.observing = False
+        self.slow_group: frozenset[str] = frozenset()
+        self._changes: list[SpeedChange] = []
         self._factors: dict[str, tuple[int, float]] = {}
         self._steps: dict[tuple[str, int, int], list[float]] = {}
 
@@ -54,8 +90,10 @@
     def record_success(self, member: Member, now: float) -> None:
         """Learn from a successful run; a gang's is reported by one member."""
         unit = member.unit
-        if unit.step.gang:
+        if unit.step.gang and not self.observing:
             self._compare_gang(unit)
+        elif unit.step.gang:
+            self._compare_running(unit)
         elif member.up_at and not member.resumed and not member.restored:
             self._compare_step(unit, member.worker, now - member.up_at)
 
@@ -72,6 +110,40 @@
         for worker, rate in rates.items():
             self._add_comparison(worker, middle / rate)
 
+    def observe(self, units: Iterable[Unit]) -> None:
+        """Learn from the progress of running gangs, now and from now on."""
+        self.observing = True
+        for unit in units:
+            self._compare_running(unit)
+
+    def _compare_running(self, unit: Unit) -> None:
+        """Compare the members that are due with the median of their gang."""
+        due = [member for member in unit.members if _is_comparison_due(member)]
+        if not due:
+            return
+        rates: dict[str, float] = {}
+        for member in unit.members:
+            if _find_measured_seconds(member) >= RUNNING_COMPARISON_SECONDS:
+                rate = _find_rate(member) * self.find_factor(member.worker)
+                rates[member.worker] = max(rate, rates.get(member.worker, 0.0))
+        if len(rates) < MIN_RUNNING_WORKERS:
+            return
+        middle = median(rates.values())
+        for member in due if middle > 0 else ():
+            member.comparisons += 1
+            rate = _find_rate(member)
+            factor = middle / rate if rate else MAX_RUNNING_FACTOR
+            self._add_comparison(member.worker, factor)
+
+    def normalise(self, unit: Unit, seconds: float) -> float:
+        """Return how long a unit's run would have taken on usual workers, in seconds.
+
+        The same seconds unless running gangs are compared.
+        """
+        if not self.observing or not unit.members:
+            return seconds
+        return seconds / max(self.find_factor(each.worker) for each in unit.members)
+
     def _compare_step(self, unit: Unit, worker: str, seconds: float) -> None:
         times = self._steps.get(unit.step_key)
         if times is None:
@@ -80,15 +152,30 @@
             times = self._steps[unit.step_key] = []
         if len(times) >= MIN_SIBLINGS:
             self._add_comparison(worker, seconds / median(times))
-        times.append(seconds)
+        known = self.find_factor(worker) if self.observing else 1.0
+        times.append(seconds / known)
 
     def _add_comparison(self, worker: str, factor: float) -> None:
         count, known = self._factors.get(worker, (0, 1.0))
         # One comparison can be far off, as when a task waited for its data.
-        factor = min(MAX_FACTOR, max(1 / MAX_FACTOR, factor))
+        most = MAX_RUNNING_FACTOR if self.observing else MAX_FACTOR
+        factor = min(most, max(1 / most, factor))
         share = max(NEW_COMPARISON_WEIGHT, 1 / (count + 1))
         self._factors[worker] = (count + 1, known + share * (factor - known))
 
+    def set_slow_group(self, slow: frozenset[str]) -> None:
+        """Record the slow group, and which workers joined or left it."""
+        for worker in sorted(slow ^ self.slow_group):
+            count, factor = self._factors.get(worker, (0, 1.0))
+            self._changes.append(SpeedChange(worker, worker in slow, factor, count))
+        self.slow_group = slow
+
+    def pop_changes(self) -> list[SpeedChange]:
+        """Return the changes of the slow group since the last call."""
+        changes = self._changes
+        self._changes = []
+        return changes
+
     def make_record(self) -> dict[str, tuple[int, float]]:
         """Return the factors for the next owner."""
         return dict(self._factors)
@@ -98,6 +185,28 @@
         self._factors.update(record)
 
 
+def _is_comparison_due(member: Member) -> bool:
+    if member.state is not MemberState.UP:
+        return False
+    done = member.comparisons
+    due_after = RUNNING_COMPARISON_SECONDS * 2**done
+    return (
+        done < MAX_RUNNING_COMPARISONS and _find_measured_seconds(member) >= due_after
+    )
+
+
+def _find_measured_seconds(member: Member) -> float:
+    """Return over how many seconds a member's progress was observed."""
+    until = member.progressed_at if member.percent >= 100 else member.heard_at
+    return until - member.measured_at if member.up_at else 0.0
+
+
+def _find_rate(member: Member) -> float:
+    """Return a member's progress in percent per second of observation."""
+    gained = member.percent - member.measured_percent
+    return gained / _find_measured_seconds(member)
+
+
 def is_behind(member: Member, expected: float, now: float) -> bool:
     """Whether a run shows that its worker is currently slow or stalled."""
     elapsed = now - member.up_at
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -64,6 +64,7 @@
             UNKNOWN_PACE while that is not known.
         paced_at: When the pace last changed.
         stopping_at: When a pass first saw that it is to be stopped.
+        comparisons: How often its speed was compared with that of its gang.
     """
 
     unit: "Unit"
@@ -85,6 +86,7 @@
     pace: int = 100
     paced_at: float = 0.0
     stopping_at: float | None = None
+    comparisons: int = 0
 
     def record_progress(self, percent: float, now: float) -> None:
         """Record the progress that its worker reports.
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -465,7 +465,7 @@
             self._quarantine.record_success(member.worker)
         self._speeds.record_success(first, self._now)
         if not run.resumed:
-            seconds = self._now - run.began
+            seconds = self._speeds.normalise(unit, self._now - run.began)
             estimate = unit.step.estimate_seconds
             self._durations.learn(unit.job.submission.queue, estimate, seconds)
 
