--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -27,6 +27,7 @@
     log_crashes,
     log_gone,
     log_restart,
+    log_speed_changes,
     log_stop,
     log_workers_answered,
     log_workers_found,
@@ -150,6 +151,7 @@
         """Return the current values of the metrics."""
         return {
             **count_fleet(self._fleet_state),
+            "slow_workers": len(self._speeds.slow_group),
             **self._health.count(),
             "preemptions": float(self._preemptions),
         }
@@ -295,6 +297,7 @@
                 self._fleet_state, self._durations, self._speeds, read_clock()
             )
             self._preemptions += len(plan.stops)
+            log_speed_changes(self._speeds.pop_changes())
             for stop in plan.stops:
                 log_stop(stop)
             for restart in plan.restarts:
