--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -26,6 +26,7 @@
 from primrosestile.coordination.work.scheduler_log import (
     log_crashes,
     log_gone,
+    log_headroom,
     log_restart,
     log_speed_changes,
     log_stop,
@@ -293,11 +294,13 @@
             self._fleet_state.abandon(unit)
             _log.info("run_evacuated", **name_unit(unit))
         if self._may_decide():
+            headroom = self._fleet_state.headroom.pools
             plan = make_plan(
                 self._fleet_state, self._durations, self._speeds, read_clock()
             )
             self._preemptions += len(plan.stops)
             log_speed_changes(self._speeds.pop_changes())
+            log_headroom(headroom, self._fleet_state.headroom.pools)
             for stop in plan.stops:
                 log_stop(stop)
             for restart in plan.restarts:
--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -17,6 +17,8 @@
     GroupPlacement,
     make_group_placement,
 )
+from primrosestile.decisions.work.headroom import find_headroom
+from primrosestile.decisions.work.headroom_state import PoolHeadroom
 from primrosestile.decisions.work.placement import find_locality_wait
 from primrosestile.decisions.work.preemption import may_stop
 from primrosestile.decisions.work.preemption_history import StopRules, make_stop_rules
@@ -113,6 +115,16 @@
         ...
 
 
+class HeadroomFinding(Protocol):
+    """Decides how much room is withheld for urgent work that is expected."""
+
+    def __call__(
+        self, fleet_state: FleetState, rooms: Rooms, now: float
+    ) -> dict[str, PoolHeadroom]:
+        """Return it by pool."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Mechanisms:
     """The parts of a pass that can be replaced one by one."""
@@ -127,6 +139,7 @@
     departure_finding: RestartFinding
     slow_finding: SlowFinding
     speed_grouping: SpeedGrouping
+    headroom_finding: HeadroomFinding
 
 
 def make_mechanisms() -> Mechanisms:
@@ -142,4 +155,5 @@
         departure_finding=find_departure_restarts,
         slow_finding=find_slow,
         speed_grouping=make_group_placement,
+        headroom_finding=find_headroom,
     )
