--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -26,8 +26,10 @@
 from primrosestile.coordination.work.scheduler_log import (
     log_crashes,
     log_gone,
+    log_headroom,
     log_over_shares,
     log_restart,
+    log_speed_changes,
     log_stop,
     log_workers_answered,
     log_workers_found,
@@ -141,6 +143,8 @@
         )
         self._began = read_clock()
         self._pass_seconds = 0.0
+        # Runs stopped for others in this term.
+        self._preemptions = 0
 
     @property
     def fleet_state(self) -> FleetState:
@@ -149,7 +153,13 @@
 
     def count(self) -> dict[str, float]:
         """Return the current values of the metrics."""
-        return {**count_fleet(self._fleet_state), **self._health.count()}
+        return {
+            **count_fleet(self._fleet_state),
+            "slow_workers": len(self._speeds.slow_group),
+            "organisations_over_share": len(self._fleet_state.shares.over),
+            **self._health.count(),
+            "preemptions": float(self._preemptions),
+        }
 
     def _wake(self) -> None:
         self._pass_wanted.set()
@@ -289,9 +299,13 @@
             _log.info("run_evacuated", **name_unit(unit))
         if self._may_decide():
             over = self._fleet_state.shares.over
+            headroom = self._fleet_state.headroom.pools
             plan = make_plan(
                 self._fleet_state, self._durations, self._speeds, read_clock()
             )
+            self._preemptions += len(plan.stops)
+            log_speed_changes(self._speeds.pop_changes())
+            log_headroom(headroom, self._fleet_state.headroom.pools)
             log_over_shares(over, self._fleet_state.shares.over)
             for stop in plan.stops:
                 log_stop(stop)
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -12,10 +12,12 @@
 )
 from primrosestile.coordination.work.worker_links import WorkerLink
 from primrosestile.decisions.work.crashes import Crash
-from primrosestile.decisions.work.organisation_shares import Standing
+from primrosestile.decisions.work.headroom_state import WINDOW_SECONDS, PoolHeadroom
+from primrosestile.decisions.work.organisation_shares import PoolUse
 from primrosestile.decisions.work.plan import Stop
 from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.restarts import Restart
+from primrosestile.decisions.work.speeds import SpeedChange
 from primrosestile.decisions.work.units import Member, Worker
 
 _log = structlog.get_logger()
@@ -88,9 +90,45 @@
         gainer=stop.gainer.job.job_id,
         cost=round(stop.cost, 1),
         again=stop.again,
+        stops=stop.stops,
+        late=stop.effect.late,
+        useless=stop.effect.useless,
     )
 
 
+def log_speed_changes(changes: Sequence[SpeedChange]) -> None:
+    """Log which workers joined the group of slow ones or left it."""
+    for each in changes:
+        _log.info(
+            "worker_speed_changed",
+            worker=each.worker,
+            group="slow" if each.slow else "fast",
+            factor=round(each.factor, 2),
+            comparisons=each.comparisons,
+        )
+
+
+def log_headroom(
+    before: Mapping[str, PoolHeadroom], after: Mapping[str, PoolHeadroom]
+) -> None:
+    """Log for each pool when more or less room is withheld for urgent work."""
+    for pool in sorted({*before, *after}):
+        amount = after[pool].amount if pool in after else 0
+        if amount == (before[pool].amount if pool in before else 0):
+            continue
+        inputs = after.get(pool)
+        _log.info(
+            "headroom_changed",
+            pool=pool,
+            amount=amount,
+            wanted=inputs.wanted if inputs else 0,
+            demand=round(inputs.demand, 1) if inputs else 0.0,
+            urgent_use=inputs.urgent_use if inputs else 0,
+            arrivals=inputs.arrivals if inputs else 0,
+            window=WINDOW_SECONDS,
+        )
+
+
 def log_restart(restart: Restart) -> None:
     """Log which run is stopped to restart elsewhere, and because of which worker."""
     unit = restart.unit
@@ -105,19 +143,19 @@
 
 def log_over_shares(
     before: Collection[tuple[str, str]],
-    over: Mapping[tuple[str, str], Standing],
+    over: Mapping[tuple[str, str], PoolUse],
 ) -> None:
     """Log which organisations are over their shares now, or no longer are."""
-    for (pool, organisation), standing in over.items():
+    for (pool, organisation), pool_use in over.items():
         if (pool, organisation) not in before:
             _log.info(
                 "organisation_over_share",
                 pool=pool,
                 organisation=organisation,
                 over=True,
-                use=round(standing.use, 4),
-                weight=standing.weight,
-                share=round(standing.share, 2),
+                use=round(pool_use.use, 4),
+                weight=pool_use.weight,
+                share=round(pool_use.share, 2),
             )
     for pool, organisation in before:
         if (pool, organisation) not in over:
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable, Iterator
 
 from primrosestile.decisions.work.crashes import Crashes
+from primrosestile.decisions.work.headroom_state import HeadroomState
 from primrosestile.decisions.work.organisation_shares import (
     make_organisation_shares,
 )
@@ -52,6 +53,7 @@
         crashes: Which tasks crash their workers.
         stop_timing: Limits that depend on how long a worker takes to stop a run.
         shares: What each organisation used lately.
+        headroom: Recent urgent arrivals, and what is withheld for the next ones.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self.settings = settings
         self.stop_timing = make_stop_timing(settings.stop_seconds)
         self.shares = make_organisation_shares(settings.organisation_shares)
+        self.headroom = HeadroomState()
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.changed: set[Job] = set()
@@ -97,6 +100,7 @@
         queue = queue or _make_fallback_queue(submission.attempts)
         job = Job(submission, queue, now - age)
         self.jobs[job.job_id] = job
+        self.headroom.record(job, now)
         if progress is None:
             return job
         job.state = progress.state
--- a/src/primrosestile/decisions/work/mechanisms.py
+++ b/src/primrosestile/decisions/work/mechanisms.py
@@ -13,8 +13,15 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.eviction_wait import find_eviction_wait
 from primrosestile.decisions.work.fleet_state import FleetState
+from primrosestile.decisions.work.group_placement import (
+    GroupPlacement,
+    make_group_placement,
+)
+from primrosestile.decisions.work.headroom import find_headroom
+from primrosestile.decisions.work.headroom_state import PoolHeadroom
 from primrosestile.decisions.work.placement import find_locality_wait
 from primrosestile.decisions.work.preemption import may_stop
+from primrosestile.decisions.work.preemption_history import StopRules, make_stop_rules
 from primrosestile.decisions.work.queue_order import Rank, RankKey
 from primrosestile.decisions.work.reservations import reserve_room
 from primrosestile.decisions.work.restarts import Restart
@@ -60,6 +67,16 @@
         ...
 
 
+class StopRulesMaking(Protocol):
+    """Makes the rules by which a pass stops units, from the permission to do so."""
+
+    def __call__(
+        self, fleet_state: FleetState, durations: Durations, permission: Permission
+    ) -> StopRules:
+        """Return them, for one pass."""
+        ...
+
+
 class EvictionWait(Protocol):
     """Decides until when a unit waits for room before work is stopped for it."""
 
@@ -88,6 +105,26 @@
         ...
 
 
+class SpeedGrouping(Protocol):
+    """Makes the placement of a pass by the workers' speeds."""
+
+    def __call__(
+        self, fleet_state: FleetState, durations: Durations, speeds: Speeds, now: float
+    ) -> GroupPlacement:
+        """Return the placement."""
+        ...
+
+
+class HeadroomFinding(Protocol):
+    """Decides how much room is withheld for urgent work that is expected."""
+
+    def __call__(
+        self, fleet_state: FleetState, rooms: Rooms, now: float
+    ) -> dict[str, PoolHeadroom]:
+        """Return it by pool."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Mechanisms:
     """The parts of a pass that can be replaced one by one."""
@@ -96,10 +133,13 @@
     locality_wait: LocalityWait
     reservation: RoomReservation
     permission: Permission
+    stop_rules: StopRulesMaking
     eviction_wait: EvictionWait
     stall_finding: RestartFinding
     departure_finding: RestartFinding
     slow_finding: SlowFinding
+    speed_grouping: SpeedGrouping
+    headroom_finding: HeadroomFinding
 
 
 def make_mechanisms() -> Mechanisms:
@@ -109,8 +149,11 @@
         locality_wait=find_locality_wait,
         reservation=reserve_room,
         permission=may_stop,
+        stop_rules=make_stop_rules,
         eviction_wait=find_eviction_wait,
         stall_finding=find_stall_restarts,
         departure_finding=find_departure_restarts,
         slow_finding=find_slow,
+        speed_grouping=make_group_placement,
+        headroom_finding=find_headroom,
     )
--- a/src/primrosestile/decisions/work/organisation_shares.py
+++ b/src/primrosestile/decisions/work/organisation_shares.py
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Standing:
+class PoolUse:
     """An organisation's use of a pool.
 
     Attributes:
@@ -63,7 +63,7 @@
 
     switch: WeightSwitch
     uses: Uses = field(default_factory=dict)
-    over: dict[tuple[str, str], Standing] = field(default_factory=dict)
+    over: dict[tuple[str, str], PoolUse] = field(default_factory=dict)
     updated_at: float = -math.inf
 
     def update(
@@ -148,7 +148,7 @@
             if relative[name] > TOLERANCE * mean > 0:
                 weight = find_weight(policy, name, accelerators)
                 share = relative[name] / mean
-                self.over[pool, name] = Standing(uses[name], weight, share)
+                self.over[pool, name] = PoolUse(uses[name], weight, share)
 
 
 def make_organisation_shares(switch: Switch) -> OrganisationShares:
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -9,6 +9,7 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evictions import Evictions, give_back
 from primrosestile.decisions.work.fleet_state import FleetState
+from primrosestile.decisions.work.headroom import Withholding
 from primrosestile.decisions.work.held_room import (
     Holds,
     add_stopping,
@@ -18,8 +19,13 @@
     record_stopping,
 )
 from primrosestile.decisions.work.mechanisms import Mechanisms, make_mechanisms
-from primrosestile.decisions.work.placement import find_idle_pools, place
+from primrosestile.decisions.work.placement import (
+    IDLE_LOCALITY_WAIT_SECONDS,
+    find_idle_pools,
+    place,
+)
 from primrosestile.decisions.work.preemption import Eviction, is_affordable
+from primrosestile.decisions.work.preemption_history import record_round, record_stop
 from primrosestile.decisions.work.queue_order import Rank, find_entitled, rank_units
 from primrosestile.decisions.work.reservations import (
     RESERVED_UNITS,
@@ -29,6 +35,7 @@
 from primrosestile.decisions.work.restarts import Restart
 from primrosestile.decisions.work.rooms import Rooms, copy_rooms, make_rooms, take_rooms
 from primrosestile.decisions.work.speeds import Speeds
+from primrosestile.decisions.work.stop_effects import NO_EFFECT, StopEffect
 from primrosestile.decisions.work.units import Unit, Worker
 from primrosestile.decisions.work.waiting_units import list_waiting
 
@@ -57,12 +64,16 @@
     Attributes:
         cost: Wasted core-seconds of all units stopped for the gainer in this pass.
         again: Work was stopped for the gainer before, but it has not started.
+        stops: How often the unit was stopped for others before.
+        effect: What the stop makes of the unit's result.
     """
 
     unit: Unit
     gainer: Unit
     cost: float
     again: bool = False
+    stops: int = 0
+    effect: StopEffect = NO_EFFECT
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,12 +113,19 @@
         mechanisms: Mechanisms,
     ) -> None:
         self.fleet_state = fleet_state
+        self.groups = mechanisms.speed_grouping(fleet_state, durations, speeds, now)
+        durations = self.groups.adjust(durations)
         self.durations = durations
         self.now = now
         self.mechanisms = mechanisms
         self.slow = mechanisms.slow_finding(fleet_state, durations, speeds, now)
         self.entitled = find_entitled(fleet_state)
-        self.evictions = Evictions(self.entitled, now, mechanisms.permission)
+        self.stop_rules = mechanisms.stop_rules(
+            fleet_state, durations, mechanisms.permission
+        )
+        self.evictions = Evictions(
+            self.entitled, now, self.stop_rules.may_stop, self._compute_stop_cost
+        )
         self.idle_pools = find_idle_pools(fleet_state)
         self.rooms = make_rooms(fleet_state, now)
         self.waiting = list_waiting(fleet_state.jobs.values(), now)
@@ -118,6 +136,14 @@
         record_stopping(fleet_state, now)
         self.future_rooms = add_stopping(fleet_state, self.rooms, now)
         self.holds = Holds((self.rooms, self.future_rooms), now)
+        headroom = mechanisms.headroom_finding(fleet_state, self.rooms, now)
+        self.withholding = Withholding(
+            headroom,
+            fleet_state.headroom,
+            (self.rooms, self.future_rooms),
+            self.idle_pools,
+            now,
+        )
         self.starts: list[Assignment] = []
         self.stops: list[Stop] = []
         self.restarts: list[Restart] = []
@@ -156,10 +182,16 @@
             examined += 1
             if examined > MAX_UNITS_EXAMINED:
                 break
+            self.withholding.apply(unit)
             if not self._start_beside(rank, unit, held):
                 waiting.add(likeness)
+        self.withholding.finish()
         return Plan(tuple(self.starts), tuple(self.stops), tuple(self.restarts))
 
+    def _compute_stop_cost(self, unit: Unit, now: float) -> float:
+        cost = self.stop_rules.compute_cost(unit, now)
+        return cost * self.fleet_state.shares.find_cost_factor(unit)
+
     def _list_restarts(self) -> list[Restart]:
         mechanisms = self.mechanisms
         return [
@@ -178,6 +210,7 @@
             unit = restart.unit
             if unit.abandoned:
                 continue
+            self.withholding.apply(unit)
             elsewhere = copy_rooms(self.future_rooms)
             give_back(unit, elsewhere)
             elsewhere.pop(restart.worker.name, None)
@@ -248,7 +281,16 @@
         seconds = self.durations.guess_unit(unit)
         idle = unit.pool in self.idle_pools
         locality_wait = self.mechanisms.locality_wait(unit, seconds, idle)
-        return place(unit, rooms, self.now, seconds, self.slow, locality_wait)
+        # Room that was freed for it is used, and guaranteed work never waits for speed.
+        may_wait = not (unit.freed_workers or self._is_entitled(unit))
+        if (
+            idle
+            and self.now - (unit.ready_at or self.now) >= IDLE_LOCALITY_WAIT_SECONDS
+        ):
+            may_wait = False
+        return self.groups.place(
+            unit, rooms, seconds, self.slow, locality_wait, may_wait
+        )
 
     def _reserve(self, unit: Unit) -> None:
         """Reserve room for a unit, in what is free and in what is being freed.
@@ -256,7 +298,8 @@
         If it were reserved only in what is free now, work would be stopped for a
         lower-ranked unit, which then could not have the room.
         """
-        if self.mechanisms.reservation(unit, self.rooms, self.durations, self.now):
+        rooms = self.groups.select(unit, self.rooms)
+        if self.mechanisms.reservation(unit, rooms, self.durations, self.now):
             count_reservation(unit, self.future_rooms, self.now)
 
     def _may_evict(self, rank: Rank) -> bool:
@@ -278,7 +321,9 @@
             unit.freed_workers = ()
             workers = self._place(unit, self.future_rooms)
         if workers is None:
-            eviction = self.evictions.find(unit, self.future_rooms)
+            if not self.stop_rules.may_stop_again(unit, self.entitled, self.now):
+                return False
+            eviction, rooms = self._find_eviction(unit)
             if eviction is None or self._should_wait(unit, rank, eviction):
                 return False
             seconds = self.durations.guess_unit(unit)
@@ -287,13 +332,17 @@
             again = unit.eviction_count > 0
             unit.eviction_count += 1
             for victim in eviction.units:
-                self.stops.append(Stop(victim, unit, eviction.cost, again))
+                effect = self.stop_rules.find_effect(victim, self.now)
+                fields = (eviction.cost, again, victim.stop_count, effect)
+                self.stops.append(Stop(victim, unit, *fields))
+                record_stop(victim)
                 self.fleet_state.abandon(victim)
                 begin_stopping(victim, self.now)
                 give_back(victim, self.future_rooms)
             self.evictions.drop_offers(eviction.units)
-            workers = self._place(unit, self.future_rooms)
+            workers = self._place_freed(unit, rooms)
             if workers is not None:
+                record_round(unit, (worker.name for worker in workers), self.now)
                 until = self.now + self.fleet_state.stop_timing.held
                 hold_freed_room(unit, (worker.name for worker in workers), until)
         if workers is None:
@@ -302,12 +351,32 @@
         take_rooms(unit, workers, self.rooms)
         return True
 
+    def _find_eviction(self, unit: Unit) -> tuple[Eviction | None, Rooms]:
+        """Return what to stop for a unit, and the rooms in which that frees room."""
+        rooms = self.future_rooms
+        for rooms in self.groups.list_choices(unit, self.future_rooms):
+            eviction = self.evictions.find(unit, rooms)
+            if eviction is not None:
+                return eviction, rooms
+        return None, rooms
+
+    def _place_freed(self, unit: Unit, rooms: Rooms) -> list[Worker] | None:
+        """Place a unit where work was stopped for it; it does not wait elsewhere."""
+        seconds = self.durations.guess_unit(unit)
+        idle = unit.pool in self.idle_pools
+        locality_wait = self.mechanisms.locality_wait(unit, seconds, idle)
+        return place(unit, rooms, self.now, seconds, self.slow, locality_wait)
+
     def _should_wait(self, unit: Unit, rank: Rank, eviction: Eviction) -> bool:
         """Whether room will be free soon enough without stopping anything."""
-        if eviction.cost < CHEAP_CORE_SECONDS:
+        cost = eviction.cost
+        if rank.entitled:
+            cost = self.stop_rules.measure_waste(eviction, self.now)
+        if cost < CHEAP_CORE_SECONDS:
             return False
         latest = self.mechanisms.eviction_wait(unit, rank, self.now)
-        return could_start_before(unit, self.rooms, self.durations, self.now, latest)
+        rooms = self.groups.select(unit, self.rooms)
+        return could_start_before(unit, rooms, self.durations, self.now, latest)
 
 
 def _mark_reserved(waiting: list[Unit], rooms: Rooms) -> None:
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -64,6 +64,7 @@
             UNKNOWN_PACE while that is not known.
         paced_at: When the pace last changed.
         stopping_at: When a pass first saw that it is to be stopped.
+        comparisons: How often its speed was compared with that of its gang.
     """
 
     unit: "Unit"
@@ -85,6 +86,7 @@
     pace: int = 100
     paced_at: float = 0.0
     stopping_at: float | None = None
+    comparisons: int = 0
 
     def record_progress(self, percent: float, now: float) -> None:
         """Record the progress that its worker reports.
@@ -120,6 +122,10 @@
         freed_workers: Workers on which others were stopped for it, one for each member.
         freed_until: Until when the room freed there is held for it.
         eviction_count: How often others were stopped for it since its last run.
+        round_workers: Workers on which others were last stopped for it.
+        round_at: When that was.
+        stop_count: How often it was stopped for others; an earlier owner's stops are
+            not known.
     """
 
     job: "Job"
@@ -142,6 +148,9 @@
     freed_workers: tuple[str, ...] = ()
     freed_until: float = 0.0
     eviction_count: int = 0
+    round_workers: tuple[str, ...] = ()
+    round_at: float = -math.inf
+    stop_count: int = 0
 
     @property
     def size(self) -> int:
