Refuse jobs at once that the fleet's load makes useless

Cause: at several times the capacity callers are accepted, wait until their result is of no use, and could have been told at once. A process that accepts jobs knew nothing of the fleet's load.

Ruled out: a record of the load in the store, which every VM would read at the time when the store is busiest; asking the owner for each submission, for which callers would wait; refusing gangs larger than a rack, since placement spreads them over racks; counting late work against a job that goes before it.

Change: the owner sums up what waits and the rate of starts, at most once a second and only when asked (GET /load); VMs keep the newest summary of the present owner and refuse by it before anything is stored, after a look-up of the id. Off unless guarantees are uneven or `scheduling.load_admission=on`.

--- a/features/doubles/fleet_world.py
+++ b/features/doubles/fleet_world.py
@@ -3,16 +3,20 @@
 import asyncio
 import json
 import zlib
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
 import looptime
+from features.doubles.load_views import LoadViews
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.job_submissions import JobSubmissions
 from primrosestile.coordination.work.keys import OWNER_KEY
+from primrosestile.coordination.work.load_gate import LoadGate
+from primrosestile.coordination.work.load_watch import LoadWatch
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.scheduler import Scheduler, run_scheduler
 from primrosestile.coordination.work.term import Term
@@ -23,7 +27,9 @@
 from primrosestile.platform.workers import PlatformWorkerList
 from primrosestile.protocol.fleet import WorkerCalls
 from primrosestile.protocol.transactions import TransactionalStore
+from primrosestile.state.load import LoadSummary
 from primrosestile.state.policy import Policy
+from primrosestile.state.scheduling import DEFAULT_SETTINGS, SchedulingSettings
 from primrosestile.state.work import JobState, Submission
 from primrosestile.state.workers import WorkerEntry
 from primrosestile_standin.fleet_calls import FleetCalls
@@ -105,6 +111,7 @@
         frozen_for: Seconds for which it was suspended; added to the clock by which
             it checks its lease.
         link: The link and processor of its VM.
+        refused: Submissions that it refused under load, by reason.
     """
 
     name: str
@@ -116,22 +123,38 @@
     scheduler: Scheduler | None = None
     frozen_for: float = 0.0
     link: Link = field(default_factory=Link)
+    refused: Counter[str] = field(default_factory=Counter)
+
+    def find_load(self) -> LoadSummary | None:
+        """Return its summary of the fleet's load while it is the owner."""
+        return None if self.scheduler is None else self.scheduler.load.find_summary()
 
 
 @dataclass(slots=True)
 class FleetWorld:
-    """The platform's stand-in and the processes that use it."""
+    """The platform's stand-in and the processes that use it.
+
+    Attributes:
+        settings: The scheduling settings of processes added from now on.
+        load_views: How processes ask the owner for its load.
+    """
 
     store: FleetStore = field(default_factory=FleetStore)
     fleet: Fleet = field(default_factory=Fleet)
     processes: dict[str, Process] = field(default_factory=dict)
+    settings: SchedulingSettings = DEFAULT_SETTINGS
     vms: FleetVms = field(init=False)
+    load_views: LoadViews = field(init=False)
     runner: asyncio.Runner = field(
         default_factory=lambda: asyncio.Runner(loop_factory=looptime.new_event_loop)
     )
 
     def __post_init__(self) -> None:
         self.vms = FleetVms(self.end_worker, self.begin_worker)
+        self.load_views = LoadViews(self._serve_load)
+
+    def _serve_load(self, name: str) -> LoadSummary | None:
+        return self.processes[name].find_load()
 
     def end_worker(self, name: str) -> None:
         """End an incarnation of a worker for its VM's maintenance."""
@@ -183,19 +206,33 @@
                 max_lease_seconds=MAX_LEASE_SECONDS,
                 advice=self.fleet.advice,
                 maintenance=self.vms,
+                settings=self.settings,
             )
             await run_scheduler(process.scheduler)
 
+        watch = LoadWatch(
+            self.load_views.connect(name),
+            lambda: (process.election.owner_address, process.election.owner_fence),
+            lambda: process.find_load(),
+            read_monotonic,
+        )
+        gate = LoadGate(
+            watch,
+            self.settings.load_admission,
+            lambda reason: process.refused.update([reason]),
+        )
+
         process = Process(
             name=name,
             policies=policies,
-            submitting=JobSubmissions(store, policies, POLICY_KEY),
+            submitting=JobSubmissions(store, policies, POLICY_KEY, gate),
             election=Election(
                 store,
                 name,
                 run_term,
                 read_monotonic,
                 find_election_delay(processor, mbps),
+                peer_address=name,
             ),
             calls=calls,
             link=link,
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -201,12 +201,13 @@
     context.runner.run(attempt_all())
 
 
-def make_submission(number: int = 1, **headers: str) -> web.Request:
+def make_submission(number: int = 1, gpu: int = 0, **headers: str) -> web.Request:
     """Return a call that submits a job of one task."""
     protocol = mock.Mock(_reading_paused=False)
     loop = asyncio.get_running_loop()
     payload = StreamReader(protocol, limit=2**16, loop=loop)
-    payload.feed_data(json.dumps({"spec": "", "steps": [{"count": 1}]}).encode())
+    steps = [{"count": 1, "gpu": gpu}]
+    payload.feed_data(json.dumps({"spec": "", "steps": steps}).encode())
     payload.feed_eof()
     path = f"/usual/{number:016x}"
     headers = {"Host": HOST, "Authorization": "Token key-domes", **headers}
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -67,6 +67,7 @@
         self._store = store
         self._record = OwnerRecord(process, address, peer_address)
         self._owner_address = ""
+        self._owner_fence = 0
         self._run_term = run_term
         self._read_clock = read_clock
         self._leaving = False
@@ -98,6 +99,11 @@
         """The peer address of the owner that was read last; empty if unknown."""
         return self._owner_address
 
+    @property
+    def owner_fence(self) -> int:
+        """The fence of the owner that was read last, or ours; 0 if there was none."""
+        return self._owner_fence if self.term is None else self.term.fence
+
     async def leave(self) -> None:
         """Hand the ownership over at once, so that another process takes over."""
         self._leaving = True
@@ -144,6 +150,7 @@
             # Treated as absent, the key would be overwritten at each try.
             raise Failure(ErrorKind.STORE_ANSWER_LOST, "the owner's key is unreadable")
         found = [entry for entry in page.entries if entry.key == OWNER_KEY]
+        self._owner_fence = found[0].mod_revision if found else 0
         if found:
             self._note_owner(found[0])
         return (found[0] if found else None), page.revision
--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -22,6 +22,7 @@
     make_progress_key,
     make_waiting,
 )
+from primrosestile.coordination.work.load_gate import OpenGate, SubmissionGate
 from primrosestile.coordination.work.pending_counts import PendingCounts
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.record_reader import RecordReader, UnreadableRecord
@@ -67,11 +68,16 @@
     """Stores callers' jobs and cancellations, and reads the state of jobs."""
 
     def __init__(
-        self, store: TransactionalStore, policies: PolicyWatch, policy_key: str
+        self,
+        store: TransactionalStore,
+        policies: PolicyWatch,
+        policy_key: str,
+        gate: SubmissionGate | None = None,
     ) -> None:
         self._store = store
         self._policies = policies
         self._policy_key = policy_key
+        self._gate = gate or OpenGate()
         self._pending = PendingCounts(store)
         self._reader = RecordReader(store)
         self._check = StoreCheck(self._reader)
@@ -88,7 +94,7 @@
         Raises:
             Failure: STORE_UNAVAILABLE when it was certainly not accepted,
                 STORE_ANSWER_LOST when that is unknown, CONFLICT when another
-                job has the id, and whatever `make` raises.
+                job has the id, and whatever `make` or the gate raises.
         """
         key = make_job_key(job_id)
         ended_key = make_ended_key(job_id)
@@ -98,6 +104,7 @@
         for _ in range(POLICY_TRIES):
             policy = self._policies.require()
             submission = make(policy)
+            await self._check_gate(submission, policy)
             conditions = [
                 Condition(key, 0),
                 # Otherwise a call repeated after the job's end would run it again.
@@ -137,6 +144,26 @@
                 return submission
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy keeps changing")
 
+    async def _check_gate(self, submission: Submission, policy: Policy) -> None:
+        """Refuse a job under load, unless something stands under its id.
+
+        An earlier attempt may have been accepted although its answer was lost. Unless
+        the store shows that it was not, the job goes the usual way.
+
+        Raises:
+            Failure: The refusal.
+        """
+        refuse = self._gate.judge(submission, policy)
+        if refuse is None:
+            return
+        try:
+            async with asyncio.timeout(CHECK_SECONDS):
+                known = await self._find_known(submission.job_id, submission)
+        except (Failure, TimeoutError):
+            return
+        if known is None:
+            raise refuse()
+
     def _apply_found(self, outcome: CommitResult) -> dict[str, Entry]:
         """Apply a newer policy; return the entries found, by key."""
         found = {entry.key: entry for entry in outcome.found}
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -14,6 +14,7 @@
 from primrosestile.coordination.work.ended_jobs import EndedJobs
 from primrosestile.coordination.work.health_monitor import HealthMonitor
 from primrosestile.coordination.work.lease_extender import LeaseExtender
+from primrosestile.coordination.work.load_publisher import LoadPublisher
 from primrosestile.coordination.work.log_fields import name_unit
 from primrosestile.coordination.work.maintenance import MaintenanceRunner
 from primrosestile.coordination.work.metered_calls import MeteredCalls
@@ -78,7 +79,11 @@
 
 
 class Scheduler:
-    """Schedules the fleet for as long as a term lasts."""
+    """Schedules the fleet for as long as a term lasts.
+
+    Attributes:
+        load: Makes the summary of the fleet's load.
+    """
 
     def __init__(
         self,
@@ -136,6 +141,7 @@
             self._links,
             self._calls,
         )
+        self.load = LoadPublisher(self._fleet_state, self._durations, term)
         self._began = read_clock()
         self._pass_seconds = 0.0
 
@@ -295,6 +301,7 @@
                 # A worker that leaves gets no new work anyway.
                 if not restart.worker.entry.leaving:
                     self._outcomes.record_stall(restart.worker, now)
+            self.load.record_pass(start.unit for start in plan.starts)
             orders.start(plan.starts)
         orders.pace(find_paces(self._fleet_state, now))
         orders.stop_abandoned()
--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -7,7 +7,7 @@
 the mean observed run time are tracked, and the better one is used.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.units import Member, Unit
@@ -60,11 +60,21 @@
 
     def guess(self, queue: str, step: Step) -> float:
         """Return the expected run time of one task of a step, in seconds."""
+        mean = self.find_mean(queue, bool(step.estimate_seconds))
+        return step.estimate_seconds if mean is None else mean
+
+    def find_mean(self, queue: str, estimated: bool = True) -> float | None:
+        """Return a queue's mean run time in seconds; None if estimates are better.
+
+        Args:
+            queue: Its name.
+            estimated: Whether callers give an estimate.
+        """
         run_times = self._run_times.get(queue)
         if run_times is None or run_times.runs < MIN_RUNS:
-            return step.estimate_seconds
-        if step.estimate_seconds and run_times.estimate_error <= run_times.mean_error:
-            return step.estimate_seconds
+            return None
+        if estimated and run_times.estimate_error <= run_times.mean_error:
+            return None
         return run_times.mean
 
     def guess_unit(self, unit: Unit) -> float:
@@ -73,11 +83,7 @@
 
     def guess_chain(self, queue: str, steps: tuple[Step, ...]) -> float:
         """Return the run time of the longest chain of a job's steps, in seconds."""
-        longest: list[float] = []
-        for step in steps:
-            before = max((longest[each] for each in step.after), default=0.0)
-            longest.append(before + self.guess(queue, step))
-        return max(longest, default=0.0)
+        return find_chain(steps, lambda step: self.guess(queue, step))
 
     def guess_left(self, member: Member, now: float) -> float:
         """Return a member's remaining seconds, by its progress if that is enough."""
@@ -95,3 +101,12 @@
     def restore(self, record: Mapping[str, QueueRunTimes]) -> None:
         """Load the statistics of an earlier owner."""
         self._run_times.update(record)
+
+
+def find_chain(steps: Sequence[Step], guess: Callable[[Step], float]) -> float:
+    """Return the run time of the longest chain of steps, in seconds."""
+    longest: list[float] = []
+    for step in steps:
+        before = max((longest[each] for each in step.after), default=0.0)
+        longest.append(before + guess(step))
+    return max(longest, default=0.0)
--- a/src/primrosestile/decisions/work/queue_order.py
+++ b/src/primrosestile/decisions/work/queue_order.py
@@ -17,6 +17,7 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.units import Job, Unit
+from primrosestile.state.work import Step
 
 # Past this many times its objective, a job's result is of no use to its caller.
 USELESS_AFTER_OBJECTIVES = 3.0
@@ -136,7 +137,7 @@
     ]
     for job in sorted(jobs, key=lambda job: job.accepted):
         organisation = job.submission.organisation
-        need = count_accelerators(job)
+        need = count_accelerators(job.submission.steps)
         guarantee = fleet_state.policy.guarantees.get(organisation, 0)
         if used[organisation] + need <= guarantee:
             used[organisation] += need
@@ -144,9 +145,6 @@
     return entitled
 
 
-def count_accelerators(job: Job) -> int:
+def count_accelerators(steps: Iterable[Step]) -> int:
     """Return the most accelerators that one step of a job needs."""
-    return max(
-        (step.count * step.need.accelerators for step in job.submission.steps),
-        default=0,
-    )
+    return max((step.count * step.need.accelerators for step in steps), default=0)
--- a/src/primrosestile/errors.py
+++ b/src/primrosestile/errors.py
@@ -31,6 +31,7 @@
     UNKNOWN_CLASS = "unknown_class"
     NOT_FOUND = "not_found"
     NEVER_FITS = "never_fits"
+    NO_WORKER_FITS = "no_worker_fits"
     OVER_QUOTA = "over_quota"
     QUEUE_FULL = "queue_full"
     OVERLOADED = "overloaded"
@@ -106,6 +107,10 @@
     ErrorKind.NEVER_FITS: Answer(
         422, _NOT, None, "Request a shape that fits into one cell of the fleet."
     ),
+    # Callers on the users' platform take only 429 and 503 for "not accepted".
+    ErrorKind.NO_WORKER_FITS: Answer(
+        503, _NOT, 10.0, "Ask for tasks that one worker of the pool and label can hold."
+    ),
     ErrorKind.OVER_QUOTA: Answer(
         429, _NOT, 30.0, "Wait for the team's work to end, or raise its quota."
     ),
--- a/src/primrosestile/platform/callers.py
+++ b/src/primrosestile/platform/callers.py
@@ -132,6 +132,11 @@
     return msgspec.json.encode({"state": state.value})
 
 
+def make_refusal_body(reason: str) -> bytes:
+    """Return the body of a refusal, for people; callers act on its status."""
+    return msgspec.json.encode({"reason": reason})
+
+
 def make_pending_body(count: int) -> bytes:
     """Return the answer to a query for the number of a queue's waiting jobs."""
     return msgspec.json.encode({"pending": count})
--- a/src/primrosestile/programs/log_limits.py
+++ b/src/primrosestile/programs/log_limits.py
@@ -26,6 +26,7 @@
         "job_ended",
         "job_moved",
         "job_not_known",
+        "job_refused_under_load",
         "last_record_removed",
         "last_record_stands",
         "reclaimed",
--- a/src/primrosestile/programs/metrics.py
+++ b/src/primrosestile/programs/metrics.py
@@ -26,6 +26,12 @@
             labels,
             registry,
         )
+        self.refused_under_load = Counter(
+            "refused_under_load_total",
+            "Submissions refused by the fleet's load, by reason",
+            labels,
+            registry,
+        )
         self.lines_dropped = Counter(
             "log_lines_dropped_total",
             "Lines of the log that its bounds left out, by event",
@@ -41,6 +47,10 @@
         )
         self.state = Gauge("state", "Figures of the moment, by name", labels, registry)
 
+    def count_refused_under_load(self, reason: str) -> None:
+        """Count a submission that was refused by the fleet's load."""
+        self.refused_under_load.inc({"reason": reason})
+
     def count_dropped_line(self, event: str) -> None:
         """Count a dropped log line."""
         self.lines_dropped.inc({"event": event})
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -11,6 +11,8 @@
 
 from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.job_submissions import JobSubmissions
+from primrosestile.coordination.work.load_gate import LoadGate
+from primrosestile.coordination.work.load_watch import LoadWatch
 from primrosestile.coordination.work.outage_scope import OutageScope
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.scheduler import Scheduler, run_scheduler
@@ -31,7 +33,9 @@
 from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.node_calls import CallerCalls
 from primrosestile.programs.time_correction import follow_vm_clock
+from primrosestile.state.load import LoadSummary
 from primrosestile.transport.connections import Connections
+from primrosestile.transport.load_views import HttpLoadViews
 from primrosestile.transport.store_views import HttpStoreViews
 
 EXIT_BAD_SETTINGS = 2
@@ -92,11 +96,30 @@
             lambda: self._policies.silent,
         )
         self._calls = CallerCalls(
-            JobSubmissions(self._store, self._policies, POLICY_KEY),
+            JobSubmissions(
+                self._store, self._policies, POLICY_KEY, self._make_load_gate()
+            ),
             self._policies,
             scope,
             self._metrics,
+            self._find_load,
+        )
+
+    def _make_load_gate(self) -> LoadGate:
+        watch = LoadWatch(
+            HttpLoadViews(self._peer_connections),
+            lambda: (self._election.owner_address, self._election.owner_fence),
+            self._find_load,
         )
+        return LoadGate(
+            watch,
+            self.settings.scheduling.load_admission,
+            self._metrics.count_refused_under_load,
+        )
+
+    def _find_load(self) -> LoadSummary | None:
+        """Return the summary of the fleet's load while this process is the owner."""
+        return None if self._scheduler is None else self._scheduler.load.find_summary()
 
     def _list_peers(self) -> set[str]:
         """Return the peer addresses of the owner and the seeds, without our own."""
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 import structlog
 from aiohttp import web
@@ -16,12 +17,15 @@
     KEY_SCHEME,
     is_job_id,
     make_pending_body,
+    make_refusal_body,
     make_state_body,
     read_submission,
 )
 from primrosestile.programs.metrics import Metrics
+from primrosestile.state.load import LoadSummary, encode_load
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import Submission
+from primrosestile.transport.load_views import LOAD_VIEW_PATH
 from primrosestile.transport.store_views import CHECK_SECONDS, STORE_VIEW_PATH
 
 # An answer is sent this long before the caller's deadline, because it is useless once
@@ -35,6 +39,9 @@
 # Kept of a caller's time for asking other VMs, which takes up to 0.25 s.
 SCOPE_SECONDS = 0.3
 
+# Kinds of refusals under load; their callers are told the reason.
+_EXPLAINED = {ErrorKind.NO_WORKER_FITS, ErrorKind.OVERLOADED, ErrorKind.OVER_QUOTA}
+
 _log = structlog.get_logger()
 
 
@@ -52,9 +59,11 @@
         policies: PolicyWatch,
         scope: OutageScope,
         metrics: Metrics,
+        find_load: Callable[[], LoadSummary | None] = lambda: None,
     ) -> None:
         self._metrics = metrics
         self._scope = scope
+        self._find_load = find_load
         self._submissions = submissions
         self._policies = policies
         self._not_recent_since: float | None = None
@@ -69,7 +78,15 @@
         return web.Response(status=200 if self._ready else 503)
 
     async def answer_peer(self, request: web.BaseRequest) -> web.Response:
-        """Answer another process of ours whether this one serves callers."""
+        """Answer another process of ours.
+
+        It asks whether this one serves callers, or for the owner's load summary.
+        """
+        if request.path == LOAD_VIEW_PATH:
+            summary = self._find_load()
+            if summary is None:
+                return web.Response(status=404)
+            return web.Response(body=encode_load(summary))
         if request.path != STORE_VIEW_PATH:
             return web.Response(status=404)
         serves = await self._can_serve()
@@ -262,6 +279,9 @@
         deadline=round(_read_deadline(request), 3),
     )
     response = web.Response(status=answer.status)
+    if failure.kind in _EXPLAINED:
+        response.body = make_refusal_body(failure.detail)
+        response.content_type = "application/json"
     if failure.retry_delay is not None:
         response.headers["Retry-After"] = str(math.ceil(failure.retry_delay))
     return response
