Count waiting units by step in the load summary

Cause: a summary of 1,000 waiting jobs (13,654 units) took 54 ms of the owner's loop, as each unit was ranked on its own path. Units of one step are alike.

--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -60,23 +60,21 @@
 
     def guess(self, queue: str, step: Step) -> float:
         """Return the expected run time of one task of a step, in seconds."""
-        mean = self.find_mean(queue, bool(step.estimate_seconds))
-        return step.estimate_seconds if mean is None else mean
-
-    def find_mean(self, queue: str, estimated: bool = True) -> float | None:
-        """Return a queue's mean run time in seconds; None if estimates are better.
-
-        Args:
-            queue: Its name.
-            estimated: Whether callers give an estimate.
-        """
         run_times = self._run_times.get(queue)
         if run_times is None or run_times.runs < MIN_RUNS:
-            return None
-        if estimated and run_times.estimate_error <= run_times.mean_error:
-            return None
+            return step.estimate_seconds
+        if step.estimate_seconds and run_times.estimate_error <= run_times.mean_error:
+            return step.estimate_seconds
         return run_times.mean
 
+    def find_mean(self, queue: str) -> float:
+        """Return a queue's mean run time in seconds; 0 where estimates are better."""
+        run_times = self._run_times.get(queue)
+        if run_times is None or run_times.runs < MIN_RUNS:
+            return 0.0
+        better = run_times.mean_error < run_times.estimate_error
+        return run_times.mean if better else 0.0
+
     def guess_unit(self, unit: Unit) -> float:
         """Return the expected run time of a unit's next run, in seconds."""
         return self.guess(unit.job.submission.queue, unit.step)
--- a/src/primrosestile/decisions/work/load_summary.py
+++ b/src/primrosestile/decisions/work/load_summary.py
@@ -20,11 +20,7 @@
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.load_history import LoadHistory
-from primrosestile.decisions.work.queue_order import (
-    Rank,
-    count_accelerators,
-    rank_unit,
-)
+from primrosestile.decisions.work.queue_order import count_accelerators, rank_unit
 from primrosestile.decisions.work.units import Job, Unit
 from primrosestile.state.load import (
     MAX_AGE_SECONDS,
@@ -52,13 +48,13 @@
     jobs: Counter[str] = field(default_factory=Counter)
     least: dict[str, int] = field(default_factory=dict)
 
-    def add(self, unit: Unit) -> int:
-        """Count a waiting unit; return the accelerators that it needs."""
+    def add(self, unit: Unit, count: int) -> int:
+        """Count waiting units of one step; return the accelerators that they need."""
         need = unit.size * unit.step.need.accelerators
-        self.accelerators += need
+        self.accelerators += count * need
         label = unit.step.label
         self.least[label] = min(need, self.least.get(label, need))
-        return need
+        return count * need
 
 
 @dataclass(slots=True)
@@ -126,19 +122,26 @@
 
 
 def _add_waits(waits: _Waits, job: Job, durations: Durations, now: float) -> None:
-    # Tasks of one step have one rank.
-    ranks: dict[tuple[str, int, int], Rank] = {}
+    # Units of one step are alike, and a fleet may have thousands: they are counted by
+    # step, and ranked once.
+    counts: dict[tuple[int, int], int] = {}
+    examples: dict[tuple[int, int], Unit] = {}
+    for key, unit in job.units.items():
+        if unit.ready_at is not None and unit.idle:
+            step = key[:2]
+            counts[step] = counts.get(step, 0) + 1
+            examples[step] = unit
     queue = waits.queues[job.submission.queue]
-    for unit in job.units.values():
-        if not unit.idle or unit.ready_at is None or unit.step.daemon:
+    counted = False
+    for step, unit in examples.items():
+        if unit.step.daemon:
             continue
-        rank = ranks.get(unit.step_key)
-        if rank is None:
-            rank = ranks[unit.step_key] = rank_unit(unit, now, False, durations)
+        counted = True
+        rank = rank_unit(unit, now, False, durations)
         if not rank.useless:
-            need = queue.add(unit)
+            need = queue.add(unit, counts[step])
             waits.ahead[unit.pool, rank.priority, rank.late] += need
-    if ranks:
+    if counted:
         queue.jobs[job.submission.organisation] += 1
 
 
@@ -195,7 +198,7 @@
         rates.get((queue.pool, queue.name), 0.0),
         ahead / pool.started if pool.started else 0.0,
         fresh / pool.started if pool.started else 0.0,
-        durations.find_mean(queue.name) or 0.0,
+        durations.find_mean(queue.name),
         dict(own.jobs.most_common()),
         own.least,
     )
