Describe refusals under load and the scheduling switches

Cause: operators need to see why a job was refused under load, and how to switch a feature of the scheduler; docs/settings.md did not list the `scheduling.` lines at all.

The age of a summary is checked in the decision only. Units without accelerators no longer hide that a queue's other units are larger than the job.

--- a/features/settings/pages.feature
+++ b/features/settings/pages.feature
@@ -9,6 +9,7 @@
   Scenario: The page of settings is the settings and their checks
     Then docs/settings.md is as the settings make it
     And every setting has a meaning on docs/settings.md
+    And docs/settings.md has each scheduling feature, with what auto means
 
   Scenario: The operators' page names only commands and metrics that exist
     Then each command on docs/OPERATIONS.md exists
--- a/features/steps/pages_steps.py
+++ b/features/steps/pages_steps.py
@@ -11,6 +11,7 @@
 from tools import errorpage, settingspage
 
 from primrosestile.platform.rejections import Source
+from primrosestile.platform.settings import FEATURES
 from primrosestile.programs import cli
 from primrosestile.state.process import ProcessSettings
 
@@ -38,6 +39,15 @@
         assert not row.endswith("|  |"), row
 
 
+@then("docs/settings.md has each scheduling feature, with what auto means")
+def check_features(context: Any) -> None:
+    text = settingspage.PAGE.read_text()
+    for feature in FEATURES:
+        line = rf"^\| `scheduling\.{feature}` \|"
+        row = rf"{line} .* \| auto \| \w.*\. \| on where \w.*\. \|$"
+        assert re.search(row, text, re.MULTILINE), feature
+
+
 @then("each command on docs/OPERATIONS.md exists")
 def check_commands(context: Any) -> None:
     text = (DOCS / "OPERATIONS.md").read_text()
--- a/features/steps/work_load_admission_steps.py
+++ b/features/steps/work_load_admission_steps.py
@@ -10,7 +10,7 @@
 import structlog.testing
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
-from behave import given, step, then, when
+from behave import given, then, when
 from features.steps.work_decisions_steps import add_job, add_worker, make_fleet_state
 from features.steps.work_outage_scope_steps import PolicyStore, make_submission, make_vm
 from hypothesis import given as draw, settings, strategies as st
@@ -285,7 +285,7 @@
     jobs = {"domes": 30, "post": 1} if load == "over the share" else {}
     summary = make_load(0.0 if load == "too small" else 60.0, 60.0, jobs)
     for queue in summary.queues.values():
-        queue.least[""] = 0
+        queue.least[""] = 1
     summary.pools[POOL].workers[""] = Need(64_000, 64_000, 8)
     if load == "too small":
         summary.pools[POOL].workers[""] = Need(64_000, 64_000, 0)
@@ -330,9 +330,14 @@
     assert found[0]["age"] == 0.25, found
 
 
-@step("a process without a summary answers 404 to a query for it")
-def step_not_served(context: Any) -> None:
+@then("a process answers 404 to a query for its summary, and one that has one sends it")
+def step_served(context: Any) -> None:
     make_vm(context, PolicyStore("answers"), [])
     request = make_mocked_request("GET", LOAD_VIEW_PATH)
     response = context.runner.run(context.calls.answer_peer(request))
     assert response.status == 404, response.status
+    summary = make_load(60.0, 30.0, {"domes": 3})
+    context.calls._find_load = lambda: summary
+    response = context.runner.run(context.calls.answer_peer(request))
+    assert response.status == 200, response.status
+    assert decode_load(response.body) == summary
--- a/features/work/load_admission.feature
+++ b/features/work/load_admission.feature
@@ -97,7 +97,7 @@
     Given a fleet of 2 workers and 2 processes, with admission control off
     When the fleet gets 3 times its load for 10 s
     Then no process was asked for the load, and the owner has no summary
-    And a process without a summary answers 404 to a query for it
+    And a process answers 404 to a query for its summary, and one that has one sends it
 
   Scenario: At three times the capacity, callers who return as told are admitted
     The owner is killed in the middle. Guards against callers who are sent away for good,
--- a/src/primrosestile/coordination/work/load_watch.py
+++ b/src/primrosestile/coordination/work/load_watch.py
@@ -5,7 +5,7 @@
 seconds only, and every summary would be too old by the next. So while submissions come
 and the summary shows waits, it is fetched again each second.
 
-Without a recent summary of the present owner nothing is known, and nothing refused:
+Without a recent summary of the present owner nothing is known, and nothing is refused:
 then the owner is silent, cut off, replaced or overloaded.
 """
 
@@ -18,7 +18,7 @@
 from primrosestile.coordination.work.term import read_suspending_clock
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.load_views import LoadViewCalls
-from primrosestile.state.load import MAX_AGE_SECONDS, LoadSummary
+from primrosestile.state.load import LoadSummary
 
 # A copy that is older is fetched again.
 REFRESH_SECONDS = 1.0
@@ -63,9 +63,10 @@
         self._unreadable = False
 
     def find_summary(self) -> tuple[LoadSummary, float] | None:
-        """Return a recent summary and its age in seconds, without waiting.
+        """Return the present owner's summary and its age in seconds, without waiting.
 
-        A newer one is fetched for the next submission.
+        A newer one is fetched for the next submission. The decision tells whether the
+        summary is recent enough.
         """
         own = self._find_own()
         if own is not None:
@@ -74,13 +75,10 @@
         if self._is_due(now) and (self._fetching is None or self._fetching.done()):
             self._fetching = asyncio.create_task(self._follow())
         summary = self._summary
-        age = now - self._made_at
-        if summary is None or age > MAX_AGE_SECONDS:
-            return None
         _, fence = self._find_owner()
-        if not fence or summary.fence < fence:
+        if summary is None or not fence or summary.fence < fence:
             return None
-        return summary, age
+        return summary, now - self._made_at
 
     def _is_due(self, now: float) -> bool:
         age = min(now - self._made_at, now - self._asked_at)
--- a/src/primrosestile/decisions/work/load_summary.py
+++ b/src/primrosestile/decisions/work/load_summary.py
@@ -53,7 +53,8 @@
         need = unit.size * unit.step.need.accelerators
         self.accelerators += count * need
         label = unit.step.label
-        self.least[label] = min(need, self.least.get(label, need))
+        if need:
+            self.least[label] = min(need, self.least.get(label, need))
         return count * need
 
 
--- a/src/primrosestile/state/load.py
+++ b/src/primrosestile/state/load.py
@@ -31,7 +31,8 @@
         run_seconds: Mean run time of a task, where that predicts better than callers'
             estimates; else 0.
         jobs: Its waiting jobs by organisation.
-        least: The fewest accelerators that a waiting unit needs to start, by label.
+        least: The fewest accelerators that a waiting unit needs to start, by label;
+            units that need none do not count.
     """
 
     pool: str
--- a/src/primrosestile/state/scheduling.py
+++ b/src/primrosestile/state/scheduling.py
@@ -24,16 +24,21 @@
 
 @dataclass(frozen=True, slots=True)
 class SchedulingSettings:
-    """Settings of the scheduler; each feature's module says what `AUTO` means.
+    """Settings of the scheduler; docs/settings.md is made from the switches' text.
 
     Attributes:
         stop_seconds: The longest time that a worker takes to stop a run.
         checkpoint_seconds: Work after which a run with checkpoints saves one.
-        headroom: Keep room free for urgent work that is expected.
+        headroom: Keep room free for urgent work that is expected. `auto`: on where a
+            stop takes more than half the slack of the work of some urgent queue.
         preemption_history: Count how often work was stopped before it is stopped again.
-        organisation_shares: Share scarce room among organisations.
-        load_admission: Refuse jobs that can't be served.
-        speed_groups: Put gangs together from workers of similar speed.
+            `auto`: on where the longest stop takes more than 0.5 s.
+        organisation_shares: Share scarce room among organisations. `auto`: on where the
+            largest guarantee of an organisation is at least twice the median.
+        load_admission: Refuse jobs that can't be served in time. `auto`: on where the
+            largest guarantee of an organisation is at least twice the median.
+        speed_groups: Put gangs together from workers of similar speed. `auto`: on where
+            the longest stop takes more than 0.5 s.
     """
 
     stop_seconds: float = 0.4
--- a/tools/settingspage.py
+++ b/tools/settingspage.py
@@ -22,7 +22,9 @@
     TEXTS,
     TextRule,
 )
+from primrosestile.platform.settings import SCHEDULING_PREFIX
 from primrosestile.state.process import ProcessSettings
+from primrosestile.state.scheduling import SchedulingSettings, Switch
 from primrosestile.state.settings import Settings
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "settings.md"
@@ -81,6 +83,26 @@
 while the process runs.
 """
 
+SCHEDULING = """\
+
+## Scheduling features of a node
+
+`primrosestile-node` reads the settings file that the platform gives it. These lines of
+it are the operators' own, in the form `scheduling.NAME=VALUE`. An unknown name or value
+is an error, and nothing changes while the process runs. Write the same lines for all
+VMs: the owner decides by its own file, and any VM may own the fleet.
+
+With `auto` a feature decides by the deployment's configuration, as the table says.
+"""
+
+SCHEDULING_HEAD = [
+    "| line | values | default | meaning | with `auto` |",
+    "|---|---|---|---|---|",
+]
+
+# In the docstring of a switch, what follows is its rule.
+AUTO_MARK = "`auto`:"
+
 HEAD = ["| setting | type | default | bounds | meaning |", "|---|---|---|---|---|"]
 
 
@@ -91,7 +113,28 @@
         lines += list_rows(get_types(Settings)[field.name], field.name)
         parts.append(f"\n## `{field.name}`\n\n" + "\n".join(lines) + "\n")
     rows = [*HEAD, *list_rows(ProcessSettings, "")]
-    return "".join(parts) + PROCESS + "\n" + "\n".join(rows) + "\n"
+    parts += PROCESS, "\n", "\n".join(rows), "\n"
+    rows = [*SCHEDULING_HEAD, *list_switches()]
+    parts += SCHEDULING, "\n", "\n".join(rows), "\n"
+    return "".join(parts)
+
+
+def list_switches() -> Iterator[str]:
+    """Yield a row for each scheduling feature that can be switched."""
+    meanings = read_meanings(SchedulingSettings)
+    for name, kind in get_types(SchedulingSettings).items():
+        if kind is not Switch:
+            continue
+        meaning, _, rule = meanings[name].partition(AUTO_MARK)
+        default = SchedulingSettings.__dataclass_fields__[name].default
+        cells = (
+            f"`{SCHEDULING_PREFIX}{name}`",
+            describe_type(kind),
+            default.value,
+            meaning.strip(),
+            rule.strip(),
+        )
+        yield "| " + " | ".join(cells) + " |"
 
 
 def get_types(kind: type) -> dict[str, Any]:
