--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -7,7 +7,7 @@
 the mean observed run time are tracked, and the better one is used.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.units import Member, Unit
@@ -67,17 +67,21 @@
             return step.estimate_seconds
         return run_times.mean
 
+    def find_mean(self, queue: str) -> float:
+        """Return a queue's mean run time in seconds; 0 where estimates are better."""
+        run_times = self._run_times.get(queue)
+        if run_times is None or run_times.runs < MIN_RUNS:
+            return 0.0
+        better = run_times.mean_error < run_times.estimate_error
+        return run_times.mean if better else 0.0
+
     def guess_unit(self, unit: Unit) -> float:
         """Return the expected run time of a unit's next run, in seconds."""
         return self.guess(unit.job.submission.queue, unit.step)
 
     def guess_chain(self, queue: str, steps: tuple[Step, ...]) -> float:
         """Return the run time of the longest chain of a job's steps, in seconds."""
-        longest: list[float] = []
-        for step in steps:
-            before = max((longest[each] for each in step.after), default=0.0)
-            longest.append(before + self.guess(queue, step))
-        return max(longest, default=0.0)
+        return find_chain(steps, lambda step: self.guess(queue, step))
 
     def guess_run(self, member: Member) -> float:
         """Return the expected time of a member's whole current run, in seconds."""
@@ -99,3 +103,12 @@
     def restore(self, record: Mapping[str, QueueRunTimes]) -> None:
         """Load the statistics of an earlier owner."""
         self._run_times.update(record)
+
+
+def find_chain(steps: Sequence[Step], guess: Callable[[Step], float]) -> float:
+    """Return the run time of the longest chain of steps, in seconds."""
+    longest: list[float] = []
+    for step in steps:
+        before = max((longest[each] for each in step.after), default=0.0)
+        longest.append(before + guess(step))
+    return max(longest, default=0.0)
