--- a/src/primrosestile/decisions/work/headroom.py
+++ b/src/primrosestile/decisions/work/headroom.py
@@ -53,13 +53,13 @@
     arrived: Counter[str] = Counter()
     for job in fleet_state.headroom.list_arrivals(now):
         counts[_get_pool(job)] += 1
-        arrived[_get_pool(job)] += count_accelerators(job)
+        arrived[_get_pool(job)] += count_accelerators(job.submission.steps)
     if not arrived:
         return {}
     used: Counter[str] = Counter()
     for job in fleet_state.jobs.values():
         if job.queue.priority == 0 and not job.state.final:
-            used[_get_pool(job)] += count_accelerators(job)
+            used[_get_pool(job)] += count_accelerators(job.submission.steps)
     capacities: Counter[str] = Counter()
     for room in rooms.values():
         entry = room.worker.entry
--- a/src/primrosestile/state/scheduling.py
+++ b/src/primrosestile/state/scheduling.py
@@ -34,9 +34,9 @@
         preemption_history: Count how often work was stopped before it is stopped again.
             `auto`: on where the longest stop takes more than 0.5 s.
         organisation_shares: Share scarce room among organisations. `auto`: on where the
-            largest guarantee of an organisation is at least twice the median.
+            largest guarantee of an organisation is at least three times the median.
         load_admission: Refuse jobs that can't be served in time. `auto`: on where the
-            largest guarantee of an organisation is at least twice the median.
+            largest guarantee of an organisation is at least three times the median.
         speed_groups: Put gangs together from workers of similar speed. `auto`: on where
             the longest stop takes more than 0.5 s.
     """
