--- a/src/primrosestile/decisions/work/preemption_history.py
+++ b/src/primrosestile/decisions/work/preemption_history.py
@@ -101,12 +101,10 @@
     def __init__(
         self,
         fleet_state: FleetState,
-        durations: Durations,
         effects: StopEffects,
         permission: Permission,
     ) -> None:
         self._fleet_state = fleet_state
-        self._durations = durations
         self._effects = effects
         self._permission = permission
         self.find_effect = effects.find
@@ -125,7 +123,7 @@
         effect = self._effects.find(unit, now)
         if effect.useless or effect.late:
             runs = USELESS_RUNS if effect.useless else LATE_RUNS
-            cost += runs * unit.size * cores * self._durations.guess_unit(unit)
+            cost += runs * unit.size * cores * self._effects.find_run_seconds(unit)
         if effect.useless_before:
             cost *= ALREADY_USELESS_FACTOR
         if unit.job.queue.priority == 0:
@@ -170,7 +168,7 @@
         if victim.step.checkpoints:
             spared = self._fleet_state.settings.checkpoint_seconds
         else:
-            spared = self._durations.guess_unit(victim)
+            spared = self._effects.find_run_seconds(victim)
         if now - victim.members[0].since >= spared:
             return False
         # Estimates may be ten times too long; nobody needs to spare useless work.
@@ -206,7 +204,7 @@
     settings = fleet_state.settings
     effects = StopEffects(fleet_state, durations)
     if settings.preemption_history.resolve(settings.stop_seconds > LONG_STOP_SECONDS):
-        return HistoryRules(fleet_state, durations, effects, permission)
+        return HistoryRules(fleet_state, effects, permission)
     return CurrentRunRules(effects, permission)
 
 
