Leave work bound to a data rack out of the comparison of workers

Ruled out: a lower bound; it would hide the worker speeds of this load.

Change: no comparison of such work where speed groups are on. A scenario of its own, shown failing first.

--- a/features/steps/work_speed_groups_steps.py
+++ b/features/steps/work_speed_groups_steps.py
@@ -200,6 +200,28 @@
     assert find_slow_group(context) >= set(SLOW), context.speeds.make_record()
 
 
+@when(
+    "{count:d} tasks with data in another rack have taken {factor:g} times as long"
+    " on worker 0"
+)
+def step_far(context: Any, count: int, factor: float) -> None:
+    find_slow_group(context)
+    step = Step(4 + count, Need(100, 100, 0), data_rack="r1")
+    add_job(context.fleet_state, 1, 2, (step,), now=NOW)
+    for number, unit in enumerate(context.fleet_state.jobs[f"{1:016x}"].units.values()):
+        near = number < 4
+        context.fleet_state.order(unit, ["w1" if near else "w0"], NOW)
+        member = unit.members[0]
+        context.fleet_state.mark_up(member, NOW)
+        seconds = 4.0 if near else 4.0 * factor
+        context.speeds.record_success(member, NOW + seconds)
+
+
+@then("worker 0 is fast")
+def step_zero_fast(context: Any) -> None:
+    assert "w0" not in find_slow_group(context), context.speeds.make_record()
+
+
 @when("worker 6 is learned to take {factor:g} times as long as the others")
 def step_between(context: Any, factor: float) -> None:
     assert find_slow_group(context) == set(SLOW)
--- a/features/work/speed_groups.feature
+++ b/features/work/speed_groups.feature
@@ -62,6 +62,12 @@
     When 10 gangs over the slow workers and 2 unknown ones end, all alike
     Then workers 6 and 7 are still slow
 
+  Scenario: Tasks outside the rack of their data do not make a worker slow
+    Guards against a usual worker that counts as slow, since tasks whose data is in
+    another rack take three times as long on it.
+    When 10 tasks with data in another rack have taken 3 times as long on worker 0
+    Then worker 0 is fast
+
   Scenario: A factor between the two bounds does not change a worker's group
     Guards against a worker that moves to and fro, with a log line for each time.
     When worker 6 is learned to take 1.4 times as long as the others
--- a/src/primrosestile/decisions/work/speeds.py
+++ b/src/primrosestile/decisions/work/speeds.py
@@ -90,6 +90,10 @@
     def record_success(self, member: Member, now: float) -> None:
         """Learn from a successful run; a gang's is reported by one member."""
         unit = member.unit
+        if self.observing and unit.step.data_rack:
+            # Outside the rack of its data a task takes three times as long on any
+            # worker; that made two usual workers of 24 slow.
+            return
         if unit.step.gang and not self.observing:
             self._compare_gang(unit)
         elif unit.step.gang:
@@ -114,7 +118,8 @@
         """Learn from the progress of running gangs, now and from now on."""
         self.observing = True
         for unit in units:
-            self._compare_running(unit)
+            if not unit.step.data_rack:
+                self._compare_running(unit)
 
     def _compare_running(self, unit: Unit) -> None:
         """Compare the members that are due with the median of their gang."""
