--- a/src/primrosestile/decisions/work/__init__.py
+++ b/src/primrosestile/decisions/work/__init__.py
@@ -12,6 +12,7 @@
    member is stalled or its worker leaves.
 2. `queue_order`: which waiting unit goes first.
 3. `placement`: where it goes, if it fits.
+   `speed_groups`, `group_placement`: on workers of which speed, where that is used.
 4. `preemption`: what may be stopped for it, if it does not fit; `evictions`: where;
    `held_room`: for whom that room is held, and for how long.
 5. `reservations`: room that is reserved for it until then.
