Retrieve the failure of a count whose callers have gone

Cause: callers share a read behind a shield. When all of them had left before it failed, nothing retrieved its exception, and the event loop wrote a traceback. The failed read also stayed to be shared, so a caller within the next second was told of the old failure.

Ruled out: cancelling the read with its last caller; the next one would begin it again.

Change: the end of a read retrieves its exception, discards a failed read, and logs pending_count_failed if no caller waits for it. All who share a read get its failure.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -49,6 +49,25 @@
     When two callers ask 1.25 s apart for the number of waiting jobs
     Then the second is told at once
 
+  Scenario: The count of waiting jobs fails after its caller has gone
+    Guards against an exception that nobody retrieves, which the event loop reports by a
+    traceback in the log.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And the store refuses lists after 0.5 s
+    When a caller asks for the number of waiting jobs and goes after 0.2 s
+    Then one pending_count_failed is logged
+    And the event loop reports no exception
+
+  Scenario: The count of waiting jobs fails for all who share it
+    Guards against a caller who waits on, or is told a number, when the read that it
+    shares has failed; and against one that comes later and is told of the old failure.
+    Given a fleet of 1 workers with 8 accelerators in 1 racks
+    And the store refuses lists after 0.5 s
+    When 3 callers ask together for the number of waiting jobs
+    Then each of them gets the failure and no pending_count_failed is logged
+    And a caller who asks after that is told as soon as the store answers
+    And the event loop reports no exception
+
   Scenario: Many tasks with large arguments start at once
     Guards against starts that crowd one another out, so that all of them time out and
     are sent again.
--- a/src/primrosestile/coordination/work/pending_counts.py
+++ b/src/primrosestile/coordination/work/pending_counts.py
@@ -9,6 +9,9 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import dataclass, field
+
+import structlog
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import WAITING_PREFIX
@@ -22,37 +25,69 @@
 # A read of which nothing arrives for this long may be on a dead connection.
 SILENT_SECONDS = 1.0
 
+_log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class _Read:
+    """A read that callers share, and how many of them wait for it."""
+
+    task: asyncio.Task[Counter[str]]
+    asked_at: float = field(default_factory=read_clock)
+    callers: int = 0
+
 
 class PendingCounts:
     """Counts waiting jobs by queue; concurrent callers share one read."""
 
     def __init__(self, store: TransactionalStore) -> None:
         self._store = store
-        self._reading: asyncio.Task[Counter[str]] | None = None
-        self._asked_at = 0.0
+        self._reading: _Read | None = None
         # When the latest read began or the latest page arrived.
         self._active_at = 0.0
 
     async def count(self, queue: str) -> int:
-        """Return how many jobs of a queue have no task started."""
+        """Return how many jobs of a queue have no task started.
+
+        Raises:
+            Failure: When the read fails; all callers who share it get its failure.
+        """
         reading = self._reading
         if reading is None or not self._may_share(reading):
-            self._asked_at = self._active_at = read_clock()
-            reading = self._reading = asyncio.create_task(self._read())
+            reading = self._reading = self._begin()
+        reading.callers += 1
         try:
             # A caller that is cancelled must not cancel the read of the others.
-            return (await asyncio.shield(reading))[queue]
-        except Failure:
-            if self._reading is reading:
-                self._reading = None
-            raise
+            return (await asyncio.shield(reading.task))[queue]
+        finally:
+            reading.callers -= 1
+
+    def _begin(self) -> _Read:
+        reading = _Read(asyncio.create_task(self._read()))
+        self._active_at = reading.asked_at
+        reading.task.add_done_callback(lambda _: self._note_end(reading))
+        return reading
+
+    def _note_end(self, reading: _Read) -> None:
+        """Discard a failed read, and log its failure if no caller gets it.
+
+        The event loop would report an exception that nobody retrieves by a traceback.
+        """
+        # Only the end of the process cancels a read, so there is no caller to tell.
+        failure = None if reading.task.cancelled() else reading.task.exception()
+        if failure is None:
+            return
+        if self._reading is reading:
+            self._reading = None
+        if not reading.callers:
+            _log.warning("pending_count_failed", reason=str(failure))
 
-    def _may_share(self, reading: asyncio.Task[Counter[str]]) -> bool:
+    def _may_share(self, reading: _Read) -> bool:
         """Whether another caller may be told what a read returns."""
         now = read_clock()
-        if now - self._asked_at <= SHARED_SECONDS:
+        if now - reading.asked_at <= SHARED_SECONDS:
             return True
-        return not reading.done() and now - self._active_at <= SILENT_SECONDS
+        return not reading.task.done() and now - self._active_at <= SILENT_SECONDS
 
     async def _read(self) -> Counter[str]:
         began = read_clock()
