Decide by a long list of workers, and confirm each start by its worker's entry

Cause: a list of 3,000 workers takes 1.9 s over 5 Mbit/s, and counted as out of date after 1.5 s, so its owner decided nothing.

Ruled out: a watch from the last read, since it may be silent without telling and workers rewrite their entries every 1.5 s, as many bytes as the list; a longer limit on the age alone, since the list shows an announcement to leave up to 6 s late.

Before a start is sent, the entries of its workers and the cordons are read by key; without an answer, an entry, or a readable one, nothing is sent. Lists that arrive within 1 s are read and used as before, without further calls.

--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -8,7 +8,8 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+import itertools
+from collections.abc import Callable, Collection, Iterator, Sequence
 
 import structlog
 
@@ -16,6 +17,7 @@
 from primrosestile.coordination.work.log_fields import name_member, name_unit
 from primrosestile.coordination.work.recorder import Recorder
 from primrosestile.coordination.work.term import Term
+from primrosestile.coordination.work.worker_discovery import WorkerDiscovery
 from primrosestile.coordination.work.worker_links import WorkerLink
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.paces import Pace
@@ -38,6 +40,9 @@
 # 0.3 s.
 LIST_WAIT_SECONDS = 1.0
 LIST_CHECKS = 20
+# Over a link of 5 Mbit/s the entries of so many workers arrive in 0.05 s; all at once,
+# those of a whole fleet would be old before the last one is there.
+BATCH_WORKERS = 32
 
 _log = structlog.get_logger()
 
@@ -54,7 +59,7 @@
         links: dict[str, WorkerLink],
         tasks: asyncio.TaskGroup,
         wake: Callable[[], None],
-        is_list_recent: Callable[[], bool],
+        discovery: WorkerDiscovery,
     ) -> None:
         self._calls = calls
         self._term = term
@@ -63,7 +68,7 @@
         self._links = links
         self._tasks = tasks
         self._wake = wake
-        self._is_list_recent = is_list_recent
+        self._discovery = discovery
         # After this a stop is sent again if the run's end was not listed.
         self._stop_repeat_seconds = fleet_state.stop_timing.late
         self._stopping: set[tuple[str, int]] = set()
@@ -92,18 +97,26 @@
         began = read_clock()
         await self._recorder.save({member.unit.job for member in members})
         record_seconds = read_clock() - began
-        await self._wait_for_list()
-        withheld = {each.unit for each in members if not self._may_begin(each)}
-        for unit in withheld:
-            self._withhold(unit)
-        for member in members:
-            if member.unit not in withheld:
-                self._tasks.create_task(self._send_start(member, record_seconds))
-
-    async def _wait_for_list(self) -> None:
-        """Wait for a recent worker list, in case an outage delayed the record."""
-        for _ in range(LIST_CHECKS):
-            if self._is_list_recent():
+        until = read_clock() + LIST_WAIT_SECONDS
+        for batch in _split(members):
+            await self._wait_for_entries({member.worker for member in batch}, until)
+            withheld = {each.unit for each in batch if not self._may_begin(each)}
+            for unit in withheld:
+                self._withhold(unit)
+            for member in batch:
+                if member.unit not in withheld:
+                    self._tasks.create_task(self._send_start(member, record_seconds))
+
+    async def _wait_for_entries(self, workers: Collection[str], until: float) -> None:
+        """Wait for recent entries of workers, at the longest until a time.
+
+        An outage may have delayed the record. Where the list of workers is long, the
+        entries are read one by one.
+        """
+        while True:
+            await self._discovery.confirm(workers)
+            recent = all(self._discovery.is_recent(worker) for worker in workers)
+            if recent or read_clock() >= until:
                 return
             await asyncio.sleep(LIST_WAIT_SECONDS / LIST_CHECKS)
 
@@ -121,7 +134,7 @@
         link = self._links.get(member.worker)
         return (
             link is not None
-            and self._is_list_recent()
+            and self._discovery.is_recent(member.worker)
             and link.worker.can_take_decided()
         )
 
@@ -333,6 +346,22 @@
             self._stopping.discard((task, run))
 
 
+def _split(members: Sequence[Member]) -> Iterator[list[Member]]:
+    """Split the members of units into batches with few workers; no unit is divided."""
+    batch: list[Member] = []
+    workers: set[str] = set()
+    for _, found in itertools.groupby(members, lambda member: member.unit):
+        unit_members = list(found)
+        names = {member.worker for member in unit_members}
+        if batch and len(workers | names) > BATCH_WORKERS:
+            yield batch
+            batch, workers = [], set()
+        batch += unit_members
+        workers |= names
+    if batch:
+        yield batch
+
+
 def _find_ticket(member: Member) -> str:
     """Return the ticket for a start, empty if the queue needs none."""
     unit = member.unit
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -172,7 +172,7 @@
                 self._links,
                 tasks,
                 self._wake,
-                lambda: self._discovery.recent,
+                self._discovery,
             )
             for worker in self._fleet_state.workers.values():
                 self._start_link(worker.name, tasks)
@@ -307,7 +307,9 @@
         its work for nothing.
         """
         recent = (
-            self._discovery.recent and self._policies.recent and self._requests.recent
+            self._discovery.freshness.usable
+            and self._policies.recent
+            and self._requests.recent
         )
         return recent and self._recorder.writable and not self._term.doubtful
 
--- a/src/primrosestile/coordination/work/worker_discovery.py
+++ b/src/primrosestile/coordination/work/worker_discovery.py
@@ -5,27 +5,33 @@
 for seconds beside that of the next one at its address, and either may come first. Runs
 on a worker count as running until the worker's own answers, or the end of its lease,
 show otherwise; `worker_links` handles those (LIFE_ENDS_BY_OWN_WORD).
+
+A list that takes seconds to arrive can't show in time that a worker is leaving or that
+its failure domain is cordoned. Before a start, the entries of its workers are then read
+by key (`confirm`). A watch would not do: it may be silent without telling, and workers
+rewrite their entries so often that it would carry as much as the list.
 """
 
 import asyncio
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Collection
 
 import structlog
 
 from primrosestile.clock import read_clock
+from primrosestile.coordination.work.list_freshness import ListFreshness, is_recent
+from primrosestile.coordination.work.log_fields import list_names
 from primrosestile.decisions.work.fleet_state import FleetState
+from primrosestile.decisions.work.units import Worker
 from primrosestile.errors import Failure
-from primrosestile.protocol.fleet import WorkerList
+from primrosestile.protocol.fleet import WorkerList, WorkerListing
 from primrosestile.state.workers import WorkerEntry
 
-# Workers write about every 1.5 s, and one that leaves must get no new work after
-# 2 s; a read takes 0.3 s of that at a slow store.
-POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.2
+# Pause after a worker's entry could not be read for a start; such a read takes 1 s.
+UNREAD_PAUSE_SECONDS = 2.0
 # Entries that expired while the store was down are back within 2 s of its recovery.
 ABSENCE_SECONDS = 2.5
-# An older list may not show yet that a worker is leaving.
-STALE_SECONDS = 1.5
 
 _log = structlog.get_logger()
 
@@ -44,24 +50,29 @@
         self._fleet_state = fleet_state
         self._add_new = add_new
         self._wake = wake
-        self._read_at = -STALE_SECONDS
+        self.freshness = ListFreshness()
+        # When the entry of a worker was last asked for by its key, since the list was.
+        self._confirmed_at: dict[str, float] = {}
+        self._cordons_asked_at = -math.inf
         self._failed_at = -ABSENCE_SECONDS
         self._missing_since: dict[str, float] = {}
         self._cordoned: frozenset[str] = frozenset()
         # Wrong addresses in workers' entries, written by another writer, by worker.
         self._foreign: dict[str, str] = {}
 
-    @property
-    def recent(self) -> bool:
-        """Whether the list is recent enough to give workers new work."""
-        return read_clock() - self._read_at < STALE_SECONDS
+    def is_recent(self, worker: str) -> bool:
+        """Whether a worker's entry is recent enough to send starts to it."""
+        if self.freshness.recent:
+            return True
+        confirmed_at = self._confirmed_at.get(worker)
+        return confirmed_at is not None and is_recent(confirmed_at)
 
     async def run(self) -> None:
         """Poll the list until cancelled."""
         while True:
-            wait = POLL_SECONDS
             try:
                 await self.refresh()
+                wait = self.freshness.pause
             except Failure as failure:
                 self._failed_at = read_clock()
                 _log.warning("workers_not_listed", reason=str(failure))
@@ -70,23 +81,89 @@
 
     async def refresh(self) -> None:
         """Read the list once."""
-        asked_at = read_clock()
-        found = await self._workers.list_workers()
+        asked_at = self.freshness.note_asked()
+        try:
+            found = await self._workers.list_workers()
+        except Failure:
+            self.freshness.note_failed()
+            raise
         entries = found.entries
-        self._read_at = asked_at
+        self._note_read(asked_at, len(entries) + len(found.rejected))
         own = [entry for entry in entries if self._is_own(entry)]
         changed = False
         for entry in own:
-            changed |= self._apply_entry(entry)
+            # What was read by key after the list was asked for is newer.
+            if entry.worker not in self._confirmed_at:
+                changed |= self._apply_entry(entry)
         self._fleet_state.remove_ended(
             {entry.worker for entry in entries} | found.rejected
         )
         self._unlist_rejected(found.rejected)
         self._note_missing({entry.worker for entry in own})
-        changed |= self._apply_cordons(found.cordoned)
+        newer = self._cordons_asked_at > asked_at
+        changed |= self._apply_cordons(self._cordoned if newer else found.cordoned)
         if changed:
             self._wake()
 
+    def _note_read(self, asked_at: float, entries: int) -> None:
+        self._confirmed_at = {
+            name: at for name, at in self._confirmed_at.items() if at > asked_at
+        }
+        if self.freshness.note_read(asked_at):
+            _log.info(
+                "worker_list_long" if self.freshness.long else "worker_list_short",
+                seconds=round(self.freshness.read_seconds, 2),
+                entries=entries,
+            )
+
+    async def confirm(self, names: Collection[str]) -> None:
+        """Read the entries of workers by key, and the cordons, if the list is long.
+
+        Workers whose entries can't be read now stay as they are, so that `is_recent`
+        is false for them once their former entries are old.
+        """
+        wanted = [name for name in names if not self.is_recent(name)]
+        if not wanted or not self.freshness.long:
+            return
+        asked_at = read_clock()
+        try:
+            found = await self._workers.read_workers(wanted)
+        except Failure as failure:
+            _log.warning("workers_not_confirmed", reason=str(failure))
+            return
+        if found.unread:
+            _log.warning("workers_not_confirmed", workers=list_names(found.unread))
+        changed = self._apply_confirmed(wanted, found, asked_at)
+        if asked_at > self._cordons_asked_at:
+            self._cordons_asked_at = asked_at
+            changed |= self._apply_cordons(found.cordoned)
+        if changed:
+            self._wake()
+
+    def _apply_confirmed(
+        self, names: Collection[str], found: WorkerListing, asked_at: float
+    ) -> bool:
+        entries = {entry.worker: entry for entry in found.entries}
+        changed = False
+        for name in names:
+            worker = self._fleet_state.workers.get(name)
+            if worker is None or asked_at <= self._confirmed_at.get(name, -math.inf):
+                continue
+            if name in found.unread:
+                # A start on it would be decided and withheld in every pass.
+                until = read_clock() + UNREAD_PAUSE_SECONDS
+                worker.quarantined_until = max(worker.quarantined_until, until)
+                continue
+            self._confirmed_at[name] = asked_at
+            entry = entries.get(name)
+            if entry is not None and self._is_own(entry):
+                changed |= self._apply_entry(entry)
+            else:
+                # The list may show for seconds that nothing has changed.
+                changed |= worker.listed
+                _unlist(worker)
+        return changed
+
     def _apply_cordons(self, cordoned: frozenset[str]) -> bool:
         """Give no new work to the failure domains that operators have cordoned.
 
@@ -160,9 +237,8 @@
         """
         for name in rejected:
             worker = self._fleet_state.workers.get(name)
-            if worker is not None and worker.listed:
-                worker.listed = False
-                _log.info("worker_unlisted", worker=name)
+            if worker is not None:
+                _unlist(worker)
 
     def _note_missing(self, present: set[str]) -> None:
         now = read_clock()
@@ -174,6 +250,12 @@
                 continue
             since = self._missing_since.setdefault(worker.name, now)
             settled = now - max(since, self._failed_at) > ABSENCE_SECONDS
-            if worker.listed and (settled or now - self._failed_at > ABSENCE_SECONDS):
-                worker.listed = False
-                _log.info("worker_unlisted", worker=worker.name)
+            if settled or now - self._failed_at > ABSENCE_SECONDS:
+                _unlist(worker)
+
+
+def _unlist(worker: Worker) -> None:
+    """Give a worker no new work; what runs there goes on."""
+    if worker.listed:
+        worker.listed = False
+        _log.info("worker_unlisted", worker=worker.name)
--- a/src/primrosestile/platform/workers.py
+++ b/src/primrosestile/platform/workers.py
@@ -1,6 +1,8 @@
 """Client of the platform's workers over HTTP, and their list in the store."""
 
-from collections.abc import Callable, Collection
+import asyncio
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -22,6 +24,7 @@
     StartOrder,
     WorkerListing,
 )
+from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
 from primrosestile.state.workers import WorkerEntry
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
@@ -203,6 +206,36 @@
     async def list_workers(self) -> WorkerListing:
         """Return the workers' current entries; a stale read is not allowed."""
         entries, _ = await list_entries(self._store, WORKERS_PREFIX, whole=False)
+        listing, rejected = self._decode(entries)
+        self._rejections.replace(Source.WORKER_ENTRY, "", rejected)
+        return replace(listing, cordoned=await self._list_cordoned())
+
+    async def read_workers(self, names: Collection[str]) -> WorkerListing:
+        """Return the current entries of some workers; a stale read is not allowed."""
+        cordoned, read = await asyncio.gather(
+            self._list_cordoned(),
+            asyncio.gather(
+                *(self._store.get(WORKERS_PREFIX + name) for name in names),
+                return_exceptions=True,
+            ),
+        )
+        entries = []
+        unread = set()
+        for name, found in zip(names, read, strict=True):
+            if isinstance(found, Failure):
+                unread.add(name)
+            elif isinstance(found, BaseException):
+                raise found
+            elif found is not None:
+                entries.append(found)
+        # The list records what can't be read.
+        listing, _ = self._decode(entries)
+        return replace(listing, cordoned=cordoned, unread=frozenset(unread))
+
+    def _decode(
+        self, entries: Sequence[Entry]
+    ) -> tuple[WorkerListing, dict[str, Unreadable]]:
+        """Return the readable entries and the rejections by key."""
         pools = self._find_pools() if self._find_pools is not None else None
         found: list[WorkerEntry] = []
         rejected: dict[str, Unreadable] = {}
@@ -211,9 +244,8 @@
                 found.append(read_worker(entry, pools))
             except Unreadable as rejection:
                 rejected[entry.key] = rejection
-        self._rejections.replace(Source.WORKER_ENTRY, "", rejected)
         names = frozenset(key.removeprefix(WORKERS_PREFIX) for key in rejected)
-        return WorkerListing(tuple(found), names, await self._list_cordoned())
+        return WorkerListing(tuple(found), names), rejected
 
     async def _list_cordoned(self) -> frozenset[str]:
         """Return the failure domains that are closed to new work."""
--- a/src/primrosestile/protocol/fleet.py
+++ b/src/primrosestile/protocol/fleet.py
@@ -4,6 +4,7 @@
 All of its runs stop when the lease, which the owner extends, expires on its clock.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -155,11 +156,13 @@
     Attributes:
         rejected: Names whose entries can't be read; no work is placed on them.
         cordoned: Failure domains that operators have closed to new work.
+        unread: Names of which nothing is known, since the store did not answer.
     """
 
     entries: tuple[WorkerEntry, ...]
     rejected: frozenset[str] = frozenset()
     cordoned: frozenset[str] = frozenset()
+    unread: frozenset[str] = frozenset()
 
 
 class WorkerList(Protocol):
@@ -172,3 +175,13 @@
             Failure: STORE_UNAVAILABLE when they can't be read.
         """
         ...
+
+    async def read_workers(self, names: Collection[str]) -> WorkerListing:
+        """Return the current entries of some workers; a stale read is not allowed.
+
+        Workers without an entry are left out. Each costs one small call.
+
+        Raises:
+            Failure: STORE_UNAVAILABLE when the cordons can't be read.
+        """
+        ...
