Resign when the list of workers stays too old to decide by

Cause: the owner's health did not include the list. An owner that could not read it renewed its lease and decided nothing; a new owner loaded its state again and again.

Change: OwnerMetrics.list_silence counts from when the list became too old to decide by; past 6.5 s the owner resigns with 'workers not listed'.

If no process can list the workers for 30 s, the ownership changes at most 3 times.

--- a/features/steps/work_slow_owner_steps.py
+++ b/features/steps/work_slow_owner_steps.py
@@ -20,6 +20,7 @@
     find_candidacy_pause,
     find_minimum_term_seconds,
 )
+from primrosestile.platform.entries import WORKERS_PREFIX
 from primrosestile.platform.policy import POLICY_KEY
 from primrosestile.state.work import JobState
 
@@ -248,6 +249,8 @@
         faults.hangs = True
     elif fault == "sixty times slower":
         faults.slow_seconds = SLOW_STORE_SECONDS
+    elif fault == "unable to list the workers for anyone":
+        faults.unread.update(dict.fromkeys(world.processes, WORKERS_PREFIX))
     else:
         assert fault == "unable to read caller requests for anyone", fault
         faults.unread.update(dict.fromkeys(world.processes, CALLER_REQUESTS_PREFIX))
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -53,6 +53,29 @@
     And job e3 is shown at another process as completed within 10 s
     And the fleet's ledger shows nothing wrong
 
+  Scenario: The owner can't read the list of workers
+    Guards against an owner that renews its lease and decides nothing, since a decision
+    needs a list of workers that shows which of them leave.
+    Given the tasks of e9 take 2 s
+    When the scheduling process can't read the list of workers
+    And 2 s pass
+    And job e9 is handed in at another process with steps
+      | count | accelerators |
+      | 2     | 1            |
+    Then another process schedules within 15 s
+    And job e9 is shown at another process as completed within 10 s
+    And the fleet's ledger shows nothing wrong
+
+  Scenario: A new owner can't read the list of workers
+    Guards against an owner that loads its state again and again without end.
+    Given the tasks of e10 take 2 s
+    When the scheduling process dies, and the next one can't read the list of workers
+    And job e10 is handed in at another process with steps
+      | count | accelerators |
+      | 2     | 1            |
+    Then another process schedules within 15 s
+    And job e10 is shown at another process as completed within 10 s
+
   Scenario Outline: The owner's calls to workers go unanswered
     The network between the owner's VM and the workers is broken, and that of no other
     VM. Lease renewals and records get through. Tasks are started and their starts given
@@ -154,6 +177,7 @@
       | hanging                                   | 8       | 1    |
       | sixty times slower                        | 20      | 0    |
       | unable to read caller requests for anyone | 30      | 3    |
+      | unable to list the workers for anyone     | 30      | 3    |
 
   Scenario Outline: All processes come back after an outage
     All VMs lose power at once, and the store returns after them. Accepted work waits
@@ -215,6 +239,8 @@
       | records_age   | 5.1   | resigns: records not written        |
       | heard         | 50    | stays                               |
       | heard         | 49    | resigns: workers not heard          |
+      | list_silence  | 6.4   | stays                               |
+      | list_silence  | 6.6   | resigns: workers not listed         |
       | loop_delay    | 0.39  | stays                               |
       | loop_delay    | 0.41  | resigns: processor behind           |
       | unanswered    | 0.49  | stays                               |
@@ -233,6 +259,7 @@
       | measure      | value |
       | requests_age | 9     |
       | records_age  | 9     |
+      | list_silence | 9     |
       | heard        | 0     |
       | loop_delay   | 2     |
       | unanswered   | 1     |
--- a/src/primrosestile/coordination/work/health_monitor.py
+++ b/src/primrosestile/coordination/work/health_monitor.py
@@ -12,6 +12,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import OWNER_KEY, RESIGNATIONS_KEY
+from primrosestile.coordination.work.list_freshness import ListFreshness
 from primrosestile.coordination.work.metered_calls import MeteredCalls
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.recorder import Recorder
@@ -66,6 +67,7 @@
         recorder: Recorder,
         links: Mapping[str, WorkerLink],
         calls: MeteredCalls,
+        worker_list: ListFreshness,
     ) -> None:
         self._store = store
         self._term = term
@@ -75,6 +77,7 @@
         self._recorder = recorder
         self._links = links
         self._calls = calls
+        self._worker_list = worker_list
         self._owner_health = OwnerHealth()
         self._began = read_clock()
         self._store_failed_at = self._began
@@ -133,6 +136,7 @@
             served=now - self._began,
             loaded=self.loaded,
             policy_silence=min(self._policies.silence, now - self._began),
+            list_silence=self._worker_list.silence,
         )
 
     def _find_requests_age(self, now: float) -> float:
@@ -182,6 +186,7 @@
             workers=work.workers,
             heard=work.heard,
             policy_silence=round(work.policy_silence, 2),
+            list_silence=round(work.list_silence, 2),
             loop_delay=round(work.loop_delay, 3),
             calls=work.calls,
             unanswered=round(work.unanswered, 2),
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -135,6 +135,7 @@
             self._recorder,
             self._links,
             self._calls,
+            self._discovery.freshness,
         )
         self._began = read_clock()
         self._pass_seconds = 0.0
--- a/src/primrosestile/decisions/work/owner_health.py
+++ b/src/primrosestile/decisions/work/owner_health.py
@@ -26,6 +26,9 @@
 # Time without an answered read of the policy. The largest takes 6 s over 2 Mbit/s; what
 # an owner can't judge by a recent policy, it doesn't decide.
 MAX_POLICY_SILENCE_SECONDS = 8.0
+# Time for which the list of workers was too old to decide by. Each read of it times out
+# after 1 s and is tried again 0.2 s later, so at least five have failed.
+MAX_LIST_SILENCE_SECONDS = 6.5
 # Half of the 7 s of a worker's lease: a worker that is silent for that long may lapse
 # in as much again, about what a change of owner and its first polls take.
 MAX_WORKER_SILENCE_SECONDS = 3.5
@@ -66,6 +69,7 @@
     REQUESTS = "requests not received"
     RECORDS = "records not written"
     POLICY = "policy not read"
+    LIST = "workers not listed"
     WORKERS = "workers not heard"
     CALLS = "calls not answered"
     PROCESSOR = "processor behind"
@@ -79,6 +83,7 @@
         requests_age: Seconds since all caller requests in the store were last known.
         records_age: Seconds since the oldest change that is not in the store.
         policy_silence: Seconds since an answered read of the policy was sent.
+        list_silence: Seconds since the list of workers became too old to decide by.
         workers: Listed workers.
         heard: Those of them that answered within `MAX_WORKER_SILENCE_SECONDS`.
         loop_delay: Mean delay of the event loop, in seconds.
@@ -101,6 +106,7 @@
     served: float
     loaded: bool = True
     policy_silence: float = 0.0
+    list_silence: float = 0.0
 
 
 def find_problem(work: OwnerMetrics) -> OwnerProblem | None:
@@ -111,6 +117,8 @@
         return OwnerProblem.RECORDS
     if min(work.policy_silence, work.store_answers) > MAX_POLICY_SILENCE_SECONDS:
         return OwnerProblem.POLICY
+    if min(work.list_silence, work.store_answers) > MAX_LIST_SILENCE_SECONDS:
+        return OwnerProblem.LIST
     if work.store_answers <= MAX_WORKER_SILENCE_SECONDS:
         return None
     if work.heard < work.workers * MIN_HEARD_SHARE:
