Bound the starts in flight by what the owner's link carries

Cause: 256 starts with arguments of 4 kB shared a link of 5 Mbit/s. Each was cut off after 0.45 s and sent again, so the link carried little else.

Change: starts in flight take at most 0.2 s of the link together (OrderWindow); entitled units go first, then by the priority of the queue. A start has 0.45 s and the time that its bytes take. What waits has not been sent: its lease, term, and the age of its worker's entry are checked after the wait. WorkerCalls.find_transfer_seconds gives the time. Starts that fit the link together are sent at once, as before.

The time limit of a start over a real socket has no test.

--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -76,6 +76,46 @@
     When p1 gets a link of 5 Mbit/s
     And job l5 of 256 tasks with arguments of 4000 bytes is handed in at p1
     Then job l5 is shown as completed within 30 s
+    And every task of l5 was started once
+
+  Scenario: Urgent starts come among many large ones
+    Guards against urgent work that waits behind the large starts of work that can wait.
+    Given a fleet of 32 workers with 8 accelerators in 4 racks
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And job l6 of 200 tasks with arguments of 4000 bytes is handed in at p1
+    And 0.3 s pass
+    And job u6 is handed in to urgent by domes with steps
+      | count | accelerators |
+      | 2     | 8            |
+    Then u6 runs on the fleet within 0.8 s
+
+  Scenario: A worker leaves while large starts wait for the link
+    Guards against a start that is sent in time and arrives when its worker must get no
+    new work any more.
+    Given a fleet of 4 workers with 8 accelerators in 2 racks
+    And 1 processes of ours
+    When p1 gets a link of 5 Mbit/s
+    And job l7 of 800 tasks with arguments of 4000 bytes is handed in at p1
+    And 4 s pass
+    And maintenance is announced on worker w2
+    Then worker w2 gets no start later than 2 s after that
+    And worker w2 had got starts before
+
+  Scenario Outline: Starts share a link
+    Guards against starts that are held up though the link carries them together, and
+    against ones that hold a share of it without being sent.
+    Given starts with arguments of <bytes> bytes over a link of <link> Mbit/s
+    When <count> of them are to be sent at once
+    Then <together> are sent together, and the others as these are answered
+    And none holds a share of the link after all were sent or cancelled
+
+    Examples:
+      | bytes  | link | count | together |
+      | 600    | 5    | 39    | 39       |
+      | 4000   | 100  | 256   | 256      |
+      | 4000   | 5    | 256   | 15       |
+      | 262144 | 5    | 3     | 1        |
 
   Scenario: Callers ask together for the state of a large job
     Guards against reads of one record that crowd one another out, so that no caller is
--- a/src/primrosestile/coordination/work/list_freshness.py
+++ b/src/primrosestile/coordination/work/list_freshness.py
@@ -70,10 +70,9 @@
             return POLL_SECONDS
         return min(MAX_PAUSE_SECONDS, self._read_seconds)
 
-    @property
-    def recent(self) -> bool:
-        """Whether starts may be sent by the list alone."""
-        return self._read_at is not None and is_recent(self._read_at)
+    def is_recent(self, seconds: float) -> bool:
+        """Whether starts that take `seconds` to transfer may be sent by the list."""
+        return self._read_at is not None and is_recent(self._read_at, seconds)
 
     @property
     def usable(self) -> bool:
@@ -97,6 +96,12 @@
         return max(0.0, read_clock() - self._read_at - age_limit)
 
 
-def is_recent(asked_at: float) -> bool:
-    """Whether starts may be sent by what was read at a time."""
-    return read_clock() - asked_at < STALE_SECONDS
+def is_recent(asked_at: float, seconds: float) -> bool:
+    """Whether a start may be sent by what was read at a time.
+
+    Args:
+        asked_at: When it was asked for.
+        seconds: How long the transfer of the start takes. Its worker may begin it as
+            much later, and must not once its notice has ended.
+    """
+    return read_clock() - asked_at < STALE_SECONDS - seconds
--- a/src/primrosestile/coordination/work/metered_calls.py
+++ b/src/primrosestile/coordination/work/metered_calls.py
@@ -74,6 +74,10 @@
         """Start one run."""
         return await self._note(entry, self._calls.start(entry, fence, order))
 
+    def find_transfer_seconds(self, payload: str) -> float:
+        """Return how long the link of this VM needs for a start with a payload."""
+        return self._calls.find_transfer_seconds(payload)
+
     async def stop(
         self, entry: WorkerEntry, fence: int, task: str, run: int
     ) -> OrderAnswer:
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -8,14 +8,15 @@
 """
 
 import asyncio
-import itertools
-from collections.abc import Callable, Collection, Iterator, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import structlog
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.log_fields import name_member, name_unit
+from primrosestile.coordination.work.order_window import OrderWindow, Urgency
 from primrosestile.coordination.work.recorder import Recorder
+from primrosestile.coordination.work.start_batches import split_by_workers
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.worker_discovery import WorkerDiscovery
 from primrosestile.coordination.work.worker_links import WorkerLink
@@ -40,9 +41,6 @@
 # 0.3 s.
 LIST_WAIT_SECONDS = 1.0
 LIST_CHECKS = 20
-# Over a link of 5 Mbit/s the entries of so many workers arrive in 0.05 s; all at once,
-# those of a whole fleet would be old before the last one is there.
-BATCH_WORKERS = 32
 
 _log = structlog.get_logger()
 
@@ -69,6 +67,7 @@
         self._tasks = tasks
         self._wake = wake
         self._discovery = discovery
+        self._window = OrderWindow()
         # After this a stop is sent again if the run's end was not listed.
         self._stop_repeat_seconds = fleet_state.stop_timing.late
         self._stopping: set[tuple[str, int]] = set()
@@ -89,34 +88,53 @@
                 slack=round(each.rank.slack, 2),
                 failures=each.unit.failures,
             )
-        members = [member for each in assignments for member in each.unit.members]
-        self._tasks.create_task(self._record_and_send(members))
+        self._tasks.create_task(self._record_and_send(assignments))
 
-    async def _record_and_send(self, members: Sequence[Member]) -> None:
+    async def _record_and_send(self, assignments: Sequence[Assignment]) -> None:
         # RUN_RECORDED_BEFORE_ORDER.
+        members = [member for each in assignments for member in each.unit.members]
+        urgencies: dict[Unit, Urgency] = {
+            each.unit: (not each.rank.entitled, each.rank.priority)
+            for each in assignments
+        }
         began = read_clock()
         await self._recorder.save({member.unit.job for member in members})
         record_seconds = read_clock() - began
         until = read_clock() + LIST_WAIT_SECONDS
-        for batch in _split(members):
-            await self._wait_for_entries({member.worker for member in batch}, until)
+        for batch in split_by_workers(members):
+            seconds = max(map(self._find_seconds, batch))
+            workers = {member.worker for member in batch}
+            await self._wait_for_entries(workers, until, seconds)
             withheld = {each.unit for each in batch if not self._may_begin(each)}
             for unit in withheld:
                 self._withhold(unit)
             for member in batch:
                 if member.unit not in withheld:
-                    self._tasks.create_task(self._send_start(member, record_seconds))
+                    self._tasks.create_task(
+                        self._send_start(member, urgencies[member.unit], record_seconds)
+                    )
+
+    def _find_seconds(self, member: Member) -> float:
+        """Return how long the transfer of a start takes."""
+        return self._calls.find_transfer_seconds(member.unit.job.submission.payload)
 
-    async def _wait_for_entries(self, workers: Collection[str], until: float) -> None:
+    async def _wait_for_entries(
+        self, workers: Collection[str], until: float, seconds: float
+    ) -> None:
         """Wait for recent entries of workers, at the longest until a time.
 
         An outage may have delayed the record. Where the list of workers is long, the
         entries are read one by one.
+
+        Args:
+            workers: Their names.
+            until: When to stop waiting.
+            seconds: How long the transfer of a start takes.
         """
         while True:
-            await self._discovery.confirm(workers)
-            recent = all(self._discovery.is_recent(worker) for worker in workers)
-            if recent or read_clock() >= until:
+            await self._discovery.confirm(workers, seconds)
+            recent = (self._discovery.is_recent(each, seconds) for each in workers)
+            if all(recent) or read_clock() >= until:
                 return
             await asyncio.sleep(LIST_WAIT_SECONDS / LIST_CHECKS)
 
@@ -134,7 +152,7 @@
         link = self._links.get(member.worker)
         return (
             link is not None
-            and self._discovery.is_recent(member.worker)
+            and self._discovery.is_recent(member.worker, self._find_seconds(member))
             and link.worker.can_take_decided()
         )
 
@@ -146,36 +164,46 @@
             self._fleet_state.mark_gone(member, Proof.NEVER_SENT)
         self._wake()
 
-    async def _send_start(self, member: Member, record_seconds: float) -> None:
+    async def _send_start(
+        self, member: Member, urgency: Urgency, record_seconds: float
+    ) -> None:
         """Start one member, or abandon its unit's run.
 
         Args:
             member: Of a run that is recorded.
+            urgency: Which starts go first over a full link.
             record_seconds: How long its record took, for the log.
         """
         unanswered = False
+        seconds = self._find_seconds(member)
         for _ in range(START_TRIES):
-            if member.state is not MemberState.SENT or member.unit.abandoned:
-                return
-            link = self._links.get(member.worker)
-            if link is None or not self._term.may_act() or not self._may_send(member):
-                break
-            sent_at = read_clock()
-            try:
-                answer = await self._calls.start(
-                    link.entry, self._term.fence, self._make_order(member, link)
-                )
-            except Failure as failure:
-                if failure.kind is ErrorKind.NO_TARGET:
-                    link.record_silence(failure)
-                else:
-                    unanswered = True
-                _log.info(
-                    "start_unanswered",
-                    **name_member(member),
-                    reason=str(failure),
-                )
-                continue
+            async with self._window.reserve(seconds, urgency) as queued:
+                if queued:
+                    until = read_clock() + LIST_WAIT_SECONDS
+                    await self._wait_for_entries({member.worker}, until, seconds)
+                if member.state is not MemberState.SENT or member.unit.abandoned:
+                    return
+                link = self._links.get(member.worker)
+                if link is None or not self._term.may_act():
+                    break
+                if not self._may_send(member):
+                    break
+                sent_at = read_clock()
+                try:
+                    answer = await self._calls.start(
+                        link.entry, self._term.fence, self._make_order(member, link)
+                    )
+                except Failure as failure:
+                    if failure.kind is ErrorKind.NO_TARGET:
+                        link.record_silence(failure)
+                    else:
+                        unanswered = True
+                    _log.info(
+                        "start_unanswered",
+                        **name_member(member),
+                        reason=str(failure),
+                    )
+                    continue
             link.record_order_answer(answer.clock, sent_at)
             if answer.refusal is None:
                 _log.info(
@@ -346,22 +374,6 @@
             self._stopping.discard((task, run))
 
 
-def _split(members: Sequence[Member]) -> Iterator[list[Member]]:
-    """Split the members of units into batches with few workers; no unit is divided."""
-    batch: list[Member] = []
-    workers: set[str] = set()
-    for _, found in itertools.groupby(members, lambda member: member.unit):
-        unit_members = list(found)
-        names = {member.worker for member in unit_members}
-        if batch and len(workers | names) > BATCH_WORKERS:
-            yield batch
-            batch, workers = [], set()
-        batch += unit_members
-        workers |= names
-    if batch:
-        yield batch
-
-
 def _find_ticket(member: Member) -> str:
     """Return the ticket for a start, empty if the queue needs none."""
     unit = member.unit
--- a/src/primrosestile/coordination/work/worker_discovery.py
+++ b/src/primrosestile/coordination/work/worker_discovery.py
@@ -60,12 +60,17 @@
         # Wrong addresses in workers' entries, written by another writer, by worker.
         self._foreign: dict[str, str] = {}
 
-    def is_recent(self, worker: str) -> bool:
-        """Whether a worker's entry is recent enough to send starts to it."""
-        if self.freshness.recent:
+    def is_recent(self, worker: str, seconds: float = 0.0) -> bool:
+        """Whether a worker's entry is recent enough to send starts to it.
+
+        Args:
+            worker: Its name.
+            seconds: How long the transfer of a start takes.
+        """
+        if self.freshness.is_recent(seconds):
             return True
         confirmed_at = self._confirmed_at.get(worker)
-        return confirmed_at is not None and is_recent(confirmed_at)
+        return confirmed_at is not None and is_recent(confirmed_at, seconds)
 
     async def run(self) -> None:
         """Poll the list until cancelled."""
@@ -116,13 +121,17 @@
                 entries=entries,
             )
 
-    async def confirm(self, names: Collection[str]) -> None:
+    async def confirm(self, names: Collection[str], seconds: float = 0.0) -> None:
         """Read the entries of workers by key, and the cordons, if the list is long.
 
         Workers whose entries can't be read now stay as they are, so that `is_recent`
         is false for them once their former entries are old.
+
+        Args:
+            names: Of the workers.
+            seconds: How long the transfer of a start takes.
         """
-        wanted = [name for name in names if not self.is_recent(name)]
+        wanted = [name for name in names if not self.is_recent(name, seconds)]
         if not wanted or not self.freshness.long:
             return
         asked_at = read_clock()
--- a/src/primrosestile/platform/store.py
+++ b/src/primrosestile/platform/store.py
@@ -64,7 +64,7 @@
     full page: it would request the same page over and over, and as the owner it would
     receive no jobs and no cancellations.
     """
-    transfer_seconds = min(MAX_PAGE_SECONDS, _find_seconds(PAGE_BYTES, link))
+    transfer_seconds = min(MAX_PAGE_SECONDS, find_transfer_seconds(PAGE_BYTES, link))
     return READ_TIMEOUT_SECONDS + transfer_seconds
 
 
@@ -75,11 +75,12 @@
         size: Of its request, in bytes.
         link: Throughput of the VM's link in megabits a second.
     """
-    transfer_seconds = min(MAX_VALUE_SECONDS, _find_seconds(size, link))
+    transfer_seconds = min(MAX_VALUE_SECONDS, find_transfer_seconds(size, link))
     return WRITE_TIMEOUT_SECONDS + transfer_seconds
 
 
-def _find_seconds(size: float, link: float) -> float:
+def find_transfer_seconds(size: float, link: float) -> float:
+    """Return how long bytes take, over a link in megabits a second that others use."""
     return size / (link * BYTES_PER_MEGABIT * LINK_SHARE)
 
 
--- a/src/primrosestile/platform/workers.py
+++ b/src/primrosestile/platform/workers.py
@@ -1,6 +1,7 @@
 """Client of the platform's workers over HTTP, and their list in the store."""
 
 import asyncio
+import math
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 from typing import Any
@@ -17,6 +18,7 @@
     Unreadable,
     decode_json,
 )
+from primrosestile.platform.store import find_transfer_seconds
 from primrosestile.protocol.fleet import (
     OrderAnswer,
     PollAnswer,
@@ -60,9 +62,20 @@
     """Implements `protocol.fleet.WorkerCalls`."""
 
     def __init__(
-        self, connections: Connections, rejections: RejectionLog | None = None
+        self,
+        connections: Connections,
+        rejections: RejectionLog | None = None,
+        link: float = math.inf,
     ) -> None:
+        """Call workers.
+
+        Args:
+            connections: Carries the calls.
+            rejections: Records what can't be read.
+            link: Throughput of the VM's link in megabits a second.
+        """
         self._connections = connections
+        self._link = link
         self._rejections = rejections or RejectionLog()
 
     async def poll(
@@ -105,7 +118,12 @@
             body["last_checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self._order(entry, "/v1/run-start", body)
+        seconds = self.find_transfer_seconds(order.payload)
+        return await self._order(entry, "/v1/run-start", body, seconds)
+
+    def find_transfer_seconds(self, payload: str) -> float:
+        """Return how long the link of this VM needs for a start with a payload."""
+        return find_transfer_seconds(len(payload.encode()), self._link)
 
     async def stop(
         self, entry: WorkerEntry, fence: int, task: str, run: int
@@ -122,9 +140,14 @@
         return await self._order(entry, "/v1/pace", body)
 
     async def _order(
-        self, entry: WorkerEntry, path: str, body: dict[str, Any]
+        self,
+        entry: WorkerEntry,
+        path: str,
+        body: dict[str, Any],
+        transfer_seconds: float = 0.0,
     ) -> OrderAnswer:
-        reply = await self._call(entry, path, body, ORDER_TIMEOUT_SECONDS)
+        timeout = ORDER_TIMEOUT_SECONDS + transfer_seconds
+        reply = await self._call(entry, path, body, timeout)
         if reply.status != 200:
             return OrderAnswer(refusal=self._read_refusal(entry, reply))
         try:
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -171,7 +171,7 @@
     async def _run_term(self, term: Term) -> None:
         scheduler = Scheduler(
             self._store,
-            PlatformWorkers(self._connections, self._rejections),
+            PlatformWorkers(self._connections, self._rejections, self.settings.link),
             PlatformWorkerList(
                 self._store,
                 self._policies.find_pools,
--- a/src/primrosestile/protocol/fleet.py
+++ b/src/primrosestile/protocol/fleet.py
@@ -136,6 +136,14 @@
         """Start one run; succeeds too if this run is already present."""
         ...
 
+    def find_transfer_seconds(self, payload: str) -> float:
+        """Return how long the link of this VM needs for a start with a payload.
+
+        A start may take that much longer than another order before it counts as
+        unanswered.
+        """
+        ...
+
     async def stop(
         self, entry: WorkerEntry, fence: int, task: str, run: int
     ) -> OrderAnswer:
--- a/src/primrosestile_standin/fleet_calls.py
+++ b/src/primrosestile_standin/fleet_calls.py
@@ -9,6 +9,7 @@
 
 from primrosestile.clock import read_clock
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.platform.store import BYTES_PER_MEGABIT, find_transfer_seconds
 from primrosestile.protocol.fleet import (
     OrderAnswer,
     PollAnswer,
@@ -80,9 +81,14 @@
         return await self._order(
             entry,
             lambda worker: worker.take_start(fence, order),
-            len(order.payload.encode()),
+            order.payload,
         )
 
+    def find_transfer_seconds(self, payload: str) -> float:
+        """Return how long the link of this VM needs for a start with a payload."""
+        megabits = self._link.rate / BYTES_PER_MEGABIT
+        return find_transfer_seconds(len(payload.encode()), megabits)
+
     async def stop(
         self, entry: WorkerEntry, fence: int, task: str, run: int
     ) -> OrderAnswer:
@@ -103,11 +109,12 @@
         self,
         entry: WorkerEntry,
         execute: Callable[[FleetWorker], Refusal | None],
-        payload_bytes: int = 0,
+        payload: str = "",
     ) -> OrderAnswer:
-        began = read_clock()
-        if payload_bytes:
-            await self._carry_bytes(payload_bytes, began)
+        # A start has that much more time than other orders.
+        began = read_clock() + self.find_transfer_seconds(payload)
+        if payload:
+            await self._carry_bytes(len(payload.encode()), began)
         worker = await self._reach(entry)
         if worker is None:
             return OrderAnswer(refusal=Refusal.OTHER_INCARNATION)
