--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -8,14 +8,17 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import structlog
 
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.log_fields import name_member, name_unit
+from primrosestile.coordination.work.order_window import OrderWindow, Urgency
 from primrosestile.coordination.work.recorder import Recorder
+from primrosestile.coordination.work.start_batches import split_by_workers
 from primrosestile.coordination.work.term import Term
+from primrosestile.coordination.work.worker_discovery import WorkerDiscovery
 from primrosestile.coordination.work.worker_links import WorkerLink
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.paces import Pace
@@ -54,7 +57,7 @@
         links: dict[str, WorkerLink],
         tasks: asyncio.TaskGroup,
         wake: Callable[[], None],
-        is_list_recent: Callable[[], bool],
+        discovery: WorkerDiscovery,
     ) -> None:
         self._calls = calls
         self._term = term
@@ -63,7 +66,8 @@
         self._links = links
         self._tasks = tasks
         self._wake = wake
-        self._is_list_recent = is_list_recent
+        self._discovery = discovery
+        self._window = OrderWindow()
         # After this a stop is sent again if the run's end was not listed.
         self._stop_repeat_seconds = fleet_state.stop_timing.late
         self._stopping: set[tuple[str, int]] = set()
@@ -84,26 +88,53 @@
                 slack=round(each.rank.slack, 2),
                 failures=each.unit.failures,
             )
-        members = [member for each in assignments for member in each.unit.members]
-        self._tasks.create_task(self._record_and_send(members))
+        self._tasks.create_task(self._record_and_send(assignments))
 
-    async def _record_and_send(self, members: Sequence[Member]) -> None:
+    async def _record_and_send(self, assignments: Sequence[Assignment]) -> None:
         # RUN_RECORDED_BEFORE_ORDER.
+        members = [member for each in assignments for member in each.unit.members]
+        urgencies: dict[Unit, Urgency] = {
+            each.unit: (not each.rank.entitled, each.rank.priority)
+            for each in assignments
+        }
         began = read_clock()
         await self._recorder.save({member.unit.job for member in members})
         record_seconds = read_clock() - began
-        await self._wait_for_list()
-        withheld = {each.unit for each in members if not self._may_begin(each)}
-        for unit in withheld:
-            self._withhold(unit)
-        for member in members:
-            if member.unit not in withheld:
-                self._tasks.create_task(self._send_start(member, record_seconds))
-
-    async def _wait_for_list(self) -> None:
-        """Wait for a recent worker list, in case an outage delayed the record."""
-        for _ in range(LIST_CHECKS):
-            if self._is_list_recent():
+        until = read_clock() + LIST_WAIT_SECONDS
+        for batch in split_by_workers(members):
+            seconds = max(map(self._find_seconds, batch))
+            workers = {member.worker for member in batch}
+            await self._wait_for_entries(workers, until, seconds)
+            withheld = {each.unit for each in batch if not self._may_begin(each)}
+            for unit in withheld:
+                self._withhold(unit)
+            for member in batch:
+                if member.unit not in withheld:
+                    self._tasks.create_task(
+                        self._send_start(member, urgencies[member.unit], record_seconds)
+                    )
+
+    def _find_seconds(self, member: Member) -> float:
+        """Return how long the transfer of a start takes."""
+        return self._calls.find_transfer_seconds(member.unit.job.submission.payload)
+
+    async def _wait_for_entries(
+        self, workers: Collection[str], until: float, seconds: float
+    ) -> None:
+        """Wait for recent entries of workers, at the longest until a time.
+
+        An outage may have delayed the record. Where the list of workers is long, the
+        entries are read one by one.
+
+        Args:
+            workers: Their names.
+            until: When to stop waiting.
+            seconds: How long the transfer of a start takes.
+        """
+        while True:
+            await self._discovery.confirm(workers, seconds)
+            recent = (self._discovery.is_recent(each, seconds) for each in workers)
+            if all(recent) or read_clock() >= until:
                 return
             await asyncio.sleep(LIST_WAIT_SECONDS / LIST_CHECKS)
 
@@ -121,7 +152,7 @@
         link = self._links.get(member.worker)
         return (
             link is not None
-            and self._is_list_recent()
+            and self._discovery.is_recent(member.worker, self._find_seconds(member))
             and link.worker.can_take_decided()
         )
 
@@ -133,36 +164,46 @@
             self._fleet_state.mark_gone(member, Proof.NEVER_SENT)
         self._wake()
 
-    async def _send_start(self, member: Member, record_seconds: float) -> None:
+    async def _send_start(
+        self, member: Member, urgency: Urgency, record_seconds: float
+    ) -> None:
         """Start one member, or abandon its unit's run.
 
         Args:
             member: Of a run that is recorded.
+            urgency: Which starts go first over a full link.
             record_seconds: How long its record took, for the log.
         """
         unanswered = False
+        seconds = self._find_seconds(member)
         for _ in range(START_TRIES):
-            if member.state is not MemberState.SENT or member.unit.abandoned:
-                return
-            link = self._links.get(member.worker)
-            if link is None or not self._term.may_act() or not self._may_send(member):
-                break
-            sent_at = read_clock()
-            try:
-                answer = await self._calls.start(
-                    link.entry, self._term.fence, self._make_order(member, link)
-                )
-            except Failure as failure:
-                if failure.kind is ErrorKind.NO_TARGET:
-                    link.record_silence(failure)
-                else:
-                    unanswered = True
-                _log.info(
-                    "start_unanswered",
-                    **name_member(member),
-                    reason=str(failure),
-                )
-                continue
+            async with self._window.reserve(seconds, urgency) as queued:
+                if queued:
+                    until = read_clock() + LIST_WAIT_SECONDS
+                    await self._wait_for_entries({member.worker}, until, seconds)
+                if member.state is not MemberState.SENT or member.unit.abandoned:
+                    return
+                link = self._links.get(member.worker)
+                if link is None or not self._term.may_act():
+                    break
+                if not self._may_send(member):
+                    break
+                sent_at = read_clock()
+                try:
+                    answer = await self._calls.start(
+                        link.entry, self._term.fence, self._make_order(member, link)
+                    )
+                except Failure as failure:
+                    if failure.kind is ErrorKind.NO_TARGET:
+                        link.record_silence(failure)
+                    else:
+                        unanswered = True
+                    _log.info(
+                        "start_unanswered",
+                        **name_member(member),
+                        reason=str(failure),
+                    )
+                    continue
             link.record_order_answer(answer.clock, sent_at)
             if answer.refusal is None:
                 _log.info(
--- a/src/primrosestile/platform/workers.py
+++ b/src/primrosestile/platform/workers.py
@@ -1,6 +1,9 @@
 """Client of the platform's workers over HTTP, and their list in the store."""
 
-from collections.abc import Callable, Collection
+import asyncio
+import math
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -15,6 +18,7 @@
     Unreadable,
     decode_json,
 )
+from primrosestile.platform.store import find_transfer_seconds
 from primrosestile.protocol.fleet import (
     OrderAnswer,
     PollAnswer,
@@ -22,6 +26,7 @@
     StartOrder,
     WorkerListing,
 )
+from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
 from primrosestile.state.workers import WorkerEntry
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
@@ -57,9 +62,20 @@
     """Implements `protocol.fleet.WorkerCalls`."""
 
     def __init__(
-        self, connections: Connections, rejections: RejectionLog | None = None
+        self,
+        connections: Connections,
+        rejections: RejectionLog | None = None,
+        link: float = math.inf,
     ) -> None:
+        """Call workers.
+
+        Args:
+            connections: Carries the calls.
+            rejections: Records what can't be read.
+            link: Throughput of the VM's link in megabits a second.
+        """
         self._connections = connections
+        self._link = link
         self._rejections = rejections or RejectionLog()
 
     async def poll(
@@ -102,7 +118,12 @@
             body["last_checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self._order(entry, "/v1/run-start", body)
+        seconds = self.find_transfer_seconds(order.payload)
+        return await self._order(entry, "/v1/run-start", body, seconds)
+
+    def find_transfer_seconds(self, payload: str) -> float:
+        """Return how long the link of this VM needs for a start with a payload."""
+        return find_transfer_seconds(len(payload.encode()), self._link)
 
     async def stop(
         self, entry: WorkerEntry, fence: int, task: str, run: int
@@ -119,9 +140,14 @@
         return await self._order(entry, "/v1/pace", body)
 
     async def _order(
-        self, entry: WorkerEntry, path: str, body: dict[str, Any]
+        self,
+        entry: WorkerEntry,
+        path: str,
+        body: dict[str, Any],
+        transfer_seconds: float = 0.0,
     ) -> OrderAnswer:
-        reply = await self._call(entry, path, body, ORDER_TIMEOUT_SECONDS)
+        timeout = ORDER_TIMEOUT_SECONDS + transfer_seconds
+        reply = await self._call(entry, path, body, timeout)
         if reply.status != 200:
             return OrderAnswer(refusal=self._read_refusal(entry, reply))
         try:
@@ -203,6 +229,36 @@
     async def list_workers(self) -> WorkerListing:
         """Return the workers' current entries; a stale read is not allowed."""
         entries, _ = await list_entries(self._store, WORKERS_PREFIX, whole=False)
+        listing, rejected = self._decode(entries)
+        self._rejections.replace(Source.WORKER_ENTRY, "", rejected)
+        return replace(listing, cordoned=await self._list_cordoned())
+
+    async def read_workers(self, names: Collection[str]) -> WorkerListing:
+        """Return the current entries of some workers; a stale read is not allowed."""
+        cordoned, read = await asyncio.gather(
+            self._list_cordoned(),
+            asyncio.gather(
+                *(self._store.get(WORKERS_PREFIX + name) for name in names),
+                return_exceptions=True,
+            ),
+        )
+        entries = []
+        unread = set()
+        for name, found in zip(names, read, strict=True):
+            if isinstance(found, Failure):
+                unread.add(name)
+            elif isinstance(found, BaseException):
+                raise found
+            elif found is not None:
+                entries.append(found)
+        # The list records what can't be read.
+        listing, _ = self._decode(entries)
+        return replace(listing, cordoned=cordoned, unread=frozenset(unread))
+
+    def _decode(
+        self, entries: Sequence[Entry]
+    ) -> tuple[WorkerListing, dict[str, Unreadable]]:
+        """Return the readable entries and the rejections by key."""
         pools = self._find_pools() if self._find_pools is not None else None
         found: list[WorkerEntry] = []
         rejected: dict[str, Unreadable] = {}
@@ -211,9 +267,8 @@
                 found.append(read_worker(entry, pools))
             except Unreadable as rejection:
                 rejected[entry.key] = rejection
-        self._rejections.replace(Source.WORKER_ENTRY, "", rejected)
         names = frozenset(key.removeprefix(WORKERS_PREFIX) for key in rejected)
-        return WorkerListing(tuple(found), names, await self._list_cordoned())
+        return WorkerListing(tuple(found), names), rejected
 
     async def _list_cordoned(self) -> frozenset[str]:
         """Return the failure domains that are closed to new work."""
