Count only organisations that wait or run in the mean of shares

Organisations whose use had faded stayed in the mean, so that all present ones counted as over their shares and the order did not change. An organisation within its guarantee went last, and one whose work all ran was not preferred for stops. In a pool without accelerators the weights were 0 and the pass raised ZeroDivisionError. An earlier owner's use was stored as new again while shares were off.

--- a/features/steps/work_organisation_shares_steps.py
+++ b/features/steps/work_organisation_shares_steps.py
@@ -155,6 +155,18 @@
     " takes 2 accelerators"
 )
 def step_stops(context: Any) -> None:
+    stop_for_urgent(context, HOG)
+
+
+@when(
+    "2 tasks of domes and 2 of post run, and urgent work of post beyond its guarantee"
+    " takes 2 accelerators while others wait"
+)
+def step_stops_others(context: Any) -> None:
+    stop_for_urgent(context, "others")
+
+
+def stop_for_urgent(context: Any, waiting: str) -> None:
     state = context.fleet_state
     policy = state.policy
     state.policy = replace(policy, guarantees={SMALL: 0, HOG: 1})
@@ -163,7 +175,7 @@
     running += add_tasks(state, 31, HOG, 2, priority=2)
     run_units(state, running, NOW - 1.0)
     add_tasks(state, 32, SMALL, 2, priority=0)
-    add_tasks(state, 33, HOG, 1, priority=1)
+    add_tasks(state, 33, waiting, 1, priority=1)
     plan(context, NOW)
 
 
@@ -177,15 +189,69 @@
     assert stopped == [HOG, HOG], stopped
 
 
-@when("40 s pass without work")
-def step_pass(context: Any) -> None:
+@given(
+    "domes has used {hog:d} accelerators and post {small:d} lately, and eight others"
+    " long ago"
+)
+def step_former(context: Any, hog: int, small: int) -> None:
+    shares = context.fleet_state.shares
+    former = {f"former{number}": 1e-6 for number in range(8)}
+    shares.uses = {"engine": {HOG: hog / 16, SMALL: small / 16, **former}}
+    shares.updated_at = NOW
+
+
+@when("a task of domes and one of post wait")
+def step_wait_one_each(context: Any) -> None:
+    wait_for(context, (HOG, 1), (SMALL, 1))
+
+
+@then("only domes is over its share")
+def step_only(context: Any) -> None:
+    assert set(context.fleet_state.shares.over) == {("engine", HOG)}
+
+
+@given("a pool whose workers have no accelerators")
+def step_no_accelerators(context: Any) -> None:
+    for worker in context.fleet_state.workers.values():
+        capacity = Need(4000, 4000, 0)
+        worker.entry = replace(worker.entry, capacity=capacity)
+
+
+@when("an organisation with a guarantee and two without one wait there")
+def step_wait_plain(context: Any) -> None:
+    step = Step(1, Need(100, 100, 0), 10.0)
+    for number, organisation in enumerate((SMALL, "others", "more")):
+        add_job(
+            context.fleet_state,
+            20 + number,
+            1,
+            (step,),
+            organisation=organisation,
+            now=NOW,
+        )
+    plan(context, NOW)
+
+
+@then("the pass succeeds, and starts all of them")
+def step_all_plain(context: Any) -> None:
+    assert len(context.plan.starts) == 3, context.plan.starts
+
+
+@then("no use is left to store")
+def step_none_left(context: Any) -> None:
+    uses = context.fleet_state.shares.uses
+    assert not uses, uses
+
+
+@when("{seconds:d} s pass without work")
+def step_pass(context: Any, seconds: int) -> None:
     context.fleet_state.finish(
         context.fleet_state.jobs[f"{1:016x}"], JobState.CANCELLED
     )
     for worker in context.fleet_state.workers.values():
         for member in list(worker.members.values()):
             worker.detach(member)
-    update(context, NOW + 40.0)
+    update(context, NOW + seconds)
 
 
 @then("the use of domes is below {most:g}")
--- a/features/work/organisation_shares.feature
+++ b/features/work/organisation_shares.feature
@@ -35,12 +35,50 @@
     When 6 tasks of domes and then 2 of post wait for 4 free accelerators
     Then nobody is over a share
 
+  Scenario: Organisations that neither wait nor run do not count in the mean
+    Guards against former organisations, whose use has faded, that make all others
+    seem to be over their shares.
+    Given domes has used 8 accelerators and post 6 lately, and eight others long ago
+    When a task of domes and one of post wait
+    Then only domes is over its share
+
+  Scenario: An organisation within its guarantee is never over its share
+    Guards against an organisation that goes last with less than it is guaranteed.
+    Given domes has used 0 accelerators and post 3 lately, and eight others long ago
+    When a task of domes and one of post wait
+    Then nobody is over a share
+
+  Scenario: A pool without accelerators has shares as well
+    Guards against a pass that fails where no weight follows from accelerators.
+    Given a pool whose workers have no accelerators
+    When an organisation with a guarantee and two without one wait there
+    Then the pass succeeds, and starts all of them
+
+  Scenario: Use that has faded is forgotten
+    Guards against a record that grows with each organisation and never rests.
+    Given domes has used all accelerators for 10 s
+    When 200 s pass without work
+    Then no use is left to store
+
+  Scenario: Shares that are switched off keep no use
+    Guards against an earlier owner's use that is stored as new again and again.
+    Given domes has used all accelerators for 10 s
+    And equal guarantees
+    When 6 tasks of domes and then 2 of post wait for 4 free accelerators
+    Then no use is left to store
+
   Scenario: Work of an organisation over its share is stopped first
     Guards against stops that fall on whoever uses little.
     Given domes has used all accelerators for 10 s
     When 2 tasks of domes and 2 of post run, and urgent work of post beyond its guarantee takes 2 accelerators
     Then both tasks of domes are stopped for it
 
+  Scenario: Work of an organisation that does not wait itself is stopped first
+    Guards against stops that spare an organisation because all of its work runs.
+    Given domes has used all accelerators for 10 s
+    When 2 tasks of domes and 2 of post run, and urgent work of post beyond its guarantee takes 2 accelerators while others wait
+    Then both tasks of domes are stopped for it
+
   Scenario: Use in the past counts half after ten seconds
     Guards against an organisation that stays behind others for an old burst.
     Given domes has used all accelerators for 10 s
--- a/src/primrosestile/decisions/work/organisation_shares.py
+++ b/src/primrosestile/decisions/work/organisation_shares.py
@@ -8,7 +8,7 @@
 The use of an organisation is its dominant share, the largest of its shares of a pool's
 processor, memory and accelerators, averaged over time. Its weight is its guarantee.
 Nothing waits beside free room for its share, and where one organisation alone waits the
-order does not change.
+order does not change. An organisation within its guarantee is never over its share.
 """
 
 import math
@@ -29,6 +29,9 @@
 TOLERANCE = 1.25
 # Time between two updates, so that few passes pay for one.
 UPDATE_SECONDS = 0.5
+# Smaller uses of organisations that run nothing are forgotten, so that the record stays
+# small and is not written while the fleet is idle.
+MIN_USE = 0.001
 # Factor on the cost of stopping work of an organisation that is over its share.
 OVER_SHARE_COST_FACTOR = 0.5
 
@@ -43,7 +46,8 @@
     Attributes:
         use: Its dominant share, averaged over time.
         weight: In accelerators.
-        share: Use per weight, as a multiple of the mean of the pool's organisations.
+        share: Use per weight, as a multiple of the mean of the organisations that wait
+            or run in the pool.
     """
 
     use: float
@@ -65,6 +69,8 @@
     uses: Uses = field(default_factory=dict)
     over: dict[tuple[str, str], PoolUse] = field(default_factory=dict)
     updated_at: float = -math.inf
+    # Organisations that ran in each pool at the last update.
+    _running: dict[str, set[str]] = field(default_factory=dict)
 
     def update(
         self,
@@ -82,6 +88,8 @@
             now: On the loop's clock.
         """
         if not self.switch.is_on(policy):
+            # An earlier owner's use would be stored again with the present time.
+            self.uses = {}
             self.over = {}
             return
         if now - self.updated_at >= UPDATE_SECONDS:
@@ -91,11 +99,14 @@
         for unit in waiting:
             organisation = unit.job.submission.organisation
             competing.setdefault(unit.pool, set()).add(organisation)
+        competing = {pool: names for pool, names in competing.items() if len(names) > 1}
+        if not competing:
+            return
         capacities = _sum_capacities(workers)
         for pool, organisations in competing.items():
-            if len(organisations) > 1 and pool in capacities:
-                accelerators = capacities[pool].accelerators
-                self._find_over(policy, pool, organisations, accelerators)
+            if pool in capacities:
+                names = organisations | self._running.get(pool, set())
+                self._find_over(policy, pool, names, capacities[pool].accelerators)
 
     def is_over(self, unit: Unit) -> bool:
         """Whether a unit's organisation is over its share of the unit's pool."""
@@ -125,30 +136,42 @@
         added = 1.0 - kept
         self.updated_at = now
         current = _find_dominant_shares(workers)
+        self._running = {pool: set(running) for pool, running in current.items()}
         uses: Uses = {}
         for pool in {*self.uses, *current}:
             before = self.uses.get(pool, {})
             running = current.get(pool, {})
-            uses[pool] = {
+            averages = {
                 name: kept * before.get(name, 0.0) + added * running.get(name, 0.0)
                 for name in {*before, *running}
             }
+            remembered = {
+                name: use
+                for name, use in averages.items()
+                if use >= MIN_USE or name in running
+            }
+            if remembered:
+                uses[pool] = remembered
         self.uses = uses
 
     def _find_over(
-        self, policy: Policy, pool: str, waiting: set[str], accelerators: int
+        self, policy: Policy, pool: str, names: set[str], accelerators: int
     ) -> None:
+        """Decide who of the organisations that wait or run is over its share."""
         uses = self.uses.get(pool, {})
-        relative = {
-            name: uses.get(name, 0.0) / find_weight(policy, name, accelerators)
-            for name in {*uses, *waiting}
+        # Weights would be 0 in a pool without accelerators.
+        weights = {
+            name: find_weight(policy, name, max(1, accelerators)) for name in names
         }
+        relative = {name: uses.get(name, 0.0) / weights[name] for name in names}
         mean = sum(relative.values()) / len(relative)
-        for name in waiting:
+        for name in sorted(names):
+            guarantee = policy.guarantees.get(name, 0)
+            if accelerators and uses.get(name, 0.0) * accelerators <= guarantee:
+                continue
             if relative[name] > TOLERANCE * mean > 0:
-                weight = find_weight(policy, name, accelerators)
                 share = relative[name] / mean
-                self.over[pool, name] = PoolUse(uses[name], weight, share)
+                self.over[pool, name] = PoolUse(uses[name], weights[name], share)
 
 
 def make_organisation_shares(switch: Switch) -> OrganisationShares:
