Keep tasks off workers where they failed in both speed groups

A patient task that had failed on all workers of the slow group started there again although fast workers were free: whether other workers can hold a unit was judged within one group.

--- a/features/steps/work_speed_groups_steps.py
+++ b/features/steps/work_speed_groups_steps.py
@@ -136,6 +136,15 @@
     plan(context)
 
 
+@when("a single task of priority 2 that failed on all slow workers waits")
+def step_failed(context: Any) -> None:
+    step = Step(1, Need(100, 100, 1), estimate_seconds=4.0)
+    add_job(context.fleet_state, 1, 2, (step,), now=NOW)
+    (unit,) = context.fleet_state.jobs[f"{1:016x}"].units.values()
+    unit.failed_on = type(unit.failed_on)(SLOW)
+    plan(context)
+
+
 @when("{count:d} single tasks of priority 2 with {each:d} accelerators wait")
 def step_singles(context: Any, count: int, each: int) -> None:
     step = Step(count, Need(100, 100, each), estimate_seconds=4.0)
--- a/features/work/speed_groups.feature
+++ b/features/work/speed_groups.feature
@@ -43,6 +43,12 @@
     When 12 single tasks of priority 2 with 1 accelerators wait
     Then they start on slow workers
 
+  Scenario: A task that failed on the slow workers goes to a fast one
+    Guards against a task that uses up its attempts where it failed before, since no
+    other worker is of the same group.
+    When a single task of priority 2 that failed on all slow workers waits
+    Then it starts on fast workers
+
   Scenario: Work is stopped for an urgent gang on the fast workers
     Guards against stopping work on slow workers, where the gang would be late all the
     same. That on the slow ones has just begun, so by cost alone it would be stopped.
--- a/src/primrosestile/decisions/work/group_placement.py
+++ b/src/primrosestile/decisions/work/group_placement.py
@@ -147,7 +147,7 @@
         if unit.step.daemon or not self._groups.slow:
             return place(unit, rooms, self._now, seconds, slow, locality_wait)
         long = seconds * self._groups.slow_factor
-        fast_rooms, slow_rooms = self._split(rooms)
+        fast_rooms, slow_rooms = self._split(unit, rooms)
         choices = [(fast_rooms, seconds), (slow_rooms, long)]
         if _is_patient(unit):
             choices.reverse()
@@ -168,7 +168,7 @@
         """Return the group in which a unit could end first, or all rooms."""
         if not self._groups.slow or unit.step.daemon or _is_patient(unit):
             return rooms
-        fast_rooms, slow_rooms = self._split(rooms)
+        fast_rooms, slow_rooms = self._split(unit, rooms)
         slow_reserved = [each in slow_rooms for each in unit.reserved_workers]
         if slow_reserved and len(set(slow_reserved)) == 1:
             # Reservations stay where they are.
@@ -193,13 +193,17 @@
         """Return the fast group and then all, or all if it can't hold the unit."""
         if not self._groups.slow or unit.step.daemon or _is_patient(unit):
             return (rooms,)
-        fast_rooms, _ = self._split(rooms)
+        fast_rooms, _ = self._split(unit, rooms)
         if not _could_host(unit, fast_rooms, self._now):
             return (rooms,)
         return (fast_rooms, rooms)
 
-    def _split(self, rooms: Rooms) -> tuple[Rooms, Rooms]:
+    def _split(self, unit: Unit, rooms: Rooms) -> tuple[Rooms, Rooms]:
         slow = self._groups.slow
+        if unit.failed_on:
+            # Judged over both groups: one alone may consist of workers where it failed.
+            allowed = find_eligible(unit, rooms, self._now)
+            rooms = {room.worker.name: room for room in allowed}
         fast_rooms = {name: room for name, room in rooms.items() if name not in slow}
         slow_rooms = {name: room for name, room in rooms.items() if name in slow}
         return fast_rooms, slow_rooms
@@ -210,7 +214,7 @@
 
     def _should_wait(self, unit: Unit, rooms: Rooms, mixed: bool = False) -> bool:
         """Whether a unit had better wait for fast workers than start elsewhere now."""
-        fast_rooms, _ = self._split(rooms)
+        fast_rooms, _ = self._split(unit, rooms)
         if not _could_host(unit, fast_rooms, self._now):
             return False
         end = self._find_end(unit, fast_rooms, 1.0)
