Count the age of a load summary from the owner's latest decision

An owner whose list of workers is too old to decide by went on making summaries of its state, each with age 0. Its starts had ceased meanwhile, so the rates in them fell.

--- a/features/steps/work_load_world_steps.py
+++ b/features/steps/work_load_world_steps.py
@@ -13,6 +13,7 @@
 from primrosestile.coordination.work.keys import make_ended_key
 from primrosestile.coordination.work.load_watch import LoadWatch
 from primrosestile.errors import Failure
+from primrosestile.platform.entries import WORKERS_PREFIX
 from primrosestile.platform.policy import POLICY_KEY
 from primrosestile.state.load import LoadSummary
 from primrosestile.state.scheduling import SchedulingSettings, Switch
@@ -251,6 +252,24 @@
     context.world.run(keep())
 
 
+@when("the owner can't read the list of workers for {seconds:g} s")
+def step_owner_undecided(context: Any, seconds: float) -> None:
+    world = context.world
+    context.owner = find_owner_now(context)
+    world.store.faults.unread[context.owner] = WORKERS_PREFIX
+    world.run(asyncio.sleep(seconds))
+
+
+@then("the owner's summary is at least {seconds:g} s old")
+def step_summary_old(context: Any, seconds: float) -> None:
+    async def find() -> LoadSummary | None:
+        return context.world.processes[context.owner].find_load()
+
+    summary = context.world.run(find())
+    assert summary is not None
+    assert summary.age >= seconds, summary.age
+
+
 @when("the store loses the answer to a submission, and its caller gives up")
 def step_lost(context: Any) -> None:
     world = context.world
--- a/features/work/load_admission.feature
+++ b/features/work/load_admission.feature
@@ -131,6 +131,14 @@
     Then the VM accepts a job as before
     And a late summary of the former owner, or an older one, is dropped
 
+  Scenario: The summary of an owner that makes no decisions counts as old
+    Guards against refusals by a summary that was made just now of a state that is
+    seconds old.
+    Given a fleet of 3 workers and 3 processes, with admission control on
+    When the fleet is overloaded until callers of a VM are refused
+    And the owner can't read the list of workers for 5 s
+    Then the owner's summary is at least 3 s old
+
   Scenario: A job that may have been accepted before is never refused
     Guards against a caller who is told that its job was not accepted, which then runs.
     Given a fleet of 3 workers and 3 processes, with admission control on
--- a/src/primrosestile/coordination/work/load_publisher.py
+++ b/src/primrosestile/coordination/work/load_publisher.py
@@ -2,6 +2,10 @@
 
 Nothing is counted or computed while the feature is off. A summary is made at most once
 a second, however many processes ask, so that it takes little of a small owner's time.
+
+Its age counts from the latest pass that made decisions. An owner that makes none, since
+its list of workers or the callers' requests are too old, knows the fleet only as it was
+then, however late its summary is computed.
 """
 
 import math
@@ -35,10 +39,13 @@
         self._history: LoadHistory | None = None
         self._summary: LoadSummary | None = None
         self._made_at = -math.inf
+        # The latest pass with decisions, and the one before the summary.
+        self._decided_at = -math.inf
+        self._state_at = -math.inf
         self._revision = 0
 
     def record_pass(self, started: Iterable[Unit]) -> None:
-        """Count what a pass starts."""
+        """Count what a pass that makes decisions starts."""
         if not self._switch.is_on(self._fleet_state.policy):
             self._history = self._summary = None
             return
@@ -46,6 +53,7 @@
         if self._history is None:
             self._history = LoadHistory(now)
         self._history.record_starts(started, now)
+        self._decided_at = now
 
     def find_summary(self) -> LoadSummary | None:
         """Return the summary; None while it is off, or another owner may exist."""
@@ -55,6 +63,7 @@
         if self._summary is None or now - self._made_at >= SUMMARY_SECONDS:
             self._revision += 1
             self._made_at = now
+            self._state_at = self._decided_at
             self._summary = summarise_load(
                 self._fleet_state,
                 self._durations,
@@ -63,4 +72,4 @@
                 self._term.fence,
                 self._revision,
             )
-        return msgspec.structs.replace(self._summary, age=now - self._made_at)
+        return msgspec.structs.replace(self._summary, age=now - self._state_at)
--- a/src/primrosestile/state/load.py
+++ b/src/primrosestile/state/load.py
@@ -77,7 +77,7 @@
     Attributes:
         fence: Of the owner that made it.
         revision: Increases with each summary of one owner.
-        age: Seconds since it was made, when it was sent.
+        age: Seconds since its owner last decided by the state in it, when it was sent.
         queues: By name.
         pools: By name.
         urgent: By organisation.
