Don't resign for one failed read of the list while the state is loaded

An owner that loads its state reads all jobs again before the next read of the list. Over a slow link that took longer than the limit of the list's silence, so one lost read made it resign, and the next owner began from nothing.

--- a/features/steps/work_long_list_steps.py
+++ b/features/steps/work_long_list_steps.py
@@ -9,6 +9,8 @@
 from features.steps.work_steps import make_id
 
 from primrosestile.clock import read_clock
+from primrosestile.coordination.work.list_freshness import ListFreshness
+from primrosestile.decisions.work.owner_health import MAX_LIST_SILENCE_SECONDS
 from primrosestile.platform.entries import WORKERS_PREFIX
 from primrosestile_standin.fleet_script import Script
 
@@ -42,6 +44,28 @@
     world.run(fail())
 
 
+@when(
+    "{count:d} reads of the first list fail, with {seconds:g} s of loading after each"
+)
+def step_first_reads_fail(context: Any, count: int, seconds: float) -> None:
+    async def fail() -> None:
+        freshness = ListFreshness()
+        for _ in range(count):
+            freshness.note_asked()
+            await asyncio.sleep(1.0)
+            freshness.note_failed()
+            await asyncio.sleep(seconds)
+        context.list_silence = freshness.silence
+
+    context.world.run(fail())
+
+
+@then("the list {counts} as silent")
+def step_list_silent(context: Any, counts: str) -> None:
+    silent = context.list_silence > MAX_LIST_SILENCE_SECONDS
+    assert silent is (counts == "counts"), context.list_silence
+
+
 @given("job {name} of {tasks:d} tasks of {seconds:g} s is handed in at p1")
 def step_small_tasks(context: Any, name: str, tasks: int, seconds: float) -> None:
     job_id = make_id(name)
--- a/features/work/slow_owner.feature
+++ b/features/work/slow_owner.feature
@@ -76,6 +76,19 @@
     Then another process schedules within 15 s
     And job e10 is shown at another process as completed within 10 s
 
+  Scenario Outline: The list of workers can't be read while an owner loads its state
+    Guards against an owner that resigns after one lost read: it reads all jobs again
+    before the next read of the list, and the next owner would begin from nothing.
+    When <count> reads of the first list fail, with <seconds> s of loading after each
+    Then the list <counts> as silent
+
+    Examples:
+      | count | seconds | counts         |
+      | 1     | 8       | does not count |
+      | 4     | 8       | does not count |
+      | 5     | 0       | does not count |
+      | 6     | 2       | counts         |
+
   Scenario Outline: The owner's calls to workers go unanswered
     The network between the owner's VM and the workers is broken, and that of no other
     VM. Lease renewals and records get through. Tasks are started and their starts given
--- a/src/primrosestile/coordination/work/list_freshness.py
+++ b/src/primrosestile/coordination/work/list_freshness.py
@@ -23,6 +23,9 @@
 # may have a faster link.
 MAX_AGE_SECONDS = 15.0
 MAX_PAUSE_SECONDS = 4.0
+# An owner that loads its state reads the jobs again after each failed read of the list,
+# for seconds over a slow link. One failure alone must not count for all that time.
+MIN_FAILED_READS = 5
 
 
 class ListFreshness:
@@ -33,7 +36,7 @@
         self._first_asked_at: float | None = None
         self._read_at: float | None = None
         self._read_seconds = 0.0
-        self._failed = False
+        self._failed_reads = 0
 
     def note_asked(self) -> float:
         """Record that a read begins; return the time."""
@@ -51,7 +54,7 @@
 
     def note_failed(self) -> None:
         """Record that a read failed."""
-        self._failed = True
+        self._failed_reads += 1
 
     @property
     def long(self) -> bool:
@@ -83,11 +86,12 @@
     def silence(self) -> float:
         """For how long the list has been too old to decide by, in seconds.
 
-        Before the first list has arrived, only a failed read counts: a long list that
-        is still arriving would only have to be read again by the next owner.
+        Before the first list has arrived, only failed reads count: a long list that is
+        still arriving would only have to be read again by the next owner.
         """
         if self._read_at is None:
-            if not self._failed or self._first_asked_at is None:
+            failing = self._failed_reads >= MIN_FAILED_READS
+            if not failing or self._first_asked_at is None:
                 return 0.0
             return read_clock() - self._first_asked_at
         age_limit = STALE_SECONDS
