--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -98,7 +98,7 @@
     When p1 gets a link of 5 Mbit/s
     And job l7 of 800 tasks with arguments of 4000 bytes is handed in at p1
     And 4 s pass
-    And maintenance is announced on worker w2
+    And on worker w2, maintenance is announced
     Then worker w2 gets no start later than 2 s after that
     And worker w2 had got starts before
 
