Ignore stored speed factors that are no factors

Cause: a foreign factor of 0 would divide by zero when run times are normalised. Change: restore leaves out factors that are not positive and finite.

--- a/src/primrosestile/decisions/work/speeds.py
+++ b/src/primrosestile/decisions/work/speeds.py
@@ -9,6 +9,7 @@
 with the median speed of its members.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from statistics import median
@@ -186,8 +187,12 @@
         return dict(self._factors)
 
     def restore(self, record: Mapping[str, tuple[int, float]]) -> None:
-        """Load the factors of an earlier owner."""
-        self._factors.update(record)
+        """Load the factors of an earlier owner; one that is no factor is left out."""
+        self._factors.update(
+            (worker, (count, factor))
+            for worker, (count, factor) in record.items()
+            if 0 < factor < math.inf
+        )
 
 
 def _is_comparison_due(member: Member) -> bool:
