--- a/features/steps/work_preemption_history_steps.py
+++ b/features/steps/work_preemption_history_steps.py
@@ -79,8 +79,16 @@
     context.fleet_state = make_fleet_state()
     for number in range(count):
         add_worker(context.fleet_state, number, each, rack="r0")
-    # The deployment says nothing of the history, so the length of a stop decides.
-    set_stop_seconds(context.fleet_state, seconds, Switch.AUTO)
+    set_stop_seconds(context.fleet_state, seconds, Switch.ON)
+
+
+@given(
+    "{count:d} workers of {each:d} accelerators that take {seconds:g} s for a stop, and"
+    " no switch set"
+)
+def step_unset(context: Any, count: int, each: int, seconds: float) -> None:
+    step_workers(context, count, each, seconds)
+    context.fleet_state.settings = SchedulingSettings(stop_seconds=seconds)
 
 
 def stop_for_guaranteed(context: Any, number: int, now: float) -> None:
--- a/features/work/preemption_history.feature
+++ b/features/work/preemption_history.feature
@@ -60,3 +60,10 @@
     Then at most half as many units are started four times or more with the history
     And callers get no less than 0.02 below what they get without it
     And guaranteed work starts within 2.7 s with it
+
+  Scenario: By itself the history changes nothing
+    Guards against rules that take effect though the settings don't ask for them.
+    Given 2 workers of 4 accelerators that take 0.9 s for a stop, and no switch set
+    And a normal gang on both workers that was stopped once and runs again for 1 s
+    When an urgent task waits
+    Then the gang is stopped
--- a/src/primrosestile/state/scheduling.py
+++ b/src/primrosestile/state/scheduling.py
@@ -32,7 +32,7 @@
         headroom: Keep room free for urgent work that is expected. `auto`: on where a
             stop takes more than half the slack of the work of some urgent queue.
         preemption_history: Count how often work was stopped before it is stopped again.
-            `auto`: on where the longest stop takes more than 0.5 s.
+            `auto`: off.
         organisation_shares: Share scarce room among organisations. `auto`: on where the
             largest guarantee of an organisation is at least three times the median.
         load_admission: Refuse jobs that can't be served in time. `auto`: on where the
