--- a/features/steps/pages_steps.py
+++ b/features/steps/pages_steps.py
@@ -44,7 +44,7 @@
     text = settingspage.PAGE.read_text()
     for feature in FEATURES:
         line = rf"^\| `scheduling\.{feature}` \|"
-        row = rf"{line} .* \| auto \| \w.*\. \| on where \w.*\. \|$"
+        row = rf"{line} .* \| auto \| \w.*\. \| (on where \w.*|off)\. \|$"
         assert re.search(row, text, re.MULTILINE), feature
 
 
