Rename the records of list reads, and write the change of shares in one place

Cause: names that are not the usual terms, a doubled log call, and a class of one deployment in a help text. Change: names and layout only; the log line keeps its fields.

--- a/features/steps/work_long_list_steps.py
+++ b/features/steps/work_long_list_steps.py
@@ -51,9 +51,9 @@
     async def fail() -> None:
         freshness = ListFreshness()
         for _ in range(count):
-            freshness.note_asked()
+            freshness.record_request()
             await asyncio.sleep(1.0)
-            freshness.note_failed()
+            freshness.record_failure()
             await asyncio.sleep(seconds)
         context.list_silence = freshness.silence
 
--- a/features/work/slow_link.feature
+++ b/features/work/slow_link.feature
@@ -60,7 +60,7 @@
 
   Scenario: The count of waiting jobs fails for all who share it
     Guards against a caller who waits on, or is told a number, when the read that it
-    shares has failed; and against one that comes later and is told of the old failure.
+    shares has failed; and against a later caller who gets the old failure.
     Given a fleet of 1 workers with 8 accelerators in 1 racks
     And the store refuses lists after 0.5 s
     When 3 callers ask together for the number of waiting jobs
--- a/src/primrosestile/coordination/work/list_freshness.py
+++ b/src/primrosestile/coordination/work/list_freshness.py
@@ -38,21 +38,21 @@
         self._read_seconds = 0.0
         self._failed_reads = 0
 
-    def note_asked(self) -> float:
+    def record_request(self) -> float:
         """Record that a read begins; return the time."""
         now = read_clock()
         if self._first_asked_at is None:
             self._first_asked_at = now
         return now
 
-    def note_read(self, asked_at: float) -> bool:
+    def record_read(self, asked_at: float) -> bool:
         """Record a list that was asked for at a time; return if `long` has changed."""
         was_long = self.long
         self._read_at = asked_at
         self._read_seconds = read_clock() - asked_at
         return self.long is not was_long
 
-    def note_failed(self) -> None:
+    def record_failure(self) -> None:
         """Record that a read failed."""
         self._failed_reads += 1
 
--- a/src/primrosestile/coordination/work/scheduler_log.py
+++ b/src/primrosestile/coordination/work/scheduler_log.py
@@ -146,22 +146,19 @@
     over: Mapping[tuple[str, str], PoolUse],
 ) -> None:
     """Log which organisations are over their shares now, or no longer are."""
-    for (pool, organisation), pool_use in over.items():
-        if (pool, organisation) not in before:
-            _log.info(
-                "organisation_over_share",
-                pool=pool,
-                organisation=organisation,
-                over=True,
-                use=round(pool_use.use, 4),
-                weight=pool_use.weight,
-                share=round(pool_use.share, 2),
-            )
-    for pool, organisation in before:
-        if (pool, organisation) not in over:
-            _log.info(
-                "organisation_over_share",
-                pool=pool,
-                organisation=organisation,
-                over=False,
-            )
+    for key in [*before, *over]:
+        pool, organisation = key
+        if key in before and key in over:
+            continue
+        fields = {}
+        if key in over:
+            use = over[key]
+            fields = {"use": round(use.use, 4), "share": round(use.share, 2)}
+            fields["weight"] = use.weight
+        _log.info(
+            "organisation_over_share",
+            pool=pool,
+            organisation=organisation,
+            over=key in over,
+            **fields,
+        )
--- a/src/primrosestile/coordination/work/worker_discovery.py
+++ b/src/primrosestile/coordination/work/worker_discovery.py
@@ -86,14 +86,14 @@
 
     async def refresh(self) -> None:
         """Read the list once."""
-        asked_at = self.freshness.note_asked()
+        asked_at = self.freshness.record_request()
         try:
             found = await self._workers.list_workers()
         except Failure:
-            self.freshness.note_failed()
+            self.freshness.record_failure()
             raise
         entries = found.entries
-        self._note_read(asked_at, len(entries) + len(found.rejected))
+        self._record_read(asked_at, len(entries) + len(found.rejected))
         own = [entry for entry in entries if self._is_own(entry)]
         changed = False
         for entry in own:
@@ -110,11 +110,11 @@
         if changed:
             self._wake()
 
-    def _note_read(self, asked_at: float, entries: int) -> None:
+    def _record_read(self, asked_at: float, entries: int) -> None:
         self._confirmed_at = {
             name: at for name, at in self._confirmed_at.items() if at > asked_at
         }
-        if self.freshness.note_read(asked_at):
+        if self.freshness.record_read(asked_at):
             _log.info(
                 "worker_list_long" if self.freshness.long else "worker_list_short",
                 seconds=round(self.freshness.read_seconds, 2),
--- a/src/primrosestile/programs/cli_jobs.py
+++ b/src/primrosestile/programs/cli_jobs.py
@@ -41,7 +41,7 @@
 
 @app.command(
     epilog="Example: primrosestile job submit --team show-production"
-    " --class starfield-render --seconds 5400 --wait"
+    " --class nightly-render --seconds 5400 --wait"
 )
 def submit(
     team: Annotated[str, typer.Option(help="Your team.")],
