Say in one place since when a unit's caller waits

Cause: the rule for repeating jobs stood in queue_order.rank_unit and again in stop_effects.find_beginning; a change of one would have left the other. Change: find_beginning moves to queue_order, and both use it. No behaviour changes.

--- a/src/primrosestile/decisions/work/queue_order.py
+++ b/src/primrosestile/decisions/work/queue_order.py
@@ -84,6 +84,13 @@
     return job.accepted + find_objective_seconds(job, durations)
 
 
+def find_beginning(unit: Unit) -> float:
+    """Return since when a unit's caller waits: for a repeating job, for this repeat."""
+    if unit.job.submission.repeats.count and unit.ready_at is not None:
+        return unit.ready_at
+    return unit.job.accepted
+
+
 def rank_unit(
     unit: Unit,
     now: float,
@@ -96,9 +103,7 @@
     if unit.step.daemon:
         return Rank(entitled, False, job.queue.priority, 0.0, daemon=True)
     objective = find_objective_seconds(job, durations)
-    began = job.accepted
-    if job.submission.repeats.count and unit.ready_at is not None:
-        began = unit.ready_at
+    began = find_beginning(unit)
     left = durations.guess_unit(unit)
     return Rank(
         entitled=entitled,
--- a/src/primrosestile/decisions/work/stop_effects.py
+++ b/src/primrosestile/decisions/work/stop_effects.py
@@ -13,6 +13,7 @@
 from primrosestile.decisions.work.preemption import RESTART_SECONDS
 from primrosestile.decisions.work.queue_order import (
     USELESS_AFTER_OBJECTIVES,
+    find_beginning,
     find_objective_seconds,
 )
 from primrosestile.decisions.work.units import Job, MemberState, Unit
@@ -136,10 +137,3 @@
             for before in step.after:
                 tails[before] = max(tails[before], seconds)
         return tuple(tails)
-
-
-def find_beginning(unit: Unit) -> float:
-    """Return since when a unit's caller waits: for a repeating job, for this repeat."""
-    if unit.job.submission.repeats.count and unit.ready_at is not None:
-        return unit.ready_at
-    return unit.job.accepted
