--- a/review/standin.py
+++ b/review/standin.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -276,9 +276,10 @@
         born: Unix milliseconds of the start of the present life.
     """
 
-    def __init__(self, platform: "Platform", number: int) -> None:
+    def __init__(self, platform: "Platform", number: int, kind: str = "a") -> None:
         self._platform = platform
         self.machine = number
+        self.kind = kind
         self.life = 0
         self.name = ""
         self.address = ""
@@ -361,7 +362,7 @@
             "state": "ready",
             "cold_left_ms": 0,
             "capacity": {"cpu": 64000, "mem_mb": 131072, "gpu": 8},
-            "labels": ["a", "r1-1"],
+            "labels": [self.kind, "r1-1"],
             "clock_ms": self.read_clock(),
             "seq": self._seq,
         }
@@ -630,7 +631,12 @@
         self._runners: list[Any] = []
 
     async def set_up(
-        self, workers: int, nodes: int, bounds: dict[str, Any], attempts: int = 3
+        self,
+        workers: int,
+        nodes: int,
+        bounds: dict[str, Any],
+        attempts: int = 3,
+        kinds: Sequence[str] = (),
     ) -> None:
         """Start the store, the workers and the system's processes."""
         self.session = aiohttp.ClientSession()
@@ -638,7 +644,7 @@
         runner, port = await listen(self.store.make_app())
         self._runners.append(runner)
         for number in range(workers):
-            worker = Worker(self, number)
+            worker = Worker(self, number, kinds[number] if kinds else "a")
             self.workers.append(worker)
             await worker.start()
             self._tasks.append(asyncio.create_task(worker.beat()))
@@ -714,9 +720,19 @@
         self.record.note(f"{what}: {answer.status}{told}")
         return answer
 
-    async def submit(self, queue: str, steps: list[dict[str, Any]]) -> str:
+    def draw_id(self) -> str:
+        """Return a new job's id."""
+        return f"{random.getrandbits(64):016x}"
+
+    def was_started(self, job: str) -> bool:
+        """Whether any task of a job was ever started."""
+        return any(task.startswith(job + ".") for _, task, _, _ in self.starts)
+
+    async def submit(
+        self, queue: str, steps: list[dict[str, Any]], job: str = ""
+    ) -> str:
         """Submit a job until it is accepted, under one id; return the id."""
-        job = f"{random.getrandbits(64):016x}"
+        job = job or self.draw_id()
         path = f"/{queue}/{job}"
         for _ in range(8):
             answer = await self.call("POST", path, {"spec": "work", "steps": steps})
