--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,10 @@
-"""The workers of one kind are lost while many jobs wait for that kind."""
+"""The scheduling process is killed while many jobs are being cancelled."""
 
 import asyncio
+import os
+import random
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -9,67 +12,96 @@
 
 from standin import CannotRunError, Platform, Record, run_case  # noqa: E402
 
-BOUNDS = {"stop_timeout_ms": 200, "contact_ms": 4000, "max_hold_ms": 10000}
-WORKERS = 8
-RARE_KIND = "b"
-# Of the queue with priority 1. All of them together fit on the worker of that kind.
-RARE_JOBS = 240
-RARE_JOBS_PER_SECOND = 6.0
-RARE_STEP = {
-    "count": 1,
-    "cpu": 100,
-    "mem_mb": 100,
-    "estimate_ms": 600000,
-    "constraints": RARE_KIND,
-}
-# Of the queue with priority 2; any worker will do.
-PLAIN_JOBS = 10
-PLAIN_STEP = {"count": 2, "cpu": 4000, "mem_mb": 4000, "gpu": 1, "estimate_ms": 1000}
-RARE_SECONDS = 600.0
-PLAIN_SECONDS = 1.0
-# `finish_s` after the end of the traffic, then 3 s.
-FINISH_SECONDS = 14.0
-IDLE_SECONDS = 3.0
+CONTACT_SECONDS = 3.0
+CANCEL_SECONDS = 3.0
+STOP_SECONDS = 0.4
+BOUNDS = {"stop_timeout_ms": 400, "contact_ms": 3000, "cancel_ms": 3000}
+WORKERS = 24
+# Tasks work far longer than the script.
+TASK_SECONDS = 600.0
+JOBS = 240
+# A quarter of all, as when a share of 0.25 of the clients gives up.
+CANCELLED = 60
+CANCELLED_WITHIN_SECONDS = 1.0
+STEP = {"count": 2, "cpu": 4000, "mem_mb": 4000, "gpu": 1, "estimate_ms": 600000}
+KILLS = int(os.environ.get("KILLS", "3"))
 
 
 async def case(record: Record, trouble: bool) -> list[str]:
-    """Return the jobs of which nothing runs though nearly all workers are idle."""
-    plain: list[str] = []
-
-    def find_seconds(task: str) -> float:
-        return PLAIN_SECONDS if task.split(".")[0] in plain else RARE_SECONDS
-
-    platform = Platform(record, find_seconds)
+    """Return the tasks that work on though their job's cancelling is long past."""
+    platform = Platform(record, lambda task: TASK_SECONDS)
     try:
-        await platform.set_up(
-            workers=WORKERS, nodes=3, bounds=BOUNDS, kinds=["a"] * 7 + [RARE_KIND]
-        )
-        if trouble:
-            await platform.workers[-1].crash()
-        for _ in range(RARE_JOBS):
-            await platform.submit("usual", [RARE_STEP])
-            await asyncio.sleep(1 / RARE_JOBS_PER_SECOND)
-        for _ in range(PLAIN_JOBS):
-            plain.append(platform.draw_id())
-            await platform.submit("patient", [PLAIN_STEP], plain[-1])
-        await asyncio.sleep(FINISH_SECONDS)
-        idle = set(plain)
-        until = record.now() + IDLE_SECONDS
-        while record.now() < until:
-            idle = {job for job in idle if not platform.was_started(job)}
-            await asyncio.sleep(0.1)
-        states = {job: await platform.read_state("patient", job) for job in plain}
-        if not trouble and len(platform.starts) < RARE_JOBS:
-            raise CannotRunError("the worker of the rare kind did not get its jobs")
-        used = sum(len(worker.runs) for worker in platform.workers if worker.up)
-        return [
-            f"of job {job}, shown as {states[job]}, nothing has been started for "
-            f"{FINISH_SECONDS + IDLE_SECONDS:g} s; {used} tasks run on the 7 workers"
-            for job in sorted(idle)
-        ]
+        await platform.set_up(workers=WORKERS, nodes=3, bounds=BOUNDS)
+        jobs = set(await submit_all(platform))
+        await asyncio.sleep(2)
+        broken: list[str] = []
+        for _ in range(KILLS):
+            cancelled, found = await play_round(platform, jobs, trouble)
+            jobs -= cancelled
+            broken += found
+        return broken
     finally:
         await platform.close()
 
 
+async def submit_all(platform: Platform) -> list[str]:
+    """Submit more jobs than there is room for."""
+    slots = asyncio.Semaphore(8)
+
+    async def submit() -> str:
+        async with slots:
+            return await platform.submit("patient", [STEP])
+
+    return list(await asyncio.gather(*(submit() for _ in range(JOBS))))
+
+
+async def play_round(
+    platform: Platform, open_jobs: set[str], trouble: bool
+) -> tuple[set[str], list[str]]:
+    """Cancel a part of the running jobs, with a kill in the middle.
+
+    Returns:
+        The cancelled jobs, and what works on of them when all has long been calm.
+    """
+    running = [job for job in open_jobs if platform.list_running(job)]
+    owner = platform.find_owner()
+    if owner is None or len(running) < CANCELLED:
+        raise CannotRunError(f"{len(running)} jobs run")
+    others = [node for node in platform.nodes if node is not owner]
+    jobs = random.sample(running, CANCELLED)
+    acknowledged: dict[str, float] = {}
+
+    async def cancel(job: str) -> None:
+        await asyncio.sleep(random.uniform(0, CANCELLED_WITHIN_SECONDS))
+        for _ in range(10):
+            path = f"/patient/{job}"
+            answer = await platform.call("DELETE", path, node=random.choice(others))
+            if answer.status in (200, 410):
+                acknowledged[job] = time.monotonic()
+                return
+            await asyncio.sleep(0.3)
+
+    cancelling = [asyncio.create_task(cancel(job)) for job in jobs]
+    if trouble:
+        await asyncio.sleep(CANCELLED_WITHIN_SECONDS / 2)
+        await owner.end()
+        await asyncio.sleep(1.0)
+        await owner.start()
+    await asyncio.gather(*cancelling)
+    # All is calm from here on: `contact_ms`, then `cancel_ms` and `stop_timeout_ms`.
+    await asyncio.sleep(CONTACT_SECONDS + CANCEL_SECONDS + STOP_SECONDS + 3.0)
+    broken = [
+        f"{run.task} run {run.run} works on, on {worker.name}, "
+        f"{time.monotonic() - acknowledged[job]:.1f} s after the cancelling of its job "
+        f"was acknowledged"
+        for job in jobs
+        if job in acknowledged
+        for worker, run in platform.list_running(job)
+    ]
+    for job in sorted({each.split(".")[0] for each in broken}):
+        await platform.read_state("patient", job)
+    return set(jobs), broken
+
+
 if __name__ == "__main__":
     sys.exit(run_case(case, FOLDER))
--- a/review/standin.py
+++ b/review/standin.py
@@ -304,6 +304,7 @@
         self._acknowledged = 0
         self._ended = asyncio.Event()
         self._last_beat = -100.0
+        self._leaves_at: float | None = None
 
     async def start(self) -> None:
         """Listen, and register with the next heartbeat."""
@@ -332,6 +333,15 @@
         self._ended.set()
         await self._runner.cleanup()
 
+    async def leave(self, notice: float) -> None:
+        """Announce that the worker leaves, and leave with all that runs there."""
+        self._leaves_at = time.monotonic() + notice
+        self._platform.store.put(f"servers/{self.name}", self._make_entry())
+        self._platform.record.note(f"worker {self.name} leaves in {notice:g} s")
+        await asyncio.sleep(notice)
+        await self.crash()
+        self._platform.store.remove(f"servers/{self.name}")
+
     async def restart(self) -> None:
         """Begin a new life at the same address."""
         self._begin_life()
@@ -366,6 +376,9 @@
             "clock_ms": self.read_clock(),
             "seq": self._seq,
         }
+        if self._leaves_at is not None:
+            left = max(0, int((self._leaves_at - time.monotonic()) * 1000))
+            entry |= {"state": "draining", "remaining_ms": left}
         return entry | ({"born": self.born} if self._platform.same_ids else {})
 
     def read_clock(self) -> int:
