--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps exec python3 -B review/1/case.py
+export PYTHONPATH=target/deps
+python3 -B -c 'import aiohttp' || exit 2
+exec python3 -B review/1/case.py
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,12 +19,12 @@
 WORKERS = 24
 # Tasks work far longer than the script.
 TASK_SECONDS = 600.0
-JOBS = 240
-# A quarter of all, as when a share of 0.25 of the clients gives up.
+JOBS = 400
+# Fewer than a quarter of all, as when some of the clients give up.
 CANCELLED = 60
 CANCELLED_WITHIN_SECONDS = 1.0
 STEP = {"count": 2, "cpu": 4000, "mem_mb": 4000, "gpu": 1, "estimate_ms": 600000}
-KILLS = int(os.environ.get("KILLS", "3"))
+KILLS = int(os.environ.get("KILLS", "5"))
 
 
 async def case(record: Record, trouble: bool) -> list[str]:
--- a/review/standin.py
+++ b/review/standin.py
@@ -893,12 +893,13 @@
             disruption takes place.
         folder: Holds `record.txt`.
     """
+    # Whatever goes wrong with the case itself must not look like a broken rule.
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.note(f"trouble={int(trouble)}")
     try:
         broken = asyncio.run(_limit(case(record, trouble)))
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:
         record.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         return 2
