--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,14 +26,14 @@
 
 
 async def case(record: Record, trouble: bool) -> list[str]:
-    """Return the tasks of which nothing runs though most workers are idle."""
+    """Return the jobs of which nothing runs though most workers are idle."""
     platform = Platform(record, lambda task: TASK_SECONDS)
     try:
         await platform.set_up(workers=WORKERS, nodes=3, bounds=BOUNDS)
         jobs = [await platform.submit("patient", [STEP]) for _ in range(JOBS)]
         await asyncio.sleep(2)
         worker = platform.workers[0]
-        lost = [task for task in worker.runs if task.split(".")[0] in jobs]
+        lost = {task.split(".")[0] for task in worker.runs}
         if not lost:
             raise CannotRunError("nothing runs on the worker")
         if trouble:
@@ -53,16 +53,15 @@
         idle = set(lost)
         until = time.monotonic() + IDLE_SECONDS
         while time.monotonic() < until:
-            busy = {run.task for each in platform.workers for run in each.runs.values()}
-            idle = {task for task in idle if task not in busy | platform.done.keys()}
-            await asyncio.sleep(0.1)
-        for job in jobs:
-            await platform.read_state("patient", job)
+            idle = {job for job in idle if not platform.list_running(job)}
+            await asyncio.sleep(0.05)
+        states = {job: await platform.read_state("patient", job) for job in jobs}
         used = sum(len(each.runs) for each in platform.workers if each.up)
         return [
-            f"nothing runs of {task} since its worker left "
+            f"nothing runs of job {job}, shown as {states[job]}; its worker left "
             f"{time.monotonic() - left_at:.0f} s ago; {used} tasks run on the 7 workers"
-            for task in sorted(idle)
+            for job in sorted(idle)
+            if states[job] not in ("completed", "")
         ]
     finally:
         await platform.close()
