Keep what belongs to one start of a worker by that start, not by its id

`born` was read nowhere. The number of the last recorded end, the clock, answered stops and orphans of the former start lived on under the id. Late orders and the lease are ruled out: no order was late there, and the lease was extended all the while.

The name of an incarnation contains its start, so all that is kept by the name belongs to one start: ends, clock, lease, members, records, addresses, crashes, speeds, tickets. `platform` composes the name, calls by the id and compares `born` in each answer. Only an answer ends the former start. An order for it may be carried out by the next one, which has seen no fence: its members move there and their runs are barred before their units run again, and a start that was left unanswered within 12 s outlives the former lease. After a poll without an answer the next one acknowledges nothing. The list's entry of another start only takes new work away. The ids of VM lists and of the advice service are translated.

The stand-in's workers now refuse nothing by name alone: a start under the same id carries out what was sent to the former one, late orders reach it, its clock begins anew, and ends below an acknowledged number are dropped.

Evidence. work/restarts: *Tasks end well on a restarted worker* fails with names without the start; *A start is carried out late by the next start of its worker* fails twice without moving the members, and twice without the wait for unanswered starts. Checks of work, platform, logs and standin: 685 passed.

Left: an acknowledging poll that the former start leaves unanswered and the next one carries out still makes that one drop ends.

--- a/features/doubles/fleet_world.py
+++ b/features/doubles/fleet_world.py
@@ -31,7 +31,7 @@
 from primrosestile.state.policy import Policy
 from primrosestile.state.scheduling import DEFAULT_SETTINGS, SchedulingSettings
 from primrosestile.state.work import JobState, Submission
-from primrosestile.state.workers import WorkerEntry
+from primrosestile.state.workers import WorkerEntry, find_worker_id
 from primrosestile_standin.fleet_calls import FleetCalls
 from primrosestile_standin.fleet_store import FleetStore
 from primrosestile_standin.fleet_vms import FleetVms
@@ -159,7 +159,7 @@
     def end_worker(self, name: str) -> None:
         """End an incarnation of a worker for its VM's maintenance."""
         self.fleet.workers[name].crash()
-        self.store.remove(f"servers/{name}")
+        self.store.remove(f"servers/{find_worker_id(name)}")
 
     def begin_worker(self, vm: str, name: str) -> None:
         """Begin the next incarnation of a worker on a VM."""
@@ -268,12 +268,13 @@
         accelerators: int = 8,
         labels: tuple[str, ...] = (),
         clock_rate: float = 1.0,
+        born: int | None = None,
     ) -> FleetWorker:
-        """Add a worker and write its entry."""
+        """Add a worker and write its entry, with its start if it tells that."""
         address = address or make_address(name)
-        self.list_worker(name, address, rack, accelerators, labels)
-        entry = PlatformEntry(name, address, rack, accelerators, labels).make()
-        return self.fleet.add(entry, clock_rate)
+        shape = PlatformEntry(name, address, rack, accelerators, labels, born=born)
+        self.store.put(f"servers/{name}", shape.encode())
+        return self.fleet.add(shape.make(), clock_rate)
 
     def list_worker(
         self,
@@ -365,6 +366,7 @@
     accelerators: int
     labels: tuple[str, ...]
     failure_domain: str = "leith"
+    born: int | None = None
 
     def encode(self, state: str = "ready") -> bytes:
         """Return the stored value."""
@@ -383,6 +385,7 @@
                 "gpu": self.accelerators,
             },
             "labels": ["a", self.rack, *self.labels],
+            **({} if self.born is None else {"born": self.born}),
         }
         return json.dumps(value).encode()
 
--- a/features/doubles/work_links.py
+++ b/features/doubles/work_links.py
@@ -20,6 +20,7 @@
     OrderAnswer,
     PollAnswer,
     Refusal,
+    Restarted,
     StartOrder,
     WorkerCalls,
 )
@@ -97,7 +98,7 @@
         seen: int,
         until: float | None,
         wait: float,
-    ) -> PollAnswer | Refusal:
+    ) -> PollAnswer | Refusal | Restarted:
         """Poll a worker."""
         return await self._pass(
             entry,
--- a/features/doubles/work_world.py
+++ b/features/doubles/work_world.py
@@ -170,7 +170,11 @@
         # The next incarnation's name may sort before or after the previous one.
         name = name or f"{(self.incarnations * 617) % 997:03d}-{vm}"
         worker = self.add_worker(
-            name, make_address(vm), accelerators=ACCELERATORS, clock_rate=clock_rate
+            name,
+            make_address(vm),
+            accelerators=ACCELERATORS,
+            clock_rate=clock_rate,
+            born=self.incarnations,
         )
         self.serving[vm] = worker
         return name
@@ -179,17 +183,28 @@
         """Crash a worker; its entry stays listed for some seconds."""
         worker = self.serving[vm]
         worker.crash()
-        key = f"servers/{worker.entry.worker}"
-        asyncio.get_running_loop().call_later(listed_for, self.store.remove, key)
-
-    def restart_life(self, vm: str, clock_rate: float = 1.0) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(listed_for, self._remove_entry, vm, worker)
+
+    def _remove_entry(self, vm: str, worker: FleetWorker) -> None:
+        """Remove a former incarnation's entry, unless the next one has its id."""
+        serving = self.serving[vm]
+        worker_id = worker.entry.worker_id
+        if not serving.alive or serving.entry.worker_id != worker_id:
+            self.store.remove(f"servers/{worker_id}")
+
+    def restart_life(
+        self, vm: str, clock_rate: float = 1.0, same_id: bool = False
+    ) -> None:
         """Start the next incarnation on a VM whose worker is down."""
-        if not self.serving[vm].alive:
-            self.start_life(vm, clock_rate)
+        worker = self.serving[vm]
+        if not worker.alive:
+            name = worker.entry.worker_id if same_id else ""
+            self.start_life(vm, clock_rate, name)
 
     def replace_leaving(self, vm: str) -> None:
         """End a worker that has announced that it leaves."""
-        entry = self.store.read(f"servers/{self.serving[vm].entry.worker}")
+        entry = self.store.read(f"servers/{self.serving[vm].entry.worker_id}")
         if entry is not None and b"draining" in entry.value:
             self.crash(vm, listed_for=0.0)
 
@@ -201,9 +216,14 @@
         """Rewrite a worker's own entry."""
         worker = self.serving[vm]
         if worker.alive:
-            name = worker.entry.worker
-            entry = PlatformEntry(name, make_address(vm), "r1", ACCELERATORS, ())
-            self.store.put(f"servers/{name}", entry.encode(state))
+            key = f"servers/{worker.entry.worker_id}"
+            self.store.put(key, self.make_entry(vm).encode(state))
+
+    def make_entry(self, vm: str) -> PlatformEntry:
+        """Return the entry of the incarnation that served a VM last."""
+        name, _, born = self.serving[vm].entry.worker.partition("/")
+        address = make_address(vm)
+        return PlatformEntry(name, address, "r1", ACCELERATORS, (), born=int(born))
 
     # Callers.
 
@@ -273,7 +293,7 @@
         """Overwrite a live worker's own entry."""
         worker = self.serving[vm]
         if worker.alive:
-            self.store.put(f"servers/{worker.entry.worker}", value)
+            self.store.put(f"servers/{worker.entry.worker_id}", value)
 
     # The end of all faults.
 
--- a/features/fuzzing/work.py
+++ b/features/fuzzing/work.py
@@ -3,11 +3,10 @@
 import sys
 from typing import Any
 
-from features.doubles.fleet_world import PlatformEntry, make_address
+from features.doubles.fleet_world import make_address
 from features.doubles.processes import Running
 from features.doubles.work_links import Way
 from features.doubles.work_world import (
-    ACCELERATORS,
     PROCESSES,
     VMS,
     WorkWorld,
@@ -73,12 +72,6 @@
 )
 
 
-def make_entry(vm: str) -> bytes:
-    """Return an entry as the worker itself writes it."""
-    entry = PlatformEntry("", make_address(vm), "r1", ACCELERATORS, ())
-    return entry.encode()
-
-
 class WorkMachine(RuleBasedStateMachine):
     """One run: each rule is an operation or a fault, then time passes."""
 
@@ -324,7 +317,7 @@
     @rule(vm=vms, other=vms, wait=waits)
     def list_other_address(self, vm: str, other: str, wait: float) -> None:
         """Let a live worker's own entry name another address."""
-        good = make_entry(vm)
+        good = self.world.make_entry(vm).encode()
         wrong = good.replace(make_address(vm).encode(), make_address(other).encode())
         self.world.do(self.world.overwrite_entry, vm, wrong)
         self.pass_time(wait)
@@ -332,7 +325,7 @@
     @rule(vm=vms, part=st.sampled_from(FOREIGN_PARTS), wait=waits)
     def list_unreadable(self, vm: str, part: tuple[bytes, bytes], wait: float) -> None:
         """Let a live worker's own entry be one that can't be read."""
-        wrong = make_entry(vm).replace(*part)
+        wrong = self.world.make_entry(vm).encode().replace(*part)
         self.world.do(self.world.overwrite_entry, vm, wrong)
         self.pass_time(wait)
 
@@ -367,6 +360,56 @@
         self.world.do(self.world.restart_life, vm, rate)
         self.pass_time(wait)
 
+    @rule(
+        vm=vms,
+        gap=st.sampled_from((0.0, 0.1, 0.3, 1.0, 3.0, 9.0)),
+        rate=rates,
+        wait=waits,
+    )
+    def restart_under_id(self, vm: str, gap: float, rate: float, wait: float) -> None:
+        """Begin a worker's next start under the id that it had."""
+        if self.world.serving[vm].alive:
+            self.world.do(self.world.crash, vm)
+            self.pass_time(gap)
+        self.world.do(self.world.restart_life, vm, rate, True)
+        self.pass_time(wait)
+
+    @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
+    @rule(
+        vm=vms,
+        shape=shapes,
+        seconds=durations,
+        count=st.integers(1, 4),
+        late=late,
+        moment=moments,
+        gap=st.sampled_from((0.0, 0.1, 1.0, 3.0, 9.0)),
+        kill=st.booleans(),
+        wait=long_waits,
+    )
+    def submit_late_and_restart_under_id(
+        self,
+        vm: str,
+        shape: str,
+        seconds: float,
+        count: int,
+        late: float,
+        moment: float,
+        gap: float,
+        kill: bool,
+        wait: float,
+    ) -> None:
+        """Let starts come late, at the next start of the worker, and change owners."""
+        owner = self.find_process(OWNER)
+        link = self.world.seats[owner].link
+        link.order_ways.extend([Way.LATE] * count)
+        link.late_seconds = late
+        self.hand_in(shape, seconds)
+        self.pass_time(moment)
+        self.restart_under_id(vm, gap, 1.0, 0.0)
+        if kill:
+            self.world.kill_process(owner)
+        self.pass_time(wait)
+
     @precondition(lambda self: len(self.world.jobs) < JOB_LIMIT)
     @rule(vm=vms, shape=shapes, seconds=durations, wait=waits)
     def submit_after_crash(
@@ -395,7 +438,7 @@
     @rule(vm=vms, wait=waits)
     def unlist_or_list(self, vm: str, wait: float) -> None:
         """Let a live worker's entry lapse, or come back."""
-        key = f"servers/{self.world.serving[vm].entry.worker}"
+        key = f"servers/{self.world.serving[vm].entry.worker_id}"
         if self.world.do(self.world.store.read, key) is None:
             self.world.do(self.world.list_state, vm, "ready")
         else:
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -47,6 +47,11 @@
   Scenario: A worker's entry is decoded
     Then a worker's entry gives its rack, capacity and whether it is leaving
 
+  Scenario: Another start of a worker answers under its id
+    Guards against counting the answers of a start that knows nothing of before for the
+    one that a call was meant for; the platform itself tells them apart by id only.
+    Then an answer of another start of a worker is told from that of the expected one
+
   Scenario: A policy is decoded
     Then a stored configuration gives queues, keys, guarantees and limits
     And the longest prefix selects the queue
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -26,7 +26,13 @@
 from primrosestile.platform.workers import PlatformWorkers
 from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.node import Node
-from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
+from primrosestile.protocol.fleet import (
+    OrderAnswer,
+    PollAnswer,
+    Refusal,
+    Restarted,
+    StartOrder,
+)
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import CommitResult, Condition, Write
 from primrosestile.state.policy import Queue
@@ -645,3 +651,44 @@
 @then("the process reports that it is ready")
 def step_ready_http(context: Any) -> None:
     context.platform.runner.run(context.platform.wait_for("/v1/ready", "ready", 200))
+
+
+@then("an answer of another start of a worker is told from that of the expected one")
+def step_other_start(context: Any) -> None:
+    poll: dict[str, Any] = {"clock_ms": 500, "running": [], "ended": []}
+    for born in (7, 8):
+        found = call_start({**poll, "born": born})
+        assert found["id"] == "w1"
+        if born == 7:
+            assert isinstance(found["poll"], PollAnswer)
+            assert found["start"] == OrderAnswer(0.5)
+        else:
+            assert found["poll"] == Restarted("w1/8")
+            assert found["start"] == OrderAnswer(refusal=Refusal.RESTARTED)
+
+
+def call_start(body: dict[str, Any]) -> dict[str, Any]:
+    """Poll and order the start 7 of a worker; every call gets the same answer."""
+    found: dict[str, Any] = {}
+
+    async def answer(request: web.Request) -> web.Response:
+        found["id"] = request.headers["Expect-Instance"]
+        return web.json_response(body)
+
+    async def call() -> None:
+        app = web.Application()
+        app.router.add_post("/v1/hold", answer)
+        app.router.add_post("/v1/run-start", answer)
+        async with serve(app) as address:
+            connections = Connections()
+            entry = PlatformEntry("w1", address, "r1", 8, (), born=7).make()
+            order = StartOrder("00000000000000aa.0.0.0", 1, "x", 500.0)
+            try:
+                workers = PlatformWorkers(connections)
+                found["poll"] = await workers.poll(entry, 7, 0, None, 0.0)
+                found["start"] = await workers.start(entry, 7, order)
+            finally:
+                await connections.close()
+
+    asyncio.run(call())
+    return found
--- a/src/primrosestile/coordination/work/lease_extender.py
+++ b/src/primrosestile/coordination/work/lease_extender.py
@@ -15,7 +15,7 @@
 from primrosestile.coordination.work.worker_clock import ClockReading, WorkerClock
 from primrosestile.coordination.work.worker_links import LEASE_GRACE_SECONDS
 from primrosestile.errors import Failure
-from primrosestile.protocol.fleet import Refusal, WorkerCalls, WorkerList
+from primrosestile.protocol.fleet import PollAnswer, Refusal, WorkerCalls, WorkerList
 from primrosestile.state.workers import WorkerEntry
 
 # Most owners have loaded by then. The former owner extended the leases to 7 s at most
@@ -81,5 +81,5 @@
             return
         if answer is Refusal.FENCE:
             self._term.lost.set()
-        elif not isinstance(answer, Refusal):
+        elif isinstance(answer, PollAnswer):
             clock.note(ClockReading(answer.clock, sent_at, read_clock()))
--- a/src/primrosestile/coordination/work/maintenance.py
+++ b/src/primrosestile/coordination/work/maintenance.py
@@ -295,7 +295,8 @@
         elif answer is MaintenanceAnswer.BEGUN:
             self._ordered[key] = _Ordered(vm.worker, read_clock())
             if known_first:
-                self._fleet_state.drop_worker(vm.worker, Proof.VM_ORDERED)
+                for worker in self._fleet_state.list_incarnations(vm.worker):
+                    self._fleet_state.drop_worker(worker.name, Proof.VM_ORDERED)
             self._wake()
         elif answer is MaintenanceAnswer.NOT_IN_WAVE:
             record = self._records.find(wave)
--- a/src/primrosestile/coordination/work/metered_calls.py
+++ b/src/primrosestile/coordination/work/metered_calls.py
@@ -9,6 +9,7 @@
     OrderAnswer,
     PollAnswer,
     Refusal,
+    Restarted,
     StartOrder,
     WorkerCalls,
 )
@@ -63,7 +64,7 @@
         seen: int,
         until: float | None,
         wait: float,
-    ) -> PollAnswer | Refusal:
+    ) -> PollAnswer | Refusal | Restarted:
         """Extend the lease, acknowledge ends up to `seen`, wait for another end."""
         call = self._calls.poll(entry, fence, seen, until, wait)
         return await self._note(entry, call)
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -198,6 +198,7 @@
                         link.record_silence(failure)
                     else:
                         unanswered = True
+                        member.unanswered_at = sent_at
                     _log.info(
                         "start_unanswered",
                         **name_member(member),
@@ -239,7 +240,8 @@
             self._recorder.request_round()
             return
         self._note_refusal(member, link.worker, answer.refusal)
-        if not unanswered:
+        # Another start of the worker runs it; the link moves the member there.
+        if not unanswered and answer.refusal is not Refusal.RESTARTED:
             self._fleet_state.mark_gone(member, Proof.REFUSED)
         self._fleet_state.abandon(member.unit)
         self._wake()
@@ -326,22 +328,24 @@
                 if await self._send_stop(link, member.task, member.run):
                     link.record_stop_answer(member)
                     await link.poll_now()
-                    await self._wait_until_gone(member)
+                    await self._wait_until_gone(member, link)
                 else:
                     await asyncio.sleep(STOP_RETRY_SECONDS)
         finally:
             self._stopping.discard((member.task, member.run))
 
-    async def _wait_until_gone(self, member: Member) -> None:
+    async def _wait_until_gone(self, member: Member, link: WorkerLink) -> None:
+        """Wait for the end of a run, unless its member moves to another worker."""
         for _ in range(STOP_CHECKS):
-            if member.state is MemberState.GONE:
+            if member.state is MemberState.GONE or member.worker != link.worker.name:
                 return
             await asyncio.sleep(self._stop_repeat_seconds / STOP_CHECKS)
 
     async def _send_stop(self, link: WorkerLink, task: str, run: int) -> bool:
         """Return False if the stop must be sent again.
 
-        That is without an answer, or if the fence is stale or the worker unhealthy.
+        That is without an answer, if the fence is stale or the worker unhealthy, or if
+        another start of the worker has answered: the run is barred there only.
         """
         sent_at = read_clock()
         try:
@@ -361,7 +365,9 @@
             return False
         if answer.refusal is not None:
             _log.info("stop_refused", task=task, run=run, refusal=answer.refusal.value)
-        return answer.refusal is not Refusal.UNHEALTHY
+        if answer.refusal is Refusal.RESTARTED:
+            await link.poll_now()
+        return answer.refusal not in (Refusal.UNHEALTHY, Refusal.RESTARTED)
 
     async def _stop_orphan(self, link: WorkerLink, task: str, run: int) -> None:
         """Stop an orphaned run once; if a poll shows it again, it is stopped again."""
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -256,6 +256,7 @@
             self._wake,
             self._outcomes.record_end,
             self._max_lease_seconds,
+            self._add_worker,
         )
         self._links[name] = link
         tasks.create_task(self._run_link(name, link))
--- a/src/primrosestile/coordination/work/worker_discovery.py
+++ b/src/primrosestile/coordination/work/worker_discovery.py
@@ -222,6 +222,10 @@
             return False
         worker = self._fleet_state.workers.get(entry.worker)
         if worker is None:
+            # An earlier start of the worker gets no new work: the orders would reach
+            # this one. Only its own answer shows that it is over.
+            for earlier in self._fleet_state.list_incarnations(entry.worker_id):
+                _unlist(earlier)
             self._add_new(entry)
             return True
         if entry.leaving and not worker.entry.leaving:
@@ -245,8 +249,7 @@
         goes on: the worker's link still polls it, as when the entry is missing.
         """
         for name in rejected:
-            worker = self._fleet_state.workers.get(name)
-            if worker is not None:
+            for worker in self._fleet_state.list_incarnations(name):
                 _unlist(worker)
 
     def _note_missing(self, present: set[str]) -> None:
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -32,11 +32,12 @@
     EndedTask,
     PollAnswer,
     Refusal,
+    Restarted,
     RunningTask,
     WorkerCalls,
 )
 from primrosestile.state.work import Phase
-from primrosestile.state.workers import EndKind, WorkerEntry
+from primrosestile.state.workers import EndKind, WorkerEntry, make_bare_entry
 
 # A poll without a new end returns after this, well within the lease.
 POLL_SECONDS = 1.0
@@ -70,7 +71,21 @@
         wake: Callable[[], None],
         record_end: Callable[[Member, EndKind], None],
         max_lease_seconds: float,
+        add_worker: Callable[[WorkerEntry], None],
     ) -> None:
+        """Link to one incarnation of a worker.
+
+        Args:
+            worker: The incarnation.
+            calls: Reaches its address, and so any incarnation that serves there.
+            term: The owner's.
+            fleet_state: What runs where.
+            recorder: Stores ends before they are acknowledged.
+            wake: Requests a pass.
+            record_end: Called with each end.
+            max_lease_seconds: The longest lease that the worker grants.
+            add_worker: Called with the entry of a later start of the worker.
+        """
         self.worker = worker
         self.clock = WorkerClock(worker.name, max_lease_seconds)
         self._calls = calls
@@ -79,6 +94,7 @@
         self._recorder = recorder
         self._wake = wake
         self._record_end = record_end
+        self._add_worker = add_worker
         self._numbers = EndNumbers()
         self._pause = 0.0
         # Runs whose stop the worker has answered, and when.
@@ -187,25 +203,37 @@
 
         The first polls at a silent worker don't extend its lease: if a poll that
         arrives late could extend it, the lease could never be considered expired.
+
+        Nor do they acknowledge ends. After a poll without an answer the worker may have
+        started again under its id, and its numbers of ends anew; it would drop its
+        ends up to the acknowledged number before any owner has seen them, and tasks
+        that ended well would run again.
         """
         sent_at = read_clock()
         entry = self.entry
+        acknowledged = self._numbers.seen if self.worker.confirmed else 0
+        self.worker.confirmed = False
         until = self.find_lease_end() if self.worker.acquired else None
         wait = POLL_SECONDS if waiting and until is not None else 0.0
         answer = await self._calls.poll(
-            entry, self._term.fence, self._numbers.seen, until, wait
+            entry, self._term.fence, acknowledged, until, wait
         )
+        if isinstance(answer, Restarted):
+            await self._process_other_incarnation(entry.address, answer.worker)
+            return
         if isinstance(answer, Refusal):
             await self._process_refusal(answer, entry.address)
             return
+        self.worker.confirmed = True
         self._answered_at = read_clock()
         self.worker.record_answer(self._answered_at)
         self._fleet_state.crashes.record_answer(
             entry.address, self.worker.name, self._answered_at
         )
         self.clock.note(ClockReading(answer.clock, sent_at, self._answered_at))
-        if entry.address == self.entry.address:
+        if entry.address == self.entry.address and not self.worker.verified:
             self.worker.verified = True
+            self._end_former_starts()
         await self._process_poll(answer, sent_at)
 
     async def _process_refusal(self, refusal: Refusal, address: str) -> None:
@@ -217,7 +245,9 @@
         else:
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def _process_other_incarnation(self, address: str) -> None:
+    async def _process_other_incarnation(
+        self, address: str, successor: str = ""
+    ) -> None:
         """Consider the incarnation over, if it certainly had this address.
 
         An entry can be wrong: another writer may have overwritten it with the address
@@ -226,6 +256,10 @@
         a second time elsewhere. So the answer counts only from an address that has
         answered an owner as this incarnation; otherwise this waits for a correct entry,
         and at the longest for the end of any lease that an owner can have extended.
+
+        Args:
+            address: Where another incarnation answered.
+            successor: Its name, if it is a later start of the same worker.
         """
         worker = self.worker
         asked_there = worker.verified and address == worker.entry.address
@@ -233,15 +267,30 @@
             _log.info("worker_incarnation_doubted", worker=worker.name, address=address)
             await asyncio.sleep(OTHER_INCARNATION_PAUSE_SECONDS)
             return
-        _log.info(
-            "worker_incarnation_over",
-            worker=worker.name,
-            members=len(worker.members),
-            tasks=list_names(each.task for each in worker.members.values()),
-        )
-        self._fleet_state.drop_worker(worker.name, Proof.INCARNATION_OVER)
+        _log_over(worker, successor)
+        if successor and worker.members:
+            self._process_restart(successor, address)
+        else:
+            self._fleet_state.drop_worker(worker.name, Proof.INCARNATION_OVER)
         self._wake()
 
+    def _end_former_starts(self) -> None:
+        """End other starts of this worker, which has answered as this one."""
+        worker_id = self.entry.worker_id
+        for each in self._fleet_state.list_incarnations(worker_id):
+            if each is not self.worker and each.name != worker_id:
+                _log_over(each, self.worker.name)
+                self._fleet_state.record_restart(each.name, self.worker)
+
+    def _process_restart(self, successor: str, address: str) -> None:
+        """Have the later start of the worker bar what was ordered from this one."""
+        workers = self._fleet_state.workers
+        if successor not in workers:
+            self._add_worker(make_bare_entry(successor, address))
+            # It gets new work once the list has its entry.
+            workers[successor].listed = False
+        self._fleet_state.record_restart(self.worker.name, workers[successor])
+
     async def _process_poll(self, poll: PollAnswer, sent_at: float) -> None:
         self._process_running(poll.running)
         fresh = [each for each in poll.ended if each.number > self._numbers.seen]
@@ -382,3 +431,14 @@
             )
             self._fleet_state.clear_worker(worker, Proof.LEASE_OVER, now, refuses)
             self._wake()
+
+
+def _log_over(worker: Worker, successor: str) -> None:
+    """Log the end of an incarnation, and the start that answered in its place."""
+    _log.info(
+        "worker_incarnation_over",
+        worker=worker.name,
+        successor=successor,
+        members=len(worker.members),
+        tasks=list_names(each.task for each in worker.members.values()),
+    )
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -31,7 +31,16 @@
     UnitKey,
     UnitRecord,
 )
-from primrosestile.state.workers import EndKind, WorkerEntry, make_bare_entry
+from primrosestile.state.workers import (
+    EndKind,
+    WorkerEntry,
+    find_worker_id,
+    make_bare_entry,
+)
+
+# How long after it was sent a worker may still carry out an order that it left
+# unanswered.
+LATE_ORDER_SECONDS = 12.0
 
 
 def _make_fallback_queue(attempts: int) -> Queue:
@@ -69,6 +78,8 @@
         self.headroom = HeadroomState()
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
+        # Names of the incarnations in `workers`, by the worker's id.
+        self._incarnations: dict[str, list[str]] = {}
         self.changed: set[Job] = set()
         self.gone: list[tuple[Member, Proof]] = []
         self.crashes = Crashes(self._give_up)
@@ -180,6 +191,7 @@
         worker = Worker(entry)
         worker.verified = self.verified.get(entry.worker) == entry.address
         self.workers[entry.worker] = worker
+        self._incarnations.setdefault(entry.worker_id, []).append(entry.worker)
         for member in self.unlisted_members.pop(entry.worker, ()):
             if member.state is not MemberState.GONE:
                 worker.attach(member)
@@ -210,7 +222,7 @@
         """Remove a worker whose incarnation or lease has certainly ended."""
         for member in self.unlisted_members.pop(name, []):
             self.mark_gone(member, proof)
-        worker = self.workers.pop(name, None)
+        worker = self._remove_worker(name)
         if worker is None:
             return
         if proof in FINAL_PROOFS:
@@ -220,20 +232,74 @@
         for member in list(worker.members.values()):
             self.mark_gone(member, proof)
 
+    def _remove_worker(self, name: str) -> Worker | None:
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            names = self._incarnations[worker.entry.worker_id]
+            names.remove(name)
+            if not names:
+                del self._incarnations[worker.entry.worker_id]
+        return worker
+
+    def record_restart(self, name: str, successor: Worker) -> None:
+        """Move the members of an incarnation to a later start of its worker.
+
+        Nothing of the former start runs any more. But a start order that was sent to it
+        may be carried out by the later one, which has the same id and has seen no
+        fence. So the units may run again only once their runs are barred there, as
+        after any other start whose outcome is unknown (RUN_BARRED_BEFORE_NEXT). What an
+        earlier owner ordered is settled by the first poll under our fence.
+
+        Args:
+            name: Of the former incarnation.
+            successor: The one that has answered.
+        """
+        worker = self._remove_worker(name)
+        if worker is None:
+            return
+        self._ended[name] = worker.entry.address
+        self.crashes.record_crash(worker)
+        for member in list(worker.members.values()):
+            if member.unit.phase is not Phase.ORDERED:
+                self.mark_gone(member, Proof.INCARNATION_OVER)
+                continue
+            worker.detach(member)
+            member.worker = successor.name
+            member.address = successor.entry.address
+            member.state = MemberState.SENT
+            successor.attach(member)
+            if not member.restored:
+                self.abandon(member.unit)
+            self.changed.add(member.unit.job)
+
+    def list_incarnations(self, worker_id: str) -> list[Worker]:
+        """Return the known incarnations of a worker; at most one of them is up."""
+        return [self.workers[name] for name in self._incarnations.get(worker_id, ())]
+
     def has_ended(self, entry: WorkerEntry) -> bool:
         """Whether an entry is that of an incarnation that is known to have ended."""
         return self._ended.get(entry.worker) == entry.address
 
     def remove_ended(self, present: Collection[str]) -> None:
-        """Remove ended incarnations that are no longer in the list."""
-        for name in [name for name in self._ended if name not in present]:
-            del self._ended[name]
+        """Remove ended incarnations that are no longer in the list.
+
+        Args:
+            present: Names in the list, and ids of workers whose entries can't be read.
+        """
+        self._ended = {
+            name: address
+            for name, address in self._ended.items()
+            if name in present or find_worker_id(name) in present
+        }
 
     def clear_worker(
         self, worker: Worker, proof: Proof, now: float, refuses: bool = False
     ) -> None:
         """Mark all members on a worker as gone; the worker may answer again.
 
+        A start that may still be carried out late stays, if the worker may start again
+        under its id: its next start would carry it out.
+
         Args:
             worker: Whose lease is over.
             proof: Why nothing can be running there.
@@ -244,8 +310,11 @@
             self.crashes.record_crash(worker)
         else:
             self.crashes.record_silence(worker, now)
+        restartable = worker.name != worker.entry.worker_id
         for member in list(worker.members.values()):
-            self.mark_gone(member, proof)
+            late = now - member.unanswered_at < LATE_ORDER_SECONDS
+            if not (restartable and late):
+                self.mark_gone(member, proof)
 
     def find_member(self, task: str, run: int) -> Member | None:
         """Return the member of a unit's latest run, if this is one."""
--- a/src/primrosestile/decisions/work/maintenance.py
+++ b/src/primrosestile/decisions/work/maintenance.py
@@ -16,6 +16,7 @@
 from primrosestile.decisions.work.preemption import compute_cost
 from primrosestile.decisions.work.units import Member, MemberState, Unit, Worker
 from primrosestile.state.maintenance import VmState, Wave, WorkerVm
+from primrosestile.state.workers import find_worker_id
 
 # One VM's maintenance takes 2 s; its worker is listed and acquired again 1.5 s later.
 ROUND_SECONDS = 3.5
@@ -59,7 +60,8 @@
         away: How many of these are not back yet.
         seconds_left: Until the wave's deadline.
         now: On the loop's clock.
-        leaving: Workers whose VMs are in maintenance for any wave, or may soon be.
+        leaving: Ids of workers whose VMs are in maintenance for any wave, or may be
+            soon.
     """
     waiting = [
         vms[name]
@@ -72,7 +74,7 @@
     begin: list[WorkerVm] = []
     drain: list[Worker] = []
     for vm in chosen:
-        worker = fleet_state.workers.get(vm.worker)
+        worker = _find_worker(fleet_state, vm)
         if worker is None or pressed or not _is_worth_waiting(worker):
             begin.append(vm)
         else:
@@ -94,7 +96,7 @@
     """Return the next VMs: those with the least loss that services can spare."""
     chosen: list[WorkerVm] = []
     ranked = sorted(
-        waiting, key=lambda vm: _find_loss(fleet_state.workers.get(vm.worker), now)
+        waiting, key=lambda vm: _find_loss(_find_worker(fleet_state, vm), now)
     )
     for vm in ranked:
         if len(chosen) >= places:
@@ -114,13 +116,23 @@
     Args:
         fleet_state: What runs where.
         vm: The VM.
-        taken: Workers that are away, or go with it.
+        taken: Ids of workers that are away, or go with it.
     """
-    worker = fleet_state.workers.get(vm.worker)
-    silent = {each.name for each in fleet_state.workers.values() if not each.acquired}
+    worker = _find_worker(fleet_state, vm)
+    silent = {
+        each.entry.worker_id
+        for each in fleet_state.workers.values()
+        if not each.acquired
+    }
     return worker is None or _respects_away_limits(worker, silent.union(taken))
 
 
+def _find_worker(fleet_state: FleetState, vm: WorkerVm) -> Worker | None:
+    """Return the incarnation on a VM that takes new work, else any that is known."""
+    found = fleet_state.list_incarnations(vm.worker)
+    return max(found, key=lambda worker: worker.listed, default=None)
+
+
 def _find_loss(worker: Worker | None, now: float) -> tuple[bool, float]:
     if worker is None:
         return (False, 0.0)
@@ -158,7 +170,9 @@
         job = member.unit.job
         others = list(job.list_step(member.unit.key.occurrence, member.unit.key.step))
         away = sum(
-            not _serves(unit) or _is_on(unit, taken) or _is_on(unit, {worker.name})
+            not _serves(unit)
+            or _is_on(unit, taken)
+            or _is_on(unit, {worker.entry.worker_id})
             for unit in others
         )
         if away > step.max_unavailable:
@@ -174,4 +188,4 @@
 
 
 def _is_on(unit: Unit, workers: Collection[str]) -> bool:
-    return any(member.worker in workers for member in unit.members)
+    return any(find_worker_id(member.worker) in workers for member in unit.members)
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -52,6 +52,7 @@
 
     Attributes:
         since: When its run was decided, on the loop's clock.
+        unanswered_at: When its start was last sent without an answer.
         restored: It was ordered by an earlier owner, under a lower fence.
         resumed: It began from a checkpoint, not from the beginning.
         up_at: When its worker first reported that it runs.
@@ -73,6 +74,7 @@
     worker: str
     state: MemberState = MemberState.SENT
     since: float = 0.0
+    unanswered_at: float = -math.inf
     restored: bool = False
     resumed: bool = False
     percent: float = 0.0
@@ -270,6 +272,7 @@
         acquired: It has accepted our fence, and its clock is known.
         listed: It is in the store's list.
         verified: The address of its entry has answered an owner as this incarnation.
+        confirmed: It has answered the latest poll as this incarnation.
         closed: It is being drained for its VM's maintenance.
         cordoned: Operators have cordoned its failure domain.
         quarantined_until: It gets no work before this time, as runs on it failed,
@@ -287,6 +290,7 @@
     acquired: bool = False
     listed: bool = True
     verified: bool = False
+    confirmed: bool = False
     closed: bool = False
     cordoned: bool = False
     quarantined_until: float = 0.0
--- a/src/primrosestile/platform/entries.py
+++ b/src/primrosestile/platform/entries.py
@@ -16,7 +16,7 @@
 from primrosestile.platform.rejections import Fault, Unreadable, decode_json
 from primrosestile.protocol.store import Entry
 from primrosestile.state.work import Need
-from primrosestile.state.workers import WorkerEntry
+from primrosestile.state.workers import WorkerEntry, name_incarnation
 
 # Each worker's entry has its key under this prefix, followed by the worker's name.
 WORKERS_PREFIX = "servers/"
@@ -33,6 +33,8 @@
 ACCELERATORS_LIMIT = 10_000
 # A day. A leaving worker stays for seconds to minutes.
 LEAVING_LIMIT_MS = 86_400_000.0
+# The year 5138.
+START_LIMIT_MS = 100_000_000_000_000
 PORT_LIMIT = 65_535
 # Several times the workers of the largest fleet.
 ADDRESS_CACHE_SIZE = 2048
@@ -42,6 +44,7 @@
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=LEAVING_LIMIT_MS)]
+Start = Annotated[int, msgspec.Meta(ge=0, le=START_LIMIT_MS)]
 
 
 class _Capacity(msgspec.Struct, frozen=True):
@@ -53,11 +56,12 @@
 
 
 class _Server(msgspec.Struct, frozen=True):
-    """A worker's entry; `remaining_ms` is present only while it is leaving.
+    """A worker's entry; `remaining_ms` is present only while it is leaving, and `born`
+    only where a worker may start again under its id.
 
     Fields that are not used here are still required: an entry without them was not
     written by a worker.
-    """
+    """  # noqa: D205
 
     service: _Text
     address: Annotated[str, msgspec.Meta(max_length=100)]
@@ -70,6 +74,7 @@
     capacity: _Capacity
     labels: list[_Text]
     remaining_ms: _Milliseconds = 0.0
+    born: Start | None = None
 
 
 def read_worker(entry: Entry, pools: Collection[str] | None = None) -> WorkerEntry:
@@ -92,7 +97,7 @@
     capacity = server.capacity
     labels = tuple(server.labels)
     return WorkerEntry(
-        worker=name,
+        worker=name_incarnation(name, server.born),
         address=server.address,
         pool=server.service,
         failure_domain=server.zone,
--- a/src/primrosestile/platform/polls.py
+++ b/src/primrosestile/platform/polls.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from primrosestile.platform.entries import Start
 from primrosestile.platform.rejections import Fault, Unreadable, decode_json
 from primrosestile.protocol.fleet import EndedTask, PollAnswer, RunningTask
 from primrosestile.state.workers import EndKind
@@ -31,6 +32,8 @@
     """`running`: task, run, checkpoint, percent, usage. `ended`: number, task, run,
     kind, checkpoint. Rows may gain more fields.
 
+    `born`: when this start of the worker began.
+
     Both lists are required: an absent `running` that counted as empty would mean that
     nothing runs.
     """  # noqa: D205
@@ -38,6 +41,7 @@
     clock_ms: Clock
     running: list[Any]
     ended: list[Any]
+    born: Start | None = None
 
 
 def read_poll(body: bytes) -> tuple[PollAnswer, dict[str, Unreadable]]:
@@ -61,6 +65,7 @@
         tuple(ended),
         complete=not rejected,
         acknowledge_limit=acknowledge_limit,
+        start=answer.born,
     )
     return poll, rejected
 
--- a/src/primrosestile/platform/workers.py
+++ b/src/primrosestile/platform/workers.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.platform.entries import WORKERS_PREFIX, read_worker
+from primrosestile.platform.entries import WORKERS_PREFIX, Start, read_worker
 from primrosestile.platform.polls import Clock, read_poll
 from primrosestile.platform.rejections import (
     Fault,
@@ -23,12 +23,17 @@
     OrderAnswer,
     PollAnswer,
     Refusal,
+    Restarted,
     StartOrder,
     WorkerListing,
 )
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
-from primrosestile.state.workers import WorkerEntry
+from primrosestile.state.workers import (
+    WorkerEntry,
+    find_worker_id,
+    name_incarnation,
+)
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 
 # An order takes a few milliseconds; a worker that carries one out late does not answer
@@ -51,7 +56,10 @@
 
 
 class _Done(msgspec.Struct, frozen=True):
+    """`born`: when the start of the worker that answers began."""
+
     clock_ms: Clock
+    born: Start | None = None
 
 
 class _Refused(msgspec.Struct, frozen=True):
@@ -85,7 +93,7 @@
         acknowledged: int,
         until: float | None,
         wait: float,
-    ) -> PollAnswer | Refusal:
+    ) -> PollAnswer | Refusal | Restarted:
         """Extend the lease, acknowledge ends up to a number, wait for a new end."""
         body: dict[str, Any] = {"fence": fence, "last_seen": acknowledged}
         if until is not None:
@@ -101,7 +109,8 @@
         except Unreadable as rejection:
             raise self._reject(entry, rejection) from rejection
         self._rejections.replace(Source.WORKER_ANSWER, entry.worker, rejected)
-        return poll
+        answering = _find_answering(entry, poll.start)
+        return poll if answering == entry.worker else Restarted(answering)
 
     async def start(
         self, entry: WorkerEntry, fence: int, order: StartOrder
@@ -151,16 +160,19 @@
         if reply.status != 200:
             return OrderAnswer(refusal=self._read_refusal(entry, reply))
         try:
-            return OrderAnswer(decode_json(reply.body, _Done).clock_ms / 1000)
+            done = decode_json(reply.body, _Done)
         except Unreadable as rejection:
             raise self._reject(entry, rejection) from rejection
+        if _find_answering(entry, done.born) != entry.worker:
+            return OrderAnswer(refusal=Refusal.RESTARTED)
+        return OrderAnswer(done.clock_ms / 1000)
 
     async def _call(
         self, entry: WorkerEntry, path: str, body: dict[str, Any], timeout: float
     ) -> Reply:
         headers = {
             "Content-Type": "application/json",
-            "Expect-Instance": entry.worker,
+            "Expect-Instance": entry.worker_id,
         }
         return await self._connections.call(
             entry.address, path, msgspec.json.encode(body), timeout, _KINDS, headers
@@ -193,6 +205,17 @@
         return Failure(ErrorKind.WORKER_UNREACHABLE, f"unreadable answer: {rejection}")
 
 
+def _find_answering(entry: WorkerEntry, start: int | None) -> str:
+    """Return the incarnation that answered a call to an entry's worker.
+
+    The platform tells incarnations apart by id alone, so a later start under the same
+    id carries out what was sent to the former one, and only `born` shows it.
+    """
+    if start is None:
+        return entry.worker
+    return name_incarnation(entry.worker_id, start)
+
+
 def _read_reason(body: bytes) -> Refusal:
     reason = decode_json(body, _Refused).reason
     known = _REASONS.get(reason)
@@ -238,7 +261,10 @@
         cordoned, read = await asyncio.gather(
             self._list_cordoned(),
             asyncio.gather(
-                *(self._store.get(WORKERS_PREFIX + name) for name in names),
+                *(
+                    self._store.get(WORKERS_PREFIX + find_worker_id(name))
+                    for name in names
+                ),
                 return_exceptions=True,
             ),
         )
--- a/src/primrosestile/protocol/fleet.py
+++ b/src/primrosestile/protocol/fleet.py
@@ -51,6 +51,8 @@
             from the answer may still exist.
         acknowledge_limit: Number of the last end before the first unreadable one; None
             when all could be read. Later ends must not be acknowledged.
+        start: When the incarnation that answered began, in milliseconds since 1970;
+            None if it does not say.
     """
 
     clock: float
@@ -58,13 +60,26 @@
     ended: tuple[EndedTask, ...]
     complete: bool = True
     acknowledge_limit: int | None = None
+    start: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Restarted:
+    """The answer of another start of the polled worker, under the same id.
+
+    Attributes:
+        worker: Name of the incarnation that answered.
+    """
+
+    worker: str
 
 
 class Refusal(StrEnum):
     """Why a worker refused an order.
 
     `STALE_RUN`: the run was stopped or superseded, or another run of the task is
-    present. `EXPIRED`: the lease of the start had run out when it arrived.
+    present. `EXPIRED`: the lease of the start had run out when it arrived. `RESTARTED`:
+    no refusal by the worker; another start of it has carried the order out.
     """
 
     FENCE = "fence"
@@ -73,6 +88,7 @@
     ROOM = "room"
     TICKET = "ticket"
     OTHER_INCARNATION = "other life"
+    RESTARTED = "restarted"
     UNHEALTHY = "unhealthy"
     MALFORMED = "malformed"
 
@@ -117,7 +133,7 @@
         acknowledged: int,
         until: float | None,
         wait: float,
-    ) -> PollAnswer | Refusal:
+    ) -> PollAnswer | Refusal | Restarted:
         """Extend the lease, acknowledge ends up to a number, wait for a new end.
 
         Args:
--- a/src/primrosestile/state/maintenance.py
+++ b/src/primrosestile/state/maintenance.py
@@ -20,7 +20,7 @@
     """A VM that runs one incarnation of a worker at a time.
 
     Attributes:
-        worker: The incarnation that runs on it now; empty while there is none.
+        worker: Id of the worker that runs on it now; empty while there is none.
     """
 
     name: str
--- a/src/primrosestile_standin/fleet_calls.py
+++ b/src/primrosestile_standin/fleet_calls.py
@@ -1,7 +1,8 @@
 """One process's calls to the platform's in-memory workers, and their faults.
 
 Calls are routed by address, as on a network: a call for a dead incarnation reaches
-the next one at its address, or nothing. A process's calls share its link.
+the next one at its address, or nothing. A start of the same worker under the same id
+carries out what was sent to the former one. A process's calls share its link.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
     OrderAnswer,
     PollAnswer,
     Refusal,
+    Restarted,
     StartOrder,
 )
 from primrosestile.state.workers import WorkerEntry
@@ -48,7 +50,7 @@
         seen: int,
         until: float | None,
         wait: float,
-    ) -> PollAnswer | Refusal:
+    ) -> PollAnswer | Refusal | Restarted:
         """Extend the lease, acknowledge ends up to `seen`, wait for another end."""
         worker = await self._reach(entry)
         if worker is None:
@@ -72,7 +74,8 @@
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
         poll = worker.make_poll()
         await self._carry(len(poll.running) + len(poll.ended))
-        return poll
+        name = worker.entry.worker
+        return poll if name == entry.worker else Restarted(name)
 
     async def start(
         self, entry: WorkerEntry, fence: int, order: StartOrder
@@ -120,7 +123,9 @@
             return OrderAnswer(refusal=Refusal.OTHER_INCARNATION)
         if worker.faults.late_orders:
             delay = worker.faults.late_orders.pop(0)
-            asyncio.get_running_loop().call_later(delay, execute, worker)
+            asyncio.get_running_loop().call_later(
+                delay, self._execute_late, entry, execute
+            )
             await asyncio.sleep(TIMEOUT_SECONDS)
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "late")
         worker.sweep()
@@ -129,10 +134,12 @@
             worker.faults.lose_answers -= 1
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "lost")
         await self._carry(1, began)
+        if refusal is None and worker.entry.worker != entry.worker:
+            refusal = Refusal.RESTARTED
         return OrderAnswer(worker.report_clock(), refusal)
 
     async def _reach(self, entry: WorkerEntry) -> FleetWorker | None:
-        """Return the incarnation that a call addresses; None if another one answers."""
+        """Return the start that a call reaches; None if another worker answers."""
         await asyncio.sleep(ANSWER_SECONDS)
         worker = self._fleet.find_at(entry.address)
         if worker is None:
@@ -144,7 +151,15 @@
             await asyncio.sleep(TIMEOUT_SECONDS)
             raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
         self._check_resets(worker)
-        return worker if worker.entry.worker == entry.worker else None
+        return worker if worker.entry.worker_id == entry.worker_id else None
+
+    def _execute_late(
+        self, entry: WorkerEntry, execute: Callable[[FleetWorker], Refusal | None]
+    ) -> None:
+        """Carry an order out at whichever start of the worker serves by now."""
+        worker = self._fleet.find_at(entry.address)
+        if worker is not None and worker.entry.worker_id == entry.worker_id:
+            execute(worker)
 
     def _check_resets(self, worker: FleetWorker) -> None:
         if worker.faults.resets:
--- a/src/primrosestile_standin/fleet_ends.py
+++ b/src/primrosestile_standin/fleet_ends.py
@@ -13,6 +13,7 @@
     def __init__(self) -> None:
         self._ended: list[EndedTask] = []
         self._number = 0
+        self._acknowledged = 0
         self._changed = asyncio.Event()
 
     def add(self, task: str, run: int, kind: EndKind, checkpoint: str) -> None:
@@ -30,9 +31,13 @@
         self._changed.set()
 
     def acknowledge(self, seen: int) -> list[EndedTask]:
-        """Remove and return the ends up to a number."""
-        acknowledged = [each for each in self._ended if each.number <= seen]
-        self._ended = [each for each in self._ended if each.number > seen]
+        """Remove and return the ends up to a number, or the highest one so far.
+
+        An end with such a number that comes later is removed as well.
+        """
+        self._acknowledged = last = max(self._acknowledged, seen)
+        acknowledged = [each for each in self._ended if each.number <= last]
+        self._ended = [each for each in self._ended if each.number > last]
         return acknowledged
 
     def show(self, jumps: list[int]) -> tuple[EndedTask, ...]:
--- a/src/primrosestile_standin/fleet_http.py
+++ b/src/primrosestile_standin/fleet_http.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from primrosestile.errors import ErrorKind, Failure
-from primrosestile.protocol.fleet import OrderAnswer, Refusal, StartOrder
+from primrosestile.protocol.fleet import OrderAnswer, PollAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Change, Entry
 from primrosestile.protocol.transactions import Condition, Write
 from primrosestile.state.workers import WorkerEntry
@@ -219,6 +219,9 @@
         )
         if isinstance(poll, Refusal):
             return self._refuse(poll)
+        assert isinstance(poll, PollAnswer), (
+            "workers over HTTP have an id of each start"
+        )
         running = [
             [row.task, row.run, row.checkpoint, row.percent, row.usage]
             for row in poll.running
--- a/src/primrosestile_standin/fleet_worker.py
+++ b/src/primrosestile_standin/fleet_worker.py
@@ -24,6 +24,8 @@
 ANSWER_SECONDS = 0.002
 TIMEOUT_SECONDS = 0.45
 MAX_LEASE_SECONDS = 10.0
+# A worker's clock at its start.
+FIRST_CLOCK_SECONDS = 400.0
 GANG_WAIT_SECONDS = 3.0
 # A capacity before a reduction stays allowed while the new one becomes known: contact
 # with its VM and a heartbeat.
@@ -49,14 +51,15 @@
         self.runs: dict[str, Run] = {}
         self._fleet = fleet
         self._rate = clock_rate
+        self._began = read_clock()
         self._ends = EndList()
         self._barred: dict[str, int] = {}
         # The capacity before the last change, and until when it stays allowed.
         self._old_capacity: tuple[Need, float] | None = None
 
     def read_clock(self) -> float:
-        """Return the worker's own monotonic clock."""
-        return 400.0 + read_clock() * self._rate
+        """Return the worker's own monotonic clock, which begins with its start."""
+        return FIRST_CLOCK_SECONDS + (read_clock() - self._began) * self._rate
 
     def report_clock(self) -> float:
         """Return the clock for an answer, wrong by a clock jump if one is set."""
@@ -87,9 +90,12 @@
             return Refusal.FENCE
         self.fence = fence
         self._extend(until)
+        self._acknowledge(seen)
+        return None
+
+    def _acknowledge(self, seen: int) -> None:
         for each in self._ends.acknowledge(seen):
             self._fleet.record.record_acknowledged(self, each)
-        return None
 
     def _extend(self, until: float | None) -> None:
         if self.read_clock() >= self.until:
@@ -239,6 +245,7 @@
         saved = self._save(run, stopped=kind is EndKind.STOPPED)
         self._ends.add(run.task, run.run, kind, saved)
         self._fleet.record_end(self, run.task, run.run, kind)
+        self._acknowledge(0)
         self._ends.announce()
 
     def _crash_by(self, run: Run) -> None:
