Stop what an earlier owner recorded as ended but could not stop

An owner records a job's final state, and keeps in memory that its runs are to be stopped. `FleetState._restore` took only runs with a counted failure for unwanted; the cancellation is not processed again, as the job is final, and the runs are no orphans, as the record names them. The next owner extended their leases. A lost cancellation is ruled out (its key stands), and so are stops that were answered and not carried out (none reached the workers).

A run that is ordered while its job is in a final state is to be stopped, whoever decided that. `jobs_loaded` logs in `stopping` how many such units there are.

--- a/src/primrosestile/coordination/work/request_watch.py
+++ b/src/primrosestile/coordination/work/request_watch.py
@@ -143,6 +143,11 @@
             jobs=len(self._fleet_state.jobs),
             records=len(progresses),
             unreadable=self.unreadable,
+            stopping=sum(
+                unit.abandoned
+                for job in self._fleet_state.jobs.values()
+                for unit in job.units.values()
+            ),
             seconds=round(read_clock() - asked_at, 3),
         )
 
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -142,7 +142,9 @@
         unit.failure_counted = record.failure_counted
         unit.crashes = {each.position: each for each in record.crashes}
         if unit.phase is Phase.ORDERED:
-            unit.abandoned = record.failure_counted
+            # An earlier owner may have recorded why the run must end, and ended before
+            # its stop arrived.
+            unit.abandoned = record.failure_counted or job.state.final
             self.place_members(unit, record.workers, now)
             for member in unit.members:
                 member.restored = True
