Carry the wait for a lost worker's lease over to the next owner

A new owner doesn't know when the lease of a worker that never answers it was last extended, and waits for the longest time: 8 s of the former owner's grace, 7.2 s of lease, 1 s. That counted from the start of its term, so each change of the owner began it anew, and what the former owner knew was lost. Placement is ruled out (7 idle workers), and so are records and late answers.

Owners share a record of leases. For each silent worker with runs it holds for how long the lease may still last; the next owner counts down from there. For each earlier owner it holds for how long that may still extend leases; each owner enters itself before its first extension, and asks the earlier ones whether they have stopped. A lease that the record may name is not extended; a worker that answers is removed first, under a condition on the record's revision, so that a late write does nothing. Starts are no longer sent to silent workers, as they would extend the lease. The extensions that an owner makes while it loads its state now count; before, a load of over 16 s made a worker that fell silent then count as over at once.

Left: a former owner that never answers again keeps its grace of 8 s; a roll from a version without the record needs workers that can be reached.

--- a/features/doubles/fleet_world.py
+++ b/features/doubles/fleet_world.py
@@ -10,11 +10,13 @@
 
 import looptime
 from features.doubles.load_views import LoadViews
+from features.doubles.owner_views import OwnerViews
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.job_submissions import JobSubmissions
 from primrosestile.coordination.work.keys import OWNER_KEY
+from primrosestile.coordination.work.lease_bounds import LEASE_GRACE_SECONDS
 from primrosestile.coordination.work.load_gate import LoadGate
 from primrosestile.coordination.work.load_watch import LoadWatch
 from primrosestile.coordination.work.policy_watch import PolicyWatch
@@ -206,6 +208,8 @@
                 max_lease_seconds=MAX_LEASE_SECONDS,
                 advice=self.fleet.advice,
                 maintenance=self.vms,
+                owners=OwnerViews(self.find_extending),
+                address=name,
                 settings=self.settings,
             )
             await run_scheduler(process.scheduler)
@@ -345,6 +349,14 @@
 
         await self.wait_for(holds, seconds)
 
+    def find_extending(self, name: str) -> bool | None:
+        """Return whether a process may extend leases; None if it doesn't answer."""
+        process = self.processes.get(name)
+        if process is None or process.task is None or process.task.done():
+            return None
+        term = process.election.term
+        return term is not None and term.may_extend_leases(LEASE_GRACE_SECONDS)
+
     def find_owner(self) -> Process | None:
         """Return the process whose term may act."""
         if self.store.read(OWNER_KEY) is None:
--- a/features/doubles/work_world.py
+++ b/features/doubles/work_world.py
@@ -23,6 +23,7 @@
     make_job_key,
     make_progress_key,
 )
+from primrosestile.coordination.work.lease_bounds import LEASE_GRACE_SECONDS
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY
@@ -147,6 +148,13 @@
         """Kill a process."""
         self.seats[name].machine.kill()
 
+    def find_extending(self, name: str) -> bool | None:
+        """Return whether a process may extend leases; None if it doesn't answer."""
+        if name not in self.find_running():
+            return None
+        term = self.processes[name].election.term
+        return term is not None and term.may_extend_leases(LEASE_GRACE_SECONDS)
+
     def find_running(self) -> list[str]:
         """Return the processes that run."""
         return [
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -52,6 +52,11 @@
     one that a call was meant for; the platform itself tells them apart by id only.
     Then an answer of another start of a worker is told from that of the expected one
 
+  Scenario: An earlier owner is asked whether it has stopped extending leases
+    Guards against counting a lease as over since a process of another version, or none,
+    answered.
+    Then an earlier owner has stopped only if it answers so
+
   Scenario: A policy is decoded
     Then a stored configuration gives queues, keys, guarantees and limits
     And the longest prefix selects the queue
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -39,6 +39,7 @@
 from primrosestile.state.scheduling import SchedulingSettings, Switch
 from primrosestile.state.work import Need
 from primrosestile.transport.connections import Connections, Reply
+from primrosestile.transport.owner_views import HttpOwnerViews
 from primrosestile_standin.fleet_http import AdviceServer, StoreServer, WorkersServer
 from primrosestile_standin.fleet_script import Script
 from primrosestile_standin.fleet_store import FleetStore
@@ -692,3 +693,34 @@
 
     asyncio.run(call())
     return found
+
+
+@then("an earlier owner has stopped only if it answers so")
+def step_has_stopped(context: Any) -> None:
+    assert ask_owner(204)
+    for status in (200, 404, 503):
+        assert not ask_owner(status), status
+    assert not asyncio.run(ask_address(f"127.0.0.1:{find_free_port()}"))
+
+
+def ask_owner(status: int) -> bool:
+    """Ask a process that answers with one status whether it has stopped."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=status)
+
+    async def ask() -> bool:
+        app = web.Application()
+        app.router.add_get("/extends-leases", answer)
+        async with serve(app) as address:
+            return await ask_address(address)
+
+    return asyncio.run(ask())
+
+
+async def ask_address(address: str) -> bool:
+    connections = Connections()
+    try:
+        return await HttpOwnerViews(connections).has_stopped(address)
+    finally:
+        await connections.close()
--- /dev/null
+++ b/features/steps/work_owner_changes_steps.py
@@ -0,0 +1,96 @@
+"""Steps for owners that change while workers are lost."""
+
+import asyncio
+from typing import Any
+
+from behave import then, when
+from features.steps.work_steps import list_running, make_id
+
+from primrosestile.coordination.work.keys import LEASE_BOUNDS_KEY
+from primrosestile_standin.fleet_worker import FleetWorker
+
+
+def find_worker(context: Any, name: str) -> FleetWorker:
+    """Return a worker that runs a task of a job."""
+    job = make_id(name)
+    worker: FleetWorker = next(
+        worker
+        for worker in context.world.fleet.workers.values()
+        if any(task.startswith(job) for task in worker.runs)
+    )
+    return worker
+
+
+@when("a worker that runs {name} is gone with its entry")
+def step_gone(context: Any, name: str) -> None:
+    lose(context, name)
+    context.world.run(remove_entry(context))
+
+
+@when("a worker that runs {name} is gone beside its entry")
+def step_gone_listed(context: Any, name: str) -> None:
+    lose(context, name)
+
+
+def lose(context: Any, name: str) -> None:
+    async def crash() -> None:
+        context.cut = find_worker(context, name)
+        context.cut.crash()
+
+    context.world.run(crash())
+
+
+async def remove_entry(context: Any) -> None:
+    context.world.store.remove(f"servers/{context.cut.entry.worker}")
+
+
+@when("the worker that was cut off is cut off again")
+def step_cut_again(context: Any) -> None:
+    context.cut.faults.cut = True
+
+
+@when(
+    "the scheduling process dies and is back after {down:g} s, {times:d} times"
+    " in {gap:g} s each"
+)
+def step_die_often(context: Any, down: float, times: int, gap: float) -> None:
+    async def change() -> None:
+        world = context.world
+        for _ in range(times):
+            owner = world.find_owner()
+            assert owner is not None, "no process schedules"
+            await world.kill(owner.name)
+            await asyncio.sleep(down)
+            world.add_process(owner.name)
+            await asyncio.sleep(gap - down)
+
+    context.world.run(change())
+
+
+@when("the next {count:d} writes are carried out {seconds:g} s late")
+def step_late(context: Any, count: int, seconds: float) -> None:
+    context.world.store.faults.late_writes = [seconds] * count
+
+
+@when("the record of silent workers is overwritten while the owner changes")
+def step_overwrite(context: Any) -> None:
+    async def overwrite() -> None:
+        world = context.world
+        owner = world.find_owner()
+        await world.kill(owner.name)
+        assert world.store.read(LEASE_BOUNDS_KEY) is not None
+        world.store.put(LEASE_BOUNDS_KEY, b"\x91{")
+        world.add_process(owner.name)
+
+    context.world.run(overwrite())
+
+
+@then("{count:d} tasks of {name} run on other workers")
+def step_run_elsewhere(context: Any, count: int, name: str) -> None:
+    async def check() -> None:
+        context.cut.sweep()
+        running = list_running(context.world, make_id(name))
+        assert len(running) == count, running
+        assert not context.cut.runs
+
+    context.world.run(check())
--- a/src/primrosestile/coordination/work/keys.py
+++ b/src/primrosestile/coordination/work/keys.py
@@ -23,6 +23,8 @@
 ENDED_PREFIX = "ended/"
 # The owner's statistics of run times and worker speeds.
 STATISTICS_KEY = "learned"
+# Until when the leases of silent workers may last, written by the owner.
+LEASE_BOUNDS_KEY = "lease-bounds"
 # The progress of maintenance waves, written by the owner.
 MAINTENANCE_PREFIX = "upkeep/"
 # Written by a process that becomes owner, under its lease; the revision of that write
--- a/src/primrosestile/coordination/work/lease_extender.py
+++ b/src/primrosestile/coordination/work/lease_extender.py
@@ -11,9 +11,12 @@
 import structlog
 
 from primrosestile.clock import read_clock
+from primrosestile.coordination.work.lease_bounds import (
+    LEASE_GRACE_SECONDS,
+    LeaseBounds,
+)
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.worker_clock import ClockReading, WorkerClock
-from primrosestile.coordination.work.worker_links import LEASE_GRACE_SECONDS
 from primrosestile.errors import Failure
 from primrosestile.protocol.fleet import PollAnswer, Refusal, WorkerCalls, WorkerList
 from primrosestile.state.workers import WorkerEntry
@@ -38,8 +41,10 @@
         workers: WorkerList,
         term: Term,
         max_lease_seconds: float,
+        bounds: LeaseBounds,
     ) -> None:
         self._calls = calls
+        self._bounds = bounds
         self._workers = workers
         self._term = term
         self._max_lease_seconds = max_lease_seconds
@@ -56,9 +61,20 @@
                 _log.info("workers_not_listed", reason=str(failure))
             async with asyncio.TaskGroup() as tasks:
                 for entry in self._entries:
-                    tasks.create_task(self._extend_lease(entry))
+                    if self._bounds.may_extend(entry.worker):
+                        tasks.create_task(self._extend_lease(entry))
             await asyncio.sleep(EXTEND_INTERVAL_SECONDS)
 
+    def find_lease_bound(self, worker: str, now: float) -> float:
+        """Return the seconds after which a lease extended here has run out.
+
+        It is 0 if none was extended.
+        """
+        clock = self._clocks.get(worker)
+        if clock is None or not clock.known:
+            return 0.0
+        return max(0.0, clock.find_lease_bound(now))
+
     async def _extend_lease(self, entry: WorkerEntry) -> None:
         """Extend one lease; its end is given by the worker's clock, read first."""
         name = entry.worker
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -152,6 +152,8 @@
         link = self._links.get(member.worker)
         return (
             link is not None
+            # The lease of a silent worker must not be extended.
+            and link.worker.acquired
             and self._discovery.is_recent(member.worker, self._find_seconds(member))
             and link.worker.can_take_decided()
         )
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -13,6 +13,7 @@
 from primrosestile.coordination.work.advisor import Advisor
 from primrosestile.coordination.work.ended_jobs import EndedJobs
 from primrosestile.coordination.work.health_monitor import HealthMonitor
+from primrosestile.coordination.work.lease_bounds import LeaseBounds
 from primrosestile.coordination.work.lease_extender import LeaseExtender
 from primrosestile.coordination.work.load_publisher import LoadPublisher
 from primrosestile.coordination.work.log_fields import name_unit
@@ -37,12 +38,8 @@
 )
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.waiting_keys import reconcile_waiting_keys
-from primrosestile.coordination.work.worker_clock import (
-    LEASE_SECONDS,
-    SLOW_CLOCK_FACTOR,
-)
 from primrosestile.coordination.work.worker_discovery import WorkerDiscovery
-from primrosestile.coordination.work.worker_links import LEASE_GRACE_SECONDS, WorkerLink
+from primrosestile.coordination.work.worker_links import WorkerLink
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evacuation import find_evacuations
 from primrosestile.decisions.work.fleet_counts import count_fleet
@@ -56,6 +53,7 @@
 from primrosestile.protocol.advice import AdviceCalls
 from primrosestile.protocol.fleet import WorkerCalls, WorkerList
 from primrosestile.protocol.maintenance import MaintenanceCalls
+from primrosestile.protocol.owners import OwnerCalls
 from primrosestile.protocol.transactions import TransactionalStore
 from primrosestile.state.scheduling import DEFAULT_SETTINGS, SchedulingSettings
 from primrosestile.state.workers import WorkerEntry
@@ -70,9 +68,8 @@
 # and more, a pass at each event would take all of it.
 PASS_PAUSE_FACTOR = 3.0
 MAX_PAUSE_SECONDS = 0.2
-# How long a worker that never answered this owner may still run what an earlier owner
-# started: that owner's grace after its own lease, then the worker's lease.
-NEVER_ANSWERED_SECONDS = LEASE_GRACE_SECONDS + LEASE_SECONDS / SLOW_CLOCK_FACTOR + 1.0
+# A worker that has not answered for this long counts as silent for the next owner.
+SILENT_SECONDS = 0.5
 CLEANUP_INTERVAL_SECONDS = 10.0
 # From the start of the first links until the log names the workers without an answer.
 FIRST_CONTACT_SECONDS = 1.0
@@ -99,6 +96,8 @@
         max_lease_seconds: float,
         advice: AdviceCalls,
         maintenance: MaintenanceCalls,
+        owners: OwnerCalls,
+        address: str = "",
         settings: SchedulingSettings = DEFAULT_SETTINGS,
     ) -> None:
         self._store = store
@@ -133,8 +132,11 @@
         self._advisor = Advisor(
             advice, self._fleet_state, self._durations, term, self._wake
         )
+        self._bounds = LeaseBounds(
+            store, term, owners, address, self._find_lease_bounds
+        )
         self._lease_extender = LeaseExtender(
-            self._calls, workers, term, max_lease_seconds
+            self._calls, workers, term, max_lease_seconds, self._bounds
         )
         self._health = HealthMonitor(
             store,
@@ -166,6 +168,7 @@
             "organisations_over_share": len(self._fleet_state.shares.over),
             **self._health.count(),
             "preemptions": float(self._preemptions),
+            "silent_workers": float(len(self._bounds)),
         }
 
     def _wake(self) -> None:
@@ -201,6 +204,7 @@
             tasks.create_task(self._discovery.run())
             tasks.create_task(self._advisor.run())
             tasks.create_task(self._maintenance.run())
+            tasks.create_task(self._bounds.run())
             tasks.create_task(self._clean_up())
             tasks.create_task(self._report_contact())
             tasks.create_task(
@@ -211,18 +215,29 @@
 
     async def _load(self) -> None:
         """Load all that the first pass needs; repeat this until it succeeds."""
-        while True:
-            try:
-                await self._statistics.load()
-                await self._requests.load()
-                await self._discovery.refresh()
-                self._add_unlisted()
-            except Failure as failure:
-                _log.warning("recovery_delayed", reason=str(failure))
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self._fleet_state.wall = read_wall_clock()
-            return
+        loaded = await self._try_to_load()
+        while not loaded:
+            await asyncio.sleep(RETRY_SECONDS)
+            loaded = await self._try_to_load()
+        self._fleet_state.wall = read_wall_clock()
+
+    async def _try_to_load(self) -> bool:
+        """Load once; return False if the store did not answer."""
+        loaded = True
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._bounds.load())
+                tasks.create_task(self._load_state())
+        except* Failure as failures:
+            loaded = False
+            _log.warning("recovery_delayed", reason=str(failures.exceptions[0]))
+        return loaded
+
+    async def _load_state(self) -> None:
+        await self._statistics.load()
+        await self._requests.load()
+        await self._discovery.refresh()
+        self._add_unlisted()
 
     def _add_unlisted(self) -> None:
         """Add workers that only records name: they are polled but get no work."""
@@ -257,6 +272,7 @@
             self._outcomes.record_end,
             self._max_lease_seconds,
             self._add_worker,
+            self._bounds,
         )
         self._links[name] = link
         tasks.create_task(self._run_link(name, link))
@@ -358,17 +374,53 @@
 
     def _drop_never_answered(self) -> None:
         """Mark runs as gone on workers that have never answered this owner."""
-        if read_clock() - self._began < NEVER_ANSWERED_SECONDS:
-            return
+        now = read_clock()
         for name in list(self._fleet_state.unlisted_members):
-            _log.warning("runs_given_up", worker=name)
-            self._fleet_state.drop_worker(name, Proof.NEVER_ANSWERED)
+            if self._find_unanswered_bound(name, now) < 0:
+                self._log_given_up(name, now)
+                self._fleet_state.drop_worker(name, Proof.NEVER_ANSWERED)
         for name, link in self._links.items():
-            if not link.clock.known and link.worker.members:
-                _log.warning("runs_given_up", worker=name)
-                self._fleet_state.clear_worker(
-                    link.worker, Proof.NEVER_ANSWERED, read_clock()
-                )
+            # Its link judges a lease that this owner has extended.
+            if link.extended or not link.worker.members:
+                continue
+            if self._find_unanswered_bound(name, now) < 0:
+                self._log_given_up(name, now)
+                self._fleet_state.clear_worker(link.worker, Proof.NEVER_ANSWERED, now)
+
+    def _find_unanswered_bound(self, name: str, now: float) -> float:
+        """Return how long the lease of a worker that never answered may last.
+
+        Earlier owners may have extended it, and this one while it loaded its state.
+        """
+        extended = self._lease_extender.find_lease_bound(name, now)
+        bound = self._bounds.find_bound(name)
+        return max(bound, extended) if extended else bound
+
+    def _find_lease_bounds(self) -> dict[str, float]:
+        """Return how long the lease of each silent worker with members may last."""
+        now = read_clock()
+        bounds = {
+            name: self._find_unanswered_bound(name, now)
+            for name in self._fleet_state.unlisted_members
+        }
+        for name, link in self._links.items():
+            if link.worker.acquired or not link.worker.members:
+                continue
+            if link.extended:
+                bounds[name] = link.clock.find_lease_bound(now)
+            elif now - link.heard_at > SILENT_SECONDS or self._bounds.is_inherited(
+                name
+            ):
+                bounds[name] = self._find_unanswered_bound(name, now)
+        return bounds
+
+    def _log_given_up(self, name: str, now: float) -> None:
+        _log.warning(
+            "runs_given_up",
+            worker=name,
+            inherited=self._bounds.is_inherited(name),
+            waited=round(now - self._began, 2),
+        )
 
     def _log_gone(self) -> None:
         log_gone(self._fleet_state.pop_gone(), self._links, self._term.fence)
--- a/src/primrosestile/coordination/work/worker_clock.py
+++ b/src/primrosestile/coordination/work/worker_clock.py
@@ -195,6 +195,11 @@
 
     def is_lease_over(self, now: float) -> bool:
         """Whether its lease has certainly run out."""
+        return self.find_lease_bound(now) < 0
+
+    def find_lease_bound(self, now: float) -> float:
+        """Return the seconds after which its lease has certainly run out."""
         if self._bounds is None:
-            return False
-        return self._bounds.find_lower_bound(now) > self.until + CLOCK_MARGIN_SECONDS
+            return math.inf
+        end = self.until + CLOCK_MARGIN_SECONDS
+        return (end - self._bounds.find_lower_bound(now)) / SLOW_CLOCK_FACTOR
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -20,6 +20,10 @@
     UNCONFIRMED_PAUSE_SECONDS,
     EndNumbers,
 )
+from primrosestile.coordination.work.lease_bounds import (
+    LEASE_GRACE_SECONDS,
+    LeaseBounds,
+)
 from primrosestile.coordination.work.log_fields import list_names, name_member
 from primrosestile.coordination.work.recorder import Recorder
 from primrosestile.coordination.work.term import Term
@@ -45,10 +49,6 @@
 # Between polls at an address that answers for another incarnation than expected and has
 # never answered this owner as that one; the entry is corrected or gone within seconds.
 OTHER_INCARNATION_PAUSE_SECONDS = 0.5
-# How long after the end of its own lease an owner may go on extending the leases of
-# workers, without giving other orders: the store may be down for every process
-# (CARE_IS_BOUNDED).
-LEASE_GRACE_SECONDS = 8.0
 # The most ends in one poll; when it is reached, a missing end proves nothing.
 ENDS_PER_POLL = 500
 # How long a poll waits for its ends to be stored before the next poll extends the
@@ -59,7 +59,11 @@
 
 
 class WorkerLink:
-    """Extends one worker's lease and processes its answers."""
+    """Extends one worker's lease and processes its answers.
+
+    Attributes:
+        extended: Whether this owner may have extended the worker's lease.
+    """
 
     def __init__(
         self,
@@ -72,6 +76,7 @@
         record_end: Callable[[Member, EndKind], None],
         max_lease_seconds: float,
         add_worker: Callable[[WorkerEntry], None],
+        bounds: LeaseBounds,
     ) -> None:
         """Link to one incarnation of a worker.
 
@@ -85,9 +90,11 @@
             record_end: Called with each end.
             max_lease_seconds: The longest lease that the worker grants.
             add_worker: Called with the entry of a later start of the worker.
+            bounds: Until when leases may last, as the next owner will know it.
         """
         self.worker = worker
         self.clock = WorkerClock(worker.name, max_lease_seconds)
+        self.extended = False
         self._calls = calls
         self._term = term
         self._fleet_state = fleet_state
@@ -95,6 +102,7 @@
         self._wake = wake
         self._record_end = record_end
         self._add_worker = add_worker
+        self._bounds = bounds
         self._numbers = EndNumbers()
         self._pause = 0.0
         # Runs whose stop the worker has answered, and when.
@@ -304,14 +312,21 @@
         if poll.complete and len(poll.ended) < ENDS_PER_POLL:
             self._process_absent(poll, sent_at)
         if not self.worker.acquired and self.clock.known:
-            self.worker.acquired = True
-            # An owner's first contacts with its workers are logged as one summary.
-            if self._was_silent:
-                _log.info("worker_answers_again", worker=self.worker.name)
+            await self._acquire()
         self._wake()
         if fresh:
             await self._record_ends(jobs, last)
 
+    async def _acquire(self) -> None:
+        """Give the worker work, once the next owner can't count its lease as over."""
+        if not await self._bounds.release(self.worker.name):
+            self._pause = max(self._pause, RETRY_SECONDS)
+            return
+        self.worker.acquired = self.extended = True
+        # An owner's first contacts with its workers are logged as one summary.
+        if self._was_silent:
+            _log.info("worker_answers_again", worker=self.worker.name)
+
     def _list_jobs(self, ended: Iterable[EndedTask]) -> set[Job]:
         """Return the open jobs to which ended runs belong.
 
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -11,6 +11,7 @@
 
 from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.job_submissions import JobSubmissions
+from primrosestile.coordination.work.lease_bounds import LEASE_GRACE_SECONDS
 from primrosestile.coordination.work.load_gate import LoadGate
 from primrosestile.coordination.work.load_watch import LoadWatch
 from primrosestile.coordination.work.outage_scope import OutageScope
@@ -36,6 +37,7 @@
 from primrosestile.state.load import LoadSummary
 from primrosestile.transport.connections import Connections
 from primrosestile.transport.load_views import HttpLoadViews
+from primrosestile.transport.owner_views import HttpOwnerViews
 from primrosestile.transport.store_views import HttpStoreViews
 
 EXIT_BAD_SETTINGS = 2
@@ -103,6 +105,7 @@
             scope,
             self._metrics,
             self._find_load,
+            self._extends_leases,
         )
 
     def _make_load_gate(self) -> LoadGate:
@@ -121,6 +124,11 @@
         """Return the summary of the fleet's load while this process is the owner."""
         return None if self._scheduler is None else self._scheduler.load.find_summary()
 
+    def _extends_leases(self) -> bool:
+        """Whether this process may extend workers' leases, by its present term."""
+        term = self._election.term
+        return term is not None and term.may_extend_leases(LEASE_GRACE_SECONDS)
+
     def _list_peers(self) -> set[str]:
         """Return the peer addresses of the owner and the seeds, without our own."""
         known = {self._election.owner_address, *self.settings.seeds}
@@ -215,6 +223,8 @@
                 self._connections,
                 self._rejections,
             ),
+            HttpOwnerViews(self._peer_connections),
+            self.settings.peer_address,
             self.settings.scheduling,
         )
         self._scheduler = scheduler
--- a/src/primrosestile/programs/node_calls.py
+++ b/src/primrosestile/programs/node_calls.py
@@ -26,6 +26,7 @@
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import Submission
 from primrosestile.transport.load_views import LOAD_VIEW_PATH
+from primrosestile.transport.owner_views import OWNER_VIEW_PATH, STOPPED_STATUS
 from primrosestile.transport.store_views import CHECK_SECONDS, STORE_VIEW_PATH
 
 # An answer is sent this long before the caller's deadline, because it is useless once
@@ -60,10 +61,12 @@
         scope: OutageScope,
         metrics: Metrics,
         find_load: Callable[[], LoadSummary | None] = lambda: None,
+        extends_leases: Callable[[], bool] = lambda: True,
     ) -> None:
         self._metrics = metrics
         self._scope = scope
         self._find_load = find_load
+        self._extends_leases = extends_leases
         self._submissions = submissions
         self._policies = policies
         self._not_recent_since: float | None = None
@@ -80,8 +83,13 @@
     async def answer_peer(self, request: web.BaseRequest) -> web.Response:
         """Answer another process of ours.
 
-        It asks whether this one serves callers, or for the owner's load summary.
+        It asks whether this one serves callers or may extend workers' leases, or for
+        the owner's load summary.
         """
+        if request.path == OWNER_VIEW_PATH:
+            return web.Response(
+                status=200 if self._extends_leases() else STOPPED_STATUS
+            )
         if request.path == LOAD_VIEW_PATH:
             summary = self._find_load()
             if summary is None:
