Keep units that can't start from using up what a pass may examine

Callers saw ten jobs wait for ever while seven of eight workers were idle: 240 jobs of a higher queue waited for a kind of worker that was lost (review/more/starved, LOST).

A pass examines at most 200 units by rank, and the next one begins with the same. Units that can start nowhere took up that bound in each pass. In the same way a unit without any room to reserve took one of three reservations, so a gang behind three of them had none.

A unit that the workers could not hold if they were empty is skipped without being counted. Behind the bound, units start in what is left free: at most 50 that may fit are placed in a pass, beginning behind the last one of the former pass; they stop and reserve nothing. A reservation counts only with room for it. Ranks, reservations across passes and preemption are unchanged.

--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -63,6 +63,8 @@
         stop_timing: Limits that depend on how long a worker takes to stop a run.
         shares: What each organisation used lately.
         headroom: Recent urgent arrivals, and what is withheld for the next ones.
+        last_tried: The last unit that a pass tried to start behind those that it
+            examined; the next pass begins behind it.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.stop_timing = make_stop_timing(settings.stop_seconds)
         self.shares = make_organisation_shares(settings.organisation_shares)
         self.headroom = HeadroomState()
+        self.last_tried: Unit | None = None
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         # Names of the incarnations in `workers`, by the worker's id.
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -1,13 +1,18 @@
 """One pass over all waiting units: what starts where, and what is stopped for it.
 
-The pass examines the most urgent units first, at most `MAX_UNITS_EXAMINED` of them.
+The pass examines the most urgent units first, at most `MAX_UNITS_EXAMINED` of them. The
+others only start in what is left free, at most `MAX_UNITS_TRIED` of them, beginning
+behind the last one that the former pass tried: a unit that can start does so at the
+latest when all in front of it have been tried.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from primrosestile.decisions.work.crashes import is_isolated
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.evictions import Evictions, give_back
+from primrosestile.decisions.work.fit import Fit
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.headroom import Withholding
 from primrosestile.decisions.work.held_room import (
@@ -44,6 +49,8 @@
 CHEAP_CORE_SECONDS = 100.0
 # Units examined in one pass, so that a full queue costs it only a few milliseconds.
 MAX_UNITS_EXAMINED = 200
+# Further units that are placed, if they may fit.
+MAX_UNITS_TRIED = 50
 # Stateless, so all passes share them.
 MECHANISMS = make_mechanisms()
 
@@ -149,6 +156,9 @@
         self.restarts: list[Restart] = []
         self.reserved = 0
         self.blocked: list[Unit] = []
+        # Units of one step are alike: if one can't start, none of the others can.
+        self.unable: set[tuple[object, ...]] = set()
+        self.fit = Fit(self.rooms)
 
     def run(self) -> Plan:
         """Return the decisions."""
@@ -159,8 +169,6 @@
             for each in self.waiting
             if each.freed_workers and not self._is_entitled(each)
         ]
-        # Units of one step are alike: if one can't start, none of the others can.
-        waiting: set[tuple[object, ...]] = set()
         examined = 0
         ranked = rank_units(
             self.waiting,
@@ -170,10 +178,9 @@
             self.mechanisms.order,
             self.fleet_state.shares.is_over,
         )
-        for rank, unit in ranked:
-            suspicion = (bool(unit.crashes), is_isolated(unit))
-            likeness = (unit.step_key, suspicion, *unit.failed_on)
-            if likeness in waiting:
+        for position, (rank, unit) in enumerate(ranked):
+            likeness = _find_likeness(unit)
+            if likeness in self.unable or not self.fit.could_hold(unit):
                 continue
             if not rank.entitled and self.blocked:
                 for blocked in self.blocked:
@@ -181,13 +188,34 @@
                 self.blocked = []
             examined += 1
             if examined > MAX_UNITS_EXAMINED:
+                self._fill(ranked[position:])
                 break
             self.withholding.apply(unit)
             if not self._start_beside(rank, unit, held):
-                waiting.add(likeness)
+                self.unable.add(likeness)
         self.withholding.finish()
         return Plan(tuple(self.starts), tuple(self.stops), tuple(self.restarts))
 
+    def _fill(self, ranked: Sequence[tuple[Rank, Unit]]) -> None:
+        """Start units behind those that were examined, in what is left free."""
+        fit = Fit(self.rooms)
+        units = [unit for _, unit in ranked]
+        last = self.fleet_state.last_tried
+        begin = units.index(last) + 1 if last in units else 0
+        tried = 0
+        for rank, unit in (*ranked[begin:], *ranked[:begin]):
+            likeness = _find_likeness(unit)
+            if likeness in self.unable or not fit.may_fit(unit):
+                continue
+            self.fleet_state.last_tried = unit
+            self.withholding.apply(unit)
+            self.holds.release([unit])
+            if not self._start_now(rank, unit):
+                self.unable.add(likeness)
+            tried += 1
+            if tried == MAX_UNITS_TRIED:
+                break
+
     def _compute_stop_cost(self, unit: Unit, now: float) -> float:
         cost = self.stop_rules.compute_cost(unit, now)
         return cost * self.fleet_state.shares.find_cost_factor(unit)
@@ -273,8 +301,8 @@
             # Reserved later, so that only units outside guarantees make way for it.
             self.blocked.append(unit)
         elif rank.urgent or self.reserved < RESERVED_UNITS:
-            self.reserved += not rank.urgent
-            self._reserve(unit)
+            reserved = self._reserve(unit)
+            self.reserved += reserved and not rank.urgent
         return False
 
     def _place(self, unit: Unit, rooms: Rooms) -> list[Worker] | None:
@@ -292,15 +320,20 @@
             unit, rooms, seconds, self.slow, locality_wait, may_wait
         )
 
-    def _reserve(self, unit: Unit) -> None:
+    def _reserve(self, unit: Unit) -> bool:
         """Reserve room for a unit, in what is free and in what is being freed.
 
+        Returns:
+            Whether there is any that it can wait for.
+
         If it were reserved only in what is free now, work would be stopped for a
         lower-ranked unit, which then could not have the room.
         """
         rooms = self.groups.select(unit, self.rooms)
-        if self.mechanisms.reservation(unit, rooms, self.durations, self.now):
-            count_reservation(unit, self.future_rooms, self.now)
+        if not self.mechanisms.reservation(unit, rooms, self.durations, self.now):
+            return False
+        count_reservation(unit, self.future_rooms, self.now)
+        return True
 
     def _may_evict(self, rank: Rank) -> bool:
         """Whether something may be stopped for a unit.
@@ -379,6 +412,15 @@
         return could_start_before(unit, rooms, self.durations, self.now, latest)
 
 
+def _find_likeness(unit: Unit) -> tuple[object, ...]:
+    """Return what units have in common that can only start together or not at all."""
+    return (
+        unit.step_key,
+        (bool(unit.crashes), is_isolated(unit)),
+        *unit.failed_on,
+    )
+
+
 def _mark_reserved(waiting: list[Unit], rooms: Rooms) -> None:
     for unit in waiting:
         for name in unit.reserved_workers:
