Don't give up jobs whose tasks last when workers crash under them

Poison tasks are given up by the crashes under them, whatever their step; tasks that last are to be restarted however they end.

Their crashes are counted, so that they are still tried on workers of their own, but their job is not given up.

--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -9,7 +9,7 @@
 from features.doubles.random_crashes import RandomCrashes
 from features.doubles.worker_restarts import Restarts, make_restarts
 from features.steps.work_decisions_steps import add_job, add_worker, make_fleet_state
-from features.steps.work_steps import make_id
+from features.steps.work_steps import hand_in, make_id
 
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.plan import make_plan
@@ -18,6 +18,8 @@
 from primrosestile.state.work import CrashCount, Need, Step
 from primrosestile_standin.fleet_script import Script
 
+LASTING_SECONDS = 10_000.0
+
 
 @given("crashed workers restart after {seconds:g} s")
 def step_restart(context: Any, seconds: float) -> None:
@@ -85,6 +87,17 @@
     context.world.run(crash())
 
 
+@given("the tasks of {name} last for ever")
+def step_last(context: Any, name: str) -> None:
+    context.scripts[make_id(name)] = {"seconds": LASTING_SECONDS}
+
+
+@when("job {name} of a task that lasts is handed in")
+def step_lasting_job(context: Any, name: str) -> None:
+    step = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1, "daemon": True}
+    hand_in(context, name, "usual", "domes", steps=[step])
+
+
 @when("the worker that runs {name} is partitioned for {seconds:g} s, {count:d} times")
 def step_partition_often(context: Any, name: str, seconds: float, count: int) -> None:
     async def cut() -> None:
--- a/features/work/crashes.feature
+++ b/features/work/crashes.feature
@@ -113,6 +113,14 @@
     Then job ca is shown as completed within 20 s
     And the fleet's ledger shows nothing wrong
 
+  Scenario: Workers crash again and again under a task that lasts
+    Guards against failing a job whose task is to be restarted however it ends.
+    Given the tasks of cg last for ever
+    When job cg of a task that lasts is handed in
+    And the worker that runs cg crashes 6 times, 2 s after its start
+    Then a task of cg runs within 10 s
+    And job cg is shown as running within 1 s
+
   Scenario: No worker is ever empty for a suspected task
     Guards against waiting for a worker of its own while there is room beside others.
     Given the tasks of cb take 60 s
--- a/src/primrosestile/decisions/work/crashes.py
+++ b/src/primrosestile/decisions/work/crashes.py
@@ -152,7 +152,8 @@
                 before.alone + loss.alone,
             )
             unit.crashes[loss.position] = count
-            given_up = _is_given_up(count, loss.alone)
+            # A task that lasts is restarted however it ends.
+            given_up = not unit.step.daemon and _is_given_up(count, loss.alone)
             self.found.append(Crash(loss.member, count, given_up))
             if given_up:
                 self._give_up(unit.job)
