--- a/features/work/undelivered_stops.feature
+++ b/features/work/undelivered_stops.feature
@@ -51,6 +51,33 @@
       | dies       |
       | hands over |
 
+  Scenario Outline: A start of a cancelled job is carried out late
+    Guards against a run that begins after its job was cancelled, and that no owner
+    stops.
+    Given the next <orders> orders to worker w1 are carried out <late> s late
+    And the tasks of d1 take 600 s
+    When job d1 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And <before> s pass
+    And job d1 is cancelled
+    And <until> s pass
+    And the scheduling process <ends>
+    Then another process schedules within 2.5 s
+    When 13 s pass
+    Then nothing of d1 runs after 0 s
+    And job d1 is shown as cancelled within 1 s
+    And the records of d1 are removed within 15 s
+
+    Examples:
+      | orders | late | before | until | ends       |
+      | 1      | 2    | 0.3    | 0.1   | dies       |
+      | 3      | 5    | 0.6    | 0     | dies       |
+      | 3      | 11   | 0.6    | 0.3   | hands over |
+      | 4      | 11   | 2      | 0.3   | dies       |
+      | 6      | 8    | 0.1    | 0.1   | dies       |
+      | 6      | 12   | 0.1    | 3     | hands over |
+
   Scenario: A cancelled job's record can't be read
     Guards against runs that no owner stops since it knows no job of theirs.
     Given the tasks of c1 take 600 s
