Take earlier owners that have stopped out of the record of leases

A new owner inherited an earlier one as still extending leases, long after that had said that it has stopped: the record was written at the start of a term and then only while there was something to count down. Had the earlier owner been lost by then, a lost worker's tasks would have waited up to 8 s more.

The record is now also written when the owners in it have changed.

--- a/features/steps/work_owner_changes_steps.py
+++ b/features/steps/work_owner_changes_steps.py
@@ -62,11 +62,32 @@
             await world.kill(owner.name)
             await asyncio.sleep(down)
             world.add_process(owner.name)
+            context.former = owner.name
             await asyncio.sleep(gap - down)
 
     context.world.run(change())
 
 
+@when("a process that doesn't schedule dies for good, the former owner")
+def step_former_dies(context: Any) -> None:
+    context.world.run(context.world.kill(context.former))
+
+
+@when("a worker that runs {name} is lost at the moment at which the owner dies")
+def step_lost_together(context: Any, name: str) -> None:
+    async def lose_both() -> None:
+        world = context.world
+        owner = world.find_owner()
+        context.cut = find_worker(context, name)
+        await world.kill(owner.name)
+        context.cut.crash()
+        await remove_entry(context)
+        await asyncio.sleep(2.0)
+        world.add_process(owner.name)
+
+    context.world.run(lose_both())
+
+
 @when("the next {count:d} writes are carried out {seconds:g} s late")
 def step_late(context: Any, count: int, seconds: float) -> None:
     context.world.store.faults.late_writes = [seconds] * count
--- a/features/work/owner_changes.feature
+++ b/features/work/owner_changes.feature
@@ -59,6 +59,21 @@
       | 2      | 3   | 1    | 0     |
       | 1.2    | 4.5 | 0    | 0.2   |
 
+  Scenario: An earlier owner that had stopped is lost much later
+    Guards against waiting for the leases of an owner that is known to have stopped.
+    Given the tasks of d1 take 200 s
+    When job d1 is handed in with steps
+      | count | accelerators | most per worker |
+      | 2     | 8            | 1               |
+    And d1 runs on the fleet
+    And 10 s pass
+    And the scheduling process dies and is back after 2 s, 1 times in 8 s each
+    And a process that doesn't schedule dies for good, the former owner
+    And a worker that runs d1 is lost at the moment at which the owner dies
+    And 13 s pass
+    Then 2 tasks of d1 run on other workers
+    And the fleet's ledger shows nothing wrong
+
   Scenario: The record of silent workers can't be read
     Guards against an owner that can't begin, and against a bound by another writer.
     Given the tasks of c1 take 200 s
--- a/src/primrosestile/coordination/work/lease_bounds.py
+++ b/src/primrosestile/coordination/work/lease_bounds.py
@@ -106,6 +106,7 @@
         # What the store holds, and the names in a write without an answer, which may
         # still be carried out.
         self._stored: frozenset[str] = frozenset()
+        self._stored_owners: frozenset[str] = frozenset()
         self._unanswered: frozenset[str] = frozenset()
         self._revision: int | None = None
         self._written_at = self._began
@@ -248,6 +249,8 @@
     def _is_due(self, bounds: Mapping[str, float]) -> bool:
         if self._unanswered or self._stored != bounds.keys():
             return True
+        if self._stored_owners != self._extending.keys():
+            return True
         age = read_clock() - self._written_at
         return bool(bounds or self._extending) and age > WRITE_INTERVAL_SECONDS
 
@@ -292,6 +295,7 @@
             return False
         self._revision = done.revision
         self._stored = frozenset(bounds)
+        self._stored_owners = frozenset(owners)
         self._unanswered = frozenset()
         self._written_at = now
         if changed:
