Keep the grace for extending leases with the term that it follows

Every caller passed the same seconds to `Term.may_extend_leases`, and whether a process may extend leases by its present term was written three times: in the program and in two doubles of tests, which so tested their own copy. The constant now stands beside the term's lease, `Election.extends_leases` answers the question, and the doubles use it.

--- a/features/doubles/fleet_world.py
+++ b/features/doubles/fleet_world.py
@@ -16,7 +16,6 @@
 from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.job_submissions import JobSubmissions
 from primrosestile.coordination.work.keys import OWNER_KEY
-from primrosestile.coordination.work.lease_bounds import LEASE_GRACE_SECONDS
 from primrosestile.coordination.work.load_gate import LoadGate
 from primrosestile.coordination.work.load_watch import LoadWatch
 from primrosestile.coordination.work.policy_watch import PolicyWatch
@@ -349,13 +348,16 @@
 
         await self.wait_for(holds, seconds)
 
+    def answers(self, name: str) -> bool:
+        """Return whether a process answers others."""
+        process = self.processes.get(name)
+        return bool(process and process.task and not process.task.done())
+
     def find_extending(self, name: str) -> bool | None:
         """Return whether a process may extend leases; None if it doesn't answer."""
-        process = self.processes.get(name)
-        if process is None or process.task is None or process.task.done():
+        if not self.answers(name):
             return None
-        term = process.election.term
-        return term is not None and term.may_extend_leases(LEASE_GRACE_SECONDS)
+        return self.processes[name].election.extends_leases
 
     def find_owner(self) -> Process | None:
         """Return the process whose term may act."""
--- a/features/doubles/work_world.py
+++ b/features/doubles/work_world.py
@@ -23,7 +23,6 @@
     make_job_key,
     make_progress_key,
 )
-from primrosestile.coordination.work.lease_bounds import LEASE_GRACE_SECONDS
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.platform.callers import read_submission
 from primrosestile.platform.policy import POLICY_KEY
@@ -148,12 +147,9 @@
         """Kill a process."""
         self.seats[name].machine.kill()
 
-    def find_extending(self, name: str) -> bool | None:
-        """Return whether a process may extend leases; None if it doesn't answer."""
-        if name not in self.find_running():
-            return None
-        term = self.processes[name].election.term
-        return term is not None and term.may_extend_leases(LEASE_GRACE_SECONDS)
+    def answers(self, name: str) -> bool:
+        """Return whether a process answers others; a suspended one does not."""
+        return name in self.find_running()
 
     def find_running(self) -> list[str]:
         """Return the processes that run."""
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -104,6 +104,11 @@
         """The fence of the owner that was read last, or ours; 0 if there was none."""
         return self._owner_fence if self.term is None else self.term.fence
 
+    @property
+    def extends_leases(self) -> bool:
+        """Whether this process may extend workers' leases, by its present term."""
+        return self.term is not None and self.term.may_extend_leases()
+
     async def leave(self) -> None:
         """Hand the ownership over at once, so that another process takes over."""
         self._leaving = True
--- a/src/primrosestile/coordination/work/lease_bounds.py
+++ b/src/primrosestile/coordination/work/lease_bounds.py
@@ -31,7 +31,7 @@
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import LEASE_BOUNDS_KEY, OWNER_KEY
 from primrosestile.coordination.work.log_fields import list_names
-from primrosestile.coordination.work.term import Term
+from primrosestile.coordination.work.term import LEASE_GRACE_SECONDS, Term
 from primrosestile.coordination.work.worker_clock import (
     LEASE_SECONDS,
     SLOW_CLOCK_FACTOR,
@@ -45,10 +45,6 @@
     encode_record,
 )
 
-# How long after the end of its own lease an owner may go on extending the leases of
-# workers, without giving other orders: the store may be down for every process
-# (CARE_IS_BOUNDED).
-LEASE_GRACE_SECONDS = 8.0
 # From the last extension until a lease has certainly run out.
 LONGEST_LEASE_SECONDS = LEASE_SECONDS / SLOW_CLOCK_FACTOR + 1.0
 # How often the silent workers are determined, and earlier owners asked.
--- a/src/primrosestile/coordination/work/lease_extender.py
+++ b/src/primrosestile/coordination/work/lease_extender.py
@@ -11,10 +11,7 @@
 import structlog
 
 from primrosestile.clock import read_clock
-from primrosestile.coordination.work.lease_bounds import (
-    LEASE_GRACE_SECONDS,
-    LeaseBounds,
-)
+from primrosestile.coordination.work.lease_bounds import LeaseBounds
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.worker_clock import ClockReading, WorkerClock
 from primrosestile.errors import Failure
@@ -54,7 +51,7 @@
     async def run(self) -> None:
         """Extend leases until cancelled."""
         await asyncio.sleep(START_DELAY_SECONDS)
-        while self._term.may_extend_leases(LEASE_GRACE_SECONDS):
+        while self._term.may_extend_leases():
             try:
                 self._entries = (await self._workers.list_workers()).entries
             except Failure as failure:
--- a/src/primrosestile/coordination/work/term.py
+++ b/src/primrosestile/coordination/work/term.py
@@ -17,6 +17,10 @@
 # The clocks of two machines differ in speed by up to 2%, and an order takes some
 # milliseconds after the check to arrive.
 MARGIN_SECONDS = 0.25
+# How long after the end of its own lease an owner may go on extending the leases of
+# workers, without giving other orders: the store may be down for every process
+# (CARE_IS_BOUNDED).
+LEASE_GRACE_SECONDS = 8.0
 # The age of the newest answered renewal past which the store may be out of reach.
 OVERDUE_SECONDS = 0.88
 
@@ -61,13 +65,14 @@
         """
         return not self.lost.is_set() and self.read_clock() < self.valid_until
 
-    def may_extend_leases(self, seconds: float) -> bool:
-        """Whether leases of workers may be extended, some seconds past the term's end.
+    def may_extend_leases(self) -> bool:
+        """Whether leases of workers may be extended, also for a time past the term.
 
         The bound matters to the next owner: it counts the runs on a worker that does
         not answer as gone once no earlier owner can have extended its lease any more.
         """
-        return not self.lost.is_set() and self.read_clock() < self.valid_until + seconds
+        until = self.valid_until + LEASE_GRACE_SECONDS
+        return not self.lost.is_set() and self.read_clock() < until
 
     @property
     def doubtful(self) -> bool:
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -20,10 +20,7 @@
     UNCONFIRMED_PAUSE_SECONDS,
     EndNumbers,
 )
-from primrosestile.coordination.work.lease_bounds import (
-    LEASE_GRACE_SECONDS,
-    LeaseBounds,
-)
+from primrosestile.coordination.work.lease_bounds import LeaseBounds
 from primrosestile.coordination.work.log_fields import list_names, name_member
 from primrosestile.coordination.work.recorder import Recorder
 from primrosestile.coordination.work.term import Term
@@ -180,7 +177,7 @@
     async def run(self) -> None:
         """Poll the worker until cancelled or its incarnation is over."""
         while self._is_needed() and not self._term.lost.is_set():
-            if not self._may_extend_leases():
+            if not self._term.may_extend_leases():
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             try:
@@ -196,9 +193,6 @@
     def _is_needed(self) -> bool:
         return self._fleet_state.workers.get(self.worker.name) is self.worker
 
-    def _may_extend_leases(self) -> bool:
-        return self._term.may_extend_leases(LEASE_GRACE_SECONDS)
-
     async def poll_now(self) -> None:
         """Poll once without waiting, concurrently with a poll that may be waiting."""
         try:
--- a/src/primrosestile/programs/node.py
+++ b/src/primrosestile/programs/node.py
@@ -11,7 +11,6 @@
 
 from primrosestile.coordination.work.election import Election
 from primrosestile.coordination.work.job_submissions import JobSubmissions
-from primrosestile.coordination.work.lease_bounds import LEASE_GRACE_SECONDS
 from primrosestile.coordination.work.load_gate import LoadGate
 from primrosestile.coordination.work.load_watch import LoadWatch
 from primrosestile.coordination.work.outage_scope import OutageScope
@@ -105,7 +104,7 @@
             scope,
             self._metrics,
             self._find_load,
-            self._extends_leases,
+            lambda: self._election.extends_leases,
         )
 
     def _make_load_gate(self) -> LoadGate:
@@ -124,11 +123,6 @@
         """Return the summary of the fleet's load while this process is the owner."""
         return None if self._scheduler is None else self._scheduler.load.find_summary()
 
-    def _extends_leases(self) -> bool:
-        """Whether this process may extend workers' leases, by its present term."""
-        term = self._election.term
-        return term is not None and term.may_extend_leases(LEASE_GRACE_SECONDS)
-
     def _list_peers(self) -> set[str]:
         """Return the peer addresses of the owner and the seeds, without our own."""
         known = {self._election.owner_address, *self.settings.seeds}
