Judge in one place whether a refused change shows that the ownership is lost

The record of leases had its own copy of the check that the recorder makes of a refused change: whether the owner's key is still ours. The copy logged nothing, so a term that ended by it left no line. `Term.check_found` does it for both, and logs `ownership_found_lost` for both.

--- a/src/primrosestile/coordination/work/lease_bounds.py
+++ b/src/primrosestile/coordination/work/lease_bounds.py
@@ -281,11 +281,7 @@
             ],
         )
         if not done.done:
-            if not any(
-                entry.key == OWNER_KEY and entry.mod_revision == self._term.fence
-                for entry in done.found
-            ):
-                self._term.lost.set()
+            if not self._term.check_found(done.found):
                 return False
             # Our own write without an answer was carried out, and can't be again.
             await self._read()
--- a/src/primrosestile/coordination/work/recorder.py
+++ b/src/primrosestile/coordination/work/recorder.py
@@ -291,10 +291,7 @@
     ) -> list[_Record]:
         """Note the revisions in the store; return the records still to be written."""
         found = {entry.key: entry for entry in outcome.found}
-        owner = found.get(OWNER_KEY)
-        if owner is None or owner.mod_revision != self._term.fence:
-            _log.warning("ownership_found_lost", fence=self._term.fence)
-            self._term.lost.set()
+        if not self._term.check_found(outcome.found):
             raise OwnershipLost
         return [record for record in records if self._is_still_due(record, found)]
 
--- a/src/primrosestile/coordination/work/term.py
+++ b/src/primrosestile/coordination/work/term.py
@@ -8,9 +8,14 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+import structlog
+
+from primrosestile.coordination.work.keys import OWNER_KEY
+from primrosestile.protocol.store import Entry
+
 # A dead owner is replaced this long after its last renewal, which delays urgent work
 # that arrives meanwhile. The platform grants no lease under a second.
 LEASE_SECONDS = 1.2
@@ -24,6 +29,8 @@
 # The age of the newest answered renewal past which the store may be out of reach.
 OVERDUE_SECONDS = 0.88
 
+_log = structlog.get_logger()
+
 
 def find_lease_end(asked_at: float) -> float:
     """Return until when an owner may act after a renewal that was sent at a time."""
@@ -84,6 +91,22 @@
         now = self.read_clock()
         return find_lease_end(now) - self.valid_until
 
+    def check_found(self, found: Iterable[Entry]) -> bool:
+        """Return whether a refused change still found our key; if not, end the term.
+
+        Args:
+            found: The entries that the store found for the change's conditions, of
+                which one was on the owner's key.
+        """
+        if any(
+            entry.key == OWNER_KEY and entry.mod_revision == self.fence
+            for entry in found
+        ):
+            return True
+        _log.warning("ownership_found_lost", fence=self.fence)
+        self.lost.set()
+        return False
+
     def resign(self) -> None:
         """Resign: end the term, since another process may serve better."""
         self.resigned = True
