Ask other processes with one query, whose status is the answer

Asking an earlier owner whether it has stopped had copied the call, the time-out and the kinds of errors from asking whether the store answers a process. `transport.peer_queries.query_peer` serves both, and the tests' doubles take its time-out.

--- a/features/doubles/owner_views.py
+++ b/features/doubles/owner_views.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
+from primrosestile.transport.peer_queries import TIMEOUT_SECONDS
+
 ANSWER_SECONDS = 0.004
-TIMEOUT_SECONDS = 0.25
 
 
 class OwnerViews:
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -30,7 +30,8 @@
 from primrosestile.state.policy import Policy
 from primrosestile.state.work import decode_owner
 from primrosestile.transport.call_progress import do_nothing
-from primrosestile.transport.store_views import STORE_VIEW_PATH, TIMEOUT_SECONDS
+from primrosestile.transport.peer_queries import TIMEOUT_SECONDS
+from primrosestile.transport.store_views import STORE_VIEW_PATH
 
 ANSWERS = {
     "served": StoreView.ANSWERS,
--- a/src/primrosestile/transport/owner_views.py
+++ b/src/primrosestile/transport/owner_views.py
@@ -1,19 +1,13 @@
 """Asks an earlier owner over HTTP whether it still extends workers' leases."""
 
-import asyncio
-
-from primrosestile.errors import ErrorKind, Failure
-from primrosestile.transport.connections import Connections, FailureKinds
+from primrosestile.errors import Failure
+from primrosestile.transport.connections import Connections
+from primrosestile.transport.peer_queries import query_peer
 
 # Where a process answers this, on its address for peers.
 OWNER_VIEW_PATH = "/extends-leases"
 # A definite "no". Processes of a version that doesn't know the path answer 404.
 STOPPED_STATUS = 204
-TIMEOUT_SECONDS = 0.25
-# Longer than any query: the connections would otherwise report a silent address.
-CALL_SECONDS = 1.0
-
-_KINDS = FailureKinds(ErrorKind.NO_TARGET, ErrorKind.NO_TARGET)
 
 
 class HttpOwnerViews:
@@ -25,10 +19,7 @@
     async def has_stopped(self, address: str) -> bool:
         """Whether the process at an address extends no more leases."""
         try:
-            async with asyncio.timeout(TIMEOUT_SECONDS):
-                reply = await self._connections.call(
-                    address, OWNER_VIEW_PATH, b"", CALL_SECONDS, _KINDS, method="GET"
-                )
+            status = await query_peer(self._connections, address, OWNER_VIEW_PATH)
         except (TimeoutError, Failure):
             return False
-        return reply.status == STOPPED_STATUS
+        return status == STOPPED_STATUS
