Drop a second table of free room, and keep a link's state in the link

A pass made a second `Fit` behind its bound, though the first one looks at free room only when it is asked there, so one serves. `confirmed`, which only a worker's link reads and writes, stood on the worker of the fleet's state; it is the link's own now. The docstring of `_reserve` ends with what it returns.

--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -92,6 +92,8 @@
         self.worker = worker
         self.clock = WorkerClock(worker.name, max_lease_seconds)
         self.extended = False
+        # Whether the worker has answered the latest poll as this incarnation.
+        self._confirmed = False
         self._calls = calls
         self._term = term
         self._fleet_state = fleet_state
@@ -213,8 +215,8 @@
         """
         sent_at = read_clock()
         entry = self.entry
-        acknowledged = self._numbers.seen if self.worker.confirmed else 0
-        self.worker.confirmed = False
+        acknowledged = self._numbers.seen if self._confirmed else 0
+        self._confirmed = False
         until = self.find_lease_end() if self.worker.acquired else None
         wait = POLL_SECONDS if waiting and until is not None else 0.0
         answer = await self._calls.poll(
@@ -226,7 +228,7 @@
         if isinstance(answer, Refusal):
             await self._process_refusal(answer, entry.address)
             return
-        self.worker.confirmed = True
+        self._confirmed = True
         self._answered_at = read_clock()
         self.worker.record_answer(self._answered_at)
         self._fleet_state.crashes.record_answer(
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -198,14 +198,13 @@
 
     def _fill(self, ranked: Sequence[tuple[Rank, Unit]]) -> None:
         """Start units behind those that were examined, in what is left free."""
-        fit = Fit(self.rooms)
         units = [unit for _, unit in ranked]
         last = self.fleet_state.last_tried
         begin = units.index(last) + 1 if last in units else 0
         tried = 0
         for rank, unit in (*ranked[begin:], *ranked[:begin]):
             likeness = _find_likeness(unit)
-            if likeness in self.unable or not fit.may_fit(unit):
+            if likeness in self.unable or not self.fit.may_fit(unit):
                 continue
             self.fleet_state.last_tried = unit
             self.withholding.apply(unit)
@@ -323,11 +322,11 @@
     def _reserve(self, unit: Unit) -> bool:
         """Reserve room for a unit, in what is free and in what is being freed.
 
-        Returns:
-            Whether there is any that it can wait for.
-
         If it were reserved only in what is free now, work would be stopped for a
         lower-ranked unit, which then could not have the room.
+
+        Returns:
+            Whether there is any that it can wait for.
         """
         rooms = self.groups.select(unit, self.rooms)
         if not self.mechanisms.reservation(unit, rooms, self.durations, self.now):
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -272,7 +272,6 @@
         acquired: It has accepted our fence, and its clock is known.
         listed: It is in the store's list.
         verified: The address of its entry has answered an owner as this incarnation.
-        confirmed: It has answered the latest poll as this incarnation.
         closed: It is being drained for its VM's maintenance.
         cordoned: Operators have cordoned its failure domain.
         quarantined_until: It gets no work before this time, as runs on it failed,
@@ -290,7 +289,6 @@
     acquired: bool = False
     listed: bool = True
     verified: bool = False
-    confirmed: bool = False
     closed: bool = False
     cordoned: bool = False
     quarantined_until: float = 0.0
