Move the judgement of silent workers out of the scheduler

A lease that was not extended while loading counts as over since ever, which takes a special case out of the bound.

--- a/src/primrosestile/coordination/work/lease_extender.py
+++ b/src/primrosestile/coordination/work/lease_extender.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 
 import structlog
 
@@ -65,12 +66,13 @@
     def find_lease_bound(self, worker: str, now: float) -> float:
         """Return the seconds after which a lease extended here has run out.
 
-        It is 0 if none was extended.
+        Returns:
+            Minus infinity if it was not extended here.
         """
         clock = self._clocks.get(worker)
         if clock is None or not clock.known:
-            return 0.0
-        return max(0.0, clock.find_lease_bound(now))
+            return -math.inf
+        return clock.find_lease_bound(now)
 
     async def _extend_lease(self, entry: WorkerEntry) -> None:
         """Extend one lease; its end is given by the worker's clock, read first."""
--- a/src/primrosestile/coordination/work/scheduler.py
+++ b/src/primrosestile/coordination/work/scheduler.py
@@ -36,6 +36,7 @@
     log_workers_answered,
     log_workers_found,
 )
+from primrosestile.coordination.work.silent_workers import SilentWorkers
 from primrosestile.coordination.work.term import Term
 from primrosestile.coordination.work.waiting_keys import reconcile_waiting_keys
 from primrosestile.coordination.work.worker_discovery import WorkerDiscovery
@@ -46,7 +47,6 @@
 from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.paces import find_paces
 from primrosestile.decisions.work.plan import make_plan
-from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.decisions.work.units import Job
 from primrosestile.errors import Failure
@@ -68,8 +68,6 @@
 # and more, a pass at each event would take all of it.
 PASS_PAUSE_FACTOR = 3.0
 MAX_PAUSE_SECONDS = 0.2
-# A worker that has not answered for this long counts as silent for the next owner.
-SILENT_SECONDS = 0.5
 CLEANUP_INTERVAL_SECONDS = 10.0
 # From the start of the first links until the log names the workers without an answer.
 FIRST_CONTACT_SECONDS = 1.0
@@ -133,11 +131,14 @@
             advice, self._fleet_state, self._durations, term, self._wake
         )
         self._bounds = LeaseBounds(
-            store, term, owners, address, self._find_lease_bounds
+            store, term, owners, address, lambda: self._silent.find_bounds()
         )
         self._lease_extender = LeaseExtender(
             self._calls, workers, term, max_lease_seconds, self._bounds
         )
+        self._silent = SilentWorkers(
+            self._fleet_state, self._links, self._bounds, self._lease_extender
+        )
         self._health = HealthMonitor(
             store,
             term,
@@ -150,7 +151,6 @@
             self._discovery.freshness,
         )
         self.load = LoadPublisher(self._fleet_state, self._durations, term)
-        self._began = read_clock()
         self._pass_seconds = 0.0
         # Runs stopped for others in this term.
         self._preemptions = 0
@@ -296,7 +296,7 @@
             if policy is not None and policy is not self._fleet_state.policy:
                 self._fleet_state.apply_policy(policy)
             self._open_due()
-            self._drop_never_answered()
+            self._silent.drop_never_answered()
             self._log_gone()
             if self._term.may_act():
                 began = read_clock()
@@ -372,56 +372,6 @@
         due = repeats.first_at + job.occurrences * repeats.interval
         return self._fleet_state.wall >= due
 
-    def _drop_never_answered(self) -> None:
-        """Mark runs as gone on workers that have never answered this owner."""
-        now = read_clock()
-        for name in list(self._fleet_state.unlisted_members):
-            if self._find_unanswered_bound(name, now) < 0:
-                self._log_given_up(name, now)
-                self._fleet_state.drop_worker(name, Proof.NEVER_ANSWERED)
-        for name, link in self._links.items():
-            # Its link judges a lease that this owner has extended.
-            if link.extended or not link.worker.members:
-                continue
-            if self._find_unanswered_bound(name, now) < 0:
-                self._log_given_up(name, now)
-                self._fleet_state.clear_worker(link.worker, Proof.NEVER_ANSWERED, now)
-
-    def _find_unanswered_bound(self, name: str, now: float) -> float:
-        """Return how long the lease of a worker that never answered may last.
-
-        Earlier owners may have extended it, and this one while it loaded its state.
-        """
-        extended = self._lease_extender.find_lease_bound(name, now)
-        bound = self._bounds.find_bound(name)
-        return max(bound, extended) if extended else bound
-
-    def _find_lease_bounds(self) -> dict[str, float]:
-        """Return how long the lease of each silent worker with members may last."""
-        now = read_clock()
-        bounds = {
-            name: self._find_unanswered_bound(name, now)
-            for name in self._fleet_state.unlisted_members
-        }
-        for name, link in self._links.items():
-            if link.worker.acquired or not link.worker.members:
-                continue
-            if link.extended:
-                bounds[name] = link.clock.find_lease_bound(now)
-            elif now - link.heard_at > SILENT_SECONDS or self._bounds.is_inherited(
-                name
-            ):
-                bounds[name] = self._find_unanswered_bound(name, now)
-        return bounds
-
-    def _log_given_up(self, name: str, now: float) -> None:
-        _log.warning(
-            "runs_given_up",
-            worker=name,
-            inherited=self._bounds.is_inherited(name),
-            waited=round(now - self._began, 2),
-        )
-
     def _log_gone(self) -> None:
         log_gone(self._fleet_state.pop_gone(), self._links, self._term.fence)
         log_crashes(self._fleet_state.crashes.pop_found())
