--- a/features/steps/work_owner_changes_steps.py
+++ b/features/steps/work_owner_changes_steps.py
@@ -4,10 +4,9 @@
 from typing import Any
 
 from behave import then, when
-from features.steps.work_steps import list_running, make_id
+from features.steps.work_steps import find_running_worker, list_running, make_id
 
 from primrosestile.coordination.work.keys import LEASE_BOUNDS_KEY
-from primrosestile_standin.fleet_worker import FleetWorker
 
 DAMAGED = {
     "overwritten": b"\x91{",
@@ -16,17 +15,6 @@
 }
 
 
-def find_worker(context: Any, name: str) -> FleetWorker:
-    """Return a worker that runs a task of a job."""
-    job = make_id(name)
-    worker: FleetWorker = next(
-        worker
-        for worker in context.world.fleet.workers.values()
-        if any(task.startswith(job) for task in worker.runs)
-    )
-    return worker
-
-
 @when("a worker that runs {name} is gone with its entry")
 def step_gone(context: Any, name: str) -> None:
     lose(context, name)
@@ -40,7 +28,7 @@
 
 def lose(context: Any, name: str) -> None:
     async def crash() -> None:
-        context.cut = find_worker(context, name)
+        context.cut = find_running_worker(context, make_id(name))
         context.cut.crash()
 
     context.world.run(crash())
@@ -84,7 +72,7 @@
     async def lose_both() -> None:
         world = context.world
         owner = world.find_owner()
-        context.cut = find_worker(context, name)
+        context.cut = find_running_worker(context, make_id(name))
         await world.kill(owner.name)
         context.cut.crash()
         await remove_entry(context)
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -15,6 +15,7 @@
 from primrosestile.state.work import JobState
 from primrosestile.state.workers import EndKind
 from primrosestile_standin.fleet_script import Script
+from primrosestile_standin.fleet_worker import FleetWorker
 
 SETTLE_SECONDS = 2.0
 
@@ -352,14 +353,19 @@
     context.world.run(put())
 
 
-@when("a worker that runs {name} is cut off")
-def step_cut_running(context: Any, name: str) -> None:
-    job = make_id(name)
-    context.cut = next(
+def find_running_worker(context: Any, task: str) -> FleetWorker:
+    """Return a worker that runs a task whose name begins so."""
+    worker: FleetWorker = next(
         worker
         for worker in context.world.fleet.workers.values()
-        if any(task.startswith(job) for task in worker.runs)
+        if any(each.startswith(task) for each in worker.runs)
     )
+    return worker
+
+
+@when("a worker that runs {name} is cut off")
+def step_cut_running(context: Any, name: str) -> None:
+    context.cut = find_running_worker(context, make_id(name))
     context.cut.faults.cut = True
 
 
--- a/features/steps/work_undelivered_stops_steps.py
+++ b/features/steps/work_undelivered_stops_steps.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from behave import given, then, when
-from features.steps.work_steps import list_running, make_id
+from features.steps.work_steps import find_running_worker, list_running, make_id
 
 from primrosestile.coordination.work.keys import make_job_key, make_progress_key
 
@@ -30,9 +30,7 @@
 @when("the worker of task {number:d} of {name} is cut off")
 def step_cut_worker(context: Any, number: int, name: str) -> None:
     task = f"{make_id(name)}.0.0.{number}"
-    context.cut = next(
-        worker for worker in context.world.fleet.workers.values() if task in worker.runs
-    )
+    context.cut = find_running_worker(context, task)
     context.cut.faults.cut = True
 
 
