--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,6 +10,7 @@
 import aiohttp
 
 files = [*pathlib.Path("review/platform2").glob("*.py")]
+files += pathlib.Path("review/more/advice").glob("*.py")
 files += [path for n in range(4, 9) for path in pathlib.Path(f"review/{n}").glob("*.py")]
 for path in files:
     compile(path.read_text(), str(path), "exec")
