--- a/review/4/case.py
+++ b/review/4/case.py
@@ -59,7 +59,7 @@
     if trouble:
         world.store.delay_write = delay_write
     named["a"].end_runs()
-    await asyncio.sleep(0.12)
+    await asyncio.sleep(0.08)
     named["c"].end_runs()
     named["b1"].end_runs()
     await asyncio.sleep(0.06)
