Settle an order only for the run that it belongs to

One answer of the store was lost, and one worker crashed within 0.3 s of the decision.

Cause: after its waits for the record, the workers' entries and the batches, Orders._record_and_send withheld `unit.members`. By then the unit had been ordered anew, so the members of the later run, which was sent, were marked as gone with the proof "never sent". The end of _send_start and a late refusal abandoned `member.unit` in the same way.

Ruled out: late orders and leases, of which the records show none.

Change: order() returns the members of the run, the steps keep these, and abandon_run() does nothing once a member's run is over. A unit gets its next run only when all members of the former one are gone, so marking those as gone again changes nothing: a step can no longer reach a run that it was not for. A start accepted by a former start of the worker no longer counts as running on the next one, to which the member was moved.

--- /dev/null
+++ b/features/work/outdated_orders.feature
@@ -0,0 +1,57 @@
+Feature: A step of a run that is over changes nothing of the next run
+  Guards against orders that have waited and then act on what their unit runs by now.
+
+  Scenario Outline: A start is settled after its unit has been started elsewhere
+    Guards against counting the next run as never sent, or ending it.
+    Given a task whose first run waits for <what>
+    When its worker is lost, and its second run is started elsewhere
+    And <what> arrives
+    Then the second run goes on
+
+    Examples:
+      | what                         |
+      | its record                   |
+      | the entry of its worker      |
+      | a refusal of its start       |
+      | the last failure of its start |
+
+  Scenario: A start is accepted by a start of its worker that is over
+    Guards against counting a run as up on the next start of the worker, which does not
+    run it.
+    Given a task whose first run waits for an acceptance of its start
+    When its worker starts again under its id
+    And an acceptance of its start arrives
+    Then the first run does not count as up
+
+  Scenario: One job's record is late, and the worker of another job crashes meanwhile
+    Guards against a task that runs twice after a decision to start that waited for the
+    records of two jobs.
+    Given a fleet of 5 workers with 8 accelerators in 1 racks
+    And 1 processes of ours
+    And crashed workers restart after 0.02 s
+    And the tasks of a1 take 3 s
+    And the tasks of a2 take 3 s
+    And the tasks of a3 take 5 s
+    And the tasks of a4 take 3 s
+    When job a1 is handed in with steps
+      | count | accelerators | after | gang |
+      | 1     | 8            |       |      |
+      | 2     | 8            | 0     | yes  |
+    And a1 runs on the fleet
+    And 0.1 s pass
+    And job a2 is handed in with steps
+      | count | accelerators |
+      | 3     | 8            |
+    And a2 runs on the fleet
+    And 0.1 s pass
+    And job a4 is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    And job a3 is handed in with steps
+      | count | accelerators | gang |
+      | 2     | 8            | yes  |
+    And the next record of a1 is stored, and not answered for 1.5 s
+    And a worker for a3 crashes 0.06 s after the decision
+    And 15 s pass
+    Then the fleet's ledger shows nothing wrong
+    And every task of a3 was started once
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -5,9 +5,14 @@
 the run is abandoned by a stop, after which the worker always refuses its start. The
 task may run again only once the worker itself reports that the run is not there, or
 its lease has ended.
+
+Every step here waits for the store or for a worker, and the run that it is for may be
+over by the time it goes on, and its unit may have another one. So a step keeps the
+members of its run, and whatever it learns settles these alone.
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable, Collection, Sequence
 
 import structlog
@@ -77,9 +82,10 @@
         if not assignments:
             return
         now = read_clock()
+        members: list[Member] = []
         for each in assignments:
             workers = [worker.name for worker in each.workers]
-            self._fleet_state.order(each.unit, workers, now)
+            members += self._fleet_state.order(each.unit, workers, now)
             _log.info(
                 "run_decided",
                 **name_unit(each.unit),
@@ -88,15 +94,22 @@
                 slack=round(each.rank.slack, 2),
                 failures=each.unit.failures,
             )
-        self._tasks.create_task(self._record_and_send(assignments))
-
-    async def _record_and_send(self, assignments: Sequence[Assignment]) -> None:
-        # RUN_RECORDED_BEFORE_ORDER.
-        members = [member for each in assignments for member in each.unit.members]
         urgencies: dict[Unit, Urgency] = {
             each.unit: (not each.rank.entitled, each.rank.priority)
             for each in assignments
         }
+        self._tasks.create_task(self._record_and_send(members, urgencies))
+
+    async def _record_and_send(
+        self, members: Sequence[Member], urgencies: dict[Unit, Urgency]
+    ) -> None:
+        """Record runs, then send the starts of those that may still begin.
+
+        Args:
+            members: Of all the runs; those of one run are next to each other.
+            urgencies: Which starts go first over a full link.
+        """
+        # RUN_RECORDED_BEFORE_ORDER.
         began = read_clock()
         await self._recorder.save({member.unit.job for member in members})
         record_seconds = read_clock() - began
@@ -105,14 +118,22 @@
             seconds = max(map(self._find_seconds, batch))
             workers = {member.worker for member in batch}
             await self._wait_for_entries(workers, until, seconds)
-            withheld = {each.unit for each in batch if not self._may_begin(each)}
-            for unit in withheld:
-                self._withhold(unit)
-            for member in batch:
-                if member.unit not in withheld:
-                    self._tasks.create_task(
-                        self._send_start(member, urgencies[member.unit], record_seconds)
-                    )
+            for unit, run in itertools.groupby(batch, lambda member: member.unit):
+                self._begin(list(run), urgencies[unit], record_seconds)
+
+    def _begin(
+        self, run: Sequence[Member], urgency: Urgency, record_seconds: float
+    ) -> None:
+        """Send the starts of a run that is recorded, unless it may not begin."""
+        if not run[0].is_current:
+            _log.info("start_outdated", **name_member(run[0]))
+        elif not all(map(self._may_begin, run)):
+            self._withhold(run)
+        else:
+            for member in run:
+                self._tasks.create_task(
+                    self._send_start(member, urgency, record_seconds)
+                )
 
     def _find_seconds(self, member: Member) -> float:
         """Return how long the transfer of a start takes."""
@@ -158,11 +179,10 @@
             and link.worker.can_take_decided()
         )
 
-    def _withhold(self, unit: Unit) -> None:
+    def _withhold(self, run: Sequence[Member]) -> None:
         """Abandon a run of which nothing was sent."""
-        _log.info("start_withheld", **name_unit(unit))
-        self._fleet_state.abandon(unit)
-        for member in unit.members:
+        _log.info("start_withheld", **name_unit(run[0].unit))
+        for member in run:
             self._fleet_state.mark_gone(member, Proof.NEVER_SENT)
         self._wake()
 
@@ -220,7 +240,7 @@
             return
         if not unanswered:
             self._fleet_state.mark_gone(member, Proof.NEVER_SENT)
-        self._fleet_state.abandon(member.unit)
+        self._fleet_state.abandon_run(member)
         self._wake()
 
     def _make_order(self, member: Member, link: WorkerLink) -> StartOrder:
@@ -238,14 +258,17 @@
         self, member: Member, link: WorkerLink, answer: OrderAnswer, unanswered: bool
     ) -> None:
         if answer.refusal is None:
-            self._fleet_state.mark_up(member, read_clock())
+            # A later start of the worker, to which the member was moved, does not run
+            # what the former one has accepted.
+            if member.worker == link.worker.name:
+                self._fleet_state.mark_up(member, read_clock())
             self._recorder.request_round()
             return
         self._note_refusal(member, link.worker, answer.refusal)
         # Another start of the worker runs it; the link moves the member there.
         if not unanswered and answer.refusal is not Refusal.RESTARTED:
             self._fleet_state.mark_gone(member, Proof.REFUSED)
-        self._fleet_state.abandon(member.unit)
+        self._fleet_state.abandon_run(member)
         self._wake()
 
     def _note_refusal(self, member: Member, worker: Worker, refusal: Refusal) -> None:
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -418,7 +418,7 @@
                 # Another member has reported that the gang ended well.
                 self._fleet_state.mark_gone(member, Proof.GANG_ENDED)
             elif member.up_at < sent_at and key not in self._stopped:
-                self._fleet_state.abandon(member.unit)
+                self._fleet_state.abandon_run(member)
 
     def _note_silence(self, failure: Failure) -> None:
         """Mark the worker's runs as gone once its lease has certainly expired.
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -156,8 +156,10 @@
                 member.since = now - UNSAVED_SECONDS
                 member.pace = UNKNOWN_PACE
 
-    def order(self, unit: Unit, workers: Iterable[str], now: float) -> None:
-        """Give a waiting unit its next run on workers."""
+    def order(
+        self, unit: Unit, workers: Iterable[str], now: float
+    ) -> tuple[Member, ...]:
+        """Give a waiting unit its next run on workers; return the run's members."""
         unit.phase = Phase.ORDERED
         unit.run += 1
         unit.abandoned = False
@@ -168,6 +170,7 @@
         unit.isolating_since = None
         self.place_members(unit, workers, now)
         self.changed.add(unit.job)
+        return unit.members
 
     def place_members(self, unit: Unit, workers: Iterable[str], now: float) -> None:
         """Create the members of a unit's run."""
@@ -274,7 +277,7 @@
             member.state = MemberState.SENT
             successor.attach(member)
             if not member.restored:
-                self.abandon(member.unit)
+                self.abandon_run(member)
             self.changed.add(member.unit.job)
 
     def list_incarnations(self, worker_id: str) -> list[Worker]:
@@ -410,10 +413,19 @@
         self.finish(job, JobState.FAILED)
 
     def abandon(self, unit: Unit) -> None:
-        """End a unit's current run, so that it can be started again."""
+        """End a unit's current run, so that it can be started again.
+
+        Only for decisions on the present state: what has waited since then abandons
+        the run that it was for.
+        """
         if unit.phase is Phase.ORDERED:
             unit.abandoned = True
 
+    def abandon_run(self, member: Member) -> None:
+        """End a member's run, unless it is over and its unit may have another one."""
+        if member.is_current:
+            self.abandon(member.unit)
+
     def mark_gone(self, member: Member, proof: Proof) -> None:
         """Mark a member that certainly does not run, and never will, as gone."""
         if member.state is MemberState.GONE:
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -90,6 +90,12 @@
     stopping_at: float | None = None
     comparisons: int = 0
 
+    @property
+    def is_current(self) -> bool:
+        """Whether its run is the one that its unit has now."""
+        unit = self.unit
+        return unit.phase is Phase.ORDERED and unit.run == self.run
+
     def record_progress(self, percent: float, now: float) -> None:
         """Record the progress that its worker reports.
 
