Let late answers about tickets and paces change only what they are about

A start that is refused for its ticket expired whatever ticket the step had for that worker by then, so a step whose ticket had been renewed waited for another question. A pace that was left unanswered put the member's pace back to the one before it, though a newer pace had been answered since: the task would stay at the newer pace without the scheduler knowing.

Cause: a step that has waited changes the present state.

Change: a refusal names the ticket that was refused, and a pace is undone only if none was decided after it.

--- a/features/steps/work_outdated_orders_steps.py
+++ b/features/steps/work_outdated_orders_steps.py
@@ -269,6 +269,7 @@
 @when("its pace of 25 is answered")
 def step_newer_pace(context: Any) -> None:
     async def pace(held: HeldOrders) -> None:
+        await asyncio.sleep(0.1)
         held.orders.pace([Pace(held.first, 25)])
         await settle()
         held.calls[1].set_result(OrderAnswer(1.0))
--- a/features/work/outdated_orders.feature
+++ b/features/work/outdated_orders.feature
@@ -23,6 +23,20 @@
     And an acceptance of its start arrives
     Then the first run does not count as up
 
+  Scenario: A ticket is refused after the service has given a newer one
+    Guards against waiting for a ticket that is there.
+    Given a task whose first run waits for a refusal of its ticket
+    When the advice service gives another ticket
+    And a refusal of its ticket arrives
+    Then the newer ticket is still valid
+
+  Scenario: A pace is left unanswered after a newer one was sent
+    Guards against taking a task for paced as it was before both.
+    Given a best-effort task whose pace of 50 waits for its answer
+    When its pace of 25 is answered
+    And the failure of the first pace arrives
+    Then the task counts as paced to 25
+
   Scenario: One job's record is late, and the worker of another job crashes meanwhile
     Guards against a task that runs twice after a decision to start that waited for the
     records of two jobs.
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -211,9 +211,10 @@
                 if not self._may_send(member):
                     break
                 sent_at = read_clock()
+                order = self._make_order(member, link)
                 try:
                     answer = await self._calls.start(
-                        link.entry, self._term.fence, self._make_order(member, link)
+                        link.entry, self._term.fence, order
                     )
                 except Failure as failure:
                     if failure.kind is ErrorKind.NO_TARGET:
@@ -236,6 +237,8 @@
                     worker_clock=round(answer.clock, 3),
                     record_seconds=round(record_seconds, 3),
                 )
+            if answer.refusal is Refusal.TICKET:
+                member.unit.permits.expire(link.worker.name, order.ticket)
             self._process_answer(member, link, answer, unanswered)
             return
         if not unanswered:
@@ -280,8 +283,6 @@
         now = read_clock()
         if refusal is Refusal.FENCE:
             self._term.lost.set()
-        elif refusal is Refusal.TICKET:
-            member.unit.permits.expire(worker.name)
         elif refusal is Refusal.UNHEALTHY:
             worker.quarantined_until = max(
                 worker.quarantined_until, now + UNHEALTHY_QUARANTINE_SECONDS
@@ -298,12 +299,17 @@
             was = each.member.pace
             each.member.pace = each.percent
             each.member.paced_at = now
-            self._tasks.create_task(self._send_pace(each, was))
+            self._tasks.create_task(self._send_pace(each, was, now))
 
-    async def _send_pace(self, pace: Pace, was: int) -> None:
+    async def _send_pace(self, pace: Pace, was: int, paced_at: float) -> None:
         """Send a pace; if it is not answered, the previous pace is restored.
 
         The order is idempotent, so the next pass may send it again.
+
+        Args:
+            pace: What to send.
+            was: The previous pace.
+            paced_at: When this one was decided; a later one is not undone.
         """
         member = pace.member
         link = self._links.get(member.worker)
@@ -317,7 +323,8 @@
             )
         except Failure as failure:
             _log.info("pace_unanswered", task=member.task, reason=str(failure))
-            member.pace = was
+            if member.paced_at == paced_at:
+                member.pace = was
             return
         link.record_order_answer(answer.clock, sent_at)
         _log.info(
--- a/src/primrosestile/decisions/work/permits.py
+++ b/src/primrosestile/decisions/work/permits.py
@@ -32,8 +32,8 @@
         permit = self.granted.get(worker)
         return permit is not None and now < permit.until
 
-    def expire(self, worker: str) -> None:
-        """Expire a ticket that a worker did not accept: a new one is needed."""
+    def expire(self, worker: str, ticket: str) -> None:
+        """Expire a ticket that a worker did not accept, unless there is another one."""
         permit = self.granted.get(worker)
-        if permit is not None:
+        if permit is not None and permit.ticket == ticket:
             self.granted[worker] = Permit(permit.ticket, 0.0)
