Count crashes and run times from the sending of a start, not its decision

Two answers of the store were lost, and its worker crashed each time before anything had been sent.

Cause: a member was SENT, and its time began, from the decision on, while its record was still being written. A crash of its worker then counted as that of a task alone on its worker right after its start; two of these give a job up.

In simulation the log has run_decided, worker_crashed_under_task with alone=1 and alone=2, and task_given_up, without any run_started. Ruled out: failed runs (failures=0) and neighbours (none).

Change: a state DECIDED before SENT. Only members that were sent count as losses and as neighbours; a start that timed out is not one of a task alone; one known only from an earlier owner's record gives no job up. Costs of stops, spared times, estimates and trials go by the time since the sending. Runs that are abandoned before they are sent are gone at once.

Why it works: nothing can be counted against a task before its start is sent, and a job is given up only by a crash whose start this owner has sent or the worker has reported. Tasks that crash their workers are still given up by all scenarios of work/crashes, also before they answer and over changes of owner.

Tests whose set-up stood for running tasks by ordering them now also mark them as sent; their checks are unchanged. The simulated calls mark time-outs as silent, as the real ones do.

--- a/features/steps/work_crashes_steps.py
+++ b/features/steps/work_crashes_steps.py
@@ -9,13 +9,17 @@
 from features.doubles.random_crashes import RandomCrashes
 from features.doubles.worker_restarts import Restarts, make_restarts
 from features.steps.work_decisions_steps import add_job, add_worker, make_fleet_state
+from features.steps.work_outdated_orders_steps import find_scheduler
 from features.steps.work_steps import hand_in, make_id
 
 from primrosestile.decisions.work.durations import Durations
+from primrosestile.decisions.work.fleet_state import FleetState
 from primrosestile.decisions.work.plan import make_plan
+from primrosestile.decisions.work.preemption import is_aged
 from primrosestile.decisions.work.proofs import Proof
 from primrosestile.decisions.work.speeds import Speeds
-from primrosestile.state.work import CrashCount, Need, Step
+from primrosestile.decisions.work.units import Member
+from primrosestile.state.work import CrashCount, JobState, Need, Step
 from primrosestile_standin.fleet_script import Script
 
 LASTING_SECONDS = 10_000.0
@@ -157,7 +161,8 @@
         add_worker(fleet_state, number, 8)
     add_job(fleet_state, 1, 1, (Step(count, Need(100, 100, 1)),))
     for number, unit in enumerate(fleet_state.jobs[f"{1:016x}"].units.values()):
-        fleet_state.order(unit, [f"w{number}"], 0.0)
+        (member,) = fleet_state.order(unit, [f"w{number}"], 0.0)
+        member.record_sent(0.0)
     add_job(fleet_state, 2, 1, (Step(2, Need(100, 100, 1)),))
     context.units = list(fleet_state.jobs[f"{2:016x}"].units.values())
     for unit, crashes in zip(context.units, (first, second), strict=True):
@@ -181,7 +186,8 @@
     add_worker(fleet_state, 1, 8)
     add_job(fleet_state, 1, 1, (Step(1, Need(1000, 1000, 1)),))
     (unit,) = fleet_state.jobs[f"{1:016x}"].units.values()
-    fleet_state.order(unit, ["w1"], 0.0)
+    (member,) = fleet_state.order(unit, ["w1"], 0.0)
+    member.record_sent(0.0)
     fleet_state.clear_worker(fleet_state.workers["w1"], Proof.LEASE_OVER, 10.0)
 
 
@@ -209,3 +215,130 @@
 def step_counted(context: Any, count: int, name: str) -> None:
     found = context.fleet_state.crashes.found
     assert [each.count.count for each in found] == [count], found
+
+
+@when("the workers for {name} crash {seconds:g} s after its next {count:d} decisions")
+def step_crash_decisions(context: Any, name: str, seconds: float, count: int) -> None:
+    world = context.world
+
+    def find_decided(after: int) -> Member | None:
+        job = find_scheduler(world).fleet_state.jobs.get(make_id(name))
+        units = job.units.values() if job is not None else ()
+        members = [each for unit in units for each in unit.members if each.run > after]
+        return members[0] if members else None
+
+    async def crash() -> None:
+        run = 0
+        for _ in range(count):
+            await world.wait_for(lambda run=run: find_decided(run) is not None, 10.0)
+            decided = find_decided(run)
+            assert decided is not None
+            run = decided.run
+            await asyncio.sleep(seconds)
+            context.restarts.crash(decided.worker)
+
+    world.run(crash())
+
+
+def add_task(fleet_state: FleetState, number: int) -> Member:
+    """Decide the start of a task on worker w1, 1 s after the beginning."""
+    add_job(fleet_state, number, 1, (Step(1, Need(1000, 1000, 1)),))
+    (unit,) = fleet_state.jobs[f"{number:016x}"].units.values()
+    (member,) = fleet_state.order(unit, ["w1"], 1.0)
+    return member
+
+
+@given("a fleet state with a task whose start {start}, beside {beside}")
+def step_started(context: Any, start: str, beside: str) -> None:
+    fleet_state = context.fleet_state = make_fleet_state()
+    add_worker(fleet_state, 1, 8)
+    member = context.member = add_task(fleet_state, 1)
+    if start != "was not sent":
+        member.record_sent(1.0)
+    if start == "was accepted":
+        fleet_state.mark_up(member, 1.01)
+    elif start == "broke the connection":
+        member.reached = True
+    elif start == "was recorded by a former owner":
+        member.restored = True
+    if beside != "nothing":
+        neighbour = add_task(fleet_state, 2)
+        if beside == "a task that runs":
+            neighbour.record_sent(0.5)
+            fleet_state.mark_up(neighbour, 0.51)
+
+
+@when("its worker stops answering {seconds:g} s later and crashes")
+def step_stops_answering(context: Any, seconds: float) -> None:
+    worker = context.fleet_state.workers["w1"]
+    worker.record_answer(1.0)
+    worker.record_no_answer(1.0 + seconds)
+    context.fleet_state.drop_worker("w1", Proof.INCARNATION_OVER)
+
+
+@then("{count:d} crashes are counted, {alone:d} of them with the task alone")
+def step_counts(context: Any, count: int, alone: int) -> None:
+    crashes = context.member.unit.crashes.get(0, CrashCount(0))
+    assert (crashes.count, crashes.alone) == (count, alone), crashes
+    found = context.fleet_state.crashes.found
+    assert all(each.member.sent_at is not None for each in found), found
+
+
+@given(
+    "a fleet state with a task that former owners recorded on {count:d} workers that"
+    " crashed"
+)
+def step_restored(context: Any, count: int) -> None:
+    fleet_state = context.fleet_state = make_fleet_state()
+    add_job(fleet_state, 1, 1, (Step(1, Need(1000, 1000, 1)),))
+    (unit,) = fleet_state.jobs[f"{1:016x}"].units.values()
+    for number in range(count):
+        add_worker(fleet_state, number, 8)
+        (member,) = fleet_state.order(unit, [f"w{number}"], float(number))
+        member.record_sent(float(number))
+        member.restored = True
+        fleet_state.drop_worker(f"w{number}", Proof.INCARNATION_OVER)
+    context.unit = unit
+
+
+@then("its job is not given up")
+def step_not_given_up(context: Any) -> None:
+    assert context.unit.job.state is JobState.QUEUED, context.unit.job.state
+
+
+@when("its next run is accepted, and its worker crashes at once")
+def step_accepted(context: Any) -> None:
+    fleet_state = context.fleet_state
+    add_worker(fleet_state, 99, 8)
+    (member,) = fleet_state.order(context.unit, ["w99"], 90.0)
+    member.record_sent(90.0)
+    fleet_state.mark_up(member, 90.01)
+    fleet_state.drop_worker("w99", Proof.INCARNATION_OVER)
+
+
+@then("its job is given up")
+def step_given_up(context: Any) -> None:
+    assert context.unit.job.state is JobState.FAILED, context.unit.job.state
+
+
+@given("a task that was decided 10 s ago, and {sent}")
+def step_decided_earlier(context: Any, sent: str) -> None:
+    fleet_state = make_fleet_state()
+    add_worker(fleet_state, 1, 8)
+    member = context.member = add_task(fleet_state, 1)
+    context.now = 11.0
+    if sent != "has not been sent":
+        member.record_sent(context.now - float(sent.split()[2]))
+
+
+@then("it counts as having run for {seconds:d} s")
+def step_age(context: Any, seconds: int) -> None:
+    member = context.member
+    assert member.find_age(context.now) == seconds
+    left = Durations().guess_left(member, context.now)
+    assert left == max(0.0, Durations().guess_run(member) - seconds), left
+
+
+@then("its unit is {aged}")
+def step_aged(context: Any, aged: str) -> None:
+    assert is_aged(context.member.unit, context.now) == (aged == "aged")
--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -132,7 +132,9 @@
 
 def apply_plan(fleet_state: FleetState, plan: Plan, now: float) -> None:
     for start in plan.starts:
-        fleet_state.order(start.unit, [worker.name for worker in start.workers], now)
+        names = [worker.name for worker in start.workers]
+        for member in fleet_state.order(start.unit, names, now):
+            member.record_sent(now)
 
 
 def plan_at(fleet_state: FleetState, now: float) -> Plan:
--- a/features/steps/work_outdated_orders_steps.py
+++ b/features/steps/work_outdated_orders_steps.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from behave import given, then, when
+from behave import given, step, then, when
 from features.doubles.fleet_world import FleetWorld
 from features.steps.work_decisions_steps import add_job, add_worker, make_fleet_state
 from features.steps.work_steps import (
@@ -16,6 +16,7 @@
 from primrosestile.clock import read_clock
 from primrosestile.coordination.work.keys import make_progress_key
 from primrosestile.coordination.work.orders import START_TRIES, Orders
+from primrosestile.coordination.work.scheduler import Scheduler
 from primrosestile.decisions.work.durations import Durations
 from primrosestile.decisions.work.paces import Pace
 from primrosestile.decisions.work.permits import Permit
@@ -316,14 +317,25 @@
     context.execute_steps(SHARED_PASS.format(seconds=seconds))
 
 
-@when("the next record of {name} is stored, and not answered for {seconds:g} s")
+def find_scheduler(world: FleetWorld) -> Scheduler:
+    """Return the scheduler of the process that is the owner."""
+    return next(
+        process.scheduler
+        for process in world.processes.values()
+        if process.election.term is not None and process.scheduler is not None
+    )
+
+
+@step("the next record of {name} is stored, and not answered for {seconds:g} s")
 def step_late_answer(context: Any, name: str, seconds: float) -> None:
-    client = context.world.processes["p1"].scheduler._store
+    client = find_scheduler(context.world)._store
     commit = client.commit
     key = make_progress_key(make_id(name))
 
-    async def commit_late(conditions: Any, writes: Any = (), removals: Any = ()) -> Any:
-        result = await commit(conditions, writes, removals)
+    async def commit_late(
+        conditions: Any, writes: Any = (), *rest: Any, **named: Any
+    ) -> Any:
+        result = await commit(conditions, writes, *rest, **named)
         if any(write.key == key for write in writes):
             client.commit = commit
             await asyncio.sleep(seconds)
@@ -337,8 +349,7 @@
     """Return the last member of a job's first run, once that is decided."""
 
     def list_members() -> list[Member]:
-        scheduler = context.world.processes["p1"].scheduler
-        job = scheduler.fleet_state.jobs[make_id(name)]
+        job = find_scheduler(context.world).fleet_state.jobs[make_id(name)]
         return [each for unit in job.units.values() for each in unit.members]
 
     await context.world.wait_for(lambda: bool(list_members()), 6.0)
--- a/features/steps/work_preemption_history_steps.py
+++ b/features/steps/work_preemption_history_steps.py
@@ -121,7 +121,7 @@
         stop_for_guaranteed(context, OTHER + number, at)
         context.fleet_state.order(unit, ["w0", "w1"], at + 0.1)
     for member in unit.members:
-        member.since = began
+        member.sent_at = began
         context.fleet_state.mark_up(member, began)
 
 
--- a/features/work/crashes.feature
+++ b/features/work/crashes.feature
@@ -195,3 +195,52 @@
     When the same incarnation answers
     And another incarnation answers at its address
     Then no crash of cf is counted
+
+  Scenario: Workers crash while the record of a start is on its way
+    Guards against failing a job of which nothing has been sent to any worker.
+    Given crashed workers restart after 0.2 s
+    And the next record of ch is stored, and not answered for 3 s
+    When job ch is handed in with steps
+      | count | accelerators |
+      | 1     | 8            |
+    And the workers for ch crash 0.05 s after its next 2 decisions
+    Then job ch is shown as completed within 20 s
+    And at most 2 workers have crashed
+    And the fleet's ledger shows nothing wrong
+
+  Scenario Outline: A worker crashes with a task on it
+    Guards against counting against a task what it can't have caused, and against
+    counting nothing against a task that has not answered yet.
+    Given a fleet state with a task whose start <start>, beside <beside>
+    When its worker stops answering 0.2 s later and crashes
+    Then <count> crashes are counted, <alone> of them with the task alone
+
+    Examples:
+      | start                           | beside                       | count | alone |
+      | was not sent                    | nothing                      | 0     | 0     |
+      | was accepted                    | nothing                      | 1     | 1     |
+      | was accepted                    | a task that was not sent     | 1     | 1     |
+      | was accepted                    | a task that runs             | 1     | 0     |
+      | broke the connection            | nothing                      | 1     | 1     |
+      | went unanswered                 | nothing                      | 1     | 0     |
+      | was recorded by a former owner  | nothing                      | 1     | 0     |
+
+  Scenario: Workers crash under a task that may never have been sent
+    Guards against failing a job for the runs that former owners recorded, of which
+    none may have reached a worker.
+    Given a fleet state with a task that former owners recorded on 5 workers that crashed
+    Then its job is not given up
+    When its next run is accepted, and its worker crashes at once
+    Then its job is given up
+
+  Scenario Outline: A run whose record is late
+    Guards against counting the wait for its record as time that it has run.
+    Given a task that was decided 10 s ago, and <sent>
+    Then it counts as having run for <seconds> s
+    And its unit is <aged>
+
+    Examples:
+      | sent              | seconds | aged     |
+      | has not been sent | 0       | not aged |
+      | was sent 1 s ago  | 1       | not aged |
+      | was sent 8 s ago  | 8       | aged     |
--- a/src/primrosestile/coordination/work/orders.py
+++ b/src/primrosestile/coordination/work/orders.py
@@ -47,6 +47,8 @@
 LIST_WAIT_SECONDS = 1.0
 LIST_CHECKS = 20
 
+_STARTABLE = frozenset({MemberState.DECIDED, MemberState.SENT})
+
 _log = structlog.get_logger()
 
 
@@ -220,7 +222,7 @@
                 if queued:
                     until = read_clock() + LIST_WAIT_SECONDS
                     await self._wait_for_entries({member.worker}, until, seconds)
-                if member.state is not MemberState.SENT or member.unit.abandoned:
+                if member.state not in _STARTABLE or member.unit.abandoned:
                     return
                 link = self._links.get(member.worker)
                 if link is None or not self._term.may_act():
@@ -228,6 +230,7 @@
                 if not self._may_send(member):
                     break
                 sent_at = read_clock()
+                member.record_sent(sent_at)
                 order = self._make_order(member, link)
                 try:
                     answer = await self._calls.start(
@@ -236,9 +239,12 @@
                 except Failure as failure:
                     if failure.kind is ErrorKind.NO_TARGET:
                         link.record_silence(failure)
+                        if not unanswered:
+                            member.record_unsent()
                     else:
                         unanswered = True
                         member.unanswered_at = sent_at
+                        member.reached |= not failure.silent
                     _log.info(
                         "start_unanswered",
                         **name_member(member),
@@ -356,6 +362,10 @@
     def stop_abandoned(self) -> None:
         """Begin to stop every run that is abandoned or orphaned."""
         for member in list(self._fleet_state.list_stopping()):
+            if member.state is MemberState.DECIDED:
+                self._fleet_state.mark_gone(member, Proof.NEVER_SENT)
+                self._wake()
+                continue
             key = (member.task, member.run)
             if key not in self._stopping:
                 self._stopping.add(key)
--- a/src/primrosestile/coordination/work/run_outcomes.py
+++ b/src/primrosestile/coordination/work/run_outcomes.py
@@ -35,7 +35,7 @@
         if kind is not EndKind.FAILED:
             return
         worker = self._fleet_state.workers.get(member.worker)
-        seconds = read_clock() - (member.up_at or member.since)
+        seconds = member.find_run_seconds(read_clock())
         # A daemon task may fail at any time; only an early failure counts against its
         # worker.
         expected = member.unit.step.daemon and seconds > EARLY_FAILURE_SECONDS
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -385,7 +385,7 @@
             **name_member(member),
             how=ended.kind.value,
             percent=member.percent,
-            seconds=round(read_clock() - (member.up_at or member.since), 2),
+            seconds=round(member.find_run_seconds(read_clock()), 2),
             estimate=member.unit.step.estimate_seconds,
         )
         if member.unit.phase is Phase.ORDERED:
--- a/src/primrosestile/decisions/work/crashes.py
+++ b/src/primrosestile/decisions/work/crashes.py
@@ -9,6 +9,12 @@
 that was alone there and had only just started is the cause, unless the worker crashed
 by itself at that moment, which doesn't happen twice. So a task under which two workers
 have crashed is tried on a worker of its own.
+
+What a worker can't have received counts neither as its task nor as another task's
+neighbour: while its record is being written, a start has not been sent. A start that
+timed out, or that only an earlier owner's record shows, may never have arrived. Such a
+crash is counted, but not as one of a task that was alone, and one that is known only
+from a record gives no task up: otherwise a job could fail of which nothing has run.
 """
 
 from collections.abc import Callable, Iterable
@@ -64,12 +70,14 @@
     Attributes:
         alone: No other unit was there, and it had only just started.
         lasted: It was seen to run for longer than `LASTED_SECONDS`.
+        sent: This owner has sent its start, or its worker has reported it.
     """
 
     member: Member
     position: int
     alone: bool
     lasted: bool
+    sent: bool
 
 
 class Crashes:
@@ -153,20 +161,22 @@
             )
             unit.crashes[loss.position] = count
             # A task that lasts is restarted however it ends.
-            given_up = not unit.step.daemon and _is_given_up(count, loss.alone)
+            given_up = (
+                loss.sent and not unit.step.daemon and _is_given_up(count, loss.alone)
+            )
             self.found.append(Crash(loss.member, count, given_up))
             if given_up:
                 self._give_up(unit.job)
 
 
 def _list_losses(worker: Worker) -> list[_Loss]:
-    """Return the tasks on a worker; none if it was leaving or drained."""
+    """Return the tasks that a worker may have; none if it was leaving or drained."""
     if worker.entry.leaving or worker.closed:
         return []
     members = [
         member
         for member in worker.members.values()
-        if member.state is not MemberState.GONE
+        if member.state in (MemberState.SENT, MemberState.UP)
     ]
     alone = len({id(member.unit) for member in members}) == 1
     return [
@@ -174,7 +184,8 @@
             member,
             member.unit.members.index(member),
             alone and _has_just_started(member, worker),
-            lasted=worker.answered_at - (member.up_at or member.since) > LASTED_SECONDS,
+            lasted=member.find_run_seconds(worker.answered_at) > LASTED_SECONDS,
+            sent=member.reached or not member.restored,
         )
         for member in members
         if member.unit.phase is Phase.ORDERED
@@ -184,11 +195,12 @@
 def _has_just_started(member: Member, worker: Worker) -> bool:
     """Whether a worker stopped answering shortly after a task's start.
 
-    The start of a run that an earlier owner ordered isn't known until it is reported.
+    A worker that is partitioned before it receives a start looks the same, if it
+    crashes before the partition ends.
     """
-    if worker.unanswered_at is None or (member.restored and not member.up_at):
+    if worker.unanswered_at is None or not member.reached:
         return False
-    return 0 <= worker.unanswered_at - member.since < CRASH_AT_START_SECONDS
+    return 0 <= member.find_age(worker.unanswered_at) < CRASH_AT_START_SECONDS
 
 
 def _is_given_up(count: CrashCount, alone: bool) -> bool:
@@ -212,4 +224,4 @@
 
 def is_on_trial(member: Member, now: float) -> bool:
     """Whether nothing else is to be started beside a task."""
-    return is_isolated(member.unit) and now - member.since < TRIAL_SECONDS
+    return is_isolated(member.unit) and member.find_age(now) < TRIAL_SECONDS
--- a/src/primrosestile/decisions/work/departure_restarts.py
+++ b/src/primrosestile/decisions/work/departure_restarts.py
@@ -42,7 +42,7 @@
             ):
                 continue
             if is_worth_restarting(unit, worker, durations, now, restart_seconds):
-                lost = now - (member.up_at or member.since)
+                lost = member.find_run_seconds(now)
                 found[id(unit)] = Restart(unit, worker, lost)
     return list(found.values())
 
--- a/src/primrosestile/decisions/work/durations.py
+++ b/src/primrosestile/decisions/work/durations.py
@@ -89,7 +89,8 @@
 
     def guess_left(self, member: Member, now: float) -> float:
         """Return a member's remaining seconds, by its progress if that is enough."""
-        elapsed = now - (member.measured_at or member.since)
+        measured_at = member.measured_at
+        elapsed = now - measured_at if measured_at else member.find_age(now)
         gained = member.percent - member.measured_percent
         if gained >= MIN_PROGRESS_PERCENT:
             return elapsed * (100.0 - member.percent) / gained
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -153,7 +153,7 @@
                 member.restored = True
                 # When the run began isn't known; after a change of owner unsaved work
                 # must not count as new, and so cheap to stop.
-                member.since = now - UNSAVED_SECONDS
+                member.record_sent(now - UNSAVED_SECONDS)
                 member.pace = UNKNOWN_PACE
 
     def order(
@@ -180,7 +180,7 @@
                 unit.name_task(position),
                 unit.run,
                 name,
-                since=now,
+                decided_at=now,
                 resumed=bool(unit.checkpoint and unit.step.checkpoints),
                 progressed_at=now,
                 address=self.find_verified_address(name) or "",
@@ -256,7 +256,8 @@
         may be carried out by the later one, which has the same id and has seen no
         fence. So the units may run again only once their runs are barred there, as
         after any other start whose outcome is unknown (RUN_BARRED_BEFORE_NEXT). What an
-        earlier owner ordered is settled by the first poll under our fence.
+        earlier owner ordered is settled by the first poll under our fence. Nothing can
+        be carried out late of a start that was never sent.
 
         Args:
             name: Of the former incarnation.
@@ -271,10 +272,14 @@
             if member.unit.phase is not Phase.ORDERED:
                 self.mark_gone(member, Proof.INCARNATION_OVER)
                 continue
+            if member.state is MemberState.DECIDED:
+                self.mark_gone(member, Proof.NEVER_SENT)
+                continue
             worker.detach(member)
             member.worker = successor.name
             member.address = successor.entry.address
             member.state = MemberState.SENT
+            member.reached = False
             successor.attach(member)
             if not member.restored:
                 self.abandon_run(member)
@@ -448,9 +453,11 @@
 
     def mark_up(self, member: Member, now: float) -> None:
         """Mark a member as running, as reported by its worker."""
-        if member.state is not MemberState.SENT:
+        if member.state in (MemberState.UP, MemberState.GONE):
             return
+        member.record_sent(now)
         member.state = MemberState.UP
+        member.reached = True
         member.up_at = member.measured_at = member.progressed_at = now
         job = member.unit.job
         if job.state is JobState.QUEUED:
--- a/src/primrosestile/decisions/work/preemption.py
+++ b/src/primrosestile/decisions/work/preemption.py
@@ -72,7 +72,7 @@
             continue
         seconds = RESTART_SECONDS
         if not unit.step.checkpoints:
-            seconds = max(seconds, now - member.since)
+            seconds = max(seconds, member.find_age(now))
         cost += cores * seconds
     if unit.job.queue.priority == 0:
         cost *= URGENT_VICTIM_FACTOR
@@ -126,7 +126,7 @@
     if victim.run > SPARED_STARTS:
         return False
     if victim.step.checkpoints:
-        return now - victim.members[0].since > SPARED_SECONDS
+        return victim.members[0].find_age(now) > SPARED_SECONDS
     return gainer.job.queue.priority == 0 or not is_aged(victim, now)
 
 
@@ -134,4 +134,4 @@
     """Whether a unit has run for long and has no checkpoints."""
     if victim.step.checkpoints or not victim.members:
         return False
-    return now - victim.members[0].since >= UNSAVED_SECONDS
+    return victim.members[0].find_age(now) >= UNSAVED_SECONDS
--- a/src/primrosestile/decisions/work/preemption_history.py
+++ b/src/primrosestile/decisions/work/preemption_history.py
@@ -116,7 +116,7 @@
         cost = 0.0
         for member in unit.members:
             if member.state is not MemberState.GONE:
-                unsaved = 0.0 if unit.step.checkpoints else now - member.since
+                unsaved = 0.0 if unit.step.checkpoints else member.find_age(now)
                 cost += cores * max(pause, unsaved)
         effect = self._effects.find(unit, now)
         if effect.useless or effect.late:
@@ -167,7 +167,7 @@
             spared = self._fleet_state.settings.checkpoint_seconds
         else:
             spared = self._effects.find_run_seconds(victim)
-        if now - victim.members[0].since >= spared:
+        if victim.members[0].find_age(now) >= spared:
             return False
         # Estimates may be ten times too long; nobody needs to spare useless work.
         return not self._effects.is_useless(victim, now)
@@ -182,7 +182,7 @@
         if worker.stop_late_at >= gainer.round_at:
             return True
         if any(
-            member.since >= gainer.round_at
+            member.decided_at >= gainer.round_at
             and (member.unit.job.job_id in entitled or member.unit.step.daemon)
             for member in worker.members.values()
         ):
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -37,10 +37,12 @@
 class MemberState(Enum):
     """What is known of one member of the latest run.
 
-    `SENT`: its start was recorded; it may run. `UP`: its worker has reported that it
-    runs. `GONE`: it certainly does not run, and never will.
+    `DECIDED`: its start is being recorded; nothing was sent. `SENT`: its start was
+    sent, or may have been sent by an earlier owner; it may run. `UP`: its worker has
+    reported that it runs. `GONE`: it certainly does not run, and never will.
     """
 
+    DECIDED = 0
     SENT = 1
     UP = 2
     GONE = 3
@@ -51,7 +53,10 @@
     """One task of a unit's latest run, on one worker.
 
     Attributes:
-        since: When its run was decided, on the loop's clock.
+        decided_at: When its run was decided, on the loop's clock.
+        sent_at: When its start was first sent; None before that.
+        reached: Its worker has certainly received its start: it has answered, or the
+            connection has ended.
         unanswered_at: When its start was last sent without an answer.
         restored: It was ordered by an earlier owner, under a lower fence.
         resumed: It began from a checkpoint, not from the beginning.
@@ -72,8 +77,10 @@
     task: str
     run: int
     worker: str
-    state: MemberState = MemberState.SENT
-    since: float = 0.0
+    state: MemberState = MemberState.DECIDED
+    decided_at: float = 0.0
+    sent_at: float | None = None
+    reached: bool = False
     unanswered_at: float = -math.inf
     restored: bool = False
     resumed: bool = False
@@ -96,6 +103,26 @@
         unit = self.unit
         return unit.phase is Phase.ORDERED and unit.run == self.run
 
+    def record_sent(self, now: float) -> None:
+        """Record that its start is sent, or was sent by an earlier owner."""
+        if self.state is MemberState.DECIDED:
+            self.state = MemberState.SENT
+            self.sent_at = now
+
+    def record_unsent(self) -> None:
+        """Record that no connection was made for its start, so nothing was sent."""
+        if self.state is MemberState.SENT:
+            self.state = MemberState.DECIDED
+            self.sent_at = None
+
+    def find_age(self, now: float) -> float:
+        """Return for how long it can have run, in seconds; 0 before it was sent."""
+        return 0.0 if self.sent_at is None else now - self.sent_at
+
+    def find_run_seconds(self, now: float) -> float:
+        """Return for how long it has run, in seconds, as far as is known."""
+        return now - self.up_at if self.up_at else self.find_age(now)
+
     def record_progress(self, percent: float, now: float) -> None:
         """Record the progress that its worker reports.
 
--- a/src/primrosestile_standin/fleet_calls.py
+++ b/src/primrosestile_standin/fleet_calls.py
@@ -57,7 +57,9 @@
             return Refusal.OTHER_INCARNATION
         if worker.faults.ignores_polls:
             await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer to a poll")
+            raise Failure(
+                ErrorKind.WORKER_UNREACHABLE, "no answer to a poll", silent=True
+            )
         worker.sweep()
         refusal = worker.take_poll(fence, seen, until)
         if refusal is not None:
@@ -71,7 +73,7 @@
         worker.sweep()
         self._check_resets(worker)
         if self._is_cut(worker):
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut", silent=True)
         poll = worker.make_poll()
         await self._carry(len(poll.running) + len(poll.ended))
         name = worker.entry.worker
@@ -127,7 +129,7 @@
                 delay, self._execute_late, entry, execute
             )
             await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "late")
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "late", silent=True)
         worker.sweep()
         refusal = execute(worker)
         if worker.faults.lose_answers:
@@ -145,11 +147,11 @@
         if worker is None:
             if self._fleet.is_unresponsive(entry.address):
                 await asyncio.sleep(TIMEOUT_SECONDS)
-                raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer")
+                raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer", silent=True)
             raise Failure(ErrorKind.NO_TARGET, f"nothing listens at {entry.address}")
         if self._is_cut(worker):
             await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut")
+            raise Failure(ErrorKind.WORKER_UNREACHABLE, "cut", silent=True)
         self._check_resets(worker)
         return worker if worker.entry.worker_id == entry.worker_id else None
 
@@ -169,7 +171,9 @@
         self._carried += 1
         if self._carried % 10 < self.lost_of_ten:
             await asyncio.sleep(TIMEOUT_SECONDS)
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time")
+            raise Failure(
+                ErrorKind.WORKER_UNREACHABLE, "no answer in time", silent=True
+            )
         size = ANSWER_BYTES + rows * ROW_BYTES
         await self._carry_bytes(size, read_clock() if began is None else began)
 
@@ -179,7 +183,9 @@
         try:
             await self._link.carry(size, left)
         except TimeoutError as error:
-            raise Failure(ErrorKind.WORKER_UNREACHABLE, "no answer in time") from error
+            raise Failure(
+                ErrorKind.WORKER_UNREACHABLE, "no answer in time", silent=True
+            ) from error
 
     def _is_cut(self, worker: FleetWorker) -> bool:
         return self.cut_off or worker.faults.cut
