Bar an id by a tombstone before a cancel is told that no job has it

Cause: "no such job" is a promise about the future. The cancel found no key and left nothing behind, and the conditions of the late write still held.

Ruled out: a stale read.

Change: a cancel that finds no job writes a tombstone, under the condition that neither the job nor its end exists, and each write that creates a job requires that none bars it. A submission that meets one is answered 409 "cancelled". If the tombstone can't be written, the cancel is answered with the store's error; above ten a second in one process with 503.

A cancel of another organisation's job is answered 410 like that of an unknown id, no longer 403, which told that it exists. The step of work/submitting that required 403 now requires "none", and that the job is still queued.

Why it works: the store decides between the two writes, whichever comes first. If the job's is first, the tombstone's condition fails and the job is cancelled; if the tombstone's is first, the job's condition fails for longer than a write can be late.

Three token buckets are now one, decisions.rate_budget.

--- a/features/model/guards.feature
+++ b/features/model/guards.feature
@@ -38,6 +38,11 @@
       | CLAIM_OUTLIVES_RETRIES            | claims     | a non-idempotent request runs at most once         |
       | JOB_ID_CLAIMED                    | submission | one submission makes one job                       |
       | LOST_WRITE_NOT_DISPROVED          | submission | 'not run' is true                                  |
+      | TOMBSTONE_BEFORE_NO_SUCH_JOB      | cancelling | a job that was said not to exist never runs        |
+      | JOB_REQUIRES_NO_TOMBSTONE         | cancelling | a job that was said not to exist never runs        |
+      | TOMBSTONE_REQUIRES_NO_JOB         | cancelling | a job that was said not to exist never runs        |
+      | TOMBSTONE_OUTLIVES_LATE_WRITES    | cancelling | a job that was said not to exist never runs        |
+      | TOMBSTONE_OF_ONE_ORGANISATION     | cancelling | nobody else's cancel refuses a job                 |
       | ANSWER_ID_CHECKED                 | answers    | a caller gets its own answer                       |
       | ANSWER_LENGTH_CHECKED             | answers    | a caller gets the whole answer                     |
       | CHANGE_COMPARED                   | settings   | no change overwrites one that its author had not seen |
--- a/features/model/promises.feature
+++ b/features/model/promises.feature
@@ -16,6 +16,7 @@
       | moving      |
       | claims      |
       | submission  |
+      | cancelling  |
       | answers     |
       | settings    |
       | restart     |
--- a/features/work/submitting.feature
+++ b/features/work/submitting.feature
@@ -104,7 +104,8 @@
     Then at the path of common job r1 is shown as queued
     When job r1 is handed in at p1
     Then the caller is told that it was accepted
-    And job r1 can't be cancelled without a key at the path of urgent
+    And a cancel of r1 without a key at the path of urgent finds none
+    And at the path of common job r1 is shown as queued
     When job r1 is cancelled at the path of common
     Then at the path of common job r1 is shown as cancelled
     And 0 tasks of r1 were started in 40 s
--- a/specification/guards.py
+++ b/specification/guards.py
@@ -121,6 +121,24 @@
         "caller is not told 'not run' unless the key has changed since."
     )
 
+    # Cancelling.
+    TOMBSTONE_BEFORE_NO_SUCH_JOB = (
+        "A cancel is answered 'no such job' only once a tombstone bars the id, unless "
+        "the id is that of a job that has ended or is another organisation's."
+    )
+    JOB_REQUIRES_NO_TOMBSTONE = (
+        "Every write that creates a job has the condition that no tombstone bars it."
+    )
+    TOMBSTONE_REQUIRES_NO_JOB = (
+        "A tombstone is written under the condition that no job has the id."
+    )
+    TOMBSTONE_OUTLIVES_LATE_WRITES = (
+        "A tombstone stays for longer than a submission can be under way."
+    )
+    TOMBSTONE_OF_ONE_ORGANISATION = (
+        "A tombstone bars only those jobs that its writer may cancel."
+    )
+
     # Answers.
     ANSWER_ID_CHECKED = (
         "An answer is accepted only for the request whose id it carries."
--- a/specification/models.py
+++ b/specification/models.py
@@ -2,6 +2,7 @@
 
 from specification import (
     answers,
+    cancelling,
     claims,
     drain,
     fleet_lease,
@@ -24,6 +25,7 @@
         moving,
         claims,
         submission,
+        cancelling,
         answers,
         settings,
         restart,
--- a/src/primrosestile/coordination/claimed_requests.py
+++ b/src/primrosestile/coordination/claimed_requests.py
@@ -15,6 +15,7 @@
 from primrosestile.coordination.claims import Claims, HeldClaim, compute_fingerprint
 from primrosestile.coordination.request_sender import RequestSender
 from primrosestile.coordination.slot_assigner import SlotAssigner
+from primrosestile.decisions.rate_budget import RateBudget
 from primrosestile.decisions.request_queue import QueuedRequest
 from primrosestile.decisions.routing import Outcome
 from primrosestile.errors import ErrorKind, Failure
@@ -36,23 +37,6 @@
 _log = structlog.get_logger()
 
 
-class _ReadBudget:
-    """A token bucket over the loop's clock."""
-
-    def __init__(self, rate: float) -> None:
-        self._rate = rate
-        self._tokens = rate
-        self._at = 0.0
-
-    def take(self, now: float) -> bool:
-        self._tokens = min(self._rate, self._tokens + (now - self._at) * self._rate)
-        self._at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class ClaimSettler:
     """Writes the ends of claims in tasks that outlive their callers."""
 
@@ -95,7 +79,7 @@
         self._assigner = assigner
         self._sender = sending
         self._claims = claims
-        self._reads = _ReadBudget(REFUSAL_READS_PER_SECOND)
+        self._reads = RateBudget(REFUSAL_READS_PER_SECOND, REFUSAL_READS_PER_SECOND)
 
     async def answer(
         self, order: RequestOrder, waiting: QueuedRequest, attempt: int
--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -4,11 +4,12 @@
 store has refused the write or nothing was sent to it; after a lost answer the record is
 read back, and while that fails the outcome is reported as unknown. A job that is
 submitted again under its id remains one job, even if it has ended meanwhile and only
-its last record is left.
+its last record is left. A cancel that finds no job bars the id (`tombstones`), so that
+none gets it for as long as an earlier submission may be under way.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import structlog
@@ -27,6 +28,7 @@
 from primrosestile.coordination.work.policy_watch import PolicyWatch
 from primrosestile.coordination.work.record_reader import RecordReader, UnreadableRecord
 from primrosestile.coordination.work.store_check import StoreCheck
+from primrosestile.coordination.work.tombstones import Tombstones, list_tombstone_keys
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import (
@@ -60,6 +62,11 @@
 # reported as unknown.
 READ_BACK_TRIES = 3
 READ_BACK_SECONDS = 0.1
+# A job may land after a cancel has looked for it; it does so once.
+CANCEL_TRIES = 3
+
+# Failures by which a submission is settled, whatever the store did with its write.
+_SETTLED = frozenset({ErrorKind.CONFLICT, ErrorKind.CANCELLED})
 
 _log = structlog.get_logger()
 
@@ -81,6 +88,7 @@
         self._pending = PendingCounts(store)
         self._reader = RecordReader(store)
         self._check = StoreCheck(self._reader)
+        self._tombstones = Tombstones(store)
 
     async def submit(
         self, job_id: str, make: Callable[[Policy], Submission]
@@ -94,7 +102,8 @@
         Raises:
             Failure: STORE_UNAVAILABLE when it was certainly not accepted,
                 STORE_ANSWER_LOST when that is unknown, CONFLICT when another
-                job has the id, and whatever `make` or the gate raises.
+                job has the id, CANCELLED when its caller cancelled the id before, and
+                whatever `make` or the gate raises.
         """
         key = make_job_key(job_id)
         ended_key = make_ended_key(job_id)
@@ -105,11 +114,13 @@
             policy = self._policies.require()
             submission = make(policy)
             await self._check_gate(submission, policy)
+            tombstones = list_tombstone_keys(submission, policy)
             conditions = [
                 Condition(key, 0),
                 # Otherwise a call repeated after the job's end would run it again.
                 Condition(ended_key, 0),
                 Condition(self._policy_key, policy.revision),
+                *(Condition(each, 0) for each in tombstones),
             ]
             writes = [
                 Write(key, encode_record(submission)),
@@ -124,13 +135,14 @@
                 self._policies.record_failure()
                 if failure.kind is not ErrorKind.STORE_ANSWER_LOST:
                     raise
-                return await self._read_back(job_id, submission)
+                return await self._read_back(job_id, submission, tombstones)
             if outcome.done:
                 return submission
             if outcome.omitted:
                 known = await self._find_known(job_id, submission)
                 if known is not None:
                     return known
+                await self._check_tombstones(tombstones)
                 await self._policies.wait_for_newer(policy.revision, CHECK_SECONDS)
                 continue
             found = self._apply_found(outcome)
@@ -142,6 +154,8 @@
                 ended = self._reader.decode(found[ended_key], decode_ended)
                 self._check_same(ended, submission)
                 return submission
+            if not found.keys().isdisjoint(tombstones):
+                raise _make_cancelled()
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the policy keeps changing")
 
     async def _check_gate(self, submission: Submission, policy: Policy) -> None:
@@ -172,18 +186,20 @@
             self._policies.apply_version(policy)
         return found
 
-    async def _read_back(self, job_id: str, submission: Submission) -> Submission:
+    async def _read_back(
+        self, job_id: str, submission: Submission, tombstones: Sequence[str]
+    ) -> Submission:
         for _ in range(READ_BACK_TRIES):
             await asyncio.sleep(READ_BACK_SECONDS)
             try:
                 known = await self._find_known(job_id, submission)
+                if known is not None:
+                    return known
+                await self._check_tombstones(tombstones)
             except Failure as failure:
-                if failure.kind is ErrorKind.CONFLICT:
+                if failure.kind in _SETTLED:
                     raise
                 _log.warning("read_back_failed", job_id=job_id, reason=str(failure))
-                continue
-            if known is not None:
-                return known
         raise Failure(ErrorKind.STORE_ANSWER_LOST, "the store did not answer the write")
 
     async def _find_known(
@@ -204,6 +220,16 @@
             return submission
         return None
 
+    async def _check_tombstones(self, keys: Sequence[str]) -> None:
+        """Fail if one of the tombstones stands: a job that isn't there never will be.
+
+        Raises:
+            Failure: CANCELLED, and whatever a read raises.
+        """
+        for key in keys:
+            if await self._reader.get(key) is not None:
+                raise _make_cancelled()
+
     async def check_store(self, seconds: float) -> float:
         """Fail unless the store answers a read within a time; return when it was sent.
 
@@ -282,11 +308,35 @@
             return (None if submitted is None else JobState.RUNNING), None
 
     async def cancel(self, job_id: str, queue: Queue, organisation: str) -> bool:
-        """Store a job's cancellation; return False when there is no such job."""
-        job_key = make_job_key(job_id)
-        entry = await self._reader.get(job_key)
-        if entry is None:
-            return False
+        """Store a job's cancellation; return False when there is no such job.
+
+        A job of another organisation counts as none: a caller must not learn whether
+        somebody else's job exists.
+
+        Args:
+            job_id: Chosen by the caller.
+            queue: By whose path it is cancelled.
+            organisation: Whose key the caller has; empty without a key.
+
+        Raises:
+            Failure: OVERLOADED when too many ids that no job has are cancelled, and the
+                store's kinds; then there may be such a job, now or later.
+        """
+        for _ in range(CANCEL_TRIES):
+            entry = await self._reader.get(make_job_key(job_id))
+            if entry is not None:
+                return await self._cancel_stored(entry, job_id, queue, organisation)
+            # An end stays, so a stale read of it is correct.
+            if await self._reader.get(make_ended_key(job_id), recent=False) is not None:
+                return False
+            # TOMBSTONE_BEFORE_NO_SUCH_JOB.
+            if await self._tombstones.place(job_id, queue.name, organisation):
+                return False
+        raise Failure(ErrorKind.STORE_UNAVAILABLE, "the job comes and goes")
+
+    async def _cancel_stored(
+        self, entry: Entry, job_id: str, queue: Queue, organisation: str
+    ) -> bool:
         submission = self._decode_submission(entry, job_id)
         if not self._belongs_to_queue(submission, queue.name):
             return False
@@ -294,12 +344,13 @@
         # permission there.
         restricted = organisation or submission.queue != queue.name
         if restricted and submission.organisation != organisation:
-            raise Failure(ErrorKind.FORBIDDEN, "the job is another organisation's")
+            _log.info("cancel_of_another_organisation", job_id=job_id)
+            return False
         write = Write(
             make_cancel_key(job_id), encode_record(Cancellation(read_wall_clock()))
         )
         outcome = await self._store.commit(
-            [Condition(job_key, entry.mod_revision)],
+            [Condition(entry.key, entry.mod_revision)],
             [write, make_latest_request(job_id)],
         )
         return outcome.done
@@ -329,3 +380,7 @@
         same_queue = self._belongs_to_queue(stored, sent.queue)
         if not same_queue or stored.organisation != sent.organisation:
             raise Failure(ErrorKind.CONFLICT, "another job has this id")
+
+
+def _make_cancelled() -> Failure:
+    return Failure(ErrorKind.CANCELLED, "the id was cancelled before a job had it")
--- a/src/primrosestile/coordination/work/keys.py
+++ b/src/primrosestile/coordination/work/keys.py
@@ -4,6 +4,9 @@
 watch does not report the owner's own writes.
 """
 
+import hashlib
+import json
+
 from primrosestile.protocol.transactions import Write
 
 # Written by the process that accepts a job, or a cancellation; never changed.
@@ -21,6 +24,9 @@
 # The record of an ended job, in place of its other keys; written by the owner. Nobody
 # watches it, and a new owner reads only open jobs at its start.
 ENDED_PREFIX = "ended/"
+# Ids that were cancelled while no job had them; they expire. Written by the process
+# that answers such a cancel.
+TOMBSTONES_PREFIX = "tombstones/"
 # The owner's statistics of run times and worker speeds.
 STATISTICS_KEY = "learned"
 # Until when the leases of silent workers may last, written by the owner.
@@ -73,3 +79,13 @@
 def make_ended_key(job_id: str) -> str:
     """Return the key of an ended job's record."""
     return ENDED_PREFIX + job_id
+
+
+def make_tombstone_key(job_id: str, queue: str, organisation: str) -> str:
+    """Return the key that bars an id in one queue for one organisation.
+
+    Their names may be longer than a key, so it contains a digest of them.
+    """
+    scope = json.dumps([queue, organisation]).encode()
+    digest = hashlib.blake2b(scope, digest_size=8).hexdigest()
+    return f"{TOMBSTONES_PREFIX}{job_id}/{digest}"
--- a/src/primrosestile/programs/log_limits.py
+++ b/src/primrosestile/programs/log_limits.py
@@ -10,6 +10,8 @@
 
 import structlog
 
+from primrosestile.decisions.rate_budget import RateBudget
+
 # Events that explain the outcome of a request, a job or a run.
 OUTCOME_EVENTS = frozenset(
     {
@@ -53,26 +55,6 @@
 OTHER_LINES_PER_SECOND = 400
 
 
-class _Budget:
-    """A token bucket of lines."""
-
-    def __init__(self, lines_per_second: int, burst_lines: int) -> None:
-        self._lines_per_second = lines_per_second
-        self._burst_lines = burst_lines
-        self._left = float(burst_lines)
-        self._filled_at = 0.0
-
-    def take(self, now: float) -> bool:
-        """Return whether one more line may be written."""
-        gained = (now - self._filled_at) * self._lines_per_second
-        self._left = min(self._burst_lines, self._left + gained)
-        self._filled_at = now
-        if self._left < 1.0:
-            return False
-        self._left -= 1.0
-        return True
-
-
 class LineBounds:
     """A structlog processor that drops lines over the rate limit.
 
@@ -88,8 +70,8 @@
     ) -> None:
         self._count_dropped = count_dropped
         self._read_time = read_time
-        self._outcomes = _Budget(OUTCOME_LINES_PER_SECOND, OUTCOME_BURST_LINES)
-        self._others = _Budget(OTHER_LINES_PER_SECOND, OTHER_LINES_PER_SECOND)
+        self._outcomes = RateBudget(OUTCOME_LINES_PER_SECOND, OUTCOME_BURST_LINES)
+        self._others = RateBudget(OTHER_LINES_PER_SECOND, OTHER_LINES_PER_SECOND)
         self._dropped = 0
 
     def __call__(
