--- a/features/doubles/load_views.py
+++ b/features/doubles/load_views.py
@@ -4,9 +4,8 @@
 from collections import Counter
 from collections.abc import Callable
 
-import msgspec
-
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.load import LoadSummary, decode_load, encode_load
 from primrosestile.transport.load_views import LIMITS
 
@@ -70,5 +69,5 @@
         value = b"\xc1" if views.unreadable else encode_load(summary)
         try:
             return decode_load(value)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             raise Failure(ErrorKind.MALFORMED, str(error)) from error
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -10,12 +10,12 @@
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Change
 from primrosestile.protocol.workers import RequestOrder, TaskOrder, TaskPhase
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.fleet import Worker
 from primrosestile.state.jobs import Member
 from primrosestile.transport.store import make_store
 from primrosestile.transport.targets import make_targets
 from primrosestile.transport.vms import make_vm_list
-from primrosestile.transport.wire import decode_json
 from primrosestile.transport.workers import make_workers
 from primrosestile_standin.fleet import MemoryTargets, MemoryWorkers
 from primrosestile_standin.platform import FaultOrder, Platform
--- a/features/steps/work_outage_scope_steps.py
+++ b/features/steps/work_outage_scope_steps.py
@@ -204,11 +204,16 @@
 
 def make_submission(number: int = 1, gpu: int = 0, **headers: str) -> web.Request:
     """Return a call that submits a job of one task."""
+    steps = [{"count": 1, "gpu": gpu}]
+    return make_call(json.dumps({"spec": "", "steps": steps}).encode(), number, headers)
+
+
+def make_call(body: bytes, number: int, headers: dict[str, str]) -> web.Request:
+    """Return a call with a body that submits a job."""
     protocol = mock.Mock(_reading_paused=False)
     loop = asyncio.get_running_loop()
     payload = StreamReader(protocol, limit=2**16, loop=loop)
-    steps = [{"count": 1, "gpu": gpu}]
-    payload.feed_data(json.dumps({"spec": "", "steps": steps}).encode())
+    payload.feed_data(body)
     payload.feed_eof()
     path = f"/usual/{number:016x}"
     headers = {"Host": HOST, "Authorization": "Token key-domes", **headers}
--- a/features/steps/work_slow_link_steps.py
+++ b/features/steps/work_slow_link_steps.py
@@ -45,6 +45,7 @@
 from primrosestile.platform.policy import POLICY_KEY, PlatformPolicies, read_policy
 from primrosestile.platform.store import BYTES_PER_MEGABIT
 from primrosestile.protocol.store import Change, Entry, Page
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.maintenance import Wave, WaveRecord
 from primrosestile.state.settings import SETTINGS_PREFIX
 from primrosestile.state.work import (
@@ -62,7 +63,7 @@
     HEARTBEAT_BOUND_SECONDS,
     GatewayStore,
 )
-from primrosestile.transport.wire import decode_json, encode_json
+from primrosestile.transport.wire import encode_json
 from primrosestile_standin.fleet_script import Script
 from primrosestile_standin.fleet_store import FleetStore, FleetStoreClient
 from primrosestile_standin.link import Link
--- a/src/primrosestile/coordination/claims.py
+++ b/src/primrosestile/coordination/claims.py
@@ -21,11 +21,13 @@
 from typing import Protocol
 
 import msgspec
+import structlog
 
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.settled_writes import put_settled
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry, Store
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.state.jobs import CLAIMS_PREFIX, Claim, ClaimState
 
 # How long a repeated request is recognised. Callers stop retrying within minutes, but a
@@ -37,6 +39,8 @@
 # in the store, which the platform's service was not sized to exceed.
 KEPT_ANSWER_BYTES = 16 * 1024
 
+_log = structlog.get_logger()
+
 
 @dataclass(frozen=True, slots=True)
 class HeldClaim:
@@ -129,7 +133,7 @@
         entry = await self._store.get(key)
         if entry is None:
             return None
-        claim = msgspec.json.decode(entry.value, type=Claim)
+        claim = _decode_claim(entry)
         if claim.state is ClaimState.CLAIMED and not self._check.is_alive(claim.entry):
             held = HeldClaim(key, claim, entry.mod_revision)
             return (await self.mark_not_run(held)).claim
@@ -164,7 +168,11 @@
             if swap.done or swap.current is None:
                 return
             entry = swap.current
-        claim = msgspec.json.decode(entry.value, type=Claim)
+        try:
+            claim = _decode_claim(entry)
+        except Failure as failure:
+            _log.warning("record_unreadable", key=key, reason=failure.detail)
+            return
         open_states = (ClaimState.CLAIMED, ClaimState.DISPATCHED)
         if claim.token == token and claim.state in open_states:
             await self.mark_not_run(HeldClaim(key, claim, entry.mod_revision))
@@ -196,7 +204,7 @@
             raise Failure(
                 ErrorKind.STORE_UNAVAILABLE, "the claim was removed meanwhile"
             )
-        theirs = msgspec.json.decode(swap.current.value, type=Claim)
+        theirs = _decode_claim(swap.current)
         if theirs.fingerprint != fingerprint:
             raise Failure(ErrorKind.CONFLICT, "the id was used for another request")
         return theirs.target
@@ -205,7 +213,7 @@
         self, key: str, mine: Claim, entry: Entry
     ) -> HeldClaim | Claim:
         """Take over, answer or refuse, depending on the state of an existing claim."""
-        theirs = msgspec.json.decode(entry.value, type=Claim)
+        theirs = _decode_claim(entry)
         if theirs.fingerprint != mine.fingerprint:
             raise Failure(ErrorKind.CONFLICT, "the id was used for another request")
         if theirs.state is ClaimState.DONE:
@@ -225,7 +233,7 @@
         )
 
     async def _take_over(self, key: str, mine: Claim, entry: Entry) -> HeldClaim:
-        theirs = msgspec.json.decode(entry.value, type=Claim)
+        theirs = _decode_claim(entry)
         return await self._swap(HeldClaim(key, theirs, entry.mod_revision), mine)
 
     async def _swap(self, held: HeldClaim, claim: Claim) -> HeldClaim:
@@ -274,3 +282,17 @@
             answer=kept,
         )
         await self._swap(held, claim)
+
+
+def _decode_claim(entry: Entry) -> Claim:
+    """Return a stored claim.
+
+    Raises:
+        Failure: OUTCOME_UNKNOWN when it can't be read: the request may have run.
+    """
+    try:
+        claim: Claim = decode_json(entry.value, Claim)
+    except Undecodable as error:
+        detail = f"the claim can't be read: {error}"
+        raise Failure(ErrorKind.OUTCOME_UNKNOWN, detail) from error
+    return claim
--- a/src/primrosestile/coordination/job_table.py
+++ b/src/primrosestile/coordination/job_table.py
@@ -15,6 +15,7 @@
 import msgspec
 import structlog
 
+from primrosestile.coordination.list_entries import ListEntries
 from primrosestile.coordination.settled_writes import (
     delete_settled,
     list_all,
@@ -22,6 +23,7 @@
 )
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.jobs import JOBS_PREFIX, JobRecord, JobState
 
 # How long the record of an ended job is kept. A night's renders are checked the next
@@ -49,8 +51,13 @@
 
 
 def decode_job(value: bytes) -> JobRecord:
-    """Return the record in a stored value."""
-    return msgspec.json.decode(value, type=JobRecord)
+    """Return the record in a stored value.
+
+    Raises:
+        Undecodable: When it is no job's.
+    """
+    record: JobRecord = decode_json(value, JobRecord)
+    return record
 
 
 class JobTable:
@@ -60,6 +67,7 @@
         self._store = store
         self._prefix = f"{JOBS_PREFIX}{cell}/"
         self._stored: dict[str, StoredJob] = {}
+        self._entries = ListEntries(lambda entry: decode_job(entry.value))
         self._by_state: dict[JobState, set[str]] = {state: set() for state in JobState}
         self._by_worker: dict[str, set[str]] = {}
         self._revision = 0
@@ -130,9 +138,17 @@
         for entry in entries:
             self._note(entry)
 
-    def _note(self, entry: Entry) -> JobRecord:
-        record = decode_job(entry.value)
-        self._put(StoredJob(record, entry.mod_revision))
+    def _note(self, entry: Entry) -> JobRecord | None:
+        """Put a record into the copy; return None if nothing is known of its job.
+
+        Another writer's value in place of a known record does not change what is known;
+        the owner's next write replaces it.
+        """
+        record = self._entries.read(entry)
+        if record is None:
+            record = self.find(_find_job_id(entry))
+        if record is not None:
+            self._put(StoredJob(record, entry.mod_revision))
         return record
 
     async def refresh(self, job_id: str) -> JobRecord | None:
@@ -224,7 +240,13 @@
         self, entry: Entry, on_change: Callable[[JobRecord], None]
     ) -> None:
         """Merge a record unless the copy is as new; a watch may lag."""
-        job_id = entry.key.rpartition("/")[2]
-        known = self._stored.get(job_id)
-        if known is None or known.revision < entry.mod_revision:
-            on_change(self._note(entry))
+        known = self._stored.get(_find_job_id(entry))
+        if known is not None and known.revision >= entry.mod_revision:
+            return
+        record = self._note(entry)
+        if record is not None:
+            on_change(record)
+
+
+def _find_job_id(entry: Entry) -> str:
+    return entry.key.rpartition("/")[2]
--- a/src/primrosestile/coordination/membership.py
+++ b/src/primrosestile/coordination/membership.py
@@ -15,9 +15,11 @@
 import structlog
 
 from primrosestile.clock import read_clock
+from primrosestile.coordination.list_entries import ListEntries
 from primrosestile.coordination.settled_writes import list_all, put_settled
 from primrosestile.errors import Failure
-from primrosestile.protocol.store import Change, Store
+from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.jobs import ProcessRecord
 
 PROCESSES_PREFIX = "processes/"
@@ -155,6 +157,9 @@
     def __init__(self, store: Store) -> None:
         self._store = store
         self._known: dict[str, _Known] = {}
+        # Processes that hold a lease, but whose records can't be read.
+        self._unreadable: set[str] = set()
+        self._entries = ListEntries(lambda entry: decode_process(entry.value))
         self._listeners: list[Callable[[], None]] = []
         self.listed = asyncio.Event()
 
@@ -168,6 +173,10 @@
         known = self._known.get(name)
         return known.record if known else None
 
+    def is_unreadable(self, name: str) -> bool:
+        """Whether a process holds a lease under a record that can't be read."""
+        return name in self._unreadable
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call the listener after each change."""
         self._listeners.append(listener)
@@ -185,12 +194,10 @@
 
     async def _list(self) -> int:
         entries, revision = await list_all(self._store, PROCESSES_PREFIX)
-        self._known = {
-            each.key.removeprefix(PROCESSES_PREFIX): _Known(
-                decode_process(each.value), each.mod_revision
-            )
-            for each in entries
-        }
+        known, self._known = self._known, {}
+        self._unreadable = set()
+        for each in entries:
+            self._note(each, known)
         self.listed.set()
         self._notify()
         return revision
@@ -200,11 +207,23 @@
             name = change.key.removeprefix(PROCESSES_PREFIX)
             if change.entry is None:
                 self._known.pop(name, None)
+                self._unreadable.discard(name)
             else:
-                record = decode_process(change.entry.value)
-                self._known[name] = _Known(record, change.revision)
+                self._note(change.entry, self._known)
         self._notify()
 
+    def _note(self, entry: Entry, known: dict[str, _Known]) -> None:
+        """Note the record of a process; what was known of it stays if it is odd."""
+        name = entry.key.removeprefix(PROCESSES_PREFIX)
+        record = self._entries.read(entry)
+        if record is not None:
+            self._unreadable.discard(name)
+            self._known[name] = _Known(record, entry.mod_revision)
+            return
+        self._unreadable.add(name)
+        if name in known:
+            self._known[name] = known[name]
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
@@ -212,7 +231,8 @@
 
 def decode_process(value: bytes) -> ProcessRecord:
     """Return the record in a stored value."""
-    return msgspec.json.decode(value, type=ProcessRecord)
+    record: ProcessRecord = decode_json(value, ProcessRecord)
+    return record
 
 
 class Registration:
--- a/src/primrosestile/coordination/owner_table.py
+++ b/src/primrosestile/coordination/owner_table.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-import msgspec
 import structlog
 
+from primrosestile.coordination.list_entries import ListEntries
 from primrosestile.coordination.settled_writes import list_all
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Change, Entry, Store
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.jobs import CellOwner
 
 CELLS_PREFIX = "cells/"
@@ -37,6 +38,7 @@
     def __init__(self, store: Store) -> None:
         self._store = store
         self._owned: dict[str, CellOwnership] = {}
+        self._entries = ListEntries(decode_owned)
         self.changed = asyncio.Event()
         self.listed = asyncio.Event()
 
@@ -48,7 +50,24 @@
         """Record a key that this process has just written or read."""
         known = self._owned.get(_cell_of(entry.key))
         if known is None or known.mod_revision < entry.mod_revision:
-            self._owned[_cell_of(entry.key)] = decode_owned(entry)
+            self._take(entry, known)
+
+    def _take(self, entry: Entry, known: CellOwnership | None) -> None:
+        """Take over an entry; if it is odd, the owner that holds the key stays.
+
+        The cell would otherwise count as free, and its owner as lost.
+        """
+        cell = _cell_of(entry.key)
+        owned = self._entries.read(entry)
+        if owned is None and known is not None:
+            same_key = known.create_revision == entry.create_revision
+            owned = (
+                replace(known, mod_revision=entry.mod_revision) if same_key else None
+            )
+        if owned is None:
+            self._owned.pop(cell, None)
+        else:
+            self._owned[cell] = owned
 
     def remove(self, cell: str, revision: int) -> None:
         """Record the removal of a key by this process."""
@@ -72,14 +91,14 @@
 
     def _replace(self, entries: list[Entry], revision: int) -> None:
         """Replace the table by a listing, but keep entries newer than it."""
-        newer = {
+        before, self._owned = self._owned, {}
+        for each in entries:
+            self._take(each, before.get(_cell_of(each.key)))
+        self._owned |= {
             cell: owned
-            for cell, owned in self._owned.items()
+            for cell, owned in before.items()
             if owned.mod_revision > revision
         }
-        self._owned = {
-            _cell_of(each.key): decode_owned(each) for each in entries
-        } | newer
 
     def _apply(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
@@ -90,7 +109,7 @@
             if change.entry is None:
                 self._owned.pop(cell, None)
             else:
-                self._owned[cell] = decode_owned(change.entry)
+                self._take(change.entry, known)
         self._notify()
 
     def _notify(self) -> None:
@@ -103,6 +122,10 @@
 
 
 def decode_owned(entry: Entry) -> CellOwnership:
-    """Return the owner in a stored value."""
-    owner = msgspec.json.decode(entry.value, type=CellOwner)
+    """Return the owner in a stored value.
+
+    Raises:
+        Undecodable: When it is no owner's.
+    """
+    owner = decode_json(entry.value, CellOwner)
     return CellOwnership(owner, entry.create_revision, entry.mod_revision)
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -34,6 +34,7 @@
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import Workers
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.fleet import Cell
 from primrosestile.state.jobs import CellOwner, ProcessRecord
 from primrosestile.state.settings import Settings
@@ -180,7 +181,12 @@
             current = await self._store.get(key)
         if current is None or current.lease != lease:
             return None
-        if not self._is_own(decode_owned(current)):
+        try:
+            owned = decode_owned(current)
+        except Undecodable as error:
+            _log.warning("record_unreadable", key=key, reason=str(error))
+            return None
+        if not self._is_own(owned):
             return None
         self._table.note(current)
         return current.create_revision
--- a/src/primrosestile/coordination/setting_store.py
+++ b/src/primrosestile/coordination/setting_store.py
@@ -14,6 +14,7 @@
 from primrosestile.clock import read_wall_clock
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry, Store
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.settings import SETTINGS_PREFIX, AuditEntry, StoredSetting
 
 AUDIT_PREFIX = "audit/"
@@ -33,8 +34,6 @@
 
 _COMPRESSED = b"z"
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(StoredSetting)
-_entry_decoder = msgspec.json.Decoder(AuditEntry)
 
 
 def _pack(text: bytes) -> bytes:
@@ -63,7 +62,7 @@
     Raises:
         ValueError: When `data` can't be decoded.
     """
-    return _decoder.decode(_unpack(data))
+    return decode_json(_unpack(data), StoredSetting)
 
 
 def encode_entry(entry: AuditEntry) -> bytes:
@@ -77,7 +76,7 @@
     Raises:
         ValueError: When `data` can't be decoded.
     """
-    return _entry_decoder.decode(_unpack(data))
+    return decode_json(_unpack(data), AuditEntry)
 
 
 def make_setting_key(path: str) -> str:
--- a/src/primrosestile/coordination/settings_follower.py
+++ b/src/primrosestile/coordination/settings_follower.py
@@ -13,7 +13,6 @@
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
 import structlog
 
 from primrosestile.coordination.setting_store import decode_stored, encode_stored
@@ -21,6 +20,7 @@
 from primrosestile.decisions.settings_parts import ExcludedWorker, assemble_fleet
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Change, Store
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.fleet import Fleet, Worker
 from primrosestile.state.settings import (
     FLEET_PATH,
@@ -183,7 +183,7 @@
             if stored.revision <= self._revisions.get(path, 0):
                 return False
             self._take_over(path, stored)
-        except (ValueError, msgspec.MsgspecError) as error:
+        except ValueError as error:
             log.error("settings_unreadable", path=path, reason=str(error))
             return False
         self._revisions[path] = stored.revision
@@ -199,17 +199,17 @@
             self._workers[domain] = _decode_workers(stored.value)
             return
         if path == FLEET_PATH:
-            self._fleet = msgspec.json.decode(stored.value or "{}", type=Fleet)
+            self._fleet = decode_json(stored.value or "{}", Fleet)
             return
         section = _SECTIONS.get(path)
         if section is None:
             return
-        value = msgspec.json.decode(stored.value or "{}", type=section)
+        value = decode_json(stored.value or "{}", section)
         self._settings = replace(self._settings, **{path: value})
 
     def _take_over_team(self, path: str, stored: StoredSetting) -> None:
         if stored.value:
-            self._teams[path] = msgspec.json.decode(stored.value, type=Team)
+            self._teams[path] = decode_json(stored.value, Team)
         else:
             self._teams.pop(path, None)
 
@@ -230,7 +230,7 @@
 
 
 def _decode_workers(value: str) -> tuple[Worker, ...]:
-    return msgspec.json.decode(value or "[]", type=tuple[Worker, ...])
+    return decode_json(value or "[]", tuple[Worker, ...])
 
 
 def _collect_values(changes: tuple[Change, ...]) -> dict[str, bytes]:
--- a/src/primrosestile/coordination/submission.py
+++ b/src/primrosestile/coordination/submission.py
@@ -19,6 +19,7 @@
 from primrosestile.coordination.settled_writes import put_settled
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry, Store
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.jobs import (
     JobRecord,
     JobSpec,
@@ -97,7 +98,7 @@
         Raises:
             Failure: NOT_FOUND, or STORE_UNAVAILABLE.
         """
-        return decode_job((await self._follow(job_id)).value)
+        return _read_job(await self._follow(job_id))
 
     async def _follow(self, job_id: str) -> Entry:
         """Return the record that an id leads to; the job may have moved."""
@@ -105,7 +106,7 @@
             entry = await self._store.get(make_job_key(job_id))
             if entry is None:
                 raise Failure(ErrorKind.NOT_FOUND, f"no job {job_id}")
-            record = decode_job(entry.value)
+            record = _read_job(entry)
             if record.state is not JobState.MOVED:
                 return entry
             job_id = record.moved_to
@@ -120,7 +121,7 @@
         """
         for _ in range(CANCEL_TRIES):
             entry = await self._follow(job_id)
-            record = decode_job(entry.value)
+            record = _read_job(entry)
             if record.state.is_final or record.cancel_requested:
                 return record
             if record.state is JobState.MOVING:
@@ -134,3 +135,16 @@
             if swap.done:
                 return asked
         raise Failure(ErrorKind.IN_PROGRESS, f"{job_id} is being moved or changed")
+
+
+def _read_job(entry: Entry) -> JobRecord:
+    """Return a stored job.
+
+    Raises:
+        Failure: INTERNAL when another writer's value is in its place.
+    """
+    try:
+        return decode_job(entry.value)
+    except Undecodable as error:
+        _log.warning("record_unreadable", key=entry.key, reason=str(error))
+        raise Failure(ErrorKind.INTERNAL, "the job's record can't be read") from error
--- a/src/primrosestile/coordination/work/election.py
+++ b/src/primrosestile/coordination/work/election.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import structlog
 
 from primrosestile.coordination.work.keys import OWNER_KEY, RESIGNATIONS_KEY
@@ -30,6 +29,7 @@
     TransactionalStore,
     Write,
 )
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.work import (
     OwnerRecord,
     ResignationRecord,
@@ -163,7 +163,7 @@
     def _note_owner(self, found: Entry) -> None:
         try:
             self._owner_address = decode_owner(found.value).peer_address
-        except msgspec.MsgspecError:
+        except Undecodable:
             self._owner_address = ""
 
     def _is_own(self, found: Entry) -> bool:
@@ -176,7 +176,7 @@
         """
         try:
             owner = decode_owner(found.value)
-        except msgspec.MsgspecError:
+        except Undecodable:
             # Another writer's key; it is removed when its lease expires.
             return False
         own = self._record
--- a/src/primrosestile/coordination/work/ended_jobs.py
+++ b/src/primrosestile/coordination/work/ended_jobs.py
@@ -15,7 +15,6 @@
 
 import asyncio
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_clock
@@ -32,6 +31,7 @@
     Condition,
     TransactionalStore,
 )
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.work import decode_ended
 
 # A record is kept this much longer than a job's state is guaranteed.
@@ -102,7 +102,7 @@
         """Note a record; an unreadable one is another writer's, and is not removed."""
         try:
             decode_ended(entry.value)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             _log.warning("record_unreadable", key=entry.key, reason=str(error))
             return
         self.add_job(entry.key.removeprefix(ENDED_PREFIX))
--- a/src/primrosestile/coordination/work/health_monitor.py
+++ b/src/primrosestile/coordination/work/health_monitor.py
@@ -7,7 +7,6 @@
 from collections import deque
 from collections.abc import Mapping
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_clock
@@ -29,6 +28,7 @@
 )
 from primrosestile.errors import Failure
 from primrosestile.protocol.transactions import Condition, TransactionalStore
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.work import decode_resignations
 
 # Interval of the measurements: short compared with the ages that are judged.
@@ -202,7 +202,7 @@
             return
         try:
             self._set_resignations(decode_resignations(entry.value))
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             # One bad value must not end each term at its start. It counts as the
             # highest step, and is removed like a good one once the owner is healthy.
             _log.warning("given_up_record_unreadable", error=str(error))
--- a/src/primrosestile/coordination/work/job_submissions.py
+++ b/src/primrosestile/coordination/work/job_submissions.py
@@ -11,7 +11,6 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_wall_clock
@@ -37,6 +36,7 @@
     TransactionalStore,
     Write,
 )
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.policy import Policy, Queue
 from primrosestile.state.work import (
     Cancellation,
@@ -247,7 +247,7 @@
         def decode(value: bytes) -> Submission:
             submission = decode_submission(value)
             if submission.job_id != job_id:
-                raise msgspec.ValidationError("the record is another job's")
+                raise Undecodable("the record is another job's")
             return submission
 
         return self._reader.decode(entry, decode)
--- a/src/primrosestile/coordination/work/lease_bounds.py
+++ b/src/primrosestile/coordination/work/lease_bounds.py
@@ -25,7 +25,6 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_clock
@@ -39,6 +38,7 @@
 from primrosestile.errors import Failure
 from primrosestile.protocol.owners import OwnerCalls
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.work import (
     LeaseBoundsRecord,
     decode_lease_bounds,
@@ -140,7 +140,7 @@
         if entry is not None:
             try:
                 record = decode_lease_bounds(entry.value)
-            except msgspec.MsgspecError as error:
+            except Undecodable as error:
                 # Another writer's. Without bounds, the longest wait applies.
                 _log.warning(
                     "record_unreadable", key=LEASE_BOUNDS_KEY, reason=str(error)
--- a/src/primrosestile/coordination/work/record_reader.py
+++ b/src/primrosestile/coordination/work/record_reader.py
@@ -14,12 +14,12 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import msgspec
 import structlog
 
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore
+from primrosestile.state.decoding import Undecodable
 
 # A read that is not answered within this time is repeated. A store that is sixty times
 # slower than usual answers within 0.3 s.
@@ -133,7 +133,7 @@
         """
         try:
             return decode(entry.value)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             self._log_unreadable(entry, str(error))
             raise UnreadableRecord(entry.key) from error
 
--- a/src/primrosestile/coordination/work/request_watch.py
+++ b/src/primrosestile/coordination/work/request_watch.py
@@ -17,7 +17,6 @@
 import math
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from primrosestile.clock import read_clock, read_wall_clock
@@ -35,6 +34,7 @@
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Change, Entry
 from primrosestile.protocol.transactions import TransactionalStore, list_entries
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.work import (
     JobState,
     Progress,
@@ -157,7 +157,7 @@
             job_id = entry.key.removeprefix(PROGRESS_PREFIX)
             try:
                 known[job_id] = decode_progress(entry.value)
-            except msgspec.MsgspecError as error:
+            except Undecodable as error:
                 self._note_unreadable(entry.key, str(error))
                 continue
             self._recorder.set_progress_revision(job_id, entry.mod_revision)
@@ -206,7 +206,7 @@
             return
         try:
             submission = decode_submission(entry.value)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             self._note_unreadable(entry.key, str(error))
             return
         if submission.job_id != job_id:
--- a/src/primrosestile/coordination/work/run_statistics.py
+++ b/src/primrosestile/coordination/work/run_statistics.py
@@ -16,6 +16,7 @@
 from primrosestile.decisions.work.speeds import Speeds
 from primrosestile.errors import Failure
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
+from primrosestile.state.decoding import Undecodable, decode_msgpack
 
 # How often they are written; a lost owner's statistics since the last write are lost.
 WRITE_SECONDS = 4.0
@@ -64,8 +65,8 @@
         if entry is None:
             return
         try:
-            statistics = msgspec.msgpack.decode(entry.value, type=RunStatistics)
-        except msgspec.MsgspecError as error:
+            statistics = decode_msgpack(entry.value, RunStatistics)
+        except Undecodable as error:
             _log.warning("learned_unreadable", error=str(error))
             return
         self._speeds.restore(statistics.speeds)
--- a/src/primrosestile/coordination/work/wave_records.py
+++ b/src/primrosestile/coordination/work/wave_records.py
@@ -8,13 +8,12 @@
 
 from collections.abc import Iterator
 
-import msgspec
-
 from primrosestile.clock import read_clock, read_wall_clock
 from primrosestile.coordination.work.keys import OWNER_KEY, make_wave_key
 from primrosestile.coordination.work.term import LEASE_SECONDS, Term
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import Condition, TransactionalStore, Write
+from primrosestile.state.decoding import Undecodable, decode_msgpack
 from primrosestile.state.maintenance import Wave, WaveRecord
 from primrosestile.state.work import encode_record
 
@@ -131,6 +130,6 @@
 
 def _decode(entry: Entry) -> WaveRecord:
     try:
-        return msgspec.msgpack.decode(entry.value, type=WaveRecord)
-    except msgspec.MsgspecError as error:
+        return decode_msgpack(entry.value, WaveRecord)
+    except Undecodable as error:
         raise RecordUnreadable(entry.mod_revision) from error
--- a/src/primrosestile/platform/callers.py
+++ b/src/primrosestile/platform/callers.py
@@ -1,8 +1,11 @@
 """Decodes the jobs that callers on the platform submit, and encodes the answers."""
 
+from typing import Annotated
+
 import msgspec
 
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.state.policy import Queue
 from primrosestile.state.work import JobState, Need, Repeats, Step, Submission
 
@@ -15,7 +18,11 @@
 STEP_LIMIT = 64
 TASK_LIMIT = 4096
 
+# What JSON readers hold exactly. Larger numbers don't fit into the stored record.
+NUMBER_LIMIT = 2**53
+
 _HEX = frozenset("0123456789abcdef")
+_Int = Annotated[int, msgspec.Meta(ge=-NUMBER_LIMIT, le=NUMBER_LIMIT)]
 
 
 class _Step(msgspec.Struct, frozen=True):
@@ -24,24 +31,24 @@
     `affinity`: the rack of the data. `anti_affinity`: the most tasks on one worker.
     """
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    count: _Int = 1
+    cpu: _Int = 0
+    mem_mb: _Int = 0
+    gpu: _Int = 0
     estimate_ms: float = 0.0
-    after: list[int] = []
+    after: list[_Int] = []
     checkpoint: bool = False
     gang: bool = False
     same_rack: bool = False
     constraints: str = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: _Int = 0
     speculative: bool = False
     daemon: bool = False
     image: str = ""
     target_ms: float = 0.0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: _Int = 0
 
 
 class _Job(msgspec.Struct, frozen=True):
@@ -49,7 +56,7 @@
 
     spec: str
     steps: list[_Step]
-    repeat_count: int = 0
+    repeat_count: _Int = 0
     start_at_ms: float = 0.0
     interval_ms: float = 0.0
 
@@ -68,8 +75,8 @@
         Failure: MALFORMED when the body is not a job.
     """
     try:
-        job = msgspec.json.decode(body, type=_Job)
-    except msgspec.MsgspecError as error:
+        job = decode_json(body, _Job)
+    except Undecodable as error:
         raise Failure(ErrorKind.MALFORMED, str(error)) from error
     _check_job(job)
     repeats = Repeats()
--- a/src/primrosestile/platform/rejections.py
+++ b/src/primrosestile/platform/rejections.py
@@ -13,6 +13,8 @@
 import msgspec
 import structlog
 
+from primrosestile.state import decoding
+
 # Scopes (lists or workers) with current rejections. More than this are only made on
 # purpose; the oldest are dropped, and logged again if they persist.
 SCOPE_LIMIT = 4096
@@ -84,15 +86,10 @@
         Unreadable: When it is not JSON, or does not match the type.
     """
     try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.ValidationError as error:
-        raise Unreadable(Fault.FORM, str(error)) from error
-    except msgspec.MsgspecError as error:
-        raise Unreadable(Fault.NOT_JSON, str(error)) from error
-    except RecursionError as error:
-        # Lists nested by the thousand, even in an unknown field, raise this and not the
-        # decoder's own error; unhandled, it would end the reading task.
-        raise Unreadable(Fault.NOT_JSON, "nested too deeply") from error
+        return decoding.decode_json(value, kind)
+    except decoding.Undecodable as error:
+        fault = Fault.FORM if error.well_formed else Fault.NOT_JSON
+        raise Unreadable(fault, str(error)) from error
 
 
 RejectionCounter = Callable[[Source, Fault], None]
--- a/src/primrosestile/programs/answers.py
+++ b/src/primrosestile/programs/answers.py
@@ -8,12 +8,12 @@
 import secrets
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import structlog
 from aiohttp import web
 
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.programs.common import answer_failure
+from primrosestile.state.decoding import Undecodable
 
 REQUEST_ID_HEADER = "X-Request-Id"
 REQUEST_ID_LIMIT = 128
@@ -48,7 +48,7 @@
         return answer_failure(Failure(kind, error.reason), request_id)
     except Failure as failure:
         return answer_failure(failure, request_id)
-    except msgspec.MsgspecError as error:
+    except Undecodable as error:
         malformed = Failure(ErrorKind.MALFORMED, str(error))
         return answer_failure(malformed, request_id)
     except Exception:
--- a/src/primrosestile/programs/cli_client.py
+++ b/src/primrosestile/programs/cli_client.py
@@ -21,6 +21,7 @@
     print_result,
     run_command,
 )
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 from primrosestile.transport.wire import encode_json
 
@@ -82,11 +83,11 @@
 def _read_reply(reply: Reply, address: str) -> Any:
     try:
         if reply.status < MIN_ERROR_STATUS:
-            return msgspec.json.decode(reply.body or b"null")
-        body = msgspec.json.decode(reply.body, type=ErrorBody)
-        faults = msgspec.json.decode(reply.body).get("faults", ())
+            return decode_json(reply.body or b"null")
+        body = decode_json(reply.body, ErrorBody)
+        faults = decode_json(reply.body).get("faults", ())
         raise CommandFailure(body, msgspec.convert(faults, tuple[Fault, ...]))
-    except msgspec.MsgspecError:
+    except Undecodable:
         detail = f"{address} answered {reply.status} with an unknown body"
         kind = ErrorKind.NOT_FOUND if reply.status == 404 else ErrorKind.INTERNAL
         raise Failure(kind, detail) from None
--- a/src/primrosestile/programs/cli_timeline.py
+++ b/src/primrosestile/programs/cli_timeline.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-import msgspec
 import typer
 
 from primrosestile.programs.cli_output import Exit, print_note
@@ -20,6 +19,7 @@
     parse_task,
     select_task_lines,
 )
+from primrosestile.state.decoding import Undecodable, decode_json
 
 # Fields of every line; they are printed first or omitted.
 _COMMON = frozenset(
@@ -85,8 +85,8 @@
     if begin < 0:
         return
     try:
-        line = msgspec.json.decode(text[begin:])
-    except msgspec.MsgspecError:
+        line = decode_json(text[begin:])
+    except Undecodable:
         return
     if isinstance(line, dict) and "event" in line:
         yield line
--- a/src/primrosestile/programs/common.py
+++ b/src/primrosestile/programs/common.py
@@ -15,7 +15,6 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
 import structlog
 import uvloop
 from aiohttp import web
@@ -23,6 +22,7 @@
 from primrosestile.errors import Failure
 from primrosestile.programs.metrics import Metrics
 from primrosestile.programs.time_correction import follow_vm_clock
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.state.process import ProcessSettings
 from primrosestile.transport.wire import encode_json
 
@@ -34,8 +34,8 @@
 def read_process_settings(path: Path) -> ProcessSettings:
     """Read the settings of one process; exit with 2 if they are invalid."""
     try:
-        return msgspec.json.decode(path.read_bytes(), type=ProcessSettings)
-    except (OSError, msgspec.MsgspecError) as error:
+        return decode_json(path.read_bytes(), ProcessSettings)
+    except (OSError, Undecodable) as error:
         print(f"{path}: {error}", file=sys.stderr)
         print("Correct the file; docs/OPERATIONS.md has an example.", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
--- a/src/primrosestile/programs/entry.py
+++ b/src/primrosestile/programs/entry.py
@@ -54,6 +54,8 @@
         if not self._directory.listed.is_set():
             return True
         name, _, incarnation = holder.partition("/")
+        if self._directory.is_unreadable(name):
+            return True
         record = self._directory.find(name)
         return record is not None and record.incarnation == incarnation
 
--- a/src/primrosestile/programs/entry_requests.py
+++ b/src/primrosestile/programs/entry_requests.py
@@ -13,6 +13,7 @@
 from primrosestile.decisions.access import Rights
 from primrosestile.decisions.settings_view import view_settings
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.state.jobs import JobSpec
 from primrosestile.state.settings import Settings
 from primrosestile.state.tenancy import Adjacency, JobClass, Kind, Shape, Team
@@ -69,8 +70,8 @@
         Failure: MALFORMED, with the position of the fault.
     """
     try:
-        return msgspec.json.decode(data, type=form)
-    except msgspec.MsgspecError as error:
+        return decode_json(data, form)
+    except Undecodable as error:
         raise Failure(ErrorKind.MALFORMED, str(error)) from error
 
 
--- a/src/primrosestile/programs/steward_settings.py
+++ b/src/primrosestile/programs/steward_settings.py
@@ -30,8 +30,8 @@
 from primrosestile.programs.answers import read_request_id
 from primrosestile.programs.common import answer_json
 from primrosestile.protocol.store import Store
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.settings import AuditEntry
-from primrosestile.transport.wire import decode_json
 
 COMMENT_LIMIT = 500
 REMOVED = b"null"
@@ -221,7 +221,7 @@
 
 
 def _compact(value: bytes) -> str:
-    return msgspec.json.encode(msgspec.json.decode(value)).decode()
+    return msgspec.json.encode(decode_json(value)).decode()
 
 
 def _read_number(request: web.Request, name: str) -> int | None:
--- a/src/primrosestile/programs/steward_views.py
+++ b/src/primrosestile/programs/steward_views.py
@@ -23,6 +23,7 @@
 from primrosestile.programs.common import answer_json
 from primrosestile.programs.reasons import STATE_SENTENCES, describe_reason
 from primrosestile.protocol.store import Store
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.state.jobs import JobRecord, JobState, ProcessRecord, Reason
 from primrosestile.transport.connections import Connections, FailureKinds
 
@@ -193,8 +194,8 @@
                 )
             if reply.status != web.HTTPOk.status_code:
                 return None
-            return msgspec.json.decode(reply.body)
-        except (Failure, msgspec.MsgspecError):
+            return decode_json(reply.body)
+        except (Failure, Undecodable):
             return None
 
 
--- a/src/primrosestile/protocol/messages.py
+++ b/src/primrosestile/protocol/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from primrosestile.errors import ErrorKind
+from primrosestile.state.decoding import decode_msgpack
 
 
 class CellDigest(msgspec.Struct, frozen=True, tag=True):
@@ -120,7 +121,6 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Envelope)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -132,6 +132,6 @@
     """Return the message in `data`.
 
     Raises:
-        msgspec.ValidationError: When it is not an envelope.
+        Undecodable: When it is not an envelope.
     """
-    return _decoder.decode(data)
+    return decode_msgpack(data, Envelope)
--- a/src/primrosestile/state/load.py
+++ b/src/primrosestile/state/load.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from primrosestile.state.decoding import Undecodable, decode_msgpack
 from primrosestile.state.work import Need
 
 # The largest encoded summary. Over 5 Mbit/s, the slowest link, it takes 0.1 s.
@@ -102,7 +103,6 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(LoadSummary)
 
 
 def encode_load(summary: LoadSummary) -> bytes:
@@ -114,18 +114,15 @@
     """Return a summary that was sent.
 
     Raises:
-        msgspec.MsgspecError: When it can't be read.
+        Undecodable: When it can't be read.
     """
     if len(value) > MAX_SUMMARY_BYTES:
-        raise msgspec.ValidationError("the summary is too large")
-    try:
-        summary = _decoder.decode(value)
-    except RecursionError as error:
-        raise msgspec.DecodeError("the summary is nested too deeply") from error
+        raise Undecodable("the summary is too large")
+    summary = decode_msgpack(value, LoadSummary)
     figures = [summary.age]
     for each in summary.queues.values():
         figures += each.waiting, each.started, each.wait, each.fresh_wait
         figures.append(each.run_seconds)
     if not all(math.isfinite(figure) and figure >= 0 for figure in figures):
-        raise msgspec.ValidationError("a figure of the summary is out of range")
+        raise Undecodable("a figure of the summary is out of range")
     return summary
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from primrosestile.state.decoding import decode_msgpack
+
 T = TypeVar("T")
 
 
@@ -264,12 +266,6 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_submissions = msgspec.msgpack.Decoder(Submission)
-_progresses = msgspec.msgpack.Decoder(Progress)
-_resignations = msgspec.msgpack.Decoder(ResignationRecord)
-_owners = msgspec.msgpack.Decoder(OwnerRecord)
-_ended = msgspec.msgpack.Decoder(EndedRecord)
-_lease_bounds = msgspec.msgpack.Decoder(LeaseBoundsRecord)
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
@@ -277,42 +273,34 @@
     return _encoder.encode(record)
 
 
-def _decode(decoder: msgspec.msgpack.Decoder[T], value: bytes) -> T:
-    try:
-        return decoder.decode(value)
-    except RecursionError as error:
-        # Another writer's value; readers handle the error of an unreadable record.
-        raise msgspec.DecodeError("the value is nested too deeply") from error
-
-
 def decode_submission(value: bytes) -> Submission:
     """Return the submission of a job."""
-    return _decode(_submissions, value)
+    return decode_msgpack(value, Submission)
 
 
 def decode_progress(value: bytes) -> Progress:
     """Return the progress of a job."""
-    return _decode(_progresses, value)
+    return decode_msgpack(value, Progress)
 
 
 def decode_resignations(value: bytes) -> int:
     """Return how many owners in a row have resigned."""
-    return _decode(_resignations, value).count
+    return decode_msgpack(value, ResignationRecord).count
 
 
 def decode_owner(value: bytes) -> OwnerRecord:
     """Return the record of the process that schedules the fleet."""
-    return _decode(_owners, value)
+    return decode_msgpack(value, OwnerRecord)
 
 
 def decode_ended(value: bytes) -> EndedRecord:
     """Return the record of an ended job."""
-    return _decode(_ended, value)
+    return decode_msgpack(value, EndedRecord)
 
 
 def decode_lease_bounds(value: bytes) -> LeaseBoundsRecord:
     """Return the record of leases."""
-    return _decode(_lease_bounds, value)
+    return decode_msgpack(value, LeaseBoundsRecord)
 
 
 def matches_submission(progress: Progress, submission: Submission) -> bool:
--- a/src/primrosestile/transport/load_views.py
+++ b/src/primrosestile/transport/load_views.py
@@ -1,8 +1,7 @@
 """Fetches the owner's summary of the fleet's load over HTTP."""
 
-import msgspec
-
 from primrosestile.errors import ErrorKind, Failure
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.load import MAX_SUMMARY_BYTES, LoadSummary, decode_load
 from primrosestile.transport.call_progress import AnswerLimits
 from primrosestile.transport.connections import Connections, FailureKinds
@@ -34,5 +33,5 @@
             raise Failure(ErrorKind.MALFORMED, "the summary is too large")
         try:
             return decode_load(reply.body)
-        except msgspec.MsgspecError as error:
+        except Undecodable as error:
             raise Failure(ErrorKind.MALFORMED, str(error)) from error
--- a/src/primrosestile/transport/peers.py
+++ b/src/primrosestile/transport/peers.py
@@ -11,7 +11,6 @@
 import itertools
 from contextlib import suppress
 
-import msgspec
 import structlog
 import zmq
 import zmq.asyncio
@@ -26,6 +25,7 @@
     encode_envelope,
 )
 from primrosestile.protocol.peers import Handler
+from primrosestile.state.decoding import Undecodable
 from primrosestile.state.process import PeerKeys
 
 # Messages; bounds the memory that is held for a peer that does not read.
@@ -77,7 +77,7 @@
             data = await self._socket.recv()
             try:
                 envelope = decode_envelope(data)
-            except msgspec.MsgspecError:
+            except Undecodable:
                 continue
             # An answer whose request has timed out is dropped, so a late answer is
             # never taken as the answer to another request.
@@ -169,7 +169,7 @@
     ) -> None:
         try:
             envelope = decode_envelope(data)
-        except msgspec.MsgspecError:
+        except Undecodable:
             _log.warning("peer_message_malformed", size=len(data))
             return
         body = await self._handle(envelope, handler)
--- a/src/primrosestile/transport/store.py
+++ b/src/primrosestile/transport/store.py
@@ -9,15 +9,15 @@
 from typing import Any, TypeVar
 
 import aiohttp
-import msgspec
 
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Change, Entry, Page, SwapResult
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.transport import gateway
 from primrosestile.transport.call_progress import AnswerLimits
 from primrosestile.transport.connections import Connections, FailureKinds, Reply
 from primrosestile.transport.watch import read_lines
-from primrosestile.transport.wire import decode_json, encode_json
+from primrosestile.transport.wire import encode_json
 
 CALL_TIMEOUT_SECONDS = 2.0
 # Added for an answer that keeps arriving: the largest one, 16 MB, takes 26 s over
@@ -235,7 +235,7 @@
         if reply.status == 200:
             return decode_json(reply.body, kind)
         error = decode_json(reply.body, gateway.GatewayError)
-    except msgspec.MsgspecError as fault:
+    except Undecodable as fault:
         raise Failure(
             kinds.lost, f"the store's answer is unreadable: {fault}"
         ) from None
@@ -255,7 +255,7 @@
     """
     try:
         result = decode_json(line, gateway.WatchResponse).result
-    except msgspec.MsgspecError as fault:
+    except Undecodable as fault:
         raise Failure(ErrorKind.STORE_UNAVAILABLE, f"unreadable: {fault}") from None
     if result is None or result.canceled:
         raise Failure(ErrorKind.STORE_UNAVAILABLE, "the store ended the watch")
--- a/src/primrosestile/transport/vms.py
+++ b/src/primrosestile/transport/vms.py
@@ -1,11 +1,9 @@
 """The platform's VM list over HTTP."""
 
-import msgspec
-
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.workers import ListedVm
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.transport.connections import Connections, FailureKinds
-from primrosestile.transport.wire import decode_json
 
 VMS_PATH = "/vms"
 READ_TIMEOUT_SECONDS = 2.0
@@ -39,7 +37,7 @@
         try:
             if reply.status == 200:
                 return decode_json(reply.body, tuple[ListedVm, ...])
-        except msgspec.MsgspecError as fault:
+        except Undecodable as fault:
             raise Failure(ErrorKind.NO_TARGET, f"unreadable VM list: {fault}") from None
         raise Failure(ErrorKind.NO_TARGET, f"the VM list answers {reply.status}")
 
--- a/src/primrosestile/transport/wire.py
+++ b/src/primrosestile/transport/wire.py
@@ -15,12 +15,3 @@
 def encode_json(value: Any) -> bytes:
     """Return the JSON encoding of a data class."""
     return msgspec.json.encode(value)
-
-
-def decode_json(data: bytes, kind: type[T]) -> T:
-    """Return the data class that `data` encodes.
-
-    Raises:
-        msgspec.MsgspecError: When it is not JSON, or not of that kind.
-    """
-    return msgspec.json.decode(data, type=kind)
--- a/src/primrosestile/transport/workers.py
+++ b/src/primrosestile/transport/workers.py
@@ -8,10 +8,9 @@
 from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
-import msgspec
-
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.workers import TaskOrder, WorkerReport
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.transport import control
 from primrosestile.transport.connections import (
     CONNECTIONS_PER_ADDRESS,
@@ -19,7 +18,7 @@
     FailureKinds,
     Reply,
 )
-from primrosestile.transport.wire import decode_json, encode_json
+from primrosestile.transport.wire import encode_json
 
 CONTROL_TIMEOUT_SECONDS = 1.0
 REFUSED_STATUS = 409
@@ -142,7 +141,7 @@
         if reply.status == REFUSED_STATUS:
             refusal = decode_json(reply.body, control.Refusal)
             raise Failure(read_refusal(refusal), f"{worker}: {refusal.detail}")
-    except msgspec.MsgspecError as fault:
+    except Undecodable as fault:
         detail = f"{worker}: unreadable answer: {fault}"
         raise Failure(ErrorKind.WORKER_UNREACHABLE, detail) from None
     raise Failure(ErrorKind.WORKER_UNREACHABLE, f"{worker}: status {reply.status}")
--- a/src/primrosestile_standin/fleet_http.py
+++ b/src/primrosestile_standin/fleet_http.py
@@ -16,6 +16,7 @@
 from primrosestile.protocol.fleet import OrderAnswer, PollAnswer, Refusal, StartOrder
 from primrosestile.protocol.store import Change, Entry
 from primrosestile.protocol.transactions import Condition, Write
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.workers import WorkerEntry
 from primrosestile_standin.fleet_calls import FleetCalls
 from primrosestile_standin.fleet_store import FleetStore
@@ -125,7 +126,7 @@
         )
 
     async def _commit(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
+        body = decode_json(await request.read())
         conditions = [
             Condition(each["key"], each["revision"]) for each in body["precondition"]
         ]
@@ -139,7 +140,7 @@
         return answer({"items": [show_entry(entry) for entry in done.found]}, 412)
 
     async def _grant(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
+        body = decode_json(await request.read())
         lease = await self._connect(request).grant_lease(body["ttl_ms"] / 1000)
         return answer({"lease": lease, "ttl_ms": body["ttl_ms"]})
 
@@ -163,7 +164,7 @@
         return app
 
     async def _advise(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
+        body = decode_json(await request.read())
         try:
             advice = await self._advice.ask(body["step"], tuple(body["workers"]), 0.0)
         except Failure:
@@ -191,7 +192,7 @@
         """Find the expected incarnation; close the connection on a failure."""
 
         async def call(request: web.Request) -> web.StreamResponse:
-            body = msgspec.json.decode(await request.read())
+            body = decode_json(await request.read())
             entry = self._find(request)
             if entry is None:
                 return web.Response(status=421)
--- a/src/primrosestile_standin/platform.py
+++ b/src/primrosestile_standin/platform.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-import msgspec
 from aiohttp import web
 
+from primrosestile.state.decoding import Undecodable, decode_json
 from primrosestile.state.fleet import Worker
 from primrosestile.transport.vms import VMS_PATH
-from primrosestile.transport.wire import decode_json, encode_json
+from primrosestile.transport.wire import encode_json
 from primrosestile_standin.fleet import MemoryVmList
 from primrosestile_standin.ledger import Ledger
 from primrosestile_standin.listener import Listener
@@ -180,7 +180,7 @@
     async def _answer_faults(self, request: web.Request) -> web.Response:
         try:
             await self.apply(decode_json(await request.read(), FaultOrder))
-        except (msgspec.MsgspecError, TypeError, KeyError) as fault:
+        except (Undecodable, TypeError, KeyError) as fault:
             return web.Response(status=400, text=str(fault))
         return web.Response(body=b"{}", content_type="application/json")
 
--- a/src/primrosestile_standin/program.py
+++ b/src/primrosestile_standin/program.py
@@ -13,8 +13,8 @@
 import typer
 import uvloop
 
+from primrosestile.state.decoding import decode_json
 from primrosestile.state.settings import Settings
-from primrosestile.transport.wire import decode_json
 from primrosestile_standin.platform import Platform
 
 Address = Annotated[str | None, typer.Option(metavar="IP:PORT")]
--- a/src/primrosestile_standin/store_http.py
+++ b/src/primrosestile_standin/store_http.py
@@ -9,8 +9,9 @@
 
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Change, Page, SwapResult
+from primrosestile.state.decoding import decode_json
 from primrosestile.transport import gateway
-from primrosestile.transport.wire import decode_json, encode_json
+from primrosestile.transport.wire import encode_json
 from primrosestile_standin.listener import cut_connection, is_silent
 from primrosestile_standin.store import MemoryStore, find_end
 
--- a/src/primrosestile_standin/workers_http.py
+++ b/src/primrosestile_standin/workers_http.py
@@ -8,8 +8,9 @@
 
 from primrosestile.errors import Failure
 from primrosestile.protocol.workers import RequestAnswer, RequestOrder
+from primrosestile.state.decoding import decode_json
 from primrosestile.transport import control
-from primrosestile.transport.wire import decode_json, encode_json
+from primrosestile.transport.wire import encode_json
 from primrosestile.transport.workers import REFUSED_STATUS
 from primrosestile_standin.listener import cut_connection, hang
 from primrosestile_standin.worker import MemoryWorker
