Reject addresses that no worker can have

What users may have seen: nothing has been reported. A lead of the review: an entry with the address [::1%a b]:80 was accepted as a worker's.

Cause: the standard library's parser takes any text as the scope of an IPv6 address. Multicast, broadcast and unspecified addresses were accepted too.

Change: entries with a scope, or with such an address, are rejected with the fault `address`, like other unusable ones.

Evidence: 7 of the 10 examples of "A worker's entry names an odd address" failed before; all pass now. Wrong ports were rejected before.

--- a/features/decoding/odd_values.feature
+++ b/features/decoding/odd_values.feature
@@ -93,3 +93,20 @@
     Given a claim that another writer has overwritten
     Then a repeated request is told outcome_unknown
     And the claim is unchanged
+
+  Scenario Outline: A worker's entry names an odd address
+    Guards against calls to addresses that no worker has.
+    Then the address <address> is rejected
+
+    Examples:
+      | address              |
+      | [::1%a b]:80         |
+      | [fe80::1%eth0]:80    |
+      | 255.255.255.255:80   |
+      | 224.0.0.1:80         |
+      | 0.0.0.0:80           |
+      | [::]:80              |
+      | [ff02::1]:80         |
+      | 10.0.0.1:65536       |
+      | 10.0.0.1:0           |
+      | 10.0.0.1:+80         |
--- a/src/primrosestile/platform/entries.py
+++ b/src/primrosestile/platform/entries.py
@@ -39,6 +39,7 @@
 # Several times the workers of the largest fleet.
 ADDRESS_CACHE_SIZE = 2048
 READY = "ready"
+_BROADCAST = frozenset({ipaddress.IPv4Address("255.255.255.255")})
 LEAVING = "draining"
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -137,11 +138,16 @@
         return False
     if not 0 < int(port) <= PORT_LIMIT:
         return False
+    bracketed = host.startswith("[") and host.endswith("]")
     try:
-        if host.startswith("[") and host.endswith("]"):
+        address = (
             ipaddress.IPv6Address(host[1:-1])
-        else:
-            ipaddress.IPv4Address(host)
+            if bracketed
+            else ipaddress.IPv4Address(host)
+        )
     except ValueError:
         return False
-    return True
+    if isinstance(address, ipaddress.IPv6Address) and address.scope_id is not None:
+        # A scope names an interface of the VM that wrote it.
+        return False
+    return not (address.is_multicast or address.is_unspecified or address in _BROADCAST)
