End the avoidance of workers on which a task failed when it costs the task its place

Cause: workers on which a run of a unit failed were left out if the others could hold it when empty, for the whole term. The others were full of tasks that last, and never became empty.

Ruled out: the quarantine (one failure, after 4 s) and reservations (none).

Change: other workers are preferred for 30 s after a failure if they have room, waited for for 2 s if they could have, and then the unit is allowed everywhere. Units that differ in this are not alike for a pass.

--- a/features/steps/work_decisions_steps.py
+++ b/features/steps/work_decisions_steps.py
@@ -232,7 +232,7 @@
 
 def end_stopping(fleet_state: FleetState) -> None:
     for member in list(fleet_state.list_stopping()):
-        fleet_state.record_end(member.task, member.run, EndKind.STOPPED, "")
+        fleet_state.record_end(member.task, member.run, EndKind.STOPPED, "", 0.0)
 
 
 @then("on an empty fleet a drawn unit that could ever run is started")
@@ -277,7 +277,7 @@
         for at, unit in [each for each in ends if each[0] <= now]:
             ends.remove((at, unit))
             for member in unit.members:
-                fleet_state.record_end(member.task, member.run, EndKind.DONE, "")
+                fleet_state.record_end(member.task, member.run, EndKind.DONE, "", 0.0)
         plan = make_plan(fleet_state, context.durations, context.speeds, now)
         apply_plan(fleet_state, plan, now)
         for start in plan.starts:
@@ -306,7 +306,7 @@
             member.progressed_at = 3.0
         context.speeds.record_success(unit.members[0], 3.1)
         for member in unit.members:
-            fleet_state.record_end(member.task, member.run, EndKind.DONE, "")
+            fleet_state.record_end(member.task, member.run, EndKind.DONE, "", 0.0)
 
 
 @when("an urgent task of one accelerator is placed")
--- a/features/steps/work_freeing_steps.py
+++ b/features/steps/work_freeing_steps.py
@@ -78,7 +78,9 @@
 @when("{count:d} tasks on worker 1 have ended")
 def step_end_others(context: Any, count: int) -> None:
     for unit in find_units(context.fleet_state, 11)[:count]:
-        context.fleet_state.record_end(unit.members[0].task, unit.run, EndKind.DONE, "")
+        context.fleet_state.record_end(
+            unit.members[0].task, unit.run, EndKind.DONE, "", 0.0
+        )
 
 
 def add_task(context: Any, organisation: str, later: float) -> None:
--- a/features/steps/work_headroom_steps.py
+++ b/features/steps/work_headroom_steps.py
@@ -221,7 +221,7 @@
     context.ended_at = at + fleet_state.settings.stop_seconds
     assert context.ended_at < fleet_state.workers["w0"].leaves_at, context.ended_at
     for member in saved.members:
-        fleet_state.record_end(member.task, member.run, EndKind.STOPPED, "saved")
+        fleet_state.record_end(member.task, member.run, EndKind.STOPPED, "saved", 0.0)
 
 
 @then("it resumes from its checkpoint on other workers")
--- a/features/steps/work_organisation_shares_steps.py
+++ b/features/steps/work_organisation_shares_steps.py
@@ -100,7 +100,7 @@
     for half in range(21):
         update(context, BEGAN + half / 2)
     for unit in units[:4]:
-        state.record_end(unit.members[0].task, unit.run, EndKind.DONE, "")
+        state.record_end(unit.members[0].task, unit.run, EndKind.DONE, "", 0.0)
 
 
 def wait_for(context: Any, *numbers: tuple[str, int]) -> None:
@@ -369,7 +369,7 @@
         now = 100.0 + tick / 4
         for due, unit in [each for each in ends if each[0] <= now]:
             ends.remove((due, unit))
-            state.record_end(unit.members[0].task, unit.run, EndKind.DONE, "")
+            state.record_end(unit.members[0].task, unit.run, EndKind.DONE, "", 0.0)
             organisation = unit.job.submission.organisation
             # The objective: three times the work of 4 s, and 1 s.
             in_time[organisation] += due <= unit.job.accepted + 13.0
--- a/features/steps/work_speed_groups_steps.py
+++ b/features/steps/work_speed_groups_steps.py
@@ -141,7 +141,7 @@
     step = Step(1, Need(100, 100, 1), estimate_seconds=4.0)
     add_job(context.fleet_state, 1, 2, (step,), now=NOW)
     (unit,) = context.fleet_state.jobs[f"{1:016x}"].units.values()
-    unit.failed_on = type(unit.failed_on)(SLOW)
+    unit.failed_on = dict.fromkeys(SLOW, NOW)
     plan(context)
 
 
--- a/src/primrosestile/coordination/work/worker_links.py
+++ b/src/primrosestile/coordination/work/worker_links.py
@@ -391,7 +391,7 @@
         if member.unit.phase is Phase.ORDERED:
             self._record_end(member, ended.kind)
         self._fleet_state.record_end(
-            ended.task, ended.run, ended.kind, ended.checkpoint
+            ended.task, ended.run, ended.kind, ended.checkpoint, read_clock()
         )
         self._stopped.pop((ended.task, ended.run), None)
 
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -355,7 +355,9 @@
             index = 0
         return job.units.get(UnitKey(occurrence, step, index))
 
-    def record_end(self, task: str, run: int, kind: EndKind, checkpoint: str) -> None:
+    def record_end(
+        self, task: str, run: int, kind: EndKind, checkpoint: str, now: float
+    ) -> None:
         """Apply the end of a run; that of an older run changes nothing."""
         member = self.find_member(task, run)
         if member is None or member.state is MemberState.GONE:
@@ -366,7 +368,7 @@
         if kind is EndKind.DONE and not unit.step.daemon:
             self._record_success(unit)
         elif kind is EndKind.FAILED:
-            self._record_failure(unit, member.worker)
+            self._record_failure(unit, member.worker, now)
         elif unit.phase is Phase.ORDERED:
             unit.abandoned = True
         self.changed.add(unit.job)
@@ -387,12 +389,12 @@
             return False
         return all(unit.phase is Phase.DONE for unit in job.units.values())
 
-    def _record_failure(self, unit: Unit, worker: str) -> None:
+    def _record_failure(self, unit: Unit, worker: str, now: float) -> None:
         """Count one failure per run, however many members of a gang report it."""
         if unit.phase is not Phase.ORDERED:
             return
         unit.abandoned = True
-        unit.failed_on.add(worker)
+        unit.failed_on[worker] = now
         if unit.failure_counted:
             return
         unit.failure_counted = True
--- a/src/primrosestile/decisions/work/placement.py
+++ b/src/primrosestile/decisions/work/placement.py
@@ -29,6 +29,11 @@
 # waits for three seconds while there is twice the room for it.
 IDLE_SHARE = 0.5
 IDLE_LOCALITY_WAIT_SECONDS = 2.0
+# For how long a unit waits for another worker than those on which it failed. Operators
+# guarantee that nothing waits for three seconds while there is twice the room for it.
+AVOIDANCE_SECONDS = 2.0
+# For how long other workers are preferred to those; faults of workers last for seconds.
+FAILURE_MEMORY_SECONDS = 30.0
 
 
 def list_suitable(unit: Unit, rooms: Rooms) -> list[Room]:
@@ -47,9 +52,9 @@
 def find_eligible(unit: Unit, rooms: Rooms, now: float) -> list[Room]:
     """Return the rooms of workers on which a unit's tasks are allowed.
 
-    Workers on which a run of it failed are left out only if the others could hold it:
-    otherwise, with one worker of its label, a task that failed once would never start
-    again.
+    Workers on which a run of it failed lately are left out if the others have room for
+    it, and for a short time if they could have: a task that failed once would never
+    start again if the others are full of work that lasts, or if there are none.
     """
     allowed = list_suitable(unit, rooms)
     if unit.crashes and awaits_isolation(unit, now):
@@ -57,10 +62,29 @@
     if unit.job.queue.advised is not None:
         permits = unit.permits
         allowed = [room for room in allowed if permits.is_valid(room.worker.name, now)]
-    if not unit.failed_on:
+    avoided = list_avoided(unit, now)
+    if not avoided:
         return allowed
-    others = [room for room in allowed if room.worker.name not in unit.failed_on]
-    return others if could_hold(unit, others) else allowed
+    others = [room for room in allowed if room.worker.name not in avoided]
+    if sum(count for count, _ in list_fitting(unit, others)) >= unit.size:
+        return others
+    return (
+        others if waits_elsewhere(unit, now) and could_hold(unit, others) else allowed
+    )
+
+
+def list_avoided(unit: Unit, now: float) -> list[str]:
+    """Return the workers on which a unit failed lately."""
+    return [
+        name
+        for name, failed_at in unit.failed_on.items()
+        if now - failed_at < FAILURE_MEMORY_SECONDS
+    ]
+
+
+def waits_elsewhere(unit: Unit, now: float) -> bool:
+    """Whether a unit still waits for other workers than those on which it failed."""
+    return any(now - at < AVOIDANCE_SECONDS for at in unit.failed_on.values())
 
 
 def count_allowed(unit: Unit, room: Room) -> int:
--- a/src/primrosestile/decisions/work/plan.py
+++ b/src/primrosestile/decisions/work/plan.py
@@ -27,7 +27,9 @@
 from primrosestile.decisions.work.placement import (
     IDLE_LOCALITY_WAIT_SECONDS,
     find_idle_pools,
+    list_avoided,
     place,
+    waits_elsewhere,
 )
 from primrosestile.decisions.work.preemption import Eviction, is_affordable
 from primrosestile.decisions.work.preemption_history import record_round, record_stop
@@ -179,7 +181,7 @@
             self.fleet_state.shares.is_over,
         )
         for position, (rank, unit) in enumerate(ranked):
-            likeness = _find_likeness(unit)
+            likeness = _find_likeness(unit, self.now)
             if likeness in self.unable or not self.fit.could_hold(unit):
                 continue
             if not rank.entitled and self.blocked:
@@ -203,7 +205,7 @@
         begin = units.index(last) + 1 if last in units else 0
         tried = 0
         for rank, unit in (*ranked[begin:], *ranked[:begin]):
-            likeness = _find_likeness(unit)
+            likeness = _find_likeness(unit, self.now)
             if likeness in self.unable or not self.fit.may_fit(unit):
                 continue
             self.fleet_state.last_tried = unit
@@ -411,12 +413,13 @@
         return could_start_before(unit, rooms, self.durations, self.now, latest)
 
 
-def _find_likeness(unit: Unit) -> tuple[object, ...]:
+def _find_likeness(unit: Unit, now: float) -> tuple[object, ...]:
     """Return what units have in common that can only start together or not at all."""
     return (
         unit.step_key,
         (bool(unit.crashes), is_isolated(unit)),
-        *unit.failed_on,
+        bool(unit.failed_on) and waits_elsewhere(unit, now),
+        *list_avoided(unit, now),
     )
 
 
--- a/src/primrosestile/decisions/work/reservations.py
+++ b/src/primrosestile/decisions/work/reservations.py
@@ -16,7 +16,9 @@
 from primrosestile.decisions.work.placement import (
     count_allowed,
     find_eligible,
+    list_avoided,
     list_racks,
+    waits_elsewhere,
 )
 from primrosestile.decisions.work.rooms import Room, Rooms
 from primrosestile.decisions.work.units import Member, MemberState, Unit
@@ -48,9 +50,8 @@
 def _is_reservation_valid(unit: Unit, rooms: Rooms, now: float) -> bool:
     if not unit.reserved_workers or now > unit.reserved_until + OVERDUE_SECONDS:
         return False
-    return all(
-        name in rooms and name not in unit.failed_on for name in unit.reserved_workers
-    )
+    avoided = list_avoided(unit, now) if waits_elsewhere(unit, now) else ()
+    return all(name in rooms and name not in avoided for name in unit.reserved_workers)
 
 
 def _make_reservation(
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -147,7 +147,7 @@
         ready_at: When it became possible to start it; None before.
         abandoned: Its current run is to end; members are being stopped.
         failure_counted: A failure of its current run was counted.
-        failed_on: Workers on which a run of it failed.
+        failed_on: Workers on which a run of it failed, and when the last one did.
         crashes: Workers that crashed under its tasks, by the task's position.
         isolating_since: Since when it waits for workers of its own.
         restarts: Runs of it that were stopped to restart it elsewhere, because a member
@@ -174,7 +174,7 @@
     members: tuple[Member, ...] = ()
     abandoned: bool = False
     failure_counted: bool = False
-    failed_on: set[str] = field(default_factory=set)
+    failed_on: dict[str, float] = field(default_factory=dict)
     crashes: dict[int, CrashCount] = field(default_factory=dict)
     isolating_since: float | None = None
     restarts: int = 0
--- a/tools/bench/site_driver.py
+++ b/tools/bench/site_driver.py
@@ -453,7 +453,7 @@
             self._record_failure(unit, run)
         members = list(unit.members)
         for member in members:
-            self._fleet_state.record_end(member.task, member.run, kind, "")
+            self._fleet_state.record_end(member.task, member.run, kind, "", self._now)
         for member in members:
             self._fleet_state.mark_gone(member, Proof.ENDED)
         if job.state.final and job.state is not JobState.CANCELLED:
