Ask for tickets by the queue that each job keeps, also after a change of owner

Cause: placement went by the job's queue, which it keeps, and the advisor by the queues of the present version. The next owner made up a queue without advice, so starts would have been refused for want of a ticket.

Both are at the end of the record: earlier versions ignore them, and records without them are read as before.

--- a/features/steps/work_services_steps.py
+++ b/features/steps/work_services_steps.py
@@ -138,6 +138,7 @@
         "period_ms": fleet.advice.per_worker_seconds * 1000,
         "valid_ms": fleet.advice.valid_seconds * 1000,
     }
+    context.advice = advice
     for name in ("a1", "a2", "b1"):
         context.scripts.setdefault(make_id(name), {})["ticketed"] = True
 
@@ -168,3 +169,17 @@
 @then("no start was refused for its ticket")
 def step_none_refused(context: Any) -> None:
     assert context.world.fleet.tickets_refused == 0, context.world.fleet.tickets_refused
+
+
+@when("operators remove all queues but the usual one, which is {advised}")
+def step_usual_only(context: Any, advised: str) -> None:
+    queues = {"usual": QUEUES["usual"]}
+    advice = context.advice if advised == "advised" else None
+
+    async def put() -> None:
+        context.world.store.put(
+            POLICY_KEY, make_policy(9, queues=queues, advice=advice)
+        )
+        await asyncio.sleep(0.3)
+
+    context.world.run(put())
--- a/features/work/services.feature
+++ b/features/work/services.feature
@@ -82,3 +82,30 @@
       | 6     | 8            |
     Then job b1 is shown as completed within 20 s
     And no start was refused for its ticket
+
+  Scenario Outline: A job waits in a queue that is removed
+    Guards against a job that waits for tickets that nobody asks for, or is started
+    without one, since parts of the scheduler go by different versions.
+    Given a fleet of 2 workers with 8 accelerators in 1 racks
+    And queues whose workers only the advice service knows, w1 and w2
+    And 2 processes of ours
+    And the tasks of b2 take 8 s
+    When job b2 is handed in with steps
+      | count | accelerators |
+      | 2     | 8            |
+    And b2 runs on the fleet
+    And job a1 is handed in to patient by domes with steps
+      | count | accelerators |
+      | 1     | 8            |
+    And operators remove all queues but the usual one, which is <advised>
+    And <event>
+    And 20 s pass
+    Then every task of a1 was started once
+    And no start was refused for its ticket
+
+    Examples:
+      | advised     | event                       |
+      | advised     | 0 s pass                    |
+      | advised     | the scheduling process dies |
+      | not advised | 0 s pass                    |
+      | not advised | the scheduling process dies |
--- a/src/primrosestile/coordination/work/advisor.py
+++ b/src/primrosestile/coordination/work/advisor.py
@@ -57,13 +57,12 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
     def _choose(self) -> Question | None:
-        if not self._uses_advice():
+        # A job keeps its queue when operators remove that, so its queue decides, as
+        # it does where starts need tickets.
+        if not self._fleet_state.uses_advice:
             return None
         return choose_question(self._fleet_state, self._durations, read_clock())
 
-    def _uses_advice(self) -> bool:
-        return any(queue.advised for queue in self._fleet_state.policy.queues)
-
     async def _ask(self, question: Question) -> None:
         asked_at = read_clock()
         answer = await self._calls.ask(
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -43,14 +43,25 @@
 LATE_ORDER_SECONDS = 12.0
 
 
-def _make_fallback_queue(attempts: int) -> Queue:
+def _make_fallback_queue(submission: Submission) -> Queue:
     """Return the queue settings for a job whose queue is not in the policy.
 
-    The job keeps the attempts that it was accepted with. With a single attempt, it
-    would fail after its first failed run when an owner begins while operators have
-    removed its queue for some seconds.
+    The job keeps what it was accepted with. With a single attempt, it would fail after
+    its first failed run when an owner begins while operators have removed its queue for
+    some seconds; without advice, its starts would have no ticket.
     """
-    return Queue("", "", "", "", 2, attempts, 3.0, 3.0, 3.0)
+    return Queue(
+        name="",
+        host="",
+        prefix="",
+        pool="",
+        priority=submission.priority,
+        attempts=submission.attempts,
+        stretch=3.0,
+        objective_seconds=3.0,
+        timeout_seconds=3.0,
+        advised=submission.advised,
+    )
 
 
 class FleetState:
@@ -63,6 +74,7 @@
         stop_timing: Limits that depend on how long a worker takes to stop a run.
         shares: What each organisation used lately.
         headroom: Recent urgent arrivals, and what is withheld for the next ones.
+        uses_advice: Whether an open job may be of a queue that is advised.
         last_tried: The last unit that a pass tried to start behind those that it
             examined; the next pass begins behind it.
     """
@@ -78,6 +90,7 @@
         self.stop_timing = make_stop_timing(settings.stop_seconds)
         self.shares = make_organisation_shares(settings.organisation_shares)
         self.headroom = HeadroomState()
+        self.uses_advice = False
         self.last_tried: Unit | None = None
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
@@ -105,15 +118,17 @@
         self.policy = policy
         for job in self.jobs.values():
             job.queue = policy.find_queue_by_name(job.submission.queue) or job.queue
+        self.uses_advice = any(job.queue.advised for job in self.jobs.values())
 
     def admit(
         self, submission: Submission, progress: Progress | None, now: float, age: float
     ) -> Job:
         """Add a job, as it was accepted or with the progress recorded so far."""
         queue = self.policy.find_queue_by_name(submission.queue)
-        queue = queue or _make_fallback_queue(submission.attempts)
+        queue = queue or _make_fallback_queue(submission)
         job = Job(submission, queue, now - age)
         self.jobs[job.job_id] = job
+        self.uses_advice |= queue.advised is not None
         self.headroom.record(job, now)
         if progress is None:
             return job
--- a/src/primrosestile/platform/callers.py
+++ b/src/primrosestile/platform/callers.py
@@ -94,6 +94,8 @@
         repeats=repeats,
         accepted_at=accepted_at,
         attempts=queue.attempts,
+        priority=queue.priority,
+        advised=queue.advised,
     )
 
 
--- a/src/primrosestile/state/work.py
+++ b/src/primrosestile/state/work.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from primrosestile.state.decoding import decode_msgpack
+from primrosestile.state.policy import AdviceRules
 
 T = TypeVar("T")
 
@@ -111,8 +112,10 @@
         pool: Worker pool of the queue at that time.
         payload: Passed to the workers unchanged.
         accepted_at: Seconds since 1970 by the accepting process's clock.
-        attempts: The queue's limit on failed runs of one task at that time; used while
-            no queue of that name is configured.
+        attempts: The queue's limit on failed runs of one task at that time; this and
+            the following are used while no queue of that name is configured.
+        priority: The queue's priority at that time.
+        advised: The queue's rules of advice at that time.
     """
 
     job_id: str
@@ -124,6 +127,8 @@
     repeats: Repeats = Repeats()
     accepted_at: float = 0.0
     attempts: int = 1
+    priority: int = 2
+    advised: AdviceRules | None = None
 
 
 class UnitKey(NamedTuple):
