--- a/src/primrosestile/decisions/work/crashes.py
+++ b/src/primrosestile/decisions/work/crashes.py
@@ -195,8 +195,8 @@
 def _has_just_started(member: Member, worker: Worker) -> bool:
     """Whether a worker stopped answering shortly after a task's start.
 
-    A worker that is partitioned before it receives a start looks the same, if it
-    crashes before the partition ends.
+    Only for a start that reached it: one that timed out looks the same on a worker that
+    was partitioned before, and crashes before the partition ends.
     """
     if worker.unanswered_at is None or not member.reached:
         return False
--- a/src/primrosestile/decisions/work/fleet_state.py
+++ b/src/primrosestile/decisions/work/fleet_state.py
@@ -437,8 +437,8 @@
     def abandon(self, unit: Unit) -> None:
         """End a unit's current run, so that it can be started again.
 
-        Only for decisions on the present state: what has waited since then abandons
-        the run that it was for.
+        Only for decisions on the present state; code that has awaited something since
+        then uses `abandon_run`.
         """
         if unit.phase is Phase.ORDERED:
             unit.abandoned = True
--- a/src/primrosestile/decisions/work/placement.py
+++ b/src/primrosestile/decisions/work/placement.py
@@ -68,9 +68,9 @@
     others = [room for room in allowed if room.worker.name not in avoided]
     if sum(count for count, _ in list_fitting(unit, others)) >= unit.size:
         return others
-    return (
-        others if waits_elsewhere(unit, now) and could_hold(unit, others) else allowed
-    )
+    if waits_elsewhere(unit, now) and could_hold(unit, others):
+        return others
+    return allowed
 
 
 def list_avoided(unit: Unit, now: float) -> list[str]:
--- a/src/primrosestile/decisions/work/units.py
+++ b/src/primrosestile/decisions/work/units.py
@@ -55,8 +55,8 @@
     Attributes:
         decided_at: When its run was decided, on the loop's clock.
         sent_at: When its start was first sent; None before that.
-        reached: Its worker has certainly received its start: it has answered, or the
-            connection has ended.
+        reached: Its worker could be reached by its start: it has answered, or the
+            connection has ended; a start that timed out may never have arrived.
         unanswered_at: When its start was last sent without an answer.
         restored: It was ordered by an earlier owner, under a lower fence.
         resumed: It began from a checkpoint, not from the beginning.
