Log unreadable entries in one place, and read an owner's key with its table

What was found on reading the change again: ListEntries repeated the log of RecordReader line by line, and Ownership decoded and logged an odd owner's key by itself beside OwnerTable, which does that for lists.

Change: UnreadableEntries logs an entry once for each revision, for both, and OwnerTable.read serves Ownership too. Behaviour is the same; an odd owner's key is now logged once a revision there as well. Two docstrings of a test are reworded.

--- a/features/steps/work_outdated_orders_steps.py
+++ b/features/steps/work_outdated_orders_steps.py
@@ -62,7 +62,7 @@
 
 @dataclass
 class HeldOrders:
-    """Orders for one task, with each step held until the test lets it go on.
+    """Orders for one task, with each step blocked until the test continues it.
 
     Attributes:
         held: What the first run waits for; all other steps take no time.
@@ -93,7 +93,7 @@
         self.passed = 0
 
     async def hold(self, what: str) -> None:
-        """Wait at the first run's step of this name until it is let go."""
+        """Block the first run's step of this name until the gate opens."""
         if what == self.held and not self.passed:
             self.passed = 1
             await self.gate.wait()
--- a/src/primrosestile/coordination/owner_table.py
+++ b/src/primrosestile/coordination/owner_table.py
@@ -46,6 +46,10 @@
         """Return the owner of a cell as last seen."""
         return self._owned.get(cell)
 
+    def read(self, entry: Entry) -> CellOwnership | None:
+        """Return the owner in an entry; None if it can't be read."""
+        return self._entries.read(entry)
+
     def note(self, entry: Entry) -> None:
         """Record a key that this process has just written or read."""
         known = self._owned.get(_cell_of(entry.key))
@@ -58,7 +62,7 @@
         The cell would otherwise count as free, and its owner as lost.
         """
         cell = _cell_of(entry.key)
-        owned = self._entries.read(entry)
+        owned = self.read(entry)
         if owned is None and known is not None:
             same_key = known.create_revision == entry.create_revision
             owned = (
--- a/src/primrosestile/coordination/ownership.py
+++ b/src/primrosestile/coordination/ownership.py
@@ -26,7 +26,6 @@
     CELLS_PREFIX,
     CellOwnership,
     OwnerTable,
-    decode_owned,
 )
 from primrosestile.coordination.settled_writes import delete_settled, put_settled
 from primrosestile.decisions.locality import rank_placers
@@ -34,7 +33,6 @@
 from primrosestile.errors import Failure
 from primrosestile.protocol.store import Store
 from primrosestile.protocol.workers import Workers
-from primrosestile.state.decoding import Undecodable
 from primrosestile.state.fleet import Cell
 from primrosestile.state.jobs import CellOwner, ProcessRecord
 from primrosestile.state.settings import Settings
@@ -181,12 +179,8 @@
             current = await self._store.get(key)
         if current is None or current.lease != lease:
             return None
-        try:
-            owned = decode_owned(current)
-        except Undecodable as error:
-            _log.warning("record_unreadable", key=key, reason=str(error))
-            return None
-        if not self._is_own(owned):
+        owned = self._table.read(current)
+        if owned is None or not self._is_own(owned):
             return None
         self._table.note(current)
         return current.create_revision
--- a/src/primrosestile/coordination/work/record_reader.py
+++ b/src/primrosestile/coordination/work/record_reader.py
@@ -14,8 +14,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import structlog
-
+from primrosestile.coordination.unreadable_entries import UnreadableEntries
 from primrosestile.errors import ErrorKind, Failure
 from primrosestile.protocol.store import Entry
 from primrosestile.protocol.transactions import TransactionalStore
@@ -28,13 +27,9 @@
 # may use a silent connection as well; the third is sent once the first has timed out,
 # and so on a new connection.
 WAITS = (REPEAT_SECONDS, None, REPEAT_SECONDS)
-# Unreadable records that are remembered as logged.
-LOGGED_RECORDS = 1000
 
 T = TypeVar("T")
 
-_log = structlog.get_logger()
-
 
 class UnreadableRecord(Failure):
     """A record is in the store, but what it says is not known."""
@@ -53,7 +48,7 @@
         self._arriving: dict[str, asyncio.Task[Entry | None]] = {}
         # Queries for current values, by key.
         self._queries: dict[str, asyncio.Task[Entry | None]] = {}
-        self._logged: dict[str, int] = {}
+        self._unreadable = UnreadableEntries()
 
     async def get(self, key: str, recent: bool = True) -> Entry | None:
         """Return the value of a key, or None.
@@ -134,18 +129,9 @@
         try:
             return decode(entry.value)
         except Undecodable as error:
-            self._log_unreadable(entry, str(error))
+            self._unreadable.log(entry, str(error))
             raise UnreadableRecord(entry.key) from error
 
-    def _log_unreadable(self, entry: Entry, reason: str) -> None:
-        """Log an unreadable record unless it is unchanged since it was logged."""
-        if self._logged.get(entry.key) == entry.mod_revision:
-            return
-        if len(self._logged) >= LOGGED_RECORDS:
-            del self._logged[next(iter(self._logged))]
-        self._logged[entry.key] = entry.mod_revision
-        _log.warning("record_unreadable", key=entry.key, reason=reason)
-
 
 def _mark_retrieved(task: asyncio.Task[Entry | None]) -> None:
     """Keep the loop from reporting a failure that nobody waits for."""
